--- /dev/null
+++ b/packages/api/pimentofront/Api.h
@@ -0,0 +1,20 @@
+//===- Api.h - The Connect protocol ----------------------------*- C++ -*-===//
+///
+/// \file
+/// \defgroup Api Api
+/// What the Connect protocol (connectrpc.com/docs/protocol) says on top of
+/// HTTP/1.1: unary bodies in JSON and binary, enveloped streams, errors. The
+/// messages themselves are generated from proto/pimentofront.proto.
+///
+//===----------------------------------------------------------------------===//
+#ifndef PIMENTOFRONT_API_H
+#define PIMENTOFRONT_API_H
+
+#include "pimentofront/Base.h"
+
+// clang-format off: the parts, in the order of their dependencies.
+#include "src/Api/Envelope.h"
+#include "src/Api/Connect.h"
+// clang-format on
+
+#endif
--- /dev/null
+++ b/packages/base/pimentofront/Base.h
@@ -0,0 +1,20 @@
+//===- Base.h - Values shared by all modules --------------------*- C++ -*-===//
+///
+/// \file
+/// \defgroup Base Base
+/// Time as an argument, typed identifiers, findings with their place, hashing
+/// and seeded random numbers. Nothing in here performs I/O.
+///
+//===----------------------------------------------------------------------===//
+#ifndef PIMENTOFRONT_BASE_H
+#define PIMENTOFRONT_BASE_H
+
+// clang-format off: the parts, in the order of their dependencies.
+#include "src/Base/Time.h"
+#include "src/Base/Identifier.h"
+#include "src/Base/Finding.h"
+#include "src/Base/Hash.h"
+#include "src/Base/Random.h"
+// clang-format on
+
+#endif
--- /dev/null
+++ b/packages/base/pimentofront/src/Base/Finding.cpp
@@ -0,0 +1,16 @@
+#include "pimentofront/Base.h"
+
+namespace pimentofront {
+
+void Findings::add(std::string_view place, std::string_view message) {
+  Items.push_back({std::string(place), std::string(message)});
+}
+
+std::string Findings::toText() const {
+  std::string text;
+  for (const Finding &it : Items)
+    text += it.Place + ": " + it.Message + "\n";
+  return text;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/base/pimentofront/src/Base/Finding.h
@@ -0,0 +1,40 @@
+#ifndef PIMENTOFRONT_BASE_FINDING_H
+#define PIMENTOFRONT_BASE_FINDING_H
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentofront {
+
+/// \class Finding
+/// \ingroup Base
+/// \brief One fault of an input and the place where it stands.
+struct Finding {
+  /// File, line, JSON pointer or field name, as precise as is known.
+  std::string Place;
+  /// What is wrong and what was expected.
+  std::string Message;
+
+  friend auto operator<=>(const Finding &, const Finding &) = default;
+};
+
+/// \class Findings
+/// \ingroup Base
+/// \brief Collects all faults of an input, so that they are reported together.
+class Findings {
+public:
+  void add(std::string_view place, std::string_view message);
+  bool empty() const { return Items.empty(); }
+  const std::vector<Finding> &items() const { return Items; }
+  /// \returns one line a finding, "place: message".
+  std::string toText() const;
+
+private:
+  std::vector<Finding> Items;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/base/pimentofront/src/Base/Time.h
@@ -0,0 +1,42 @@
+#ifndef PIMENTOFRONT_BASE_TIME_H
+#define PIMENTOFRONT_BASE_TIME_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace pimentofront {
+
+/// \class BootClock
+/// \ingroup Base
+/// \brief Tag of the clock that all decisions use: time since the machine
+/// started, counting suspension, so that a frozen process sees its leases run
+/// out when it wakes.
+///
+/// It has no `now()` on purpose. Functions that decide take the present time
+/// as an argument; only the event loop reads a clock.
+struct BootClock {
+  using rep = std::int64_t;
+  using period = std::micro;
+  using duration = std::chrono::microseconds;
+  using time_point = std::chrono::time_point<BootClock, duration>;
+  static constexpr bool is_steady = true;
+};
+
+/// A span of time, in microseconds.
+using Duration = BootClock::duration;
+/// A point of the boot clock.
+using TimePoint = BootClock::time_point;
+
+/// \returns \p d in seconds as a real number, for rates and scores.
+constexpr double toSeconds(Duration d) {
+  return static_cast<double>(d.count()) / 1e6;
+}
+
+/// \returns \p s seconds as a duration.
+constexpr Duration fromSeconds(double s) {
+  return Duration(static_cast<std::int64_t>(s * 1e6));
+}
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/consensus/pimentofront/src/Consensus/Election.cpp
@@ -0,0 +1,178 @@
+//===- Election.cpp - Who leads, and until when -----------------*- C++ -*-===//
+
+#include "pimentofront/Consensus.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+
+void ReplicatedLog::resetElectionTimer(TimePoint now) {
+  ElectionAt = now + Jitter.jitter(Options.ElectionTimeout);
+}
+
+void ReplicatedLog::becomeFollower(TimePoint now, Term term, ReplicaId leader) {
+  if (term > Vote.Current)
+    setVote({.Current = term, .VotedFor = 0});
+  if (Role != LogRole::Follower)
+    resetElectionTimer(now);
+  Role = LogRole::Follower;
+  Leader = leader;
+  Followers.clear();
+  Rounds.clear();
+  Votes.clear();
+}
+
+void ReplicatedLog::startElection(TimePoint now, bool probe) {
+  Role = LogRole::Candidate;
+  Leader = 0;
+  Probing = probe;
+  Votes = {Id};
+  resetElectionTimer(now);
+  if (!probe)
+    setVote({.Current = Vote.Current + 1, .VotedFor = Id});
+  const VoteRequest request{.From = Id,
+                            .CandidateTerm = Vote.Current + (probe ? 1 : 0),
+                            .LastIndex = lastIndex(),
+                            .LastTerm = termAt(lastIndex()),
+                            .Probe = probe};
+  for (const ReplicaDescriptor &it : Group.Replicas)
+    if (it.Id != Id && !it.Learner)
+      sendTo(it, request);
+  // A group of one has all its votes.
+  if (voterCount() == 1)
+    onVoteReply(now, 0,
+                {.From = Id,
+                 .VoterTerm = Vote.Current,
+                 .CandidateTerm = request.CandidateTerm,
+                 .Granted = true,
+                 .Probe = probe});
+}
+
+bool ReplicatedLog::isUpToDate(const VoteRequest &request) const {
+  const Term ours = termAt(lastIndex());
+  if (request.LastTerm != ours)
+    return request.LastTerm > ours;
+  return request.LastIndex >= lastIndex();
+}
+
+void ReplicatedLog::onVoteRequest(TimePoint now, const VoteRequest &request) {
+  // The leader's lease stands on this: no vote while it may still count on us.
+  const bool leaderAlive =
+      Role == LogRole::Leader
+          ? quorumHeardAt() + Options.ElectionTimeout >= now
+          : Leader != 0 && LeaderHeardAt + Options.ElectionTimeout > now;
+  const bool promised = leaderAlive || now < NoVoteBefore;
+  VoteReply reply{.From = Id,
+                  .VoterTerm = Vote.Current,
+                  .CandidateTerm = request.CandidateTerm,
+                  .Probe = request.Probe};
+  const bool considered = !promised && isVoter() &&
+                          request.CandidateTerm >= Vote.Current &&
+                          isUpToDate(request);
+  if (request.Probe) {
+    reply.Granted = considered && request.CandidateTerm > Vote.Current;
+    return sendTo(request.From, reply);
+  }
+  if (!promised && request.CandidateTerm > Vote.Current)
+    becomeFollower(now, request.CandidateTerm, 0);
+  const bool free = Vote.VotedFor == 0 || Vote.VotedFor == request.From;
+  reply.Granted = considered && request.CandidateTerm == Vote.Current && free;
+  reply.VoterTerm = Vote.Current;
+  if (reply.Granted) {
+    setVote({.Current = Vote.Current, .VotedFor = request.From});
+    resetElectionTimer(now);
+  }
+  sendTo(request.From, reply);
+}
+
+void ReplicatedLog::onVoteReply(TimePoint now, std::uint64_t wallMilliseconds,
+                                const VoteReply &reply) {
+  if (Role != LogRole::Candidate || reply.Probe != Probing)
+    return;
+  if (reply.VoterTerm > Vote.Current && !reply.Granted)
+    return becomeFollower(now, reply.VoterTerm, 0);
+  const Term asked = Vote.Current + (Probing ? 1 : 0);
+  const ReplicaDescriptor *voter = findReplica(reply.From);
+  if (!reply.Granted || reply.CandidateTerm != asked || !voter ||
+      voter->Learner)
+    return;
+  Votes.insert(reply.From);
+  if (Votes.size() < quorum())
+    return;
+  if (Probing)
+    return startElection(now, /*probe=*/false);
+  becomeLeader(now, wallMilliseconds);
+}
+
+void ReplicatedLog::becomeLeader(TimePoint now,
+                                 std::uint64_t wallMilliseconds) {
+  Role = LogRole::Leader;
+  Leader = Id;
+  Followers.clear();
+  Rounds.clear();
+  for (const ReplicaDescriptor &it : Group.Replicas)
+    if (it.Id != Id)
+      Followers[it.Id] = {.Next = lastIndex() + 1, .HeardAt = now};
+  // What earlier terms left is committed by an entry of this one.
+  LeaderFrom = lastIndex() + 1;
+  append({.EntryTerm = Vote.Current,
+          .Index = LeaderFrom,
+          .Kind = EntryKind::Nothing,
+          .WallMilliseconds = wallMilliseconds});
+  replicateAll(now);
+}
+
+/// \returns the latest time for which a quorum, this replica included, has
+/// answered a round that was sent then or later.
+TimePoint ReplicatedLog::quorumHeardSince() const {
+  std::vector<TimePoint> times;
+  for (const ReplicaDescriptor &it : Group.Replicas) {
+    if (it.Learner)
+      continue;
+    const auto follower = Followers.find(it.Id);
+    times.push_back(it.Id == Id ? TimePoint::max()
+                    : follower == Followers.end()
+                        ? TimePoint::min()
+                        : follower->second.HeardSince);
+  }
+  if (times.size() < quorum() || times.empty())
+    return TimePoint::min();
+  std::ranges::sort(times, std::greater<>());
+  return times[quorum() - 1];
+}
+
+/// \returns when a quorum was heard of last.
+TimePoint ReplicatedLog::quorumHeardAt() const {
+  std::vector<TimePoint> times;
+  for (const ReplicaDescriptor &it : Group.Replicas) {
+    if (it.Learner)
+      continue;
+    const auto follower = Followers.find(it.Id);
+    times.push_back(it.Id == Id ? TimePoint::max() - Options.ElectionTimeout
+                    : follower == Followers.end() ? TimePoint()
+                                                  : follower->second.HeardAt);
+  }
+  if (times.empty())
+    return TimePoint();
+  std::ranges::sort(times, std::greater<>());
+  return times[quorum() - 1];
+}
+
+bool ReplicatedLog::holdsLease(TimePoint now) const {
+  if (Role != LogRole::Leader)
+    return false;
+  if (voterCount() == 1 && isVoter())
+    return true;
+  const TimePoint since = quorumHeardSince();
+  if (since == TimePoint::min())
+    return false;
+  return now < since + Options.ElectionTimeout - Options.ClockMargin;
+}
+
+std::optional<LogIndex> ReplicatedLog::readIndex(TimePoint now) const {
+  if (!holdsLease(now) || Committed < LeaderFrom)
+    return std::nullopt;
+  return Committed;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/ctl/src/TimeLine.cpp
@@ -0,0 +1,143 @@
+#include "TimeLine.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace pimentofront {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string textOf(const Json &json, const char *key) {
+  const auto it = json.find(key);
+  return it != json.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+std::uint64_t numberOf(const Json &json, const char *key) {
+  const auto it = json.find(key);
+  return it != json.end() && it->is_number_unsigned()
+             ? it->get<std::uint64_t>()
+             : 0;
+}
+
+bool isOwnField(const std::string &key) {
+  static const std::set<std::string> Own = {"hlc",  "ms",    "host",   "zone",
+                                            "level", "event", "request"};
+  return Own.contains(key);
+}
+
+std::string detailsOf(const Json &json) {
+  std::string result;
+  for (const auto &[key, value] : json.items()) {
+    if (isOwnField(key) || (value.is_string() && value.get<std::string>().empty()))
+      continue;
+    result += (result.empty() ? "" : " ") + key + "=" +
+              (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return result;
+}
+
+std::string escaped(const std::string &text) {
+  std::string result;
+  for (const char c : text) {
+    if (c == '<')
+      result += "&lt;";
+    else if (c == '&')
+      result += "&amp;";
+    else
+      result += c;
+  }
+  return result;
+}
+
+std::string clockText(std::uint64_t milliseconds) {
+  constexpr std::uint64_t PerSecond = 1000;
+  constexpr std::uint64_t SecondsPerDay = 86400;
+  const std::uint64_t seconds = milliseconds / PerSecond % SecondsPerDay;
+  char buf[32];
+  std::snprintf(buf, sizeof(buf), "%02u:%02u:%02u.%03u",
+                static_cast<unsigned>(seconds / 3600),
+                static_cast<unsigned>(seconds / 60 % 60),
+                static_cast<unsigned>(seconds % 60),
+                static_cast<unsigned>(milliseconds % PerSecond));
+  return buf;
+}
+
+} // namespace
+
+void TimeLine::addLog(const std::string &file, std::string_view text,
+                      Findings &findings) {
+  std::size_t line = 0;
+  while (!text.empty()) {
+    ++line;
+    const std::size_t end = text.find('\n');
+    const std::string_view content = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    if (content.empty())
+      continue;
+    const Json json = Json::parse(content, nullptr, false);
+    if (!json.is_object() || !json.contains("hlc")) {
+      findings.add(file + ":" + std::to_string(line), "this is no event");
+      continue;
+    }
+    Events.push_back({.Hlc = numberOf(json, "hlc"),
+                      .Milliseconds = numberOf(json, "ms"),
+                      .Host = textOf(json, "host"),
+                      .Zone = textOf(json, "zone"),
+                      .Level = textOf(json, "level"),
+                      .Event = textOf(json, "event"),
+                      .Request = textOf(json, "request"),
+                      .Details = detailsOf(json)});
+  }
+}
+
+void TimeLine::keepRequest(const std::string &request) {
+  std::erase_if(Events, [&](const TimeLineEvent &it) {
+    return !it.Request.empty() && it.Request != request;
+  });
+}
+
+void TimeLine::sort() { std::ranges::sort(Events); }
+
+std::string TimeLine::toText() const {
+  std::string text;
+  for (const TimeLineEvent &it : Events) {
+    text += clockText(it.Milliseconds) + " " + it.Zone + "/" + it.Host + " " +
+            it.Event;
+    if (!it.Request.empty())
+      text += " [" + it.Request + "]";
+    text += it.Details.empty() ? "\n" : " " + it.Details + "\n";
+  }
+  return text;
+}
+
+std::string TimeLine::toPage() const {
+  std::set<std::string> hosts;
+  for (const TimeLineEvent &it : Events)
+    hosts.insert(it.Host);
+  std::string page =
+      "<!doctype html><meta charset=\"utf-8\"><title>pimentofront time line"
+      "</title><style>body{font:13px sans-serif}table{border-collapse:collapse}"
+      "td,th{border-left:1px solid #ccc;padding:2px 6px;vertical-align:top;"
+      "max-width:22em}th{position:sticky;top:0;background:#fff}"
+      "tr:hover{background:#f4f4f4}.warn{background:#fff0c0}"
+      ".error{background:#ffd0d0}small{color:#666}</style><table><tr><th>time";
+  for (const std::string &host : hosts)
+    page += "<th>" + escaped(host);
+  for (const TimeLineEvent &it : Events) {
+    page += "\n<tr><td>" + clockText(it.Milliseconds);
+    for (const std::string &host : hosts) {
+      if (host != it.Host) {
+        page += "<td>";
+        continue;
+      }
+      page += "<td class=\"" + escaped(it.Level) + "\">" + escaped(it.Event) +
+              (it.Request.empty() ? "" : " <b>" + escaped(it.Request) + "</b>") +
+              "<br><small>" + escaped(it.Details) + "</small>";
+    }
+  }
+  return page + "\n</table>\n";
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/daemon/src/Daemon.cpp
@@ -0,0 +1,249 @@
+#include "Daemon.h"
+
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <unistd.h>
+
+namespace pimentofront {
+namespace {
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(20);
+
+std::uint64_t randomNumber() {
+  std::random_device device;
+  const std::uint64_t high = device();
+  constexpr unsigned HalfBits = 32;
+  return (high << HalfBits | device()) | 1;
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings &settings)
+    : Options(settings), Wall(Loop), Incarnation(randomNumber()) {}
+
+Daemon::~Daemon() {
+  // Timers call into what is destroyed after them.
+  FlushTimer.reset();
+  StopTimer.reset();
+  Timers.clear();
+}
+
+ExitCode Daemon::openStore() {
+  if (!Options.IsReplica)
+    return ExitCode::Good;
+  auto store = FileLogStore::open(Options.DataFolder, randomNumber());
+  if (!store) {
+    std::fprintf(stderr, "%s: %s\n", Options.DataFolder.c_str(),
+                 store.error().Detail.c_str());
+    return ExitCode::Data;
+  }
+  Store = std::move(*store);
+  Stored = Store->takeStored();
+  return ExitCode::Good;
+}
+
+void Daemon::openNetwork() {
+  Network = std::make_unique<PeerNetwork>(
+      Loop,
+      PeerNetworkOptions{.Listen = *HostPort::parse(Options.PeerAddress),
+                         .Self = {.Protocol = ProtocolVersion,
+                                  .Host = Options.Host,
+                                  .Replica = Stored.Id}},
+      *this);
+  Log = std::make_unique<EventLog>(Options, Loop, Network->clock());
+  Api = std::make_unique<ApiHandler>(Loop, Options, *Log, Counters, *Network);
+  Server = std::make_unique<HttpServer>(
+      Loop,
+      HttpServerOptions{.Address = *HostPort::parse(Options.HttpAddress),
+                        .MaxBodyBytes = Options.MaxBodyBytes,
+                        .CallerTimeout = Options.CallerTimeout},
+      *Api);
+  Client = std::make_unique<HttpClient>(Loop);
+}
+
+void Daemon::createNodes() {
+  const TimePoint now = Loop.now();
+  if (Options.IsReplica) {
+    ReplicaNodeOptions replica = Options.Replica;
+    replica.Log.Host = Options.Host;
+    replica.Log.Address = Options.PeerAddress;
+    replica.Log.Seed = Incarnation;
+    replica.Loads.LoadsPerSecond = Options.LoadsPerSecond;
+    replica.Loads.LoadTime = fromSeconds(1 / Options.LoadsPerSecond);
+    replica.Others = Options.Replicas;
+    std::erase(replica.Others, Options.PeerAddress);
+    Replica = std::make_unique<ReplicaNode>(now, replica, Stored, *Store,
+                                            *Network, Wall);
+    Stored = StoredLog();
+  }
+  if (Options.IsAgent) {
+    AgentNodeOptions agent = Options.Agent;
+    agent.Agent.Host = Options.Host;
+    agent.Agent.Incarnation = Incarnation;
+    agent.Agent.LoadTime = fromSeconds(1 / Options.LoadsPerSecond);
+    agent.Zone = Options.Zone;
+    agent.Address = Options.PeerAddress;
+    agent.Replicas = Options.Replicas;
+    Gate = std::make_unique<ScheduledLoads>(Options.LoadsPerSecond, 1);
+    Driver = std::make_unique<EngineDriver>(Loop, *Client, Options, *Log,
+                                            Counters);
+    Agent = std::make_unique<AgentNode>(now, agent, Eviction, *Gate, *Driver,
+                                        *Network);
+    Driver->setNode(*Agent);
+  }
+  if (Options.IsEntry) {
+    EntryNodeOptions entry = Options.Entry;
+    entry.Host = Options.Host;
+    entry.Entry.Incarnation = Incarnation;
+    entry.Replicas = Options.Replicas;
+    Routing = std::make_unique<AffinityRouting>(Options.Affinity);
+    Entry = std::make_unique<EntryNode>(now, entry, *Routing, *Network, *Api);
+  }
+  Api->setParts({Entry.get(), Agent.get(), Replica.get()});
+}
+
+ExitCode Daemon::run() {
+  const ExitCode opened = openStore();
+  if (opened != ExitCode::Good)
+    return opened;
+  try {
+    openNetwork();
+  } catch (const std::runtime_error &error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return ExitCode::Address;
+  }
+  createNodes();
+  Timers.push_back(Loop.every(TickPeriod, [this] { tick(); }));
+  for (const int it : {SIGTERM, SIGINT})
+    Timers.push_back(Loop.onSignal(it, [this] { beginStop(); }));
+  Timers.push_back(Loop.onSignal(SIGHUP, [this] { Log->reopen(); }));
+  Timers.push_back(Loop.onSignal(SIGPIPE, [] {}));
+  Log->write(LogLevel::Info, "process_started",
+             {{"http", Options.HttpAddress},
+              {"peers", Options.PeerAddress},
+              {"incarnation", Incarnation}});
+  Loop.run();
+  Log->write(LogLevel::Info, "process_ended", {});
+  return StoreFailed ? ExitCode::Data : ExitCode::Good;
+}
+
+//===----------------------------------------------------------------------===//
+// Links: each node takes what is its own
+//===----------------------------------------------------------------------===//
+
+void Daemon::onLinkOpen(LinkId link, const Hello &hello) {
+  const TimePoint now = Loop.now();
+  if (Replica)
+    Replica->onLinkOpen(now, link, hello);
+  if (Agent)
+    Agent->onLinkOpen(now, link, hello);
+  if (Entry)
+    Entry->onLinkOpen(now, link, hello);
+}
+
+void Daemon::onMessage(LinkId link, const Message &message) {
+  const TimePoint now = Loop.now();
+  if (Replica) {
+    Replica->onMessage(now, link, message);
+    flushSoon();
+  }
+  if (Agent)
+    Agent->onMessage(now, link, message);
+  if (Entry)
+    Entry->onMessage(now, link, message);
+}
+
+void Daemon::onLinkClosed(LinkId link) {
+  const TimePoint now = Loop.now();
+  if (Replica)
+    Replica->onLinkClosed(now, link);
+  if (Agent)
+    Agent->onLinkClosed(now, link);
+  if (Entry)
+    Entry->onLinkClosed(now, link);
+}
+
+/// All messages of one turn of the loop share one sync of the disk.
+void Daemon::flushSoon() {
+  if (FlushTimer)
+    return;
+  FlushTimer = Loop.after(Duration::zero(), [this] {
+    const auto keep = std::move(FlushTimer);
+    Replica->flush(Loop.now());
+  });
+}
+
+//===----------------------------------------------------------------------===//
+// Time and the end
+//===----------------------------------------------------------------------===//
+
+void Daemon::tick() {
+  const TimePoint now = Loop.now();
+  if (Replica) {
+    Replica->tick(now);
+    noteReplicaChanges();
+  }
+  if (Agent)
+    Agent->tick(now);
+  if (!Entry)
+    return;
+  Entry->tick(now);
+  const bool ready = Entry->ready(now);
+  if (ready != WasReady)
+    Log->write(LogLevel::Info, ready ? "entry_ready" : "entry_not_ready",
+               {{"revision", Entry->configuration().revision()}});
+  WasReady = ready;
+}
+
+void Daemon::noteReplicaChanges() {
+  const bool leads = Replica->log().holdsLease(Loop.now());
+  if (leads != Led)
+    Log->write(LogLevel::Info, leads ? "leader_began" : "leader_ended",
+               {{"term", Replica->log().term()}});
+  Led = leads;
+  if (!Replica->storeError() || StoreFailed)
+    return;
+  StoreFailed = true;
+  Log->write(LogLevel::Error, "store_failed",
+             {{"why", Replica->storeError()->Detail}});
+  // A replica that can't remember must not take part; what else this process
+  // plays ends gracefully.
+  beginStop();
+}
+
+void Daemon::beginStop() {
+  if (StopBegan)
+    return;
+  StopBegan = Loop.now();
+  Log->write(LogLevel::Info, "stop_began", {});
+  Api->beginStop();
+  if (Agent)
+    Agent->leave(Loop.now());
+  // The balancer sees that this entry isn't ready before it refuses anything.
+  StopTimer = Loop.after(Options.StopNotice, [this] {
+    if (Entry)
+      Entry->stop();
+    StopTimer = Loop.every(TickPeriod, [this] { continueStop(); });
+  });
+}
+
+bool Daemon::idle() const {
+  return (!Entry || Entry->idle()) && (!Agent || Agent->controller().idle());
+}
+
+void Daemon::continueStop() {
+  const bool late = Loop.now() - *StopBegan > Options.StopLimit;
+  if (!idle() && !late)
+    return;
+  if (!idle())
+    Log->write(LogLevel::Error, "stop_limit_hit",
+               {{"limit_seconds", toSeconds(Options.StopLimit)}});
+  if (Agent)
+    Agent->sayGoodbye(Loop.now());
+  // The goodbye has to leave the process.
+  constexpr Duration Farewell = std::chrono::milliseconds(100);
+  StopTimer = Loop.after(Farewell, [this] { Loop.stop(); });
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/daemon/src/Daemon.h
@@ -0,0 +1,92 @@
+#ifndef PIMENTOFRONT_DAEMON_DAEMON_H
+#define PIMENTOFRONT_DAEMON_DAEMON_H
+
+#include "ApiHandler.h"
+#include "EngineDriver.h"
+
+namespace pimentofront {
+
+/// How the daemon ends, as its exit code.
+enum class ExitCode : int {
+  Good = 0,
+  /// Bad command line.
+  Usage = 2,
+  /// Settings with faults.
+  Settings = 3,
+  /// An address can't be bound.
+  Address = 4,
+  /// The data folder can't be used.
+  Data = 5,
+};
+
+/// \class Daemon
+/// \brief One process: a loop, and the parts that its settings name.
+class Daemon : public PeerHandler {
+public:
+  explicit Daemon(const Settings &settings);
+  ~Daemon() override;
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  /// Runs until a signal ends it.
+  ExitCode run();
+
+  void onLinkOpen(LinkId link, const Hello &hello) override;
+  void onMessage(LinkId link, const Message &message) override;
+  void onLinkClosed(LinkId link) override;
+
+private:
+  class LoopClock : public WallClock {
+  public:
+    explicit LoopClock(const EventLoop &loop) : Loop(loop) {}
+    std::uint64_t milliseconds() const override {
+      return Loop.wallMilliseconds();
+    }
+
+  private:
+    const EventLoop &Loop;
+  };
+
+  ExitCode openStore();
+  void openNetwork();
+  void createNodes();
+  void tick();
+  void flushSoon();
+  void noteReplicaChanges();
+  void beginStop();
+  void continueStop();
+  bool idle() const;
+
+  Settings Options;
+  EventLoop Loop;
+  LoopClock Wall;
+  std::uint64_t Incarnation;
+  std::unique_ptr<FileLogStore> Store;
+  StoredLog Stored;
+  std::unique_ptr<PeerNetwork> Network;
+  std::unique_ptr<EventLog> Log;
+  Metrics Counters;
+  std::unique_ptr<ApiHandler> Api;
+  std::unique_ptr<HttpServer> Server;
+  std::unique_ptr<HttpClient> Client;
+
+  LeastPopular Eviction;
+  std::unique_ptr<ScheduledLoads> Gate;
+  std::unique_ptr<AffinityRouting> Routing;
+  std::unique_ptr<EngineDriver> Driver;
+  std::unique_ptr<EntryNode> Entry;
+  std::unique_ptr<AgentNode> Agent;
+  std::unique_ptr<ReplicaNode> Replica;
+
+  std::vector<std::unique_ptr<Timer>> Timers;
+  std::unique_ptr<Timer> FlushTimer;
+  std::unique_ptr<Timer> StopTimer;
+  std::optional<TimePoint> StopBegan;
+  bool Led = false;
+  bool StoreFailed = false;
+  bool WasReady = false;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/EngineDriver.h
@@ -0,0 +1,68 @@
+#ifndef PIMENTOFRONT_DAEMON_ENGINE_DRIVER_H
+#define PIMENTOFRONT_DAEMON_ENGINE_DRIVER_H
+
+#include "EventLog.h"
+#include "Metrics.h"
+#include "ServerSentEvents.h"
+
+#include <unordered_map>
+
+namespace pimentofront {
+
+/// \class EngineDriver
+/// \brief Speaks to an engine with the OpenAI-style completions stream and its
+/// published endpoints to load and unload LoRA adapters, and calls plain
+/// services. Another sort of engine is another class like this.
+class EngineDriver : public BackendDriver {
+public:
+  EngineDriver(EventLoop &loop, HttpClient &client, const Settings &settings,
+               EventLog &log, Metrics &metrics);
+  ~EngineDriver() override;
+
+  /// The node that is told what happens; to be set before anything runs.
+  void setNode(AgentNode &node);
+
+  void generate(const ExecuteRequest &request) override;
+  void callService(const ExecuteRequest &request) override;
+  void cancel(const AttemptId &attempt) override;
+  void load(const StartLoad &load) override;
+
+private:
+  struct Generation {
+    HttpCallId Call = 0;
+    RequestId Request;
+    ServerSentEvents Events;
+    bool Done = false;
+  };
+
+  void onPiece(const AttemptId &attempt, std::string_view bytes);
+  void onGenerationEnd(const AttemptId &attempt, const HttpAnswer &answer);
+  void onServiceEnd(const AttemptId &attempt, const HttpAnswer &answer);
+  void unload(const StartLoad &load, TimePoint begun);
+  void loadNow(const StartLoad &load, TimePoint begun);
+  void onLoadEnd(const StartLoad &load, TimePoint begun, bool succeeded);
+  void probe();
+  void onMetrics(const HttpAnswer &answer);
+  void onModels(const HttpAnswer &answer, double startedAt, bool idle);
+  void engineLost(const char *why);
+  HttpCall post(const std::string &path, std::string body) const;
+
+  EventLoop &Loop;
+  HttpClient &Client;
+  const Settings &Options;
+  EventLog &Log;
+  Metrics &Counters;
+  AgentNode *Node = nullptr;
+  HostPort Engine;
+  std::map<ServiceName, HostPort> Services;
+  std::unordered_map<AttemptId, Generation> Generations;
+  std::unordered_map<AttemptId, HttpCallId> ServiceCalls;
+  std::unique_ptr<Timer> ProbeTimer;
+  bool ProbeUnderWay = false;
+  /// The engine's own sign: when its process started. 0 while it is away.
+  double StartedAt = 0;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/Metrics.cpp
@@ -0,0 +1,110 @@
+#include "Metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace pimentofront {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries StallBuckets = {
+    0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32};
+
+} // namespace
+
+const char *finalKindName(FinalKind kind) {
+  constexpr const char *Names[] = {"answered", "refused", "unknown",
+                                   "timed_out", "failed"};
+  return Names[static_cast<std::size_t>(kind)];
+}
+
+struct Metrics::Impl {
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Counter> &Finals =
+      prometheus::BuildCounter()
+          .Name("pimentofront_requests_total")
+          .Help("Final answers, by kind of request and of answer")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Refusals =
+      prometheus::BuildCounter()
+          .Name("pimentofront_refusals_total")
+          .Help("Requests that were not run, by reason")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Retries =
+      prometheus::BuildCounter()
+          .Name("pimentofront_attempts_total")
+          .Help("Attempts at hosts, over all requests")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &Stalls =
+      prometheus::BuildHistogram()
+          .Name("pimentofront_load_stall_seconds")
+          .Help("Time that an answered request waited for its adapter")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &Latencies =
+      prometheus::BuildHistogram()
+          .Name("pimentofront_request_seconds")
+          .Help("Time from request to final answer, of answered ones")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Loads =
+      prometheus::BuildCounter()
+          .Name("pimentofront_loads_total")
+          .Help("Adapter loads, by result")
+          .Register(Registry);
+  prometheus::Family<prometheus::Gauge> &State =
+      prometheus::BuildGauge()
+          .Name("pimentofront_state")
+          .Help("Values of this process, by name; docs/OPERATORS.md")
+          .Register(Registry);
+};
+
+Metrics::Metrics() : State(new Impl) {}
+Metrics::~Metrics() = default;
+
+void Metrics::noteFinal(const KindName &kind, const FinalAnswer &answer,
+                        Duration took) {
+  // A kind that doesn't exist is the caller's text: it must not become a label.
+  const bool invalid = answer.Reason == RefusalReason::Invalid;
+  State->Finals
+      .Add({{"kind", invalid ? "-" : kind.str()}, {"answer", finalKindName(answer.Kind)}})
+      .Increment();
+  State->Retries.Add({}).Increment(answer.Attempts);
+  if (answer.Kind == FinalKind::Refused)
+    State->Refusals.Add({{"reason", refusalReasonName(answer.Reason)}})
+        .Increment();
+  if (answer.Kind != FinalKind::Answered)
+    return;
+  State->Stalls.Add({{"kind", kind.str()}}, StallBuckets)
+      .Observe(toSeconds(answer.LoadStall));
+  State->Latencies.Add({{"kind", kind.str()}}, StallBuckets)
+      .Observe(toSeconds(took));
+}
+
+void Metrics::noteLoad(bool succeeded, Duration took) {
+  const char *result = succeeded ? "loaded" : "failed";
+  State->Loads.Add({{"result", result}}).Increment();
+  State->State.Add({{"name", "last_load_seconds"}}).Set(toSeconds(took));
+}
+
+void Metrics::set(const Gauges &gauges) {
+  const auto put = [&](const char *name, double value) {
+    State->State.Add({{"name", name}}).Set(value);
+  };
+  put("revision", gauges.Revision);
+  put("configuration_lease_seconds", gauges.ConfigurationLeaseSeconds);
+  put("member_lease_seconds", gauges.MemberLeaseSeconds);
+  put("requests_in_progress", gauges.InProgress);
+  put("engine_running", gauges.EngineRunning);
+  put("engine_waiting", gauges.EngineWaiting);
+  put("batch_capacity", gauges.BatchCapacity);
+  put("leads", gauges.Leads);
+  put("peer_bytes_sent", gauges.PeerBytesSent);
+  put("peer_bytes_received", gauges.PeerBytesReceived);
+}
+
+std::string Metrics::text() const {
+  return prometheus::TextSerializer().Serialize(State->Registry.Collect());
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/daemon/src/Settings.cpp
@@ -0,0 +1,154 @@
+#include "Settings.h"
+
+#include "SettingsReader.h"
+
+namespace pimentofront {
+namespace {
+
+constexpr std::uint64_t MaxCount = 1'000'000;
+
+void readEntry(SettingsReader reader, Settings &settings) {
+  EntryOptions &entry = settings.Entry.Entry;
+  entry.AdmitTimeout = reader.milliseconds("admit_timeout_ms", entry.AdmitTimeout);
+  entry.MaxRetries = static_cast<std::uint32_t>(
+      reader.integer("max_retries", entry.MaxRetries, 0, 100));
+  entry.MaxRequests = reader.integer("max_requests", entry.MaxRequests, 1, MaxCount);
+  settings.Affinity.Choices = static_cast<std::uint32_t>(
+      reader.integer("affinity_choices", settings.Affinity.Choices, 1, 64));
+  settings.Affinity.PackingWeight =
+      reader.real("packing_weight", settings.Affinity.PackingWeight, 0, 1000);
+  settings.MaxBodyBytes =
+      reader.integer("max_body_bytes", settings.MaxBodyBytes, 1024, 64U << 20);
+  settings.CallerTimeout =
+      reader.milliseconds("caller_timeout_ms", settings.CallerTimeout);
+  settings.CallerBufferBytes = reader.integer(
+      "caller_buffer_bytes", settings.CallerBufferBytes, 1024, 64U << 20);
+  reader.finish();
+}
+
+void readServices(SettingsReader &reader, Settings &settings) {
+  for (SettingsReader &it : reader.objects("services")) {
+    ServiceAddress service{ServiceName(it.requiredText("name")),
+                           it.address("address", true)};
+    it.finish();
+    settings.Agent.Agent.Services.push_back(service.Name);
+    settings.Services.push_back(service);
+  }
+}
+
+void readAgent(SettingsReader reader, Settings &settings) {
+  AgentOptions &agent = settings.Agent.Agent;
+  settings.EngineAddress = reader.address("engine", false);
+  agent.BaseModel = reader.text("base_model", "");
+  agent.Slots =
+      static_cast<std::uint32_t>(reader.integer("slots", agent.Slots, 1, 4096));
+  agent.BatchCapacity = static_cast<std::uint32_t>(
+      reader.integer("batch_capacity", agent.BatchCapacity, 1, 4096));
+  agent.QueueLimit = static_cast<std::uint32_t>(
+      reader.integer("queue_limit", agent.QueueLimit, 1, MaxCount));
+  agent.ServiceLimit = static_cast<std::uint32_t>(
+      reader.integer("service_limit", agent.ServiceLimit, 1, MaxCount));
+  agent.PopularityHalfLife =
+      reader.milliseconds("popularity_half_life_ms", agent.PopularityHalfLife);
+  agent.SpillDelay = reader.milliseconds("spill_delay_ms", agent.SpillDelay);
+  settings.EngineProbePeriod =
+      reader.milliseconds("engine_probe_ms", settings.EngineProbePeriod);
+  readServices(reader, settings);
+  if (settings.EngineAddress.empty() != agent.BaseModel.empty())
+    reader.fault("engine", "an engine and its base_model go together");
+  if (settings.EngineAddress.empty() && settings.Services.empty())
+    reader.fault("services", "an agent has an engine or services");
+  if (agent.PopularityHalfLife <= Duration::zero())
+    reader.fault("popularity_half_life_ms", "expected more than 0");
+  reader.finish();
+}
+
+void readReplica(SettingsReader reader, Settings &settings) {
+  ReplicaNodeOptions &replica = settings.Replica;
+  settings.DataFolder = reader.requiredText("folder");
+  replica.Log.WantedVoters = static_cast<std::uint32_t>(
+      reader.integer("wanted_voters", replica.Log.WantedVoters, 1, 9));
+  replica.Log.HeartbeatPeriod =
+      reader.milliseconds("heartbeat_ms", replica.Log.HeartbeatPeriod);
+  replica.Log.ElectionTimeout =
+      reader.milliseconds("election_timeout_ms", replica.Log.ElectionTimeout);
+  replica.CompactAfter =
+      reader.integer("compact_after_entries", replica.CompactAfter, 16, MaxCount);
+  if (replica.Log.ElectionTimeout < 3 * replica.Log.HeartbeatPeriod)
+    reader.fault("election_timeout_ms",
+                 "expected at least three times heartbeat_ms");
+  if (replica.Log.WantedVoters % 2 == 0)
+    reader.fault("wanted_voters", "expected an odd number");
+  reader.finish();
+}
+
+void readTimes(SettingsReader &reader, Settings &settings) {
+  ConfigurationCopyOptions &copy = settings.Entry.Configuration;
+  copy.Lease = reader.milliseconds("configuration_lease_ms", copy.Lease);
+  settings.Entry.ProbePeriod =
+      reader.milliseconds("probe_period_ms", settings.Entry.ProbePeriod);
+  settings.Replica.Members.Lease =
+      reader.milliseconds("member_lease_ms", settings.Replica.Members.Lease);
+  settings.Agent.RenewPeriod =
+      reader.milliseconds("renew_period_ms", settings.Agent.RenewPeriod);
+  settings.StopNotice =
+      reader.milliseconds("stop_notice_ms", settings.StopNotice);
+  settings.StopLimit = reader.milliseconds("stop_limit_ms", settings.StopLimit);
+  if (copy.Lease < 2 * settings.Entry.ProbePeriod)
+    reader.fault("configuration_lease_ms",
+                 "expected at least twice probe_period_ms");
+  if (settings.Replica.Members.Lease < 2 * settings.Agent.RenewPeriod)
+    reader.fault("member_lease_ms", "expected at least twice renew_period_ms");
+}
+
+void readLog(SettingsReader reader, Settings &settings) {
+  settings.LogFile = reader.text("file", settings.LogFile);
+  settings.LogLevel = reader.text("level", settings.LogLevel);
+  const std::string &level = settings.LogLevel;
+  if (level != "debug" && level != "info" && level != "warn" && level != "error")
+    reader.fault("level", "expected debug, info, warn or error");
+  reader.finish();
+}
+
+} // namespace
+
+Settings Settings::parse(const std::string &file, std::string_view text,
+                         Findings &findings) {
+  Settings settings;
+  const SettingsDocument document =
+      SettingsDocument::parse(file, text, findings);
+  if (!document.Root.is_object())
+    return settings;
+  SettingsReader reader(document, "", findings);
+  settings.Host = HostName(reader.requiredText("host"));
+  settings.Zone = ZoneName(reader.requiredText("zone"));
+  settings.HttpAddress = reader.address("http", true);
+  settings.PeerAddress = reader.address("peers", true);
+  settings.Replicas = reader.addresses("replicas");
+  settings.LoadsPerSecond =
+      reader.real("loads_per_second", settings.LoadsPerSecond, 0.01, 100000);
+  settings.IsEntry = reader.has("entry");
+  settings.IsAgent = reader.has("agent");
+  settings.IsReplica = reader.has("replica");
+  readTimes(reader, settings);
+  if (SettingsReader log = reader.object("log"); reader.has("log"))
+    readLog(log, settings);
+  if (SettingsReader entry = reader.object("entry"); settings.IsEntry)
+    readEntry(entry, settings);
+  if (SettingsReader agent = reader.object("agent"); settings.IsAgent)
+    readAgent(agent, settings);
+  if (SettingsReader replica = reader.object("replica"); settings.IsReplica)
+    readReplica(replica, settings);
+  if (!settings.IsEntry && !settings.IsAgent && !settings.IsReplica)
+    reader.fault("entry", "a daemon plays at least one part: entry, agent or "
+                          "replica");
+  if (settings.Replicas.empty())
+    reader.fault("replicas", "the address of at least one replica is required");
+  if (!settings.HttpAddress.empty() &&
+      settings.HttpAddress == settings.PeerAddress)
+    reader.fault("peers", "the same address as http");
+  reader.finish();
+  return settings;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/daemon/src/Settings.h
@@ -0,0 +1,58 @@
+#ifndef PIMENTOFRONT_DAEMON_SETTINGS_H
+#define PIMENTOFRONT_DAEMON_SETTINGS_H
+
+#include "pimentofront/Node.h"
+
+namespace pimentofront {
+
+/// A plain service beside which an agent runs.
+struct ServiceAddress {
+  ServiceName Name;
+  std::string Address;
+};
+
+/// \class Settings
+/// \brief All that the daemon is told; docs/SETTINGS.md is the reference.
+struct Settings {
+  HostName Host;
+  ZoneName Zone;
+  std::string HttpAddress;
+  std::string PeerAddress;
+  std::vector<std::string> Replicas;
+
+  bool IsEntry = false;
+  bool IsAgent = false;
+  bool IsReplica = false;
+
+  /// "-" is standard output.
+  std::string LogFile = "-";
+  std::string LogLevel = "info";
+
+  EntryNodeOptions Entry;
+  AffinityOptions Affinity;
+  std::size_t MaxBodyBytes = std::size_t(1) << 20;
+  Duration CallerTimeout = std::chrono::seconds(30);
+  std::size_t CallerBufferBytes = std::size_t(1) << 20;
+
+  AgentNodeOptions Agent;
+  std::string EngineAddress;
+  Duration EngineProbePeriod = std::chrono::milliseconds(500);
+  std::vector<ServiceAddress> Services;
+  double LoadsPerSecond = 4;
+
+  ReplicaNodeOptions Replica;
+  std::string DataFolder;
+
+  /// Between becoming unready and refusing: the balancer turns away.
+  Duration StopNotice = std::chrono::milliseconds(500);
+  /// A graceful stop that takes longer is ended, and logged.
+  Duration StopLimit = std::chrono::minutes(5);
+
+  /// Reads and checks \p text; all faults are collected in \p findings.
+  static Settings parse(const std::string &file, std::string_view text,
+                        Findings &findings);
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/SettingsReader.h
@@ -0,0 +1,70 @@
+#ifndef PIMENTOFRONT_DAEMON_SETTINGS_READER_H
+#define PIMENTOFRONT_DAEMON_SETTINGS_READER_H
+
+#include "pimentofront/Base.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace pimentofront {
+
+/// \class SettingsDocument
+/// \brief A JSON document that knows on which line each value stands.
+struct SettingsDocument {
+  std::string File;
+  nlohmann::json Root;
+  /// Line of each value, by JSON pointer.
+  std::map<std::string, std::size_t> Lines;
+
+  /// Reads \p text; a document that isn't JSON leaves a finding.
+  static SettingsDocument parse(const std::string &file, std::string_view text,
+                                Findings &findings);
+  /// \returns "file:line: /pointer".
+  std::string placeOf(const std::string &pointer) const;
+};
+
+/// \class SettingsReader
+/// \brief Takes values out of one object of a document. All faults go to the
+/// findings; keys that nobody asked for are faults, too.
+class SettingsReader {
+public:
+  SettingsReader(const SettingsDocument &document, std::string pointer,
+                 Findings &findings);
+
+  bool has(const std::string &key) const;
+  std::string text(const std::string &key, const std::string &fallback);
+  std::string requiredText(const std::string &key);
+  /// "ip:port".
+  std::string address(const std::string &key, bool required);
+  std::uint64_t integer(const std::string &key, std::uint64_t fallback,
+                        std::uint64_t least, std::uint64_t most);
+  double real(const std::string &key, double fallback, double least,
+              double most);
+  Duration milliseconds(const std::string &key, Duration fallback,
+                        Duration most = std::chrono::hours(1));
+  std::vector<std::string> addresses(const std::string &key);
+  /// \returns readers of the objects in a list.
+  std::vector<SettingsReader> objects(const std::string &key);
+  SettingsReader object(const std::string &key);
+  /// Reports the keys that were not asked for.
+  void finish();
+  void fault(const std::string &key, const std::string &message);
+
+private:
+  const nlohmann::json *find(const std::string &key);
+  void checkAddress(const std::string &pointer, const std::string &text);
+  std::string pointerOf(const std::string &key) const {
+    return Pointer + "/" + key;
+  }
+
+  const SettingsDocument &Document;
+  std::string Pointer;
+  Findings &Faults;
+  const nlohmann::json *Object = nullptr;
+  std::set<std::string> Known;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,86 @@
+//===- main.cpp - The daemon's command line ---------------------*- C++ -*-===//
+
+#include "Daemon.h"
+
+#include <cstdio>
+#include <fstream>
+#include <getopt.h>
+#include <sstream>
+
+using namespace pimentofront;
+
+namespace {
+
+constexpr const char *Help =
+    "Usage: pimentofrontd --settings FILE [--check-settings]\n"
+    "\n"
+    "The daemon of pimentofront: an entry, an agent beside a backend server, a\n"
+    "replica of the system's state, or several of them, as FILE says.\n"
+    "\n"
+    "  -s, --settings FILE    settings in JSON; docs/SETTINGS.md\n"
+    "  -c, --check-settings   check the settings, report all faults, and end\n"
+    "  -h, --help             this text\n"
+    "  -V, --version          the version\n"
+    "\n"
+    "Exit codes: 0 good, 2 command line, 3 settings, 4 address, 5 data folder.\n"
+    "SIGTERM stops gracefully, SIGHUP opens the log file anew.\n";
+
+struct Arguments {
+  std::string SettingsFile;
+  bool CheckOnly = false;
+};
+
+int exitWith(ExitCode code) { return static_cast<int>(code); }
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const option options[] = {{"settings", required_argument, nullptr, 's'},
+                            {"check-settings", no_argument, nullptr, 'c'},
+                            {"help", no_argument, nullptr, 'h'},
+                            {"version", no_argument, nullptr, 'V'},
+                            {nullptr, 0, nullptr, 0}};
+  Arguments arguments;
+  int c = 0;
+  while ((c = getopt_long(argc, argv, "s:chV", options, nullptr)) != -1) {
+    switch (c) {
+    case 's':
+      arguments.SettingsFile = optarg;
+      break;
+    case 'c':
+      arguments.CheckOnly = true;
+      break;
+    case 'h':
+      std::fputs(Help, stdout);
+      return exitWith(ExitCode::Good);
+    case 'V':
+      std::puts("pimentofrontd 0.1.0");
+      return exitWith(ExitCode::Good);
+    default:
+      return exitWith(ExitCode::Usage);
+    }
+  }
+  if (arguments.SettingsFile.empty() || optind != argc) {
+    std::fputs(Help, stderr);
+    return exitWith(ExitCode::Usage);
+  }
+  std::ifstream file(arguments.SettingsFile);
+  if (!file) {
+    std::fprintf(stderr, "%s: can't be read\n", arguments.SettingsFile.c_str());
+    return exitWith(ExitCode::Settings);
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  const Settings settings =
+      Settings::parse(arguments.SettingsFile, text.str(), findings);
+  if (!findings.empty()) {
+    std::fputs(findings.toText().c_str(), stderr);
+    return exitWith(ExitCode::Settings);
+  }
+  if (arguments.CheckOnly) {
+    std::puts("settings are good");
+    return exitWith(ExitCode::Good);
+  }
+  return exitWith(Daemon(settings).run());
+}
--- /dev/null
+++ b/packages/net/pimentofront/Net.h
@@ -0,0 +1,22 @@
+//===- Net.h - Event loop, HTTP and links between processes -----*- C++ -*-===//
+///
+/// \file
+/// \defgroup Net Net
+/// The only module that reads a clock or a socket. One loop on one thread
+/// carries timers, signals, HTTP in both directions and the links between the
+/// system's own processes (WebSocket with CBOR frames). It decides nothing.
+///
+//===----------------------------------------------------------------------===//
+#ifndef PIMENTOFRONT_NET_H
+#define PIMENTOFRONT_NET_H
+
+#include "pimentofront/Node.h"
+
+// clang-format off: the parts, in the order of their dependencies.
+#include "src/Net/EventLoop.h"
+#include "src/Net/HttpServer.h"
+#include "src/Net/HttpClient.h"
+#include "src/Net/PeerNetwork.h"
+// clang-format on
+
+#endif
--- /dev/null
+++ b/packages/net/pimentofront/src/Net/HttpClient.cpp
@@ -0,0 +1,206 @@
+#include "pimentofront/Net.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <map>
+#include <unordered_map>
+
+namespace pimentofront {
+namespace {
+
+constexpr std::size_t IdleConnectionsKept = 256;
+constexpr int StatusOk = 200;
+constexpr ev_ssize_t MaxAnswerBytes = ev_ssize_t(16) << 20;
+
+} // namespace
+
+struct HttpClient::Impl {
+  /// A call in progress; the call-backs of evhttp know it by its address.
+  struct ActiveCall {
+    Impl &Self;
+    HttpCallId Id = 0;
+    HttpCall Call;
+    evhttp_connection *Connection = nullptr;
+    /// Broke off after the connection had come about.
+    bool FailedUnderWay = false;
+    /// Body of an answer that isn't a good one.
+    std::string ErrorBody;
+  };
+
+  EventLoop &Loop;
+  HttpCallId LastId = 0;
+  std::unordered_map<HttpCallId, std::unique_ptr<ActiveCall>> Active;
+  std::map<HostPort, std::vector<evhttp_connection *>> Idle;
+  /// Neither connections nor cancelled calls can be freed inside their own
+  /// call-backs: they wait here for the loop's next turn.
+  std::vector<evhttp_connection *> DeadConnections;
+  std::vector<std::unique_ptr<ActiveCall>> DeadCalls;
+  std::unique_ptr<Timer> Reaper;
+
+  evhttp_connection *takeConnection(const HttpCall &call) {
+    auto &idle = Idle[call.Address];
+    if (!call.FreshConnection && !idle.empty()) {
+      evhttp_connection *con = idle.back();
+      idle.pop_back();
+      evhttp_connection_set_closecb(con, nullptr, nullptr);
+      return con;
+    }
+    evhttp_connection *con = evhttp_connection_base_new(
+        Loop.base(), nullptr, call.Address.Ip.c_str(), call.Address.Port);
+    evhttp_connection_set_retries(con, 0);
+    evhttp_connection_set_max_body_size(con, MaxAnswerBytes);
+    return con;
+  }
+
+  void discard(evhttp_connection *con) {
+    DeadConnections.push_back(con);
+    if (!Reaper)
+      Reaper = Loop.after(Duration::zero(), [this] { reap(); });
+  }
+
+  void reap() {
+    const auto connections = std::move(DeadConnections);
+    const auto calls = std::move(DeadCalls);
+    DeadConnections.clear();
+    DeadCalls.clear();
+    Reaper.reset();
+    for (evhttp_connection *it : connections)
+      evhttp_connection_free(it);
+  }
+
+  /// A kept connection that the server closes must leave the pool.
+  static void onIdleClosed(evhttp_connection *con, void *arg) {
+    auto *self = static_cast<Impl *>(arg);
+    for (auto &[address, idle] : self->Idle)
+      if (std::erase(idle, con) > 0)
+        self->discard(con);
+  }
+
+  void keep(const HttpCall &call, evhttp_connection *con, bool reusable) {
+    auto &idle = Idle[call.Address];
+    if (!reusable || call.FreshConnection || idle.size() >= IdleConnectionsKept)
+      return discard(con);
+    evhttp_connection_set_closecb(con, onIdleClosed, this);
+    idle.push_back(con);
+  }
+
+  void finish(HttpCallId id, const HttpAnswer &answer, bool reusable) {
+    const auto it = Active.find(id);
+    if (it == Active.end())
+      return;
+    const std::unique_ptr<ActiveCall> call = std::move(it->second);
+    Active.erase(it);
+    keep(call->Call, call->Connection, reusable);
+    if (call->Call.OnEnd)
+      call->Call.OnEnd(answer);
+  }
+
+  bool isActive(const ActiveCall &call) const {
+    const auto it = Active.find(call.Id);
+    return it != Active.end() && it->second.get() == &call;
+  }
+
+  /// evhttp calls this only when a connection existed; a connection that
+  /// could not be made ends the request without it.
+  static void onError(evhttp_request_error, void *arg) {
+    static_cast<ActiveCall *>(arg)->FailedUnderWay = true;
+  }
+
+  static void onEnd(evhttp_request *req, void *arg) {
+    auto *call = static_cast<ActiveCall *>(arg);
+    Impl &self = call->Self;
+    if (!self.isActive(*call))
+      return;
+    const int status = req ? evhttp_request_get_response_code(req) : 0;
+    if (status == 0) {
+      const bool unsent = req && !call->FailedUnderWay;
+      const HttpAnswer answer{.Ending = unsent ? HttpEnding::NotSent
+                                               : HttpEnding::BrokeOff};
+      return self.finish(call->Id, answer, false);
+    }
+    HttpAnswer answer{.Ending = HttpEnding::Complete, .Status = status};
+    answer.Body = std::move(call->ErrorBody) + takeBody(req);
+    self.finish(call->Id, answer, !closesConnection(req));
+  }
+
+  static std::string takeBody(evhttp_request *req) {
+    evbuffer *buf = evhttp_request_get_input_buffer(req);
+    std::string bytes(evbuffer_get_length(buf), '\0');
+    evbuffer_remove(buf, bytes.data(), bytes.size());
+    return bytes;
+  }
+
+  static bool closesConnection(evhttp_request *req) {
+    const char *value = evhttp_find_header(
+        evhttp_request_get_input_headers(req), "Connection");
+    return value && evutil_ascii_strcasecmp(value, "close") == 0;
+  }
+
+  static void onPiece(evhttp_request *req, void *arg) {
+    auto *call = static_cast<ActiveCall *>(arg);
+    const std::string bytes = takeBody(req);
+    if (!call->Self.isActive(*call))
+      return;
+    if (evhttp_request_get_response_code(req) != StatusOk) {
+      call->ErrorBody += bytes;
+      return;
+    }
+    // The call may be cancelled inside: keep the action alive.
+    const auto action = call->Call.OnPiece;
+    action(bytes);
+  }
+};
+
+HttpClient::HttpClient(EventLoop &loop) : State(new Impl{loop}) {}
+
+HttpClient::~HttpClient() {
+  State->reap();
+  // No call-back may start anything while the pool goes.
+  for (auto &[id, call] : State->Active)
+    evhttp_connection_free(call->Connection);
+  for (auto &[address, idle] : State->Idle)
+    for (evhttp_connection *it : idle)
+      evhttp_connection_free(it);
+}
+
+HttpCallId HttpClient::start(HttpCall call) {
+  const HttpCallId id = ++State->LastId;
+  evhttp_connection *con = State->takeConnection(call);
+  const timeval tv{static_cast<time_t>(call.Timeout.count() / 1'000'000),
+                   static_cast<suseconds_t>(call.Timeout.count() % 1'000'000)};
+  evhttp_connection_set_timeout_tv(con, &tv);
+  auto owned = std::unique_ptr<Impl::ActiveCall>(
+      new Impl::ActiveCall{*State, id, std::move(call), con});
+  Impl::ActiveCall *active = owned.get();
+  State->Active.emplace(id, std::move(owned));
+  evhttp_request *req = evhttp_request_new(Impl::onEnd, active);
+  evhttp_request_set_error_cb(req, Impl::onError);
+  if (active->Call.OnPiece)
+    evhttp_request_set_chunked_cb(req, Impl::onPiece);
+  evkeyvalq *headers = evhttp_request_get_output_headers(req);
+  evhttp_add_header(headers, "Host", active->Call.Address.Ip.c_str());
+  for (const HttpHeader &it : active->Call.Headers)
+    evhttp_add_header(headers, it.Name.c_str(), it.Value.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(req), active->Call.Body.data(),
+               active->Call.Body.size());
+  const evhttp_cmd_type method =
+      active->Call.Method == "GET" ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+  const std::string path = active->Call.Path;
+  evhttp_make_request(con, req, method, path.c_str());
+  return id;
+}
+
+void HttpClient::cancel(HttpCallId id) {
+  const auto it = State->Active.find(id);
+  if (it == State->Active.end())
+    return;
+  evhttp_connection *con = it->second->Connection;
+  State->DeadCalls.push_back(std::move(it->second));
+  State->Active.erase(it);
+  State->discard(con);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.cpp
@@ -0,0 +1,235 @@
+#include "pimentofront/Net.h"
+
+#include "detail/WebSocketPeer.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace pimentofront {
+
+HybridTime HybridClock::tick(std::uint64_t wallMilliseconds) {
+  constexpr unsigned CounterBits = 16;
+  Last = std::max(Last + 1, wallMilliseconds << CounterBits);
+  return Last;
+}
+
+void HybridClock::observe(HybridTime seen, std::uint64_t wallMilliseconds) {
+  constexpr unsigned CounterBits = 16;
+  // A peer whose clock is far ahead must not drag ours along.
+  constexpr std::uint64_t MaxLeadMilliseconds = 60'000;
+  const HybridTime limit = (wallMilliseconds + MaxLeadMilliseconds)
+                           << CounterBits;
+  if (seen <= limit)
+    Last = std::max(Last, seen);
+}
+
+namespace {
+
+sockaddr_in toSocketAddress(const HostPort &address) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(address.Port);
+  inet_pton(AF_INET, address.Ip.c_str(), &result.sin_addr);
+  return result;
+}
+
+/// Sends at once, and ends a connection whose other side acknowledges nothing:
+/// by itself TCP notices that only after a quarter of an hour.
+void prepareSocket(evutil_socket_t fd) {
+  const int on = 1;
+  const unsigned unacknowledgedMilliseconds = 10'000;
+  const int idleSeconds = 5;
+  const int probes = 2;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds,
+             sizeof(unacknowledgedMilliseconds));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idleSeconds, sizeof(idleSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+} // namespace
+
+struct PeerNetwork::Impl {
+  struct Link : detail::WebSocketHandler {
+    Link(Impl &self, LinkId id) : Self(self), Id(id) {}
+    void onOpen() override { Self.transportOpen(*this); }
+    void onFrame(const std::string &bytes) override {
+      Self.frameArrived(*this, bytes);
+    }
+    void onClosed() override { Self.ended(Id); }
+
+    Impl &Self;
+    LinkId Id;
+    std::unique_ptr<detail::WebSocketPeer> Socket;
+    std::vector<std::string> Waiting;
+    bool TransportOpen = false;
+    bool Greeted = false;
+    bool Closed = false;
+    std::unique_ptr<Timer> ConnectTimer;
+  };
+
+  EventLoop &Loop;
+  PeerNetworkOptions Options;
+  PeerHandler &Handler;
+  evconnlistener *Listener = nullptr;
+  LinkId LastId = 0;
+  std::unordered_map<LinkId, std::unique_ptr<Link>> Links;
+  /// Links end inside their own call-backs; they are freed a turn later.
+  std::vector<std::unique_ptr<Link>> Dead;
+  std::unique_ptr<Timer> Reaper;
+  HybridClock Clock;
+  std::uint64_t Sent = 0;
+  std::uint64_t Received = 0;
+
+  Link &addLink() {
+    const LinkId id = ++LastId;
+    auto link = std::make_unique<Link>(*this, id);
+    Link &result = *link;
+    result.ConnectTimer =
+        Loop.after(Options.ConnectTimeout, [this, id] { ended(id); });
+    Links.emplace(id, std::move(link));
+    return result;
+  }
+
+  static void onAccept(evconnlistener *, evutil_socket_t fd, sockaddr *, int,
+                       void *arg) {
+    auto *self = static_cast<Impl *>(arg);
+    prepareSocket(fd);
+    bufferevent *bev =
+        bufferevent_socket_new(self->Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    Link &link = self->addLink();
+    link.Socket = detail::acceptWebSocket(bev, link);
+  }
+
+  LinkId openLink(const std::string &address) {
+    const std::optional<HostPort> parsed = HostPort::parse(address);
+    Link &link = addLink();
+    const LinkId id = link.Id;
+    if (!parsed) {
+      link.ConnectTimer = Loop.after(Duration::zero(), [this, id] { ended(id); });
+      return id;
+    }
+    const evutil_socket_t fd =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    prepareSocket(fd);
+    bufferevent *bev =
+        bufferevent_socket_new(Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    link.Socket = detail::openWebSocket(bev, address, link);
+    const sockaddr_in to = toSocketAddress(*parsed);
+    bufferevent_socket_connect(bev, reinterpret_cast<const sockaddr *>(&to),
+                               sizeof(to));
+    return id;
+  }
+
+  void transportOpen(Link &link) {
+    link.TransportOpen = true;
+    transmit(link, encode(Options.Self));
+    for (const std::string &it : link.Waiting)
+      transmit(link, it);
+    link.Waiting = {};
+  }
+
+  std::string encode(const Message &message) {
+    return encodeFrame({Clock.tick(Loop.wallMilliseconds()), message});
+  }
+
+  void transmit(Link &link, const std::string &bytes) {
+    Sent += bytes.size();
+    link.Socket->send(bytes);
+    if (link.Socket->unsentBytes() > Options.MaxUnsentBytes)
+      endLater(link.Id);
+  }
+
+  void frameArrived(Link &link, const std::string &bytes) {
+    if (link.Closed)
+      return;
+    Received += bytes.size();
+    const auto frame = decodeFrame(bytes);
+    if (!frame)
+      return endLater(link.Id);
+    Clock.observe(frame->SentAt, Loop.wallMilliseconds());
+    if (link.Greeted)
+      return Handler.onMessage(link.Id, frame->Content);
+    const auto *hello = std::get_if<Hello>(&frame->Content);
+    if (!hello || hello->Protocol > ProtocolVersion)
+      return endLater(link.Id);
+    link.Greeted = true;
+    link.ConnectTimer.reset();
+    Handler.onLinkOpen(link.Id, *hello);
+  }
+
+  /// Ends a link from inside a call-back of its socket.
+  void endLater(LinkId id) {
+    const auto it = Links.find(id);
+    if (it == Links.end() || it->second->Closed)
+      return;
+    it->second->Closed = true;
+    it->second->ConnectTimer = Loop.after(Duration::zero(), [this, id] { ended(id); });
+  }
+
+  void ended(LinkId id) {
+    if (bury(id))
+      Handler.onLinkClosed(id);
+  }
+
+  bool bury(LinkId id) {
+    const auto it = Links.find(id);
+    if (it == Links.end())
+      return false;
+    it->second->Closed = true;
+    Dead.push_back(std::move(it->second));
+    Links.erase(it);
+    if (!Reaper)
+      Reaper = Loop.after(Duration::zero(), [this] { reap(); });
+    return true;
+  }
+
+  void reap() {
+    const auto dead = std::move(Dead);
+    Dead.clear();
+    Reaper.reset();
+  }
+};
+
+PeerNetwork::PeerNetwork(EventLoop &loop, const PeerNetworkOptions &options,
+                         PeerHandler &handler)
+    : State(new Impl{loop, options, handler}) {
+  constexpr int Backlog = 1024;
+  const sockaddr_in address = toSocketAddress(options.Listen);
+  State->Listener = evconnlistener_new_bind(
+      loop.base(), Impl::onAccept, State.get(),
+      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+      Backlog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+  if (!State->Listener)
+    throw std::runtime_error("can't listen for peers on " + options.Listen.Ip +
+                             ":" + std::to_string(options.Listen.Port));
+}
+
+PeerNetwork::~PeerNetwork() { evconnlistener_free(State->Listener); }
+
+LinkId PeerNetwork::open(const std::string &address) {
+  return State->openLink(address);
+}
+
+void PeerNetwork::send(LinkId link, const Message &message) {
+  const auto it = State->Links.find(link);
+  if (it == State->Links.end() || it->second->Closed)
+    return;
+  const std::string bytes = State->encode(message);
+  if (it->second->TransportOpen)
+    return State->transmit(*it->second, bytes);
+  it->second->Waiting.push_back(bytes);
+}
+
+void PeerNetwork::close(LinkId link) { State->bury(link); }
+HybridClock &PeerNetwork::clock() { return State->Clock; }
+std::uint64_t PeerNetwork::bytesSent() const { return State->Sent; }
+std::uint64_t PeerNetwork::bytesReceived() const { return State->Received; }
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/node/pimentofront/Node.h
@@ -0,0 +1,25 @@
+//===- Node.h - The parts that a process plays ------------------*- C++ -*-===//
+///
+/// \file
+/// \defgroup Node Node
+/// Replica, entry and agent: each ties the controllers of the other modules to
+/// links, a log store, an engine and callers, all of them abstract. The same
+/// nodes run in the daemon, in scenarios under virtual time and in replays.
+///
+//===----------------------------------------------------------------------===//
+#ifndef PIMENTOFRONT_NODE_H
+#define PIMENTOFRONT_NODE_H
+
+#include "pimentofront/Consensus.h"
+#include "pimentofront/State.h"
+
+// clang-format off: the parts, in the order of their dependencies.
+#include "src/Node/Transport.h"
+#include "src/Node/LeaderLink.h"
+#include "src/Node/Subscribers.h"
+#include "src/Node/ReplicaNode.h"
+#include "src/Node/AgentNode.h"
+#include "src/Node/EntryNode.h"
+// clang-format on
+
+#endif
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/AgentNode.h
@@ -0,0 +1,85 @@
+#ifndef PIMENTOFRONT_NODE_AGENT_NODE_H
+#define PIMENTOFRONT_NODE_AGENT_NODE_H
+
+#include "LeaderLink.h"
+#include "pimentofront/Serving.h"
+
+#include <memory>
+
+namespace pimentofront {
+
+/// \class BackendDriver
+/// \ingroup Node
+/// \brief Carries out what the agent decides, at the engine and the plain
+/// services. It reports back to AgentNode::controller().
+class BackendDriver {
+public:
+  virtual ~BackendDriver() = default;
+  virtual void generate(const ExecuteRequest &request) = 0;
+  virtual void callService(const ExecuteRequest &request) = 0;
+  virtual void cancel(const AttemptId &attempt) = 0;
+  virtual void load(const StartLoad &load) = 0;
+};
+
+/// \class AgentNodeOptions
+/// \ingroup Node
+struct AgentNodeOptions {
+  AgentOptions Agent;
+  ZoneName Zone;
+  /// Address at which entries reach this agent.
+  std::string Address;
+  std::vector<std::string> Replicas;
+  /// How often the lease is renewed.
+  Duration RenewPeriod = std::chrono::seconds(2);
+};
+
+/// \class AgentNode
+/// \ingroup Node
+/// \brief The process beside a backend server: the only one that gives its
+/// engine orders.
+class AgentNode : public Node {
+public:
+  /// \param eviction, \p gate, \p driver and \p transport outlive the node.
+  AgentNode(TimePoint now, const AgentNodeOptions &options,
+            const EvictionPolicy &eviction, LoadGate &gate,
+            BackendDriver &driver, Transport &transport);
+
+  void onLinkOpen(TimePoint now, LinkId link, const Hello &hello) override;
+  void onMessage(TimePoint now, LinkId link, const Message &message) override;
+  void onLinkClosed(TimePoint now, LinkId link) override;
+  void tick(TimePoint now) override;
+
+  /// The driver tells the controller what happened, then calls flush().
+  AgentController &controller() { return Controller; }
+  const AgentController &controller() const { return Controller; }
+  /// Carries out what the controller decided.
+  void flush(TimePoint now);
+
+  /// Tells everybody that no new work is taken.
+  void leave(TimePoint now);
+  /// Tells the leader that this process ends.
+  void sayGoodbye(TimePoint now);
+  /// \returns time left of the lease on membership.
+  Duration leaseLeft(TimePoint now) const;
+
+private:
+  void onLeaderMessage(TimePoint now, const Message &message);
+  void announce(TimePoint now, bool gone);
+  MemberRecord record(bool gone) const;
+  void sendToScheduler(TimePoint now, const Message &message);
+
+  AgentNodeOptions Options;
+  BackendDriver &Driver;
+  Transport &Network;
+  AgentController Controller;
+  LeaderLink Leader;
+  std::set<LinkId> Entries;
+  /// The leader has our full announcement, on this link.
+  bool Announced = false;
+  TimePoint NextRenewal;
+  TimePoint LeasedUntil;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/EntryNode.h
@@ -0,0 +1,126 @@
+#ifndef PIMENTOFRONT_NODE_ENTRY_NODE_H
+#define PIMENTOFRONT_NODE_ENTRY_NODE_H
+
+#include "LeaderLink.h"
+#include "pimentofront/State.h"
+
+#include <functional>
+
+namespace pimentofront {
+
+/// \class AnswerSink
+/// \ingroup Node
+/// \brief Takes what callers and operators get.
+class AnswerSink {
+public:
+  virtual ~AnswerSink() = default;
+  virtual void onChunk(RequestKey key, std::uint64_t position,
+                       const std::string &text) = 0;
+  virtual void onFinal(RequestKey key, const KindName &kind,
+                       const FinalAnswer &answer) = 0;
+};
+
+/// \class EntryNodeOptions
+/// \ingroup Node
+struct EntryNodeOptions {
+  HostName Host;
+  EntryOptions Entry;
+  ConfigurationCopyOptions Configuration;
+  std::vector<std::string> Replicas;
+  /// How often the process asks whether its configuration is current.
+  Duration ProbePeriod = std::chrono::seconds(1);
+  /// Time for an operator's command to be decided.
+  Duration CommandTimeout = std::chrono::seconds(10);
+};
+
+/// What became of an operator's command; empty when nothing is known.
+using CommandCallback =
+    std::function<void(const std::optional<CommandOutcome> &)>;
+using StatusCallback = std::function<void(const std::optional<AdminReply> &)>;
+
+/// \class EntryNode
+/// \ingroup Node
+/// \brief The process that takes callers' and operators' requests.
+class EntryNode : public Node {
+public:
+  /// \param routing, \p transport and \p sink outlive the node.
+  EntryNode(TimePoint now, const EntryNodeOptions &options,
+            RoutingPolicy &routing, Transport &transport, AnswerSink &sink);
+
+  void onLinkOpen(TimePoint now, LinkId link, const Hello &hello) override;
+  void onMessage(TimePoint now, LinkId link, const Message &message) override;
+  void onLinkClosed(TimePoint now, LinkId link) override;
+  void tick(TimePoint now) override;
+
+  void request(TimePoint now, CallerRequest request);
+  void callerGone(TimePoint now, RequestKey key);
+  /// Has the replicated state decide on an operator's command.
+  void command(TimePoint now, const Command &command, CommandCallback done);
+  /// Asks one replica, or the leader when \p replica is empty.
+  void admin(TimePoint now, AdminRequest request, const std::string &replica,
+             StatusCallback done);
+
+  /// No new requests from here on.
+  void stop() { Controller.stop(); }
+  bool idle() const { return Controller.idle() && Proposals.empty(); }
+  /// \returns whether requests are served: the configuration is confirmed.
+  bool ready(TimePoint now) const {
+    return Copy.isConfirmed(now) && !Controller.board().Stopping;
+  }
+  const EntryController &controller() const { return Controller; }
+  const ConfigurationCopy &configuration() const { return Copy; }
+
+private:
+  struct Proposal {
+    Command Content;
+    TimePoint GiveUpAt;
+    /// Link on which it was sent last, and when.
+    LinkId SentOn = 0;
+    TimePoint SentAt;
+    CommandCallback Done;
+  };
+  struct Agent {
+    HostName Host;
+    std::string Address;
+    bool Open = false;
+  };
+  struct AdminCall {
+    AdminRequest Request;
+    LinkId Link = 0;
+    TimePoint GiveUpAt;
+    StatusCallback Done;
+  };
+
+  void flush(TimePoint now);
+  void sendToAgent(const SendToAgent &message);
+  void subscribe(TimePoint now);
+  void probe(TimePoint now);
+  void onReplicaMessage(TimePoint now, const Message &message);
+  void onAgentMessage(TimePoint now, const HostName &host,
+                      const Message &message);
+  void sendProposals(TimePoint now);
+  void onDecision(TimePoint now, const ProposeReply &reply);
+  void onAdminReply(const AdminReply &reply);
+  void dropStaleAgentLinks(TimePoint now);
+
+  EntryNodeOptions Options;
+  Transport &Network;
+  AnswerSink &Sink;
+  ConfigurationCopy Copy;
+  EntryController Controller;
+  MemberTable Members;
+  /// Any replica, for the configuration; the leader, for commands.
+  LeaderLink Replica;
+  LeaderLink Leader;
+  bool Subscribed = false;
+  TimePoint NextProbe;
+  std::map<LinkId, Agent> Agents;
+  std::map<HostName, LinkId> AgentLinks;
+  std::map<std::uint64_t, Proposal> Proposals;
+  std::map<std::uint64_t, AdminCall> AdminCalls;
+  std::uint64_t LastNonce = 0;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/LeaderLink.cpp
@@ -0,0 +1,58 @@
+#include "pimentofront/Node.h"
+
+#include <cassert>
+
+namespace pimentofront {
+namespace {
+
+/// Between two tries, so that a group without a leader isn't stormed.
+constexpr Duration RetryPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+LeaderLink::LeaderLink(Transport &transport, std::vector<std::string> addresses,
+                       std::size_t first, Duration silenceLimit)
+    : Network(transport), Addresses(std::move(addresses)), Next(first),
+      SilenceLimit(silenceLimit) {
+  assert(!Addresses.empty() && "a process knows where replicas are");
+}
+
+std::optional<LinkId> LeaderLink::link(TimePoint now) {
+  if (Link)
+    return Link;
+  if (now < RetryAt)
+    return std::nullopt;
+  const std::string address =
+      Hint.empty() ? Addresses[Next++ % Addresses.size()] : Hint;
+  Hint.clear();
+  Open = false;
+  HeardAt = now;
+  Link = Network.open(address);
+  return Link;
+}
+
+void LeaderLink::onClosed(TimePoint now) {
+  Link.reset();
+  Open = false;
+  RetryAt = now + RetryPause;
+}
+
+void LeaderLink::giveUp(TimePoint now) {
+  if (Link)
+    Network.close(*Link);
+  onClosed(now);
+}
+
+void LeaderLink::onRedirect(TimePoint now, const std::string &address) {
+  giveUp(now);
+  Hint = address;
+  if (!address.empty())
+    RetryAt = now;
+}
+
+void LeaderLink::tick(TimePoint now) {
+  if (Link && HeardAt + SilenceLimit < now)
+    giveUp(now);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/LeaderLink.h
@@ -0,0 +1,54 @@
+#ifndef PIMENTOFRONT_NODE_LEADER_LINK_H
+#define PIMENTOFRONT_NODE_LEADER_LINK_H
+
+#include "Transport.h"
+
+#include <optional>
+
+namespace pimentofront {
+
+/// \class LeaderLink
+/// \ingroup Node
+/// \brief Finds the leader of the replicas, or any replica, and keeps a link.
+///
+/// The other side must say something at least once a silence limit, or the
+/// link counts as cut: TCP alone notices a silent cut only after minutes.
+class LeaderLink {
+public:
+  /// \param first index of the replica to try first; spreads the processes.
+  LeaderLink(Transport &transport, std::vector<std::string> addresses,
+             std::size_t first, Duration silenceLimit = std::chrono::seconds(3));
+
+  /// \returns the link to send on, open or opening; opens one if need be.
+  std::optional<LinkId> link(TimePoint now);
+  bool owns(LinkId link) const { return Link && *Link == link; }
+  bool isOpen() const { return Open; }
+  void onOpen(TimePoint now) {
+    Open = true;
+    HeardAt = now;
+  }
+  /// Anything arrived.
+  void onHeard(TimePoint now) { HeardAt = now; }
+  void onClosed(TimePoint now);
+  /// The replica there doesn't lead; \p address does, if it is set.
+  void onRedirect(TimePoint now, const std::string &address);
+  /// Gives up a link on which nothing was heard for too long.
+  void tick(TimePoint now);
+
+private:
+  void giveUp(TimePoint now);
+
+  Transport &Network;
+  std::vector<std::string> Addresses;
+  std::size_t Next;
+  Duration SilenceLimit;
+  std::string Hint;
+  std::optional<LinkId> Link;
+  bool Open = false;
+  TimePoint HeardAt;
+  TimePoint RetryAt;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -0,0 +1,406 @@
+#include "pimentofront/Node.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+constexpr Duration JoinPeriod = std::chrono::seconds(1);
+/// Changes of members are sent together this often.
+constexpr Duration PushPeriod = std::chrono::milliseconds(50);
+/// A question to the leader that isn't answered in this time is asked again.
+constexpr Duration ReadTimeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+ReplicaNode::ReplicaNode(TimePoint now, const ReplicaNodeOptions &options,
+                         const StoredLog &stored, LogStore &store,
+                         Transport &transport, const WallClock &wall)
+    : Options(options), Store(store), Network(transport), Wall(wall),
+      Log(now, options.Log, stored), State(options.Claims),
+      Members(options.Members), Loads(options.Loads), Listeners(transport) {
+  flush(now);
+}
+
+//===----------------------------------------------------------------------===//
+// Links
+//===----------------------------------------------------------------------===//
+
+void ReplicaNode::onLinkOpen(TimePoint, LinkId link, const Hello &hello) {
+  if (hello.Replica == 0)
+    return;
+  ReplicaLinks[hello.Replica] = link;
+  ReplicaOfLink[link] = hello.Replica;
+}
+
+void ReplicaNode::onLinkClosed(TimePoint now, LinkId link) {
+  Listeners.remove(link);
+  std::erase_if(Probes, [&](const auto &it) { return it.Link == link; });
+  std::erase_if(AgentLinks, [&](const auto &it) { return it.second == link; });
+  std::erase_if(OpenedTo, [&](const auto &it) { return it.second == link; });
+  const auto it = ReplicaOfLink.find(link);
+  if (it == ReplicaOfLink.end())
+    return;
+  const auto current = ReplicaLinks.find(it->second);
+  if (current != ReplicaLinks.end() && current->second == link)
+    ReplicaLinks.erase(current);
+  if (Followed == it->second)
+    Followed = 0;
+  ReplicaOfLink.erase(it);
+  ReadUnderWay = false;
+  askLeader(now);
+}
+
+void ReplicaNode::sendToReplica(const ReplicaDescriptor &to,
+                                const Message &message) {
+  const auto known = ReplicaLinks.find(to.Id);
+  if (known != ReplicaLinks.end())
+    return Network.send(known->second, message);
+  if (to.Address.empty())
+    return;
+  const auto opened = OpenedTo.find(to.Address);
+  if (opened != OpenedTo.end())
+    return; // Under way; the log sends again.
+  const LinkId link = Network.open(to.Address);
+  OpenedTo[to.Address] = link;
+  Network.send(link, message);
+}
+
+void ReplicaNode::redirect(LinkId link) {
+  const ReplicaDescriptor *leader = Log.leader();
+  const bool other = leader && leader->Id != Log.id();
+  Network.send(link, NotLeader{other ? leader->Address : std::string()});
+}
+
+//===----------------------------------------------------------------------===//
+// Messages
+//===----------------------------------------------------------------------===//
+
+void ReplicaNode::onMessage(TimePoint now, LinkId link,
+                            const Message &message) {
+  if (onLogMessage(now, link, message) || onLeaderMessage(now, link, message))
+    return;
+  if (const auto *it = std::get_if<Subscribe>(&message))
+    Listeners.add(link, *it);
+  else if (const auto *probe = std::get_if<ProbeRevision>(&message))
+    onProbe(now, link, *probe);
+  else if (const auto *read = std::get_if<ReadIndexRequest>(&message))
+    onReadIndex(now, link, *read);
+  else if (const auto *reply = std::get_if<ReadIndexReply>(&message))
+    onReadIndexReply(*reply);
+  else if (const auto *update = std::get_if<MemberUpdate>(&message)) {
+    const auto sender = ReplicaOfLink.find(link);
+    const bool current = sender != ReplicaOfLink.end() && Followed != 0 &&
+                         sender->second == Followed;
+    if (current && !Members.apply(*update))
+      Followed = 0; // Something is missing: subscribe anew.
+  }
+}
+
+bool ReplicaNode::onLogMessage(TimePoint now, LinkId link,
+                               const Message &message) {
+  const bool isLog = std::holds_alternative<VoteRequest>(message) ||
+                     std::holds_alternative<VoteReply>(message) ||
+                     std::holds_alternative<AppendRequest>(message) ||
+                     std::holds_alternative<AppendReply>(message) ||
+                     std::holds_alternative<SnapshotPart>(message) ||
+                     std::holds_alternative<SnapshotReply>(message) ||
+                     std::holds_alternative<JoinRequest>(message);
+  // Only one who said that it is a replica takes part.
+  if (isLog && ReplicaOfLink.contains(link) && !Failure)
+    Log.onMessage(now, Wall.milliseconds(), message);
+  return isLog;
+}
+
+bool ReplicaNode::onLeaderMessage(TimePoint now, LinkId link,
+                                  const Message &message) {
+  const auto *announce = std::get_if<Announce>(&message);
+  const auto *renew = std::get_if<RenewLease>(&message);
+  const auto *demand = std::get_if<LoadDemand>(&message);
+  const auto *done = std::get_if<LoadDone>(&message);
+  const auto *proposal = std::get_if<Propose>(&message);
+  const auto *admin = std::get_if<AdminRequest>(&message);
+  if (admin) {
+    onAdmin(now, link, *admin);
+    return true;
+  }
+  if (!announce && !renew && !demand && !done && !proposal)
+    return false;
+  if (!leads(now)) {
+    redirect(link);
+    return true;
+  }
+  noteTerm(now);
+  if (announce) {
+    Members.announce(now, announce->Member);
+    answerLease(now, link, announce->Member.Host, true);
+  } else if (renew) {
+    const bool known = Members.renew(now, renew->Host, renew->Incarnation);
+    answerLease(now, link, renew->Host, known);
+  } else if (demand) {
+    AgentLinks[demand->Host] = link;
+    Network.send(link, Loads.onDemand(now, *demand));
+    giveTickets(now);
+  } else if (done) {
+    Loads.onDone(now, *done);
+    giveTickets(now);
+  } else {
+    onPropose(now, link, *proposal);
+  }
+  return true;
+}
+
+void ReplicaNode::answerLease(TimePoint, LinkId link, const HostName &host,
+                              bool known) {
+  AgentLinks[host] = link;
+  const auto engines = std::ranges::count_if(
+      Members.members(), [](const auto &it) { return it.second.Slots > 0; });
+  Network.send(link,
+               LeaseReply{.Known = known,
+                          .Lease = Options.Members.Lease,
+                          .Members = static_cast<std::uint32_t>(engines)});
+}
+
+void ReplicaNode::onPropose(TimePoint now, LinkId link,
+                            const Propose &message) {
+  const auto index = Log.propose(now, Wall.milliseconds(),
+                                 encodeCommand(message.Proposal));
+  if (!index)
+    return redirect(link);
+  Proposals[*index] = {link, message.Nonce, Log.term()};
+}
+
+void ReplicaNode::onAdmin(TimePoint now, LinkId link,
+                          const AdminRequest &message) {
+  AdminReply reply{.Nonce = message.Nonce, .Done = true};
+  if (message.Action == AdminAction::RemoveReplica) {
+    if (!leads(now))
+      return redirect(link);
+    reply.Done = Log.removeReplica(now, Wall.milliseconds(), message.Host);
+  }
+  reply.Status = status(now);
+  Network.send(link, reply);
+}
+
+ReplicaStatus ReplicaNode::status(TimePoint now) const {
+  ReplicaStatus result{
+      .Host = Options.Log.Host,
+      .Identity = Log.id(),
+      .Leads = leads(now),
+      .Term = Log.term(),
+      .CommitIndex = Log.commitIndex(),
+      .Current = State.configuration().revision(),
+      .Adapters =
+          static_cast<std::uint32_t>(State.configuration().adapterCount()),
+      .Claims = static_cast<std::uint32_t>(State.claims().size()),
+      .Group = Log.group().Replicas,
+      .InForce = Listeners.inForce()};
+  for (const auto &[host, it] : Members.members())
+    result.Members.push_back(it);
+  return result;
+}
+
+//===----------------------------------------------------------------------===//
+// Which revision is current
+//===----------------------------------------------------------------------===//
+
+void ReplicaNode::onProbe(TimePoint now, LinkId link,
+                          const ProbeRevision &message) {
+  Listeners.noteInForce(link, message.InForce);
+  // It waits for a question to the leader that is asked after it came.
+  Probes.push_back({link, message.Nonce, ReadRound + 1});
+  askLeader(now);
+}
+
+/// One question to the leader stands for all probes that came before it.
+void ReplicaNode::askLeader(TimePoint now) {
+  const bool waiting = std::ranges::any_of(
+      Probes, [&](const auto &it) { return it.Round > ReadRound; });
+  if (ReadUnderWay && ReadAskedAt + ReadTimeout < now)
+    ReadUnderWay = false;
+  if (!waiting || ReadUnderWay)
+    return;
+  if (const auto index = Log.readIndex(now)) {
+    Reads.push_back({++ReadRound, *index, Members.version()});
+    return answerProbes();
+  }
+  const ReplicaDescriptor *leader = Log.leader();
+  if (!leader || leader->Id == Log.id() || !ReplicaLinks.contains(leader->Id))
+    return;
+  ReadUnderWay = true;
+  ReadAskedAt = now;
+  sendToReplica(*leader, ReadIndexRequest{Log.id(), ++ReadRound});
+}
+
+void ReplicaNode::onReadIndex(TimePoint now, LinkId link,
+                              const ReadIndexRequest &message) {
+  // Without a lease no answer: the follower's own probes then run out.
+  if (const auto index = Log.readIndex(now))
+    Network.send(link,
+                 ReadIndexReply{message.Nonce, *index, Members.version()});
+}
+
+void ReplicaNode::onReadIndexReply(const ReadIndexReply &message) {
+  if (message.Nonce == ReadRound)
+    ReadUnderWay = false;
+  Reads.push_back({message.Nonce, message.Index, message.Members});
+  answerProbes();
+}
+
+void ReplicaNode::answerProbes() {
+  for (const PendingRead &read : Reads) {
+    if (read.Index > AppliedIndex)
+      continue;
+    std::erase_if(Probes, [&](const PendingProbe &it) {
+      if (it.Round > read.Round)
+        return false;
+      Network.send(it.Link, ProbeReply{.Nonce = it.Nonce,
+                                       .Confirmed =
+                                           State.configuration().revision(),
+                                       .Members = read.Members});
+      return true;
+    });
+  }
+  std::erase_if(Reads, [&](const PendingRead &it) {
+    return it.Index <= AppliedIndex;
+  });
+}
+
+//===----------------------------------------------------------------------===//
+// Time, writing and applying
+//===----------------------------------------------------------------------===//
+
+bool ReplicaNode::bootstrap(TimePoint now) {
+  const bool done = Log.bootstrap(now, Wall.milliseconds());
+  flush(now);
+  return done;
+}
+
+void ReplicaNode::noteTerm(TimePoint now) {
+  if (LedTerm == Log.term())
+    return;
+  LedTerm = Log.term();
+  Members.beginTerm(now, LedTerm);
+  Loads = LoadScheduler(Options.Loads);
+}
+
+void ReplicaNode::join(TimePoint now) {
+  if (Log.isMember() || now < NextJoin)
+    return;
+  NextJoin = now + JoinPeriod;
+  const JoinRequest request{{.Id = Log.id(),
+                             .Host = Options.Log.Host,
+                             .Address = Options.Log.Address}};
+  for (const std::string &it : Options.Others)
+    sendToReplica({.Address = it}, request);
+  for (const auto &[replica, link] : ReplicaLinks)
+    Network.send(link, request);
+}
+
+/// A follower gets the members from the leader, as other processes get them
+/// from it.
+void ReplicaNode::followLeader(TimePoint) {
+  const ReplicaDescriptor *leader = Log.leader();
+  if (!leader || leader->Id == Log.id())
+    return;
+  if (Followed == leader->Id && FollowedTerm == Log.term())
+    return;
+  const auto link = ReplicaLinks.find(leader->Id);
+  if (link == ReplicaLinks.end())
+    return;
+  Followed = leader->Id;
+  FollowedTerm = Log.term();
+  Network.send(link->second, Subscribe{.Host = Options.Log.Host,
+                                       .Known = MembersOnly,
+                                       .KnownMembers = Members.version(),
+                                       .WantsMembers = true});
+}
+
+void ReplicaNode::giveTickets(TimePoint now) {
+  for (const IssuedTicket &it : Loads.run(now)) {
+    const auto link = AgentLinks.find(it.Host);
+    if (link != AgentLinks.end())
+      Network.send(link->second, it.Ticket);
+  }
+}
+
+void ReplicaNode::tick(TimePoint now) {
+  if (!Failure)
+    Log.tick(now, Wall.milliseconds());
+  join(now);
+  followLeader(now);
+  if (leads(now)) {
+    noteTerm(now);
+    for (const HostName &it : Members.expire(now))
+      Loads.forgetHost(it);
+    giveTickets(now);
+  }
+  askLeader(now);
+  flush(now);
+}
+
+void ReplicaNode::applyEntry(const LogEntry &entry) {
+  const auto command = decodeCommand(entry.Data);
+  CommandOutcome outcome{.Result = CommandResult::Invalid};
+  if (command)
+    outcome = State.apply(entry.WallMilliseconds, *command);
+  const auto it = Proposals.find(entry.Index);
+  if (it == Proposals.end())
+    return;
+  // Another leader's entry may stand where ours was to stand.
+  const bool ours = it->second.AtTerm == entry.EntryTerm;
+  Network.send(it->second.Link, ProposeReply{.Nonce = it->second.Nonce,
+                                             .Decided = ours,
+                                             .Outcome = outcome});
+  Proposals.erase(it);
+}
+
+void ReplicaNode::flush(TimePoint now) {
+  while (true) {
+    const LogActions actions = Log.takeActions();
+    const bool nothing = actions.Write.empty() && actions.Messages.empty() &&
+                         !actions.Restore && actions.Committed.empty();
+    if (nothing || Failure)
+      break;
+    if (!actions.Write.empty()) {
+      const auto written = Store.write(actions.Write);
+      if (!written) {
+        // Nothing of this batch may be promised to anybody.
+        Failure = written.error();
+        break;
+      }
+      Log.synced(now);
+    }
+    for (const OutgoingLogMessage &it : actions.Messages)
+      sendToReplica(it.To, it.Content);
+    if (actions.Restore) {
+      if (!actions.Restore->State.empty() &&
+          !State.decode(actions.Restore->State))
+        Failure = LogStoreError{LogStoreError::Kind::Corrupt, "snapshot"};
+      AppliedIndex = actions.Restore->LastIndex;
+    }
+    for (const LogEntry &it : actions.Committed)
+      applyEntry(it);
+    AppliedIndex = std::max(AppliedIndex, Log.commitIndex());
+  }
+  answerProbes();
+  compactIfDue();
+  if (now < NextPush)
+    return;
+  NextPush = now + PushPeriod;
+  Listeners.push(State.configuration(), Members);
+}
+
+void ReplicaNode::compactIfDue() {
+  if (Log.entriesHeld() < Options.CompactAfter || Failure)
+    return;
+  const auto snapshot = Log.snapshotAt(AppliedIndex, State.encode());
+  const auto done = Store.compact(snapshot, Log.entriesAfter(AppliedIndex));
+  if (!done) {
+    Failure = done.error();
+    return;
+  }
+  Log.compacted(snapshot);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/Serving.h
@@ -0,0 +1,34 @@
+//===- Serving.h - Placement, loads, limits and retries ---------*- C++ -*-===//
+///
+/// \file
+/// \defgroup Serving Serving
+/// The decisions on a request's way: the entry's routing, limits and retries,
+/// the agent's admission, dispatch and slots, and the scheduler of adapter
+/// loads. Controllers read and write a blackboard, take the present time as an
+/// argument and leave typed commands; nothing in here performs I/O.
+///
+//===----------------------------------------------------------------------===//
+#ifndef PIMENTOFRONT_SERVING_H
+#define PIMENTOFRONT_SERVING_H
+
+#include "pimentofront/Wire.h"
+
+// clang-format off: the parts, in the order of their dependencies.
+#include "src/Serving/Popularity.h"
+#include "src/Serving/SlotTable.h"
+#include "src/Serving/EvictionPolicy.h"
+#include "src/Serving/AgentBoard.h"
+#include "src/Serving/LoadGate.h"
+#include "src/Serving/AdmissionController.h"
+#include "src/Serving/DispatchController.h"
+#include "src/Serving/LoadController.h"
+#include "src/Serving/AgentController.h"
+#include "src/Serving/LoadScheduler.h"
+#include "src/Serving/RetryBudget.h"
+#include "src/Serving/InFlightLimits.h"
+#include "src/Serving/RoutingPolicy.h"
+#include "src/Serving/EntryBoard.h"
+#include "src/Serving/EntryController.h"
+// clang-format on
+
+#endif
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -0,0 +1,201 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+/// Returns in refusals are spread over this factor, so that the refused don't
+/// come back together.
+Duration spread(Random &random, Duration d) {
+  constexpr Duration Shortest = std::chrono::milliseconds(50);
+  return random.jitter(std::max(d, Shortest));
+}
+
+} // namespace
+
+Duration AdmissionController::queueWait() const {
+  const std::uint32_t capacity = std::max(Board.Options.BatchCapacity, 1U);
+  const std::size_t ahead = Board.runningOnEngine() + Board.WaitingCount;
+  if (ahead < capacity)
+    return Duration::zero();
+  const auto excess = static_cast<std::int64_t>(ahead - capacity + 1);
+  return Board.ServiceTime * excess / capacity;
+}
+
+LoadFigures AdmissionController::figures(TimePoint now) const {
+  double victim = -1;
+  for (const Slot &it : Board.Slots.all()) {
+    const double worth = it.State == SlotState::Empty
+                             ? 0
+                             : Board.Popularity.valueOf(now, it.Key);
+    if (victim < 0 || worth < victim)
+      victim = worth;
+  }
+  constexpr double Thousand = 1000;
+  return {.Running = Board.runningOnEngine(),
+          .Queued = static_cast<std::uint32_t>(Board.WaitingCount),
+          .BatchCapacity = Board.Options.BatchCapacity,
+          .LoadWait = Board.LoadBacklog,
+          .VictimValue = static_cast<std::uint32_t>(std::max(victim, 0.0) *
+                                                    Thousand)};
+}
+
+AdmissionController::Verdict
+AdmissionController::judgeService(const ExecuteRequest &request) const {
+  const auto &services = Board.Options.Services;
+  if (std::ranges::find(services, request.Service) == services.end())
+    return {RefusalReason::NoSuchBackend};
+  if (Board.RunningServices >= Board.Options.ServiceLimit)
+    return {RefusalReason::QueueFull, Board.ServiceTime};
+  return {};
+}
+
+AdmissionController::Verdict
+AdmissionController::judgeResident(const ExecuteRequest &request) const {
+  const Duration wait = queueWait();
+  if (request.OnlyIfResident && wait > Board.Options.SpillDelay)
+    return {RefusalReason::QueueFull, wait};
+  if (Board.Options.RefusesEarly &&
+      wait + Board.ServiceTime > request.Remaining)
+    return {RefusalReason::QueueFull, wait};
+  return {};
+}
+
+AdmissionController::Verdict
+AdmissionController::judgeMissing(TimePoint now,
+                                  const ExecuteRequest &request) const {
+  const auto aside = Board.SetAside.find(request.Key);
+  if (aside != Board.SetAside.end() && aside->second.Until > now)
+    return {RefusalReason::LoadFailed, aside->second.Until - now};
+  const bool demanded = Board.Waiting.contains(request.Key);
+  if (demanded)
+    return {};
+  if (request.OnlyIfResident)
+    return {RefusalReason::NotResident};
+  const Duration wait = Board.LoadBacklog + Board.LoadTime;
+  if (Board.Options.RefusesEarly &&
+      wait + Board.ServiceTime > request.Remaining)
+    return {RefusalReason::LoadBacklog, wait};
+  return {};
+}
+
+AdmissionController::Verdict
+AdmissionController::judge(TimePoint now, const ExecuteRequest &request) const {
+  if (Board.Leaving)
+    return {RefusalReason::Leaving};
+  if (!request.Service.empty())
+    return judgeService(request);
+  if (!Board.EngineReady)
+    return {RefusalReason::BackendDown, Board.LoadTime};
+  if (request.BaseModel != Board.Options.BaseModel)
+    return {RefusalReason::NoSuchBackend};
+  if (Board.WaitingCount >= Board.Options.QueueLimit)
+    return {RefusalReason::QueueFull, queueWait()};
+  if (Board.Slots.isReady(request.Key) || Board.Slots.isLoading(request.Key))
+    return judgeResident(request);
+  return judgeMissing(now, request);
+}
+
+void AdmissionController::refuse(EntryLink entry, const AttemptId &attempt,
+                                 Verdict verdict, const LoadFigures &figures) {
+  Board.Commands.push_back(
+      SendToEntry{entry, AttemptRefused{
+                             .Attempt = attempt,
+                             .Reason = verdict.Reason,
+                             .ComeBack = spread(Board.Jitter, verdict.ComeBack),
+                             .Load = figures,
+                         }});
+}
+
+void AdmissionController::onExecute(TimePoint now, EntryLink entry,
+                                    const ExecuteRequest &request) {
+  const Verdict verdict = judge(now, request);
+  const bool toEngine = request.Service.empty();
+  // A request that is only asking around isn't demand for this host yet.
+  if (toEngine && verdict.Reason != RefusalReason::NotResident)
+    Board.Popularity.noteRequest(now, request.Key);
+  if (verdict.Reason != RefusalReason::None)
+    return refuse(entry, request.Attempt, verdict, figures(now));
+  const TimePoint deadline = now + request.Remaining;
+  if (toEngine) {
+    const bool ready = Board.Slots.isReady(request.Key);
+    Board.Waiting[request.Key].push_back({.Request = request,
+                                          .Entry = entry,
+                                          .ArrivedAt = now,
+                                          .Deadline = deadline,
+                                          .NeededLoad = !ready});
+    ++Board.WaitingCount;
+  } else {
+    Board.Running.emplace(request.Attempt,
+                          RunningAttempt{.Entry = entry,
+                                         .IsService = true,
+                                         .StartedAt = now,
+                                         .Deadline = deadline});
+    ++Board.RunningServices;
+  }
+  Board.Commands.push_back(SendToEntry{
+      entry, AttemptAdmitted{.Attempt = request.Attempt, .Load = figures(now)}});
+  if (!toEngine)
+    Board.Commands.push_back(StartServiceCall{request});
+}
+
+void AdmissionController::refuseHopeless(TimePoint now) {
+  std::optional<LoadFigures> shared;
+  for (auto it = Board.Waiting.begin(); it != Board.Waiting.end();) {
+    auto &[key, queue] = *it;
+    const bool ready = Board.Slots.isReady(key);
+    const bool loading = Board.Slots.isLoading(key);
+    const Duration load = ready || loading || !Board.Options.RefusesEarly
+                              ? Duration::zero()
+                              : Board.LoadTime;
+    const RefusalReason reason =
+        ready ? RefusalReason::QueueFull : RefusalReason::LoadBacklog;
+    std::erase_if(queue, [&](const WaitingAttempt &attempt) {
+      if (now + load <= attempt.Deadline)
+        return false;
+      if (!shared)
+        shared = figures(now);
+      const Duration wait = ready ? queueWait() : Board.LoadBacklog;
+      refuse(attempt.Entry, attempt.Request.Attempt, {reason, wait}, *shared);
+      --Board.WaitingCount;
+      return true;
+    });
+    it = queue.empty() ? Board.Waiting.erase(it) : std::next(it);
+  }
+}
+
+void AdmissionController::refuseWaiting(const AdapterKey &key,
+                                        RefusalReason reason,
+                                        Duration comeBack) {
+  const auto it = Board.Waiting.find(key);
+  if (it == Board.Waiting.end())
+    return;
+  for (const WaitingAttempt &attempt : it->second)
+    refuse(attempt.Entry, attempt.Request.Attempt, {reason, comeBack}, {});
+  Board.WaitingCount -= it->second.size();
+  Board.Waiting.erase(it);
+}
+
+void AdmissionController::refuseAllWaiting(RefusalReason reason,
+                                           Duration comeBack) {
+  while (!Board.Waiting.empty())
+    refuseWaiting(AdapterKey(Board.Waiting.begin()->first), reason, comeBack);
+}
+
+bool AdmissionController::forget(const AttemptId &attempt) {
+  for (auto it = Board.Waiting.begin(); it != Board.Waiting.end(); ++it) {
+    const auto erased = std::erase_if(it->second, [&](const auto &waiting) {
+      return waiting.Request.Attempt == attempt;
+    });
+    if (erased == 0)
+      continue;
+    Board.WaitingCount -= erased;
+    if (it->second.empty())
+      Board.Waiting.erase(it);
+    return true;
+  }
+  return false;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -0,0 +1,49 @@
+#ifndef PIMENTOFRONT_SERVING_ADMISSION_CONTROLLER_H
+#define PIMENTOFRONT_SERVING_ADMISSION_CONTROLLER_H
+
+#include "AgentBoard.h"
+
+namespace pimentofront {
+
+/// \class AdmissionController
+/// \ingroup Serving
+/// \brief Takes a request in, or refuses it at once with a truthful time to
+/// come back. What it takes in waits on the board.
+class AdmissionController {
+public:
+  explicit AdmissionController(AgentBoard &board) : Board(board) {}
+
+  void onExecute(TimePoint now, EntryLink entry, const ExecuteRequest &request);
+  /// Refuses waiting requests whose answer can't come in time any more.
+  void refuseHopeless(TimePoint now);
+  /// Refuses all that wait for \p key.
+  void refuseWaiting(const AdapterKey &key, RefusalReason reason,
+                     Duration comeBack);
+  /// Refuses all that wait for anything.
+  void refuseAllWaiting(RefusalReason reason, Duration comeBack);
+  /// Drops a waiting attempt that nobody wants any more.
+  /// \returns whether it was waiting.
+  bool forget(const AttemptId &attempt);
+
+  /// \returns what answers carry about this host's load.
+  LoadFigures figures(TimePoint now) const;
+
+private:
+  struct Verdict {
+    RefusalReason Reason = RefusalReason::None;
+    Duration ComeBack = Duration::zero();
+  };
+  Verdict judge(TimePoint now, const ExecuteRequest &request) const;
+  Verdict judgeService(const ExecuteRequest &request) const;
+  Verdict judgeResident(const ExecuteRequest &request) const;
+  Verdict judgeMissing(TimePoint now, const ExecuteRequest &request) const;
+  Duration queueWait() const;
+  void refuse(EntryLink entry, const AttemptId &attempt, Verdict verdict,
+              const LoadFigures &figures);
+
+  AgentBoard &Board;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -0,0 +1,162 @@
+#ifndef PIMENTOFRONT_SERVING_AGENT_BOARD_H
+#define PIMENTOFRONT_SERVING_AGENT_BOARD_H
+
+#include "EvictionPolicy.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace pimentofront {
+
+/// Names the link to an entry, as the shell numbers them.
+using EntryLink = std::uint64_t;
+
+/// \class AgentOptions
+/// \ingroup Serving
+/// \brief The knobs of an agent. docs/OPERATORS.md says what each does.
+struct AgentOptions {
+  HostName Host;
+  std::uint64_t Incarnation = 0;
+  std::string BaseModel;
+  std::vector<ServiceName> Services;
+  /// Adapter slots of the engine.
+  std::uint32_t Slots = 4;
+  /// Requests that the engine runs in one step.
+  std::uint32_t BatchCapacity = 16;
+  /// Requests that may wait here, over all adapters.
+  std::uint32_t QueueLimit = 256;
+  /// Calls of plain services in progress at one time.
+  std::uint32_t ServiceLimit = 64;
+  /// Half-life of the popularity count.
+  Duration PopularityHalfLife = std::chrono::minutes(5);
+  /// Adapters whose popularity is remembered.
+  std::size_t PopularityCapacity = 4096;
+  /// What a load takes at full speed, until one has been measured.
+  Duration LoadTime = std::chrono::milliseconds(250);
+  /// What serving a request takes, until some have been measured.
+  Duration ServiceTime = std::chrono::seconds(2);
+  /// An attempt that asks only for what is resident is sent on when it would
+  /// queue longer than this: time for another copy.
+  Duration SpillDelay = std::chrono::milliseconds(500);
+  /// Refuses a request at once when its load can't come in time.
+  bool RefusesEarly = true;
+  /// First and longest pause after failed loads of one adapter.
+  Duration FailedLoadPause = std::chrono::seconds(2);
+  Duration FailedLoadPauseMax = std::chrono::minutes(2);
+};
+
+/// \class WaitingAttempt
+/// \ingroup Serving
+/// \brief An admitted attempt that isn't running yet.
+struct WaitingAttempt {
+  ExecuteRequest Request;
+  EntryLink Entry = 0;
+  TimePoint ArrivedAt;
+  /// After this the answer is useless.
+  TimePoint Deadline;
+  /// Time that it waited for its adapter, when that is over.
+  Duration LoadStall = Duration::zero();
+  bool NeededLoad = false;
+};
+
+/// \class RunningAttempt
+/// \ingroup Serving
+/// \brief An attempt that the engine or a plain service works on.
+struct RunningAttempt {
+  EntryLink Entry = 0;
+  AdapterKey Key;
+  bool IsService = false;
+  TimePoint StartedAt;
+  TimePoint Deadline;
+  std::uint64_t Tokens = 0;
+  Duration LoadStall = Duration::zero();
+};
+
+/// \class FailedLoads
+/// \ingroup Serving
+/// \brief An adapter that failed to load is set aside for a while, so that it
+/// doesn't take its neighbours' loads.
+struct FailedLoads {
+  std::uint32_t InSequence = 0;
+  TimePoint Until;
+};
+
+/// Tells an entry something.
+struct SendToEntry {
+  EntryLink Entry = 0;
+  Message Content;
+};
+/// Tells the load scheduler something.
+struct SendToScheduler {
+  Message Content;
+};
+/// Has the engine run a request.
+struct StartGeneration {
+  ExecuteRequest Request;
+};
+/// Has a plain service called, once.
+struct StartServiceCall {
+  ExecuteRequest Request;
+};
+/// Stops what the engine or service does for an attempt.
+struct CancelWork {
+  AttemptId Attempt;
+};
+/// Has the engine give up one adapter, if set, and load another.
+struct StartLoad {
+  AdapterKey Key;
+  std::string Source;
+  std::optional<AdapterKey> Victim;
+};
+using AgentCommand =
+    std::variant<SendToEntry, SendToScheduler, StartGeneration,
+                 StartServiceCall, CancelWork, StartLoad>;
+
+/// \class AgentBoard
+/// \ingroup Serving
+/// \brief What the controllers of an agent know in common.
+struct AgentBoard {
+  AgentBoard(const AgentOptions &options, const EvictionPolicy &eviction)
+      : Options(options), Eviction(eviction), Slots(options.Slots),
+        Popularity(options.PopularityHalfLife, options.PopularityCapacity),
+        Jitter(options.Incarnation), LoadTime(options.LoadTime),
+        ServiceTime(options.ServiceTime) {}
+
+  const AgentOptions Options;
+  const EvictionPolicy &Eviction;
+  SlotTable Slots;
+  PopularityTable Popularity;
+  Random Jitter;
+
+  /// Admitted and not running, by adapter, in order of arrival.
+  std::map<AdapterKey, std::deque<WaitingAttempt>> Waiting;
+  std::size_t WaitingCount = 0;
+  std::unordered_map<AttemptId, RunningAttempt> Running;
+  std::uint32_t RunningServices = 0;
+  std::unordered_map<AdapterKey, FailedLoads> SetAside;
+
+  /// Smoothed measurements of this host.
+  Duration LoadTime;
+  Duration ServiceTime;
+  /// Last word of the load scheduler on its queue.
+  Duration LoadBacklog = Duration::zero();
+
+  /// Takes no new work.
+  bool Leaving = false;
+  /// The engine answers and what it holds is known.
+  bool EngineReady = false;
+  /// The engine may run requests that an earlier agent process started:
+  /// nothing is evicted until it has been idle.
+  bool OrphansMayRun = false;
+
+  std::vector<AgentCommand> Commands;
+
+  std::uint32_t runningOnEngine() const {
+    return static_cast<std::uint32_t>(Running.size()) - RunningServices;
+  }
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -0,0 +1,200 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pimentofront {
+
+AgentController::AgentController(const AgentOptions &options,
+                                 const EvictionPolicy &eviction, LoadGate &gate)
+    : Board(options, eviction), Gate(gate), Admission(Board), Dispatch(Board),
+      Loads(Board, gate, Admission) {
+  assert(options.BatchCapacity > 0 && "an engine runs at least one request");
+}
+
+void AgentController::decide(TimePoint now) {
+  Dispatch.run(now);
+  Loads.run(now);
+}
+
+void AgentController::onExecute(TimePoint now, EntryLink entry,
+                                const ExecuteRequest &request) {
+  Admission.onExecute(now, entry, request);
+  decide(now);
+}
+
+void AgentController::onCancel(TimePoint now, const AttemptId &attempt) {
+  if (Admission.forget(attempt))
+    return decide(now);
+  // The pin stays until the engine says that it has stopped.
+  if (Board.Running.contains(attempt))
+    Board.Commands.push_back(CancelWork{attempt});
+}
+
+void AgentController::onEntryGone(TimePoint now, EntryLink entry) {
+  std::vector<AttemptId> waiting;
+  for (const auto &[key, queue] : Board.Waiting)
+    for (const WaitingAttempt &it : queue)
+      if (it.Entry == entry)
+        waiting.push_back(it.Request.Attempt);
+  for (const AttemptId &it : waiting)
+    Admission.forget(it);
+  for (const auto &[attempt, running] : Board.Running)
+    // A call that may not be repeated runs to its end: half of it helps nobody.
+    if (running.Entry == entry && !running.IsService)
+      Board.Commands.push_back(CancelWork{attempt});
+  decide(now);
+}
+
+void AgentController::onTokens(TimePoint, const AttemptId &attempt,
+                               std::uint32_t tokens, std::string text) {
+  const auto it = Board.Running.find(attempt);
+  if (it == Board.Running.end())
+    return;
+  RunningAttempt &running = it->second;
+  Board.Commands.push_back(
+      SendToEntry{running.Entry, AttemptChunk{.Attempt = attempt,
+                                              .Position = running.Tokens,
+                                              .Tokens = tokens,
+                                              .Text = std::move(text)}});
+  running.Tokens += tokens;
+}
+
+void AgentController::endAttempt(TimePoint now, const AttemptId &attempt,
+                                 const RunningAttempt &running) {
+  if (running.IsService)
+    --Board.RunningServices;
+  else
+    Board.Slots.unpin(now, running.Key);
+  Board.Running.erase(attempt);
+}
+
+void AgentController::onWorkEnded(TimePoint now, const AttemptId &attempt,
+                                  AttemptEnding ending, std::string payload) {
+  const auto it = Board.Running.find(attempt);
+  if (it == Board.Running.end())
+    return;
+  const RunningAttempt running = it->second;
+  endAttempt(now, attempt, running);
+  if (!running.IsService && ending == AttemptEnding::Answered) {
+    constexpr int SmoothingShare = 16;
+    Board.ServiceTime +=
+        (now - running.StartedAt - Board.ServiceTime) / SmoothingShare;
+  }
+  Board.Commands.push_back(
+      SendToEntry{running.Entry, AttemptFinished{
+                                     .Attempt = attempt,
+                                     .Ending = ending,
+                                     .Payload = std::move(payload),
+                                     .Tokens = running.Tokens,
+                                     .LoadStall = running.LoadStall,
+                                     .Load = Admission.figures(now),
+                                 }});
+  decide(now);
+}
+
+void AgentController::onWorkNotStarted(TimePoint now,
+                                       const AttemptId &attempt) {
+  const auto it = Board.Running.find(attempt);
+  if (it == Board.Running.end())
+    return;
+  const RunningAttempt running = it->second;
+  endAttempt(now, attempt, running);
+  Board.Commands.push_back(
+      SendToEntry{running.Entry, AttemptRefused{
+                                     .Attempt = attempt,
+                                     .Reason = RefusalReason::BackendDown,
+                                     .ComeBack = Board.LoadTime,
+                                     .Load = Admission.figures(now),
+                                 }});
+  decide(now);
+}
+
+void AgentController::onLoadEnded(TimePoint now, const AdapterKey &key,
+                                  bool succeeded, Duration took) {
+  Loads.onLoadEnded(now, key, succeeded, took);
+  decide(now);
+}
+
+void AgentController::onEngineFound(TimePoint now,
+                                    const std::vector<AdapterKey> &resident,
+                                    bool idle) {
+  if (!Board.EngineReady) {
+    Board.Slots.adopt(now, resident);
+    Board.EngineReady = true;
+    Board.OrphansMayRun = true;
+  }
+  if (idle)
+    Board.OrphansMayRun = false;
+  decide(now);
+}
+
+void AgentController::breakOff(TimePoint now, bool services) {
+  std::vector<AttemptId> attempts;
+  for (const auto &[attempt, running] : Board.Running)
+    if (running.IsService == services)
+      attempts.push_back(attempt);
+  for (const AttemptId &it : attempts)
+    onWorkEnded(now, it, AttemptEnding::BrokeOff, "the engine went away");
+}
+
+void AgentController::onEngineLost(TimePoint now) {
+  if (!Board.EngineReady)
+    return;
+  Board.EngineReady = false;
+  breakOff(now, /*services=*/false);
+  for (const Slot &it : std::vector<Slot>(Board.Slots.all()))
+    if (it.State == SlotState::Loading)
+      Gate.onLoadEnded(now, Board, it.Key, Duration::zero());
+  Board.Slots.clear();
+  Admission.refuseAllWaiting(RefusalReason::BackendDown, Board.LoadTime);
+  decide(now);
+}
+
+void AgentController::onTicket(TimePoint now, const LoadTicket &ticket) {
+  Gate.onTicket(now, Board, ticket);
+  decide(now);
+}
+
+void AgentController::onLoadQueueStatus(TimePoint now,
+                                        const LoadQueueStatus &status) {
+  Gate.onStatus(now, Board, status);
+  if (!Board.Options.RefusesEarly)
+    return;
+  const auto it = Board.Waiting.find(status.Key);
+  if (it == Board.Waiting.end() || Board.Slots.isReady(status.Key) ||
+      Board.Slots.isLoading(status.Key))
+    return;
+  const TimePoint ready = now + status.Backlog + Board.LoadTime;
+  const bool hopeless = std::ranges::all_of(
+      it->second, [&](const auto &attempt) { return attempt.Deadline < ready; });
+  if (hopeless)
+    Admission.refuseWaiting(status.Key, RefusalReason::LoadBacklog,
+                            status.Backlog);
+  decide(now);
+}
+
+void AgentController::onMembers(std::uint32_t members) {
+  Gate.onMembers(members);
+}
+
+void AgentController::leave(TimePoint now) {
+  Board.Leaving = true;
+  Admission.refuseAllWaiting(RefusalReason::Leaving, Duration::zero());
+  decide(now);
+}
+
+void AgentController::tick(TimePoint now) {
+  Admission.refuseHopeless(now);
+  std::erase_if(Board.SetAside, [&](const auto &it) {
+    constexpr Duration Remembered = std::chrono::minutes(10);
+    return it.second.Until + Remembered < now;
+  });
+  decide(now);
+}
+
+std::vector<AgentCommand> AgentController::takeCommands() {
+  return std::exchange(Board.Commands, {});
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -0,0 +1,73 @@
+#ifndef PIMENTOFRONT_SERVING_AGENT_CONTROLLER_H
+#define PIMENTOFRONT_SERVING_AGENT_CONTROLLER_H
+
+#include "DispatchController.h"
+#include "LoadController.h"
+
+namespace pimentofront {
+
+/// \class AgentController
+/// \ingroup Serving
+/// \brief All decisions of the process beside a backend server. The shell
+/// tells it what happened and carries out the commands it leaves.
+///
+/// Use it wherever one process has sole authority over an engine's slots. It
+/// isn't for sharing an engine between two masters.
+class AgentController {
+public:
+  /// \param eviction and \p gate outlive the controller.
+  AgentController(const AgentOptions &options, const EvictionPolicy &eviction,
+                  LoadGate &gate);
+
+  void onExecute(TimePoint now, EntryLink entry, const ExecuteRequest &request);
+  void onCancel(TimePoint now, const AttemptId &attempt);
+  /// The link to an entry has ended: its work is cancelled.
+  void onEntryGone(TimePoint now, EntryLink entry);
+
+  /// A piece of an answer came from the engine.
+  void onTokens(TimePoint now, const AttemptId &attempt, std::uint32_t tokens,
+                std::string text);
+  /// The engine or service is done with an attempt.
+  void onWorkEnded(TimePoint now, const AttemptId &attempt,
+                   AttemptEnding ending, std::string payload);
+  /// The engine or service turned an attempt down before it began.
+  void onWorkNotStarted(TimePoint now, const AttemptId &attempt);
+  void onLoadEnded(TimePoint now, const AdapterKey &key, bool succeeded,
+                   Duration took);
+  /// The engine answers; \p resident is what it holds, \p idle says that it
+  /// runs nothing. Called when it is found, and until it was idle once.
+  void onEngineFound(TimePoint now, const std::vector<AdapterKey> &resident,
+                     bool idle);
+  /// The engine is gone or has started anew: its slots are empty.
+  void onEngineLost(TimePoint now);
+
+  void onTicket(TimePoint now, const LoadTicket &ticket);
+  void onLoadQueueStatus(TimePoint now, const LoadQueueStatus &status);
+  void onMembers(std::uint32_t members);
+
+  /// From now on no new work; what waits is refused, what runs is finished.
+  void leave(TimePoint now);
+  /// \returns whether nothing runs or waits.
+  bool idle() const { return Board.Running.empty() && Board.WaitingCount == 0; }
+  /// Looks at time limits; to be called every few milliseconds to seconds.
+  void tick(TimePoint now);
+
+  std::vector<AgentCommand> takeCommands();
+  const AgentBoard &board() const { return Board; }
+
+private:
+  void decide(TimePoint now);
+  void endAttempt(TimePoint now, const AttemptId &attempt,
+                  const RunningAttempt &running);
+  void breakOff(TimePoint now, bool services);
+
+  AgentBoard Board;
+  LoadGate &Gate;
+  AdmissionController Admission;
+  DispatchController Dispatch;
+  LoadController Loads;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -0,0 +1,67 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+
+bool DispatchController::goesBefore(const Candidate &a,
+                                    const Candidate &b) const {
+  if (a.Pass != b.Pass)
+    return a.Pass < b.Pass;
+  return a.Attempt->Deadline < b.Attempt->Deadline;
+}
+
+std::optional<DispatchController::Candidate>
+DispatchController::choose() const {
+  std::optional<Candidate> best;
+  for (const auto &[key, queue] : Board.Waiting) {
+    if (!Board.Slots.isReady(key))
+      continue;
+    for (std::size_t i = 0; i < queue.size(); ++i) {
+      const auto pass = Passes.find(queue[i].Request.Kind);
+      const Candidate it{
+          .Key = key,
+          .Position = i,
+          .Attempt = &queue[i],
+          .Pass = pass == Passes.end() ? CurrentPass
+                                       : std::max(pass->second, CurrentPass)};
+      if (!best || goesBefore(it, *best))
+        best = it;
+    }
+  }
+  return best;
+}
+
+void DispatchController::run(TimePoint now) {
+  if (!Board.EngineReady)
+    return;
+  while (Board.runningOnEngine() < Board.Options.BatchCapacity) {
+    const std::optional<Candidate> next = choose();
+    if (!next)
+      return;
+    start(now, *next);
+  }
+}
+
+void DispatchController::start(TimePoint now, const Candidate &candidate) {
+  auto &queue = Board.Waiting.at(candidate.Key);
+  const auto at = queue.begin() + static_cast<std::ptrdiff_t>(candidate.Position);
+  const WaitingAttempt attempt = std::move(*at);
+  queue.erase(at);
+  if (queue.empty())
+    Board.Waiting.erase(candidate.Key);
+  --Board.WaitingCount;
+  Board.Slots.pin(now, candidate.Key);
+  Board.Running.emplace(attempt.Request.Attempt,
+                        RunningAttempt{.Entry = attempt.Entry,
+                                       .Key = candidate.Key,
+                                       .StartedAt = now,
+                                       .Deadline = attempt.Deadline,
+                                       .LoadStall = attempt.LoadStall});
+  CurrentPass = candidate.Pass;
+  const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
+  Passes[attempt.Request.Kind] = candidate.Pass + 1.0 / weight;
+  Board.Commands.push_back(StartGeneration{attempt.Request});
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/EvictionPolicy.cpp
@@ -0,0 +1,15 @@
+#include "pimentofront/Serving.h"
+
+namespace pimentofront {
+
+double LeastRecentlyUsed::worthOf(TimePoint now, const Slot &slot,
+                                  const PopularityTable &) const {
+  return 1 / (1 + toSeconds(now - slot.LastUsed));
+}
+
+double LeastPopular::worthOf(TimePoint now, const Slot &slot,
+                             const PopularityTable &popularity) const {
+  return popularity.valueOf(now, slot.Key);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -0,0 +1,105 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+/// Weight of the newest measurement in smoothed ones.
+constexpr int SmoothingShare = 8;
+Duration smoothed(Duration before, Duration measured) {
+  return before + (measured - before) / SmoothingShare;
+}
+
+} // namespace
+
+std::vector<Demand> LoadController::demands(TimePoint now) const {
+  std::vector<Demand> result;
+  for (const auto &[key, queue] : Board.Waiting) {
+    if (Board.Slots.isReady(key) || Board.Slots.isLoading(key))
+      continue;
+    Demand demand{.Key = key, .Slack = Duration::max()};
+    for (const WaitingAttempt &it : queue) {
+      demand.Weight += std::max(it.Request.Weight, 1U);
+      demand.Slack = std::min(demand.Slack, it.Deadline - now);
+    }
+    result.push_back(demand);
+  }
+  return result;
+}
+
+bool LoadController::mayEvict(const Slot &slot) const {
+  return slot.State == SlotState::Ready && slot.Pins == 0 &&
+         !Board.OrphansMayRun && !Board.Waiting.contains(slot.Key);
+}
+
+LoadController::Room LoadController::findRoom(TimePoint now) const {
+  if (Board.Slots.hasEmpty())
+    return {.Found = true};
+  Room room;
+  double least = 0;
+  for (const Slot &it : Board.Slots.all()) {
+    if (!mayEvict(it))
+      continue;
+    const double worth = Board.Eviction.worthOf(now, it, Board.Popularity);
+    if (room.Found && worth >= least)
+      continue;
+    least = worth;
+    room = {.Found = true, .Victim = it.Key};
+  }
+  return room;
+}
+
+void LoadController::run(TimePoint now) {
+  if (!Board.EngineReady)
+    return;
+  while (true) {
+    const Room room = findRoom(now);
+    // Without room no load could begin, so none is asked for.
+    const std::vector<Demand> open =
+        room.Found ? demands(now) : std::vector<Demand>();
+    const std::optional<AdapterKey> key = Gate.next(now, Board, open);
+    if (!key)
+      return;
+    begin(*key, room.Victim);
+  }
+}
+
+void LoadController::begin(const AdapterKey &key,
+                           const std::optional<AdapterKey> &victim) {
+  Board.Slots.beginLoad(key, victim);
+  const std::string source = Board.Waiting.at(key).front().Request.Source;
+  Board.Commands.push_back(StartLoad{key, source, victim});
+}
+
+void LoadController::onLoadEnded(TimePoint now, const AdapterKey &key,
+                                 bool succeeded, Duration took) {
+  Board.Slots.finishLoad(now, key, succeeded);
+  Gate.onLoadEnded(now, Board, key, took);
+  if (!succeeded)
+    return setAside(now, key);
+  Board.LoadTime = smoothed(Board.LoadTime, took);
+  Board.SetAside.erase(key);
+  endStalls(now, key);
+}
+
+void LoadController::endStalls(TimePoint now, const AdapterKey &key) {
+  const auto it = Board.Waiting.find(key);
+  if (it == Board.Waiting.end())
+    return;
+  for (WaitingAttempt &attempt : it->second)
+    if (attempt.NeededLoad)
+      attempt.LoadStall = now - attempt.ArrivedAt;
+}
+
+void LoadController::setAside(TimePoint now, const AdapterKey &key) {
+  FailedLoads &failed = Board.SetAside[key];
+  Duration pause = Board.Options.FailedLoadPause;
+  for (std::uint32_t i = 0; i < failed.InSequence; ++i)
+    pause = std::min(2 * pause, Board.Options.FailedLoadPauseMax);
+  ++failed.InSequence;
+  failed.Until = now + Board.Jitter.jitter(pause);
+  Admission.refuseWaiting(key, RefusalReason::LoadFailed, failed.Until - now);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/LoadController.h
@@ -0,0 +1,42 @@
+#ifndef PIMENTOFRONT_SERVING_LOAD_CONTROLLER_H
+#define PIMENTOFRONT_SERVING_LOAD_CONTROLLER_H
+
+#include "AdmissionController.h"
+#include "LoadGate.h"
+
+namespace pimentofront {
+
+/// \class LoadController
+/// \ingroup Serving
+/// \brief Has adapters loaded for which requests wait, in a slot that is empty
+/// or whose adapter is worth least. One load serves all that wait for it.
+class LoadController {
+public:
+  LoadController(AgentBoard &board, LoadGate &gate,
+                 AdmissionController &admission)
+      : Board(board), Gate(gate), Admission(admission) {}
+
+  void run(TimePoint now);
+  void onLoadEnded(TimePoint now, const AdapterKey &key, bool succeeded,
+                   Duration took);
+
+private:
+  struct Room {
+    bool Found = false;
+    std::optional<AdapterKey> Victim;
+  };
+  std::vector<Demand> demands(TimePoint now) const;
+  Room findRoom(TimePoint now) const;
+  bool mayEvict(const Slot &slot) const;
+  void begin(const AdapterKey &key, const std::optional<AdapterKey> &victim);
+  void setAside(TimePoint now, const AdapterKey &key);
+  void endStalls(TimePoint now, const AdapterKey &key);
+
+  AgentBoard &Board;
+  LoadGate &Gate;
+  AdmissionController &Admission;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.cpp
@@ -0,0 +1,160 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pimentofront {
+namespace {
+
+/// \returns the demand with the most weight waiting, then the least slack.
+const Demand *heaviest(const std::vector<Demand> &demands) {
+  const auto before = [](const Demand &a, const Demand &b) {
+    if (a.Weight != b.Weight)
+      return a.Weight > b.Weight;
+    return a.Slack < b.Slack;
+  };
+  const auto it = std::ranges::min_element(demands, before);
+  return it == demands.end() ? nullptr : &*it;
+}
+
+bool contains(const std::vector<Demand> &demands, const AdapterKey &key) {
+  return std::ranges::find(demands, key, &Demand::Key) != demands.end();
+}
+
+/// A demand is told again when its weight has grown by half, or after a while
+/// in case the scheduler is a new one.
+constexpr Duration TellAgainAfter = std::chrono::seconds(1);
+bool changedMuch(const Demand &before, const Demand &now) {
+  return 2 * now.Weight > 3 * before.Weight || 2 * now.Weight < before.Weight;
+}
+
+} // namespace
+
+std::optional<AdapterKey>
+UncoordinatedLoads::next(TimePoint, AgentBoard &,
+                         const std::vector<Demand> &demands) {
+  const Demand *it = heaviest(demands);
+  return it ? std::optional(it->Key) : std::nullopt;
+}
+
+StaticShare::StaticShare(double loadsPerSecond, std::uint32_t members)
+    : LoadsPerSecond(loadsPerSecond), Members(std::max(members, 1U)) {
+  assert(loadsPerSecond > 0 && "the weight store allows some loads");
+}
+
+std::optional<AdapterKey>
+StaticShare::next(TimePoint now, AgentBoard &,
+                  const std::vector<Demand> &demands) {
+  if (Busy || now < NextAllowed)
+    return std::nullopt;
+  const Demand *it = heaviest(demands);
+  if (!it)
+    return std::nullopt;
+  Busy = true;
+  NextAllowed = now + fromSeconds(Members / LoadsPerSecond);
+  return it->Key;
+}
+
+void StaticShare::onMembers(std::uint32_t members) {
+  Members = std::max(members, 1U);
+}
+
+void StaticShare::onLoadEnded(TimePoint, AgentBoard &, const AdapterKey &,
+                              Duration) {
+  Busy = false;
+}
+
+ScheduledLoads::ScheduledLoads(double loadsPerSecond, std::uint32_t members,
+                               Duration silence)
+    : Fallback(loadsPerSecond, members), Silence(silence) {}
+
+bool ScheduledLoads::schedulerAway(TimePoint now) const {
+  return AskedAt && now - *AskedAt >= Silence;
+}
+
+std::optional<AdapterKey>
+ScheduledLoads::next(TimePoint now, AgentBoard &board,
+                     const std::vector<Demand> &demands) {
+  tellDemands(now, board, demands);
+  while (!Tickets.empty()) {
+    const LoadTicket ticket = Tickets.front();
+    Tickets.erase(Tickets.begin());
+    if (contains(demands, ticket.Key)) {
+      ToldDemands.erase(ticket.Key);
+      InUse.emplace(ticket.Key, ticket);
+      return ticket.Key;
+    }
+    returnTicket(board, ticket);
+  }
+  if (schedulerAway(now))
+    return Fallback.next(now, board, demands);
+  return std::nullopt;
+}
+
+void ScheduledLoads::tellDemands(TimePoint now, AgentBoard &board,
+                                 const std::vector<Demand> &demands) {
+  const auto tell = [&](const Demand &it) {
+    board.Commands.push_back(SendToScheduler{LoadDemand{
+        .Host = board.Options.Host,
+        .Incarnation = board.Options.Incarnation,
+        .Key = it.Key,
+        .WaitingWeight = it.Weight,
+        .Slack = it.Slack,
+    }});
+  };
+  for (const Demand &it : demands) {
+    const auto told = ToldDemands.find(it.Key);
+    const bool isNew = told == ToldDemands.end();
+    if (!isNew && !changedMuch(told->second.Last, it) &&
+        now - told->second.At < TellAgainAfter)
+      continue;
+    tell(it);
+    ToldDemands[it.Key] = {it, now};
+    if (!AskedAt)
+      AskedAt = now;
+  }
+  std::erase_if(ToldDemands, [&](const auto &it) {
+    if (contains(demands, it.first))
+      return false;
+    tell(Demand{.Key = it.first});
+    return true;
+  });
+  if (ToldDemands.empty())
+    AskedAt.reset();
+}
+
+void ScheduledLoads::returnTicket(AgentBoard &board, const LoadTicket &ticket) {
+  board.Commands.push_back(SendToScheduler{
+      LoadDone{.Host = board.Options.Host, .Ticket = ticket.Ticket}});
+}
+
+void ScheduledLoads::onTicket(TimePoint, AgentBoard &,
+                              const LoadTicket &ticket) {
+  AskedAt.reset();
+  Tickets.push_back(ticket);
+}
+
+void ScheduledLoads::onStatus(TimePoint, AgentBoard &board,
+                              const LoadQueueStatus &status) {
+  AskedAt.reset();
+  board.LoadBacklog = status.Backlog;
+}
+
+void ScheduledLoads::onMembers(std::uint32_t members) {
+  Fallback.onMembers(members);
+}
+
+void ScheduledLoads::onLoadEnded(TimePoint now, AgentBoard &board,
+                                 const AdapterKey &key, Duration took) {
+  const auto it = InUse.find(key);
+  if (it == InUse.end())
+    return Fallback.onLoadEnded(now, board, key, took);
+  board.Commands.push_back(
+      SendToScheduler{LoadDone{.Host = board.Options.Host,
+                               .Ticket = it->second.Ticket,
+                               .Started = true,
+                               .Took = took}});
+  InUse.erase(it);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/LoadScheduler.cpp
@@ -0,0 +1,94 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pimentofront {
+
+LoadScheduler::LoadScheduler(const LoadSchedulerOptions &options)
+    : Options(options), LoadTime(options.LoadTime) {
+  assert(options.LoadsPerSecond > 0 && "the weight store allows some loads");
+  assert(options.Concurrent > 0 && "at least one load runs at one time");
+}
+
+LoadScheduler::Rank LoadScheduler::rankOf(TimePoint now,
+                                          const Waiting &waiting) const {
+  return {.Hopeless = waiting.Deadline < now + LoadTime,
+          .NegativeScore = -static_cast<double>(waiting.Weight),
+          .Since = waiting.Since};
+}
+
+LoadQueueStatus LoadScheduler::onDemand(TimePoint now,
+                                        const LoadDemand &demand) {
+  const DemandId id{demand.Host, demand.Key};
+  if (demand.WaitingWeight == 0) {
+    Demands.erase(id);
+    return {.Key = demand.Key};
+  }
+  const auto [it, isNew] = Demands.try_emplace(id);
+  Waiting &waiting = it->second;
+  if (isNew)
+    waiting.Since = now;
+  waiting.Weight = demand.WaitingWeight;
+  waiting.Deadline = now + demand.Slack;
+  waiting.HeardAt = now;
+  const Rank rank = rankOf(now, waiting);
+  std::size_t ahead = Issued.size();
+  for (const auto &[other, theirs] : Demands)
+    if (rankOf(now, theirs) < rank)
+      ++ahead;
+  const Duration each =
+      std::max(LoadTime / Options.Concurrent,
+               fromSeconds(1 / Options.LoadsPerSecond));
+  return {.Key = demand.Key, .Backlog = each * static_cast<std::int64_t>(ahead)};
+}
+
+void LoadScheduler::onDone(TimePoint now, const LoadDone &done) {
+  const auto it = Issued.find(done.Ticket);
+  if (it == Issued.end())
+    return;
+  Issued.erase(it);
+  constexpr int SmoothingShare = 8;
+  if (done.Started)
+    LoadTime += (done.Took - LoadTime) / SmoothingShare;
+  else
+    NextAllowed = now; // The weight store wasn't used.
+}
+
+void LoadScheduler::forgetHost(const HostName &host) {
+  std::erase_if(Demands, [&](const auto &it) { return it.first.Host == host; });
+  std::erase_if(Issued, [&](const auto &it) { return it.second.Host == host; });
+}
+
+void LoadScheduler::expire(TimePoint now) {
+  std::erase_if(Demands, [&](const auto &it) {
+    return it.second.HeardAt + Options.DemandLifetime < now;
+  });
+  std::erase_if(Issued, [&](const auto &it) {
+    return it.second.IssuedAt + LoadTime * Options.LostAfterLoadTimes < now;
+  });
+}
+
+std::vector<IssuedTicket> LoadScheduler::run(TimePoint now) {
+  expire(now);
+  std::vector<IssuedTicket> result;
+  while (Issued.size() < Options.Concurrent && now >= NextAllowed &&
+         !Demands.empty()) {
+    const auto best = std::ranges::min_element(
+        Demands, {}, [&](const auto &it) { return rankOf(now, it.second); });
+    const std::uint64_t number = ++LastTicket;
+    Issued.emplace(number, Outstanding{best->first.Host, now});
+    result.push_back({best->first.Host, {number, best->first.Key}});
+    Demands.erase(best);
+    NextAllowed = now + fromSeconds(1 / Options.LoadsPerSecond);
+  }
+  return result;
+}
+
+std::optional<TimePoint> LoadScheduler::nextRun() const {
+  if (Demands.empty())
+    return std::nullopt;
+  return NextAllowed;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/LoadScheduler.h
@@ -0,0 +1,96 @@
+#ifndef PIMENTOFRONT_SERVING_LOAD_SCHEDULER_H
+#define PIMENTOFRONT_SERVING_LOAD_SCHEDULER_H
+
+#include "pimentofront/Wire.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace pimentofront {
+
+/// \class LoadSchedulerOptions
+/// \ingroup Serving
+struct LoadSchedulerOptions {
+  /// What the weight store allows.
+  double LoadsPerSecond = 4;
+  /// Loads at one time; the weight store is at full speed with one.
+  std::uint32_t Concurrent = 1;
+  /// What a load takes, until some have been measured.
+  Duration LoadTime = std::chrono::milliseconds(250);
+  /// A ticket that hasn't come back after this many load times is lost.
+  std::uint32_t LostAfterLoadTimes = 8;
+  /// A demand that isn't told again for so long has gone.
+  Duration DemandLifetime = std::chrono::seconds(3);
+};
+
+/// \class IssuedTicket
+/// \ingroup Serving
+/// \brief A ticket and the host it goes to.
+struct IssuedTicket {
+  HostName Host;
+  LoadTicket Ticket;
+};
+
+/// \class LoadScheduler
+/// \ingroup Serving
+/// \brief Orders the adapter loads of all hosts under the rate of the weight
+/// store. Soft state: a new one learns the demands within a second, since
+/// agents tell them again.
+///
+/// Loads cost about the same, so the order with the most weight first ends the
+/// most waiting soonest (Smith's rule, 1956); demands that can't be met in
+/// time any more stand behind those that can.
+class LoadScheduler {
+public:
+  explicit LoadScheduler(const LoadSchedulerOptions &options);
+
+  /// \returns what to answer the agent.
+  LoadQueueStatus onDemand(TimePoint now, const LoadDemand &demand);
+  void onDone(TimePoint now, const LoadDone &done);
+  /// A host has left or lost its lease.
+  void forgetHost(const HostName &host);
+  /// \returns the tickets that may be given out now.
+  std::vector<IssuedTicket> run(TimePoint now);
+  /// \returns when run() may have more to give, if demands wait.
+  std::optional<TimePoint> nextRun() const;
+  std::size_t waiting() const { return Demands.size(); }
+
+private:
+  struct DemandId {
+    HostName Host;
+    AdapterKey Key;
+    friend auto operator<=>(const DemandId &, const DemandId &) = default;
+  };
+  struct Waiting {
+    std::uint32_t Weight = 0;
+    TimePoint Deadline;
+    TimePoint Since;
+    TimePoint HeardAt;
+  };
+  struct Outstanding {
+    HostName Host;
+    TimePoint IssuedAt;
+  };
+  /// Place in the order of loads; smaller goes first.
+  struct Rank {
+    bool Hopeless = false;
+    double NegativeScore = 0;
+    TimePoint Since;
+    friend auto operator<=>(const Rank &, const Rank &) = default;
+  };
+  Rank rankOf(TimePoint now, const Waiting &waiting) const;
+  void expire(TimePoint now);
+
+  LoadSchedulerOptions Options;
+  std::map<DemandId, Waiting> Demands;
+  std::map<std::uint64_t, Outstanding> Issued;
+  std::uint64_t LastTicket = 0;
+  Duration LoadTime;
+  TimePoint NextAllowed;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
@@ -0,0 +1,142 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace detail {
+namespace {
+
+bool serves(const MemberView &member, const RouteQuery &query) {
+  if (query.Service.empty())
+    return member.Record.Slots > 0 &&
+           member.Record.BaseModel == query.BaseModel;
+  const auto &services = member.Record.Services;
+  return std::ranges::find(services, query.Service) != services.end();
+}
+
+/// Finalizer of SplitMix64 (Steele et al., 2014).
+std::uint64_t mix(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  x = (x ^ (x >> 27)) * 0x94D049BB133111EBULL;
+  return x ^ (x >> 31);
+}
+
+bool wasTried(const RouteQuery &query, const HostName &host) {
+  return std::ranges::find(query.Tried, host, &TriedHost::Host) !=
+         query.Tried.end();
+}
+
+/// \returns whether the host was asked to load it, too, and said no.
+bool wasTriedInFull(const RouteQuery &query, const HostName &host) {
+  return std::ranges::any_of(query.Tried, [&](const TriedHost &it) {
+    return it.Host == host && !it.OnlyIfResident;
+  });
+}
+
+} // namespace
+
+std::vector<const MemberView *> eligibleHosts(TimePoint now,
+                                              const RouteQuery &query,
+                                              const MemberViews &members) {
+  std::vector<const MemberView *> healthy;
+  std::vector<const MemberView *> suspended;
+  for (const auto &[host, member] : members) {
+    const MemberRecord &record = member.Record;
+    if (record.Leaving || record.Gone || member.Drained ||
+        !serves(member, query))
+      continue;
+    (member.SuspendedUntil > now ? suspended : healthy).push_back(&member);
+  }
+  return healthy.empty() ? suspended : healthy;
+}
+
+void orderByRendezvous(const AdapterKey &key, std::size_t n,
+                       std::vector<const MemberView *> &hosts) {
+  const std::uint64_t keyHash = stableHash(key.Adapter.str(), key.Version);
+  const auto score = [&](const MemberView *it) {
+    return mix(keyHash ^ it->NameHash);
+  };
+  const std::size_t sorted = std::min(n, hosts.size());
+  std::ranges::partial_sort(hosts,
+                            hosts.begin() + static_cast<std::ptrdiff_t>(sorted),
+                            std::greater<>(), score);
+}
+
+} // namespace detail
+
+std::optional<Route> LeastLoaded::choose(TimePoint now, const RouteQuery &query,
+                                         const MemberViews &members) {
+  auto hosts = detail::eligibleHosts(now, query, members);
+  std::erase_if(hosts, [&](const MemberView *it) {
+    return detail::wasTried(query, it->Record.Host);
+  });
+  if (hosts.empty())
+    return std::nullopt;
+  const std::size_t first = ++Turn % hosts.size();
+  std::ranges::rotate(hosts, hosts.begin() + static_cast<std::ptrdiff_t>(first));
+  const auto load = [](const MemberView *it) {
+    return it->Load.Running + it->Load.Queued;
+  };
+  return Route{(*std::ranges::min_element(hosts, {}, load))->Record.Host};
+}
+
+std::optional<Route> ConsistentHash::choose(TimePoint now,
+                                            const RouteQuery &query,
+                                            const MemberViews &members) {
+  auto hosts = detail::eligibleHosts(now, query, members);
+  detail::orderByRendezvous(query.Key, query.Tried.size() + 1, hosts);
+  for (const MemberView *it : hosts)
+    if (!detail::wasTried(query, it->Record.Host))
+      return Route{it->Record.Host};
+  return std::nullopt;
+}
+
+void AffinityRouting::learn(const AdapterKey &key, const HostName &host,
+                            bool holds) {
+  const auto it = Hints.find(key);
+  if (!holds) {
+    if (it != Hints.end() && it->second == host)
+      Hints.erase(it);
+    return;
+  }
+  if (it != Hints.end()) {
+    it->second = host;
+    return;
+  }
+  if (Hints.size() >= Options.HintCapacity)
+    Hints.erase(Hints.begin());
+  Hints.emplace(key, host);
+}
+
+std::optional<Route> AffinityRouting::choose(TimePoint now,
+                                             const RouteQuery &query,
+                                             const MemberViews &members) {
+  auto hosts = detail::eligibleHosts(now, query, members);
+  const std::size_t n = std::min<std::size_t>(Options.Choices, hosts.size());
+  detail::orderByRendezvous(query.Key, n, hosts);
+  hosts.resize(n);
+  const auto hint = Hints.find(query.Key);
+  if (hint != Hints.end())
+    std::ranges::stable_partition(hosts, [&](const MemberView *it) {
+      return it->Record.Host == hint->second;
+    });
+  for (const MemberView *it : hosts)
+    if (!detail::wasTried(query, it->Record.Host))
+      return Route{it->Record.Host, /*OnlyIfResident=*/n > 1};
+  // None of them holds it: have it loaded where the least is lost.
+  const auto cost = [&](const MemberView *it) {
+    constexpr double Thousand = 1000;
+    const double used = (it->Load.Running + it->Load.Queued) /
+                        std::max<double>(it->Load.BatchCapacity, 1);
+    return it->Load.VictimValue / Thousand - Options.PackingWeight * used;
+  };
+  const auto full = std::ranges::remove_if(hosts, [&](const MemberView *it) {
+    return detail::wasTriedInFull(query, it->Record.Host);
+  });
+  hosts.erase(full.begin(), full.end());
+  if (hosts.empty())
+    return std::nullopt;
+  return Route{(*std::ranges::min_element(hosts, {}, cost))->Record.Host};
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.h
@@ -0,0 +1,58 @@
+#ifndef PIMENTOFRONT_SERVING_SLOT_TABLE_H
+#define PIMENTOFRONT_SERVING_SLOT_TABLE_H
+
+#include "pimentofront/Wire.h"
+
+#include <optional>
+#include <vector>
+
+namespace pimentofront {
+
+enum class SlotState : std::uint8_t { Empty, Loading, Ready };
+
+/// \class Slot
+/// \ingroup Serving
+/// \brief One adapter slot of an engine.
+struct Slot {
+  SlotState State = SlotState::Empty;
+  AdapterKey Key;
+  /// Requests that run on it. While there are any, it is never given up.
+  std::uint32_t Pins = 0;
+  TimePoint LastUsed;
+};
+
+/// \class SlotTable
+/// \ingroup Serving
+/// \brief What is in the slots of the engine beside this agent, the only place
+/// that knows it without lag.
+class SlotTable {
+public:
+  explicit SlotTable(std::uint32_t slots) : Slots(slots) {}
+
+  const std::vector<Slot> &all() const { return Slots; }
+  bool isReady(const AdapterKey &key) const;
+  bool isLoading(const AdapterKey &key) const;
+  bool hasEmpty() const;
+
+  /// Reserves a slot for a load, in place of \p victim if it is set.
+  /// \pre the victim has no pins, or there is an empty slot.
+  void beginLoad(const AdapterKey &key, const std::optional<AdapterKey> &victim);
+  void finishLoad(TimePoint now, const AdapterKey &key, bool succeeded);
+  /// \pre the adapter is ready.
+  void pin(TimePoint now, const AdapterKey &key);
+  void unpin(TimePoint now, const AdapterKey &key);
+  /// The engine started anew: all slots are empty, nothing runs.
+  void clear();
+  /// Takes over what an engine held before this agent started.
+  void adopt(TimePoint now, const std::vector<AdapterKey> &resident);
+
+private:
+  Slot *find(const AdapterKey &key);
+  const Slot *find(const AdapterKey &key) const;
+
+  std::vector<Slot> Slots;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/state/pimentofront/src/State/Configuration.cpp
@@ -0,0 +1,54 @@
+#include "pimentofront/State.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+
+Revision changedAt(const ConfigurationRecord &record) {
+  return std::visit([](const auto &it) { return it.ChangedAt; }, record);
+}
+
+const KindRecord *Configuration::findKind(const KindName &name) const {
+  const auto it = Kinds.find(name);
+  return it == Kinds.end() ? nullptr : &it->second;
+}
+
+const DrainRecord *Configuration::findDrain(const HostName &host) const {
+  const auto it = Drains.find(host);
+  return it == Drains.end() ? nullptr : &it->second;
+}
+
+void Configuration::put(const ConfigurationRecord &record) {
+  if (const auto *adapter = std::get_if<AdapterRecord>(&record))
+    Adapters.put(*adapter);
+  if (const auto *kind = std::get_if<KindRecord>(&record))
+    Kinds[kind->Name] = *kind;
+  if (const auto *drain = std::get_if<DrainRecord>(&record))
+    Drains[drain->Host] = *drain;
+}
+
+void Configuration::advance(Revision revision) {
+  Current = std::max(Current, revision);
+}
+
+void Configuration::forEachChanged(
+    Revision since,
+    const std::function<void(const ConfigurationRecord &)> &visit) const {
+  for (const auto &[name, it] : Kinds)
+    if (it.ChangedAt > since)
+      visit(it);
+  for (const auto &[host, it] : Drains)
+    if (it.ChangedAt > since)
+      visit(it);
+  Adapters.forEachChanged(since, [&](AdapterRecord it) { visit(it); });
+}
+
+std::vector<ConfigurationRecord>
+Configuration::changedSince(Revision since) const {
+  std::vector<ConfigurationRecord> result;
+  forEachChanged(since, [&](const auto &it) { result.push_back(it); });
+  std::ranges::sort(result, {}, changedAt);
+  return result;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.cpp
@@ -0,0 +1,72 @@
+#include "pimentofront/State.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+/// Questions remembered; older ones are lost with their answers.
+constexpr std::size_t ProbesKept = 64;
+
+} // namespace
+
+std::uint64_t ConfigurationCopy::beginProbe(TimePoint now) {
+  Probes.push_back({++LastNonce, now});
+  if (Probes.size() > ProbesKept)
+    Probes.pop_front();
+  return LastNonce;
+}
+
+void ConfigurationCopy::onProbeReply(const ProbeReply &reply) {
+  const auto it = std::ranges::find(Probes, reply.Nonce, &Probe::Nonce);
+  if (it == Probes.end())
+    return;
+  Waiting.push_back({reply.Confirmed, it->SentAt});
+  Probes.erase(Probes.begin(), it + 1);
+  if (Waiting.size() > ProbesKept)
+    Waiting.pop_front();
+  useConfirmations();
+}
+
+void ConfigurationCopy::useConfirmations() {
+  std::erase_if(Waiting, [&](const Confirmation &it) {
+    if (it.At > Records.revision())
+      return false;
+    if (!ConfirmedAt || it.AskedAt > *ConfirmedAt)
+      ConfirmedAt = it.AskedAt;
+    return true;
+  });
+}
+
+bool ConfigurationCopy::apply(const ConfigurationUpdate &update) {
+  bool drains = false;
+  for (const ConfigurationRecord &it : update.Records) {
+    if (changedAt(it) <= Records.revision())
+      continue;
+    Records.put(it);
+    drains = drains || std::holds_alternative<DrainRecord>(it);
+  }
+  // A part alone is no state that ever was: a record that changed twice comes
+  // only with its last change.
+  if (!update.Partial)
+    Records.advance(update.UpTo);
+  useConfirmations();
+  return drains;
+}
+
+Duration ConfigurationCopy::leaseLeft(TimePoint now) const {
+  if (!ConfirmedAt)
+    return Duration::zero();
+  return std::max(*ConfirmedAt + Options.Lease - now, Duration::zero());
+}
+
+bool ConfigurationCopy::isDrained(const HostName &host) const {
+  const DrainRecord *drain = Records.findDrain(host);
+  return drain && drain->Drained;
+}
+
+bool ConfigurationCopy::isConfirmed(TimePoint now) const {
+  return leaseLeft(now) > Duration::zero();
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -0,0 +1,110 @@
+#include "pimentofront/State.h"
+
+namespace pimentofront {
+
+void MemberTable::beginTerm(TimePoint now, std::uint64_t term) {
+  Version = {.Term = term, .Sequence = 0};
+  Complete = false;
+  TermBegan = now;
+  Members.clear();
+  HeardAt.clear();
+  Changes.clear();
+}
+
+void MemberTable::change(const MemberRecord &member) {
+  Members[member.Host] = member;
+  if (member.Gone)
+    Members.erase(member.Host);
+  ++Version.Sequence;
+  Changes.push_back(member);
+  if (Changes.size() > Options.ChangesKept)
+    Changes.pop_front();
+}
+
+void MemberTable::announce(TimePoint now, const MemberRecord &member) {
+  HeardAt[member.Host] = now;
+  const auto it = Members.find(member.Host);
+  if (member.Gone) {
+    // Goodbye; one of an earlier process of this host means nothing.
+    if (it != Members.end() && it->second.Incarnation == member.Incarnation)
+      change(member);
+    HeardAt.erase(member.Host);
+    return;
+  }
+  if (it == Members.end() || it->second != member)
+    change(member);
+}
+
+bool MemberTable::renew(TimePoint now, const HostName &host,
+                        std::uint64_t incarnation) {
+  const auto it = Members.find(host);
+  if (it == Members.end() || it->second.Incarnation != incarnation)
+    return false;
+  HeardAt[host] = now;
+  return true;
+}
+
+std::vector<HostName> MemberTable::expire(TimePoint now) {
+  std::vector<HostName> gone;
+  for (const auto &[host, heard] : HeardAt)
+    if (heard + Options.Lease < now)
+      gone.push_back(host);
+  for (const HostName &it : gone) {
+    HeardAt.erase(it);
+    MemberRecord record = Members.at(it);
+    record.Gone = true;
+    change(record);
+  }
+  if (!Complete && now >= TermBegan + Options.Lease) {
+    Complete = true;
+    ++Version.Sequence; // Tells everybody, without a record.
+    Changes.clear();
+  }
+  return gone;
+}
+
+std::optional<MemberUpdate>
+MemberTable::updateSince(const MemberVersion &known) const {
+  if (known == Version)
+    return std::nullopt;
+  MemberUpdate update{.Complete = Complete, .From = known, .To = Version};
+  const std::uint64_t missing = Version.Sequence - known.Sequence;
+  if (known.Term == Version.Term && known.Sequence < Version.Sequence &&
+      missing <= Changes.size()) {
+    const auto first = Changes.end() - static_cast<std::ptrdiff_t>(missing);
+    update.Members.assign(first, Changes.end());
+    return update;
+  }
+  update.Full = true;
+  for (const auto &[host, it] : Members)
+    update.Members.push_back(it);
+  return update;
+}
+
+bool MemberTable::apply(const MemberUpdate &update) {
+  if (update.To < Version)
+    return true; // An earlier one that arrives late.
+  if (!update.Full && update.From != Version)
+    return false;
+  if (update.Full) {
+    Members.clear();
+    Changes.clear();
+  }
+  for (const MemberRecord &it : update.Members) {
+    if (it.Gone)
+      Members.erase(it.Host);
+    else
+      Members[it.Host] = it;
+    if (!update.Full)
+      Changes.push_back(it);
+  }
+  if (update.To.Sequence - update.From.Sequence != update.Members.size())
+    Changes.clear();
+  while (Changes.size() > Options.ChangesKept)
+    Changes.pop_front();
+  Version = update.To;
+  Complete = update.Complete;
+  return true;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/state/pimentofront/src/State/MemberTable.h
@@ -0,0 +1,67 @@
+#ifndef PIMENTOFRONT_STATE_MEMBER_TABLE_H
+#define PIMENTOFRONT_STATE_MEMBER_TABLE_H
+
+#include "pimentofront/Wire.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace pimentofront {
+
+/// \class MemberTableOptions
+/// \ingroup State
+struct MemberTableOptions {
+  /// A host that isn't heard of for so long is gone.
+  Duration Lease = std::chrono::seconds(6);
+  /// Changes kept for those who missed a few.
+  std::size_t ChangesKept = 1024;
+};
+
+/// \class MemberTable
+/// \ingroup State
+/// \brief The hosts that have announced themselves to the leader, and the
+/// stream of changes. Soft state: a new leader starts with an empty table, and
+/// calls it complete when it has led for a whole lease.
+///
+/// Also the copy of it that followers and entries keep: apply() takes changes.
+class MemberTable {
+public:
+  explicit MemberTable(const MemberTableOptions &options = {})
+      : Options(options) {}
+
+  /// This process became the leader: all must announce themselves anew.
+  void beginTerm(TimePoint now, std::uint64_t term);
+  void announce(TimePoint now, const MemberRecord &member);
+  /// \returns whether the host is known under this incarnation.
+  bool renew(TimePoint now, const HostName &host, std::uint64_t incarnation);
+  /// \returns hosts whose lease ran out just now.
+  std::vector<HostName> expire(TimePoint now);
+
+  /// \returns what a holder of \p known lacks; nothing if it lacks nothing.
+  std::optional<MemberUpdate> updateSince(const MemberVersion &known) const;
+  /// Takes an update from the leader.
+  /// \returns false when something is missing before it.
+  bool apply(const MemberUpdate &update);
+
+  MemberVersion version() const { return Version; }
+  bool complete() const { return Complete; }
+  const std::map<HostName, MemberRecord> &members() const { return Members; }
+
+private:
+  void change(const MemberRecord &member);
+
+  MemberTableOptions Options;
+  MemberVersion Version;
+  bool Complete = false;
+  TimePoint TermBegan;
+  std::map<HostName, MemberRecord> Members;
+  std::map<HostName, TimePoint> HeardAt;
+  /// The last changes; the newest has the sequence of `Version`.
+  std::deque<MemberRecord> Changes;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -0,0 +1,225 @@
+#include "pimentofront/State.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace pimentofront {
+namespace {
+
+/// Outcomes kept for resent commands: weeks at the rate that is expected.
+constexpr std::size_t OutcomesKept = 20000;
+constexpr std::size_t MaxNameBytes = 128;
+constexpr std::size_t MaxSourceBytes = 1024;
+constexpr std::size_t MaxVersions = 64;
+
+std::uint64_t hashOf(Command command) {
+  command.Id = CommandId();
+  return stableHash(encodeCommand(command));
+}
+
+bool isProperName(const std::string &name) {
+  const auto isAllowed = [](unsigned char c) {
+    return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '/';
+  };
+  return !name.empty() && name.size() <= MaxNameBytes &&
+         std::ranges::all_of(name, isAllowed);
+}
+
+constexpr const char *NameRule =
+    "a name has 1 to 128 of the characters a-z A-Z 0-9 - _ . /";
+
+} // namespace
+
+CommandOutcome StateMachine::refuse(CommandResult result,
+                                    std::string detail) const {
+  return {.Result = result, .At = Records.revision(), .Detail = std::move(detail)};
+}
+
+CommandOutcome StateMachine::conflict(const OperatorName &winner,
+                                      std::string detail) const {
+  CommandOutcome outcome = refuse(CommandResult::Conflict, std::move(detail));
+  outcome.Winner = winner;
+  return outcome;
+}
+
+template <class Record>
+CommandOutcome StateMachine::accept(const Command &command, Record record) {
+  const Revision next = Records.revision() + 1;
+  record.ChangedAt = next;
+  record.ChangedBy = command.Operator;
+  Records.put(record);
+  Records.advance(next);
+  return {.Result = CommandResult::Accepted, .At = next};
+}
+
+CommandOutcome StateMachine::apply(std::uint64_t wallMilliseconds,
+                                   const Command &command) {
+  if (command.Id.empty())
+    return applyBody(wallMilliseconds, command);
+  const std::uint64_t hash = hashOf(command);
+  const auto it = Outcomes.find(command.Id);
+  if (it != Outcomes.end()) {
+    if (it->second.ContentHash == hash)
+      return it->second.Outcome;
+    return refuse(CommandResult::IdReused,
+                  "the command id was used with other contents");
+  }
+  const CommandOutcome outcome = applyBody(wallMilliseconds, command);
+  remember({command.Id, hash, outcome, wallMilliseconds});
+  return outcome;
+}
+
+void StateMachine::remember(const OutcomeRecord &record) {
+  Outcomes.emplace(record.Id, record);
+  OutcomeOrder.push_back(record.Id);
+  if (OutcomeOrder.size() <= OutcomesKept)
+    return;
+  Outcomes.erase(OutcomeOrder.front());
+  OutcomeOrder.pop_front();
+}
+
+CommandOutcome StateMachine::applyBody(std::uint64_t wallMilliseconds,
+                                       const Command &command) {
+  const CommandBody &body = command.Body;
+  if (const auto *it = std::get_if<ClaimRequest>(&body))
+    return Claims.claim(wallMilliseconds, *it);
+  if (const auto *it = std::get_if<RecordEnding>(&body))
+    return Claims.end(wallMilliseconds, *it);
+  if (const auto *it = std::get_if<CreateAdapter>(&body))
+    return create(command, *it);
+  if (const auto *it = std::get_if<CreateVersion>(&body))
+    return addVersion(command, *it);
+  if (const auto *it = std::get_if<DeclareLive>(&body))
+    return declare(command, *it);
+  if (const auto *it = std::get_if<SetKind>(&body))
+    return setKind(command, *it);
+  return setDrained(command, std::get<SetDrained>(body));
+}
+
+CommandOutcome StateMachine::create(const Command &command,
+                                    const CreateAdapter &body) {
+  if (!isProperName(body.Adapter.str()) || !isProperName(body.BaseModel))
+    return refuse(CommandResult::Invalid, NameRule);
+  if (const auto existing = Records.findAdapter(body.Adapter))
+    return conflict(existing->ChangedBy, "the adapter exists");
+  return accept(command,
+                AdapterRecord{.Name = body.Adapter, .BaseModel = body.BaseModel});
+}
+
+CommandOutcome StateMachine::addVersion(const Command &command,
+                                        const CreateVersion &body) {
+  auto adapter = Records.findAdapter(body.Adapter);
+  if (!adapter)
+    return refuse(CommandResult::NotFound, "no such adapter");
+  if (body.Number == 0 || body.Source.empty() ||
+      body.Source.size() > MaxSourceBytes)
+    return refuse(CommandResult::Invalid,
+                  "a version has a number from 1 and a source of at most 1024 "
+                  "bytes");
+  if (adapter->Versions.size() >= MaxVersions)
+    return refuse(CommandResult::Invalid, "the adapter has 64 versions");
+  if (std::ranges::find(adapter->Versions, body.Number,
+                        &VersionRecord::Number) != adapter->Versions.end())
+    return conflict(adapter->ChangedBy, "the version exists");
+  if (command.BuildsOn != 0 && command.BuildsOn != adapter->ChangedAt)
+    return conflict(adapter->ChangedBy, "the adapter was changed meanwhile");
+  adapter->Versions.push_back({.Number = body.Number, .Source = body.Source});
+  return accept(command, std::move(*adapter));
+}
+
+CommandOutcome StateMachine::declare(const Command &command,
+                                     const DeclareLive &body) {
+  auto adapter = Records.findAdapter(body.Adapter);
+  if (!adapter)
+    return refuse(CommandResult::NotFound, "no such adapter");
+  for (const VersionNumber it : body.Versions)
+    if (std::ranges::find(adapter->Versions, it, &VersionRecord::Number) ==
+        adapter->Versions.end())
+      return refuse(CommandResult::NotFound,
+                    "no version " + std::to_string(it));
+  if (command.BuildsOn != 0 && command.BuildsOn != adapter->ChangedAt)
+    return conflict(adapter->ChangedBy, "the adapter was changed meanwhile");
+  for (VersionRecord &it : adapter->Versions)
+    it.Live = std::ranges::find(body.Versions, it.Number) != body.Versions.end();
+  return accept(command, std::move(*adapter));
+}
+
+CommandOutcome StateMachine::setKind(const Command &command,
+                                     const SetKind &body) {
+  constexpr std::uint32_t MaxWeight = 1000;
+  constexpr Duration LongestWindow = std::chrono::hours(1);
+  const KindRecord &kind = body.Record;
+  if (!isProperName(kind.Name.str()))
+    return refuse(CommandResult::Invalid, NameRule);
+  if (kind.Weight < 1 || kind.Weight > MaxWeight ||
+      kind.Window <= Duration::zero() || kind.Window > LongestWindow)
+    return refuse(CommandResult::Invalid,
+                  "weight is from 1 to 1000, window up to an hour");
+  const KindRecord *existing = Records.findKind(kind.Name);
+  if (command.BuildsOn != 0 && existing &&
+      command.BuildsOn != existing->ChangedAt)
+    return conflict(existing->ChangedBy, "the kind was changed meanwhile");
+  return accept(command, kind);
+}
+
+CommandOutcome StateMachine::setDrained(const Command &command,
+                                        const SetDrained &body) {
+  if (!isProperName(body.Host.str()))
+    return refuse(CommandResult::Invalid, NameRule);
+  return accept(command,
+                DrainRecord{.Host = body.Host, .Drained = body.Drained});
+}
+
+std::string StateMachine::encode() const {
+  std::string bytes;
+  const auto add = [&](const StateItem &item) {
+    const std::string encoded = encodeStateItem(item);
+    const auto n = static_cast<std::uint32_t>(encoded.size());
+    bytes.append(reinterpret_cast<const char *>(&n), sizeof(n));
+    bytes += encoded;
+  };
+  add(StateHeader{Records.revision()});
+  Records.forEachChanged(0, [&](const ConfigurationRecord &record) {
+    std::visit([&](const auto &it) { add(it); }, record);
+  });
+  Claims.forEach(add);
+  for (const CommandId &it : OutcomeOrder)
+    add(Outcomes.at(it));
+  return bytes;
+}
+
+void StateMachine::restoreItem(const StateItem &item) {
+  if (const auto *header = std::get_if<StateHeader>(&item))
+    Records.advance(header->Current);
+  else if (const auto *claim = std::get_if<ClaimRecord>(&item))
+    Claims.restore(*claim);
+  else if (const auto *outcome = std::get_if<OutcomeRecord>(&item))
+    remember(*outcome);
+  else if (const auto *adapter = std::get_if<AdapterRecord>(&item))
+    Records.put(*adapter);
+  else if (const auto *kind = std::get_if<KindRecord>(&item))
+    Records.put(*kind);
+  else if (const auto *drain = std::get_if<DrainRecord>(&item))
+    Records.put(*drain);
+}
+
+tl::expected<void, DecodeError> StateMachine::decode(std::string_view bytes) {
+  *this = StateMachine(Options);
+  while (!bytes.empty()) {
+    std::uint32_t n = 0;
+    if (bytes.size() < sizeof(n))
+      return tl::unexpected(DecodeError{"the state ends inside an item"});
+    std::memcpy(&n, bytes.data(), sizeof(n));
+    bytes.remove_prefix(sizeof(n));
+    if (bytes.size() < n)
+      return tl::unexpected(DecodeError{"the state ends inside an item"});
+    const auto item = decodeStateItem(bytes.substr(0, n));
+    if (!item)
+      return tl::unexpected(item.error());
+    restoreItem(*item);
+    bytes.remove_prefix(n);
+  }
+  return {};
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/state/pimentofront/src/State/StateMachine.h
@@ -0,0 +1,55 @@
+#ifndef PIMENTOFRONT_STATE_STATE_MACHINE_H
+#define PIMENTOFRONT_STATE_STATE_MACHINE_H
+
+#include "ClaimLedger.h"
+#include "Configuration.h"
+
+#include <deque>
+
+namespace pimentofront {
+
+/// \class StateMachine
+/// \ingroup State
+/// \brief What the log's commands do. Deterministic: the same commands in the
+/// same order give the same state and outcomes on every replica.
+class StateMachine {
+public:
+  explicit StateMachine(const ClaimLedgerOptions &options = {})
+      : Options(options), Claims(options) {}
+
+  /// \param wallMilliseconds time of the log entry.
+  CommandOutcome apply(std::uint64_t wallMilliseconds, const Command &command);
+
+  const Configuration &configuration() const { return Records; }
+  const ClaimLedger &claims() const { return Claims; }
+  /// \returns the whole state as bytes, item by item.
+  std::string encode() const;
+  /// Replaces the state by an encoded one.
+  tl::expected<void, DecodeError> decode(std::string_view bytes);
+
+private:
+  CommandOutcome applyBody(std::uint64_t wallMilliseconds,
+                           const Command &command);
+  CommandOutcome create(const Command &command, const CreateAdapter &body);
+  CommandOutcome addVersion(const Command &command, const CreateVersion &body);
+  CommandOutcome declare(const Command &command, const DeclareLive &body);
+  CommandOutcome setKind(const Command &command, const SetKind &body);
+  CommandOutcome setDrained(const Command &command, const SetDrained &body);
+  /// Puts a changed record in force as the next revision.
+  template <class Record>
+  CommandOutcome accept(const Command &command, Record record);
+  CommandOutcome refuse(CommandResult result, std::string detail) const;
+  CommandOutcome conflict(const OperatorName &winner, std::string detail) const;
+  void remember(const OutcomeRecord &record);
+  void restoreItem(const StateItem &item);
+
+  ClaimLedgerOptions Options;
+  Configuration Records;
+  ClaimLedger Claims;
+  std::map<CommandId, OutcomeRecord> Outcomes;
+  std::deque<CommandId> OutcomeOrder;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -0,0 +1,160 @@
+#ifndef PIMENTOFRONT_WIRE_ATTEMPT_MESSAGES_H
+#define PIMENTOFRONT_WIRE_ATTEMPT_MESSAGES_H
+
+#include "Fields.h"
+#include "pimentofront/Base.h"
+
+#include <string>
+
+namespace pimentofront {
+
+/// Why a request was not run.
+enum class RefusalReason : std::uint8_t {
+  None,
+  /// The host takes no new work.
+  Leaving,
+  /// Queue of the host is full.
+  QueueFull,
+  /// The adapter can't be loaded within the time that the request has.
+  LoadBacklog,
+  /// The adapter failed to load and is set aside for a while.
+  LoadFailed,
+  /// The engine or service doesn't answer.
+  BackendDown,
+  /// The host has no such service or base model.
+  NoSuchBackend,
+  /// This process isn't certain of its configuration.
+  Isolated,
+  /// Too many requests of this kind in progress.
+  KindLimit,
+  /// Too many requests of this caller in progress.
+  CallerLimit,
+  /// No backend server is known to serve this.
+  NoBackend,
+  /// The process is stopping.
+  Stopping,
+  /// Unknown adapter, version, kind or service, or malformed input.
+  Invalid,
+  /// The claim of a non-idempotent request couldn't be committed.
+  NoClaim,
+  /// The adapter isn't in a slot there, and the attempt asked only for that.
+  NotResident,
+};
+constexpr unsigned RefusalReasonCount = 15;
+
+/// \returns the name of \p reason as logs, metrics and errors show it.
+const char *refusalReasonName(RefusalReason reason);
+
+/// \class LoadFigures
+/// \ingroup Wire
+/// \brief What an agent says of its load with each answer, a hint for routing.
+struct LoadFigures {
+  std::uint32_t Running = 0;
+  std::uint32_t Queued = 0;
+  std::uint32_t BatchCapacity = 0;
+  /// How long a load that is asked for now would have to wait.
+  Duration LoadWait = Duration::zero();
+  /// Popularity of the adapter that would be given up next, in thousandths of
+  /// a request; 0 with an empty slot.
+  std::uint32_t VictimValue = 0;
+  PIMENTOFRONT_FIELDS(LoadFigures, Running, Queued, BatchCapacity, LoadWait,
+                      VictimValue)
+};
+
+/// \class ExecuteRequest
+/// \ingroup Wire
+/// \brief Entry to agent: run this once, or refuse it.
+struct ExecuteRequest {
+  AttemptId Attempt;
+  RequestId Request;
+  CallerName Caller;
+  KindName Kind;
+  std::uint32_t Weight = 1;
+  /// What is left of the time in which the answer is useful.
+  Duration Remaining = Duration::zero();
+  /// Set for generation.
+  AdapterKey Key;
+  std::string BaseModel;
+  /// Where the weight store keeps the version.
+  std::string Source;
+  std::string Prompt;
+  /// Text that the caller already has of an earlier attempt.
+  std::string Resumed;
+  std::uint32_t MaxTokens = 0;
+  /// Set for a plain service; then there is no adapter.
+  ServiceName Service;
+  std::string Method;
+  std::string Payload;
+  /// Refuse with `NotResident` rather than load the adapter.
+  bool OnlyIfResident = false;
+  PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
+                      Remaining, Key, BaseModel, Source, Prompt, Resumed,
+                      MaxTokens, Service, Method, Payload, OnlyIfResident)
+};
+
+/// Entry to agent: nobody wants this answer any more.
+struct CancelAttempt {
+  AttemptId Attempt;
+  PIMENTOFRONT_FIELDS(CancelAttempt, Attempt)
+};
+
+/// Agent to entry: the attempt is queued or running.
+struct AttemptAdmitted {
+  AttemptId Attempt;
+  LoadFigures Load;
+  PIMENTOFRONT_FIELDS(AttemptAdmitted, Attempt, Load)
+};
+
+/// Agent to entry: the attempt did not run and never will.
+struct AttemptRefused {
+  AttemptId Attempt;
+  RefusalReason Reason = RefusalReason::None;
+  /// When it is worth while to come back.
+  Duration ComeBack = Duration::zero();
+  LoadFigures Load;
+  PIMENTOFRONT_FIELDS(AttemptRefused, Attempt, Reason, ComeBack, Load)
+};
+
+/// Agent to entry: a piece of the answer.
+struct AttemptChunk {
+  AttemptId Attempt;
+  /// Tokens of this attempt that came before.
+  std::uint64_t Position = 0;
+  std::uint32_t Tokens = 0;
+  std::string Text;
+  PIMENTOFRONT_FIELDS(AttemptChunk, Attempt, Position, Tokens, Text)
+};
+
+/// How an attempt that was started ended.
+enum class AttemptEnding : std::uint8_t {
+  Answered,
+  /// Began and broke off: it may have had effects.
+  BrokeOff,
+  Cancelled,
+};
+
+/// Agent to entry: the attempt has ended.
+struct AttemptFinished {
+  AttemptId Attempt;
+  AttemptEnding Ending = AttemptEnding::Answered;
+  /// Answer of a plain service, or what went wrong.
+  std::string Payload;
+  /// All tokens of this attempt: the entry checks that it has the whole.
+  std::uint64_t Tokens = 0;
+  /// Time that it waited for its adapter.
+  Duration LoadStall = Duration::zero();
+  LoadFigures Load;
+  PIMENTOFRONT_FIELDS(AttemptFinished, Attempt, Ending, Payload, Tokens,
+                      LoadStall, Load)
+};
+
+/// Agent to all its entries: no new work, what runs will be finished.
+struct AgentLeaving {
+  HostName Host;
+  std::uint64_t Incarnation = 0;
+  PIMENTOFRONT_FIELDS(AgentLeaving, Host, Incarnation)
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
@@ -0,0 +1,132 @@
+#ifndef PIMENTOFRONT_WIRE_CONSENSUS_MESSAGES_H
+#define PIMENTOFRONT_WIRE_CONSENSUS_MESSAGES_H
+
+#include "Fields.h"
+#include "pimentofront/Base.h"
+
+#include <vector>
+
+namespace pimentofront {
+
+/// Identity of one replica's disk: drawn when its data folder is created and
+/// lost with it, so that an emptied disk can't vote as if it remembered.
+using ReplicaId = std::uint64_t;
+using Term = std::uint64_t;
+using LogIndex = std::uint64_t;
+
+/// \class ReplicaDescriptor
+/// \ingroup Wire
+/// \brief A member of the replica group.
+struct ReplicaDescriptor {
+  ReplicaId Id = 0;
+  HostName Host;
+  std::string Address;
+  /// Receives the log but neither votes nor counts.
+  bool Learner = false;
+  PIMENTOFRONT_FIELDS(ReplicaDescriptor, Id, Host, Address, Learner)
+};
+
+/// \class ReplicaGroup
+/// \ingroup Wire
+/// \brief The members of the group, as of one log entry.
+struct ReplicaGroup {
+  std::vector<ReplicaDescriptor> Replicas;
+  PIMENTOFRONT_FIELDS(ReplicaGroup, Replicas)
+};
+
+enum class EntryKind : std::uint8_t { Nothing, Command, Group };
+
+/// \class LogEntry
+/// \ingroup Wire
+/// \brief One entry of the replicated log.
+struct LogEntry {
+  Term EntryTerm = 0;
+  LogIndex Index = 0;
+  EntryKind Kind = EntryKind::Nothing;
+  /// Wall clock of the leader that wrote it, milliseconds since 1970: the
+  /// state machine's only notion of time.
+  std::uint64_t WallMilliseconds = 0;
+  std::string Data;
+  PIMENTOFRONT_FIELDS(LogEntry, EntryTerm, Index, Kind, WallMilliseconds, Data)
+};
+
+/// Asks for a vote, or with `Probe` whether one would be given (pre-vote).
+struct VoteRequest {
+  ReplicaId From = 0;
+  Term CandidateTerm = 0;
+  LogIndex LastIndex = 0;
+  Term LastTerm = 0;
+  bool Probe = false;
+  PIMENTOFRONT_FIELDS(VoteRequest, From, CandidateTerm, LastIndex, LastTerm,
+                      Probe)
+};
+
+struct VoteReply {
+  ReplicaId From = 0;
+  Term VoterTerm = 0;
+  /// Term that was asked for, so that late replies count for nothing.
+  Term CandidateTerm = 0;
+  bool Granted = false;
+  bool Probe = false;
+  PIMENTOFRONT_FIELDS(VoteReply, From, VoterTerm, CandidateTerm, Granted, Probe)
+};
+
+struct AppendRequest {
+  ReplicaId From = 0;
+  Term LeaderTerm = 0;
+  LogIndex PreviousIndex = 0;
+  Term PreviousTerm = 0;
+  LogIndex Committed = 0;
+  /// Counts the leader's rounds; echoed, so that the leader knows since when
+  /// the follower recognises it.
+  std::uint64_t Round = 0;
+  std::vector<LogEntry> Entries;
+  PIMENTOFRONT_FIELDS(AppendRequest, From, LeaderTerm, PreviousIndex,
+                      PreviousTerm, Committed, Round, Entries)
+};
+
+struct AppendReply {
+  ReplicaId From = 0;
+  Term FollowerTerm = 0;
+  bool Matched = false;
+  /// Last index known to match, or from where to try again.
+  LogIndex Index = 0;
+  std::uint64_t Round = 0;
+  PIMENTOFRONT_FIELDS(AppendReply, From, FollowerTerm, Matched, Index, Round)
+};
+
+/// A piece of a snapshot; the next one is sent when it is acknowledged.
+struct SnapshotPart {
+  ReplicaId From = 0;
+  Term LeaderTerm = 0;
+  LogIndex LastIndex = 0;
+  Term LastTerm = 0;
+  ReplicaGroup Group;
+  std::uint64_t Offset = 0;
+  std::uint64_t TotalSize = 0;
+  std::string Data;
+  std::uint64_t Round = 0;
+  PIMENTOFRONT_FIELDS(SnapshotPart, From, LeaderTerm, LastIndex, LastTerm,
+                      Group, Offset, TotalSize, Data, Round)
+};
+
+struct SnapshotReply {
+  ReplicaId From = 0;
+  Term FollowerTerm = 0;
+  LogIndex LastIndex = 0;
+  /// How many bytes have arrived without a gap.
+  std::uint64_t Received = 0;
+  std::uint64_t Round = 0;
+  PIMENTOFRONT_FIELDS(SnapshotReply, From, FollowerTerm, LastIndex, Received,
+                      Round)
+};
+
+/// A replica without a group asks to be taken in.
+struct JoinRequest {
+  ReplicaDescriptor Replica;
+  PIMENTOFRONT_FIELDS(JoinRequest, Replica)
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/wire/pimentofront/src/Wire/Records.h
@@ -0,0 +1,113 @@
+#ifndef PIMENTOFRONT_WIRE_RECORDS_H
+#define PIMENTOFRONT_WIRE_RECORDS_H
+
+#include "Fields.h"
+#include "pimentofront/Base.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace pimentofront {
+
+/// Number of a state of the configuration; grows with each accepted change.
+using Revision = std::uint64_t;
+
+/// \class VersionRecord
+/// \ingroup Wire
+/// \brief One version of an adapter. Its contents never change.
+struct VersionRecord {
+  VersionNumber Number = 0;
+  /// Where the weight store keeps it.
+  std::string Source;
+  /// Requests are accepted for live versions only.
+  bool Live = false;
+  PIMENTOFRONT_FIELDS(VersionRecord, Number, Source, Live)
+};
+
+/// \class AdapterRecord
+/// \ingroup Wire
+/// \brief An adapter, its versions, and who changed it last.
+struct AdapterRecord {
+  AdapterName Name;
+  std::string BaseModel;
+  std::vector<VersionRecord> Versions;
+  /// Revision of the configuration at the last change of this record.
+  Revision ChangedAt = 0;
+  OperatorName ChangedBy;
+  PIMENTOFRONT_FIELDS(AdapterRecord, Name, BaseModel, Versions, ChangedAt,
+                      ChangedBy)
+};
+
+/// \class KindRecord
+/// \ingroup Wire
+/// \brief Weight and limits of one kind of request.
+struct KindRecord {
+  KindName Name;
+  /// Share of service relative to other kinds, from 1.
+  std::uint32_t Weight = 1;
+  /// Time in which an answer is useful.
+  Duration Window = std::chrono::seconds(30);
+  /// Requests in progress for each entry process; 0 is no limit.
+  std::uint32_t InFlightLimit = 0;
+  /// Requests in progress for each caller and entry process; 0 is no limit.
+  std::uint32_t CallerLimit = 0;
+  Revision ChangedAt = 0;
+  OperatorName ChangedBy;
+  PIMENTOFRONT_FIELDS(KindRecord, Name, Weight, Window, InFlightLimit,
+                      CallerLimit, ChangedAt, ChangedBy)
+};
+
+/// \class DrainRecord
+/// \ingroup Wire
+/// \brief Whether an operator has taken a backend server's host out of use.
+struct DrainRecord {
+  HostName Host;
+  bool Drained = false;
+  Revision ChangedAt = 0;
+  OperatorName ChangedBy;
+  PIMENTOFRONT_FIELDS(DrainRecord, Host, Drained, ChangedAt, ChangedBy)
+};
+
+/// Any record of the configuration. Records are never deleted, so the
+/// difference between two revisions is the records that changed since.
+using ConfigurationRecord =
+    std::variant<AdapterRecord, KindRecord, DrainRecord>;
+
+/// \class MemberRecord
+/// \ingroup Wire
+/// \brief What an agent announces of itself and its backend server.
+struct MemberRecord {
+  HostName Host;
+  /// Random number drawn when the agent process started.
+  std::uint64_t Incarnation = 0;
+  ZoneName Zone;
+  /// Address of the agent's peer listener, "ip:port".
+  std::string Address;
+  /// Base model of the engine; empty when there is none.
+  std::string BaseModel;
+  /// Plain services beside which the agent runs.
+  std::vector<ServiceName> Services;
+  std::uint32_t Slots = 0;
+  std::uint32_t BatchCapacity = 0;
+  /// Takes no new work.
+  bool Leaving = false;
+  /// Lease ran out or the host said goodbye.
+  bool Gone = false;
+  PIMENTOFRONT_FIELDS(MemberRecord, Host, Incarnation, Zone, Address, BaseModel,
+                      Services, Slots, BatchCapacity, Leaving, Gone)
+};
+
+/// \class MemberVersion
+/// \ingroup Wire
+/// \brief Position in the stream of membership changes. A new leader of the
+/// replicas starts a new term; within it the sequence grows.
+struct MemberVersion {
+  std::uint64_t Term = 0;
+  std::uint64_t Sequence = 0;
+  PIMENTOFRONT_FIELDS(MemberVersion, Term, Sequence)
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/scripts/install-dependencies.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# Installs what the build needs from Debian 12's packages; does nothing when
+# all are there.
+set -eu
+packages="g++ cmake ninja-build pkg-config clang-format clang-tidy
+  libevent-dev libevhtp-dev libwebsocketpp-dev nlohmann-json3-dev
+  libprotobuf-dev protobuf-compiler libssl-dev prometheus-cpp-dev
+  liblog4cplus-dev libexpected-dev catch2 libxxhash-dev"
+missing=""
+for it in $packages; do
+  dpkg-query -W -f='${Status}' "$it" 2>/dev/null | grep -q "ok installed" ||
+    missing="$missing $it"
+done
+[ -z "$missing" ] && exit 0
+sudo=""
+[ "$(id -u)" = 0 ] || sudo=sudo
+$sudo apt-get update -qq
+# shellcheck disable=SC2086
+DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -qq $missing
