--- a/packages/daemon/src/EngineDriver.cpp
+++ b/packages/daemon/src/EngineDriver.cpp
@@ -140,6 +140,11 @@
   if (it == Generations.end())
     return;
   const bool whole = it->second.Done && answer.Status == StatusOk;
+  // An engine that started anew doesn't know the adapter: it ran nothing.
+  constexpr int StatusNotFound = 404;
+  const bool notRun = answer.Ending == HttpEnding::NotSent ||
+                      (answer.Ending == HttpEnding::Complete &&
+                       answer.Status == StatusNotFound);
   Log.write(LogLevel::Info, whole ? "generation_ended" : "generation_broke_off",
             {{"request", it->second.Request.str()},
              {"status", std::uint64_t(answer.Status)}});
@@ -147,7 +152,7 @@
   AgentController &controller = Node->controller();
   if (whole)
     controller.onWorkEnded(Loop.now(), attempt, AttemptEnding::Answered, "");
-  else if (answer.Ending == HttpEnding::NotSent)
+  else if (notRun)
     controller.onWorkNotStarted(Loop.now(), attempt);
   else
     controller.onWorkEnded(Loop.now(), attempt, AttemptEnding::BrokeOff,
@@ -285,8 +290,7 @@
     engineLost("it has started anew");
   const auto running = metricValue(answer.Body, "vllm:num_requests_running");
   const bool idle = running && *running == 0;
-  const bool known = StartedAt == *started;
-  if (known && !Node->controller().board().OrphansMayRun)
+  if (StartedAt == *started && Node->controller().board().EngineReady)
     return;
   const double at = *started;
   Client.start({.Address = Engine,
--- a/packages/net/pimentofront/src/Net/PeerNetwork.cpp
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.cpp
@@ -68,7 +68,8 @@
     LinkId Id;
     std::unique_ptr<detail::WebSocketPeer> Socket;
     std::vector<std::string> Waiting;
-    bool TransportOpen = false;
+    bool Accepted = false;
+    LinkPurpose Purpose = LinkPurpose::General;
     bool Greeted = false;
     bool Closed = false;
     std::unique_ptr<Timer> ConnectTimer;
@@ -104,12 +105,14 @@
     bufferevent *bev =
         bufferevent_socket_new(self->Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     Link &link = self->addLink();
+    link.Accepted = true;
     link.Socket = detail::acceptWebSocket(bev, link);
   }
 
-  LinkId openLink(const std::string &address) {
+  LinkId openLink(const std::string &address, LinkPurpose purpose) {
     const std::optional<HostPort> parsed = HostPort::parse(address);
     Link &link = addLink();
+    link.Purpose = purpose;
     const LinkId id = link.Id;
     if (!parsed) {
       link.ConnectTimer = Loop.after(Duration::zero(), [this, id] { ended(id); });
@@ -128,11 +131,22 @@
   }
 
   void transportOpen(Link &link) {
-    link.TransportOpen = true;
-    transmit(link, encode(Options.Self));
-    for (const std::string &it : link.Waiting)
+    Hello self = Options.Self;
+    self.Accepted = link.Accepted;
+    if (!link.Accepted && link.Purpose != LinkPurpose::Replication)
+      self.Replica = 0;
+    transmit(link, encode(self));
+  }
+
+  /// Nothing but the greeting goes out before the other side's has come: a link
+  /// that was never open has certainly carried nothing.
+  void greeted(Link &link, const Hello &hello) {
+    link.Greeted = true;
+    link.ConnectTimer.reset();
+    const std::vector<std::string> waiting = std::exchange(link.Waiting, {});
+    for (const std::string &it : waiting)
       transmit(link, it);
-    link.Waiting = {};
+    Handler.onLinkOpen(link.Id, hello);
   }
 
   std::string encode(const Message &message) {
@@ -159,9 +173,7 @@
     const auto *hello = std::get_if<Hello>(&frame->Content);
     if (!hello || hello->Protocol > ProtocolVersion)
       return endLater(link.Id);
-    link.Greeted = true;
-    link.ConnectTimer.reset();
-    Handler.onLinkOpen(link.Id, *hello);
+    greeted(link, *hello);
   }
 
   /// Ends a link from inside a call-back of its socket.
@@ -213,8 +225,8 @@
 
 PeerNetwork::~PeerNetwork() { evconnlistener_free(State->Listener); }
 
-LinkId PeerNetwork::open(const std::string &address) {
-  return State->openLink(address);
+LinkId PeerNetwork::open(const std::string &address, LinkPurpose purpose) {
+  return State->openLink(address, purpose);
 }
 
 void PeerNetwork::send(LinkId link, const Message &message) {
@@ -222,7 +234,7 @@
   if (it == State->Links.end() || it->second->Closed)
     return;
   const std::string bytes = State->encode(message);
-  if (it->second->TransportOpen)
+  if (it->second->Greeted)
     return State->transmit(*it->second, bytes);
   it->second->Waiting.push_back(bytes);
 }
--- a/packages/net/pimentofront/src/Net/PeerNetwork.h
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.h
@@ -43,7 +43,8 @@
   PeerNetwork(const PeerNetwork &) = delete;
   PeerNetwork &operator=(const PeerNetwork &) = delete;
 
-  LinkId open(const std::string &address) override;
+  LinkId open(const std::string &address,
+              LinkPurpose purpose = LinkPurpose::General) override;
   void send(LinkId link, const Message &message) override;
   void close(LinkId link) override;
   HybridClock &clock();
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -27,7 +27,11 @@
 //===----------------------------------------------------------------------===//
 
 void ReplicaNode::onLinkOpen(TimePoint, LinkId link, const Hello &hello) {
-  if (hello.Replica == 0)
+  // Only links between replicas: those that other parts of a process open end
+  // when these parts want it.
+  const bool ours = std::ranges::any_of(
+      OpenedTo, [&](const auto &it) { return it.second == link; });
+  if (hello.Replica == 0 || (hello.Accepted && !ours))
     return;
   ReplicaLinks[hello.Replica] = link;
   ReplicaOfLink[link] = hello.Replica;
@@ -41,16 +45,26 @@
   const auto it = ReplicaOfLink.find(link);
   if (it == ReplicaOfLink.end())
     return;
-  const auto current = ReplicaLinks.find(it->second);
-  if (current != ReplicaLinks.end() && current->second == link)
-    ReplicaLinks.erase(current);
-  if (Followed == it->second)
-    Followed = 0;
+  const ReplicaId replica = it->second;
   ReplicaOfLink.erase(it);
+  if (Followed == replica)
+    Followed = 0;
+  if (ReplicaLinks[replica] == link)
+    useOtherLink(replica);
   ReadUnderWay = false;
   askLeader(now);
 }
 
+/// Two replicas that opened links to each other at one time have two: when one
+/// ends, the other one serves.
+void ReplicaNode::useOtherLink(ReplicaId replica) {
+  ReplicaLinks.erase(replica);
+  const auto other = std::ranges::find_if(
+      ReplicaOfLink, [&](const auto &it) { return it.second == replica; });
+  if (other != ReplicaOfLink.end())
+    ReplicaLinks[replica] = other->first;
+}
+
 void ReplicaNode::sendToReplica(const ReplicaDescriptor &to,
                                 const Message &message) {
   const auto known = ReplicaLinks.find(to.Id);
@@ -61,7 +75,7 @@
   const auto opened = OpenedTo.find(to.Address);
   if (opened != OpenedTo.end())
     return; // Under way; the log sends again.
-  const LinkId link = Network.open(to.Address);
+  const LinkId link = Network.open(to.Address, LinkPurpose::Replication);
   OpenedTo[to.Address] = link;
   Network.send(link, message);
 }
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -78,6 +78,7 @@
   void answerLease(TimePoint now, LinkId link, const HostName &host,
                    bool known);
   void redirect(LinkId link);
+  void useOtherLink(ReplicaId replica);
   void sendToReplica(const ReplicaDescriptor &to, const Message &message);
   void answerProbes();
   void askLeader(TimePoint now);
--- a/packages/node/pimentofront/src/Node/Transport.h
+++ b/packages/node/pimentofront/src/Node/Transport.h
@@ -8,6 +8,13 @@
 /// Names one link between two processes, on this side; never used again.
 using LinkId = std::uint64_t;
 
+/// What a link is opened for.
+enum class LinkPurpose : std::uint8_t {
+  General,
+  /// Between two replicas: the greeting names the identity of the disk.
+  Replication,
+};
+
 /// \class Transport
 /// \ingroup Node
 /// \brief Links to other processes. Messages of one link arrive in order, each
@@ -16,7 +23,8 @@
 public:
   virtual ~Transport() = default;
   /// Begins to open a link. Messages that are sent before it is open wait.
-  virtual LinkId open(const std::string &address) = 0;
+  virtual LinkId open(const std::string &address,
+                      LinkPurpose purpose = LinkPurpose::General) = 0;
   /// Sends, if the link still exists.
   virtual void send(LinkId link, const Message &message) = 0;
   /// Ends a link; nothing more is heard of it.
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -41,6 +41,9 @@
   Duration SpillDelay = std::chrono::milliseconds(500);
   /// Refuses a request at once when its load can't come in time.
   bool RefusesEarly = true;
+  /// An engine that was found running must be idle for so long, so that
+  /// requests and loads of an earlier agent process have ended.
+  Duration EngineSettleTime = std::chrono::seconds(2);
   /// First and longest pause after failed loads of one adapter.
   Duration FailedLoadPause = std::chrono::seconds(2);
   Duration FailedLoadPauseMax = std::chrono::minutes(2);
@@ -146,9 +149,14 @@
   bool Leaving = false;
   /// The engine answers and what it holds is known.
   bool EngineReady = false;
-  /// The engine may run requests that an earlier agent process started:
-  /// nothing is evicted until it has been idle.
-  bool OrphansMayRun = false;
+  /// Since when the engine has been idle, before this agent uses it.
+  std::optional<TimePoint> EngineIdleSince;
+  /// This agent has used the engine's process before, or saw it start: no order
+  /// of an earlier agent can be under way.
+  bool EngineIsOurs = false;
+  /// Orders to load that the engine hasn't answered, also such as were sent to
+  /// an engine that has started anew since.
+  std::uint32_t LoadsUnderWay = 0;
 
   std::vector<AgentCommand> Commands;
 
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -119,13 +119,24 @@
 void AgentController::onEngineFound(TimePoint now,
                                     const std::vector<AdapterKey> &resident,
                                     bool idle) {
-  if (!Board.EngineReady) {
-    Board.Slots.adopt(now, resident);
-    Board.EngineReady = true;
-    Board.OrphansMayRun = true;
+  if (Board.EngineReady)
+    return;
+  if (!idle || Board.LoadsUnderWay > 0) {
+    Board.EngineIdleSince.reset();
+    return;
   }
-  if (idle)
-    Board.OrphansMayRun = false;
+  if (!Board.EngineIdleSince) {
+    // What it holds now may have been read before it became idle.
+    Board.EngineIdleSince = now;
+    return;
+  }
+  const Duration settle =
+      Board.EngineIsOurs ? Duration::zero() : Board.Options.EngineSettleTime;
+  if (now < *Board.EngineIdleSince + settle)
+    return;
+  Board.Slots.adopt(now, resident);
+  Board.EngineReady = true;
+  Board.EngineIsOurs = true;
   decide(now);
 }
 
@@ -139,6 +150,9 @@
 }
 
 void AgentController::onEngineLost(TimePoint now) {
+  Board.EngineIdleSince.reset();
+  // What starts now starts without orders of anybody.
+  Board.EngineIsOurs = true;
   if (!Board.EngineReady)
     return;
   Board.EngineReady = false;
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -35,7 +35,9 @@
   void onLoadEnded(TimePoint now, const AdapterKey &key, bool succeeded,
                    Duration took);
   /// The engine answers; \p resident is what it holds, \p idle says that it
-  /// runs nothing. Called when it is found, and until it was idle once.
+  /// runs nothing. To be called again and again until the engine is in use: an
+  /// agent that starts beside a running engine knows neither its requests nor
+  /// the orders that are on their way to it, and waits them out.
   void onEngineFound(TimePoint now, const std::vector<AdapterKey> &resident,
                      bool idle);
   /// The engine is gone or has started anew: its slots are empty.
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -30,7 +30,7 @@
 
 bool LoadController::mayEvict(const Slot &slot) const {
   return slot.State == SlotState::Ready && slot.Pins == 0 &&
-         !Board.OrphansMayRun && !Board.Waiting.contains(slot.Key);
+         !Board.Waiting.contains(slot.Key);
 }
 
 LoadController::Room LoadController::findRoom(TimePoint now) const {
@@ -70,10 +70,18 @@
   Board.Slots.beginLoad(key, victim);
   const std::string source = Board.Waiting.at(key).front().Request.Source;
   Board.Commands.push_back(StartLoad{key, source, victim});
+  ++Board.LoadsUnderWay;
 }
 
 void LoadController::onLoadEnded(TimePoint now, const AdapterKey &key,
                                  bool succeeded, Duration took) {
+  --Board.LoadsUnderWay;
+  if (!Board.Slots.isLoading(key)) {
+    // The engine went away meanwhile: that says nothing of the adapter. But the
+    // order may have reached the new one: what it holds must be asked anew.
+    Board.EngineIdleSince.reset();
+    return;
+  }
   Board.Slots.finishLoad(now, key, succeeded);
   Gate.onLoadEnded(now, Board, key, took);
   if (!succeeded)
--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/Ledger.cpp
@@ -0,0 +1,120 @@
+#include "pimentofront/Testkit.h"
+
+#include <algorithm>
+
+namespace pimentofront::testkit {
+
+std::string fakeToken(const AdapterKey &key, const RequestId &request,
+                      std::uint64_t position) {
+  return key.Adapter.str() + "@" + std::to_string(key.Version) + "/" +
+         request.str() + "#" + std::to_string(position) + " ";
+}
+
+void Ledger::violation(TimePoint now, const std::string &what) {
+  Violations.push_back(std::to_string(toSeconds(now.time_since_epoch())) +
+                       "s: " + what);
+}
+
+RequestRecord &Ledger::sent(TimePoint now, RequestKey key,
+                            const CallerRequest &request) {
+  return Requests[key] = {.Request = request, .SentAt = now};
+}
+
+RequestRecord *Ledger::find(RequestKey key) {
+  const auto it = Requests.find(key);
+  return it == Requests.end() ? nullptr : &it->second;
+}
+
+void Ledger::ended(TimePoint now, RequestKey key, const FinalAnswer &answer) {
+  RequestRecord *record = find(key);
+  if (!record)
+    return violation(now, "an answer for a request that nobody sent");
+  if (record->Ended)
+    return violation(now, record->Request.Id.str() + " was answered twice");
+  record->Ended = true;
+  record->EndedAt = now;
+  record->Answer = answer;
+  checkAnswer(now, *record);
+}
+
+void Ledger::checkAnswer(TimePoint now, const RequestRecord &record) {
+  const CallerRequest &request = record.Request;
+  const FinalAnswer &answer = record.Answer;
+  const std::string &id = request.Id.str();
+  if (answer.Kind == FinalKind::Refused && runsOf(request.Id) > 0 &&
+      request.Idempotent)
+    violation(now, id + " was refused as not run, but it ran");
+  if (answer.Kind != FinalKind::Answered || !request.Service.empty())
+    return;
+  if (request.Version != 0 && answer.Key.Version != request.Version)
+    violation(now, id + " was answered by another version");
+  if (answer.Tokens != request.MaxTokens)
+    violation(now, id + " was answered in part: " +
+                       std::to_string(answer.Tokens) + " tokens");
+  if (!KeepTexts)
+    return;
+  std::string expected;
+  for (std::uint64_t i = 0; i < request.MaxTokens; ++i)
+    expected += fakeToken(answer.Key, request.Id, i);
+  if (record.Text != expected)
+    violation(now, id + " got another text than its own: " + record.Text);
+}
+
+void Ledger::started(TimePoint now, const ExecuteRequest &request) {
+  const std::uint32_t runs = ++Runs[request.Request];
+  if (!request.Service.empty()) {
+    // All services of the tests are non-idempotent ones.
+    if (runs > 1)
+      violation(now, request.Request.str() + " ran twice");
+    return;
+  }
+  const auto retired = Retired.find(request.Key);
+  const auto declaring = Declaring.find(request.Key);
+  if (declaring != Declaring.end() && declaring->second > 0)
+    return;
+  if (retired != Retired.end() && now > retired->second + InForceLimit)
+    violation(now, request.Request.str() + " ran on version " +
+                       std::to_string(request.Key.Version) +
+                       ", which isn't live any more");
+}
+
+void Ledger::declaring(const AdapterName &adapter,
+                       const std::vector<VersionNumber> &live) {
+  for (const VersionNumber it : live)
+    ++Declaring[{adapter, it}];
+}
+
+void Ledger::notDeclared(const AdapterName &adapter,
+                         const std::vector<VersionNumber> &live) {
+  for (const VersionNumber it : live)
+    --Declaring[{adapter, it}];
+}
+
+void Ledger::declared(TimePoint now, const AdapterName &adapter,
+                      const std::vector<VersionNumber> &live, Revision at) {
+  notDeclared(adapter, live);
+  if (at < LiveSince[adapter])
+    return;
+  LiveSince[adapter] = at;
+  for (const VersionNumber it : Live[adapter])
+    if (std::ranges::find(live, it) == live.end())
+      Retired.emplace(AdapterKey{adapter, it}, now);
+  for (const VersionNumber it : live)
+    Retired.erase({adapter, it});
+  Live[adapter] = live;
+}
+
+void Ledger::sawRevision(const HostName &host, std::uint64_t incarnation,
+                         Revision revision) {
+  Revision &seen = Seen[{host, incarnation}];
+  if (revision < seen)
+    violation(TimePoint(), host.str() + " went back to an earlier revision");
+  seen = revision;
+}
+
+std::uint32_t Ledger::runsOf(const RequestId &id) const {
+  const auto it = Runs.find(id);
+  return it == Runs.end() ? 0 : it->second;
+}
+
+} // namespace pimentofront::testkit
--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.cpp
@@ -0,0 +1,308 @@
+#include "pimentofront/Testkit.h"
+
+#include <algorithm>
+
+namespace pimentofront::testkit {
+namespace {
+
+/// Before the trace begins, the group is up and the agents are known.
+constexpr Duration WarmUp = std::chrono::seconds(5);
+/// After its last request, for the answers.
+constexpr Duration CoolDown = std::chrono::seconds(35);
+
+HostName replicaName(std::uint32_t i) {
+  return HostName("entry-" + std::to_string(i));
+}
+
+std::unique_ptr<RoutingPolicy> makeRouting(const PolicySpec &policy) {
+  switch (policy.Routing) {
+  case RoutingChoice::LeastLoaded:
+    return std::make_unique<LeastLoaded>();
+  case RoutingChoice::ConsistentHash:
+    return std::make_unique<ConsistentHash>();
+  case RoutingChoice::Affinity:
+    break;
+  }
+  return std::make_unique<AffinityRouting>(policy.Affinity);
+}
+
+std::unique_ptr<EvictionPolicy> makeEviction(const PolicySpec &policy) {
+  if (policy.Eviction == EvictionChoice::LeastRecent)
+    return std::make_unique<LeastRecentlyUsed>();
+  return std::make_unique<LeastPopular>();
+}
+
+std::unique_ptr<LoadGate> makeGate(const PolicySpec &policy,
+                                   const Deployment &deployment) {
+  switch (policy.Loads) {
+  case LoadChoice::Uncoordinated:
+    return std::make_unique<UncoordinatedLoads>();
+  case LoadChoice::StaticShare:
+    return std::make_unique<StaticShare>(deployment.LoadsPerSecond,
+                                         deployment.Workers);
+  case LoadChoice::Scheduled:
+    break;
+  }
+  return std::make_unique<ScheduledLoads>(deployment.LoadsPerSecond,
+                                          deployment.Workers);
+}
+
+/// The state in which a replay begins: all adapters with one live version.
+std::string initialState(const Deployment &deployment, ReplayFault fault) {
+  StateMachine state;
+  const auto apply = [&](CommandBody body) {
+    state.apply(0, Command{.Body = std::move(body)});
+  };
+  for (const KindShare &it : deployment.Kinds)
+    apply(SetKind{it.Kind});
+  for (std::uint32_t i = 0; i < deployment.Adapters; ++i) {
+    const AdapterName name("adapter-" + std::to_string(i));
+    // One in twenty, popular ones among them.
+    const bool bad = fault == ReplayFault::BadAdapters && i % 20 == 10;
+    apply(CreateAdapter{name, "base"});
+    apply(CreateVersion{name, 1, (bad ? "missing:" : "store://") + name.str()});
+    apply(DeclareLive{name, {1}});
+  }
+  return state.encode();
+}
+
+class Replayer {
+public:
+  Replayer(const Deployment &deployment, const PolicySpec &policy,
+           const Trace &trace, ReplayFault fault, std::uint64_t seed)
+      : Size(deployment), Policy(policy), Requests(trace), Fault(fault),
+        Place({.Seed = seed,
+               .BetweenZones = deployment.BetweenZones,
+               .Store = {.LoadsPerSecond = deployment.LoadsPerSecond}}) {
+    Place.Book.forgetTexts();
+  }
+
+  ReplayFigures run() {
+    addEntries();
+    addAgents();
+    Place.runUntil(Place.now() + WarmUp);
+    Begin = Place.now();
+    const Duration length = Requests.Requests.empty()
+                                ? Duration::zero()
+                                : Requests.Requests.back().At;
+    for (const TraceRequest &it : Requests.Requests)
+      Place.after(it.At, [this, &it] { send(it); });
+    Place.after(length / 2, [this] { strike(); });
+    Place.runUntil(Begin + length + CoolDown);
+    return figures(length);
+  }
+
+private:
+  const std::string &zoneOf(std::uint32_t i) const {
+    return Size.Zones[i % Size.Zones.size()];
+  }
+
+  void addEntries() {
+    ReplicaGroup group;
+    for (std::uint32_t i = 0; i < Size.Entries; ++i) {
+      group.Replicas.push_back({.Id = 1 + i,
+                                .Host = replicaName(i),
+                                .Address = replicaName(i).str()});
+      Addresses.push_back(replicaName(i).str());
+    }
+    const std::string state = initialState(Size, Fault);
+    for (std::uint32_t i = 0; i < Size.Entries; ++i) {
+      const HostName host = replicaName(i);
+      ProcessSpec spec{.Host = host, .Zone = ZoneName(zoneOf(i))};
+      spec.IsEntry = true;
+      spec.IsReplica = true;
+      spec.Entry = {.Host = host, .Replicas = Addresses};
+      spec.Replica.Log.Host = host;
+      spec.Replica.Log.Address = host.str();
+      spec.Replica.Others = Addresses;
+      spec.Replica.Loads = {.LoadsPerSecond = Size.LoadsPerSecond,
+                            .LoadTime = fromSeconds(1 / Size.LoadsPerSecond)};
+      spec.MakeRouting = [this] { return makeRouting(Policy); };
+      WorldProcess &process = Place.add(spec);
+      process.Disk = std::make_unique<MemoryLogStore>(1 + i);
+      process.Disk->Stored.Snapshot = {1, 1, group, state};
+      Place.start(process);
+    }
+  }
+
+  void addAgents() {
+    for (std::uint32_t i = 0; i < Size.Workers; ++i) {
+      const HostName host("worker-" + std::to_string(i));
+      ProcessSpec spec{.Host = host, .Zone = ZoneName(zoneOf(i))};
+      spec.IsAgent = true;
+      spec.Engine = Size.Engine;
+      spec.Agent = {.Agent = {.Host = host,
+                              .BaseModel = "base",
+                              .Slots = Size.Engine.Slots,
+                              .BatchCapacity = Size.Engine.BatchCapacity,
+                              .PopularityHalfLife = Policy.HalfLife,
+                              .LoadTime = fromSeconds(1 / Size.LoadsPerSecond),
+                              .SpillDelay = Policy.SpillDelay,
+                              .RefusesEarly = Policy.RefusesEarly},
+                    .Zone = spec.Zone,
+                    .Address = host.str(),
+                    .Replicas = Addresses};
+      spec.MakeEviction = [this] { return makeEviction(Policy); };
+      spec.MakeGate = [this] { return makeGate(Policy, Size); };
+      Place.start(Place.add(spec));
+    }
+  }
+
+  void send(const TraceRequest &request) {
+    WorldProcess *entry = &Place.process(replicaName(request.Entry));
+    // The platform's balancer turns away from an entry that isn't ready.
+    for (std::uint32_t i = 1; i < Size.Entries; ++i)
+      if (!entry->Alive || !entry->Entry->ready(Place.now()))
+        entry = &Place.process(replicaName((request.Entry + i) % Size.Entries));
+    Place.request(*entry, {.Id = RequestId("r" + std::to_string(++LastId)),
+                           .Caller = CallerName("caller"),
+                           .Kind = request.Kind,
+                           .Adapter = request.Adapter,
+                           .Prompt = request.Prompt,
+                           .MaxTokens = request.Tokens});
+  }
+
+  void strike() {
+    if (Fault == ReplayFault::ColdThird) {
+      std::uint32_t i = 0;
+      for (WorldProcess *it : Place.processes())
+        if (it->Engine && i++ % 3 == 0)
+          it->Engine->restart();
+    }
+    if (Fault != ReplayFault::LeaderLost)
+      return;
+    for (WorldProcess *it : Place.processes())
+      if (it->Replica && it->Replica->log().holdsLease(Place.now()))
+        return Place.kill(*it);
+  }
+
+  /// \returns the stall of a request: what it waited for its adapter; for one
+  /// that never got it, the whole time that it waited.
+  static double stallOf(const RequestRecord &record) {
+    if (record.Answer.Kind == FinalKind::Answered)
+      return toSeconds(record.Answer.LoadStall);
+    return toSeconds(record.EndedAt - record.SentAt);
+  }
+
+  static double percentile(std::vector<double> values, double part) {
+    if (values.empty())
+      return 0;
+    std::ranges::sort(values);
+    const auto at = static_cast<std::size_t>(
+        part * static_cast<double>(values.size() - 1) + 0.5);
+    return values[at];
+  }
+
+  Duration windowOf(const KindName &kind) const {
+    for (const KindShare &it : Size.Kinds)
+      if (it.Kind.Name == kind)
+        return it.Kind.Window;
+    return Duration::zero();
+  }
+
+  ReplayFigures figures(Duration length) {
+    ReplayFigures result;
+    result.StallByTenth.resize(10);
+    std::map<KindName, std::vector<double>> stalls;
+    std::vector<double> all;
+    std::vector<double> refusals;
+    for (const auto &[key, it] : Place.Book.requests()) {
+      if (!it.Ended) // Its entry died; its caller knows that.
+        continue;
+      const double stall = stallOf(it);
+      KindFigures &kind = result.Kinds[it.Request.Kind];
+      ++kind.Sent;
+      ++result.Sent;
+      const bool answered = it.Answer.Kind == FinalKind::Answered;
+      const bool inWindow =
+          answered && it.EndedAt - it.SentAt <= windowOf(it.Request.Kind);
+      kind.InWindow += inWindow;
+      result.InWindow += inWindow;
+      const bool refused = it.Answer.Kind == FinalKind::Refused;
+      result.Refused += refused;
+      result.Other += !answered && !refused;
+      if (refused)
+        refusals.push_back(toSeconds(it.EndedAt - it.SentAt));
+      kind.StallTotal += stall;
+      result.StallTotal += stall;
+      stalls[it.Request.Kind].push_back(stall);
+      all.push_back(stall);
+      const auto tenth = static_cast<std::size_t>(
+          std::min<std::int64_t>(9, 10 * (it.SentAt - Begin) / (length + Duration(1))));
+      result.StallByTenth[tenth] += stall;
+    }
+    for (auto &[name, kind] : result.Kinds) {
+      kind.StallP95 = percentile(stalls[name], 0.95);
+      kind.StallP99 = percentile(stalls[name], 0.99);
+    }
+    result.StallP95 = percentile(all, 0.95);
+    result.StallP99 = percentile(all, 0.99);
+    result.RefusalP99 = percentile(refusals, 0.99);
+    EngineFigures engines;
+    for (WorldProcess *it : Place.processes())
+      if (it->Engine) {
+        engines.Steps += it->Engine->figures().Steps;
+        engines.Served += it->Engine->figures().Served;
+        engines.Loads += it->Engine->figures().Loads;
+      }
+    const double capacity = static_cast<double>(engines.Steps) *
+                            Size.Engine.BatchCapacity;
+    result.BatchEfficiency =
+        capacity > 0 ? static_cast<double>(engines.Served) / capacity : 0;
+    result.Loads = engines.Loads;
+    result.FewestLoads = fewestLoads(
+        Requests, std::size_t(Size.Workers) * Size.Engine.Slots);
+    result.Violations = Place.Book.violations();
+    return result;
+  }
+
+  const Deployment &Size;
+  const PolicySpec &Policy;
+  const Trace &Requests;
+  ReplayFault Fault;
+  World Place;
+  std::vector<std::string> Addresses;
+  TimePoint Begin;
+  std::uint64_t LastId = 0;
+};
+
+} // namespace
+
+const std::vector<PolicySpec> &allPolicies() {
+  using enum RoutingChoice;
+  using enum EvictionChoice;
+  using enum LoadChoice;
+  static const std::vector<PolicySpec> All = {
+      {.Name = "least-loaded",
+       .Routing = RoutingChoice::LeastLoaded,
+       .Eviction = LeastRecent,
+       .Loads = Uncoordinated,
+       .RefusesEarly = false},
+      {.Name = "hash",
+       .Routing = RoutingChoice::ConsistentHash,
+       .Eviction = LeastRecent,
+       .Loads = Uncoordinated,
+       .RefusesEarly = false},
+      {.Name = "v1"},
+  };
+  return All;
+}
+
+const PolicySpec *findPolicy(const std::string &name) {
+  const auto it = std::ranges::find(allPolicies(), name, &PolicySpec::Name);
+  return it == allPolicies().end() ? nullptr : &*it;
+}
+
+const char *nameOf(ReplayFault fault) {
+  constexpr const char *Names[] = {"none", "cold-third", "shift", "leader-lost",
+                                   "bad-adapters"};
+  return Names[static_cast<std::size_t>(fault)];
+}
+
+ReplayFigures replay(const Deployment &deployment, const PolicySpec &policy,
+                     const Trace &trace, ReplayFault fault,
+                     std::uint64_t seed) {
+  return Replayer(deployment, policy, trace, fault, seed).run();
+}
+
+} // namespace pimentofront::testkit
--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/Scenario.cpp
@@ -0,0 +1,635 @@
+#include "pimentofront/Testkit.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace pimentofront::testkit {
+namespace {
+
+using Words = std::vector<std::string>;
+
+Words split(const std::string &text, char separator) {
+  Words words;
+  std::stringstream stream(text);
+  for (std::string word; std::getline(stream, word, separator);)
+    if (!word.empty())
+      words.push_back(word);
+  return words;
+}
+
+const char *nameOf(FinalKind kind) {
+  constexpr const char *Names[] = {"answered", "refused", "unknown",
+                                   "timed_out", "failed"};
+  return Names[static_cast<std::size_t>(kind)];
+}
+
+const char *nameOf(CommandResult result) {
+  constexpr const char *Names[] = {
+      "accepted",  "conflict",    "not_found",        "invalid",
+      "id_reused", "in_progress", "already_answered", "already_unknown"};
+  return Names[static_cast<std::size_t>(result)];
+}
+
+/// One line of the text.
+struct Line {
+  std::string Place;
+  std::string Action;
+  Words Plain;
+  std::map<std::string, std::string> Named;
+
+  std::string word(std::size_t i) const {
+    return i < Plain.size() ? Plain[i] : "";
+  }
+  std::string named(const std::string &key, const std::string &preset) const {
+    const auto it = Named.find(key);
+    return it == Named.end() ? preset : it->second;
+  }
+  std::uint32_t number(const std::string &key, std::uint32_t preset) const {
+    return static_cast<std::uint32_t>(
+        std::stoul(named(key, std::to_string(preset))));
+  }
+};
+
+Line parseLine(const std::string &place, const Words &words) {
+  Line line{.Place = place, .Action = words[1]};
+  for (std::size_t i = 2; i < words.size(); ++i) {
+    const std::size_t sign = words[i].find('=');
+    if (words[i] == "via" && i + 1 < words.size())
+      line.Named["via"] = words[++i];
+    else if (sign != std::string::npos)
+      line.Named[words[i].substr(0, sign)] = words[i].substr(sign + 1);
+    else
+      line.Plain.push_back(words[i]);
+  }
+  return line;
+}
+
+} // namespace
+
+struct Scenario::Impl {
+  explicit Impl(std::uint64_t seed)
+      : Place({.Seed = seed, .InZone = std::chrono::microseconds(200)}) {}
+
+  using Action = void (Impl::*)(const Line &);
+  static const std::map<std::string, Action> &actions();
+
+  World Place;
+  ScenarioResult Result;
+  std::vector<std::string> Replicas;
+  std::map<std::string, std::string> Commands;
+  std::uint64_t LastCommand = 0;
+
+  void fault(const Line &line, const std::string &what) {
+    Result.Faults.add(line.Place, line.Action + ": " + what);
+  }
+
+  WorldProcess *find(const Line &line, const std::string &name) {
+    for (WorldProcess *it : Place.processes())
+      if (it->Spec.Host.str() == name)
+        return it;
+    fault(line, "no process '" + name + "'");
+    return nullptr;
+  }
+
+  WorldProcess *leader() {
+    for (WorldProcess *it : Place.processes())
+      if (it->Alive && it->Replica && it->Replica->log().holdsLease(Place.now()))
+        return it;
+    return nullptr;
+  }
+
+  //===--------------------------------------------------------------------===//
+  // Processes and faults
+  //===--------------------------------------------------------------------===//
+
+  void addProcess(const Line &line) {
+    const HostName host(line.word(0));
+    ProcessSpec spec{.Host = host, .Zone = ZoneName(line.word(1))};
+    spec.IsReplica = line.Action.ends_with("replica");
+    spec.IsEntry = line.Action.starts_with("entry");
+    spec.IsAgent = line.Action == "agent";
+    spec.Entry = {.Host = host, .Replicas = Replicas};
+    spec.Replica.Log.Host = host;
+    spec.Replica.Log.Address = host.str();
+    spec.Replica.Others = Replicas;
+    spec.Replica.CompactAfter = 64;
+    spec.Agent = {.Agent = {.Host = host,
+                            .BaseModel = "base",
+                            .Slots = line.number("slots", 2),
+                            .BatchCapacity = 4},
+                  .Zone = spec.Zone,
+                  .Address = host.str(),
+                  .Replicas = Replicas};
+    for (const std::string &it : split(line.named("services", ""), ','))
+      spec.Agent.Agent.Services.emplace_back(it);
+    spec.Engine = {.Slots = spec.Agent.Agent.Slots,
+                   .BatchCapacity = spec.Agent.Agent.BatchCapacity};
+    spec.MakeRouting = [] {
+      return std::make_unique<AffinityRouting>(AffinityOptions{});
+    };
+    spec.MakeEviction = [] { return std::make_unique<LeastPopular>(); };
+    spec.MakeGate = [] { return std::make_unique<ScheduledLoads>(4, 3); };
+    Place.start(Place.add(spec));
+  }
+
+  void start(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)))
+      Place.start(*it);
+  }
+  void kill(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)))
+      Place.kill(*it);
+  }
+  void freeze(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)))
+      Place.freeze(*it);
+  }
+  void wake(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)))
+      Place.wake(*it);
+  }
+  void loseDisk(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)))
+      Place.loseDisk(*it);
+  }
+  void fullDisk(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)); it && it->Disk)
+      it->Disk->Full = true;
+  }
+  void leave(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)); it && it->Agent)
+      it->Agent->leave(Place.now());
+  }
+  void killLeader(const Line &) {
+    if (WorldProcess *it = leader())
+      Place.kill(*it);
+  }
+  void freezeLeader(const Line &) {
+    if (WorldProcess *it = leader())
+      Place.freeze(*it);
+  }
+  void isolateLeader(const Line &) {
+    if (const WorldProcess *it = leader())
+      isolateHost(it->Spec.Host);
+  }
+  void engineRestart(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)); it && it->Engine)
+      it->Engine->restart();
+  }
+  void engineDown(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)); it && it->Engine)
+      it->Engine->setDown(true);
+  }
+  void engineUp(const Line &line) {
+    if (WorldProcess *it = find(line, line.word(0)); it && it->Engine)
+      it->Engine->setDown(false);
+  }
+  void cut(const Line &line) {
+    const HostName a(line.word(0));
+    const HostName b(line.word(1));
+    Place.cut(a, b);
+    if (line.word(2) != "one-way")
+      Place.cut(b, a);
+  }
+  void isolateHost(const HostName &host) {
+    for (const WorldProcess *it : Place.processes()) {
+      if (it->Spec.Host == host)
+        continue;
+      Place.cut(host, it->Spec.Host);
+      Place.cut(it->Spec.Host, host);
+    }
+  }
+  void isolate(const Line &line) { isolateHost(HostName(line.word(0))); }
+  void heal(const Line &) { Place.healAll(); }
+  void slow(const Line &line) {
+    Place.slow(HostName(line.word(0)), HostName(line.word(1)),
+               std::chrono::milliseconds(std::stoi(line.word(2))));
+  }
+  void bootstrap(const Line &line) {
+    WorldProcess *it = find(line, line.word(0));
+    if (it && it->Replica)
+      it->Replica->bootstrap(Place.now());
+  }
+
+  //===--------------------------------------------------------------------===//
+  // Operators and callers
+  //===--------------------------------------------------------------------===//
+
+  void propose(const Line &line, const std::string &id, CommandBody body,
+               std::function<void(Revision)> accepted = {},
+               std::function<void()> declined = {}) {
+    WorldProcess *entry = find(line, line.named("via", ""));
+    if (!entry)
+      return;
+    const std::string name =
+        id.empty() ? "command-" + std::to_string(++LastCommand) : id;
+    Commands[name] = "undecided";
+    const Command command{.Id = CommandId(name),
+                          .Operator = OperatorName(line.named("by", "anna")),
+                          .Body = std::move(body)};
+    Place.command(*entry, command, [=, this](const auto &outcome) {
+      if (!outcome)
+        return;
+      Commands[name] = nameOf(outcome->Result);
+      if (!outcome->Winner.empty())
+        Commands[name] += ":" + outcome->Winner.str();
+      if (outcome->Result == CommandResult::Accepted && accepted)
+        accepted(outcome->At);
+      if (outcome->Result != CommandResult::Accepted && declined)
+        declined();
+    });
+  }
+
+  void declare(const Line &line, const std::string &id,
+               const AdapterName &adapter,
+               const std::vector<VersionNumber> &versions) {
+    Place.Book.declaring(adapter, versions);
+    propose(
+        line, id, DeclareLive{adapter, versions},
+        [=, this](Revision at) {
+          Place.Book.declared(Place.now(), adapter, versions, at);
+        },
+        [=, this] { Place.Book.notDeclared(adapter, versions); });
+  }
+
+  void adapter(const Line &line) {
+    const AdapterName name(line.word(0));
+    const std::string source = line.named("source", "store://" + name.str());
+    propose(line, "", CreateAdapter{name, "base"}, [=, this](Revision) {
+      propose(line, "", CreateVersion{name, 1, source},
+              [=, this](Revision) { declare(line, "", name, {1}); });
+    });
+  }
+  void version(const Line &line) {
+    const auto number = static_cast<VersionNumber>(std::stoul(line.word(1)));
+    propose(line, line.named("id", ""),
+            CreateVersion{AdapterName(line.word(0)), number,
+                          "store://" + line.named("by", "anna")});
+  }
+  void live(const Line &line) {
+    std::vector<VersionNumber> versions;
+    for (const std::string &it : split(line.word(1), ','))
+      versions.push_back(static_cast<VersionNumber>(std::stoul(it)));
+    declare(line, line.named("id", ""), AdapterName(line.word(0)), versions);
+  }
+  void drain(const Line &line) {
+    propose(line, line.named("id", ""),
+            SetDrained{HostName(line.word(0)), line.Action == "drain"});
+  }
+  void kind(const Line &line) {
+    propose(line, line.named("id", ""),
+            SetKind{{.Name = KindName(line.word(0)),
+                     .Weight = line.number("weight", 1)}});
+  }
+  void changes(const Line &line) {
+    const int n = std::stoi(line.word(0));
+    for (int i = 0; i < n; ++i)
+      propose(line, "", SetKind{{.Name = KindName("scratch")}});
+  }
+
+  void request(const Line &line) {
+    WorldProcess *entry = find(line, line.named("via", ""));
+    if (!entry)
+      return;
+    const std::uint32_t seconds = line.number("timeout", 30);
+    Place.request(*entry, {.Id = RequestId(line.word(0)),
+                           .Caller = CallerName("club"),
+                           .Kind = KindName(line.named("kind", "usual")),
+                           .Adapter = AdapterName(line.word(1)),
+                           .Version = line.number("version", 0),
+                           .Prompt = "prompt of " + line.word(0),
+                           .MaxTokens = line.number("tokens", 20),
+                           .Timeout = std::chrono::seconds(seconds)});
+  }
+  void order(const Line &line) {
+    WorldProcess *entry = find(line, line.named("via", ""));
+    if (!entry)
+      return;
+    const std::uint32_t seconds = line.number("timeout", 10);
+    Place.request(*entry,
+                  {.Id = RequestId(line.word(0)),
+                   .Caller = CallerName("club"),
+                   .Kind = KindName("usual"),
+                   .Service = ServiceName("stock"),
+                   .Method = "reserve",
+                   .Payload = line.named("payload", "one of " + line.word(0)),
+                   .Idempotent = false,
+                   .IssuedAtMilliseconds = World({}).milliseconds(),
+                   .Timeout = std::chrono::seconds(seconds)});
+  }
+
+  //===--------------------------------------------------------------------===//
+  // Expectations
+  //===--------------------------------------------------------------------===//
+
+  /// \returns how the last send of a request ended.
+  const RequestRecord *lastSend(const std::string &id) const {
+    const RequestRecord *last = nullptr;
+    for (const auto &[key, it] : Place.Book.requests())
+      if (it.Request.Id.str() == id)
+        last = &it;
+    return last;
+  }
+
+  void expectEnding(const Line &line) {
+    const RequestRecord *record = lastSend(line.word(1));
+    if (!record)
+      return fault(line, "nobody sent " + line.word(1));
+    const std::string got =
+        record->Ended ? nameOf(record->Answer.Kind) : "nothing";
+    for (const std::string &it : split(line.word(0), '|'))
+      if (it == got || (it == "ended" && record->Ended))
+        return;
+    fault(line, line.word(1) + " got " + got + " (" +
+                    refusalReasonName(record->Answer.Reason) + ", " +
+                    record->Answer.Payload + "), expected " + line.word(0));
+  }
+
+  bool inForce() const {
+    Revision newest = 0;
+    for (WorldProcess *it : const_cast<World &>(Place).processes())
+      if (it->Alive && it->Replica)
+        newest = std::max(newest,
+                          it->Replica->state().configuration().revision());
+    for (WorldProcess *it : const_cast<World &>(Place).processes())
+      if (it->Alive && it->Entry &&
+          it->Entry->configuration().revision() != newest)
+        return false;
+    return true;
+  }
+
+  void expect(const Line &line) {
+    const std::string what = line.word(0);
+    if (what == "leader") {
+      if (!leader())
+        fault(line, "nobody leads");
+    } else if (what == "ready" || what == "not-ready") {
+      const WorldProcess *it = find(line, line.word(1));
+      const bool ready = it && it->Entry && it->Entry->ready(Place.now());
+      if (ready != (what == "ready"))
+        fault(line, line.word(1) + (ready ? " is ready" : " isn't ready"));
+    } else if (what == "in-force") {
+      if (!inForce())
+        fault(line, "some entry lags");
+    } else if (what == "voters") {
+      const WorldProcess *it = leader();
+      const auto n = !it ? 0
+                         : std::ranges::count(
+                               it->Replica->log().group().Replicas, false,
+                               &ReplicaDescriptor::Learner);
+      if (std::to_string(n) != line.word(1))
+        fault(line, "there are " + std::to_string(n) + " voters");
+    } else if (what == "runs") {
+      const auto n = Place.Book.runsOf(RequestId(line.word(1)));
+      if (std::to_string(n) != line.word(2))
+        fault(line, line.word(1) + " ran " + std::to_string(n) + " times");
+    } else if (what == "from") {
+      const RequestRecord *it = lastSend(line.word(1));
+      if (!it || it->Answer.Host.str() != line.word(2))
+        fault(line, "answered by " + (it ? it->Answer.Host.str() : "nobody"));
+    } else if (what == "command") {
+      const std::string got = Commands[line.word(1)];
+      if (got != line.word(2))
+        fault(line, line.word(1) + " is " + got + ", expected " + line.word(2));
+    } else {
+      expectEnding(line);
+    }
+  }
+
+  //===--------------------------------------------------------------------===//
+  // The run
+  //===--------------------------------------------------------------------===//
+
+  /// What must hold at the end, whatever happened.
+  void checkEnd() {
+    for (WorldProcess *it : Place.processes()) {
+      if (!it->Alive || !it->Replica || !it->Replica->log().isMember() ||
+          !it->Replica->log().holdsLease(Place.now()))
+        continue;
+      for (const auto &[adapter, live] : Place.Book.accepted()) {
+        const auto record =
+            it->Replica->state().configuration().findAdapter(adapter);
+        std::vector<VersionNumber> found;
+        if (record)
+          for (const VersionRecord &version : record->Versions)
+            if (version.Live)
+              found.push_back(version.Number);
+        if (found != live)
+          Place.Book.violation(Place.now(), "an accepted change of " +
+                                                adapter.str() + " is lost");
+      }
+    }
+  }
+
+  void tellStory() {
+    for (const auto &[key, it] : Place.Book.requests())
+      Result.Story += it.Request.Id.str() + ": " +
+                      (it.Ended ? nameOf(it.Answer.Kind) : "nothing") + " " +
+                      refusalReasonName(it.Answer.Reason) + " after " +
+                      std::to_string(toSeconds(it.EndedAt - it.SentAt)) +
+                      " s, " + std::to_string(it.Answer.Attempts) +
+                      " attempts, by " + it.Answer.Host.str() + "\n";
+  }
+
+  /// How each process stands at the end.
+  void tellProcesses() {
+    for (WorldProcess *it : Place.processes()) {
+      std::string text = it->Spec.Host.str() + ":";
+      if (!it->Alive)
+        text += " dead";
+      if (it->Frozen)
+        text += " frozen";
+      if (it->Alive && it->Replica) {
+        const ReplicaStatus status = it->Replica->status(Place.now());
+        text += " replica " + std::to_string(status.Identity) + " term " +
+                std::to_string(status.Term) + " commit " +
+                std::to_string(status.CommitIndex) + " last " +
+                std::to_string(it->Replica->log().lastIndex()) + " revision " +
+                std::to_string(status.Current) +
+                (status.Leads ? " leads" : "") + " group";
+        for (const ReplicaDescriptor &replica : status.Group)
+          text += " " + replica.Host.str() + "/" + std::to_string(replica.Id) +
+                  (replica.Learner ? "(learner)" : "");
+      }
+      if (it->Alive && it->Entry)
+        text += " entry revision " +
+                std::to_string(it->Entry->configuration().revision()) +
+                (it->Entry->ready(Place.now()) ? " ready" : " not ready");
+      Result.Story += text + "\n";
+    }
+  }
+
+  void perform(const Line &line) {
+    const auto it = actions().find(line.Action);
+    if (it == actions().end())
+      return fault(line, "unknown action");
+    (this->*it->second)(line);
+  }
+};
+
+const std::map<std::string, Scenario::Impl::Action> &Scenario::Impl::actions() {
+  static const std::map<std::string, Action> All = {
+      {"replica", &Impl::addProcess},
+      {"entry", &Impl::addProcess},
+      {"entry+replica", &Impl::addProcess},
+      {"agent", &Impl::addProcess},
+      {"start", &Impl::start},
+      {"kill", &Impl::kill},
+      {"freeze", &Impl::freeze},
+      {"wake", &Impl::wake},
+      {"lose-disk", &Impl::loseDisk},
+      {"full-disk", &Impl::fullDisk},
+      {"leave", &Impl::leave},
+      {"kill-leader", &Impl::killLeader},
+      {"freeze-leader", &Impl::freezeLeader},
+      {"isolate-leader", &Impl::isolateLeader},
+      {"engine-restart", &Impl::engineRestart},
+      {"engine-down", &Impl::engineDown},
+      {"engine-up", &Impl::engineUp},
+      {"cut", &Impl::cut},
+      {"isolate", &Impl::isolate},
+      {"heal", &Impl::heal},
+      {"slow", &Impl::slow},
+      {"bootstrap", &Impl::bootstrap},
+      {"adapter", &Impl::adapter},
+      {"version", &Impl::version},
+      {"live", &Impl::live},
+      {"drain", &Impl::drain},
+      {"undrain", &Impl::drain},
+      {"kind", &Impl::kind},
+      {"changes", &Impl::changes},
+      {"request", &Impl::request},
+      {"order", &Impl::order},
+      {"expect", &Impl::expect}};
+  return All;
+}
+
+Scenario::Scenario(std::uint64_t seed) : State(new Impl(seed)) {}
+Scenario::~Scenario() = default;
+
+ScenarioResult Scenario::run(const std::string &name, std::string_view text) {
+  std::stringstream lines{std::string(text)};
+  std::vector<std::pair<Duration, Line>> steps;
+  Duration at = Duration::zero();
+  std::size_t number = 0;
+  for (std::string raw; std::getline(lines, raw);) {
+    const std::string place = name + ":" + std::to_string(++number);
+    const Words words = split(raw.substr(0, raw.find('#')), ' ');
+    if (words.empty())
+      continue;
+    if (words.size() < 2) {
+      State->Result.Faults.add(place, "expected a time and an action");
+      continue;
+    }
+    const bool relative = words[0][0] == '+';
+    const Duration time = fromSeconds(std::stod(words[0]));
+    at = relative ? at + time : time;
+    Line line = parseLine(place, words);
+    if (line.Action.ends_with("replica"))
+      State->Replicas.push_back(line.word(0));
+    steps.emplace_back(at, std::move(line));
+  }
+  std::ranges::stable_sort(steps, {}, [](const auto &it) { return it.first; });
+  const TimePoint begin = State->Place.now();
+  for (const auto &[time, line] : steps) {
+    State->Place.runUntil(begin + time);
+    State->perform(line);
+  }
+  State->checkEnd();
+  State->tellStory();
+  State->tellProcesses();
+  State->Result.Violations = State->Place.Book.violations();
+  return State->Result;
+}
+
+//===----------------------------------------------------------------------===//
+// Random scenarios
+//===----------------------------------------------------------------------===//
+
+std::string randomScenario(std::uint64_t seed) {
+  Random chance(seed);
+  const auto pick = [&](const Words &from) {
+    return from[chance.next() % from.size()];
+  };
+  std::stringstream text;
+  text << "0 entry+replica n1 suva\n0 entry+replica n2 nadi\n"
+          "0 replica n3 lautoka\n"
+          "0 agent w1 suva services=stock\n0 agent w2 nadi services=stock\n"
+          "0 agent w3 lautoka\n"
+          "0.5 bootstrap n1\n3 kind usual via n1\n";
+  for (const char *it : {"a", "b", "c", "d", "e"})
+    text << "3.5 adapter " << it << " via n1\n";
+  const Words all = {"n1", "n2", "n3", "w1", "w2", "w3"};
+  const Words replicas = {"n1", "n2", "n3"};
+  const Words agents = {"w1", "w2", "w3"};
+  const Words entries = {"n1", "n2"};
+  constexpr double Begin = 5;
+  constexpr double Faults = 25;
+  for (int i = 0; i < 120; ++i) {
+    const double at = Begin + Faults * chance.uniform();
+    text << at << " request q" << i << " " << pick({"a", "b", "c", "d", "e"})
+         << " via " << pick(entries) << " tokens=" << 5 + chance.next() % 60
+         << " timeout=8\n";
+  }
+  for (int i = 0; i < 30; ++i) {
+    const double at = Begin + Faults * chance.uniform();
+    text << at << " order o" << i << " via " << pick(entries) << "\n";
+    text << at + 3 * chance.uniform() << " order o" << i << " via "
+         << pick(entries) << "\n";
+  }
+  for (int i = 0; i < 12; ++i) {
+    const double at = Begin + Faults * chance.uniform();
+    text << at << " version a " << 2 + i / 3 << " via " << pick(entries)
+         << "\n";
+    text << at + 1 << " live a " << 1 + chance.next() % 5 << " via "
+         << pick(entries) << "\n";
+  }
+  // Faults; one disk at most is lost, since two within one repair may really
+  // lose what was accepted.
+  bool diskLost = false;
+  for (double at = Begin; at < Begin + Faults; at += 2 + 3 * chance.uniform()) {
+    const std::string victim = pick(all);
+    const double back = at + 0.3 + 4 * chance.uniform();
+    switch (chance.next() % 7) {
+    case 0:
+      text << at << " kill " << victim << "\n" << back << " start " << victim
+           << "\n";
+      break;
+    case 1:
+      text << at << " freeze " << victim << "\n" << back << " wake " << victim
+           << "\n";
+      break;
+    case 2:
+      text << at << " isolate " << victim << "\n" << back << " heal\n";
+      break;
+    case 3:
+      text << at << " cut " << pick(all) << " " << pick(all) << " one-way\n"
+           << back << " heal\n";
+      break;
+    case 4:
+      text << at << " engine-restart " << pick(agents) << "\n";
+      break;
+    case 5:
+      text << at << " kill-leader\n";
+      for (const std::string &it : replicas)
+        text << back << " start " << it << "\n";
+      break;
+    default:
+      if (std::exchange(diskLost, true))
+        break;
+      text << at << " lose-disk " << pick(replicas) << "\n";
+      for (const std::string &it : replicas)
+        text << at + 0.5 << " start " << it << "\n";
+      break;
+    }
+  }
+  // Everything is mended; all must end, and work again.
+  text << "36 heal\n";
+  for (const std::string &it : all)
+    text << "36 wake " << it << "\n36 start " << it << "\n";
+  text << "55 request last b via n1 tokens=5\n"
+          "58 expect leader\n58 expect in-force\n58 expect answered last\n";
+  return text.str();
+}
+
+} // namespace pimentofront::testkit
--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/World.h
@@ -0,0 +1,197 @@
+#ifndef PIMENTOFRONT_TESTKIT_WORLD_H
+#define PIMENTOFRONT_TESTKIT_WORLD_H
+
+#include "FakeBackend.h"
+
+#include <queue>
+
+namespace pimentofront::testkit {
+
+/// \class MemoryLogStore
+/// \ingroup Testkit
+/// \brief A disk of the world: survives kills of its process.
+class MemoryLogStore : public LogStore {
+public:
+  explicit MemoryLogStore(ReplicaId id) { Stored.Id = id; }
+  tl::expected<void, LogStoreError> write(const LogWrite &write) override;
+  tl::expected<void, LogStoreError>
+  compact(const LogSnapshot &snapshot,
+          const std::vector<LogEntry> &rest) override;
+
+  StoredLog Stored;
+  bool Full = false;
+  std::uint64_t Syncs = 0;
+};
+
+/// \class ProcessSpec
+/// \ingroup Testkit
+/// \brief What a process of the world is; stays through its restarts.
+struct ProcessSpec {
+  HostName Host;
+  ZoneName Zone;
+  bool IsEntry = false;
+  bool IsAgent = false;
+  bool IsReplica = false;
+  EntryNodeOptions Entry;
+  AgentNodeOptions Agent;
+  ReplicaNodeOptions Replica;
+  FakeEngineOptions Engine;
+  std::function<std::unique_ptr<RoutingPolicy>()> MakeRouting;
+  std::function<std::unique_ptr<EvictionPolicy>()> MakeEviction;
+  std::function<std::unique_ptr<LoadGate>()> MakeGate;
+};
+
+class World;
+
+/// \class WorldProcess
+/// \ingroup Testkit
+/// \brief One process: its nodes, its links, its engine beside it.
+class WorldProcess : public Transport,
+                     public BackendDriver,
+                     public AnswerSink {
+public:
+  WorldProcess(World &world, ProcessSpec spec);
+  ~WorldProcess() override;
+
+  LinkId open(const std::string &address, LinkPurpose purpose) override;
+  void send(LinkId link, const Message &message) override;
+  void close(LinkId link) override;
+  void generate(const ExecuteRequest &request) override;
+  void callService(const ExecuteRequest &request) override;
+  void cancel(const AttemptId &attempt) override;
+  void load(const StartLoad &load) override;
+  void onChunk(RequestKey key, std::uint64_t position,
+               const std::string &text) override;
+  void onFinal(RequestKey key, const KindName &kind,
+               const FinalAnswer &answer) override;
+
+  World &In;
+  ProcessSpec Spec;
+  bool Alive = false;
+  bool Frozen = false;
+  std::uint64_t Incarnation = 0;
+  std::unique_ptr<MemoryLogStore> Disk;
+  std::unique_ptr<FakeEngine> Engine;
+  std::unique_ptr<RoutingPolicy> Routing;
+  std::unique_ptr<EvictionPolicy> Eviction;
+  std::unique_ptr<LoadGate> Gate;
+  std::unique_ptr<EntryNode> Entry;
+  std::unique_ptr<AgentNode> Agent;
+  std::unique_ptr<ReplicaNode> Replica;
+  /// What arrived while it was frozen, in order.
+  std::vector<std::function<void()>> Held;
+  std::uint64_t KnownEngine = 0;
+  /// Requests that its callers wait for.
+  std::set<RequestKey> Waiting;
+};
+
+/// \class WorldOptions
+/// \ingroup Testkit
+struct WorldOptions {
+  std::uint64_t Seed = 1;
+  Duration InZone = std::chrono::microseconds(200);
+  Duration BetweenZones = std::chrono::microseconds(900);
+  WeightStoreOptions Store;
+  Duration ServiceDelay = std::chrono::milliseconds(50);
+  Duration TickPeriod = std::chrono::milliseconds(20);
+};
+
+/// \class World
+/// \ingroup Testkit
+/// \brief Processes, links between them, and one clock.
+class World : public Schedule, public WallClock {
+public:
+  explicit World(const WorldOptions &options);
+  ~World() override;
+
+  TimePoint now() const override { return Now; }
+  std::uint64_t milliseconds() const override;
+  void after(Duration delay, std::function<void()> action) override;
+  void runUntil(TimePoint end);
+
+  WorldProcess &add(const ProcessSpec &spec);
+  WorldProcess &process(const HostName &host);
+  std::vector<WorldProcess *> processes();
+  void start(WorldProcess &process);
+  void kill(WorldProcess &process);
+  void freeze(WorldProcess &process) { process.Frozen = true; }
+  void wake(WorldProcess &process);
+  void loseDisk(WorldProcess &process);
+
+  /// Silently drops what \p from sends to \p to; TCP sends it again on heal.
+  void cut(const HostName &from, const HostName &to);
+  void healAll();
+  void slow(const HostName &from, const HostName &to, Duration delay);
+
+  /// Sends a caller's request to an entry.
+  RequestKey request(WorldProcess &entry, CallerRequest request);
+  /// Has an entry decide on an operator's command.
+  void command(WorldProcess &entry, const Command &command,
+               CommandCallback done);
+
+  Ledger Book;
+  FakeWeightStore Store;
+  FakeService Service;
+  Random Chance;
+
+private:
+  friend class WorldProcess;
+  struct Event {
+    TimePoint At;
+    std::uint64_t Sequence;
+    std::function<void()> Action;
+    friend bool operator>(const Event &a, const Event &b) {
+      return a.At != b.At ? a.At > b.At : a.Sequence > b.Sequence;
+    }
+  };
+  /// One end of a link.
+  struct End {
+    HostName Host;
+    std::uint64_t Incarnation = 0;
+    HostName PeerHost;
+    LinkId Peer = 0;
+    LinkPurpose Purpose = LinkPurpose::General;
+    bool Known = false;
+    /// The other side's greeting has come; nothing is sent before.
+    bool Open = false;
+    TimePoint LastArrival;
+    /// What waits for the greeting, or is under way while the direction is cut.
+    std::vector<Message> Unsent;
+    TimePoint UnsentSince;
+  };
+
+  LinkId openLink(WorldProcess &from, const std::string &address,
+                  LinkPurpose purpose);
+  void connect(LinkId ours);
+  void sendOn(LinkId link, const Message &message);
+  void sendUnsent(LinkId link);
+  void tellOpen(LinkId link, const Hello &hello);
+  void closeLink(LinkId link);
+  void dropLinksOf(const HostName &host);
+  /// Tells the owner of \p link that it ended.
+  void tellClosed(LinkId link);
+  void deliver(LinkId to, const Message &message);
+  void atProcess(const HostName &host, std::uint64_t incarnation,
+                 std::function<void(WorldProcess &)> action);
+  bool isCut(const HostName &from, const HostName &to) const;
+  Duration delayBetween(const HostName &from, const HostName &to) const;
+  void tick(const HostName &host, std::uint64_t incarnation);
+  void probeEngine(WorldProcess &process);
+  void expireUnsent();
+
+  WorldOptions Options;
+  TimePoint Now{std::chrono::seconds(100)};
+  std::uint64_t Sequence = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
+  std::map<HostName, std::unique_ptr<WorldProcess>> Processes;
+  std::map<LinkId, End> Ends;
+  LinkId LastLink = 0;
+  std::set<std::pair<HostName, HostName>> Cuts;
+  std::map<std::pair<HostName, HostName>, Duration> Slow;
+  RequestKey LastKey = 0;
+  ReplicaId LastDisk = 1000;
+};
+
+} // namespace pimentofront::testkit
+
+#endif
--- /dev/null
+++ b/packages/testkit/src/ReplayMain.cpp
@@ -0,0 +1,240 @@
+//===- ReplayMain.cpp - Policies against each other, by replay --*- C++ -*-===//
+
+#include "pimentofront/Testkit.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <getopt.h>
+#include <sstream>
+#include <thread>
+
+using namespace pimentofront;
+using namespace pimentofront::testkit;
+
+namespace {
+
+/// One cell of the table: a policy on a deployment at a load with a fault.
+struct Cell {
+  Deployment Size;
+  PolicySpec Policy;
+  double Load = 0;
+  ReplayFault Fault = ReplayFault::None;
+  std::uint64_t Seed = 0;
+  ReplayFigures Figures;
+};
+
+std::vector<std::string> splitList(const std::string &text) {
+  std::vector<std::string> words;
+  std::stringstream stream(text);
+  for (std::string word; std::getline(stream, word, ',');)
+    words.push_back(word);
+  return words;
+}
+
+struct Arguments {
+  std::vector<std::string> Policies;
+  std::vector<std::string> Deployments = {"coral-coast", "ammann"};
+  std::vector<std::string> Loads = {"70", "90"};
+  std::vector<std::string> Faults = {"none"};
+  std::uint64_t Seeds = 3;
+  int Minutes = 5;
+  unsigned Threads = 4;
+  bool ByKind = false;
+};
+
+void runCell(Cell &cell, const Arguments &arguments) {
+  const Duration length = std::chrono::minutes(arguments.Minutes);
+  const bool shift = cell.Fault == ReplayFault::Shift;
+  const Trace trace =
+      generateTrace(cell.Size, {.RequestsPerSecond =
+                                    cell.Load / 100 * capacityOf(cell.Size),
+                                .Length = length,
+                                .Seed = cell.Seed,
+                                .ShiftAt = shift ? length / 2
+                                                 : Duration::zero()});
+  cell.Figures = replay(cell.Size, cell.Policy, trace, cell.Fault, cell.Seed);
+}
+
+/// Each replay is one thread's; they share nothing.
+void runAll(std::vector<Cell> &cells, const Arguments &arguments) {
+  std::vector<std::jthread> threads;
+  for (unsigned t = 0; t < arguments.Threads; ++t)
+    threads.emplace_back([&, t] {
+      for (std::size_t i = t; i < cells.size(); i += arguments.Threads)
+        runCell(cells[i], arguments);
+    });
+}
+
+/// Mean and spread over the seeds.
+struct Spread {
+  double Least = 1e18;
+  double Most = -1e18;
+  double Sum = 0;
+  int Count = 0;
+  void add(double value) {
+    Least = std::min(Least, value);
+    Most = std::max(Most, value);
+    Sum += value;
+    ++Count;
+  }
+  double mean() const { return Count ? Sum / Count : 0; }
+};
+
+void printRow(const std::vector<const Cell *> &cells) {
+  Spread stall, p95, p99, efficiency, inWindow, refused, other, loads, fewest,
+      refusal;
+  std::size_t violations = 0;
+  for (const Cell *it : cells) {
+    const ReplayFigures &figures = it->Figures;
+    const auto sent = static_cast<double>(figures.Sent);
+    stall.add(figures.StallTotal);
+    p95.add(figures.StallP95);
+    p99.add(figures.StallP99);
+    efficiency.add(100 * figures.BatchEfficiency);
+    inWindow.add(100 * static_cast<double>(figures.InWindow) / sent);
+    refused.add(100 * static_cast<double>(figures.Refused) / sent);
+    other.add(100 * static_cast<double>(figures.Other) / sent);
+    loads.add(static_cast<double>(figures.Loads));
+    fewest.add(static_cast<double>(figures.FewestLoads));
+    refusal.add(figures.RefusalP99);
+    violations += figures.Violations.size();
+  }
+  const Cell &cell = *cells.front();
+  std::printf("%-14s %-11s %4.0f%% %-12s %8.1f [%.1f-%.1f] %6.2f %6.2f %6.2f "
+              "[%.2f-%.2f] %6.2f [%.2f-%.2f] %6.2f %5.2f %6.0f /%5.0f %6.3f %s\n",
+              cell.Policy.Name.c_str(), cell.Size.Name.c_str(), cell.Load,
+              nameOf(cell.Fault), stall.mean(), stall.Least, stall.Most,
+              p95.mean(), p99.mean(), efficiency.mean(), efficiency.Least,
+              efficiency.Most, inWindow.mean(), inWindow.Least, inWindow.Most,
+              refused.mean(), other.mean(), loads.mean(), fewest.mean(),
+              refusal.mean(),
+              violations ? (std::to_string(violations) + " VIOLATIONS: " +
+                            [&] {
+                              for (const Cell *it : cells)
+                                if (!it->Figures.Violations.empty())
+                                  return it->Figures.Violations.front();
+                              return std::string();
+                            }())
+                               .c_str()
+                         : "");
+}
+
+void printKinds(const std::vector<const Cell *> &cells) {
+  for (const auto &[kind, first] : cells.front()->Figures.Kinds) {
+    Spread stall, p95, p99, inWindow;
+    for (const Cell *it : cells) {
+      const KindFigures &figures = it->Figures.Kinds.at(kind);
+      stall.add(figures.StallTotal);
+      p95.add(figures.StallP95);
+      p99.add(figures.StallP99);
+      inWindow.add(100 * static_cast<double>(figures.InWindow) /
+                   static_cast<double>(figures.Sent));
+    }
+    std::printf("    %-16s stall %8.1f p95 %6.2f p99 %6.2f in window %6.2f%%\n",
+                kind.str().c_str(), stall.mean(), p95.mean(), p99.mean(),
+                inWindow.mean());
+  }
+  if (cells.front()->Fault == ReplayFault::None)
+    return;
+  std::printf("    stall by tenth of the time:");
+  for (std::size_t i = 0; i < 10; ++i) {
+    Spread tenth;
+    for (const Cell *it : cells)
+      tenth.add(it->Figures.StallByTenth[i]);
+    std::printf(" %.0f", tenth.mean());
+  }
+  std::printf("\n");
+}
+
+std::vector<Cell> makeCells(const Arguments &arguments) {
+  constexpr ReplayFault Faults[] = {
+      ReplayFault::None, ReplayFault::ColdThird, ReplayFault::Shift,
+      ReplayFault::LeaderLost, ReplayFault::BadAdapters};
+  std::vector<Cell> cells;
+  for (const Deployment &size : {coralCoast(), ammann()})
+    for (const std::string &load : arguments.Loads)
+      for (const ReplayFault fault : Faults)
+        for (const PolicySpec &policy : allPolicies())
+          for (std::uint64_t seed = 1; seed <= arguments.Seeds; ++seed) {
+            const auto &policies = arguments.Policies;
+            const auto in = [](const auto &list, const std::string &it) {
+              return std::ranges::find(list, it) != list.end();
+            };
+            if (!in(arguments.Deployments, size.Name) ||
+                !in(arguments.Faults, nameOf(fault)) ||
+                (!policies.empty() && !in(policies, policy.Name)))
+              continue;
+            cells.push_back({.Size = size,
+                             .Policy = policy,
+                             .Load = std::stod(load),
+                             .Fault = fault,
+                             .Seed = seed});
+          }
+  return cells;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const option options[] = {{"policies", required_argument, nullptr, 'p'},
+                            {"deployments", required_argument, nullptr, 'd'},
+                            {"loads", required_argument, nullptr, 'l'},
+                            {"faults", required_argument, nullptr, 'f'},
+                            {"seeds", required_argument, nullptr, 's'},
+                            {"minutes", required_argument, nullptr, 'm'},
+                            {"threads", required_argument, nullptr, 't'},
+                            {"by-kind", no_argument, nullptr, 'k'},
+                            {nullptr, 0, nullptr, 0}};
+  Arguments arguments;
+  int c = 0;
+  while ((c = getopt_long(argc, argv, "p:d:l:f:s:m:t:k", options, nullptr)) !=
+         -1) {
+    switch (c) {
+    case 'p':
+      arguments.Policies = splitList(optarg);
+      break;
+    case 'd':
+      arguments.Deployments = splitList(optarg);
+      break;
+    case 'l':
+      arguments.Loads = splitList(optarg);
+      break;
+    case 'f':
+      arguments.Faults = splitList(optarg);
+      break;
+    case 's':
+      arguments.Seeds = std::strtoull(optarg, nullptr, 10);
+      break;
+    case 'm':
+      arguments.Minutes = std::atoi(optarg);
+      break;
+    case 't':
+      arguments.Threads = static_cast<unsigned>(std::atoi(optarg));
+      break;
+    case 'k':
+      arguments.ByKind = true;
+      break;
+    default:
+      return 2;
+    }
+  }
+  std::vector<Cell> cells = makeCells(arguments);
+  runAll(cells, arguments);
+  std::printf("capacity: coral-coast %.1f, ammann %.1f requests a second\n",
+              capacityOf(coralCoast()), capacityOf(ammann()));
+  std::printf("policy         deployment  load fault        stall s [spread]   "
+              "p95    p99    batch%% [spread]  in-window%% [spread] refused%% "
+              "other%% loads/fewest refusal-p99\n");
+  for (std::size_t i = 0; i < cells.size(); i += arguments.Seeds) {
+    std::vector<const Cell *> row;
+    for (std::size_t j = i; j < i + arguments.Seeds; ++j)
+      row.push_back(&cells[j]);
+    printRow(row);
+    if (arguments.ByKind)
+      printKinds(row);
+  }
+  return std::ranges::all_of(
+             cells, [](const Cell &it) { return it.Figures.Violations.empty(); })
+             ? 0
+             : 1;
+}
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -201,9 +201,12 @@
 struct Hello {
   std::uint32_t Protocol = 0;
   HostName Host;
-  /// Identity of the disk, of replicas only.
+  /// Identity of the disk; zero when the sender has none, or opened the link
+  /// for something else than replication.
   std::uint64_t Replica = 0;
-  PIMENTOFRONT_FIELDS(Hello, Protocol, Host, Replica)
+  /// The sender accepted this link; the other side opened it.
+  bool Accepted = false;
+  PIMENTOFRONT_FIELDS(Hello, Protocol, Host, Replica, Accepted)
 };
 
 } // namespace pimentofront
