Tell sessions from standing popularity when a slot is given up (v2)

Cause: at 60% load the weight store was saturated (2,387 loads in 600 s, of at most 2,400; an offline schedule needs 1,360), because the decayed count held adapters whose session had just ended over ones that were about to be asked for. Ruled out: routing choices (1 to 18 hosts) and the spill delay moved the loads by less than 2%; a short half-life alone (8 s) helps sessions (stall 17,283 to 7,333 s) but doubles the stall of independent requests (2,735 to 5,339 s). Change: the popularity of an adapter is a long decayed count plus what a request just now says beyond it; how much that is, is learned from how many requests follow one of their adapter, against independence.

--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -48,8 +48,11 @@
       reader.integer("queue_limit", agent.QueueLimit, 1, MaxCount));
   agent.ServiceLimit = static_cast<std::uint32_t>(
       reader.integer("service_limit", agent.ServiceLimit, 1, MaxCount));
-  agent.PopularityHalfLife =
-      reader.milliseconds("popularity_half_life_ms", agent.PopularityHalfLife);
+  PopularityOptions &popularity = agent.Popularity;
+  popularity.HalfLife =
+      reader.milliseconds("popularity_half_life_ms", popularity.HalfLife);
+  popularity.SessionHalfLife =
+      reader.milliseconds("session_half_life_ms", popularity.SessionHalfLife);
   agent.SpillDelay = reader.milliseconds("spill_delay_ms", agent.SpillDelay);
   settings.EngineProbePeriod =
       reader.milliseconds("engine_probe_ms", settings.EngineProbePeriod);
@@ -58,8 +61,10 @@
     reader.fault("engine", "an engine and its base_model go together");
   if (settings.EngineAddress.empty() && settings.Services.empty())
     reader.fault("services", "an agent has an engine or services");
-  if (agent.PopularityHalfLife <= Duration::zero())
+  if (popularity.HalfLife <= Duration::zero())
     reader.fault("popularity_half_life_ms", "expected more than 0");
+  if (popularity.SessionHalfLife <= Duration::zero())
+    reader.fault("session_half_life_ms", "expected more than 0");
   reader.finish();
 }
 
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -28,10 +28,7 @@
   std::uint32_t QueueLimit = 256;
   /// Calls of plain services in progress at one time.
   std::uint32_t ServiceLimit = 64;
-  /// Half-life of the popularity count.
-  Duration PopularityHalfLife = std::chrono::minutes(5);
-  /// Adapters whose popularity is remembered.
-  std::size_t PopularityCapacity = 4096;
+  PopularityOptions Popularity;
   /// What a load takes at full speed, until one has been measured.
   Duration LoadTime = std::chrono::milliseconds(250);
   /// What serving a request takes, until some have been measured.
@@ -122,7 +119,7 @@
 struct AgentBoard {
   AgentBoard(const AgentOptions &options, const EvictionPolicy &eviction)
       : Options(options), Eviction(eviction), Slots(options.Slots),
-        Popularity(options.PopularityHalfLife, options.PopularityCapacity),
+        Popularity(options.Popularity),
         Jitter(options.Incarnation), LoadTime(options.LoadTime),
         ServiceTime(options.ServiceTime) {}
 
--- a/packages/serving/pimentofront/src/Serving/Popularity.cpp
+++ b/packages/serving/pimentofront/src/Serving/Popularity.cpp
@@ -3,42 +3,91 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <numbers>
 
 namespace pimentofront {
+namespace {
 
-PopularityTable::PopularityTable(Duration halfLife, std::size_t capacity)
-    : HalfLife(halfLife), Capacity(capacity) {
-  assert(halfLife > Duration::zero() && "a half-life is a span of time");
-  assert(capacity > 1 && "the table needs room for what it compares");
+/// A request belongs to a session when it comes within this many session
+/// half-lives after the one before.
+constexpr int HorizonHalfLives = 2;
+/// Weight of the newest request in what is learned of sessions.
+constexpr double LearningRate = 1.0 / 256;
+
+} // namespace
+
+PopularityTable::PopularityTable(const PopularityOptions &options)
+    : Options(options) {
+  assert(options.HalfLife > Duration::zero() &&
+         options.SessionHalfLife > Duration::zero() &&
+         "a half-life is a span of time");
+  assert(options.Capacity > 1 && "the table needs room for what it compares");
 }
 
 double PopularityTable::decayed(TimePoint now, const Count &count) const {
   return count.Value *
-         std::exp2(-toSeconds(now - count.At) / toSeconds(HalfLife));
+         std::exp2(-toSeconds(now - count.At) / toSeconds(Options.HalfLife));
+}
+
+double PopularityTable::sessionShare() const {
+  return std::max(Followed - ExpectedFollowed, 0.0);
+}
+
+double PopularityTable::worth(TimePoint now, const Count &count) const {
+  const double faded = std::exp2(-toSeconds(now - count.At) /
+                                 toSeconds(Options.SessionHalfLife));
+  // The share is spread over the session's half-life, the count over the long
+  // one: their ratio makes both requests in a long half-life.
+  const double ratio =
+      toSeconds(Options.HalfLife) / toSeconds(Options.SessionHalfLife);
+  return decayed(now, count) + sessionShare() * faded * ratio;
+}
+
+bool PopularityTable::isFollowed(TimePoint now, const Count &before) const {
+  const Duration horizon = HorizonHalfLives * Options.SessionHalfLife;
+  return before.Value > 0 && now - before.At <= horizon;
+}
+
+void PopularityTable::learn(TimePoint now, const Count &before) {
+  const Duration horizon = HorizonHalfLives * Options.SessionHalfLife;
+  const double followed = isFollowed(now, before) ? 1 : 0;
+  // A steady rate r keeps the count at r times half-life over ln 2.
+  const double rate = decayed(now, before) * std::numbers::ln2 /
+                      toSeconds(Options.HalfLife);
+  const double expected = 1 - std::exp(-rate * toSeconds(horizon));
+  Followed += LearningRate * (followed - Followed);
+  ExpectedFollowed += LearningRate * (expected - ExpectedFollowed);
 }
 
 void PopularityTable::noteRequest(TimePoint now, const AdapterKey &key) {
-  if (Counts.size() >= Capacity && !Counts.contains(key))
+  if (Counts.size() >= Options.Capacity && !Counts.contains(key))
     forgetHalf(now);
   Count &count = Counts[key];
-  count.Value = decayed(now, count) + 1;
+  learn(now, count);
+  // A request that follows within a session tells little of the standing
+  // popularity: it counts as far as it would have come without the session.
+  const bool follows = isFollowed(now, count);
+  const double weight =
+      follows && Followed > 0 ? 1 - sessionShare() / Followed : 1;
+  count.Value = decayed(now, count) + weight;
   count.At = now;
 }
 
 double PopularityTable::valueOf(TimePoint now, const AdapterKey &key) const {
   const auto it = Counts.find(key);
-  return it == Counts.end() ? 0 : decayed(now, it->second);
+  return it == Counts.end() ? 0 : worth(now, it->second);
 }
 
 void PopularityTable::forgetHalf(TimePoint now) {
   std::vector<double> values;
   values.reserve(Counts.size());
   for (const auto &[key, count] : Counts)
-    values.push_back(decayed(now, count));
-  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::nth_element(values.begin(), middle, values.end());
+    values.push_back(worth(now, count));
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::ranges::nth_element(values, middle);
   std::erase_if(Counts, [&](const auto &it) {
-    return decayed(now, it.second) <= *middle;
+    return worth(now, it.second) <= *middle;
   });
 }
 
--- a/packages/testkit/pimentofront/src/Testkit/Replay.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.cpp
@@ -135,7 +135,7 @@
                               .BaseModel = "base",
                               .Slots = Size.Engine.Slots,
                               .BatchCapacity = Size.Engine.BatchCapacity,
-                              .PopularityHalfLife = Policy.HalfLife,
+                              .Popularity = Policy.Popularity,
                               .LoadTime = fromSeconds(1 / Size.LoadsPerSecond),
                               .SpillDelay = Policy.SpillDelay,
                               .RefusesEarly = Policy.RefusesEarly},
@@ -206,6 +206,7 @@
     std::map<KindName, std::vector<double>> stalls;
     std::vector<double> all;
     std::vector<double> refusals;
+    std::uint64_t useful = 0;
     for (const auto &[key, it] : Place.Book.requests()) {
       if (!it.Ended) // Its entry died; its caller knows that.
         continue;
@@ -218,6 +219,7 @@
           answered && it.EndedAt - it.SentAt <= windowOf(it.Request.Kind);
       kind.InWindow += inWindow;
       result.InWindow += inWindow;
+      useful += inWindow ? it.Answer.Tokens : 0;
       const bool refused = it.Answer.Kind == FinalKind::Refused;
       result.Refused += refused;
       result.Other += !answered && !refused;
@@ -242,13 +244,12 @@
     for (WorldProcess *it : Place.processes())
       if (it->Engine) {
         engines.Steps += it->Engine->figures().Steps;
-        engines.Served += it->Engine->figures().Served;
         engines.Loads += it->Engine->figures().Loads;
       }
     const double capacity = static_cast<double>(engines.Steps) *
                             Size.Engine.BatchCapacity;
     result.BatchEfficiency =
-        capacity > 0 ? static_cast<double>(engines.Served) / capacity : 0;
+        capacity > 0 ? static_cast<double>(useful) / capacity : 0;
     result.Loads = engines.Loads;
     result.FewestLoads = fewestLoads(
         Requests, std::size_t(Size.Workers) * Size.Engine.Slots);
@@ -283,7 +284,8 @@
        .Eviction = LeastRecent,
        .Loads = Uncoordinated,
        .RefusesEarly = false},
-      {.Name = "v1"},
+      {.Name = "v1", .Popularity = {.SessionHalfLife = Duration(1)}},
+      {.Name = "v2"},
   };
   return All;
 }
--- a/packages/testkit/pimentofront/src/Testkit/Replay.h
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.h
@@ -21,7 +21,7 @@
   LoadChoice Loads = LoadChoice::Scheduled;
   bool RefusesEarly = true;
   AffinityOptions Affinity;
-  Duration HalfLife = std::chrono::minutes(5);
+  PopularityOptions Popularity;
   Duration SpillDelay = std::chrono::milliseconds(500);
 };
 const std::vector<PolicySpec> &allPolicies();
@@ -67,7 +67,8 @@
   double StallP99 = 0;
   /// The 99th percentile of the time to a refusal.
   double RefusalP99 = 0;
-  /// Requests a step over the step's capacity.
+  /// Tokens of requests that were answered in their window, a step, over the
+  /// step's capacity.
   double BatchEfficiency = 0;
   std::uint64_t Loads = 0;
   std::uint64_t FewestLoads = 0;
--- a/packages/testkit/pimentofront/src/Testkit/Trace.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Trace.cpp
@@ -10,10 +10,6 @@
 
 using Json = nlohmann::json;
 
-/// Mean number of requests in a session, and the pause between two.
-constexpr double SessionRequests = 3;
-constexpr double SessionPauseSeconds = 8;
-
 double exponential(Random &chance, double mean) {
   return -mean * std::log(1 - chance.uniform());
 }
@@ -138,7 +134,7 @@
   Random chance(options.Seed);
   const ZipfSampler popularity(deployment.Adapters, deployment.Skew);
   Trace trace{.Deployment = deployment.Name};
-  const double sessions = options.RequestsPerSecond / SessionRequests;
+  const double sessions = options.RequestsPerSecond / deployment.SessionRequests;
   const double length = toSeconds(options.Length);
   double at = 0;
   while ((at += exponential(chance, 1 / sessions)) < length) {
@@ -161,8 +157,8 @@
            .Prompt = "context-" + std::to_string(chance.next() % 4),
            .Entry = static_cast<std::uint32_t>(chance.next() %
                                                deployment.Entries)});
-      time += exponential(chance, SessionPauseSeconds);
-    } while (chance.uniform() > 1 / SessionRequests);
+      time += exponential(chance, toSeconds(deployment.SessionPause));
+    } while (chance.uniform() > 1 / deployment.SessionRequests);
   }
   std::ranges::sort(trace.Requests);
   std::erase_if(trace.Requests, [&](const TraceRequest &it) {
--- a/packages/testkit/pimentofront/src/Testkit/Trace.h
+++ b/packages/testkit/pimentofront/src/Testkit/Trace.h
@@ -26,6 +26,10 @@
   double LoadsPerSecond = 4;
   /// Exponent of the popularity of adapters (Zipf).
   double Skew = 1.25;
+  /// Mean number of requests in a session of one adapter, and the mean pause
+  /// between two; 1 request makes all requests independent of each other.
+  double SessionRequests = 3;
+  Duration SessionPause = std::chrono::seconds(8);
   Duration BetweenZones = std::chrono::microseconds(900);
   FakeEngineOptions Engine;
   std::vector<KindShare> Kinds;
--- a/packages/testkit/src/ReplayMain.cpp
+++ b/packages/testkit/src/ReplayMain.cpp
@@ -40,6 +40,10 @@
   int Minutes = 5;
   unsigned Threads = 4;
   bool ByKind = false;
+  /// Mean number of requests in a session.
+  double Session = 3;
+  /// A policy under trial, beside those of the list.
+  std::optional<PolicySpec> Trial;
 };
 
 void runCell(Cell &cell, const Arguments &arguments) {
@@ -146,23 +150,55 @@
   std::printf("\n");
 }
 
+/// Changes one knob of the policy "trial"; \returns whether there is one.
+bool setKnob(PolicySpec &policy, const std::string &text) {
+  const std::size_t sign = text.find('=');
+  if (sign == std::string::npos)
+    return false;
+  const std::string knob = text.substr(0, sign);
+  const double value = std::stod(text.substr(sign + 1));
+  if (knob == "choices")
+    policy.Affinity.Choices = static_cast<std::uint32_t>(value);
+  else if (knob == "packing")
+    policy.Affinity.PackingWeight = value;
+  else if (knob == "half-life")
+    policy.Popularity.HalfLife = fromSeconds(value);
+  else if (knob == "session-half-life")
+    policy.Popularity.SessionHalfLife = fromSeconds(value);
+  else if (knob == "spill")
+    policy.SpillDelay = fromSeconds(value);
+  else
+    return false;
+  return true;
+}
+
+std::vector<PolicySpec> policies(const Arguments &arguments) {
+  std::vector<PolicySpec> all = allPolicies();
+  if (arguments.Trial)
+    all.push_back(*arguments.Trial);
+  return all;
+}
+
 std::vector<Cell> makeCells(const Arguments &arguments) {
   constexpr ReplayFault Faults[] = {
       ReplayFault::None, ReplayFault::ColdThird, ReplayFault::Shift,
       ReplayFault::LeaderLost, ReplayFault::BadAdapters};
   std::vector<Cell> cells;
-  for (const Deployment &size : {coralCoast(), ammann()})
+  std::vector<Deployment> sizes = {coralCoast(), ammann()};
+  for (Deployment &it : sizes)
+    it.SessionRequests = arguments.Session;
+  for (const Deployment &size : sizes)
     for (const std::string &load : arguments.Loads)
       for (const ReplayFault fault : Faults)
-        for (const PolicySpec &policy : allPolicies())
+        for (const PolicySpec &policy : policies(arguments))
           for (std::uint64_t seed = 1; seed <= arguments.Seeds; ++seed) {
-            const auto &policies = arguments.Policies;
             const auto in = [](const auto &list, const std::string &it) {
               return std::ranges::find(list, it) != list.end();
             };
             if (!in(arguments.Deployments, size.Name) ||
                 !in(arguments.Faults, nameOf(fault)) ||
-                (!policies.empty() && !in(policies, policy.Name)))
+                (!arguments.Policies.empty() &&
+                 !in(arguments.Policies, policy.Name)))
               continue;
             cells.push_back({.Size = size,
                              .Policy = policy,
@@ -184,10 +220,12 @@
                             {"minutes", required_argument, nullptr, 'm'},
                             {"threads", required_argument, nullptr, 't'},
                             {"by-kind", no_argument, nullptr, 'k'},
+                            {"session", required_argument, nullptr, 'e'},
+                            {"set", required_argument, nullptr, 'x'},
                             {nullptr, 0, nullptr, 0}};
   Arguments arguments;
   int c = 0;
-  while ((c = getopt_long(argc, argv, "p:d:l:f:s:m:t:k", options, nullptr)) !=
+  while ((c = getopt_long(argc, argv, "p:d:l:f:s:m:t:kx:e:", options, nullptr)) !=
          -1) {
     switch (c) {
     case 'p':
@@ -214,6 +252,19 @@
     case 'k':
       arguments.ByKind = true;
       break;
+    case 'e':
+      arguments.Session = std::atof(optarg);
+      break;
+    case 'x': {
+      // The newest policy, with other knobs.
+      PolicySpec trial = allPolicies().back();
+      trial.Name = "trial";
+      for (const std::string &it : splitList(optarg))
+        if (!setKnob(trial, it))
+          return 2;
+      arguments.Trial = trial;
+      break;
+    }
     default:
       return 2;
     }
