--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -53,6 +53,7 @@
       reader.milliseconds("popularity_half_life_ms", popularity.HalfLife);
   popularity.SessionHalfLife =
       reader.milliseconds("session_half_life_ms", popularity.SessionHalfLife);
+  agent.StallShare = reader.real("stall_share", agent.StallShare, 0.01, 1);
   agent.SpillDelay = reader.milliseconds("spill_delay_ms", agent.SpillDelay);
   settings.EngineProbePeriod =
       reader.milliseconds("engine_probe_ms", settings.EngineProbePeriod);
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -36,7 +36,7 @@
   return {.Running = Board.runningOnEngine(),
           .Queued = static_cast<std::uint32_t>(Board.WaitingCount),
           .BatchCapacity = Board.Options.BatchCapacity,
-          .LoadWait = Board.LoadBacklog,
+          .LoadWait = loadBacklog(now),
           .VictimValue = static_cast<std::uint32_t>(std::max(victim, 0.0) *
                                                     Thousand)};
 }
@@ -73,13 +73,38 @@
     return {};
   if (request.OnlyIfResident)
     return {RefusalReason::NotResident};
-  const Duration wait = Board.LoadBacklog + Board.LoadTime;
-  if (Board.Options.RefusesEarly &&
-      wait + Board.ServiceTime > request.Remaining)
-    return {RefusalReason::LoadBacklog, wait};
+  // Only the scheduler knows where this one would stand: it answers a demand
+  // within a round trip, and then what is hopeless is refused.
   return {};
 }
 
+Duration AdmissionController::loadBacklog(TimePoint now) const {
+  return std::max(Board.LoadBacklog - (now - Board.LoadBacklogAt),
+                  Duration::zero());
+}
+
+void AdmissionController::onLoadWait(TimePoint now, const AdapterKey &key,
+                                     Duration wait) {
+  const auto it = Board.Waiting.find(key);
+  if (it == Board.Waiting.end() || !Board.Options.RefusesEarly)
+    return;
+  const TimePoint ready = now + wait;
+  std::erase_if(it->second, [&](const WaitingAttempt &attempt) {
+    const Duration time = attempt.Deadline - attempt.ArrivedAt;
+    const Duration allowed =
+        fromSeconds(toSeconds(time) * Board.Options.StallShare);
+    if (ready <= attempt.ArrivedAt + allowed &&
+        ready + Board.ServiceTime <= attempt.Deadline)
+      return false;
+    refuse(attempt.Entry, attempt.Request.Attempt,
+           {RefusalReason::LoadBacklog, wait}, figures(now));
+    --Board.WaitingCount;
+    return true;
+  });
+  if (it->second.empty())
+    Board.Waiting.erase(it);
+}
+
 AdmissionController::Verdict
 AdmissionController::judge(TimePoint now, const ExecuteRequest &request) const {
   if (Board.Leaving)
@@ -156,7 +181,7 @@
         return false;
       if (!shared)
         shared = figures(now);
-      const Duration wait = ready ? queueWait() : Board.LoadBacklog;
+      const Duration wait = ready ? queueWait() : loadBacklog(now);
       refuse(attempt.Entry, attempt.Request.Attempt, {reason, wait}, *shared);
       --Board.WaitingCount;
       return true;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -16,6 +16,9 @@
   void onExecute(TimePoint now, EntryLink entry, const ExecuteRequest &request);
   /// Refuses waiting requests whose answer can't come in time any more.
   void refuseHopeless(TimePoint now);
+  /// The load that \p key waits for takes \p wait: refuses those for whom that
+  /// is too long.
+  void onLoadWait(TimePoint now, const AdapterKey &key, Duration wait);
   /// Refuses all that wait for \p key.
   void refuseWaiting(const AdapterKey &key, RefusalReason reason,
                      Duration comeBack);
@@ -38,6 +41,8 @@
   Verdict judgeResident(const ExecuteRequest &request) const;
   Verdict judgeMissing(TimePoint now, const ExecuteRequest &request) const;
   Duration queueWait() const;
+  /// \returns how long a new load would wait, as far as is known.
+  Duration loadBacklog(TimePoint now) const;
   void refuse(EntryLink entry, const AttemptId &attempt, Verdict verdict,
               const LoadFigures &figures);
 
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -38,6 +38,10 @@
   Duration SpillDelay = std::chrono::milliseconds(500);
   /// Refuses a request at once when its load can't come in time.
   bool RefusesEarly = true;
+  /// Part of its time that a request may spend waiting for its adapter; when it
+  /// would be more, it is refused. A shorter queue of loads ends as many waits
+  /// each second as a long one.
+  double StallShare = 0.4;
   /// An engine that was found running must be idle for so long, so that
   /// requests and loads of an earlier agent process have ended.
   Duration EngineSettleTime = std::chrono::seconds(2);
@@ -139,8 +143,9 @@
   /// Smoothed measurements of this host.
   Duration LoadTime;
   Duration ServiceTime;
-  /// Last word of the load scheduler on its queue.
+  /// Last word of the load scheduler on its queue, and when it came.
   Duration LoadBacklog = Duration::zero();
+  TimePoint LoadBacklogAt;
 
   /// Takes no new work.
   bool Leaving = false;
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -173,18 +173,9 @@
 void AgentController::onLoadQueueStatus(TimePoint now,
                                         const LoadQueueStatus &status) {
   Gate.onStatus(now, Board, status);
-  if (!Board.Options.RefusesEarly)
+  if (Board.Slots.isReady(status.Key) || Board.Slots.isLoading(status.Key))
     return;
-  const auto it = Board.Waiting.find(status.Key);
-  if (it == Board.Waiting.end() || Board.Slots.isReady(status.Key) ||
-      Board.Slots.isLoading(status.Key))
-    return;
-  const TimePoint ready = now + status.Backlog + Board.LoadTime;
-  const bool hopeless = std::ranges::all_of(
-      it->second, [&](const auto &attempt) { return attempt.Deadline < ready; });
-  if (hopeless)
-    Admission.refuseWaiting(status.Key, RefusalReason::LoadBacklog,
-                            status.Backlog);
+  Admission.onLoadWait(now, status.Key, status.Backlog + Board.LoadTime);
   decide(now);
 }
 
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -21,7 +21,10 @@
     Demand demand{.Key = key, .Slack = Duration::max()};
     for (const WaitingAttempt &it : queue) {
       demand.Weight += std::max(it.Request.Weight, 1U);
-      demand.Slack = std::min(demand.Slack, it.Deadline - now);
+      const Duration time = it.Deadline - it.ArrivedAt;
+      const Duration allowed =
+          fromSeconds(toSeconds(time) * Board.Options.StallShare);
+      demand.Slack = std::min(demand.Slack, it.ArrivedAt + allowed - now);
     }
     result.push_back(demand);
   }
--- a/packages/serving/pimentofront/src/Serving/LoadGate.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.cpp
@@ -134,10 +134,11 @@
   Tickets.push_back(ticket);
 }
 
-void ScheduledLoads::onStatus(TimePoint, AgentBoard &board,
+void ScheduledLoads::onStatus(TimePoint now, AgentBoard &board,
                               const LoadQueueStatus &status) {
   AskedAt.reset();
   board.LoadBacklog = status.Backlog;
+  board.LoadBacklogAt = now;
 }
 
 void ScheduledLoads::onMembers(std::uint32_t members) {
--- a/packages/serving/pimentofront/src/Serving/LoadScheduler.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadScheduler.cpp
@@ -2,8 +2,17 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
+#include <numbers>
 
 namespace pimentofront {
+namespace {
+
+constexpr Duration ArrivalHalfLife = std::chrono::seconds(20);
+/// Bounds the table of arrivals; weights above count as this.
+constexpr std::uint32_t MaxCountedWeight = 256;
+
+} // namespace
 
 LoadScheduler::LoadScheduler(const LoadSchedulerOptions &options)
     : Options(options), LoadTime(options.LoadTime) {
@@ -27,8 +36,10 @@
   }
   const auto [it, isNew] = Demands.try_emplace(id);
   Waiting &waiting = it->second;
-  if (isNew)
+  if (isNew) {
     waiting.Since = now;
+    noteArrival(now, demand.WaitingWeight);
+  }
   waiting.Weight = demand.WaitingWeight;
   waiting.Deadline = now + demand.Slack;
   waiting.HeardAt = now;
@@ -37,10 +48,37 @@
   for (const auto &[other, theirs] : Demands)
     if (rankOf(now, theirs) < rank)
       ++ahead;
-  const Duration each =
-      std::max(LoadTime / Options.Concurrent,
-               fromSeconds(1 / Options.LoadsPerSecond));
-  return {.Key = demand.Key, .Backlog = each * static_cast<std::int64_t>(ahead)};
+  // Those who come later with more weight lengthen the wait (the formula of a
+  // queue with priorities, Cobham, 1954).
+  constexpr double MostOvertaking = 0.95;
+  const double overtaking =
+      std::min(overtakingShare(now, waiting.Weight), MostOvertaking);
+  const double wait = toSeconds(timeOfLoad()) * static_cast<double>(ahead);
+  return {.Key = demand.Key, .Backlog = fromSeconds(wait / (1 - overtaking))};
+}
+
+Duration LoadScheduler::timeOfLoad() const {
+  return std::max(LoadTime / Options.Concurrent,
+                  fromSeconds(1 / Options.LoadsPerSecond));
+}
+
+void LoadScheduler::noteArrival(TimePoint now, std::uint32_t weight) {
+  Arrivals &arrivals = ByWeight[std::min(weight, MaxCountedWeight)];
+  const double faded = std::exp2(-toSeconds(now - arrivals.At) /
+                                 toSeconds(ArrivalHalfLife));
+  arrivals.Count = arrivals.Count * faded + 1;
+  arrivals.At = now;
+}
+
+double LoadScheduler::overtakingShare(TimePoint now,
+                                      std::uint32_t weight) const {
+  double perSecond = 0;
+  for (auto it = ByWeight.upper_bound(weight); it != ByWeight.end(); ++it)
+    perSecond += it->second.Count *
+                 std::exp2(-toSeconds(now - it->second.At) /
+                           toSeconds(ArrivalHalfLife)) *
+                 std::numbers::ln2 / toSeconds(ArrivalHalfLife);
+  return perSecond * toSeconds(timeOfLoad());
 }
 
 void LoadScheduler::onDone(TimePoint now, const LoadDone &done) {
--- a/packages/serving/pimentofront/src/Serving/LoadScheduler.h
+++ b/packages/serving/pimentofront/src/Serving/LoadScheduler.h
@@ -81,6 +81,11 @@
     friend auto operator<=>(const Rank &, const Rank &) = default;
   };
   Rank rankOf(TimePoint now, const Waiting &waiting) const;
+  /// \returns the part of the loads that go to demands of more weight, which
+  /// are still to come and will overtake.
+  double overtakingShare(TimePoint now, std::uint32_t weight) const;
+  void noteArrival(TimePoint now, std::uint32_t weight);
+  Duration timeOfLoad() const;
   void expire(TimePoint now);
 
   LoadSchedulerOptions Options;
@@ -89,6 +94,12 @@
   std::uint64_t LastTicket = 0;
   Duration LoadTime;
   TimePoint NextAllowed;
+  /// Decayed counts of new demands by their weight at first.
+  struct Arrivals {
+    double Count = 0;
+    TimePoint At;
+  };
+  std::map<std::uint32_t, Arrivals> ByWeight;
 };
 
 } // namespace pimentofront
--- a/packages/testkit/pimentofront/src/Testkit/Replay.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.cpp
@@ -138,7 +138,8 @@
                               .Popularity = Policy.Popularity,
                               .LoadTime = fromSeconds(1 / Size.LoadsPerSecond),
                               .SpillDelay = Policy.SpillDelay,
-                              .RefusesEarly = Policy.RefusesEarly},
+                              .RefusesEarly = Policy.RefusesEarly,
+                              .StallShare = Policy.StallShare},
                     .Zone = spec.Zone,
                     .Address = host.str(),
                     .Replicas = Addresses};
@@ -285,7 +286,8 @@
        .Loads = Uncoordinated,
        .RefusesEarly = false},
       {.Name = "v1", .Popularity = {.SessionHalfLife = Duration(1)}},
-      {.Name = "v2"},
+      {.Name = "v2", .StallShare = 1},
+      {.Name = "v3"},
   };
   return All;
 }
--- a/packages/testkit/pimentofront/src/Testkit/Replay.h
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.h
@@ -22,6 +22,7 @@
   bool RefusesEarly = true;
   AffinityOptions Affinity;
   PopularityOptions Popularity;
+  double StallShare = 0.4;
   Duration SpillDelay = std::chrono::milliseconds(500);
 };
 const std::vector<PolicySpec> &allPolicies();
--- a/packages/testkit/src/ReplayMain.cpp
+++ b/packages/testkit/src/ReplayMain.cpp
@@ -163,6 +163,8 @@
     policy.Affinity.PackingWeight = value;
   else if (knob == "half-life")
     policy.Popularity.HalfLife = fromSeconds(value);
+  else if (knob == "stall-share")
+    policy.StallShare = value;
   else if (knob == "session-half-life")
     policy.Popularity.SessionHalfLife = fromSeconds(value);
   else if (knob == "spill")
