--- a/packages/api/pimentofront/Api.h
+++ b/packages/api/pimentofront/Api.h
@@ -13,8 +13,8 @@
 #include "pimentofront/Base.h"
 
 // clang-format off: the parts, in the order of their dependencies.
-#include "src/Api/Envelope.h"
 #include "src/Api/Connect.h"
+#include "src/Api/Envelope.h"
 // clang-format on
 
 #endif
--- a/packages/api/pimentofront/src/Api/Connect.cpp
+++ b/packages/api/pimentofront/src/Api/Connect.cpp
@@ -17,18 +17,16 @@
 
 /// In the order of ConnectCode.
 constexpr CodeInfo Codes[] = {
-    {"unknown", 500},        {"invalid_argument", 400},
-    {"deadline_exceeded", 504}, {"not_found", 404},
-    {"already_exists", 409}, {"resource_exhausted", 429},
-    {"aborted", 409},        {"unimplemented", 501},
-    {"unavailable", 503}};
+    {"unknown", 500},   {"invalid_argument", 400}, {"deadline_exceeded", 504},
+    {"not_found", 404}, {"already_exists", 409},   {"resource_exhausted", 429},
+    {"aborted", 409},   {"unimplemented", 501},    {"unavailable", 503}};
 
 std::string base64(const std::string &bytes) {
   std::string text(4 * (bytes.size() + 2) / 3 + 1, '\0');
-  const int n = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char *>(text.data()),
-      reinterpret_cast<const unsigned char *>(bytes.data()),
-      static_cast<int>(bytes.size()));
+  const int n =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                      reinterpret_cast<const unsigned char *>(bytes.data()),
+                      static_cast<int>(bytes.size()));
   text.resize(static_cast<std::size_t>(n));
   while (!text.empty() && text.back() == '=')
     text.pop_back();
--- a/packages/consensus/pimentofront/Consensus.h
+++ b/packages/consensus/pimentofront/Consensus.h
@@ -14,9 +14,9 @@
 #include "pimentofront/Wire.h"
 
 // clang-format off: the parts, in the order of their dependencies.
+#include "src/Consensus/FileLogStore.h"
 #include "src/Consensus/LogStore.h"
 #include "src/Consensus/ReplicatedLog.h"
-#include "src/Consensus/FileLogStore.h"
 // clang-format on
 
 #endif
--- a/packages/consensus/pimentofront/src/Consensus/FileLogStore.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/FileLogStore.cpp
@@ -221,9 +221,8 @@
                       .Data = encodeGroup(snapshot.Group)};
   // The state may be empty; a record may not.
   constexpr char StateMark = 1;
-  return replaceFile("snapshot",
-                     frameRecord(encodeEntry(head)) +
-                         frameRecord(StateMark + snapshot.State));
+  return replaceFile("snapshot", frameRecord(encodeEntry(head)) +
+                                     frameRecord(StateMark + snapshot.State));
 }
 
 FileLogStore::Result
@@ -273,9 +272,9 @@
                                         "an earlier write failed"});
   Result result;
   if (write.Vote)
-    result = replaceFile("ballot",
-                         frameRecord(numberBytes(write.Vote->Current) +
-                                     numberBytes(write.Vote->VotedFor)));
+    result =
+        replaceFile("ballot", frameRecord(numberBytes(write.Vote->Current) +
+                                          numberBytes(write.Vote->VotedFor)));
   if (result && write.Snapshot) {
     result = writeSnapshot(*write.Snapshot);
     FirstIndex = write.Snapshot->LastIndex + 1;
@@ -288,9 +287,8 @@
   return result;
 }
 
-FileLogStore::Result
-FileLogStore::compact(const LogSnapshot &snapshot,
-                      const std::vector<LogEntry> &rest) {
+FileLogStore::Result FileLogStore::compact(const LogSnapshot &snapshot,
+                                           const std::vector<LogEntry> &rest) {
   if (Broken)
     return tl::unexpected(LogStoreError{LogStoreError::Kind::Unwritable,
                                         "an earlier write failed"});
--- a/packages/consensus/pimentofront/src/Consensus/FileLogStore.h
+++ b/packages/consensus/pimentofront/src/Consensus/FileLogStore.h
@@ -39,7 +39,9 @@
   Result rewriteLog(const std::vector<LogEntry> &entries);
   Result appendEntries(const std::vector<LogEntry> &entries);
   Result replaceFile(const std::string &name, const std::string &bytes);
-  std::string path(const std::string &name) const { return Folder + "/" + name; }
+  std::string path(const std::string &name) const {
+    return Folder + "/" + name;
+  }
 
   std::string Folder;
   int LogFd = -1;
--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -50,7 +50,9 @@
 void ReplicatedLog::reviewGroup(TimePoint now, std::uint64_t wallMilliseconds) {
   if (changePending())
     return;
-  for (const auto &[host, replica] : Joining) {
+  for (const auto &joining : Joining) {
+    const HostName &host = joining.first;
+    const ReplicaDescriptor &replica = joining.second;
     if (findReplica(replica.Id))
       continue;
     ReplicaGroup group = Group;
@@ -70,9 +72,10 @@
         follower->second.Match + CaughtUpWithin < lastIndex())
       continue;
     ReplicaGroup group = Group;
-    const auto former = std::ranges::find_if(group.Replicas, [&](const auto &o) {
-      return o.Host == it.Host && !o.Learner;
-    });
+    const auto former =
+        std::ranges::find_if(group.Replicas, [&](const auto &o) {
+          return o.Host == it.Host && !o.Learner;
+        });
     if (former != group.Replicas.end()) {
       group.Replicas.erase(former);
       return proposeGroup(now, wallMilliseconds, group);
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
@@ -78,8 +78,7 @@
 }
 
 const ReplicaDescriptor *ReplicatedLog::findReplica(ReplicaId id) const {
-  const auto it =
-      std::ranges::find(Group.Replicas, id, &ReplicaDescriptor::Id);
+  const auto it = std::ranges::find(Group.Replicas, id, &ReplicaDescriptor::Id);
   return it == Group.Replicas.end() ? nullptr : &*it;
 }
 
@@ -185,9 +184,7 @@
   }
 }
 
-LogActions ReplicatedLog::takeActions() {
-  return std::exchange(Actions, {});
-}
+LogActions ReplicatedLog::takeActions() { return std::exchange(Actions, {}); }
 
 void ReplicatedLog::synced(TimePoint now) {
   Synced = lastIndex();
--- a/packages/consensus/pimentofront/src/Consensus/Replication.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Replication.cpp
@@ -242,7 +242,7 @@
     if (it.Learner)
       continue;
     const auto follower = Followers.find(it.Id);
-    matched.push_back(it.Id == Id ? Synced
+    matched.push_back(it.Id == Id                   ? Synced
                       : follower == Followers.end() ? 0
                                                     : follower->second.Match);
   }
--- a/packages/ctl/src/Client.h
+++ b/packages/ctl/src/Client.h
@@ -15,7 +15,8 @@
   /// Calls \p method ("Service/Method") with \p request and prints the answer,
   /// a good one on standard output, an error on standard error.
   /// \returns whether it was a good one.
-  bool call(const std::string &method, const google::protobuf::Message &request);
+  bool call(const std::string &method,
+            const google::protobuf::Message &request);
   /// The same for a stream; prints the text as it comes.
   bool stream(const std::string &method,
               const google::protobuf::Message &request);
--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -16,13 +16,12 @@
 
 std::uint64_t numberOf(const Json &json, const char *key) {
   const auto it = json.find(key);
-  return it != json.end() && it->is_number_unsigned()
-             ? it->get<std::uint64_t>()
-             : 0;
+  return it != json.end() && it->is_number_unsigned() ? it->get<std::uint64_t>()
+                                                      : 0;
 }
 
 bool isOwnField(const std::string &key) {
-  static const std::set<std::string> Own = {"hlc",  "ms",    "host",   "zone",
+  static const std::set<std::string> Own = {"hlc",   "ms",    "host",   "zone",
                                             "level", "event", "request"};
   return Own.contains(key);
 }
@@ -30,7 +29,8 @@
 std::string detailsOf(const Json &json) {
   std::string result;
   for (const auto &[key, value] : json.items()) {
-    if (isOwnField(key) || (value.is_string() && value.get<std::string>().empty()))
+    if (isOwnField(key) ||
+        (value.is_string() && value.get<std::string>().empty()))
       continue;
     result += (result.empty() ? "" : " ") + key + "=" +
               (value.is_string() ? value.get<std::string>() : value.dump());
@@ -132,9 +132,10 @@
         page += "<td>";
         continue;
       }
-      page += "<td class=\"" + escaped(it.Level) + "\">" + escaped(it.Event) +
-              (it.Request.empty() ? "" : " <b>" + escaped(it.Request) + "</b>") +
-              "<br><small>" + escaped(it.Details) + "</small>";
+      page +=
+          "<td class=\"" + escaped(it.Level) + "\">" + escaped(it.Event) +
+          (it.Request.empty() ? "" : " <b>" + escaped(it.Request) + "</b>") +
+          "<br><small>" + escaped(it.Details) + "</small>";
     }
   }
   return page + "\n</table>\n";
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -31,7 +31,8 @@
     "  adapter NAME, kinds, status\n"
     "  timeline FILE...                  merge logs; with --request, --page\n"
     "Calls, to try a deployment:\n"
-    "  generate ADAPTER PROMPT           with --kind, --version, --max-tokens,\n"
+    "  generate ADAPTER PROMPT           with --kind, --version, "
+    "--max-tokens,\n"
     "                                    --request, --caller\n"
     "  call SERVICE METHOD PAYLOAD       with --kind, --request, --caller,\n"
     "                                    --issued-at-ms, --idempotent\n"
@@ -40,7 +41,8 @@
     "  -e, --entry IP:PORT    the process to ask (default 127.0.0.1:8080)\n"
     "  -o, --operator NAME    who changes (default: the user's name)\n"
     "  -i, --command-id ID    default: a random one\n"
-    "  -b, --builds-on N      revision of the record that the change builds on\n"
+    "  -b, --builds-on N      revision of the record that the change builds "
+    "on\n"
     "  -h, --help, -V, --version-of-program\n";
 
 constexpr int Good = 0;
--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -395,13 +395,12 @@
 
 void ApiHandler::fail(Pending &pending, const FinalAnswer &final) {
   const bool refused = final.Kind == FinalKind::Refused;
-  const ConnectError error{
-      .Code = codeOf(final),
-      .Message = final.Payload,
-      .NotRun = refused,
-      .Reason = refused ? refusalReasonName(final.Reason)
-                        : finalKindName(final.Kind),
-      .ComeBack = final.ComeBack};
+  const ConnectError error{.Code = codeOf(final),
+                           .Message = final.Payload,
+                           .NotRun = refused,
+                           .Reason = refused ? refusalReasonName(final.Reason)
+                                             : finalKindName(final.Kind),
+                           .ComeBack = final.ComeBack};
   if (!pending.StreamBegun)
     return pending.Call.fail(error);
   pending.Call.Exchange->sendPiece(encodeEndOfStream(&error));
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -86,8 +86,8 @@
     agent.Address = Options.PeerAddress;
     agent.Replicas = Options.Replicas;
     Gate = std::make_unique<ScheduledLoads>(Options.LoadsPerSecond, 1);
-    Driver = std::make_unique<EngineDriver>(Loop, *Client, Options, *Log,
-                                            Counters);
+    Driver =
+        std::make_unique<EngineDriver>(Loop, *Client, Options, *Log, Counters);
     Agent = std::make_unique<AgentNode>(now, agent, Eviction, *Gate, *Driver,
                                         *Network);
     Driver->setNode(*Agent);
--- a/packages/daemon/src/EngineDriver.cpp
+++ b/packages/daemon/src/EngineDriver.cpp
@@ -90,13 +90,12 @@
   Log.write(LogLevel::Info, "generation_started",
             {{"request", request.Request.str()},
              {"adapter", engineName(request.Key)}});
-  HttpCall call =
-      post("/v1/completions",
-           dump({{"model", engineName(request.Key)},
-                 {"prompt", request.Prompt + request.Resumed},
-                 {"max_tokens", request.MaxTokens},
-                 {"stream", true},
-                 {"priority", -static_cast<int>(request.Weight)}}));
+  HttpCall call = post("/v1/completions",
+                       dump({{"model", engineName(request.Key)},
+                             {"prompt", request.Prompt + request.Resumed},
+                             {"max_tokens", request.MaxTokens},
+                             {"stream", true},
+                             {"priority", -static_cast<int>(request.Weight)}}));
   call.Timeout = request.Remaining + ProbeTimeout;
   call.OnPiece = [this, attempt](std::string_view bytes) {
     onPiece(attempt, bytes);
@@ -239,9 +238,9 @@
 }
 
 void EngineDriver::loadNow(const StartLoad &load, TimePoint begun) {
-  HttpCall call = post("/v1/load_lora_adapter",
-                       dump({{"lora_name", engineName(load.Key)},
-                             {"lora_path", load.Source}}));
+  HttpCall call = post(
+      "/v1/load_lora_adapter",
+      dump({{"lora_name", engineName(load.Key)}, {"lora_path", load.Source}}));
   call.Timeout = LoadTimeout;
   call.OnEnd = [this, load, begun](const HttpAnswer &answer) {
     onLoadEnd(load, begun, answer.Status == StatusOk);
@@ -282,8 +281,7 @@
 }
 
 void EngineDriver::onMetrics(const HttpAnswer &answer) {
-  const auto started =
-      metricValue(answer.Body, "process_start_time_seconds");
+  const auto started = metricValue(answer.Body, "process_start_time_seconds");
   if (answer.Status != StatusOk || !started)
     return engineLost("it doesn't answer");
   if (StartedAt != 0 && *started != StartedAt)
--- a/packages/daemon/src/EventLog.cpp
+++ b/packages/daemon/src/EventLog.cpp
@@ -67,8 +67,7 @@
   auto &properties = State->Properties;
   // The library starts threads of its own; one, which idles, is the least.
   properties.setProperty("log4cplus.threadPoolSize", "1");
-  properties.setProperty("log4cplus.rootLogger",
-                         settings.LogLevel + ", out");
+  properties.setProperty("log4cplus.rootLogger", settings.LogLevel + ", out");
   const bool console = settings.LogFile == "-";
   properties.setProperty("log4cplus.appender.out",
                          console ? "log4cplus::ConsoleAppender"
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -67,7 +67,8 @@
   // A kind that doesn't exist is the caller's text: it must not become a label.
   const bool invalid = answer.Reason == RefusalReason::Invalid;
   State->Finals
-      .Add({{"kind", invalid ? "-" : kind.str()}, {"answer", finalKindName(answer.Kind)}})
+      .Add({{"kind", invalid ? "-" : kind.str()},
+            {"answer", finalKindName(answer.Kind)}})
       .Increment();
   State->Retries.Add({}).Increment(answer.Attempts);
   if (answer.Kind == FinalKind::Refused)
--- a/packages/daemon/src/OperatorApi.cpp
+++ b/packages/daemon/src/OperatorApi.cpp
@@ -210,14 +210,14 @@
   v1::RemoveReplicaRequest message;
   if (!readOrFail(call, message))
     return;
-  parts.Entry->admin(now,
-                     {.Action = AdminAction::RemoveReplica,
-                      .Host = HostName(message.host())},
-                     "", [call](const std::optional<AdminReply> &reply) {
-                       v1::RemoveReplicaResponse response;
-                       response.set_done(reply && reply->Done);
-                       call.succeed(response);
-                     });
+  parts.Entry->admin(
+      now,
+      {.Action = AdminAction::RemoveReplica, .Host = HostName(message.host())},
+      "", [call](const std::optional<AdminReply> &reply) {
+        v1::RemoveReplicaResponse response;
+        response.set_done(reply && reply->Done);
+        call.succeed(response);
+      });
 }
 
 void setDrained(const ApiParts &parts, TimePoint now, const ApiCall &call,
@@ -233,9 +233,9 @@
   if (method == "CreateAdapter") {
     v1::CreateAdapterRequest message;
     if (readOrFail(call, message))
-      propose(parts, now, call, message.change(),
-              CreateAdapter{AdapterName(message.adapter()),
-                            message.base_model()});
+      propose(
+          parts, now, call, message.change(),
+          CreateAdapter{AdapterName(message.adapter()), message.base_model()});
   } else if (method == "CreateVersion") {
     v1::CreateVersionRequest message;
     if (readOrFail(call, message))
@@ -245,10 +245,10 @@
   } else if (method == "DeclareLive") {
     v1::DeclareLiveRequest message;
     if (readOrFail(call, message))
-      propose(parts, now, call, message.change(),
-              DeclareLive{AdapterName(message.adapter()),
-                          {message.versions().begin(),
-                           message.versions().end()}});
+      propose(
+          parts, now, call, message.change(),
+          DeclareLive{AdapterName(message.adapter()),
+                      {message.versions().begin(), message.versions().end()}});
   } else if (method == "SetKind") {
     v1::SetKindRequest message;
     if (readOrFail(call, message))
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -9,10 +9,12 @@
 
 void readEntry(SettingsReader reader, Settings &settings) {
   EntryOptions &entry = settings.Entry.Entry;
-  entry.AdmitTimeout = reader.milliseconds("admit_timeout_ms", entry.AdmitTimeout);
+  entry.AdmitTimeout =
+      reader.milliseconds("admit_timeout_ms", entry.AdmitTimeout);
   entry.MaxRetries = static_cast<std::uint32_t>(
       reader.integer("max_retries", entry.MaxRetries, 0, 100));
-  entry.MaxRequests = reader.integer("max_requests", entry.MaxRequests, 1, MaxCount);
+  entry.MaxRequests =
+      reader.integer("max_requests", entry.MaxRequests, 1, MaxCount);
   settings.Affinity.Choices = static_cast<std::uint32_t>(
       reader.integer("affinity_choices", settings.Affinity.Choices, 1, 64));
   settings.Affinity.PackingWeight =
@@ -54,6 +56,7 @@
   popularity.SessionHalfLife =
       reader.milliseconds("session_half_life_ms", popularity.SessionHalfLife);
   agent.StallShare = reader.real("stall_share", agent.StallShare, 0.01, 1);
+  agent.CompanyShare = reader.real("company_share", agent.CompanyShare, 0, 0.5);
   agent.SpillDelay = reader.milliseconds("spill_delay_ms", agent.SpillDelay);
   settings.EngineProbePeriod =
       reader.milliseconds("engine_probe_ms", settings.EngineProbePeriod);
@@ -78,8 +81,8 @@
       reader.milliseconds("heartbeat_ms", replica.Log.HeartbeatPeriod);
   replica.Log.ElectionTimeout =
       reader.milliseconds("election_timeout_ms", replica.Log.ElectionTimeout);
-  replica.CompactAfter =
-      reader.integer("compact_after_entries", replica.CompactAfter, 16, MaxCount);
+  replica.CompactAfter = reader.integer("compact_after_entries",
+                                        replica.CompactAfter, 16, MaxCount);
   if (replica.Log.ElectionTimeout < 3 * replica.Log.HeartbeatPeriod)
     reader.fault("election_timeout_ms",
                  "expected at least three times heartbeat_ms");
@@ -111,7 +114,8 @@
   settings.LogFile = reader.text("file", settings.LogFile);
   settings.LogLevel = reader.text("level", settings.LogLevel);
   const std::string &level = settings.LogLevel;
-  if (level != "debug" && level != "info" && level != "warn" && level != "error")
+  if (level != "debug" && level != "info" && level != "warn" &&
+      level != "error")
     reader.fault("level", "expected debug, info, warn or error");
   reader.finish();
 }
--- a/packages/daemon/src/SettingsReader.cpp
+++ b/packages/daemon/src/SettingsReader.cpp
@@ -218,7 +218,8 @@
   const Json *it = find(key);
   if (!it)
     return fallback;
-  if (it->is_number() && it->get<double>() >= least && it->get<double>() <= most)
+  if (it->is_number() && it->get<double>() >= least &&
+      it->get<double>() <= most)
     return it->get<double>();
   fault(key, "expected a number from " + std::to_string(least) + " to " +
                  std::to_string(most));
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -14,7 +14,8 @@
 constexpr const char *Help =
     "Usage: pimentofrontd --settings FILE [--check-settings]\n"
     "\n"
-    "The daemon of pimentofront: an entry, an agent beside a backend server, a\n"
+    "The daemon of pimentofront: an entry, an agent beside a backend server, "
+    "a\n"
     "replica of the system's state, or several of them, as FILE says.\n"
     "\n"
     "  -s, --settings FILE    settings in JSON; docs/SETTINGS.md\n"
@@ -22,7 +23,8 @@
     "  -h, --help             this text\n"
     "  -V, --version          the version\n"
     "\n"
-    "Exit codes: 0 good, 2 command line, 3 settings, 4 address, 5 data folder.\n"
+    "Exit codes: 0 good, 2 command line, 3 settings, 4 address, 5 data "
+    "folder.\n"
     "SIGTERM stops gracefully, SIGHUP opens the log file anew.\n";
 
 struct Arguments {
--- a/packages/net/pimentofront/Net.h
+++ b/packages/net/pimentofront/Net.h
@@ -14,8 +14,8 @@
 
 // clang-format off: the parts, in the order of their dependencies.
 #include "src/Net/EventLoop.h"
-#include "src/Net/HttpServer.h"
 #include "src/Net/HttpClient.h"
+#include "src/Net/HttpServer.h"
 #include "src/Net/PeerNetwork.h"
 // clang-format on
 
--- a/packages/net/pimentofront/src/Net/EventLoop.cpp
+++ b/packages/net/pimentofront/src/Net/EventLoop.cpp
@@ -92,7 +92,8 @@
   if (inet_pton(AF_INET, result.Ip.c_str(), &ip) != 1)
     return std::nullopt;
   const char *end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, result.Port);
+  const auto parsed =
+      std::from_chars(text.data() + colon + 1, end, result.Port);
   if (parsed.ec != std::errc() || parsed.ptr != end || result.Port == 0)
     return std::nullopt;
   return result;
--- a/packages/net/pimentofront/src/Net/EventLoop.h
+++ b/packages/net/pimentofront/src/Net/EventLoop.h
@@ -15,7 +15,8 @@
 
 /// \class Timer
 /// \ingroup Net
-/// \brief A call at a later time, once or again and again; ends with the object.
+/// \brief A call at a later time, once or again and again; ends with the
+/// object.
 class Timer {
 public:
   Timer() = default;
--- a/packages/net/pimentofront/src/Net/HttpClient.cpp
+++ b/packages/net/pimentofront/src/Net/HttpClient.cpp
@@ -134,8 +134,8 @@
   }
 
   static bool closesConnection(evhttp_request *req) {
-    const char *value = evhttp_find_header(
-        evhttp_request_get_input_headers(req), "Connection");
+    const char *value =
+        evhttp_find_header(evhttp_request_get_input_headers(req), "Connection");
     return value && evutil_ascii_strcasecmp(value, "close") == 0;
   }
 
--- a/packages/net/pimentofront/src/Net/PeerNetwork.cpp
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.cpp
@@ -115,7 +115,8 @@
     link.Purpose = purpose;
     const LinkId id = link.Id;
     if (!parsed) {
-      link.ConnectTimer = Loop.after(Duration::zero(), [this, id] { ended(id); });
+      link.ConnectTimer =
+          Loop.after(Duration::zero(), [this, id] { ended(id); });
       return id;
     }
     const evutil_socket_t fd =
@@ -182,7 +183,8 @@
     if (it == Links.end() || it->second->Closed)
       return;
     it->second->Closed = true;
-    it->second->ConnectTimer = Loop.after(Duration::zero(), [this, id] { ended(id); });
+    it->second->ConnectTimer =
+        Loop.after(Duration::zero(), [this, id] { ended(id); });
   }
 
   void ended(LinkId id) {
--- a/packages/net/pimentofront/src/Net/detail/WebSocketPeer.cpp
+++ b/packages/net/pimentofront/src/Net/detail/WebSocketPeer.cpp
@@ -50,12 +50,11 @@
       Open = true;
       Handler.onOpen();
     });
-    Con->set_message_handler(
-        [this](websocketpp::connection_hdl,
-               typename Endpoint::message_ptr message) {
-          if (Open)
-            Handler.onFrame(message->get_payload());
-        });
+    Con->set_message_handler([this](websocketpp::connection_hdl,
+                                    typename Endpoint::message_ptr message) {
+      if (Open)
+        Handler.onFrame(message->get_payload());
+    });
     Con->set_close_handler([this](websocketpp::connection_hdl) { end(); });
     Con->set_fail_handler([this](websocketpp::connection_hdl) { end(); });
     bufferevent_setcb(Bev, onReadable, nullptr, onEvent, this);
--- a/packages/node/pimentofront/Node.h
+++ b/packages/node/pimentofront/Node.h
@@ -14,12 +14,12 @@
 #include "pimentofront/State.h"
 
 // clang-format off: the parts, in the order of their dependencies.
-#include "src/Node/Transport.h"
-#include "src/Node/LeaderLink.h"
-#include "src/Node/Subscribers.h"
-#include "src/Node/ReplicaNode.h"
 #include "src/Node/AgentNode.h"
 #include "src/Node/EntryNode.h"
+#include "src/Node/LeaderLink.h"
+#include "src/Node/ReplicaNode.h"
+#include "src/Node/Subscribers.h"
+#include "src/Node/Transport.h"
 // clang-format on
 
 #endif
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -32,8 +32,8 @@
     return;
   NextRenewal = now + Options.RenewPeriod;
   if (Announced && !gone)
-    return Network.send(*link, RenewLease{Options.Agent.Host,
-                                          Options.Agent.Incarnation});
+    return Network.send(
+        *link, RenewLease{Options.Agent.Host, Options.Agent.Incarnation});
   Network.send(*link, Announce{record(gone)});
 }
 
--- a/packages/node/pimentofront/src/Node/EntryNode.cpp
+++ b/packages/node/pimentofront/src/Node/EntryNode.cpp
@@ -7,6 +7,9 @@
 constexpr std::uint64_t OwnNonces = std::uint64_t(1) << 63;
 /// A proposal without an answer is sent again.
 constexpr Duration ResendPeriod = std::chrono::milliseconds(500);
+/// A leader answers a command within a few syncs of its disk; one that says
+/// nothing for so long may be cut off, and another one is looked for.
+constexpr Duration LeaderSilence = std::chrono::seconds(1);
 
 } // namespace
 
@@ -16,7 +19,8 @@
     : Options(options), Network(transport), Sink(sink),
       Copy(options.Configuration), Controller(options.Entry, Copy, routing),
       Replica(transport, options.Replicas, options.Entry.Incarnation),
-      Leader(transport, options.Replicas, options.Entry.Incarnation + 1),
+      Leader(transport, options.Replicas, options.Entry.Incarnation + 1,
+             LeaderSilence),
       LastNonce(OwnNonces) {
   tick(now);
 }
--- a/packages/node/pimentofront/src/Node/LeaderLink.h
+++ b/packages/node/pimentofront/src/Node/LeaderLink.h
@@ -17,7 +17,8 @@
 public:
   /// \param first index of the replica to try first; spreads the processes.
   LeaderLink(Transport &transport, std::vector<std::string> addresses,
-             std::size_t first, Duration silenceLimit = std::chrono::seconds(3));
+             std::size_t first,
+             Duration silenceLimit = std::chrono::seconds(3));
 
   /// \returns the link to send on, open or opening; opens one if need be.
   std::optional<LinkId> link(TimePoint now);
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -177,8 +177,8 @@
 
 void ReplicaNode::onPropose(TimePoint now, LinkId link,
                             const Propose &message) {
-  const auto index = Log.propose(now, Wall.milliseconds(),
-                                 encodeCommand(message.Proposal));
+  const auto index =
+      Log.propose(now, Wall.milliseconds(), encodeCommand(message.Proposal));
   if (!index)
     return redirect(link);
   Proposals[*index] = {link, message.Nonce, Log.term()};
@@ -268,16 +268,15 @@
     std::erase_if(Probes, [&](const PendingProbe &it) {
       if (it.Round > read.Round)
         return false;
-      Network.send(it.Link, ProbeReply{.Nonce = it.Nonce,
-                                       .Confirmed =
-                                           State.configuration().revision(),
-                                       .Members = read.Members});
+      Network.send(it.Link,
+                   ProbeReply{.Nonce = it.Nonce,
+                              .Confirmed = State.configuration().revision(),
+                              .Members = read.Members});
       return true;
     });
   }
-  std::erase_if(Reads, [&](const PendingRead &it) {
-    return it.Index <= AppliedIndex;
-  });
+  std::erase_if(
+      Reads, [&](const PendingRead &it) { return it.Index <= AppliedIndex; });
 }
 
 //===----------------------------------------------------------------------===//
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -5,6 +5,9 @@
 namespace pimentofront {
 namespace {
 
+/// Worth of the next victim when there is none.
+constexpr double MostVictimValue = 1e6;
+
 /// Returns in refusals are spread over this factor, so that the refused don't
 /// come back together.
 Duration spread(Random &random, Duration d) {
@@ -24,21 +27,17 @@
 }
 
 LoadFigures AdmissionController::figures(TimePoint now) const {
-  double victim = -1;
-  for (const Slot &it : Board.Slots.all()) {
-    const double worth = it.State == SlotState::Empty
-                             ? 0
-                             : Board.Popularity.valueOf(now, it.Key);
-    if (victim < 0 || worth < victim)
-      victim = worth;
-  }
+  // Without a slot to give up, a load would have to wait for one.
+  double victim = Board.Slots.hasEmpty() ? 0 : MostVictimValue;
+  for (const Slot &it : Board.Slots.all())
+    if (mayEvict(it, Board.Waiting))
+      victim = std::min(victim, Board.Popularity.valueOf(now, it.Key));
   constexpr double Thousand = 1000;
   return {.Running = Board.runningOnEngine(),
           .Queued = static_cast<std::uint32_t>(Board.WaitingCount),
           .BatchCapacity = Board.Options.BatchCapacity,
           .LoadWait = loadBacklog(now),
-          .VictimValue = static_cast<std::uint32_t>(std::max(victim, 0.0) *
-                                                    Thousand)};
+          .VictimValue = static_cast<std::uint32_t>(victim * Thousand)};
 }
 
 AdmissionController::Verdict
@@ -159,8 +158,9 @@
                                          .Deadline = deadline});
     ++Board.RunningServices;
   }
-  Board.Commands.push_back(SendToEntry{
-      entry, AttemptAdmitted{.Attempt = request.Attempt, .Load = figures(now)}});
+  Board.Commands.push_back(
+      SendToEntry{entry, AttemptAdmitted{.Attempt = request.Attempt,
+                                         .Load = figures(now)}});
   if (!toEngine)
     Board.Commands.push_back(StartServiceCall{request});
 }
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -42,6 +42,11 @@
   /// would be more, it is refused. A shorter queue of loads ends as many waits
   /// each second as a long one.
   double StallShare = 0.4;
+  /// Part of its time that a request may wait for company when the engine is
+  /// idle: steps that are shared cost little more than steps for one.
+  double CompanyShare = 0.05;
+  /// Requests that are company enough.
+  std::uint32_t CompanyWanted = 4;
   /// An engine that was found running must be idle for so long, so that
   /// requests and loads of an earlier agent process have ended.
   Duration EngineSettleTime = std::chrono::seconds(2);
@@ -113,9 +118,8 @@
   std::string Source;
   std::optional<AdapterKey> Victim;
 };
-using AgentCommand =
-    std::variant<SendToEntry, SendToScheduler, StartGeneration,
-                 StartServiceCall, CancelWork, StartLoad>;
+using AgentCommand = std::variant<SendToEntry, SendToScheduler, StartGeneration,
+                                  StartServiceCall, CancelWork, StartLoad>;
 
 /// \class AgentBoard
 /// \ingroup Serving
@@ -123,9 +127,8 @@
 struct AgentBoard {
   AgentBoard(const AgentOptions &options, const EvictionPolicy &eviction)
       : Options(options), Eviction(eviction), Slots(options.Slots),
-        Popularity(options.Popularity),
-        Jitter(options.Incarnation), LoadTime(options.LoadTime),
-        ServiceTime(options.ServiceTime) {}
+        Popularity(options.Popularity), Jitter(options.Incarnation),
+        LoadTime(options.LoadTime), ServiceTime(options.ServiceTime) {}
 
   const AgentOptions Options;
   const EvictionPolicy &Eviction;
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -19,12 +19,12 @@
       continue;
     for (std::size_t i = 0; i < queue.size(); ++i) {
       const auto pass = Passes.find(queue[i].Request.Kind);
-      const Candidate it{
-          .Key = key,
-          .Position = i,
-          .Attempt = &queue[i],
-          .Pass = pass == Passes.end() ? CurrentPass
-                                       : std::max(pass->second, CurrentPass)};
+      const Candidate it{.Key = key,
+                         .Position = i,
+                         .Attempt = &queue[i],
+                         .Pass = pass == Passes.end()
+                                     ? CurrentPass
+                                     : std::max(pass->second, CurrentPass)};
       if (!best || goesBefore(it, *best))
         best = it;
     }
@@ -32,8 +32,26 @@
   return best;
 }
 
+bool DispatchController::waitsForCompany(TimePoint now) const {
+  if (Board.Options.CompanyShare <= 0 || Board.runningOnEngine() > 0)
+    return false;
+  std::size_t together = 0;
+  for (const auto &[key, queue] : Board.Waiting) {
+    if (!Board.Slots.isReady(key))
+      continue;
+    together += queue.size();
+    for (const WaitingAttempt &it : queue) {
+      const double time = toSeconds(it.Deadline - it.ArrivedAt);
+      if (toSeconds(now - it.ArrivedAt - it.LoadStall) >=
+          Board.Options.CompanyShare * time)
+        return false;
+    }
+  }
+  return together < Board.Options.CompanyWanted;
+}
+
 void DispatchController::run(TimePoint now) {
-  if (!Board.EngineReady)
+  if (!Board.EngineReady || waitsForCompany(now))
     return;
   while (Board.runningOnEngine() < Board.Options.BatchCapacity) {
     const std::optional<Candidate> next = choose();
@@ -45,7 +63,8 @@
 
 void DispatchController::start(TimePoint now, const Candidate &candidate) {
   auto &queue = Board.Waiting.at(candidate.Key);
-  const auto at = queue.begin() + static_cast<std::ptrdiff_t>(candidate.Position);
+  const auto at =
+      queue.begin() + static_cast<std::ptrdiff_t>(candidate.Position);
   const WaitingAttempt attempt = std::move(*at);
   queue.erase(at);
   if (queue.empty())
--- a/packages/serving/pimentofront/src/Serving/DispatchController.h
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.h
@@ -25,6 +25,8 @@
     double Pass = 0;
   };
   std::optional<Candidate> choose() const;
+  /// \returns whether an idle engine should wait for more to share its steps.
+  bool waitsForCompany(TimePoint now) const;
   bool goesBefore(const Candidate &a, const Candidate &b) const;
   void start(TimePoint now, const Candidate &candidate);
 
--- a/packages/serving/pimentofront/src/Serving/EntryBoard.h
+++ b/packages/serving/pimentofront/src/Serving/EntryBoard.h
@@ -169,7 +169,8 @@
 /// \ingroup Serving
 /// \brief What the controllers of an entry know in common.
 struct EntryBoard {
-  EntryBoard(const EntryOptions &options, const ConfigurationView &configuration)
+  EntryBoard(const EntryOptions &options,
+             const ConfigurationView &configuration)
       : Options(options), Configuration(configuration),
         Jitter(options.Incarnation) {}
 
--- a/packages/serving/pimentofront/src/Serving/EntryController.cpp
+++ b/packages/serving/pimentofront/src/Serving/EntryController.cpp
@@ -96,14 +96,14 @@
   if (!kind)
     return refuseNew(caller, RefusalReason::Invalid, Duration::zero(),
                      "kind '" + caller.Kind.str() + "' doesn't exist");
-  EntryRequest request{.Caller = std::move(caller),
-                       .Weight = kind->Weight,
-                       .ArrivedAt = now};
+  EntryRequest request{
+      .Caller = std::move(caller), .Weight = kind->Weight, .ArrivedAt = now};
   std::string detail;
   const RefusalReason unresolved = resolve(request, detail);
   if (unresolved != RefusalReason::None)
     return refuseNew(request.Caller, unresolved, Duration::zero(), detail);
-  const RefusalReason limited = Board.Limits.enter(*kind, request.Caller.Caller);
+  const RefusalReason limited =
+      Board.Limits.enter(*kind, request.Caller.Caller);
   if (limited != RefusalReason::None)
     return refuseNew(request.Caller, limited, Soon, "limit reached");
   const Duration timeout = request.Caller.Timeout;
@@ -127,14 +127,15 @@
   Board.Claims.emplace(request.ClaimNonce, request.Caller.Key);
   Board.Commands.push_back(ProposeCommand{
       .Nonce = request.ClaimNonce,
-      .Proposal = Command{.Body = ClaimRequest{
-                              .Caller = request.Caller.Caller,
-                              .Request = request.Caller.Id,
-                              .ContentHash = contentHash(request.Caller),
-                              .Holder = holder,
-                              .IssuedAtMilliseconds =
-                                  request.Caller.IssuedAtMilliseconds,
-                          }},
+      .Proposal = Command{.Body =
+                              ClaimRequest{
+                                  .Caller = request.Caller.Caller,
+                                  .Request = request.Caller.Id,
+                                  .ContentHash = contentHash(request.Caller),
+                                  .Holder = holder,
+                                  .IssuedAtMilliseconds =
+                                      request.Caller.IssuedAtMilliseconds,
+                              }},
       .GiveUpAt = request.Deadline});
 }
 
@@ -208,24 +209,25 @@
     ++member.Load.Running;
   const CallerRequest &caller = request.Caller;
   const auto done = static_cast<std::uint32_t>(request.DeliveredTokens);
-  Board.Commands.push_back(SendToAgent{
-      route.Host, member.Record.Address,
-      ExecuteRequest{.Attempt = id,
-                     .Request = caller.Id,
-                     .Caller = caller.Caller,
-                     .Kind = caller.Kind,
-                     .Weight = request.Weight,
-                     .Remaining = request.Deadline - now,
-                     .Key = request.Key,
-                     .BaseModel = request.BaseModel,
-                     .Source = request.Source,
-                     .Prompt = caller.Prompt,
-                     .Resumed = request.Delivered,
-                     .MaxTokens = caller.MaxTokens - std::min(done, caller.MaxTokens),
-                     .Service = caller.Service,
-                     .Method = caller.Method,
-                     .Payload = caller.Payload,
-                     .OnlyIfResident = route.OnlyIfResident}});
+  Board.Commands.push_back(
+      SendToAgent{route.Host, member.Record.Address,
+                  ExecuteRequest{.Attempt = id,
+                                 .Request = caller.Id,
+                                 .Caller = caller.Caller,
+                                 .Kind = caller.Kind,
+                                 .Weight = request.Weight,
+                                 .Remaining = request.Deadline - now,
+                                 .Key = request.Key,
+                                 .BaseModel = request.BaseModel,
+                                 .Source = request.Source,
+                                 .Prompt = caller.Prompt,
+                                 .Resumed = request.Delivered,
+                                 .MaxTokens = caller.MaxTokens -
+                                              std::min(done, caller.MaxTokens),
+                                 .Service = caller.Service,
+                                 .Method = caller.Method,
+                                 .Payload = caller.Payload,
+                                 .OnlyIfResident = route.OnlyIfResident}});
 }
 
 void EntryController::noMoreRoutes(EntryRequest &request) {
@@ -310,15 +312,14 @@
   request->Tried.push_back({host, message.Reason, message.Load, probe});
   // The loads are ordered over all hosts: another host would say the same.
   const bool last = message.Reason == RefusalReason::LoadBacklog;
-  const bool mayGoOn =
-      !isHostFailure(message.Reason) || takeRetry(*request);
+  const bool mayGoOn = !isHostFailure(message.Reason) || takeRetry(*request);
   if (mayGoOn && !last)
     return nextAttempt(now, *request);
-  finish(*request, {.Kind = request->MayHaveRun ? FinalKind::Failed
-                                                : FinalKind::Refused,
-                    .Reason = message.Reason,
-                    .ComeBack = message.ComeBack,
-                    .Payload = "refused by the backend server's host"});
+  finish(*request,
+         {.Kind = request->MayHaveRun ? FinalKind::Failed : FinalKind::Refused,
+          .Reason = message.Reason,
+          .ComeBack = message.ComeBack,
+          .Payload = "refused by the backend server's host"});
 }
 
 void EntryController::onChunk(TimePoint now, const HostName &host,
@@ -330,8 +331,8 @@
   if (message.Position != attempt.Tokens)
     return attemptLost(now, *request, "a piece of the answer is missing");
   attempt.Tokens += message.Tokens;
-  Board.Commands.push_back(DeliverChunk{request->Caller.Key,
-                                        request->DeliveredTokens, message.Text});
+  Board.Commands.push_back(DeliverChunk{
+      request->Caller.Key, request->DeliveredTokens, message.Text});
   request->DeliveredTokens += message.Tokens;
   request->Delivered += message.Text;
 }
@@ -365,7 +366,8 @@
   if (!request.Caller.Idempotent)
     return finish(request, unknown(why));
   request.Tried.push_back({host, RefusalReason::BackendDown, {}, false});
-  const std::uint32_t done = static_cast<std::uint32_t>(request.DeliveredTokens);
+  const std::uint32_t done =
+      static_cast<std::uint32_t>(request.DeliveredTokens);
   if (request.Caller.Service.empty() && done > 0 &&
       done >= request.Caller.MaxTokens)
     return finish(request, {.Kind = FinalKind::Answered,
@@ -453,8 +455,7 @@
   for (const HostName &it : gone)
     hostFailed(now, it, true);
   std::erase_if(Board.Members, [&](const auto &it) {
-    return it.second.Record.Gone ||
-           (update.Complete && it.second.Unconfirmed);
+    return it.second.Record.Gone || (update.Complete && it.second.Unconfirmed);
   });
 }
 
@@ -482,13 +483,14 @@
   Board.Commands.push_back(ProposeCommand{
       .Nonce = ++Board.LastSequence,
       .Proposal =
-          Command{.Body = RecordEnding{
-                      .Caller = request.Caller.Caller,
-                      .Request = request.Caller.Id,
-                      .Holder = *request.Claim,
-                      .Ending = ending,
-                      .Answer = answered ? answer.Payload : std::string(),
-                  }},
+          Command{.Body =
+                      RecordEnding{
+                          .Caller = request.Caller.Caller,
+                          .Request = request.Caller.Id,
+                          .Holder = *request.Claim,
+                          .Ending = ending,
+                          .Answer = answered ? answer.Payload : std::string(),
+                      }},
       .GiveUpAt = request.Deadline + EndingLifetime});
 }
 
@@ -499,8 +501,8 @@
     endClaim(request, answer);
   answer.Attempts = request.Attempts;
   Board.Limits.leave(request.Caller.Kind, request.Caller.Caller);
-  Board.Commands.push_back(DeliverFinal{
-      request.Caller.Key, request.Caller.Kind, std::move(answer)});
+  Board.Commands.push_back(
+      DeliverFinal{request.Caller.Key, request.Caller.Kind, std::move(answer)});
   Board.Requests.erase(request.Caller.Key);
 }
 
@@ -530,17 +532,16 @@
   if (!request.Caller.Idempotent && request.Attempt)
     return; // Runs to its end: its outcome is recorded for the resend.
   const bool mayHaveRun = request.Attempt || request.MayHaveRun;
-  finish(request,
-         {.Kind = mayHaveRun ? FinalKind::Failed : FinalKind::Refused,
-          .Payload = "the caller gave it up"});
+  finish(request, {.Kind = mayHaveRun ? FinalKind::Failed : FinalKind::Refused,
+                   .Payload = "the caller gave it up"});
 }
 
 void EntryController::tick(TimePoint now) {
   std::vector<RequestKey> keys;
   for (const auto &[key, request] : Board.Requests) {
-    const bool unheard = request.Attempt && !request.Attempt->Admitted &&
-                         now - request.Attempt->SentAt >
-                             Board.Options.AdmitTimeout;
+    const bool unheard =
+        request.Attempt && !request.Attempt->Admitted &&
+        now - request.Attempt->SentAt > Board.Options.AdmitTimeout;
     if (now >= request.Deadline || (unheard && request.Caller.Idempotent))
       keys.push_back(key);
   }
--- a/packages/serving/pimentofront/src/Serving/EntryController.h
+++ b/packages/serving/pimentofront/src/Serving/EntryController.h
@@ -25,7 +25,8 @@
                   const AttemptAdmitted &message);
   void onRefused(TimePoint now, const HostName &host,
                  const AttemptRefused &message);
-  void onChunk(TimePoint now, const HostName &host, const AttemptChunk &message);
+  void onChunk(TimePoint now, const HostName &host,
+               const AttemptChunk &message);
   void onFinished(TimePoint now, const HostName &host,
                   const AttemptFinished &message);
   void onAgentLeaving(const AgentLeaving &message);
--- a/packages/serving/pimentofront/src/Serving/InFlightLimits.h
+++ b/packages/serving/pimentofront/src/Serving/InFlightLimits.h
@@ -17,7 +17,8 @@
   /// \returns None, KindLimit or CallerLimit.
   RefusalReason enter(const KindRecord &kind, const CallerName &caller) {
     const CallerKey key{kind.Name, caller};
-    if (kind.InFlightLimit > 0 && countOf(Kinds, kind.Name) >= kind.InFlightLimit)
+    if (kind.InFlightLimit > 0 &&
+        countOf(Kinds, kind.Name) >= kind.InFlightLimit)
       return RefusalReason::KindLimit;
     if (kind.CallerLimit > 0 && countOf(Callers, key) >= kind.CallerLimit)
       return RefusalReason::CallerLimit;
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -31,18 +31,13 @@
   return result;
 }
 
-bool LoadController::mayEvict(const Slot &slot) const {
-  return slot.State == SlotState::Ready && slot.Pins == 0 &&
-         !Board.Waiting.contains(slot.Key);
-}
-
 LoadController::Room LoadController::findRoom(TimePoint now) const {
   if (Board.Slots.hasEmpty())
     return {.Found = true};
   Room room;
   double least = 0;
   for (const Slot &it : Board.Slots.all()) {
-    if (!mayEvict(it))
+    if (!mayEvict(it, Board.Waiting))
       continue;
     const double worth = Board.Eviction.worthOf(now, it, Board.Popularity);
     if (room.Found && worth >= least)
--- a/packages/serving/pimentofront/src/Serving/LoadGate.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.cpp
@@ -150,11 +150,10 @@
   const auto it = InUse.find(key);
   if (it == InUse.end())
     return Fallback.onLoadEnded(now, board, key, took);
-  board.Commands.push_back(
-      SendToScheduler{LoadDone{.Host = board.Options.Host,
-                               .Ticket = it->second.Ticket,
-                               .Started = true,
-                               .Took = took}});
+  board.Commands.push_back(SendToScheduler{LoadDone{.Host = board.Options.Host,
+                                                    .Ticket = it->second.Ticket,
+                                                    .Started = true,
+                                                    .Took = took}});
   InUse.erase(it);
 }
 
--- a/packages/serving/pimentofront/src/Serving/LoadGate.h
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.h
@@ -25,8 +25,9 @@
   virtual ~LoadGate() = default;
   /// \returns a demand whose load may begin now. \p demands are those that
   /// could begin, as far as slots go.
-  virtual std::optional<AdapterKey> next(TimePoint now, AgentBoard &board,
-                                         const std::vector<Demand> &demands) = 0;
+  virtual std::optional<AdapterKey>
+  next(TimePoint now, AgentBoard &board,
+       const std::vector<Demand> &demands) = 0;
   virtual void onTicket(TimePoint, AgentBoard &, const LoadTicket &) {}
   virtual void onStatus(TimePoint, AgentBoard &, const LoadQueueStatus &) {}
   virtual void onMembers(std::uint32_t) {}
--- a/packages/serving/pimentofront/src/Serving/LoadScheduler.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadScheduler.cpp
@@ -46,7 +46,8 @@
   const Rank rank = rankOf(now, waiting);
   std::size_t ahead = Issued.size();
   for (const auto &[other, theirs] : Demands)
-    if (rankOf(now, theirs) < rank)
+    // Of equals, those that were there before go first.
+    if (other != id && rankOf(now, theirs) <= rank)
       ++ahead;
   // Those who come later with more weight lengthen the wait (the formula of a
   // queue with priorities, Cobham, 1954).
@@ -64,8 +65,8 @@
 
 void LoadScheduler::noteArrival(TimePoint now, std::uint32_t weight) {
   Arrivals &arrivals = ByWeight[std::min(weight, MaxCountedWeight)];
-  const double faded = std::exp2(-toSeconds(now - arrivals.At) /
-                                 toSeconds(ArrivalHalfLife));
+  const double faded =
+      std::exp2(-toSeconds(now - arrivals.At) / toSeconds(ArrivalHalfLife));
   arrivals.Count = arrivals.Count * faded + 1;
   arrivals.At = now;
 }
--- a/packages/serving/pimentofront/src/Serving/Popularity.cpp
+++ b/packages/serving/pimentofront/src/Serving/Popularity.cpp
@@ -52,8 +52,8 @@
   const Duration horizon = HorizonHalfLives * Options.SessionHalfLife;
   const double followed = isFollowed(now, before) ? 1 : 0;
   // A steady rate r keeps the count at r times half-life over ln 2.
-  const double rate = decayed(now, before) * std::numbers::ln2 /
-                      toSeconds(Options.HalfLife);
+  const double rate =
+      decayed(now, before) * std::numbers::ln2 / toSeconds(Options.HalfLife);
   const double expected = 1 - std::exp(-rate * toSeconds(horizon));
   Followed += LearningRate * (followed - Followed);
   ExpectedFollowed += LearningRate * (expected - ExpectedFollowed);
@@ -86,9 +86,8 @@
   const auto middle =
       values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
   std::ranges::nth_element(values, middle);
-  std::erase_if(Counts, [&](const auto &it) {
-    return worth(now, it.second) <= *middle;
-  });
+  std::erase_if(
+      Counts, [&](const auto &it) { return worth(now, it.second) <= *middle; });
 }
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
@@ -73,7 +73,8 @@
   if (hosts.empty())
     return std::nullopt;
   const std::size_t first = ++Turn % hosts.size();
-  std::ranges::rotate(hosts, hosts.begin() + static_cast<std::ptrdiff_t>(first));
+  std::ranges::rotate(hosts,
+                      hosts.begin() + static_cast<std::ptrdiff_t>(first));
   const auto load = [](const MemberView *it) {
     return it->Load.Running + it->Load.Queued;
   };
@@ -117,7 +118,7 @@
   hosts.resize(n);
   const auto hint = Hints.find(query.Key);
   if (hint != Hints.end())
-    std::ranges::stable_partition(hosts, [&](const MemberView *it) {
+    std::stable_partition(hosts.begin(), hosts.end(), [&](const MemberView *it) {
       return it->Record.Host == hint->second;
     });
   for (const MemberView *it : hosts)
@@ -130,10 +131,9 @@
                         std::max<double>(it->Load.BatchCapacity, 1);
     return it->Load.VictimValue / Thousand - Options.PackingWeight * used;
   };
-  const auto full = std::ranges::remove_if(hosts, [&](const MemberView *it) {
+  std::erase_if(hosts, [&](const MemberView *it) {
     return detail::wasTriedInFull(query, it->Record.Host);
   });
-  hosts.erase(full.begin(), full.end());
   if (hosts.empty())
     return std::nullopt;
   return Route{(*std::ranges::min_element(hosts, {}, cost))->Record.Host};
--- a/packages/serving/pimentofront/src/Serving/SlotTable.cpp
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.cpp
@@ -81,8 +81,10 @@
   clear();
   const std::size_t n = std::min(resident.size(), Slots.size());
   for (std::size_t i = 0; i < n; ++i)
-    Slots[i] = Slot{
-        .State = SlotState::Ready, .Key = resident[i], .Pins = 0, .LastUsed = now};
+    Slots[i] = Slot{.State = SlotState::Ready,
+                    .Key = resident[i],
+                    .Pins = 0,
+                    .LastUsed = now};
 }
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/SlotTable.h
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.h
@@ -21,6 +21,14 @@
   TimePoint LastUsed;
 };
 
+/// \returns whether a load may take this slot: its adapter is there, serves no
+/// request, and none waits for it.
+template <class Waiting>
+bool mayEvict(const Slot &slot, const Waiting &waiting) {
+  return slot.State == SlotState::Ready && slot.Pins == 0 &&
+         !waiting.contains(slot.Key);
+}
+
 /// \class SlotTable
 /// \ingroup Serving
 /// \brief What is in the slots of the engine beside this agent, the only place
@@ -36,7 +44,8 @@
 
   /// Reserves a slot for a load, in place of \p victim if it is set.
   /// \pre the victim has no pins, or there is an empty slot.
-  void beginLoad(const AdapterKey &key, const std::optional<AdapterKey> &victim);
+  void beginLoad(const AdapterKey &key,
+                 const std::optional<AdapterKey> &victim);
   void finishLoad(TimePoint now, const AdapterKey &key, bool succeeded);
   /// \pre the adapter is ready.
   void pin(TimePoint now, const AdapterKey &key);
--- a/packages/state/pimentofront/State.h
+++ b/packages/state/pimentofront/State.h
@@ -14,11 +14,11 @@
 
 // clang-format off: the parts, in the order of their dependencies.
 #include "src/State/AdapterStore.h"
-#include "src/State/Configuration.h"
 #include "src/State/ClaimLedger.h"
-#include "src/State/StateMachine.h"
-#include "src/State/MemberTable.h"
+#include "src/State/Configuration.h"
 #include "src/State/ConfigurationCopy.h"
+#include "src/State/MemberTable.h"
+#include "src/State/StateMachine.h"
 // clang-format on
 
 #endif
--- a/packages/state/pimentofront/src/State/AdapterStore.cpp
+++ b/packages/state/pimentofront/src/State/AdapterStore.cpp
@@ -59,10 +59,10 @@
   rest.ChangedAt = 0;
   const std::string bytes = encodeAdapter(rest);
   const std::string &name = record.Name.str();
-  const Header header{record.ChangedAt,
-                      static_cast<std::uint32_t>(sizeof(Header) + name.size() +
-                                                 bytes.size()),
-                      static_cast<std::uint32_t>(name.size())};
+  const Header header{
+      record.ChangedAt,
+      static_cast<std::uint32_t>(sizeof(Header) + name.size() + bytes.size()),
+      static_cast<std::uint32_t>(name.size())};
   const std::size_t n = aligned(header.Size);
   assert(n <= BlockBytes && "commands are bounded well below a block");
   if (Blocks.empty() || BlockUsed + n > BlockBytes) {
@@ -107,8 +107,7 @@
   *this = std::move(packed);
 }
 
-std::optional<AdapterRecord>
-AdapterStore::find(const AdapterName &name) const {
+std::optional<AdapterRecord> AdapterStore::find(const AdapterName &name) const {
   if (Index.empty())
     return std::nullopt;
   const Place place = Index[findIndex(name.str())];
--- a/packages/state/pimentofront/src/State/ClaimLedger.h
+++ b/packages/state/pimentofront/src/State/ClaimLedger.h
@@ -34,7 +34,8 @@
 
   CommandOutcome claim(std::uint64_t wallMilliseconds,
                        const ClaimRequest &request);
-  CommandOutcome end(std::uint64_t wallMilliseconds, const RecordEnding &ending);
+  CommandOutcome end(std::uint64_t wallMilliseconds,
+                     const RecordEnding &ending);
   std::size_t size() const { return Claims.size(); }
 
   /// Calls \p visit with each claim.
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -32,7 +32,8 @@
 
 CommandOutcome StateMachine::refuse(CommandResult result,
                                     std::string detail) const {
-  return {.Result = result, .At = Records.revision(), .Detail = std::move(detail)};
+  return {
+      .Result = result, .At = Records.revision(), .Detail = std::move(detail)};
 }
 
 CommandOutcome StateMachine::conflict(const OperatorName &winner,
@@ -102,8 +103,8 @@
     return refuse(CommandResult::Invalid, NameRule);
   if (const auto existing = Records.findAdapter(body.Adapter))
     return conflict(existing->ChangedBy, "the adapter exists");
-  return accept(command,
-                AdapterRecord{.Name = body.Adapter, .BaseModel = body.BaseModel});
+  return accept(command, AdapterRecord{.Name = body.Adapter,
+                                       .BaseModel = body.BaseModel});
 }
 
 CommandOutcome StateMachine::addVersion(const Command &command,
@@ -140,7 +141,8 @@
   if (command.BuildsOn != 0 && command.BuildsOn != adapter->ChangedAt)
     return conflict(adapter->ChangedBy, "the adapter was changed meanwhile");
   for (VersionRecord &it : adapter->Versions)
-    it.Live = std::ranges::find(body.Versions, it.Number) != body.Versions.end();
+    it.Live =
+        std::ranges::find(body.Versions, it.Number) != body.Versions.end();
   return accept(command, std::move(*adapter));
 }
 
--- a/packages/testkit/pimentofront/Testkit.h
+++ b/packages/testkit/pimentofront/Testkit.h
@@ -14,12 +14,12 @@
 #include "pimentofront/Node.h"
 
 // clang-format off: the parts, in the order of their dependencies.
-#include "src/Testkit/Ledger.h"
 #include "src/Testkit/FakeBackend.h"
-#include "src/Testkit/World.h"
+#include "src/Testkit/Ledger.h"
+#include "src/Testkit/Replay.h"
 #include "src/Testkit/Scenario.h"
 #include "src/Testkit/Trace.h"
-#include "src/Testkit/Replay.h"
+#include "src/Testkit/World.h"
 // clang-format on
 
 #endif
--- a/packages/testkit/pimentofront/src/Testkit/FakeBackend.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/FakeBackend.cpp
@@ -25,8 +25,8 @@
 
 void FakeWeightStore::load(const std::string &source, Done done) {
   progress();
-  Active.push_back({.Fails = source.starts_with("missing:"),
-                    .OnDone = std::move(done)});
+  Active.push_back(
+      {.Fails = source.starts_with("missing:"), .OnDone = std::move(done)});
   arm();
 }
 
@@ -68,14 +68,14 @@
     return false;
   Book.started(Time.now(), request);
   if (!Resident.contains(request.Key))
-    Book.violation(Time.now(), request.Request.str() +
-                                   " was started without its adapter");
+    Book.violation(Time.now(),
+                   request.Request.str() + " was started without its adapter");
   if (Running.size() >= Options.BatchCapacity)
     Book.violation(Time.now(), "an engine got more than its batch");
   Work work{.Request = request};
   // Goes on where an earlier attempt broke off.
-  work.Position = static_cast<std::uint64_t>(
-      std::ranges::count(request.Resumed, ' '));
+  work.Position =
+      static_cast<std::uint64_t>(std::ranges::count(request.Resumed, ' '));
   work.End = work.Position + request.MaxTokens;
   Running[request.Attempt] = std::move(work);
   Joining.push_back(request.Attempt);
@@ -133,8 +133,8 @@
   std::vector<AttemptId> pieces;
   for (auto &[attempt, work] : Running) {
     if (Book.keepsTexts())
-      work.Text += fakeToken(work.Request.Key, work.Request.Request,
-                             work.Position);
+      work.Text +=
+          fakeToken(work.Request.Key, work.Request.Request, work.Position);
     else
       work.Text += ' ';
     ++work.Unsent;
--- a/packages/testkit/pimentofront/src/Testkit/Replay.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.cpp
@@ -1,6 +1,7 @@
 #include "pimentofront/Testkit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentofront::testkit {
 namespace {
@@ -139,7 +140,8 @@
                               .LoadTime = fromSeconds(1 / Size.LoadsPerSecond),
                               .SpillDelay = Policy.SpillDelay,
                               .RefusesEarly = Policy.RefusesEarly,
-                              .StallShare = Policy.StallShare},
+                              .StallShare = Policy.StallShare,
+                              .CompanyShare = Policy.CompanyShare},
                     .Zone = spec.Zone,
                     .Address = host.str(),
                     .Replicas = Addresses};
@@ -190,7 +192,7 @@
       return 0;
     std::ranges::sort(values);
     const auto at = static_cast<std::size_t>(
-        part * static_cast<double>(values.size() - 1) + 0.5);
+        std::llround(part * static_cast<double>(values.size() - 1)));
     return values[at];
   }
 
@@ -230,8 +232,8 @@
       result.StallTotal += stall;
       stalls[it.Request.Kind].push_back(stall);
       all.push_back(stall);
-      const auto tenth = static_cast<std::size_t>(
-          std::min<std::int64_t>(9, 10 * (it.SentAt - Begin) / (length + Duration(1))));
+      const auto tenth = static_cast<std::size_t>(std::min<std::int64_t>(
+          9, 10 * (it.SentAt - Begin) / (length + Duration(1))));
       result.StallByTenth[tenth] += stall;
     }
     for (auto &[name, kind] : result.Kinds) {
@@ -247,13 +249,13 @@
         engines.Steps += it->Engine->figures().Steps;
         engines.Loads += it->Engine->figures().Loads;
       }
-    const double capacity = static_cast<double>(engines.Steps) *
-                            Size.Engine.BatchCapacity;
+    const double capacity =
+        static_cast<double>(engines.Steps) * Size.Engine.BatchCapacity;
     result.BatchEfficiency =
         capacity > 0 ? static_cast<double>(useful) / capacity : 0;
     result.Loads = engines.Loads;
-    result.FewestLoads = fewestLoads(
-        Requests, std::size_t(Size.Workers) * Size.Engine.Slots);
+    result.FewestLoads =
+        fewestLoads(Requests, std::size_t(Size.Workers) * Size.Engine.Slots);
     result.Violations = Place.Book.violations();
     return result;
   }
@@ -279,15 +281,21 @@
        .Routing = RoutingChoice::LeastLoaded,
        .Eviction = LeastRecent,
        .Loads = Uncoordinated,
-       .RefusesEarly = false},
+       .RefusesEarly = false,
+       .CompanyShare = 0},
       {.Name = "hash",
        .Routing = RoutingChoice::ConsistentHash,
        .Eviction = LeastRecent,
        .Loads = Uncoordinated,
-       .RefusesEarly = false},
-      {.Name = "v1", .Popularity = {.SessionHalfLife = Duration(1)}},
-      {.Name = "v2", .StallShare = 1},
-      {.Name = "v3"},
+       .RefusesEarly = false,
+       .CompanyShare = 0},
+      {.Name = "v1",
+       .Popularity = {.SessionHalfLife = Duration(1)},
+       .StallShare = 1,
+       .CompanyShare = 0},
+      {.Name = "v2", .StallShare = 1, .CompanyShare = 0},
+      {.Name = "v3", .CompanyShare = 0},
+      {.Name = "v4"},
   };
   return All;
 }
--- a/packages/testkit/pimentofront/src/Testkit/Replay.h
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.h
@@ -6,7 +6,11 @@
 
 namespace pimentofront::testkit {
 
-enum class RoutingChoice : std::uint8_t { LeastLoaded, ConsistentHash, Affinity };
+enum class RoutingChoice : std::uint8_t {
+  LeastLoaded,
+  ConsistentHash,
+  Affinity
+};
 enum class EvictionChoice : std::uint8_t { LeastRecent, LeastPopular };
 enum class LoadChoice : std::uint8_t { Uncoordinated, StaticShare, Scheduled };
 
@@ -23,6 +27,7 @@
   AffinityOptions Affinity;
   PopularityOptions Popularity;
   double StallShare = 0.4;
+  double CompanyShare = 0.05;
   Duration SpillDelay = std::chrono::milliseconds(500);
 };
 const std::vector<PolicySpec> &allPolicies();
--- a/packages/testkit/pimentofront/src/Testkit/Scenario.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Scenario.cpp
@@ -93,7 +93,8 @@
 
   WorldProcess *leader() {
     for (WorldProcess *it : Place.processes())
-      if (it->Alive && it->Replica && it->Replica->log().holdsLease(Place.now()))
+      if (it->Alive && it->Replica &&
+          it->Replica->log().holdsLease(Place.now()))
         return it;
     return nullptr;
   }
@@ -349,8 +350,8 @@
     Revision newest = 0;
     for (WorldProcess *it : const_cast<World &>(Place).processes())
       if (it->Alive && it->Replica)
-        newest = std::max(newest,
-                          it->Replica->state().configuration().revision());
+        newest =
+            std::max(newest, it->Replica->state().configuration().revision());
     for (WorldProcess *it : const_cast<World &>(Place).processes())
       if (it->Alive && it->Entry &&
           it->Entry->configuration().revision() != newest)
@@ -373,10 +374,10 @@
         fault(line, "some entry lags");
     } else if (what == "voters") {
       const WorldProcess *it = leader();
-      const auto n = !it ? 0
-                         : std::ranges::count(
-                               it->Replica->log().group().Replicas, false,
-                               &ReplicaDescriptor::Learner);
+      const auto n =
+          !it ? 0
+              : std::ranges::count(it->Replica->log().group().Replicas, false,
+                                   &ReplicaDescriptor::Learner);
       if (std::to_string(n) != line.word(1))
         fault(line, "there are " + std::to_string(n) + " voters");
     } else if (what == "runs") {
@@ -592,12 +593,12 @@
     const double back = at + 0.3 + 4 * chance.uniform();
     switch (chance.next() % 7) {
     case 0:
-      text << at << " kill " << victim << "\n" << back << " start " << victim
-           << "\n";
+      text << at << " kill " << victim << "\n"
+           << back << " start " << victim << "\n";
       break;
     case 1:
-      text << at << " freeze " << victim << "\n" << back << " wake " << victim
-           << "\n";
+      text << at << " freeze " << victim << "\n"
+           << back << " wake " << victim << "\n";
       break;
     case 2:
       text << at << " isolate " << victim << "\n" << back << " heal\n";
--- a/packages/testkit/pimentofront/src/Testkit/Trace.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Trace.cpp
@@ -24,8 +24,8 @@
   }
   std::uint32_t draw(Random &chance) const {
     const double at = chance.uniform() * Cumulated.back();
-    return static_cast<std::uint32_t>(
-        std::ranges::lower_bound(Cumulated, at) - Cumulated.begin());
+    return static_cast<std::uint32_t>(std::ranges::lower_bound(Cumulated, at) -
+                                      Cumulated.begin());
   }
 
 private:
@@ -80,13 +80,12 @@
 //===----------------------------------------------------------------------===//
 
 std::string Trace::toLines() const {
-  std::string text =
-      Json({{"deployment", Deployment},
-            {"outcomes",
-             {{"answered_in_window", Outcomes.AnsweredInWindow},
-              {"stall_p95_seconds", Outcomes.StallP95Seconds}}}})
-          .dump() +
-      "\n";
+  std::string text = Json({{"deployment", Deployment},
+                           {"outcomes",
+                            {{"answered_in_window", Outcomes.AnsweredInWindow},
+                             {"stall_p95_seconds", Outcomes.StallP95Seconds}}}})
+                         .dump() +
+                     "\n";
   for (const TraceRequest &it : Requests)
     text += Json({{"at_us", it.At.count()},
                   {"kind", it.Kind.str()},
@@ -114,11 +113,10 @@
                           outcomes.at("stall_p95_seconds")};
         continue;
       }
-      trace.Requests.push_back({Duration(json.at("at_us")),
-                                KindName(json.at("kind")),
-                                AdapterName(json.at("adapter")),
-                                json.at("tokens"), json.at("prompt"),
-                                json.at("entry")});
+      trace.Requests.push_back(
+          {Duration(json.at("at_us")), KindName(json.at("kind")),
+           AdapterName(json.at("adapter")), json.at("tokens"),
+           json.at("prompt"), json.at("entry")});
     } catch (const Json::exception &error) {
       findings.add("line " + std::to_string(number), error.what());
     }
@@ -134,7 +132,8 @@
   Random chance(options.Seed);
   const ZipfSampler popularity(deployment.Adapters, deployment.Skew);
   Trace trace{.Deployment = deployment.Name};
-  const double sessions = options.RequestsPerSecond / deployment.SessionRequests;
+  const double sessions =
+      options.RequestsPerSecond / deployment.SessionRequests;
   const double length = toSeconds(options.Length);
   double at = 0;
   while ((at += exponential(chance, 1 / sessions)) < length) {
@@ -147,16 +146,15 @@
     double time = at;
     // A geometric number of requests, one at least.
     do {
-      const double tokens =
-          kind.MeanTokens * (0.5 + chance.uniform());
+      const double tokens = kind.MeanTokens * (0.5 + chance.uniform());
       trace.Requests.push_back(
           {.At = fromSeconds(time),
            .Kind = kind.Kind.Name,
            .Adapter = AdapterName("adapter-" + std::to_string(rank)),
            .Tokens = static_cast<std::uint32_t>(tokens),
            .Prompt = "context-" + std::to_string(chance.next() % 4),
-           .Entry = static_cast<std::uint32_t>(chance.next() %
-                                               deployment.Entries)});
+           .Entry =
+               static_cast<std::uint32_t>(chance.next() % deployment.Entries)});
       time += exponential(chance, toSeconds(deployment.SessionPause));
     } while (chance.uniform() > 1 / deployment.SessionRequests);
   }
@@ -203,9 +201,8 @@
 double capacityOf(const Deployment &deployment) {
   // Loads a request, in a long run at a rate where sessions overlap much.
   const Trace trace = generateTrace(
-      deployment, {.RequestsPerSecond = 40,
-                   .Length = std::chrono::minutes(10),
-                   .Seed = 7});
+      deployment,
+      {.RequestsPerSecond = 40, .Length = std::chrono::minutes(10), .Seed = 7});
   const std::size_t slots =
       std::size_t(deployment.Workers) * deployment.Engine.Slots;
   const double loads = static_cast<double>(fewestLoads(trace, slots) - slots);
--- a/packages/testkit/pimentofront/src/Testkit/World.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/World.cpp
@@ -207,10 +207,8 @@
                                                 process, process);
   }
   if (process.Engine) {
-    const auto at = [this, host = spec.Host,
-                     incarnation = process.Incarnation](auto action) {
-      atProcess(host, incarnation, action);
-    };
+    const auto at = [this, host = spec.Host, incarnation = process.Incarnation](
+                        auto action) { atProcess(host, incarnation, action); };
     process.Engine->attach(
         {.OnTokens =
              [=](const AttemptId &attempt, std::uint32_t n, std::string text) {
@@ -427,10 +425,11 @@
   const auto peer = Ends.find(end.Peer);
   if (peer == Ends.end())
     return;
-  const TimePoint arrival = std::max(
-      Now + delayBetween(end.Host, end.PeerHost), peer->second.LastArrival);
+  const TimePoint arrival = std::max(Now + delayBetween(end.Host, end.PeerHost),
+                                     peer->second.LastArrival);
   peer->second.LastArrival = arrival;
-  after(arrival - Now, [this, to = end.Peer, message] { deliver(to, message); });
+  after(arrival - Now,
+        [this, to = end.Peer, message] { deliver(to, message); });
 }
 
 void World::deliver(LinkId to, const Message &message) {
@@ -478,7 +477,8 @@
     return;
   // Behind a cut nobody hears of the end.
   const bool cut = isCut(end.Host, end.PeerHost);
-  const Duration delay = cut ? UserTimeout : delayBetween(end.Host, end.PeerHost);
+  const Duration delay =
+      cut ? UserTimeout : delayBetween(end.Host, end.PeerHost);
   after(delay, [this, peer = end.Peer] { tellClosed(peer); });
 }
 
--- a/packages/testkit/pimentofront/src/Testkit/World.h
+++ b/packages/testkit/pimentofront/src/Testkit/World.h
@@ -46,9 +46,7 @@
 /// \class WorldProcess
 /// \ingroup Testkit
 /// \brief One process: its nodes, its links, its engine beside it.
-class WorldProcess : public Transport,
-                     public BackendDriver,
-                     public AnswerSink {
+class WorldProcess : public Transport, public BackendDriver, public AnswerSink {
 public:
   WorldProcess(World &world, ProcessSpec spec);
   ~WorldProcess() override;
--- a/packages/testkit/src/FakeEngineMain.cpp
+++ b/packages/testkit/src/FakeEngineMain.cpp
@@ -42,7 +42,8 @@
 class FakeEngine : public HttpHandler {
 public:
   FakeEngine(EventLoop &loop, const EngineOptions &options)
-      : Loop(loop), Options(options), StartedAt(toSeconds(loop.now().time_since_epoch())),
+      : Loop(loop), Options(options),
+        StartedAt(toSeconds(loop.now().time_since_epoch())),
         Server(loop, {.Address = options.Listen}, *this) {}
 
   void onRequest(std::shared_ptr<HttpExchange> exchange) override {
@@ -125,8 +126,8 @@
     Stream &stream = Streams.at(id);
     if (stream.Left == 0) {
       const auto exchange = stream.Exchange;
-      auto timer = std::make_shared<std::unique_ptr<Timer>>(
-          std::move(stream.Next));
+      auto timer =
+          std::make_shared<std::unique_ptr<Timer>>(std::move(stream.Next));
       Streams.erase(id);
       exchange->sendPiece("data: [DONE]\n\n");
       exchange->endStream();
@@ -136,8 +137,8 @@
     const std::string text =
         stream.Model + "#" + std::to_string(stream.Position++) + " ";
     stream.Exchange->sendPiece(
-        "data: " + Json({{"choices", {{{"index", 0}, {"text", text}}}}}).dump() +
-        "\n\n");
+        "data: " +
+        Json({{"choices", {{{"index", 0}, {"text", text}}}}}).dump() + "\n\n");
   }
 
   EventLoop &Loop;
@@ -167,7 +168,8 @@
     else if (c == 't')
       engine.TokenTime = Duration(std::strtoll(optarg, nullptr, 10));
     else if (c == 'm')
-      engine.LoadTime = std::chrono::milliseconds(std::strtoll(optarg, nullptr, 10));
+      engine.LoadTime =
+          std::chrono::milliseconds(std::strtoll(optarg, nullptr, 10));
     else
       return 2;
   }
--- a/packages/testkit/src/FakeServiceMain.cpp
+++ b/packages/testkit/src/FakeServiceMain.cpp
@@ -21,8 +21,9 @@
 
   void onRequest(std::shared_ptr<HttpExchange> exchange) override {
     const std::string id(exchange->header("X-Request-Id"));
-    const std::string answer = "{\"request\":\"" + id + "\",\"runs\":" +
-                               std::to_string(++Runs[id]) + "}";
+    const std::string answer = "{\"request\":\"" + id +
+                               "\",\"runs\":" + std::to_string(++Runs[id]) +
+                               "}";
     auto timer = std::make_shared<std::unique_ptr<Timer>>();
     *timer = Loop.after(Delay, [exchange, answer, timer] {
       const auto keep = timer;
--- a/packages/testkit/src/ReplayMain.cpp
+++ b/packages/testkit/src/ReplayMain.cpp
@@ -49,13 +49,11 @@
 void runCell(Cell &cell, const Arguments &arguments) {
   const Duration length = std::chrono::minutes(arguments.Minutes);
   const bool shift = cell.Fault == ReplayFault::Shift;
-  const Trace trace =
-      generateTrace(cell.Size, {.RequestsPerSecond =
-                                    cell.Load / 100 * capacityOf(cell.Size),
-                                .Length = length,
-                                .Seed = cell.Seed,
-                                .ShiftAt = shift ? length / 2
-                                                 : Duration::zero()});
+  const Trace trace = generateTrace(
+      cell.Size, {.RequestsPerSecond = cell.Load / 100 * capacityOf(cell.Size),
+                  .Length = length,
+                  .Seed = cell.Seed,
+                  .ShiftAt = shift ? length / 2 : Duration::zero()});
   cell.Figures = replay(cell.Size, cell.Policy, trace, cell.Fault, cell.Seed);
 }
 
@@ -104,23 +102,23 @@
     violations += figures.Violations.size();
   }
   const Cell &cell = *cells.front();
-  std::printf("%-14s %-11s %4.0f%% %-12s %8.1f [%.1f-%.1f] %6.2f %6.2f %6.2f "
-              "[%.2f-%.2f] %6.2f [%.2f-%.2f] %6.2f %5.2f %6.0f /%5.0f %6.3f %s\n",
-              cell.Policy.Name.c_str(), cell.Size.Name.c_str(), cell.Load,
-              nameOf(cell.Fault), stall.mean(), stall.Least, stall.Most,
-              p95.mean(), p99.mean(), efficiency.mean(), efficiency.Least,
-              efficiency.Most, inWindow.mean(), inWindow.Least, inWindow.Most,
-              refused.mean(), other.mean(), loads.mean(), fewest.mean(),
-              refusal.mean(),
-              violations ? (std::to_string(violations) + " VIOLATIONS: " +
-                            [&] {
-                              for (const Cell *it : cells)
-                                if (!it->Figures.Violations.empty())
-                                  return it->Figures.Violations.front();
-                              return std::string();
-                            }())
-                               .c_str()
-                         : "");
+  std::printf(
+      "%-14s %-11s %4.0f%% %-12s %8.1f [%.1f-%.1f] %6.2f %6.2f %6.2f "
+      "[%.2f-%.2f] %6.2f [%.2f-%.2f] %6.2f %5.2f %6.0f /%5.0f %6.3f %s\n",
+      cell.Policy.Name.c_str(), cell.Size.Name.c_str(), cell.Load,
+      nameOf(cell.Fault), stall.mean(), stall.Least, stall.Most, p95.mean(),
+      p99.mean(), efficiency.mean(), efficiency.Least, efficiency.Most,
+      inWindow.mean(), inWindow.Least, inWindow.Most, refused.mean(),
+      other.mean(), loads.mean(), fewest.mean(), refusal.mean(),
+      violations ? (std::to_string(violations) + " VIOLATIONS: " +
+                    [&] {
+                      for (const Cell *it : cells)
+                        if (!it->Figures.Violations.empty())
+                          return it->Figures.Violations.front();
+                      return std::string();
+                    }())
+                       .c_str()
+                 : "");
 }
 
 void printKinds(const std::vector<const Cell *> &cells) {
@@ -165,6 +163,8 @@
     policy.Popularity.HalfLife = fromSeconds(value);
   else if (knob == "stall-share")
     policy.StallShare = value;
+  else if (knob == "company")
+    policy.CompanyShare = value;
   else if (knob == "session-half-life")
     policy.Popularity.SessionHalfLife = fromSeconds(value);
   else if (knob == "spill")
@@ -182,9 +182,9 @@
 }
 
 std::vector<Cell> makeCells(const Arguments &arguments) {
-  constexpr ReplayFault Faults[] = {
-      ReplayFault::None, ReplayFault::ColdThird, ReplayFault::Shift,
-      ReplayFault::LeaderLost, ReplayFault::BadAdapters};
+  constexpr ReplayFault Faults[] = {ReplayFault::None, ReplayFault::ColdThird,
+                                    ReplayFault::Shift, ReplayFault::LeaderLost,
+                                    ReplayFault::BadAdapters};
   std::vector<Cell> cells;
   std::vector<Deployment> sizes = {coralCoast(), ammann()};
   for (Deployment &it : sizes)
@@ -227,8 +227,8 @@
                             {nullptr, 0, nullptr, 0}};
   Arguments arguments;
   int c = 0;
-  while ((c = getopt_long(argc, argv, "p:d:l:f:s:m:t:kx:e:", options, nullptr)) !=
-         -1) {
+  while ((c = getopt_long(argc, argv, "p:d:l:f:s:m:t:kx:e:", options,
+                          nullptr)) != -1) {
     switch (c) {
     case 'p':
       arguments.Policies = splitList(optarg);
@@ -287,7 +287,8 @@
       printKinds(row);
   }
   return std::ranges::all_of(
-             cells, [](const Cell &it) { return it.Figures.Violations.empty(); })
+             cells,
+             [](const Cell &it) { return it.Figures.Violations.empty(); })
              ? 0
              : 1;
 }
--- a/packages/testkit/src/ScenarioMain.cpp
+++ b/packages/testkit/src/ScenarioMain.cpp
@@ -24,8 +24,8 @@
 int runRandom(std::uint64_t first, std::uint64_t count) {
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     const std::string text = randomScenario(seed);
-    if (report("seed " + std::to_string(seed), Scenario(seed).run("random", text),
-               count == 1))
+    if (report("seed " + std::to_string(seed),
+               Scenario(seed).run("random", text), count == 1))
       continue;
     std::printf("seed %llu failed; pimentofront-scenario --print %llu shows "
                 "its text\n",
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -55,7 +55,7 @@
   /// How long a load that is asked for now would have to wait.
   Duration LoadWait = Duration::zero();
   /// Popularity of the adapter that would be given up next, in thousandths of
-  /// a request; 0 with an empty slot.
+  /// a request; 0 with an empty slot, very much when all slots are in use.
   std::uint32_t VictimValue = 0;
   PIMENTOFRONT_FIELDS(LoadFigures, Running, Queued, BatchCapacity, LoadWait,
                       VictimValue)
--- a/packages/wire/pimentofront/src/Wire/Codec.cpp
+++ b/packages/wire/pimentofront/src/Wire/Codec.cpp
@@ -45,7 +45,9 @@
 }
 
 template <class T>
-concept HasFields = requires(T &t) { t.visitFields([](auto &&...) {}); };
+concept HasFields = requires(T &t) {
+  t.visitFields([](auto &&...) {});
+};
 
 template <class T> struct IsVector : std::false_type {};
 template <class T> struct IsVector<std::vector<T>> : std::true_type {};
@@ -53,8 +55,7 @@
 template <class... Ts>
 struct IsVariant<std::variant<Ts...>> : std::true_type {};
 template <class T> struct IsIdentifier : std::false_type {};
-template <class Tag>
-struct IsIdentifier<Identifier<Tag>> : std::true_type {};
+template <class Tag> struct IsIdentifier<Identifier<Tag>> : std::true_type {};
 
 template <class V> Json variantToJson(const V &value) {
   Json json = Json::array();
@@ -66,8 +67,8 @@
 template <class V, std::size_t... Is>
 void emplaceAlternative(V &value, std::size_t index,
                         std::index_sequence<Is...>) {
-  const bool found = ((index == Is && (value.template emplace<Is>(), true)) ||
-                      ...);
+  const bool found =
+      ((index == Is && (value.template emplace<Is>(), true)) || ...);
   require(found);
 }
 
@@ -179,9 +180,8 @@
 Json fromBytes(std::string_view bytes) {
   Json json;
   BoundedReader reader(json);
-  const bool ok =
-      Json::sax_parse(bytes.begin(), bytes.end(), &reader,
-                      Json::input_format_t::cbor, /*strict=*/true);
+  const bool ok = Json::sax_parse(bytes.begin(), bytes.end(), &reader,
+                                  Json::input_format_t::cbor, /*strict=*/true);
   if (!ok)
     return Json(Json::value_t::discarded);
   return json;
@@ -266,10 +266,10 @@
 
 const char *refusalReasonName(RefusalReason reason) {
   static constexpr const char *Names[RefusalReasonCount] = {
-      "none",       "leaving",      "queue_full",      "load_backlog",
+      "none",        "leaving",      "queue_full",      "load_backlog",
       "load_failed", "backend_down", "no_such_backend", "isolated",
-      "kind_limit", "caller_limit", "no_backend",      "stopping",
-      "invalid",    "no_claim",     "not_resident"};
+      "kind_limit",  "caller_limit", "no_backend",      "stopping",
+      "invalid",     "no_claim",     "not_resident"};
   const auto i = static_cast<unsigned>(reason);
   return i < RefusalReasonCount ? Names[i] : "unknown";
 }
--- a/packages/wire/pimentofront/src/Wire/Message.h
+++ b/packages/wire/pimentofront/src/Wire/Message.h
@@ -10,16 +10,14 @@
 /// \ingroup Wire
 /// Anything that one process sends another. The position in this list is the
 /// number of the message on the wire: new ones go to the end.
-using Message =
-    std::variant<Hello, ExecuteRequest, CancelAttempt, AttemptAdmitted,
-                 AttemptRefused, AttemptChunk, AttemptFinished, AgentLeaving,
-                 Announce, RenewLease, LeaseReply, NotLeader, LoadDemand,
-                 LoadTicket, LoadDone, LoadQueueStatus, Subscribe,
-                 ProbeRevision, ProbeReply, ConfigurationUpdate, MemberUpdate,
-                 Propose, ProposeReply, ReadIndexRequest, ReadIndexReply,
-                 VoteRequest, VoteReply, AppendRequest, AppendReply,
-                 SnapshotPart, SnapshotReply, JoinRequest, AdminRequest,
-                 AdminReply>;
+using Message = std::variant<
+    Hello, ExecuteRequest, CancelAttempt, AttemptAdmitted, AttemptRefused,
+    AttemptChunk, AttemptFinished, AgentLeaving, Announce, RenewLease,
+    LeaseReply, NotLeader, LoadDemand, LoadTicket, LoadDone, LoadQueueStatus,
+    Subscribe, ProbeRevision, ProbeReply, ConfigurationUpdate, MemberUpdate,
+    Propose, ProposeReply, ReadIndexRequest, ReadIndexReply, VoteRequest,
+    VoteReply, AppendRequest, AppendReply, SnapshotPart, SnapshotReply,
+    JoinRequest, AdminRequest, AdminReply>;
 
 /// Version of the protocol between processes. A process refuses a `Hello`
 /// with a higher one before it reads anything else.
--- /dev/null
+++ b/test/AgentTest.cpp
@@ -0,0 +1,252 @@
+#include "pimentofront/Serving.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{100s};
+constexpr EntryLink Entry = 7;
+
+ExecuteRequest request(std::uint64_t n, const char *adapter,
+                       Duration remaining = 30s, const char *kind = "usual",
+                       std::uint32_t weight = 1) {
+  return {.Attempt = {1, n},
+          .Request = RequestId(std::to_string(n)),
+          .Kind = KindName(kind),
+          .Weight = weight,
+          .Remaining = remaining,
+          .Key = {AdapterName(adapter), 1},
+          .BaseModel = "base",
+          .MaxTokens = 5};
+}
+
+/// An agent with two slots that loads whatever is asked for.
+struct Agent {
+  explicit Agent(AgentOptions options = {.Host = HostName("w"),
+                                         .Incarnation = 1,
+                                         .BaseModel = "base",
+                                         .Slots = 2,
+                                         .BatchCapacity = 2,
+                                         .CompanyShare = 0})
+      : Controller(options, Eviction, Gate) {
+    Controller.onEngineFound(Now - 10s, {}, true);
+    Controller.onEngineFound(Now - 5s, {}, true);
+  }
+
+  template <class T> std::vector<T> take() {
+    std::vector<T> result;
+    for (const AgentCommand &it : Controller.takeCommands()) {
+      if (const auto *command = std::get_if<T>(&it))
+        result.push_back(*command);
+      if (const auto *to = std::get_if<SendToEntry>(&it))
+        ToEntry.push_back(to->Content);
+    }
+    return result;
+  }
+
+  /// \returns the last refusal that was sent.
+  std::optional<AttemptRefused> refusal() {
+    take<CancelWork>();
+    for (auto it = ToEntry.rbegin(); it != ToEntry.rend(); ++it)
+      if (const auto *refused = std::get_if<AttemptRefused>(&*it))
+        return *refused;
+    return std::nullopt;
+  }
+
+  void load(TimePoint now, const char *adapter, bool good = true) {
+    Controller.onLoadEnded(now, {AdapterName(adapter), 1}, good, 250ms);
+  }
+
+  LeastPopular Eviction;
+  UncoordinatedLoads Gate;
+  AgentController Controller;
+  std::vector<Message> ToEntry;
+};
+
+} // namespace
+
+TEST_CASE("one load serves all that wait for it") {
+  Agent agent;
+  agent.Controller.onExecute(Now, Entry, request(1, "a"));
+  agent.Controller.onExecute(Now, Entry, request(2, "a"));
+  CHECK(agent.take<StartLoad>().size() == 1);
+  agent.load(Now + 1s, "a");
+  CHECK(agent.take<StartGeneration>().size() == 2);
+}
+
+TEST_CASE("an adapter in use is never given up") {
+  Agent agent;
+  for (const char *it : {"a", "b"}) {
+    agent.Controller.onExecute(Now, Entry, request(it[0], it));
+    agent.load(Now, it);
+  }
+  REQUIRE(agent.take<StartGeneration>().size() == 2);
+  agent.Controller.onExecute(Now, Entry, request(3, "c"));
+  CHECK(agent.take<StartLoad>().empty());
+  agent.Controller.onWorkEnded(Now + 1s, {1, 'b'}, AttemptEnding::Answered, "");
+  const auto loads = agent.take<StartLoad>();
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].Victim->Adapter == AdapterName("b"));
+}
+
+TEST_CASE("a cancelled request keeps its adapter until the engine has stopped") {
+  Agent agent;
+  agent.Controller.onExecute(Now, Entry, request(1, "a"));
+  agent.load(Now, "a");
+  agent.take<StartGeneration>();
+  agent.Controller.onCancel(Now, {1, 1});
+  CHECK(agent.take<CancelWork>().size() == 1);
+  CHECK(agent.Controller.board().Slots.all()[0].Pins == 1);
+  agent.Controller.onWorkEnded(Now, {1, 1}, AttemptEnding::Cancelled, "");
+  CHECK(agent.Controller.board().Slots.all()[0].Pins == 0);
+}
+
+TEST_CASE("an agent beside a running engine waits out what it doesn't know") {
+  LeastPopular eviction;
+  UncoordinatedLoads gate;
+  AgentController agent({.BaseModel = "base", .Slots = 2}, eviction, gate);
+  const std::vector<AdapterKey> held = {{AdapterName("a"), 1}};
+  agent.onEngineFound(Now, held, /*idle=*/false);
+  agent.onEngineFound(Now + 1s, held, true);
+  agent.onExecute(Now + 2s, Entry, request(1, "a"));
+  CHECK_FALSE(agent.board().EngineReady);
+  CHECK(agent.board().WaitingCount == 0); // Refused: not run.
+  agent.onEngineFound(Now + 3100ms, held, true);
+  CHECK(agent.board().EngineReady);
+  CHECK(agent.board().Slots.isReady(held[0]));
+}
+
+TEST_CASE("an engine that starts anew is cold, and its loads are forgotten") {
+  Agent agent;
+  agent.Controller.onExecute(Now, Entry, request(1, "a"));
+  REQUIRE(agent.take<StartLoad>().size() == 1);
+  agent.Controller.onEngineLost(Now);
+  CHECK(agent.refusal()->Reason == RefusalReason::BackendDown);
+  // The order to the former engine is still under way.
+  agent.Controller.onEngineFound(Now + 1s, {}, true);
+  agent.Controller.onEngineFound(Now + 2s, {}, true);
+  CHECK_FALSE(agent.Controller.board().EngineReady);
+  agent.load(Now + 3s, "a", false);
+  agent.Controller.onEngineFound(Now + 4s, {}, true);
+  agent.Controller.onEngineFound(Now + 5s, {}, true);
+  CHECK(agent.Controller.board().EngineReady);
+  CHECK(agent.Controller.board().SetAside.empty());
+}
+
+TEST_CASE("an adapter that fails to load is set aside, longer each time") {
+  Agent agent;
+  Duration before = 0s;
+  TimePoint now = Now;
+  for (int i = 0; i < 4; ++i) {
+    agent.Controller.onExecute(now, Entry, request(10 + i, "bad"));
+    agent.load(now, "bad", false);
+    const auto refused = agent.refusal();
+    REQUIRE(refused);
+    CHECK(refused->Reason == RefusalReason::LoadFailed);
+    const Duration pause =
+        agent.Controller.board().SetAside.begin()->second.Until - now;
+    CHECK(pause > before);
+    before = pause / 2;
+    agent.Controller.onExecute(now + 1ms, Entry, request(20 + i, "bad"));
+    CHECK(agent.refusal()->Attempt == AttemptId{1, 20ULL + i});
+    now += 5min;
+  }
+  agent.Controller.onExecute(now, Entry, request(1, "good"));
+  CHECK(agent.take<StartLoad>().size() == 1);
+}
+
+TEST_CASE("a leaving agent refuses what waits and takes no more") {
+  Agent agent;
+  agent.Controller.onExecute(Now, Entry, request(1, "a"));
+  agent.Controller.leave(Now);
+  CHECK(agent.refusal()->Reason == RefusalReason::Leaving);
+  agent.Controller.onExecute(Now, Entry, request(2, "a"));
+  CHECK(agent.refusal()->Attempt == AttemptId{1, 2});
+  CHECK(agent.Controller.idle());
+}
+
+TEST_CASE("kinds share by weight, and the light one isn't starved") {
+  Agent agent({.BaseModel = "base", .Slots = 2, .BatchCapacity = 1,
+               .CompanyShare = 0});
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    agent.Controller.onExecute(Now, Entry, request(i, "a", 900s, "heavy", 3));
+    agent.Controller.onExecute(Now, Entry, request(100 + i, "a", 900s, "light"));
+  }
+  agent.load(Now, "a");
+  int heavy = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto started = agent.take<StartGeneration>();
+    REQUIRE(started.size() == 1);
+    heavy += started[0].Request.Kind == KindName("heavy");
+    agent.Controller.onWorkEnded(Now, started[0].Request.Attempt,
+                                 AttemptEnding::Answered, "");
+  }
+  CHECK(heavy == 15);
+}
+
+TEST_CASE("an idle engine waits for company, but not past its share") {
+  Agent agent({.BaseModel = "base", .Slots = 2, .BatchCapacity = 8,
+               .CompanyShare = 0.1});
+  agent.Controller.onExecute(Now, Entry, request(1, "a", 10s));
+  agent.load(Now, "a");
+  CHECK(agent.take<StartGeneration>().empty());
+  agent.Controller.tick(Now + 900ms);
+  CHECK(agent.take<StartGeneration>().empty());
+  agent.Controller.tick(Now + 1s);
+  CHECK(agent.take<StartGeneration>().size() == 1);
+  agent.Controller.onExecute(Now + 1s, Entry, request(2, "a", 10s));
+  CHECK(agent.take<StartGeneration>().size() == 1); // The steps run anyway.
+}
+
+TEST_CASE("a request is refused when its load would take too much of its time") {
+  LeastPopular eviction;
+  ScheduledLoads gate(4, 1);
+  AgentController agent({.BaseModel = "base", .Slots = 2, .StallShare = 0.4},
+                        eviction, gate);
+  agent.onEngineFound(Now - 10s, {}, true);
+  agent.onEngineFound(Now - 5s, {}, true);
+  agent.onExecute(Now, Entry, request(1, "a", 10s));
+  agent.onExecute(Now, Entry, request(2, "b", 10s));
+  agent.onLoadQueueStatus(Now, {{AdapterName("a"), 1}, 3s});
+  agent.onLoadQueueStatus(Now, {{AdapterName("b"), 1}, 4s});
+  CHECK(agent.board().Waiting.contains({AdapterName("a"), 1}));
+  CHECK_FALSE(agent.board().Waiting.contains({AdapterName("b"), 1}));
+}
+
+TEST_CASE("without a word of the scheduler the agent takes its fixed share") {
+  LeastPopular eviction;
+  ScheduledLoads gate(4, 8, 2s);
+  AgentController agent({.BaseModel = "base", .Slots = 2}, eviction, gate);
+  agent.onEngineFound(Now - 10s, {}, true);
+  agent.onEngineFound(Now - 5s, {}, true);
+  agent.onExecute(Now, Entry, request(1, "a", 60s));
+  agent.tick(Now + 1900ms);
+  CHECK(agent.board().LoadsUnderWay == 0);
+  agent.tick(Now + 2100ms);
+  CHECK(agent.board().LoadsUnderWay == 1);
+  agent.onLoadEnded(Now + 2200ms, {AdapterName("a"), 1}, true, 100ms);
+  agent.onExecute(Now + 2200ms, Entry, request(2, "b", 60s));
+  agent.tick(Now + 4s); // Eight agents share four a second: one in 2 s.
+  CHECK(agent.board().LoadsUnderWay == 0);
+  agent.tick(Now + 4300ms);
+  CHECK(agent.board().LoadsUnderWay == 1);
+}
+
+TEST_CASE("an entry that goes away has its work cancelled, not its orders") {
+  Agent agent({.BaseModel = "base", .Services = {ServiceName("stock")},
+               .Slots = 2, .CompanyShare = 0});
+  agent.Controller.onExecute(Now, Entry, request(1, "a"));
+  agent.load(Now, "a");
+  agent.Controller.onExecute(Now, Entry,
+                             {.Attempt = {1, 2}, .Remaining = 5s,
+                              .Service = ServiceName("stock")});
+  agent.Controller.onExecute(Now, Entry + 1, request(3, "a"));
+  agent.take<StartGeneration>();
+  agent.Controller.onEntryGone(Now, Entry);
+  const auto cancelled = agent.take<CancelWork>();
+  REQUIRE(cancelled.size() == 1);
+  CHECK(cancelled[0].Attempt == AttemptId{1, 1});
+}
--- /dev/null
+++ b/test/ConsensusTest.cpp
@@ -0,0 +1,160 @@
+#include "pimentofront/Consensus.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A group of three, of which this replica is number 1.
+StoredLog storedOfThree(Term term) {
+  StoredLog stored{.Id = 1, .Vote = {.Current = term}};
+  stored.Snapshot = {.LastIndex = 1, .LastTerm = 1};
+  for (ReplicaId id = 1; id <= 3; ++id)
+    stored.Snapshot.Group.Replicas.push_back(
+        {.Id = id, .Host = HostName("n" + std::to_string(id)), .Address = "a"});
+  return stored;
+}
+
+template <class T> std::vector<T> sent(ReplicatedLog &log) {
+  std::vector<T> result;
+  for (const OutgoingLogMessage &it : log.takeActions().Messages)
+    if (const auto *message = std::get_if<T>(&it.Content))
+      result.push_back(*message);
+  return result;
+}
+
+constexpr TimePoint Start{100s};
+
+/// Makes \p log the leader of its group, by the vote of replica 2.
+void elect(ReplicatedLog &log, TimePoint now) {
+  log.tick(now, 0);
+  REQUIRE(log.role() == LogRole::Candidate);
+  const Term next = log.term() + 1;
+  log.onMessage(now, 0,
+                VoteReply{2, log.term(), next, /*Granted=*/true, /*Probe=*/true});
+  log.onMessage(now, 0, VoteReply{2, next, next, true, false});
+  REQUIRE(log.role() == LogRole::Leader);
+}
+
+} // namespace
+
+TEST_CASE("a group of one commits by itself") {
+  ReplicatedLog log(Start, {.Host = HostName("n1")}, {.Id = 1});
+  REQUIRE(log.bootstrap(Start, 5));
+  log.takeActions();
+  log.synced(Start);
+  REQUIRE(log.propose(Start, 7, "x"));
+  CHECK(log.takeActions().Committed.empty()); // Not before it is synced.
+  log.synced(Start);
+  const LogActions actions = log.takeActions();
+  REQUIRE(actions.Committed.size() == 1);
+  CHECK(actions.Committed[0].Data == "x");
+  CHECK(actions.Committed[0].WallMilliseconds == 7);
+}
+
+TEST_CASE("a folder is bootstrapped once") {
+  ReplicatedLog log(Start, {}, storedOfThree(1));
+  CHECK_FALSE(log.bootstrap(Start, 0));
+}
+
+TEST_CASE("a replica that has just started grants no vote") {
+  ReplicatedLog log(Start, {}, storedOfThree(1));
+  const VoteRequest request{.From = 2, .CandidateTerm = 5, .LastIndex = 9,
+                            .LastTerm = 4};
+  log.onMessage(Start + 10ms, 0, request);
+  const auto early = sent<VoteReply>(log);
+  REQUIRE(early.size() == 1);
+  CHECK_FALSE(early[0].Granted);
+  log.onMessage(Start + 700ms, 0, request);
+  const auto later = sent<VoteReply>(log);
+  REQUIRE(later.size() == 1);
+  CHECK(later[0].Granted);
+}
+
+TEST_CASE("it votes once in a term, and not for one who lacks entries") {
+  ReplicatedLog log(Start, {}, storedOfThree(1));
+  const TimePoint now = Start + 1s;
+  log.onMessage(now, 0, VoteRequest{2, 5, 0, 0, false});
+  CHECK_FALSE(sent<VoteReply>(log).at(0).Granted);
+  log.onMessage(now, 0, VoteRequest{2, 5, 1, 1, false});
+  CHECK(sent<VoteReply>(log).at(0).Granted);
+  log.onMessage(now, 0, VoteRequest{3, 5, 1, 1, false});
+  CHECK_FALSE(sent<VoteReply>(log).at(0).Granted);
+}
+
+TEST_CASE("while a leader is heard no vote moves the term") {
+  ReplicatedLog log(Start, {}, storedOfThree(1));
+  log.onMessage(Start + 1s, 0, AppendRequest{.From = 3, .LeaderTerm = 2,
+                                             .PreviousIndex = 1,
+                                             .PreviousTerm = 1});
+  log.onMessage(Start + 1100ms, 0, VoteRequest{2, 9, 5, 5, false});
+  CHECK(log.term() == 2);
+}
+
+TEST_CASE("a lost disk is another identity, and its vote counts for nothing") {
+  ReplicatedLog log(Start, {}, storedOfThree(1));
+  const TimePoint now = Start + 5s;
+  log.tick(now, 0);
+  log.onMessage(now, 0, VoteReply{99, 1, 2, true, true});
+  CHECK(log.role() == LogRole::Candidate);
+  CHECK(log.term() == 1);
+}
+
+TEST_CASE("a leader's lease runs from when its question was sent") {
+  ReplicatedLog log(Start, {}, storedOfThree(1));
+  const TimePoint now = Start + 5s;
+  elect(log, now);
+  CHECK_FALSE(log.holdsLease(now));
+  const std::uint64_t round = sent<AppendRequest>(log).at(0).Round;
+  log.synced(now);
+  // The answer comes late: the lease counts from the question.
+  log.onMessage(now + 400ms, 0, AppendReply{2, 2, true, 2, round});
+  CHECK(log.holdsLease(now + 500ms));
+  CHECK_FALSE(log.holdsLease(now + 550ms));
+  CHECK_FALSE(log.readIndex(now + 550ms));
+}
+
+TEST_CASE("a leader that hears nobody steps down") {
+  ReplicatedLog log(Start, {}, storedOfThree(1));
+  elect(log, Start + 5s);
+  log.tick(Start + 5500ms, 0);
+  CHECK(log.role() == LogRole::Leader);
+  log.tick(Start + 5700ms, 0);
+  CHECK(log.role() == LogRole::Follower);
+}
+
+TEST_CASE("an entry of an earlier term isn't committed by counting") {
+  StoredLog stored = storedOfThree(1);
+  stored.Entries = {{1, 2, EntryKind::Command, 0, "old"}};
+  ReplicatedLog log(Start, {}, stored);
+  elect(log, Start + 5s);
+  log.takeActions();
+  log.synced(Start + 5s);
+  log.onMessage(Start + 5s, 0, AppendReply{2, 2, true, 2, 1});
+  CHECK(log.commitIndex() == 1);
+  log.onMessage(Start + 5s, 0, AppendReply{2, 2, true, 3, 1});
+  CHECK(log.commitIndex() == 3);
+}
+
+TEST_CASE("a follower cuts what another leader left, never what is committed") {
+  StoredLog stored = storedOfThree(3);
+  stored.Entries = {{2, 2, EntryKind::Command, 0, "a"},
+                    {2, 3, EntryKind::Command, 0, "b"}};
+  ReplicatedLog log(Start, {}, stored);
+  log.onMessage(Start, 0, AppendRequest{.From = 2, .LeaderTerm = 3,
+                                        .PreviousIndex = 2, .PreviousTerm = 2,
+                                        .Committed = 2,
+                                        .Entries = {{3, 3, EntryKind::Command,
+                                                     0, "c"}}});
+  CHECK(log.lastIndex() == 3);
+  CHECK(log.takeActions().Write.Entries.at(0).Data == "c");
+  // A confused message that would cut entry 2.
+  log.onMessage(Start, 0, AppendRequest{.From = 2, .LeaderTerm = 3,
+                                        .PreviousIndex = 1, .PreviousTerm = 1,
+                                        .Entries = {{3, 2, EntryKind::Command,
+                                                     0, "d"}}});
+  CHECK_FALSE(sent<AppendReply>(log).at(0).Matched);
+  CHECK(log.lastIndex() == 3);
+}
--- /dev/null
+++ b/test/EntryTest.cpp
@@ -0,0 +1,287 @@
+#include "pimentofront/Serving.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{100s};
+
+/// One adapter "a" with live versions 1 and 3, and one kind.
+class FixedConfiguration : public ConfigurationView {
+public:
+  std::optional<AdapterRecord>
+  findAdapter(const AdapterName &name) const override {
+    if (name != AdapterName("a"))
+      return std::nullopt;
+    return AdapterRecord{
+        .Name = name,
+        .BaseModel = "base",
+        .Versions = {{1, "s1", true}, {2, "s2", false}, {3, "s3", true}}};
+  }
+  const KindRecord *findKind(const KindName &name) const override {
+    return name == Kind.Name ? &Kind : nullptr;
+  }
+  bool isDrained(const HostName &) const override { return false; }
+  bool isConfirmed(TimePoint) const override { return Confirmed; }
+
+  KindRecord Kind{.Name = KindName("usual"), .Window = 30s, .CallerLimit = 3};
+  bool Confirmed = true;
+};
+
+/// An entry before hosts w1 to w3 that all have a service, too.
+struct EntryUnderTest {
+  EntryUnderTest() : Controller({.Incarnation = 5}, Configuration, Routing) {
+    MemberUpdate update;
+    for (const char *it : {"w1", "w2", "w3"})
+      update.Members.push_back({.Host = HostName(it),
+                                .Incarnation = 1,
+                                .Address = it,
+                                .BaseModel = "base",
+                                .Services = {ServiceName("stock")},
+                                .Slots = 4,
+                                .BatchCapacity = 4});
+    Controller.onMembers(Now, update);
+  }
+
+  template <class T> std::vector<T> take() {
+    std::vector<T> result;
+    for (const EntryCommand &it : Controller.takeCommands()) {
+      if (const auto *command = std::get_if<T>(&it))
+        result.push_back(*command);
+      if (const auto *final = std::get_if<DeliverFinal>(&it))
+        Finals.push_back(final->Answer);
+    }
+    return result;
+  }
+  /// \returns where the next attempt goes.
+  std::pair<HostName, ExecuteRequest> sent() {
+    for (const SendToAgent &it : take<SendToAgent>())
+      if (const auto *execute = std::get_if<ExecuteRequest>(&it.Content))
+        return {it.Host, *execute};
+    FAIL("nothing was sent");
+    return {};
+  }
+  FinalAnswer final() {
+    take<SendToAgent>();
+    REQUIRE(Finals.size() == 1);
+    return Finals[0];
+  }
+  void generate(RequestKey key, VersionNumber version = 0) {
+    Controller.onRequest(Now, {.Key = key,
+                               .Id = RequestId("r"),
+                               .Caller = CallerName("club"),
+                               .Kind = KindName("usual"),
+                               .Adapter = AdapterName("a"),
+                               .Version = version,
+                               .MaxTokens = 10});
+  }
+  void order(RequestKey key) {
+    Controller.onRequest(Now, {.Key = key,
+                               .Id = RequestId("o"),
+                               .Caller = CallerName("club"),
+                               .Kind = KindName("usual"),
+                               .Service = ServiceName("stock"),
+                               .Idempotent = false});
+  }
+
+  FixedConfiguration Configuration;
+  AffinityRouting Routing{AffinityOptions{}};
+  EntryController Controller;
+  std::vector<FinalAnswer> Finals;
+};
+
+} // namespace
+
+TEST_CASE("the version that was named goes out, or the highest live one") {
+  EntryUnderTest entry;
+  entry.generate(1);
+  CHECK(entry.sent().second.Key.Version == 3);
+  entry.generate(2, 1);
+  CHECK(entry.sent().second.Source == "s1");
+  entry.generate(3, 2);
+  CHECK(entry.final().Reason == RefusalReason::Invalid);
+}
+
+TEST_CASE("who isn't certain of its configuration refuses, truthfully") {
+  EntryUnderTest entry;
+  entry.Configuration.Confirmed = false;
+  entry.generate(1);
+  const FinalAnswer answer = entry.final();
+  CHECK(answer.Kind == FinalKind::Refused);
+  CHECK(answer.Reason == RefusalReason::Isolated);
+  CHECK(answer.ComeBack > 0s);
+}
+
+TEST_CASE("a caller's limit holds, and ends with its requests") {
+  EntryUnderTest entry;
+  for (RequestKey key = 1; key <= 4; ++key)
+    entry.generate(key);
+  CHECK(entry.final().Reason == RefusalReason::CallerLimit);
+  entry.Controller.onCallerGone(Now, 1);
+  entry.generate(5);
+  CHECK(entry.sent().second.Request == RequestId("r"));
+}
+
+TEST_CASE("all hosts are asked before one has to load") {
+  EntryUnderTest entry;
+  entry.generate(1);
+  std::set<HostName> asked;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    const auto [host, execute] = entry.sent();
+    CHECK(execute.OnlyIfResident);
+    asked.insert(host);
+    const std::uint32_t value = host == HostName("w2") ? 5 : 900;
+    entry.Controller.onRefused(Now, host,
+                               {.Attempt = execute.Attempt,
+                                .Reason = RefusalReason::NotResident,
+                                .Load = {.BatchCapacity = 4,
+                                         .VictimValue = value}});
+  }
+  CHECK(asked.size() == 3);
+  const auto [host, execute] = entry.sent();
+  CHECK_FALSE(execute.OnlyIfResident);
+  CHECK(host == HostName("w2")); // Where the least is lost.
+  entry.Controller.onAdmitted(Now, host, {.Attempt = execute.Attempt});
+  entry.generate(2);
+  CHECK(entry.sent().first == host);
+}
+
+TEST_CASE("a stream that breaks off goes on elsewhere where it stopped") {
+  EntryUnderTest entry;
+  entry.generate(1);
+  const auto [host, execute] = entry.sent();
+  entry.Controller.onAdmitted(Now, host, {.Attempt = execute.Attempt});
+  entry.Controller.onChunk(Now, host, {execute.Attempt, 0, 4, "four "});
+  entry.Controller.onLinkLost(Now, host, true);
+  const auto [other, again] = entry.sent();
+  CHECK(other != host);
+  CHECK(again.Resumed == "four ");
+  CHECK(again.MaxTokens == 6);
+  // What the first attempt still says reaches nobody.
+  entry.Controller.onChunk(Now, host, {execute.Attempt, 4, 1, "late"});
+  entry.Controller.onFinished(Now, host, {.Attempt = execute.Attempt});
+  CHECK(entry.take<DeliverChunk>().empty());
+  CHECK(entry.Finals.empty());
+  entry.Controller.onChunk(Now, other, {again.Attempt, 0, 6, "six"});
+  entry.Controller.onFinished(Now, other,
+                              {.Attempt = again.Attempt, .Tokens = 6});
+  CHECK(entry.final().Tokens == 10);
+}
+
+TEST_CASE("an answer with a piece missing isn't passed off as whole") {
+  EntryUnderTest entry;
+  entry.generate(1);
+  const auto [host, execute] = entry.sent();
+  entry.Controller.onChunk(Now, host, {execute.Attempt, 0, 4, "x"});
+  entry.Controller.onFinished(Now, host,
+                              {.Attempt = execute.Attempt, .Tokens = 5});
+  CHECK(entry.Finals.empty());
+  CHECK(entry.sent().second.Attempt != execute.Attempt);
+}
+
+TEST_CASE("another host's word on an attempt counts for nothing") {
+  EntryUnderTest entry;
+  entry.generate(1);
+  const auto [host, execute] = entry.sent();
+  const HostName other(host == HostName("w1") ? "w2" : "w1");
+  entry.Controller.onFinished(Now, other, {.Attempt = execute.Attempt});
+  entry.Controller.onChunk(Now, other, {execute.Attempt, 0, 1, "x"});
+  CHECK(entry.take<DeliverChunk>().empty());
+  CHECK(entry.Finals.empty());
+}
+
+TEST_CASE("an order goes out only when its claim is granted") {
+  EntryUnderTest entry;
+  entry.order(1);
+  const auto claims = entry.take<ProposeCommand>();
+  REQUIRE(claims.size() == 1);
+  entry.Controller.onDecision(Now, claims[0].Nonce, CommandOutcome{});
+  const auto [host, execute] = entry.sent();
+  // The host vanishes: it may have run, and is not sent again.
+  entry.Controller.onLinkLost(Now, host, true);
+  CHECK(entry.final().Kind == FinalKind::Unknown);
+}
+
+TEST_CASE("an order whose host never opened its link did not run there") {
+  EntryUnderTest entry;
+  entry.order(1);
+  const auto claims = entry.take<ProposeCommand>();
+  entry.Controller.onDecision(Now, claims.at(0).Nonce, CommandOutcome{});
+  const auto [host, execute] = entry.sent();
+  entry.Controller.onLinkLost(Now, host, false);
+  CHECK(entry.sent().first != host);
+}
+
+TEST_CASE("a claim that isn't decided is withdrawn and refused as not run") {
+  EntryUnderTest entry;
+  entry.order(1);
+  const auto claims = entry.take<ProposeCommand>();
+  entry.Controller.onDecision(Now + 20s, claims.at(0).Nonce, std::nullopt);
+  const auto endings = entry.take<ProposeCommand>();
+  REQUIRE(endings.size() == 1);
+  CHECK(std::get<RecordEnding>(endings[0].Proposal.Body).Ending ==
+        ClaimEnding::NotRun);
+  CHECK(entry.Finals.at(0).Reason == RefusalReason::NoClaim);
+}
+
+TEST_CASE("a frozen entry that wakes looks at the time before it sends") {
+  EntryUnderTest entry;
+  entry.order(1);
+  const auto claims = entry.take<ProposeCommand>();
+  entry.Controller.onDecision(Now + 40s, claims.at(0).Nonce, CommandOutcome{});
+  CHECK(entry.take<SendToAgent>().empty());
+  CHECK(entry.Finals.at(0).Kind == FinalKind::Refused);
+}
+
+TEST_CASE("retries are bounded by the budget") {
+  EntryUnderTest entry;
+  int attempts = 0;
+  for (RequestKey key = 1; key <= 30; ++key) {
+    entry.generate(key);
+    while (true) {
+      const auto sends = entry.take<SendToAgent>();
+      if (sends.empty())
+        break;
+      const auto &execute = std::get<ExecuteRequest>(sends[0].Content);
+      ++attempts;
+      entry.Controller.onRefused(Now, sends[0].Host,
+                                 {.Attempt = execute.Attempt,
+                                  .Reason = RefusalReason::BackendDown});
+    }
+  }
+  CHECK(entry.Finals.size() == 30);
+  CHECK(attempts <= 30 + 10 + 6); // One each, the reserve, a fifth.
+}
+
+TEST_CASE("a load backlog is final at once: other hosts would say the same") {
+  EntryUnderTest entry;
+  entry.generate(1);
+  const auto [host, execute] = entry.sent();
+  entry.Controller.onRefused(Now, host, {.Attempt = execute.Attempt,
+                                         .Reason = RefusalReason::LoadBacklog,
+                                         .ComeBack = 3s});
+  CHECK(entry.take<SendToAgent>().empty());
+  CHECK(entry.Finals.at(0).ComeBack == 3s);
+}
+
+TEST_CASE("the rendezvous order moves few adapters when a host goes") {
+  std::vector<MemberView> members(20);
+  for (std::size_t i = 0; i < members.size(); ++i)
+    members[i].NameHash = stableHash("w" + std::to_string(i));
+  int moved = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const AdapterKey key{AdapterName(std::to_string(i)), 1};
+    std::vector<const MemberView *> all;
+    for (const MemberView &it : members)
+      all.push_back(&it);
+    std::vector<const MemberView *> fewer(all.begin() + 1, all.end());
+    detail::orderByRendezvous(key, 1, all);
+    detail::orderByRendezvous(key, 1, fewer);
+    moved += all[0] != fewer[0];
+  }
+  CHECK(moved > 20);
+  CHECK(moved < 90);
+}
--- /dev/null
+++ b/test/LogStoreTest.cpp
@@ -0,0 +1,131 @@
+#include "pimentofront/Consensus.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+using namespace pimentofront;
+namespace fs = std::filesystem;
+
+namespace {
+
+/// A folder that goes with the test.
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/pimentofront-store-XXXXXX";
+    Path = ::mkdtemp(name);
+  }
+  ~Folder() { fs::remove_all(Path); }
+  std::string Path;
+};
+
+LogEntry entry(LogIndex index, const std::string &data, Term term = 1) {
+  return {term, index, EntryKind::Command, 0, data};
+}
+
+std::unique_ptr<FileLogStore> mustOpen(const std::string &folder) {
+  auto store = FileLogStore::open(folder, 11);
+  REQUIRE(store);
+  return std::move(*store);
+}
+
+void writeThree(const std::string &folder) {
+  auto store = mustOpen(folder);
+  REQUIRE(store->write({.Vote = Ballot{3, 2},
+                        .Entries = {entry(1, "one"), entry(2, "two"),
+                                    entry(3, "three")}}));
+}
+
+} // namespace
+
+TEST_CASE("what was written is there again, under the first identity") {
+  const Folder folder;
+  writeThree(folder.Path);
+  auto store = FileLogStore::open(folder.Path, 99);
+  REQUIRE(store);
+  const StoredLog stored = (*store)->takeStored();
+  CHECK(stored.Id == 11);
+  CHECK(stored.Vote == Ballot{3, 2});
+  REQUIRE(stored.Entries.size() == 3);
+  CHECK(stored.Entries[2].Data == "three");
+}
+
+TEST_CASE("an entry in place of an old one cuts the rest") {
+  const Folder folder;
+  writeThree(folder.Path);
+  REQUIRE(mustOpen(folder.Path)->write({.Entries = {entry(2, "new", 2)}}));
+  const StoredLog stored = mustOpen(folder.Path)->takeStored();
+  REQUIRE(stored.Entries.size() == 2);
+  CHECK(stored.Entries[1].Data == "new");
+}
+
+TEST_CASE("a torn tail is cut off at any byte") {
+  const Folder folder;
+  writeThree(folder.Path);
+  const std::string log = folder.Path + "/log";
+  const auto whole = fs::file_size(log);
+  const auto third = whole - whole / 3 + 5;
+  for (auto n = whole - 1; n > third; --n) {
+    fs::resize_file(log, n);
+    const StoredLog stored = mustOpen(folder.Path)->takeStored();
+    CHECK(stored.Entries.size() == 2);
+    // The cut is made good: later entries go where the torn one stood.
+    REQUIRE(mustOpen(folder.Path)->write({.Entries = {entry(3, "again")}}));
+    CHECK(mustOpen(folder.Path)->takeStored().Entries.size() == 3);
+  }
+}
+
+TEST_CASE("a damaged record in the middle isn't taken for a torn tail") {
+  const Folder folder;
+  writeThree(folder.Path);
+  std::fstream log(folder.Path + "/log",
+                   std::ios::in | std::ios::out | std::ios::binary);
+  log.seekp(20);
+  log.put('\x55');
+  log.close();
+  const auto store = FileLogStore::open(folder.Path, 11);
+  REQUIRE_FALSE(store);
+  CHECK(store.error().What == LogStoreError::Kind::Corrupt);
+}
+
+TEST_CASE("a snapshot stands in place of the entries that it covers") {
+  const Folder folder;
+  writeThree(folder.Path);
+  const LogSnapshot snapshot{.LastIndex = 2, .LastTerm = 1, .State = "state"};
+  REQUIRE(mustOpen(folder.Path)->compact(snapshot, {entry(3, "three")}));
+  const StoredLog stored = mustOpen(folder.Path)->takeStored();
+  CHECK(stored.Snapshot == snapshot);
+  REQUIRE(stored.Entries.size() == 1);
+  CHECK(stored.Entries[0].Index == 3);
+}
+
+TEST_CASE("a crash between the snapshot and the cut loses nothing") {
+  const Folder folder;
+  writeThree(folder.Path);
+  const std::string log = folder.Path + "/log";
+  fs::copy_file(log, log + ".before");
+  const LogSnapshot snapshot{.LastIndex = 2, .LastTerm = 1, .State = "state"};
+  REQUIRE(mustOpen(folder.Path)->compact(snapshot, {entry(3, "three")}));
+  fs::rename(log + ".before", log);
+  const StoredLog stored = mustOpen(folder.Path)->takeStored();
+  REQUIRE(stored.Entries.size() == 1);
+  CHECK(stored.Entries[0].Data == "three");
+}
+
+TEST_CASE("a lost folder comes back under another identity") {
+  const Folder folder;
+  writeThree(folder.Path);
+  fs::remove_all(folder.Path);
+  auto store = FileLogStore::open(folder.Path, 99);
+  REQUIRE(store);
+  CHECK((*store)->takeStored().Id == 99);
+}
+
+TEST_CASE("a store that could not write once writes no more") {
+  const Folder folder;
+  auto store = mustOpen(folder.Path);
+  fs::remove_all(folder.Path);
+  CHECK_FALSE(store->write({.Vote = Ballot{4, 1}}));
+  fs::create_directory(folder.Path);
+  CHECK_FALSE(store->write({.Vote = Ballot{4, 1}}));
+}
--- /dev/null
+++ b/test/ReplayTest.cpp
@@ -0,0 +1,81 @@
+#include "pimentofront/Testkit.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace pimentofront::testkit;
+using namespace std::chrono_literals;
+
+namespace {
+
+ReplayFigures run(const Deployment &size, const char *policy, double load,
+                  ReplayFault fault) {
+  const Trace trace =
+      generateTrace(size, {.RequestsPerSecond = load * capacityOf(size),
+                           .Length = 90s,
+                           .Seed = 3});
+  return replay(size, *findPolicy(policy), trace, fault, 3);
+}
+
+} // namespace
+
+TEST_CASE("what must hold holds in every replay") {
+  for (const Deployment &size : {coralCoast(), ammann()})
+    for (const PolicySpec &policy : allPolicies())
+      for (const ReplayFault fault :
+           {ReplayFault::None, ReplayFault::ColdThird, ReplayFault::LeaderLost,
+            ReplayFault::BadAdapters}) {
+        INFO(size.Name << " " << policy.Name << " " << nameOf(fault));
+        CHECK(run(size, policy.Name.c_str(), 0.9, fault).Violations ==
+              std::vector<std::string>());
+      }
+}
+
+TEST_CASE("the newest policy stalls at most half of the best baseline") {
+  for (const Deployment &size : {coralCoast(), ammann()}) {
+    const auto newest = allPolicies().back().Name;
+    const double ours =
+        run(size, newest.c_str(), 0.8, ReplayFault::None).StallTotal;
+    const double best = std::min(
+        run(size, "hash", 0.8, ReplayFault::None).StallTotal,
+        run(size, "least-loaded", 0.8, ReplayFault::None).StallTotal);
+    CHECK(ours <= best / 2);
+  }
+}
+
+TEST_CASE("overload doesn't collapse: answers in their window don't fall") {
+  const Deployment size = ammann();
+  const auto newest = allPolicies().back().Name;
+  const auto full = run(size, newest.c_str(), 1.0, ReplayFault::None);
+  const auto over = run(size, newest.c_str(), 1.2, ReplayFault::None);
+  CHECK(static_cast<double>(over.InWindow) >=
+        0.95 * static_cast<double>(full.InWindow));
+}
+
+TEST_CASE("a replay is the same each time") {
+  const Deployment size = coralCoast();
+  const auto a = run(size, "v4", 0.5, ReplayFault::ColdThird);
+  const auto b = run(size, "v4", 0.5, ReplayFault::ColdThird);
+  CHECK(a.StallTotal == b.StallTotal);
+  CHECK(a.Loads == b.Loads);
+}
+
+TEST_CASE("a trace survives its lines") {
+  Trace trace = generateTrace(ammann(), {.Length = 10s});
+  trace.Outcomes = {0.9, 2};
+  Findings findings;
+  const Trace again = Trace::fromLines(trace.toLines(), findings);
+  CHECK(findings.empty());
+  CHECK(again.Requests == trace.Requests);
+  Trace::fromLines("{}\nnoise\n", findings);
+  CHECK(findings.items().size() == 2);
+}
+
+TEST_CASE("no policy needs fewer loads than the offline schedule") {
+  Trace trace;
+  for (const char *it : {"a", "b", "c", "a", "b", "c"})
+    trace.Requests.push_back({.Adapter = AdapterName(it)});
+  CHECK(fewestLoads(trace, 3) == 3);
+  CHECK(fewestLoads(trace, 2) == 4);
+  CHECK(fewestLoads(trace, 1) == 6);
+}
--- /dev/null
+++ b/test/ScenarioTest.cpp
@@ -0,0 +1,58 @@
+#include "pimentofront/Testkit.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace pimentofront::testkit;
+namespace fs = std::filesystem;
+
+namespace {
+
+std::string readFile(const fs::path &path) {
+  std::stringstream text;
+  text << std::ifstream(path).rdbuf();
+  return text.str();
+}
+
+void check(const ScenarioResult &result) {
+  INFO(result.Story);
+  CHECK(result.Faults.toText() == "");
+  CHECK(result.Violations == std::vector<std::string>());
+}
+
+} // namespace
+
+TEST_CASE("the scenarios by name") {
+  // Each begins from one deployment, in a file of its own.
+  const std::string begin =
+      readFile(fs::path(SCENARIO_FOLDER) / "deployment.begin");
+  std::vector<fs::path> files;
+  for (const auto &it : fs::directory_iterator(SCENARIO_FOLDER))
+    if (it.path().extension() == ".scenario")
+      files.push_back(it.path());
+  std::sort(files.begin(), files.end());
+  REQUIRE(files.size() > 10);
+  for (const fs::path &it : files) {
+    INFO(it.filename().string());
+    check(Scenario().run(it.filename().string(), begin + readFile(it)));
+  }
+}
+
+TEST_CASE("random schedules of faults, always the same") {
+  constexpr std::uint64_t Seeds = 200;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    INFO("seed " << seed);
+    check(Scenario(seed).run("random", randomScenario(seed)));
+  }
+}
+
+TEST_CASE("a text with faults is reported, line by line") {
+  const ScenarioResult result =
+      Scenario().run("f", "0 dance\n1\n2 kill nobody\n");
+  CHECK(result.Faults.toText().find("f:1: dance: unknown action") !=
+        std::string::npos);
+  CHECK(result.Faults.items().size() == 3);
+}
--- /dev/null
+++ b/test/SettingsTest.cpp
@@ -0,0 +1,79 @@
+#include "Settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+
+namespace {
+
+constexpr const char *Good = R"({
+  "host": "n1", "zone": "suva",
+  "http": "127.0.0.1:8080", "peers": "127.0.0.1:9080",
+  "replicas": ["127.0.0.1:9080"],
+  "entry": {"affinity_choices": 3},
+  "agent": {"engine": "127.0.0.1:9000", "base_model": "m", "slots": 5,
+            "services": [{"name": "stock", "address": "127.0.0.1:1"}]},
+  "replica": {"folder": "/data"}
+})";
+
+std::string findings(const std::string &text) {
+  Findings result;
+  Settings::parse("f.json", text, result);
+  return result.toText();
+}
+
+std::string replaced(const std::string &from, const std::string &to) {
+  std::string text = Good;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("good settings are taken over") {
+  Findings none;
+  const Settings settings = Settings::parse("f.json", Good, none);
+  CHECK(none.toText().empty());
+  CHECK(settings.Agent.Agent.Slots == 5);
+  CHECK(settings.Affinity.Choices == 3);
+  CHECK(settings.Services.at(0).Name == ServiceName("stock"));
+}
+
+TEST_CASE("each fault is found, with its line and pointer") {
+  CHECK(findings(replaced("\"slots\": 5", "\"slots\": 0")) ==
+        "f.json:6: /agent/slots: expected an integer from 1 to 4096\n");
+  CHECK(findings(replaced("\"slots\"", "\"slotz\"")) ==
+        "f.json:6: /agent/slotz: unknown key\n");
+  CHECK(findings(replaced("\"n1\"", "7")) ==
+        "f.json:2: /host: expected a text\n");
+  CHECK(findings(replaced("127.0.0.1:1\"", "somewhere\"")) ==
+        "f.json:7: /agent/services/0/address: expected \"ip:port\" with a "
+        "numeric IPv4 address\n");
+}
+
+TEST_CASE("all faults are reported together") {
+  const std::string text = findings(R"({"host": "", "extra": 1, "entry": {}})");
+  for (const char *it : {"host", "zone", "http", "peers", "replicas", "extra"})
+    CHECK(text.find(it) != std::string::npos);
+}
+
+TEST_CASE("settings that clash are faults") {
+  CHECK(findings(replaced("\"peers\": \"127.0.0.1:9080\"",
+                          "\"peers\": \"127.0.0.1:8080\""))
+            .find("the same address as http") != std::string::npos);
+  CHECK(findings(replaced("\"folder\"",
+                          "\"heartbeat_ms\": 500, \"folder\""))
+            .find("three times heartbeat_ms") != std::string::npos);
+  CHECK(findings(replaced("\"base_model\": \"m\", ", ""))
+            .find("go together") != std::string::npos);
+}
+
+TEST_CASE("what isn't JSON, or is but deep or doubled, is said so") {
+  CHECK(findings("{\n\"a\": }").find("f.json:2") == 0);
+  CHECK(findings("[1]").find("expected an object") != std::string::npos);
+  CHECK(findings(std::string(100000, '[')).find("proper JSON") !=
+        std::string::npos);
+  CHECK(findings(replaced("\"zone\": \"suva\"",
+                          "\"zone\": \"suva\", \"zone\": \"nadi\""))
+            .find("stands twice") != std::string::npos);
+}
--- /dev/null
+++ b/test/StateTest.cpp
@@ -0,0 +1,233 @@
+#include "pimentofront/State.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+Command command(const std::string &id, CommandBody body,
+                const std::string &by = "anna", Revision buildsOn = 0) {
+  return {CommandId(id), OperatorName(by), buildsOn, std::move(body)};
+}
+
+CreateVersion version(VersionNumber number, const std::string &source = "s") {
+  return {AdapterName("a"), number, source};
+}
+
+StateMachine withAdapter() {
+  StateMachine state;
+  REQUIRE(state.apply(0, command("1", CreateAdapter{AdapterName("a"), "base"}))
+              .Result == CommandResult::Accepted);
+  return state;
+}
+
+ClaimRequest claim(std::uint64_t holder, std::uint64_t hash = 1) {
+  return {CallerName("club"), RequestId("r"), hash, {9, holder}, 1000};
+}
+
+RecordEnding ending(std::uint64_t holder, ClaimEnding how) {
+  return {CallerName("club"), RequestId("r"), {9, holder}, how, "receipt"};
+}
+
+} // namespace
+
+TEST_CASE("of two operators with one version number exactly one wins") {
+  StateMachine state = withAdapter();
+  CHECK(state.apply(0, command("x", version(5, "of-anna"), "anna")).Result ==
+        CommandResult::Accepted);
+  const CommandOutcome second =
+      state.apply(0, command("y", version(5, "of-bert"), "bert"));
+  CHECK(second.Result == CommandResult::Conflict);
+  CHECK(second.Winner == OperatorName("anna"));
+  const auto adapter = state.configuration().findAdapter(AdapterName("a"));
+  CHECK(adapter->Versions.at(0).Source == "of-anna");
+}
+
+TEST_CASE("a command sent again gets its first outcome, also after others") {
+  StateMachine state = withAdapter();
+  const Command first = command("x", version(1));
+  const CommandOutcome outcome = state.apply(0, first);
+  state.apply(0, command("y", version(2)));
+  CHECK(state.apply(0, first) == outcome);
+  CHECK(state.apply(0, command("x", version(3))).Result ==
+        CommandResult::IdReused);
+}
+
+TEST_CASE("a change that builds on an old record loses") {
+  StateMachine state = withAdapter();
+  const Revision built = state.configuration().revision();
+  state.apply(0, command("x", version(1)));
+  CHECK(state.apply(0, command("y", version(2), "bert", built)).Result ==
+        CommandResult::Conflict);
+}
+
+TEST_CASE("what isn't proper changes nothing") {
+  StateMachine state = withAdapter();
+  const std::string before = state.encode();
+  const std::string longName(129, 'x');
+  for (const CommandBody &it : std::vector<CommandBody>{
+           CreateAdapter{AdapterName(""), "base"},
+           CreateAdapter{AdapterName(longName), "base"},
+           CreateAdapter{AdapterName("b c"), "base"}, version(0),
+           version(1, ""), CreateVersion{AdapterName("none"), 1, "s"},
+           DeclareLive{AdapterName("a"), {7}},
+           SetKind{{.Name = KindName("k"), .Weight = 0}}})
+    CHECK(state.apply(0, {.Body = it}).Result != CommandResult::Accepted);
+  CHECK(state.encode() == before);
+}
+
+TEST_CASE("the state is the same after it was encoded") {
+  StateMachine state = withAdapter();
+  state.apply(0, command("x", version(1)));
+  state.apply(2000, {.Body = claim(1)});
+  StateMachine copy;
+  REQUIRE(copy.decode(state.encode()));
+  CHECK(copy.encode() == state.encode());
+  CHECK(copy.apply(0, command("x", version(1))).Result ==
+        CommandResult::Accepted);
+  CHECK_FALSE(copy.decode(state.encode().substr(1)));
+}
+
+TEST_CASE("one attempt is granted, whoever asks again") {
+  ClaimLedger ledger;
+  CHECK(ledger.claim(2000, claim(1)).Result == CommandResult::Accepted);
+  CHECK(ledger.claim(2000, claim(1)).Result == CommandResult::Accepted);
+  CHECK(ledger.claim(2000, claim(2)).Result == CommandResult::InProgress);
+  CHECK(ledger.claim(2000, claim(2, 7)).Result == CommandResult::IdReused);
+  CHECK(ledger.end(2000, ending(2, ClaimEnding::NotRun)).Result ==
+        CommandResult::Conflict);
+  ledger.end(2000, ending(1, ClaimEnding::Answered));
+  const CommandOutcome again = ledger.claim(2000, claim(2));
+  CHECK(again.Result == CommandResult::AlreadyAnswered);
+  CHECK(again.Answer == "receipt");
+}
+
+TEST_CASE("what did not run may be claimed by another attempt only") {
+  ClaimLedger ledger;
+  ledger.claim(2000, claim(1));
+  ledger.end(2000, ending(1, ClaimEnding::NotRun));
+  CHECK(ledger.claim(2000, claim(1)).Result == CommandResult::Invalid);
+  CHECK(ledger.claim(2000, claim(2)).Result == CommandResult::Accepted);
+}
+
+TEST_CASE("a withdrawal that overtakes its claim holds") {
+  ClaimLedger ledger;
+  ledger.end(2000, ending(1, ClaimEnding::NotRun));
+  CHECK(ledger.claim(2000, claim(1)).Result == CommandResult::Invalid);
+  CHECK(ledger.claim(2000, claim(2)).Result == CommandResult::Accepted);
+}
+
+TEST_CASE("a holder that never tells leaves an unknown, not a second run") {
+  ClaimLedger ledger;
+  ledger.claim(2000, claim(1));
+  CHECK(ledger.claim(2000 + 119'000, claim(2)).Result ==
+        CommandResult::InProgress);
+  CHECK(ledger.claim(2000 + 121'000, claim(2)).Result ==
+        CommandResult::AlreadyUnknown);
+}
+
+TEST_CASE("a claim is forgotten only when its id can't be sent any more") {
+  ClaimLedger ledger;
+  ledger.claim(2000, claim(1));
+  ledger.end(2000, ending(1, ClaimEnding::Answered));
+  ClaimRequest later = claim(2);
+  CHECK(ledger.claim(3'600'000, later).Result ==
+        CommandResult::AlreadyAnswered);
+  CHECK(ledger.claim(3'602'000, later).Result == CommandResult::Invalid);
+  ClaimRequest other = claim(3);
+  other.Request = RequestId("other");
+  other.IssuedAtMilliseconds = 5'000'000;
+  ledger.claim(5'000'000, other);
+  CHECK(ledger.size() == 1);
+  CHECK(ledger.claim(5'000'000, later).Result == CommandResult::Invalid);
+}
+
+TEST_CASE("a store of many adapters packs itself and finds each") {
+  AdapterStore store;
+  for (int round = 0; round < 3; ++round)
+    for (int i = 0; i < 5000; ++i)
+      store.put({.Name = AdapterName("adapter-" + std::to_string(i)),
+                 .BaseModel = "base",
+                 .Versions = {{1, "store://" + std::to_string(i), true}},
+                 .ChangedAt = static_cast<Revision>(round * 5000 + i + 1)});
+  CHECK(store.size() == 5000);
+  CHECK(store.memoryBytes() < 5000 * 300);
+  CHECK(store.find(AdapterName("adapter-77"))->Versions[0].Source ==
+        "store://77");
+  CHECK_FALSE(store.find(AdapterName("adapter-5000")));
+  int changed = 0;
+  store.forEachChanged(14'990, [&](const AdapterRecord &) { ++changed; });
+  CHECK(changed == 10);
+}
+
+TEST_CASE("a copy serves only on what it asked for less than a lease ago") {
+  ConfigurationCopy copy({.Lease = 4s});
+  TimePoint now{100s};
+  CHECK_FALSE(copy.isConfirmed(now));
+  const std::uint64_t nonce = copy.beginProbe(now);
+  copy.onProbeReply({.Nonce = nonce, .Confirmed = 3});
+  CHECK_FALSE(copy.isConfirmed(now)); // Revision 3 hasn't come yet.
+  copy.apply({.UpTo = 3});
+  CHECK(copy.isConfirmed(now + 3900ms));
+  CHECK_FALSE(copy.isConfirmed(now + 4s));
+  copy.onProbeReply({.Nonce = nonce, .Confirmed = 3}); // An old answer again.
+  CHECK_FALSE(copy.isConfirmed(now + 4s));
+}
+
+TEST_CASE("a copy never goes back, and a part of a difference isn't a state") {
+  ConfigurationCopy copy;
+  const auto kind = [](const char *name, Revision at) {
+    return KindRecord{.Name = KindName(name), .ChangedAt = at};
+  };
+  copy.apply({.UpTo = 9, .Partial = true, .Records = {kind("a", 5)}});
+  CHECK(copy.revision() == 0);
+  copy.apply({.UpTo = 9, .Records = {kind("b", 9)}});
+  CHECK(copy.revision() == 9);
+  copy.apply({.UpTo = 4, .Records = {KindRecord{.Name = KindName("a"),
+                                                .Weight = 7,
+                                                .ChangedAt = 4}}});
+  CHECK(copy.revision() == 9);
+  CHECK(copy.findKind(KindName("a"))->Weight == 1);
+}
+
+TEST_CASE("members come by difference, and a gap is noticed") {
+  MemberTable leader({.Lease = 6s, .ChangesKept = 4});
+  MemberTable follower;
+  const TimePoint now{100s};
+  leader.beginTerm(now, 2);
+  const auto announce = [&](int i) {
+    leader.announce(now, {.Host = HostName("w" + std::to_string(i)),
+                          .Incarnation = 1});
+  };
+  announce(1);
+  REQUIRE(follower.apply(*leader.updateSince(follower.version())));
+  announce(2);
+  const auto update = leader.updateSince(follower.version());
+  CHECK_FALSE(update->Full);
+  CHECK(update->Members.size() == 1);
+  announce(3);
+  const auto later = leader.updateSince(update->To);
+  CHECK_FALSE(follower.apply(*later));
+  CHECK(follower.apply(*update));
+  CHECK(follower.apply(*later));
+  CHECK(follower.members().size() == 3);
+  for (int i = 4; i < 20; ++i)
+    announce(i);
+  CHECK(leader.updateSince(follower.version())->Full);
+}
+
+TEST_CASE("a lease runs out, and a new leader takes its time to be complete") {
+  MemberTable table({.Lease = 6s});
+  const TimePoint now{100s};
+  table.beginTerm(now, 1);
+  table.announce(now, {.Host = HostName("w"), .Incarnation = 4});
+  CHECK(table.renew(now + 5s, HostName("w"), 4));
+  CHECK_FALSE(table.renew(now + 5s, HostName("w"), 5));
+  CHECK_FALSE(table.complete());
+  CHECK(table.expire(now + 10s).empty());
+  CHECK(table.complete());
+  CHECK(table.expire(now + 12s).size() == 1);
+  CHECK(table.members().empty());
+}
--- /dev/null
+++ b/test/TimeLineTest.cpp
@@ -0,0 +1,35 @@
+#include "TimeLine.h"
+#include "pimentofront/Net.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+
+TEST_CASE("events of all processes stand in one order") {
+  TimeLine line;
+  Findings findings;
+  line.addLog("a", R"({"hlc":3,"ms":1,"host":"a","event":"second","x":1})"
+                   "\nnoise\n",
+              findings);
+  line.addLog("b", R"({"hlc":2,"ms":1,"host":"b","event":"first",)"
+                   R"("request":"<r>"})",
+              findings);
+  line.sort();
+  REQUIRE(line.events().size() == 2);
+  CHECK(line.events()[0].Event == "first");
+  CHECK(line.events()[1].Details == "x=1");
+  CHECK(findings.toText() == "a:2: this is no event\n");
+  CHECK(line.toPage().find("&lt;r>") != std::string::npos);
+  line.keepRequest("other");
+  CHECK(line.events().size() == 1);
+}
+
+TEST_CASE("a stamp is later than all that were seen, but not dragged along") {
+  HybridClock clock;
+  const HybridTime first = clock.tick(1000);
+  CHECK(clock.tick(1000) > first);
+  clock.observe(clock.tick(1000) + (5ULL << 16), 1000);
+  CHECK(clock.tick(1000) > first + (5ULL << 16));
+  clock.observe(~0ULL, 1000);
+  CHECK(clock.tick(1000) < first + (6ULL << 16));
+}
--- /dev/null
+++ b/test/WireTest.cpp
@@ -0,0 +1,68 @@
+#include "pimentofront/Wire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+
+namespace {
+
+template <class T> void checkRoundTrip(const T &message) {
+  const Frame frame{42, message};
+  const auto decoded = decodeFrame(encodeFrame(frame));
+  REQUIRE(decoded);
+  CHECK(decoded->SentAt == 42);
+  CHECK(decoded->Content == Message(message));
+}
+
+} // namespace
+
+TEST_CASE("every sort of field survives the wire") {
+  checkRoundTrip(Hello{1, HostName("suva-1"), 7, true});
+  checkRoundTrip(ExecuteRequest{.Attempt = {1, ~0ULL},
+                                .Kind = KindName("counter"),
+                                .Remaining = Duration(-5),
+                                .Key = {AdapterName("h0"), 3},
+                                .Prompt = std::string("\0\xff half \xc3", 9),
+                                .OnlyIfResident = true});
+  checkRoundTrip(ConfigurationUpdate{
+      .UpTo = 9,
+      .Records = {AdapterRecord{.Name = AdapterName("a"),
+                                .Versions = {{1, "s", true}, {2, "t", false}}},
+                  KindRecord{.Name = KindName("k")},
+                  DrainRecord{.Host = HostName("h"), .Drained = true}}});
+  checkRoundTrip(AppendRequest{.Entries = {{1, 2, EntryKind::Command, 3, "x"}}});
+  checkRoundTrip(Propose{7, {.Body = ClaimRequest{.Holder = {1, 2}}}});
+}
+
+TEST_CASE("what isn't a frame is refused") {
+  CHECK_FALSE(decodeFrame(""));
+  CHECK_FALSE(decodeFrame("garbage"));
+  const std::string good = encodeFrame({1, RenewLease{HostName("h"), 5}});
+  for (std::size_t n = 0; n < good.size(); ++n)
+    CHECK_FALSE(decodeFrame(good.substr(0, n)));
+  CHECK_FALSE(decodeFrame(good + "x"));
+}
+
+TEST_CASE("a message of an unknown number is refused") {
+  // An array of type 200, time 1 and no fields.
+  CHECK_FALSE(decodeFrame(std::string("\x83\x18\xc8\x01\x80", 5)));
+}
+
+TEST_CASE("a frame of a million nested arrays doesn't end the stack") {
+  CHECK_FALSE(decodeFrame(std::string(1'000'000, '\x81')));
+}
+
+TEST_CASE("fields that a later release adds at the end are ignored") {
+  // NotLeader (number 11) with two fields in place of one.
+  const std::string bytes = std::string("\x83\x0b\x01\x82\x41\x61\x05", 7);
+  const auto frame = decodeFrame(bytes);
+  REQUIRE(frame);
+  CHECK(frame->Content == Message(NotLeader{"a"}));
+}
+
+TEST_CASE("a stored record of a newer format is refused") {
+  std::string bytes = encodeCommand({.Body = CreateAdapter{}});
+  CHECK(decodeCommand(bytes));
+  ++bytes[0];
+  CHECK_FALSE(decodeCommand(bytes));
+}
--- /dev/null
+++ b/test/processes.sh
@@ -0,0 +1,129 @@
+#!/bin/sh
+# The real processes on loopback: kills, a freeze, a lost data folder. Waits for
+# events, never for a time. Argument: the folder with the built packages.
+set -eu
+bin=$1
+work=$(mktemp -d)
+pids=""
+base=$((30000 + $$ % 1000 * 25))
+trap 'for it in $pids; do kill -CONT $it 2>/dev/null || true; kill -TERM $it 2>/dev/null || true; done; for it in $pids; do wait $it 2>/dev/null || true; done; rm -rf "$work"' EXIT
+
+run() { # name command...
+  name=$1
+  shift
+  "$@" >>"$work/$name.out" 2>&1 &
+  eval "pid_$name=$!"
+  pids="$! $pids"
+}
+settings() { # name http peers parts
+  cat >"$work/$1.json" <<EOF
+{"host": "$1", "zone": "z", "http": "127.0.0.1:$((base + $2))", "peers": "127.0.0.1:$((base + $3))",
+ "replicas": ["127.0.0.1:$((base + 11))", "127.0.0.1:$((base + 12))", "127.0.0.1:$((base + 13))"],
+ "log": {"file": "$work/$1.log"}, "stop_notice_ms": 50, $4}
+EOF
+}
+daemon() { run "$1" "$bin/daemon/pimentofrontd" --settings "$work/$1.json"; }
+ctl() { n=$1; shift; "$bin/ctl/pimentofrontctl" --entry "127.0.0.1:$((base + n))" --operator test "$@"; }
+until_ok() { # what command...
+  what=$1
+  shift
+  tries=0
+  until "$@" >"$work/last" 2>&1; do
+    tries=$((tries + 1))
+    [ $tries -lt 150 ] || { echo "gave up: $what"; cat "$work/last"; tail -3 "$work"/*.log; exit 1; }
+    sleep 0.1
+  done
+  echo "ok: $what"
+}
+fails() { ! "$@" >/dev/null 2>&1; }
+
+run engine "$bin/testkit/pimentofront-fake-engine" --listen "127.0.0.1:$((base + 20))" --load-ms 50
+run engine2 "$bin/testkit/pimentofront-fake-engine" --listen "127.0.0.1:$((base + 22))" --load-ms 50
+run service "$bin/testkit/pimentofront-fake-service" "127.0.0.1:$((base + 21))" 300
+for i in 1 2 3; do
+  settings n$i $i $((10 + i)) "\"entry\": {}, \"replica\": {\"folder\": \"$work/data$i\"}"
+  daemon n$i
+done
+settings w1 4 14 "\"agent\": {\"engine\": \"127.0.0.1:$((base + 20))\", \"base_model\": \"m\", \"services\": [{\"name\": \"stock\", \"address\": \"127.0.0.1:$((base + 21))\"}]}"
+settings w2 5 15 "\"agent\": {\"engine\": \"127.0.0.1:$((base + 22))\", \"base_model\": \"m\"}"
+daemon w1
+daemon w2
+
+until_ok "bootstrap" ctl 1 bootstrap
+until_ok "a kind" ctl 1 --command-id k set-kind counter --window-ms 20000
+until_ok "an adapter" ctl 1 --command-id a create-adapter a m
+ctl 1 create-version a 1 s >/dev/null
+ctl 1 declare-live a 1 >/dev/null
+voters() { [ "$(ctl "$1" status | grep -o '"group":\["n[123]","n[123]","n[123]"\]' | wc -l)" = 3 ]; }
+until_ok "three voters" voters 1
+generate() { ctl "$1" generate a hello --kind counter --max-tokens 4 | grep -q 'a@1#3'; }
+until_ok "an answer through each entry" generate 1
+until_ok "an answer through each entry" generate 2
+
+# An order that is sent again, also after its entry was killed.
+issued=$(date +%s%3N)
+order() { ctl "$1" call stock reserve x --kind counter --request o1 --issued-at-ms "$issued"; }
+first=$(order 1)
+[ "$(order 2)" = "$first" ] && echo "ok: an order sent again gets its recorded answer"
+kill -KILL "$pid_n1"
+until_ok "an answer while one replica is dead" generate 2
+[ "$(order 3)" = "$first" ] && echo "ok: also after its entry was killed"
+
+# The dead one has lost its disk, comes back, and a second host is lost.
+rm -rf "$work/data1"
+daemon n1
+until_ok "the emptied replica is a voter again" voters 2
+kill -KILL "$pid_n2"
+until_ok "a change after a second host was lost" ctl 1 --command-id c2 create-version a 2 s
+daemon n2
+until_ok "all three are back" voters 1
+
+# A frozen replica: the others go on, it doesn't serve when it wakes stale.
+kill -STOP "$pid_n3"
+until_ok "a change while one replica is frozen" ctl 1 --command-id c3 declare-live a 2
+kill -CONT "$pid_n3"
+retired() { ctl 3 generate a hello --kind counter --version 1 2>&1 | grep -q 'no live version'; }
+until_ok "the woken one has the change" retired
+
+# A damaged log stops a replica, with its own exit code.
+kill -TERM "$pid_n3"
+wait "$pid_n3" || true
+printf 'XXXXXXXX' | dd of="$work/data3/log" bs=1 seek=24 conv=notrunc 2>/dev/null
+set +e
+"$bin/daemon/pimentofrontd" --settings "$work/n3.json" >/dev/null 2>&1
+[ $? = 5 ] || { echo "a damaged log was taken"; exit 1; }
+set -e
+echo "ok: a damaged log isn't taken"
+
+# A graceful stop cuts off nothing that runs.
+n2_answer="$work/answer"
+ctl 1 generate a hello --kind counter --max-tokens 150 >"$n2_answer" 2>&1 &
+long=$!
+running() { grep -q generation_started "$work"/w*.log && grep -q 'a@2#5 ' "$n2_answer"; }
+until_ok "a long answer is on its way" running
+kill -TERM "$pid_w1" "$pid_w2"
+wait $long
+grep -q 'a@2#149' "$n2_answer" || { echo "the answer was cut off"; exit 1; }
+echo "ok: a graceful stop cut off nothing"
+until_ok "both agents have ended" fails kill -0 "$pid_w1"
+wait "$pid_w1" || { echo "the agent's exit code is bad"; exit 1; }
+refused() { ctl 1 generate a hello --kind counter 2>&1 | grep -q '"notRun":true'; }
+until_ok "without backend servers a refusal says not run" refused
+
+# Bad input changes nothing.
+post() { # path type body
+  printf 'POST %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Type: %s\r\nContent-Length: %s\r\n\r\n%s' "$1" "$2" "${#3}" "$3" >"$work/raw"
+  exec 3<>/dev/null
+  python3 - "$((base + 1))" "$work/raw" <<'EOF' 2>/dev/null || true
+import socket, sys
+s = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
+s.sendall(open(sys.argv[2], "rb").read())
+print(s.recv(4096).decode(errors="replace"))
+EOF
+}
+if command -v python3 >/dev/null; then
+  post /pimentofront.v1.Assistant/Generate application/json '{"nonsense":1}' | grep -q "400 Bad" && echo "ok: a bad body is refused"
+  post /pimentofront.v1.Assistant/Nothing application/json '{}' | grep -q "501" && echo "ok: an unknown method is refused"
+  post /pimentofront.v1.Assistant/Generate text/html '{}' | grep -q "415" && echo "ok: an unknown content type is refused"
+fi
+"$bin/ctl/pimentofrontctl" timeline "$work"/*.log >"$work/timeline" && echo "ok: the time line has $(wc -l <"$work/timeline") events"
