--- /dev/null
+++ b/scripts/check-guards.sh
@@ -0,0 +1,82 @@
+#!/bin/sh
+# Takes each guard out, in a copy of the tree, and shows that a test fails then:
+# a test that can't fail proves nothing. Prints a line for each guard.
+set -eu
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files -z | xargs -0 cp --parents -t "$copy"
+cd "$copy"
+cmake -G Ninja -S . -B build >/dev/null
+ninja -j 4 -C build pimentofront-test >/dev/null
+failed=0
+
+guard() { # what file from to tests
+  cp "$2" "$copy/saved"
+  python3 - "$2" "$3" "$4" <<'EOF'
+import sys
+path, old, new = sys.argv[1:4]
+text = open(path).read()
+assert old in text, f"{path} has no '{old}'"
+open(path, "w").write(text.replace(old, new, 1))
+EOF
+  if ! ninja -j 4 -C build pimentofront-test >"$copy/build.out" 2>&1; then
+    echo "NOT BUILT: $1"
+    failed=1
+  elif build/test/pimentofront-test "$5" >"$copy/out" 2>&1; then
+    echo "NOT NOTICED: $1"
+    failed=1
+  else
+    echo "noticed: $1"
+    grep -hoE 'Assertion .*|[a-z-]+\.scenario:[0-9]+: .*|[0-9.]+s: [a-z0-9].*' "$copy/out" | head -2 | sed 's/^/    /'
+  fi
+  cp "$copy/saved" "$2"
+}
+
+serving=packages/serving/pimentofront/src/Serving
+scenarios="the scenarios by name"
+guard "an entry that isn't certain of its configuration refuses" \
+  $serving/EntryController.cpp 'if (!Board.Configuration.isConfirmed(now))' 'if (false)' "$scenarios"
+guard "an adapter in use isn't given up" \
+  $serving/SlotTable.h 'slot.Pins == 0 &&' '' "an adapter in use is never given up"
+guard "a leaving host takes no new work" \
+  $serving/AdmissionController.cpp 'if (Board.Leaving)' 'if (false)' "$scenarios"
+guard "a request that may not be repeated isn't retried" \
+  $serving/EntryController.cpp 'if (!request.Caller.Idempotent)
+    return finish(request, unknown(why));' '' "$scenarios"
+guard "a claim is granted once" \
+  packages/state/pimentofront/src/State/ClaimLedger.cpp \
+  'if (!released || outcome.Result != CommandResult::Accepted)' 'if (false)' "$scenarios"
+guard "an answer must be whole" \
+  $serving/EntryController.cpp 'message.Tokens == request->Attempt->Tokens' 'true' \
+  "an answer with a piece missing isn't passed off as whole"
+guard "a leader relies on its lease, not on its role" \
+  packages/consensus/pimentofront/src/Consensus/Election.cpp \
+  'return now < since + Options.ElectionTimeout - Options.ClockMargin;' 'return true;' \
+  "a leader's lease runs from when its question was sent"
+guard "a replica that just started grants no vote" \
+  packages/consensus/pimentofront/src/Consensus/Election.cpp \
+  'leaderAlive || now < NoVoteBefore' 'leaderAlive' \
+  "a replica that has just started grants no vote"
+guard "what isn't synced isn't committed" \
+  packages/consensus/pimentofront/src/Consensus/Replication.cpp \
+  'it.Id == Id ? Synced' 'it.Id == Id ? lastIndex()' "a group of one commits by itself"
+guard "the configuration never goes back" \
+  packages/state/pimentofront/src/State/ConfigurationCopy.cpp \
+  'if (changedAt(it) <= Records.revision())' 'if (false)' \
+  "a copy never goes back, and a part of a difference isn't a state"
+guard "an engine is waited out before it is used" \
+  $serving/AgentController.cpp 'if (now < *Board.EngineIdleSince + settle)' 'if (false)' \
+  "an agent beside a running engine waits out what it doesn't know"
+guard "a link that replicas don't own isn't used by them" \
+  packages/node/pimentofront/src/Node/ReplicaNode.cpp \
+  'if (hello.Replica == 0 || (hello.Accepted && !ours))' 'if (hello.Replica == 0)' \
+  "random schedules of faults, always the same"
+guard "the other one of two links serves when one ends" \
+  packages/node/pimentofront/src/Node/ReplicaNode.cpp \
+  'if (other != ReplicaOfLink.end())' 'if (false)' \
+  "random schedules of faults, always the same"
+guard "a conflict of operators has one winner" \
+  packages/state/pimentofront/src/State/StateMachine.cpp \
+  'return conflict(adapter->ChangedBy, "the version exists");' '{}' "$scenarios"
+exit $failed
