--- a/packages/consensus/pimentofront/src/Consensus/FileLogStore.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/FileLogStore.cpp
@@ -171,8 +171,8 @@
                                    tl::unexpect, DecodeError{});
     if (!state || !group)
       return tl::unexpected(corrupt("snapshot"));
-    Stored.Snapshot = {entry->Index, entry->EntryTerm, *group,
-                       std::string(state->substr(1))};
+    Stored.Snapshot = LogSnapshot::make(entry->Index, entry->EntryTerm, *group,
+                                        std::string(state->substr(1)));
   }
   return loadLog();
 }
@@ -222,7 +222,7 @@
   // The state may be empty; a record may not.
   constexpr char StateMark = 1;
   return replaceFile("snapshot", frameRecord(encodeEntry(head)) +
-                                     frameRecord(StateMark + snapshot.State));
+                                     frameRecord(StateMark + snapshot.state()));
 }
 
 FileLogStore::Result
--- a/packages/consensus/pimentofront/src/Consensus/LogStore.h
+++ b/packages/consensus/pimentofront/src/Consensus/LogStore.h
@@ -3,6 +3,7 @@
 
 #include "pimentofront/Wire.h"
 
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -20,13 +21,27 @@
 
 /// \class LogSnapshot
 /// \ingroup Consensus
-/// \brief The state after all entries up to one, in their place.
+/// \brief The state after all entries up to one, in their place. Copies share
+/// the state's bytes: it is the largest thing that a replica holds.
 struct LogSnapshot {
   LogIndex LastIndex = 0;
   Term LastTerm = 0;
   ReplicaGroup Group;
-  std::string State;
-  friend auto operator<=>(const LogSnapshot &, const LogSnapshot &) = default;
+  std::shared_ptr<const std::string> Bytes;
+
+  static LogSnapshot make(LogIndex lastIndex, Term lastTerm,
+                          const ReplicaGroup &group, std::string state) {
+    return {lastIndex, lastTerm, group,
+            std::make_shared<const std::string>(std::move(state))};
+  }
+  const std::string &state() const {
+    static const std::string Empty;
+    return Bytes ? *Bytes : Empty;
+  }
+  friend bool operator==(const LogSnapshot &a, const LogSnapshot &b) {
+    return a.LastIndex == b.LastIndex && a.LastTerm == b.LastTerm &&
+           a.Group == b.Group && a.state() == b.state();
+  }
 };
 
 /// \class StoredLog
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -127,9 +127,13 @@
     std::uint64_t Number = 0;
     TimePoint SentAt;
   };
+  /// A snapshot that arrives in parts.
   struct Incoming {
-    LogSnapshot Snapshot;
+    LogIndex LastIndex = 0;
+    Term LastTerm = 0;
+    ReplicaGroup Group;
     std::uint64_t TotalSize = 0;
+    std::string State;
   };
 
   // ReplicatedLog.cpp: the log itself.
--- a/packages/consensus/pimentofront/src/Consensus/Replication.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Replication.cpp
@@ -77,7 +77,7 @@
                     .LastTerm = Snapshot.LastTerm,
                     .Group = Snapshot.Group,
                     .Offset = progress.SnapshotOffset,
-                    .TotalSize = Snapshot.State.size(),
+                    .TotalSize = Snapshot.state().size(),
                     .Round = beginRound(now)};
   const bool hold =
       progress.Waiting && now < progress.SentAt + Options.ElectionTimeout;
@@ -91,7 +91,7 @@
                                     .Round = part.Round});
   }
   part.Data =
-      Snapshot.State.substr(progress.SnapshotOffset, Options.SnapshotPartBytes);
+      Snapshot.state().substr(progress.SnapshotOffset, Options.SnapshotPartBytes);
   progress.Waiting = true;
   progress.SentAt = now;
   sendTo(to, std::move(part));
@@ -159,16 +159,17 @@
     reply.Received = part.TotalSize; // We have it already.
     return sendTo(part.From, reply);
   }
-  if (!Arriving || Arriving->Snapshot.LastIndex != part.LastIndex ||
-      Arriving->Snapshot.LastTerm != part.LastTerm)
-    Arriving = Incoming{{part.LastIndex, part.LastTerm, part.Group, {}},
+  if (!Arriving || Arriving->LastIndex != part.LastIndex ||
+      Arriving->LastTerm != part.LastTerm)
+    Arriving = Incoming{part.LastIndex, part.LastTerm, part.Group,
                         part.TotalSize};
-  std::string &state = Arriving->Snapshot.State;
+  std::string &state = Arriving->State;
   if (part.Offset == state.size())
     state += part.Data;
   reply.Received = state.size();
   if (state.size() >= Arriving->TotalSize) {
-    Snapshot = std::move(Arriving->Snapshot);
+    Snapshot = LogSnapshot::make(Arriving->LastIndex, Arriving->LastTerm,
+                                 Arriving->Group, std::move(state));
     Arriving.reset();
     Entries.clear();
     Actions.Write.Entries.clear();
@@ -227,7 +228,7 @@
     return;
   progress.Waiting = false;
   progress.SnapshotOffset = reply.Received;
-  if (reply.Received >= Snapshot.State.size()) {
+  if (reply.Received >= Snapshot.state().size()) {
     progress.Match = std::max(progress.Match, reply.LastIndex);
     progress.Next = progress.Match + 1;
     progress.SnapshotOffset = 0;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 
 #include <csignal>
+#include <malloc.h>
 #include <cstdio>
 #include <random>
 #include <unistd.h>
@@ -76,6 +77,8 @@
     Replica = std::make_unique<ReplicaNode>(now, replica, Stored, *Store,
                                             *Network, Wall);
     Stored = StoredLog();
+    // Reading the state took several times its memory for a moment.
+    malloc_trim(0);
   }
   if (Options.IsAgent) {
     AgentNodeOptions agent = Options.Agent;
--- a/packages/net/pimentofront/src/Net/HttpClient.cpp
+++ b/packages/net/pimentofront/src/Net/HttpClient.cpp
@@ -158,12 +158,14 @@
 
 HttpClient::~HttpClient() {
   State->reap();
-  // No call-back may start anything while the pool goes.
-  for (auto &[id, call] : State->Active)
+  for (const auto &[id, call] : State->Active)
     evhttp_connection_free(call->Connection);
   for (auto &[address, idle] : State->Idle)
-    for (evhttp_connection *it : idle)
+    for (evhttp_connection *it : idle) {
+      // Else freeing calls back into the list that is being walked.
+      evhttp_connection_set_closecb(it, nullptr, nullptr);
       evhttp_connection_free(it);
+    }
 }
 
 HttpCallId HttpClient::start(HttpCall call) {
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -387,8 +387,8 @@
     for (const OutgoingLogMessage &it : actions.Messages)
       sendToReplica(it.To, it.Content);
     if (actions.Restore) {
-      if (!actions.Restore->State.empty() &&
-          !State.decode(actions.Restore->State))
+      if (!actions.Restore->state().empty() &&
+          !State.decode(actions.Restore->state()))
         Failure = LogStoreError{LogStoreError::Kind::Corrupt, "snapshot"};
       AppliedIndex = actions.Restore->LastIndex;
     }
--- a/packages/testkit/pimentofront/src/Testkit/Replay.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.cpp
@@ -121,7 +121,7 @@
       spec.MakeRouting = [this] { return makeRouting(Policy); };
       WorldProcess &process = Place.add(spec);
       process.Disk = std::make_unique<MemoryLogStore>(1 + i);
-      process.Disk->Stored.Snapshot = {1, 1, group, state};
+      process.Disk->Stored.Snapshot = LogSnapshot::make(1, 1, group, state);
       Place.start(process);
     }
   }
--- a/test/LogStoreTest.cpp
+++ b/test/LogStoreTest.cpp
@@ -91,7 +91,7 @@
 TEST_CASE("a snapshot stands in place of the entries that it covers") {
   const Folder folder;
   writeThree(folder.Path);
-  const LogSnapshot snapshot{.LastIndex = 2, .LastTerm = 1, .State = "state"};
+  const LogSnapshot snapshot = LogSnapshot::make(2, 1, {}, "state");
   REQUIRE(mustOpen(folder.Path)->compact(snapshot, {entry(3, "three")}));
   const StoredLog stored = mustOpen(folder.Path)->takeStored();
   CHECK(stored.Snapshot == snapshot);
@@ -104,7 +104,7 @@
   writeThree(folder.Path);
   const std::string log = folder.Path + "/log";
   fs::copy_file(log, log + ".before");
-  const LogSnapshot snapshot{.LastIndex = 2, .LastTerm = 1, .State = "state"};
+  const LogSnapshot snapshot = LogSnapshot::make(2, 1, {}, "state");
   REQUIRE(mustOpen(folder.Path)->compact(snapshot, {entry(3, "three")}));
   fs::rename(log + ".before", log);
   const StoredLog stored = mustOpen(folder.Path)->takeStored();
