--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -57,6 +57,8 @@
       reader.milliseconds("session_half_life_ms", popularity.SessionHalfLife);
   agent.StallShare = reader.real("stall_share", agent.StallShare, 0.01, 1);
   agent.CompanyShare = reader.real("company_share", agent.CompanyShare, 0, 0.5);
+  agent.CompanyLimit =
+      reader.milliseconds("company_limit_ms", agent.CompanyLimit);
   agent.SpillDelay = reader.milliseconds("spill_delay_ms", agent.SpillDelay);
   settings.EngineProbePeriod =
       reader.milliseconds("engine_probe_ms", settings.EngineProbePeriod);
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -45,6 +45,9 @@
   /// Part of its time that a request may wait for company when the engine is
   /// idle: steps that are shared cost little more than steps for one.
   double CompanyShare = 0.05;
+  /// The longest that it may wait so, whatever its share: a first token has to
+  /// come within about a second.
+  Duration CompanyLimit = std::chrono::milliseconds(400);
   /// Requests that are company enough.
   std::uint32_t CompanyWanted = 4;
   /// An engine that was found running must be idle for so long, so that
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -41,9 +41,10 @@
       continue;
     together += queue.size();
     for (const WaitingAttempt &it : queue) {
-      const double time = toSeconds(it.Deadline - it.ArrivedAt);
-      if (toSeconds(now - it.ArrivedAt - it.LoadStall) >=
-          Board.Options.CompanyShare * time)
+      const Duration share = fromSeconds(toSeconds(it.Deadline - it.ArrivedAt) *
+                                         Board.Options.CompanyShare);
+      if (now - it.ArrivedAt - it.LoadStall >=
+          std::min(share, Board.Options.CompanyLimit))
         return false;
     }
   }
--- a/packages/testkit/pimentofront/src/Testkit/Replay.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.cpp
@@ -141,7 +141,8 @@
                               .SpillDelay = Policy.SpillDelay,
                               .RefusesEarly = Policy.RefusesEarly,
                               .StallShare = Policy.StallShare,
-                              .CompanyShare = Policy.CompanyShare},
+                              .CompanyShare = Policy.CompanyShare,
+                              .CompanyLimit = Policy.CompanyLimit},
                     .Zone = spec.Zone,
                     .Address = host.str(),
                     .Replicas = Addresses};
@@ -295,7 +296,8 @@
        .CompanyShare = 0},
       {.Name = "v2", .StallShare = 1, .CompanyShare = 0},
       {.Name = "v3", .CompanyShare = 0},
-      {.Name = "v4"},
+      {.Name = "v4", .CompanyLimit = std::chrono::hours(1)},
+      {.Name = "v5"},
   };
   return All;
 }
--- a/packages/testkit/pimentofront/src/Testkit/Replay.h
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.h
@@ -28,6 +28,7 @@
   PopularityOptions Popularity;
   double StallShare = 0.4;
   double CompanyShare = 0.05;
+  Duration CompanyLimit = std::chrono::milliseconds(400);
   Duration SpillDelay = std::chrono::milliseconds(500);
 };
 const std::vector<PolicySpec> &allPolicies();
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -195,15 +195,23 @@
                .Slots = 2,
                .BatchCapacity = 8,
                .CompanyShare = 0.1});
-  agent.Controller.onExecute(Now, Entry, request(1, "a", 10s));
+  agent.Controller.onExecute(Now, Entry, request(1, "a", 1s));
   agent.load(Now, "a");
   CHECK(agent.take<StartGeneration>().empty());
-  agent.Controller.tick(Now + 900ms);
+  agent.Controller.tick(Now + 90ms);
   CHECK(agent.take<StartGeneration>().empty());
-  agent.Controller.tick(Now + 1s);
+  agent.Controller.tick(Now + 100ms);
   CHECK(agent.take<StartGeneration>().size() == 1);
   agent.Controller.onExecute(Now + 1s, Entry, request(2, "a", 10s));
   CHECK(agent.take<StartGeneration>().size() == 1); // The steps run anyway.
+  for (std::uint64_t n : {1, 2})
+    agent.Controller.onWorkEnded(Now + 1s, {1, n}, AttemptEnding::Answered, "");
+  // However long its window, it doesn't wait longer than the limit.
+  agent.Controller.onExecute(Now + 2s, Entry, request(3, "a", 60s));
+  agent.Controller.tick(Now + 2390ms);
+  CHECK(agent.take<StartGeneration>().empty());
+  agent.Controller.tick(Now + 2400ms);
+  CHECK(agent.take<StartGeneration>().size() == 1);
 }
 
 TEST_CASE(
