Give a caller's next request on a kept connection its time limit again

Cause: when a request has arrived whole, its connection's read limit is lifted so that the answer may take its time; it was never set again, so a caller could hold a kept connection open for ever with half a request. Before: test/processes.sh 'a slow caller on a kept connection is held open' (30 s). After: cut off at caller_timeout_ms. Seen and left: a pipelined second request isn't answered (libevhtp answers the first), and an oversized body or header ends the connection without an error text.

--- a/packages/net/pimentofront/src/Net/HttpServer.cpp
+++ b/packages/net/pimentofront/src/Net/HttpServer.cpp
@@ -113,10 +113,14 @@
 /// Keeps the exchange alive as long as libevhtp knows the request.
 struct Hold {
   std::shared_ptr<EvhtpExchange> Exchange;
+  timeval CallerTimeout;
 };
 
-evhtp_res onRequestEnded(evhtp_request_t *, void *arg) {
+evhtp_res onRequestEnded(evhtp_request_t *req, void *arg) {
   auto *hold = static_cast<Hold *>(arg);
+  // On a kept connection the next request has its time limit again.
+  if (bufferevent *bev = evhtp_request_get_bev(req))
+    bufferevent_set_timeouts(bev, &hold->CallerTimeout, &hold->CallerTimeout);
   hold->Exchange->requestEnded();
   delete hold;
   return EVHTP_RES_OK;
@@ -132,7 +136,7 @@
   static void onRequest(evhtp_request_t *req, void *arg) {
     auto *self = static_cast<Impl *>(arg);
     auto exchange = std::make_shared<EvhtpExchange>(req);
-    auto *hold = new Hold{exchange};
+    auto *hold = new Hold{exchange, self->CallerTimeout};
     evhtp_request_set_hook(req, evhtp_hook_on_request_fini,
                            reinterpret_cast<evhtp_hook>(onRequestEnded), hold);
     // The request is complete: from here on the answer may take its time, and
--- a/test/processes.sh
+++ b/test/processes.sh
@@ -41,7 +41,7 @@
 run engine2 "$bin/testkit/pimentofront-fake-engine" --listen "127.0.0.1:$((base + 22))" --load-ms 50
 run service "$bin/testkit/pimentofront-fake-service" "127.0.0.1:$((base + 21))" 300
 for i in 1 2 3; do
-  settings n$i $i $((10 + i)) "\"entry\": {}, \"replica\": {\"folder\": \"$work/data$i\"}"
+  settings n$i $i $((10 + i)) "\"entry\": {\"caller_timeout_ms\": 1000}, \"replica\": {\"folder\": \"$work/data$i\"}"
   daemon n$i
 done
 settings w1 4 14 "\"agent\": {\"engine\": \"127.0.0.1:$((base + 20))\", \"base_model\": \"m\", \"services\": [{\"name\": \"stock\", \"address\": \"127.0.0.1:$((base + 21))\"}]}"
@@ -125,5 +125,20 @@
   post /pimentofront.v1.Assistant/Generate application/json '{"nonsense":1}' | grep -q "400 Bad" && echo "ok: a bad body is refused"
   post /pimentofront.v1.Assistant/Nothing application/json '{}' | grep -q "501" && echo "ok: an unknown method is refused"
   post /pimentofront.v1.Assistant/Generate text/html '{}' | grep -q "415" && echo "ok: an unknown content type is refused"
+  slow=$(python3 - "$((base + 1))" <<'EOF'
+import socket, sys
+s = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
+s.settimeout(30)
+s.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+s.recv(4096)
+s.sendall(b"POST /half HTTP/1.1\r\nHost:")
+try:
+    print("ended" if s.recv(4096) == b"" else "answered")
+except TimeoutError:
+    print("held open")
+EOF
+)
+  [ "$slow" = ended ] || { echo "a slow caller on a kept connection is $slow"; exit 1; }
+  echo "ok: a slow caller on a kept connection is cut off"
 fi
 "$bin/ctl/pimentofrontctl" timeline "$work"/*.log >"$work/timeline" && echo "ok: the time line has $(wc -l <"$work/timeline") events"
