Say things once, and give the umbrella headers their order back

Cause: a reading of the whole change. - The formatter had sorted the includes of the umbrella headers: 'clang-format off' with words behind it turns nothing off. They stand in the order of their dependencies again, as their comment says. - The decay by half-life stood four times, the time that a request may wait for its adapter twice, the search for the leader three times: remainingShare(), stallLimit(), World::leader(). - Gone, since nothing used them: LoadScheduler::nextRun, LeaderLink's open flag and its twin of onHeard(), the result of Subscribers::pushConfiguration. Behaviour is unchanged; no test was touched.

--- a/bench/RecoveryMain.cpp
+++ b/bench/RecoveryMain.cpp
@@ -48,14 +48,6 @@
     Place.runUntil(Place.now() + 9s);
   }
 
-  WorldProcess *leader() {
-    for (WorldProcess *it : Place.processes())
-      if (it->Alive && it->Replica &&
-          it->Replica->log().holdsLease(Place.now()))
-        return it;
-    return nullptr;
-  }
-
   /// \returns the time until \p done, in seconds.
   template <class Done> double until(Done &&done) {
     const TimePoint begin = Place.now();
@@ -75,7 +67,7 @@
 
 double withoutLeader(std::uint64_t seed, bool cut) {
   Group group(seed, 0);
-  WorldProcess *former = group.leader();
+  WorldProcess *former = group.Place.leader();
   if (!cut)
     group.Place.kill(*former);
   for (WorldProcess *it : group.Place.processes()) {
@@ -85,7 +77,7 @@
     group.Place.cut(it->Spec.Host, former->Spec.Host);
   }
   return group.until([&] {
-    const WorldProcess *it = group.leader();
+    const WorldProcess *it = group.Place.leader();
     return it && it != former;
   });
 }
@@ -102,7 +94,7 @@
                       [&](const auto &outcome) { accepted = outcome->At; });
   group.until([&] { return accepted != 0; });
   if (leaderDies)
-    group.Place.kill(*group.leader());
+    group.Place.kill(*group.Place.leader());
   return group.until([&] {
     return std::ranges::all_of(group.Place.processes(), [&](const auto *it) {
       return !it->Entry || it->Entry->configuration().revision() >= accepted;
--- a/packages/api/pimentofront/Api.h
+++ b/packages/api/pimentofront/Api.h
@@ -12,9 +12,10 @@
 
 #include "pimentofront/Base.h"
 
-// clang-format off: the parts, in the order of their dependencies.
-#include "src/Api/Connect.h"
+// The parts, in the order of their dependencies.
+// clang-format off
 #include "src/Api/Envelope.h"
+#include "src/Api/Connect.h"
 // clang-format on
 
 #endif
--- a/packages/base/pimentofront/Base.h
+++ b/packages/base/pimentofront/Base.h
@@ -9,12 +9,13 @@
 #ifndef PIMENTOFRONT_BASE_H
 #define PIMENTOFRONT_BASE_H
 
-// clang-format off: the parts, in the order of their dependencies.
+// The parts, in the order of their dependencies.
+// clang-format off
+#include "src/Base/Time.h"
+#include "src/Base/Identifier.h"
 #include "src/Base/Finding.h"
 #include "src/Base/Hash.h"
-#include "src/Base/Identifier.h"
 #include "src/Base/Random.h"
-#include "src/Base/Time.h"
 // clang-format on
 
 #endif
--- a/packages/base/pimentofront/src/Base/Time.h
+++ b/packages/base/pimentofront/src/Base/Time.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_BASE_TIME_H
 
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 
 namespace pimentofront {
@@ -37,6 +38,12 @@
   return Duration(static_cast<std::int64_t>(s * 1e6));
 }
 
+/// \returns what is left, from 1 down to 0, of something that loses half its
+/// worth every \p halfLife when \p age has gone by.
+inline double remainingShare(Duration age, Duration halfLife) {
+  return std::exp2(-toSeconds(age) / toSeconds(halfLife));
+}
+
 } // namespace pimentofront
 
 #endif
--- a/packages/consensus/pimentofront/Consensus.h
+++ b/packages/consensus/pimentofront/Consensus.h
@@ -13,10 +13,11 @@
 
 #include "pimentofront/Wire.h"
 
-// clang-format off: the parts, in the order of their dependencies.
-#include "src/Consensus/FileLogStore.h"
+// The parts, in the order of their dependencies.
+// clang-format off
 #include "src/Consensus/LogStore.h"
 #include "src/Consensus/ReplicatedLog.h"
+#include "src/Consensus/FileLogStore.h"
 // clang-format on
 
 #endif
--- a/packages/net/pimentofront/Net.h
+++ b/packages/net/pimentofront/Net.h
@@ -12,10 +12,11 @@
 
 #include "pimentofront/Node.h"
 
-// clang-format off: the parts, in the order of their dependencies.
+// The parts, in the order of their dependencies.
+// clang-format off
 #include "src/Net/EventLoop.h"
-#include "src/Net/HttpClient.h"
 #include "src/Net/HttpServer.h"
+#include "src/Net/HttpClient.h"
 #include "src/Net/PeerNetwork.h"
 // clang-format on
 
--- a/packages/node/pimentofront/Node.h
+++ b/packages/node/pimentofront/Node.h
@@ -13,13 +13,14 @@
 #include "pimentofront/Consensus.h"
 #include "pimentofront/State.h"
 
-// clang-format off: the parts, in the order of their dependencies.
-#include "src/Node/AgentNode.h"
-#include "src/Node/EntryNode.h"
+// The parts, in the order of their dependencies.
+// clang-format off
+#include "src/Node/Transport.h"
 #include "src/Node/LeaderLink.h"
-#include "src/Node/ReplicaNode.h"
 #include "src/Node/Subscribers.h"
-#include "src/Node/Transport.h"
+#include "src/Node/ReplicaNode.h"
+#include "src/Node/AgentNode.h"
+#include "src/Node/EntryNode.h"
 // clang-format on
 
 #endif
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -39,7 +39,7 @@
 
 void AgentNode::onLinkOpen(TimePoint now, LinkId link, const Hello &) {
   if (Leader.owns(link))
-    Leader.onOpen(now);
+    Leader.onHeard(now);
   else
     Entries.insert(link);
 }
--- a/packages/node/pimentofront/src/Node/EntryNode.cpp
+++ b/packages/node/pimentofront/src/Node/EntryNode.cpp
@@ -31,10 +31,10 @@
 
 void EntryNode::onLinkOpen(TimePoint now, LinkId link, const Hello &) {
   if (Replica.owns(link)) {
-    Replica.onOpen(now);
+    Replica.onHeard(now);
     subscribe(now);
   } else if (Leader.owns(link)) {
-    Leader.onOpen(now);
+    Leader.onHeard(now);
   } else if (const auto it = Agents.find(link); it != Agents.end()) {
     it->second.Open = true;
   }
--- a/packages/node/pimentofront/src/Node/LeaderLink.cpp
+++ b/packages/node/pimentofront/src/Node/LeaderLink.cpp
@@ -25,7 +25,6 @@
   const std::string address =
       Hint.empty() ? Addresses[Next++ % Addresses.size()] : Hint;
   Hint.clear();
-  Open = false;
   HeardAt = now;
   Link = Network.open(address);
   return Link;
@@ -33,7 +32,6 @@
 
 void LeaderLink::onClosed(TimePoint now) {
   Link.reset();
-  Open = false;
   RetryAt = now + RetryPause;
 }
 
--- a/packages/node/pimentofront/src/Node/LeaderLink.h
+++ b/packages/node/pimentofront/src/Node/LeaderLink.h
@@ -23,12 +23,7 @@
   /// \returns the link to send on, open or opening; opens one if need be.
   std::optional<LinkId> link(TimePoint now);
   bool owns(LinkId link) const { return Link && *Link == link; }
-  bool isOpen() const { return Open; }
-  void onOpen(TimePoint now) {
-    Open = true;
-    HeardAt = now;
-  }
-  /// Anything arrived.
+  /// The link opened, or anything arrived on it.
   void onHeard(TimePoint now) { HeardAt = now; }
   void onClosed(TimePoint now);
   /// The replica there doesn't lead; \p address does, if it is set.
@@ -45,7 +40,6 @@
   Duration SilenceLimit;
   std::string Hint;
   std::optional<LinkId> Link;
-  bool Open = false;
   TimePoint HeardAt;
   TimePoint RetryAt;
 };
--- a/packages/node/pimentofront/src/Node/Subscribers.cpp
+++ b/packages/node/pimentofront/src/Node/Subscribers.cpp
@@ -42,28 +42,26 @@
     it->second.InForce = revision;
 }
 
-std::size_t Subscribers::pushConfiguration(LinkId link, Subscriber &subscriber,
-                                           const Configuration &configuration) {
-  std::size_t parts = 0;
+void Subscribers::pushConfiguration(LinkId link, Subscriber &subscriber,
+                                    const Configuration &configuration) {
   const bool cached = Cached && CachedSince == subscriber.Known &&
                       Cached->UpTo == configuration.revision();
   if (cached) {
     Network.send(link, *Cached);
   } else {
     Cached.reset();
-    parts = sendDifference(configuration, subscriber.Known,
-                           [&](ConfigurationUpdate part) {
-                             Network.send(link, part);
-                             if (!part.Partial)
-                               Cached = std::move(part);
-                           });
+    const std::size_t parts = sendDifference(configuration, subscriber.Known,
+                                             [&](ConfigurationUpdate part) {
+                                               Network.send(link, part);
+                                               if (!part.Partial)
+                                                 Cached = std::move(part);
+                                             });
     CachedSince = subscriber.Known;
     // Most lack the same small difference; a large one isn't kept.
     if (parts > 1)
       Cached.reset();
   }
   subscriber.Known = configuration.revision();
-  return parts;
 }
 
 void Subscribers::push(const Configuration &configuration,
--- a/packages/node/pimentofront/src/Node/Subscribers.h
+++ b/packages/node/pimentofront/src/Node/Subscribers.h
@@ -33,9 +33,8 @@
     bool WantsMembers = false;
     Revision InForce = 0;
   };
-  /// \returns the number of messages that had to be made.
-  std::size_t pushConfiguration(LinkId link, Subscriber &subscriber,
-                                const Configuration &configuration);
+  void pushConfiguration(LinkId link, Subscriber &subscriber,
+                         const Configuration &configuration);
 
   Transport &Network;
   std::map<LinkId, Subscriber> All;
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -13,22 +13,23 @@
 
 #include "pimentofront/Wire.h"
 
-// clang-format off: the parts, in the order of their dependencies.
-#include "src/Serving/AdmissionController.h"
+// The parts, in the order of their dependencies.
+// clang-format off
+#include "src/Serving/Popularity.h"
+#include "src/Serving/SlotTable.h"
+#include "src/Serving/EvictionPolicy.h"
 #include "src/Serving/AgentBoard.h"
-#include "src/Serving/AgentController.h"
+#include "src/Serving/LoadGate.h"
+#include "src/Serving/AdmissionController.h"
 #include "src/Serving/DispatchController.h"
-#include "src/Serving/EntryBoard.h"
-#include "src/Serving/EntryController.h"
-#include "src/Serving/EvictionPolicy.h"
-#include "src/Serving/InFlightLimits.h"
 #include "src/Serving/LoadController.h"
-#include "src/Serving/LoadGate.h"
+#include "src/Serving/AgentController.h"
 #include "src/Serving/LoadScheduler.h"
-#include "src/Serving/Popularity.h"
 #include "src/Serving/RetryBudget.h"
+#include "src/Serving/InFlightLimits.h"
 #include "src/Serving/RoutingPolicy.h"
-#include "src/Serving/SlotTable.h"
+#include "src/Serving/EntryBoard.h"
+#include "src/Serving/EntryController.h"
 // clang-format on
 
 #endif
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -89,10 +89,7 @@
     return;
   const TimePoint ready = now + wait;
   std::erase_if(it->second, [&](const WaitingAttempt &attempt) {
-    const Duration time = attempt.Deadline - attempt.ArrivedAt;
-    const Duration allowed =
-        fromSeconds(toSeconds(time) * Board.Options.StallShare);
-    if (ready <= attempt.ArrivedAt + allowed &&
+    if (ready <= stallLimit(attempt, Board.Options.StallShare) &&
         ready + Board.ServiceTime <= attempt.Deadline)
       return false;
     refuse(attempt.Entry, attempt.Request.Attempt,
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -72,6 +72,12 @@
   bool NeededLoad = false;
 };
 
+/// \returns when \p attempt will have waited for its adapter as long as it may.
+inline TimePoint stallLimit(const WaitingAttempt &attempt, double stallShare) {
+  const Duration time = attempt.Deadline - attempt.ArrivedAt;
+  return attempt.ArrivedAt + fromSeconds(toSeconds(time) * stallShare);
+}
+
 /// \class RunningAttempt
 /// \ingroup Serving
 /// \brief An attempt that the engine or a plain service works on.
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -21,10 +21,8 @@
     Demand demand{.Key = key, .Slack = Duration::max()};
     for (const WaitingAttempt &it : queue) {
       demand.Weight += std::max(it.Request.Weight, 1U);
-      const Duration time = it.Deadline - it.ArrivedAt;
-      const Duration allowed =
-          fromSeconds(toSeconds(time) * Board.Options.StallShare);
-      demand.Slack = std::min(demand.Slack, it.ArrivedAt + allowed - now);
+      const TimePoint limit = stallLimit(it, Board.Options.StallShare);
+      demand.Slack = std::min(demand.Slack, limit - now);
     }
     result.push_back(demand);
   }
--- a/packages/serving/pimentofront/src/Serving/LoadScheduler.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadScheduler.cpp
@@ -65,8 +65,7 @@
 
 void LoadScheduler::noteArrival(TimePoint now, std::uint32_t weight) {
   Arrivals &arrivals = ByWeight[std::min(weight, MaxCountedWeight)];
-  const double faded =
-      std::exp2(-toSeconds(now - arrivals.At) / toSeconds(ArrivalHalfLife));
+  const double faded = remainingShare(now - arrivals.At, ArrivalHalfLife);
   arrivals.Count = arrivals.Count * faded + 1;
   arrivals.At = now;
 }
@@ -76,8 +75,7 @@
   double perSecond = 0;
   for (auto it = ByWeight.upper_bound(weight); it != ByWeight.end(); ++it)
     perSecond += it->second.Count *
-                 std::exp2(-toSeconds(now - it->second.At) /
-                           toSeconds(ArrivalHalfLife)) *
+                 remainingShare(now - it->second.At, ArrivalHalfLife) *
                  std::numbers::ln2 / toSeconds(ArrivalHalfLife);
   return perSecond * toSeconds(timeOfLoad());
 }
@@ -124,10 +122,4 @@
   return result;
 }
 
-std::optional<TimePoint> LoadScheduler::nextRun() const {
-  if (Demands.empty())
-    return std::nullopt;
-  return NextAllowed;
-}
-
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/LoadScheduler.h
+++ b/packages/serving/pimentofront/src/Serving/LoadScheduler.h
@@ -53,8 +53,6 @@
   void forgetHost(const HostName &host);
   /// \returns the tickets that may be given out now.
   std::vector<IssuedTicket> run(TimePoint now);
-  /// \returns when run() may have more to give, if demands wait.
-  std::optional<TimePoint> nextRun() const;
   std::size_t waiting() const { return Demands.size(); }
 
 private:
--- a/packages/serving/pimentofront/src/Serving/Popularity.cpp
+++ b/packages/serving/pimentofront/src/Serving/Popularity.cpp
@@ -25,8 +25,7 @@
 }
 
 double PopularityTable::decayed(TimePoint now, const Count &count) const {
-  return count.Value *
-         std::exp2(-toSeconds(now - count.At) / toSeconds(Options.HalfLife));
+  return count.Value * remainingShare(now - count.At, Options.HalfLife);
 }
 
 double PopularityTable::sessionShare() const {
@@ -34,8 +33,7 @@
 }
 
 double PopularityTable::worth(TimePoint now, const Count &count) const {
-  const double faded = std::exp2(-toSeconds(now - count.At) /
-                                 toSeconds(Options.SessionHalfLife));
+  const double faded = remainingShare(now - count.At, Options.SessionHalfLife);
   // The share is spread over the session's half-life, the count over the long
   // one: their ratio makes both requests in a long half-life.
   const double ratio =
--- a/packages/state/pimentofront/State.h
+++ b/packages/state/pimentofront/State.h
@@ -12,13 +12,14 @@
 
 #include "pimentofront/Serving.h"
 
-// clang-format off: the parts, in the order of their dependencies.
+// The parts, in the order of their dependencies.
+// clang-format off
 #include "src/State/AdapterStore.h"
-#include "src/State/ClaimLedger.h"
 #include "src/State/Configuration.h"
-#include "src/State/ConfigurationCopy.h"
-#include "src/State/MemberTable.h"
+#include "src/State/ClaimLedger.h"
 #include "src/State/StateMachine.h"
+#include "src/State/MemberTable.h"
+#include "src/State/ConfigurationCopy.h"
 // clang-format on
 
 #endif
--- a/packages/testkit/pimentofront/Testkit.h
+++ b/packages/testkit/pimentofront/Testkit.h
@@ -13,13 +13,14 @@
 
 #include "pimentofront/Node.h"
 
-// clang-format off: the parts, in the order of their dependencies.
-#include "src/Testkit/FakeBackend.h"
+// The parts, in the order of their dependencies.
+// clang-format off
 #include "src/Testkit/Ledger.h"
-#include "src/Testkit/Replay.h"
+#include "src/Testkit/FakeBackend.h"
+#include "src/Testkit/World.h"
 #include "src/Testkit/Scenario.h"
 #include "src/Testkit/Trace.h"
-#include "src/Testkit/World.h"
+#include "src/Testkit/Replay.h"
 // clang-format on
 
 #endif
--- a/packages/testkit/pimentofront/src/Testkit/Replay.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Replay.cpp
@@ -175,9 +175,8 @@
     }
     if (Fault != ReplayFault::LeaderLost)
       return;
-    for (WorldProcess *it : Place.processes())
-      if (it->Replica && it->Replica->log().holdsLease(Place.now()))
-        return Place.kill(*it);
+    if (WorldProcess *it = Place.leader())
+      Place.kill(*it);
   }
 
   /// \returns the stall of a request: what it waited for its adapter; for one
--- a/packages/testkit/pimentofront/src/Testkit/Scenario.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Scenario.cpp
@@ -91,13 +91,7 @@
     return nullptr;
   }
 
-  WorldProcess *leader() {
-    for (WorldProcess *it : Place.processes())
-      if (it->Alive && it->Replica &&
-          it->Replica->log().holdsLease(Place.now()))
-        return it;
-    return nullptr;
-  }
+  WorldProcess *leader() { return Place.leader(); }
 
   //===--------------------------------------------------------------------===//
   // Processes and faults
--- a/packages/testkit/pimentofront/src/Testkit/World.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/World.cpp
@@ -177,6 +177,13 @@
   return result;
 }
 
+WorldProcess *World::leader() {
+  for (auto &[host, it] : Processes)
+    if (it->Alive && it->Replica && it->Replica->log().holdsLease(Now))
+      return it.get();
+  return nullptr;
+}
+
 void World::start(WorldProcess &process) {
   if (process.Alive)
     return;
--- a/packages/testkit/pimentofront/src/Testkit/World.h
+++ b/packages/testkit/pimentofront/src/Testkit/World.h
@@ -110,6 +110,8 @@
   WorldProcess &add(const ProcessSpec &spec);
   WorldProcess &process(const HostName &host);
   std::vector<WorldProcess *> processes();
+  /// \returns the replica that holds the leader's lease, or null.
+  WorldProcess *leader();
   void start(WorldProcess &process);
   void kill(WorldProcess &process);
   void freeze(WorldProcess &process) { process.Frozen = true; }
--- a/packages/wire/pimentofront/Wire.h
+++ b/packages/wire/pimentofront/Wire.h
@@ -12,15 +12,16 @@
 
 #include "pimentofront/Base.h"
 
-// clang-format off: the parts, in the order of their dependencies.
-#include "src/Wire/AttemptMessages.h"
-#include "src/Wire/Codec.h"
+// The parts, in the order of their dependencies.
+// clang-format off
+#include "src/Wire/Fields.h"
+#include "src/Wire/Records.h"
 #include "src/Wire/Commands.h"
 #include "src/Wire/ConsensusMessages.h"
+#include "src/Wire/AttemptMessages.h"
 #include "src/Wire/ControlMessages.h"
-#include "src/Wire/Fields.h"
 #include "src/Wire/Message.h"
-#include "src/Wire/Records.h"
+#include "src/Wire/Codec.h"
 // clang-format on
 
 #endif
