--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <malloc.h>
@@ -54,55 +55,123 @@
       *this);
   Log = std::make_unique<EventLog>(Options, Loop, Network->clock());
   Api = std::make_unique<ApiHandler>(Loop, Options, *Log, Counters, *Network);
+  const HostPort http = *HostPort::parse(Options.HttpAddress);
+  Control = std::make_unique<platform::ControlApi>(
+      Loop, platform::ControlApiOptions{.Port = http.Port}, Documents, *Api);
+  Control->setObserver([this](const char *event, std::string detail) {
+    Log->write(LogLevel::Info, event, {{"detail", detail}});
+  });
   Server = std::make_unique<HttpServer>(
       Loop,
-      HttpServerOptions{.Address = *HostPort::parse(Options.HttpAddress),
+      HttpServerOptions{.Address = http,
                         .MaxBodyBytes = Options.MaxBodyBytes,
                         .CallerTimeout = Options.CallerTimeout},
-      *Api);
+      *Control);
   Client = std::make_unique<HttpClient>(Loop);
+  if (Options.IsForward)
+    Front = std::make_unique<ForwardFront>(
+        Loop, *HostPort::parse(Options.ForwardAddress), *Log, Counters);
 }
 
-void Daemon::createNodes() {
-  const TimePoint now = Loop.now();
-  if (Options.IsReplica) {
-    ReplicaNodeOptions replica = Options.Replica;
-    replica.Log.Host = Options.Host;
-    replica.Log.Address = Options.PeerAddress;
-    replica.Log.Seed = Incarnation;
-    replica.Loads.LoadsPerSecond = Options.LoadsPerSecond;
-    replica.Loads.LoadTime = fromSeconds(1 / Options.LoadsPerSecond);
-    replica.Others = Options.Replicas;
-    std::erase(replica.Others, Options.PeerAddress);
-    Replica = std::make_unique<ReplicaNode>(now, replica, Stored, *Store,
-                                            *Network, Wall);
-    Stored = StoredLog();
-    // Reading the state took several times its memory for a moment.
-    malloc_trim(0);
-  }
-  if (Options.IsAgent) {
-    AgentNodeOptions agent = Options.Agent;
-    agent.Agent.Host = Options.Host;
-    agent.Agent.Incarnation = Incarnation;
-    agent.Agent.LoadTime = fromSeconds(1 / Options.LoadsPerSecond);
-    agent.Zone = Options.Zone;
-    agent.Address = Options.PeerAddress;
-    agent.Replicas = Options.Replicas;
+void Daemon::createReplica(TimePoint now) {
+  ReplicaNodeOptions replica = Options.Replica;
+  replica.Log.Host = Options.Host;
+  replica.Log.Address = Options.PeerAddress;
+  replica.Log.Seed = Incarnation;
+  replica.Loads.LoadsPerSecond = Options.LoadsPerSecond;
+  replica.Loads.LoadTime = fromSeconds(1 / Options.LoadsPerSecond);
+  replica.Others = Options.Replicas;
+  std::erase(replica.Others, Options.PeerAddress);
+  Replica = std::make_unique<ReplicaNode>(now, replica, Stored, *Store,
+                                          *Network, Wall);
+  Stored = StoredLog();
+  // Reading the state took several times its memory for a moment.
+  malloc_trim(0);
+  Control->setReplica(Replica.get());
+  bootstrapIfFirst(now);
+}
+
+/// All replicas start with the same list; the first one forms the group, and
+/// the others ask it to be taken in.
+void Daemon::bootstrapIfFirst(TimePoint now) {
+  const auto first = std::ranges::min_element(Options.Replicas);
+  if (!Options.Bootstrap || *first != Options.PeerAddress ||
+      Replica->log().lastIndex() != 0)
+    return;
+  if (Replica->bootstrap(now))
+    Log->write(LogLevel::Info, "group_formed", {});
+}
+
+void Daemon::createAgent(TimePoint now) {
+  AgentNodeOptions agent = Options.Agent;
+  agent.Agent.Host = Options.Host;
+  agent.Agent.Incarnation = Incarnation;
+  agent.Agent.LoadTime = fromSeconds(1 / Options.LoadsPerSecond);
+  agent.Zone = Options.Zone;
+  agent.Address = Options.PeerAddress;
+  agent.Replicas = Options.Replicas;
+  BackendDriver *driver = nullptr;
+  if (Options.EngineTakesOrders) {
+    Gate = std::make_unique<UncoordinatedLoads>();
+    Orders = std::make_unique<platform::EngineOrders>(
+        Loop, *Client,
+        platform::EngineOrdersOptions{
+            .Engine = *HostPort::parse(Options.EngineAddress),
+            .Holder = Options.Host,
+            .ReportPeriod = Options.EngineProbePeriod});
+    Orders->setObserver([this](const char *event, std::string detail) {
+      Log->write(LogLevel::Info, event, {{"detail", detail}});
+    });
+    driver = Orders.get();
+  } else {
     Gate = std::make_unique<ScheduledLoads>(Options.LoadsPerSecond, 1);
     Driver =
         std::make_unique<EngineDriver>(Loop, *Client, Options, *Log, Counters);
-    Agent = std::make_unique<AgentNode>(now, agent, Eviction, *Gate, *Driver,
-                                        *Network);
-    Driver->setNode(*Agent);
-  }
-  if (Options.IsEntry) {
-    EntryNodeOptions entry = Options.Entry;
-    entry.Host = Options.Host;
-    entry.Entry.Incarnation = Incarnation;
-    entry.Replicas = Options.Replicas;
-    Routing = std::make_unique<AffinityRouting>(Options.Affinity);
-    Entry = std::make_unique<EntryNode>(now, entry, *Routing, *Network, *Api);
+    driver = Driver.get();
   }
+  Agent = std::make_unique<AgentNode>(now, agent, Eviction, *Gate, *driver,
+                                      *Network);
+  if (Orders)
+    Orders->setNode(*Agent);
+  else
+    Driver->setNode(*Agent);
+}
+
+void Daemon::createEntry(TimePoint now) {
+  EntryNodeOptions entry = Options.Entry;
+  entry.Host = Options.Host;
+  entry.Entry.Incarnation = Incarnation;
+  entry.Replicas = Options.Replicas;
+  Routing = std::make_unique<AffinityRouting>(Options.Affinity);
+  Entry = std::make_unique<EntryNode>(now, entry, *Routing, *Network, *Api);
+}
+
+void Daemon::createForward(TimePoint now) {
+  ForwardNodeOptions forward = Options.Forward;
+  forward.Feed = {.Host = Options.Host,
+                  .Incarnation = Incarnation,
+                  .Configuration = Options.Entry.Configuration,
+                  .Replicas = Options.Replicas,
+                  .ProbePeriod = Options.Entry.ProbePeriod};
+  forward.Forward.Incarnation = Incarnation;
+  forward.Forward.Servers.Zone = Options.Zone;
+  ForwardRouting = std::make_unique<AffinityRouting>(Options.Affinity);
+  Forward = std::make_unique<ForwardNode>(now, forward, Headers, Documents,
+                                          *ForwardRouting, *Network, *Front);
+  Front->setNode(*Forward);
+  Control->setReady([this] { return Forward->ready() && !StopBegan; });
+}
+
+void Daemon::createNodes() {
+  const TimePoint now = Loop.now();
+  if (Options.IsReplica)
+    createReplica(now);
+  if (Options.IsAgent)
+    createAgent(now);
+  if (Options.IsEntry)
+    createEntry(now);
+  if (Options.IsForward)
+    createForward(now);
   Api->setParts({Entry.get(), Agent.get(), Replica.get()});
 }
 
@@ -143,6 +212,8 @@
     Agent->onLinkOpen(now, link, hello);
   if (Entry)
     Entry->onLinkOpen(now, link, hello);
+  if (Forward)
+    Forward->onLinkOpen(now, link, hello);
 }
 
 void Daemon::onMessage(LinkId link, const Message &message) {
@@ -155,6 +226,8 @@
     Agent->onMessage(now, link, message);
   if (Entry)
     Entry->onMessage(now, link, message);
+  if (Forward)
+    Forward->onMessage(now, link, message);
 }
 
 void Daemon::onLinkClosed(LinkId link) {
@@ -165,6 +238,8 @@
     Agent->onLinkClosed(now, link);
   if (Entry)
     Entry->onLinkClosed(now, link);
+  if (Forward)
+    Forward->onLinkClosed(now, link);
 }
 
 /// All messages of one turn of the loop share one sync of the disk.
@@ -189,6 +264,8 @@
   }
   if (Agent)
     Agent->tick(now);
+  if (Forward)
+    Forward->tick(now);
   if (!Entry)
     return;
   Entry->tick(now);
@@ -221,18 +298,23 @@
   StopBegan = Loop.now();
   Log->write(LogLevel::Info, "stop_began", {});
   Api->beginStop();
+  if (Front)
+    Front->beginStop();
   if (Agent)
     Agent->leave(Loop.now());
   // The balancer sees that this entry isn't ready before it refuses anything.
   StopTimer = Loop.after(Options.StopNotice, [this] {
     if (Entry)
       Entry->stop();
+    if (Front)
+      Front->stopListening();
     StopTimer = Loop.every(TickPeriod, [this] { continueStop(); });
   });
 }
 
 bool Daemon::idle() const {
-  return (!Entry || Entry->idle()) && (!Agent || Agent->controller().idle());
+  return (!Entry || Entry->idle()) && (!Forward || Forward->idle()) &&
+         (!Agent || Agent->controller().idle());
 }
 
 void Daemon::continueStop() {
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -2,7 +2,12 @@
 #define PIMENTOFRONT_DAEMON_DAEMON_H
 
 #include "ApiHandler.h"
+#include "ControlApi.h"
 #include "EngineDriver.h"
+#include "EngineOrders.h"
+#include "ForwardFront.h"
+#include "ManifestReader.h"
+#include "RequestHeaders.h"
 
 namespace pimentofront {
 
@@ -50,6 +55,11 @@
   ExitCode openStore();
   void openNetwork();
   void createNodes();
+  void createReplica(TimePoint now);
+  void createAgent(TimePoint now);
+  void createEntry(TimePoint now);
+  void createForward(TimePoint now);
+  void bootstrapIfFirst(TimePoint now);
   void tick();
   void flushSoon();
   void noteReplicaChanges();
@@ -67,14 +77,21 @@
   std::unique_ptr<EventLog> Log;
   Metrics Counters;
   std::unique_ptr<ApiHandler> Api;
+  platform::ManifestReader Documents;
+  platform::RequestHeaders Headers;
+  std::unique_ptr<platform::ControlApi> Control;
   std::unique_ptr<HttpServer> Server;
   std::unique_ptr<HttpClient> Client;
 
   LeastPopular Eviction;
-  std::unique_ptr<ScheduledLoads> Gate;
+  std::unique_ptr<LoadGate> Gate;
   std::unique_ptr<AffinityRouting> Routing;
+  std::unique_ptr<RoutingPolicy> ForwardRouting;
   std::unique_ptr<EngineDriver> Driver;
+  std::unique_ptr<platform::EngineOrders> Orders;
+  std::unique_ptr<ForwardFront> Front;
   std::unique_ptr<EntryNode> Entry;
+  std::unique_ptr<ForwardNode> Forward;
   std::unique_ptr<AgentNode> Agent;
   std::unique_ptr<ReplicaNode> Replica;
 
--- /dev/null
+++ b/packages/daemon/src/ForwardFront.cpp
@@ -0,0 +1,70 @@
+#include "ForwardFront.h"
+
+namespace pimentofront {
+
+ForwardFront::ForwardFront(EventLoop &loop, const HostPort &listen,
+                           EventLog &log, Metrics &metrics)
+    : Loop(loop), Log(log), Counters(metrics),
+      Callers(loop, {.Address = listen}, *this), Servers(loop, {}, *this) {}
+
+void ForwardFront::onRequest(CallerKey key, RequestHead head,
+                             std::string body) {
+  Node->request(Loop.now(), key, std::move(head), std::move(body));
+}
+
+void ForwardFront::onCallerGone(CallerKey key) {
+  Node->callerGone(Loop.now(), key);
+}
+
+HeadVerdict ForwardFront::onHead(const AttemptId &attempt, ResponseHead head) {
+  return Node->upstreamHead(Loop.now(), attempt, std::move(head));
+}
+
+void ForwardFront::onBody(const AttemptId &attempt, std::string_view bytes) {
+  Node->upstreamBody(Loop.now(), attempt, bytes);
+}
+
+void ForwardFront::onEnd(const AttemptId &attempt, UpstreamEnding ending) {
+  Node->upstreamEnd(Loop.now(), attempt, ending);
+}
+
+void ForwardFront::onCommand(ForwardCommand command) {
+  if (const auto *piece = std::get_if<ReplyPiece>(&command))
+    Callers.replyPiece(piece->Key, piece->Bytes);
+  else if (const auto *send = std::get_if<SendUpstream>(&command))
+    Servers.send(*send);
+  else if (const auto *whole = std::get_if<ReplyWhole>(&command))
+    Callers.reply(whole->Key, whole->Head, whole->Body);
+  else if (const auto *head = std::get_if<ReplyHead>(&command))
+    Callers.replyHead(head->Key, head->Head);
+  else if (const auto *end = std::get_if<ReplyEnd>(&command))
+    Callers.replyEnd(end->Key);
+  else if (const auto *abort = std::get_if<ReplyAbort>(&command))
+    Callers.replyAbort(abort->Key);
+  else if (const auto *cancel = std::get_if<CancelUpstream>(&command))
+    Servers.cancel(cancel->Attempt);
+  else if (const auto *ignored = std::get_if<IgnoreUpstream>(&command))
+    Servers.ignore(ignored->Attempt);
+}
+
+void ForwardFront::onEvent(const ForwardEvent &event) {
+  Counters.noteForward(event);
+  Log.write(event.Lost ? LogLevel::Warn : LogLevel::Debug, event.Name,
+            {{"request", event.Request},
+             {"route", event.Route},
+             {"server", event.Server.str()},
+             {"why", event.Detail},
+             {"status", static_cast<std::uint64_t>(event.Status)},
+             {"took_ms", toSeconds(event.Took) * 1000}});
+}
+
+void ForwardFront::onTable(const RoutingTable &table) {
+  Callers.setLimits(table.document().Limits);
+  Log.write(LogLevel::Info, "routing_in_force",
+            {{"revision", table.revision()},
+             {"number", table.document().Number},
+             {"routes",
+              static_cast<std::uint64_t>(table.document().Routes.size())}});
+}
+
+} // namespace pimentofront
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -52,6 +52,21 @@
           .Name("pimentofront_loads_total")
           .Help("Adapter loads, by result")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Forwarded =
+      prometheus::BuildCounter()
+          .Name("pimentofront_forward_events_total")
+          .Help("Decisions about requests that are passed on, by event")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Lost =
+      prometheus::BuildCounter()
+          .Name("pimentofront_forward_lost_total")
+          .Help("Requests without a backend server's answer, by reason")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &ForwardTimes =
+      prometheus::BuildHistogram()
+          .Name("pimentofront_forward_seconds")
+          .Help("Time from a request's arrival to an event, by route")
+          .Register(Registry);
   prometheus::Family<prometheus::Gauge> &State =
       prometheus::BuildGauge()
           .Name("pimentofront_state")
@@ -82,6 +97,16 @@
       .Observe(toSeconds(took));
 }
 
+void Metrics::noteForward(const ForwardEvent &event) {
+  State->Forwarded.Add({{"event", event.Name}}).Increment();
+  if (event.Lost)
+    State->Lost.Add({{"reason", event.Detail}}).Increment();
+  if (event.Status != 0 && !event.Lost)
+    State->ForwardTimes
+        .Add({{"event", event.Name}, {"route", event.Route}}, StallBuckets)
+        .Observe(toSeconds(event.Took));
+}
+
 void Metrics::noteLoad(bool succeeded, Duration took) {
   const char *result = succeeded ? "loaded" : "failed";
   State->Loads.Add({{"result", result}}).Increment();
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -1,7 +1,7 @@
 #ifndef PIMENTOFRONT_DAEMON_METRICS_H
 #define PIMENTOFRONT_DAEMON_METRICS_H
 
-#include "pimentofront/Serving.h"
+#include "pimentofront/Forward.h"
 
 #include <memory>
 
@@ -35,6 +35,8 @@
   void noteFinal(const KindName &kind, const FinalAnswer &answer,
                  Duration took);
   void noteLoad(bool succeeded, Duration took);
+  /// Forwarding decided something about a request.
+  void noteForward(const ForwardEvent &event);
   void set(const Gauges &gauges);
   /// \returns all metrics in the text format.
   std::string text() const;
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -28,6 +28,19 @@
   reader.finish();
 }
 
+void readForward(SettingsReader reader, Settings &settings) {
+  ForwardOptions &forward = settings.Forward.Forward;
+  settings.ForwardAddress = reader.address("listen", true);
+  forward.PermitTimeout =
+      reader.milliseconds("permit_timeout_ms", forward.PermitTimeout);
+  forward.RetryShare = reader.real("retry_share", forward.RetryShare, 0, 1);
+  forward.RetryReserve =
+      reader.real("retry_reserve", forward.RetryReserve, 0, 1000);
+  forward.Servers.ZonePreference = reader.real(
+      "zone_preference", forward.Servers.ZonePreference, 0, 1000);
+  reader.finish();
+}
+
 void readServices(SettingsReader &reader, Settings &settings) {
   for (SettingsReader &it : reader.objects("services")) {
     ServiceAddress service{ServiceName(it.requiredText("name")),
@@ -62,6 +75,12 @@
   agent.SpillDelay = reader.milliseconds("spill_delay_ms", agent.SpillDelay);
   settings.EngineProbePeriod =
       reader.milliseconds("engine_probe_ms", settings.EngineProbePeriod);
+  agent.EngineSettleTime =
+      reader.milliseconds("engine_settle_ms", agent.EngineSettleTime);
+  const std::string interface = reader.text("engine_interface", "completions");
+  settings.EngineTakesOrders = interface == "orders";
+  if (!settings.EngineTakesOrders && interface != "completions")
+    reader.fault("engine_interface", "expected completions or orders");
   readServices(reader, settings);
   if (settings.EngineAddress.empty() != agent.BaseModel.empty())
     reader.fault("engine", "an engine and its base_model go together");
@@ -77,8 +96,16 @@
 void readReplica(SettingsReader reader, Settings &settings) {
   ReplicaNodeOptions &replica = settings.Replica;
   settings.DataFolder = reader.requiredText("folder");
+  settings.Bootstrap = reader.flag("bootstrap", false);
   replica.Log.WantedVoters = static_cast<std::uint32_t>(
       reader.integer("wanted_voters", replica.Log.WantedVoters, 1, 9));
+  if (reader.has("tolerated_losses")) {
+    // A majority must outlive them.
+    const auto losses =
+        static_cast<std::uint32_t>(reader.integer("tolerated_losses", 1, 0, 4));
+    replica.Log.WantedVoters = 2 * losses + 1;
+    replica.VotersAtFirst = replica.Log.WantedVoters;
+  }
   replica.Log.HeartbeatPeriod =
       reader.milliseconds("heartbeat_ms", replica.Log.HeartbeatPeriod);
   replica.Log.ElectionTimeout =
@@ -93,6 +120,12 @@
   reader.finish();
 }
 
+/// The addresses name the replicas' hosts by another port of theirs.
+void usePort(std::uint16_t port, std::vector<std::string> &addresses) {
+  for (std::string &it : addresses)
+    it = it.substr(0, it.rfind(':') + 1) + std::to_string(port);
+}
+
 void readTimes(SettingsReader &reader, Settings &settings) {
   ConfigurationCopyOptions &copy = settings.Entry.Configuration;
   copy.Lease = reader.milliseconds("configuration_lease_ms", copy.Lease);
@@ -142,18 +175,26 @@
   settings.IsEntry = reader.has("entry");
   settings.IsAgent = reader.has("agent");
   settings.IsReplica = reader.has("replica");
+  settings.IsForward = reader.has("forward");
+  const auto replicaPort =
+      static_cast<std::uint16_t>(reader.integer("replica_port", 0, 0, 65535));
+  if (replicaPort != 0)
+    usePort(replicaPort, settings.Replicas);
   readTimes(reader, settings);
   if (SettingsReader log = reader.object("log"); reader.has("log"))
     readLog(log, settings);
   if (SettingsReader entry = reader.object("entry"); settings.IsEntry)
     readEntry(entry, settings);
+  if (SettingsReader forward = reader.object("forward"); settings.IsForward)
+    readForward(forward, settings);
   if (SettingsReader agent = reader.object("agent"); settings.IsAgent)
     readAgent(agent, settings);
   if (SettingsReader replica = reader.object("replica"); settings.IsReplica)
     readReplica(replica, settings);
-  if (!settings.IsEntry && !settings.IsAgent && !settings.IsReplica)
-    reader.fault("entry", "a daemon plays at least one part: entry, agent or "
-                          "replica");
+  if (!settings.IsEntry && !settings.IsAgent && !settings.IsReplica &&
+      !settings.IsForward)
+    reader.fault("entry", "a daemon plays at least one part: entry, forward, "
+                          "agent or replica");
   if (settings.Replicas.empty())
     reader.fault("replicas", "the address of at least one replica is required");
   if (!settings.HttpAddress.empty() &&
--- a/packages/daemon/src/Settings.h
+++ b/packages/daemon/src/Settings.h
@@ -23,6 +23,7 @@
   bool IsEntry = false;
   bool IsAgent = false;
   bool IsReplica = false;
+  bool IsForward = false;
 
   /// "-" is standard output.
   std::string LogFile = "-";
@@ -34,14 +35,23 @@
   Duration CallerTimeout = std::chrono::seconds(30);
   std::size_t CallerBufferBytes = std::size_t(1) << 20;
 
+  /// Where callers' requests that are passed on as they are come in.
+  std::string ForwardAddress;
+  ForwardNodeOptions Forward;
+
   AgentNodeOptions Agent;
   std::string EngineAddress;
+  /// The engine takes orders, and entries send it requests themselves.
+  bool EngineTakesOrders = false;
   Duration EngineProbePeriod = std::chrono::milliseconds(500);
   std::vector<ServiceAddress> Services;
   double LoadsPerSecond = 4;
 
   ReplicaNodeOptions Replica;
   std::string DataFolder;
+  /// The whole system starts for the first time: the first of the replicas
+  /// named forms the group, if its folder is empty.
+  bool Bootstrap = false;
 
   /// Between becoming unready and refusing: the balancer turns away.
   Duration StopNotice = std::chrono::milliseconds(500);
--- a/packages/daemon/src/SettingsReader.cpp
+++ b/packages/daemon/src/SettingsReader.cpp
@@ -235,6 +235,16 @@
   return std::chrono::milliseconds(integer(key, preset, 0, limit));
 }
 
+bool SettingsReader::flag(const std::string &key, bool fallback) {
+  const Json *it = find(key);
+  if (!it)
+    return fallback;
+  if (it->is_boolean())
+    return it->get<bool>();
+  fault(key, "expected true or false");
+  return fallback;
+}
+
 std::vector<std::string> SettingsReader::addresses(const std::string &key) {
   std::vector<std::string> result;
   const Json *it = find(key);
--- a/packages/daemon/src/SettingsReader.h
+++ b/packages/daemon/src/SettingsReader.h
@@ -43,6 +43,7 @@
               double most);
   Duration milliseconds(const std::string &key, Duration fallback,
                         Duration most = std::chrono::hours(1));
+  bool flag(const std::string &key, bool fallback);
   std::vector<std::string> addresses(const std::string &key);
   /// \returns readers of the objects in a list.
   std::vector<SettingsReader> objects(const std::string &key);
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -0,0 +1,150 @@
+#include "pimentofront/Forward.h"
+
+namespace pimentofront {
+namespace {
+
+constexpr int StatusSuccess = 200;
+constexpr int StatusRedirection = 300;
+constexpr int StatusMisdirected = 421;
+constexpr int StatusServerError = 500;
+
+bool isSuccess(int status) {
+  return status >= StatusSuccess && status < StatusRedirection;
+}
+
+} // namespace
+
+bool AnswerController::isStream(const ForwardRequest &request) const {
+  return request.Route->Kind == Repeatability::Stream &&
+         isSuccess(request.Attempt->Head->Status);
+}
+
+HeadVerdict AnswerController::onHead(TimePoint now, const AttemptId &attempt,
+                                     ResponseHead head) {
+  ForwardRequest *request = Board.find(attempt);
+  if (!request)
+    return HeadVerdict::Take;
+  const AnswerTraits traits = Board.Codec.decodeAnswer(head);
+  const bool declined = traits.NotRun || head.Status == StatusMisdirected;
+  if (!traits.Id.empty() && traits.Id != request->Traits.Id)
+    return HeadVerdict::Skip;
+  if (traits.Load)
+    Board.Servers.noteLoad(now, request->Attempt->Server, *traits.Load);
+  if (declined) {
+    Board.Commands.push_back(IgnoreUpstream{attempt});
+    const bool misdirected = head.Status == StatusMisdirected;
+    Attempts.notRun(now, *request, ServerOutcome::Declined,
+                    misdirected ? ReleaseKind::NotResident
+                                : ReleaseKind::NotRun);
+    return HeadVerdict::Take;
+  }
+  if (traits.Id.empty() || (isSuccess(head.Status) && !traits.Stamped)) {
+    // Not what this server sends: bytes that belong to no request.
+    Board.Commands.push_back(CancelUpstream{attempt});
+    brokeOff(now, *request);
+    return HeadVerdict::Take;
+  }
+  request->Attempt->Head = std::move(head);
+  if (request->Attempt->Head->Status < StatusServerError)
+    return HeadVerdict::Take;
+  // The server ran it and failed; another one may do better.
+  if (!Attempts.takeRetry(now, *request))
+    return HeadVerdict::Take;
+  Board.Commands.push_back(IgnoreUpstream{attempt});
+  Attempts.tryAgain(now, *request);
+  return HeadVerdict::Take;
+}
+
+void AnswerController::beginAnswer(TimePoint now, ForwardRequest &request) {
+  if (request.Answering)
+    return;
+  request.Answering = true;
+  ResponseHead head = *request.Attempt->Head;
+  removeConnectionHeaders(head.Headers);
+  Attempts.note(now, "answer_began", request, {}, head.Status);
+  Board.Commands.push_back(ReplyHead{request.Key, std::move(head)});
+}
+
+void AnswerController::onStreamBytes(TimePoint now, ForwardRequest &request,
+                                     std::string_view bytes) {
+  std::string events = request.Events.take(bytes);
+  if (events.empty())
+    return;
+  beginAnswer(now, request);
+  Board.Commands.push_back(ReplyPiece{request.Key, std::move(events)});
+}
+
+void AnswerController::onBody(TimePoint now, const AttemptId &attempt,
+                              std::string_view bytes) {
+  ForwardRequest *request = Board.find(attempt);
+  if (!request || !request->Attempt->Head)
+    return;
+  if (isStream(*request))
+    return onStreamBytes(now, *request, bytes);
+  if (request->Answering && request->Route->Kind == Repeatability::Stream)
+    return; // A failure where a stream was to go on.
+  if (request->Answering) {
+    Board.Commands.push_back(ReplyPiece{request->Key, std::string(bytes)});
+    return;
+  }
+  std::string &held = request->Attempt->Held;
+  held += bytes;
+  if (held.size() <= Board.Options.HoldBytes)
+    return;
+  beginAnswer(now, *request);
+  Board.Commands.push_back(
+      ReplyPiece{request->Key, std::exchange(held, std::string())});
+}
+
+void AnswerController::complete(TimePoint now, ForwardRequest &request) {
+  const int status = request.Attempt->Head->Status;
+  const bool stream = isStream(request);
+  if (request.Answering && !stream &&
+      request.Route->Kind == Repeatability::Stream)
+    return brokeOff(now, request);
+  Attempts.note(now, "request_answered", request, {}, status);
+  if (stream)
+    request.Attempt->Held = request.Events.partial();
+  if (request.Answering) {
+    if (stream && !request.Attempt->Held.empty())
+      Board.Commands.push_back(
+          ReplyPiece{request.Key, request.Attempt->Held});
+    Board.Commands.push_back(ReplyEnd{request.Key});
+  } else {
+    ResponseHead head = *request.Attempt->Head;
+    removeConnectionHeaders(head.Headers);
+    Board.Commands.push_back(
+        ReplyWhole{request.Key, std::move(head),
+                   std::move(request.Attempt->Held)});
+  }
+  const bool failed = status >= StatusServerError;
+  Attempts.endAttempt(
+      now, request, failed ? ServerOutcome::Failed : ServerOutcome::Answered,
+      failed ? ReleaseKind::BrokeOff : ReleaseKind::Answered);
+  Attempts.finish(request);
+}
+
+void AnswerController::brokeOff(TimePoint now, ForwardRequest &request) {
+  Attempts.note(now, "attempt_broke_off", request);
+  if (Attempts.takeRetry(now, request))
+    return Attempts.tryAgain(now, request);
+  request.MayHaveRun = true;
+  Attempts.endAttempt(now, request, ServerOutcome::Failed,
+                      ReleaseKind::BrokeOff);
+  Attempts.giveUp(now, request, ForwardFailure::BrokeOff);
+}
+
+void AnswerController::onEnd(TimePoint now, const AttemptId &attempt,
+                             UpstreamEnding ending) {
+  ForwardRequest *request = Board.find(attempt);
+  if (!request)
+    return;
+  if (ending == UpstreamEnding::NotSent)
+    return Attempts.notRun(now, *request, ServerOutcome::Unreachable,
+                           ReleaseKind::NotRun);
+  if (ending == UpstreamEnding::Complete && request->Attempt->Head)
+    return complete(now, *request);
+  brokeOff(now, *request);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -0,0 +1,345 @@
+#include "pimentofront/Forward.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusGatewayTimeout = 504;
+
+/// \returns the status for a request without an answer. 503 promises that the
+/// request has not run and never will.
+int statusOf(ForwardFailure why, bool mayHaveRun) {
+  switch (why) {
+  case ForwardFailure::NoRoute:
+    return StatusNotFound;
+  case ForwardFailure::Malformed:
+    return StatusBadRequest;
+  case ForwardFailure::TimedOut:
+    return mayHaveRun ? StatusGatewayTimeout : StatusUnavailable;
+  default:
+    return mayHaveRun ? StatusBadGateway : StatusUnavailable;
+  }
+}
+
+} // namespace
+
+const char *forwardFailureName(ForwardFailure failure) {
+  constexpr const char *Names[] = {"not_ready", "no_route",  "malformed",
+                                   "no_server", "declined",  "timed_out",
+                                   "broke_off", "caller_gone"};
+  return Names[static_cast<std::size_t>(failure)];
+}
+
+void AttemptController::note(TimePoint now, const char *name,
+                             const ForwardRequest &request, std::string detail,
+                             int status, bool lost) {
+  Board.Events.push_back(
+      {.Name = name,
+       .Request = request.Traits.Id,
+       .Route = request.Route ? request.Route->Name : std::string(),
+       .Server = request.Attempt ? request.Attempt->Server : HostName(),
+       .Detail = std::move(detail),
+       .Took = now - request.ArrivedAt,
+       .Status = status,
+       .Lost = lost});
+}
+
+//===----------------------------------------------------------------------===//
+// Choosing
+//===----------------------------------------------------------------------===//
+
+void AttemptController::next(TimePoint now, ForwardRequest &request) {
+  if (now >= request.Deadline)
+    return giveUp(now, request, ForwardFailure::TimedOut);
+  if (!request.ToEngine) {
+    ServerView *server =
+        Board.Servers.choose(now, request.Service, request.Avoid);
+    if (server)
+      return send(now, request, *server);
+  } else {
+    const RouteQuery query{.Key = request.Adapter,
+                           .BaseModel = request.Service.str(),
+                           .Tried = request.Tried};
+    const std::optional<Route> route =
+        Routing.choose(now, query, Board.Servers.agents());
+    if (route)
+      return askAgent(now, request, *route);
+  }
+  const bool any = Board.Servers.serves(request.Service);
+  giveUp(now, request,
+         any ? ForwardFailure::Declined : ForwardFailure::NoServer);
+}
+
+void AttemptController::askAgent(TimePoint now, ForwardRequest &request,
+                                 const Route &route) {
+  const AttemptId id{Board.Options.Incarnation, ++Board.LastSequence};
+  const MemberView &agent = Board.Servers.agents().at(route.Host);
+  request.Attempt = ForwardAttempt{.Id = id,
+                                   .Agent = route.Host,
+                                   .OnlyIfResident = route.OnlyIfResident,
+                                   .StartedAt = now};
+  Board.Attempts.emplace(id, request.Key);
+  Board.Commands.push_back(
+      SendToAgent{route.Host, agent.Record.Address,
+                  ExecuteRequest{.Attempt = id,
+                                 .Request = RequestId(request.Traits.Id),
+                                 .Kind = KindName(request.Route->Name),
+                                 .Remaining = request.Deadline - now,
+                                 .Key = request.Adapter,
+                                 .BaseModel = request.Service.str(),
+                                 .MaxTokens = request.Traits.MaxOutputTokens,
+                                 .OnlyIfResident = route.OnlyIfResident,
+                                 .Delegated = true,
+                                 .Parts = request.Traits.Parts}});
+}
+
+void AttemptController::send(TimePoint now, ForwardRequest &request,
+                             ServerView &server) {
+  if (!request.Attempt) {
+    const AttemptId id{Board.Options.Incarnation, ++Board.LastSequence};
+    request.Attempt = ForwardAttempt{.Id = id, .StartedAt = now};
+    Board.Attempts.emplace(id, request.Key);
+  }
+  ForwardAttempt &attempt = *request.Attempt;
+  attempt.Server = server.Record.Host;
+  attempt.Sent = true;
+  ++request.Sends;
+  request.Avoid.push_back(server.Record.Host);
+  Board.Servers.noteSent(server.Record.Host);
+  const ForwardTraits traits{
+      .TimeLeft = request.Deadline - now,
+      .Server = server.Record.Host,
+      .Version = request.Adapter.Version,
+      .Priority = request.ToEngine ? std::optional(request.Route->Priority)
+                                   : std::nullopt,
+      .LastEvent = request.Events.last()};
+  Board.Commands.push_back(
+      SendUpstream{.Attempt = attempt.Id,
+                   .Address = server.Record.Address,
+                   .Head = Board.Codec.encodeRequest(request.Head, traits),
+                   .Body = request.Body,
+                   .Once = !request.Route->mayRepeat()});
+}
+
+//===----------------------------------------------------------------------===//
+// What agents say
+//===----------------------------------------------------------------------===//
+
+ForwardRequest *AttemptController::find(const AttemptId &attempt,
+                                        const HostName &agent) {
+  ForwardRequest *request = Board.find(attempt);
+  return request && request->Attempt->Agent == agent ? request : nullptr;
+}
+
+void AttemptController::noteLoad(const HostName &agent,
+                                 const LoadFigures &load) {
+  const auto it = Board.Servers.agents().find(agent);
+  if (it == Board.Servers.agents().end())
+    return;
+  it->second.Failures = 0;
+  if (load.BatchCapacity > 0)
+    it->second.Load = load;
+}
+
+void AttemptController::onAdmitted(TimePoint, const HostName &agent,
+                                   const AttemptAdmitted &message) {
+  noteLoad(agent, message.Load);
+  ForwardRequest *request = find(message.Attempt, agent);
+  if (!request)
+    return;
+  request->Attempt->Heard = true;
+  Routing.learn(request->Adapter, agent, true);
+}
+
+void AttemptController::onPermit(TimePoint now, const HostName &agent,
+                                 const AttemptPermit &message) {
+  noteLoad(agent, message.Load);
+  ForwardRequest *request = find(message.Attempt, agent);
+  if (!request || request->Attempt->Sent) {
+    // Nobody waits for it any more: the place must not stay taken.
+    if (!request)
+      release({.Id = message.Attempt, .Agent = agent}, ReleaseKind::NotRun);
+    return;
+  }
+  request->Attempt->Heard = true;
+  Routing.learn(request->Adapter, agent, true);
+  if (ServerView *server = Board.Servers.beside(agent))
+    return send(now, *request, *server);
+  notRun(now, *request, ServerOutcome::Declined, ReleaseKind::NotRun);
+}
+
+void AttemptController::onRefused(TimePoint now, const HostName &agent,
+                                  const AttemptRefused &message) {
+  noteLoad(agent, message.Load);
+  ForwardRequest *request = find(message.Attempt, agent);
+  if (!request)
+    return;
+  if (message.Reason == RefusalReason::NotResident)
+    Routing.learn(request->Adapter, agent, false);
+  if (message.Reason == RefusalReason::BackendDown)
+    Board.Servers.suspendAgent(now, agent);
+  request->Tried.push_back({agent, message.Reason, message.Load,
+                            request->Attempt->OnlyIfResident});
+  request->LastRefusal = message.Reason;
+  if (message.Reason != RefusalReason::NotResident)
+    request->ComeBack = std::max(request->ComeBack, message.ComeBack);
+  Board.Attempts.erase(message.Attempt);
+  request->Attempt.reset();
+  next(now, *request);
+}
+
+void AttemptController::passBySilentAgent(TimePoint now,
+                                          ForwardRequest &request) {
+  const ForwardAttempt &attempt = *request.Attempt;
+  note(now, "agent_silent", request, attempt.Agent.str());
+  Board.Servers.suspendAgent(now, attempt.Agent);
+  request.Tried.push_back({attempt.Agent, RefusalReason::BackendDown, {},
+                           /*OnlyIfResident=*/false});
+  cancel(now, request);
+  next(now, request);
+}
+
+void AttemptController::onAgentLost(TimePoint now, const HostName &agent) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto &[attempt, key] : Board.Attempts) {
+    const ForwardRequest &request = Board.Requests.at(key);
+    if (request.Attempt->Agent == agent && !request.Attempt->Sent)
+      waiting.push_back(key);
+  }
+  for (const std::uint64_t key : waiting)
+    passBySilentAgent(now, Board.Requests.at(key));
+}
+
+void AttemptController::onAgentLeaving(const AgentLeaving &message) {
+  const auto it = Board.Servers.agents().find(message.Host);
+  if (it != Board.Servers.agents().end() &&
+      it->second.Record.Incarnation == message.Incarnation)
+    it->second.Record.Leaving = true;
+}
+
+//===----------------------------------------------------------------------===//
+// Ends
+//===----------------------------------------------------------------------===//
+
+void AttemptController::release(const ForwardAttempt &attempt,
+                                ReleaseKind kind) {
+  if (attempt.Agent.empty())
+    return;
+  const auto agent = Board.Servers.agents().find(attempt.Agent);
+  if (agent == Board.Servers.agents().end())
+    return;
+  Board.Commands.push_back(SendToAgent{attempt.Agent,
+                                       agent->second.Record.Address,
+                                       AttemptReleased{attempt.Id, kind}});
+}
+
+void AttemptController::endAttempt(TimePoint now, ForwardRequest &request,
+                                   ServerOutcome outcome, ReleaseKind kind) {
+  const ForwardAttempt &attempt = *request.Attempt;
+  if (attempt.Sent)
+    Board.Servers.noteEnded(now, attempt.Server, outcome);
+  release(attempt, kind);
+  Board.Attempts.erase(attempt.Id);
+  request.Attempt.reset();
+}
+
+void AttemptController::cancel(TimePoint now, ForwardRequest &request) {
+  if (!request.Attempt)
+    return;
+  const ForwardAttempt &attempt = *request.Attempt;
+  if (attempt.Sent) {
+    Board.Commands.push_back(CancelUpstream{attempt.Id});
+    return endAttempt(now, request, ServerOutcome::Declined,
+                      ReleaseKind::BrokeOff);
+  }
+  const auto agent = Board.Servers.agents().find(attempt.Agent);
+  if (agent != Board.Servers.agents().end())
+    Board.Commands.push_back(SendToAgent{attempt.Agent,
+                                         agent->second.Record.Address,
+                                         CancelAttempt{attempt.Id}});
+  Board.Attempts.erase(attempt.Id);
+  request.Attempt.reset();
+}
+
+bool AttemptController::maySendAgain(const ForwardRequest &request) const {
+  return request.Sends < request.Route->MaxServers && Board.Budget.take();
+}
+
+void AttemptController::notRun(TimePoint now, ForwardRequest &request,
+                               ServerOutcome outcome, ReleaseKind kind) {
+  note(now, "attempt_not_run", request,
+       outcome == ServerOutcome::Unreachable ? "unreachable" : "declined");
+  const HostName agent = request.Attempt->Agent;
+  const bool reached =
+      request.Attempt->Sent && outcome != ServerOutcome::Unreachable;
+  if (request.Attempt->Sent && !reached)
+    --request.Sends;
+  if (!agent.empty()) {
+    request.Tried.push_back({agent, RefusalReason::QueueFull, {},
+                             /*OnlyIfResident=*/false});
+    if (kind == ReleaseKind::NotResident)
+      Routing.learn(request.Adapter, agent, false);
+  }
+  endAttempt(now, request, outcome, kind);
+  if (!reached && ++request.Unreachable > Board.Options.MaxUnreachable)
+    return giveUp(now, request, ForwardFailure::NoServer);
+  if (reached && !maySendAgain(request))
+    return giveUp(now, request, ForwardFailure::Declined);
+  next(now, request);
+}
+
+bool AttemptController::takeRetry(TimePoint now,
+                                  const ForwardRequest &request) const {
+  const bool stream = request.Route->Kind == Repeatability::Stream;
+  return request.Route->mayRepeat() && (!request.Answering || stream) &&
+         now < request.Deadline && maySendAgain(request);
+}
+
+void AttemptController::tryAgain(TimePoint now, ForwardRequest &request) {
+  note(now, "request_sent_again", request);
+  request.MayHaveRun = true;
+  request.Events.restart();
+  // Another engine must take it: the one that failed may fail again.
+  if (!request.Attempt->Agent.empty())
+    request.Tried.push_back({request.Attempt->Agent, RefusalReason::BackendDown,
+                             {}, /*OnlyIfResident=*/false});
+  endAttempt(now, request, ServerOutcome::Failed, ReleaseKind::BrokeOff);
+  next(now, request);
+}
+
+void AttemptController::giveUp(TimePoint now, ForwardRequest &request,
+                               ForwardFailure why) {
+  const bool mayHaveRun =
+      request.MayHaveRun || (request.Attempt && request.Attempt->Sent);
+  const int status = statusOf(why, mayHaveRun);
+  std::string detail = forwardFailureName(why);
+  if (request.LastRefusal != RefusalReason::None)
+    detail += std::string(", ") + refusalReasonName(request.LastRefusal);
+  note(now, "request_lost", request, detail, status, /*lost=*/true);
+  cancel(now, request);
+  if (request.Answering) {
+    Board.Commands.push_back(ReplyAbort{request.Key});
+    return finish(request);
+  }
+  const Duration comeBack =
+      std::max(request.ComeBack, Board.Options.LeastComeBack);
+  ResponseHead head{.Status = status,
+                    .Headers = Board.Codec.refusalHeaders(
+                        request.Traits, Board.Jitter.jitter(comeBack))};
+  Board.Commands.push_back(
+      ReplyWhole{request.Key, std::move(head), detail + "\n"});
+  finish(request);
+}
+
+void AttemptController::finish(ForwardRequest &request) {
+  if (request.Attempt)
+    Board.Attempts.erase(request.Attempt->Id);
+  Board.Requests.erase(request.Key);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -0,0 +1,67 @@
+#ifndef PIMENTOFRONT_FORWARD_ATTEMPT_CONTROLLER_H
+#define PIMENTOFRONT_FORWARD_ATTEMPT_CONTROLLER_H
+
+#include "ForwardBoard.h"
+
+namespace pimentofront {
+
+/// \class AttemptController
+/// \ingroup Forward
+/// \brief Which backend server gets a request, and whether another one does
+/// when that one didn't answer it.
+class AttemptController {
+public:
+  /// \param routing chooses among agents; outlives the controller.
+  AttemptController(ForwardBoard &board, RoutingPolicy &routing)
+      : Board(board), Routing(routing) {}
+
+  /// Starts the first or another attempt, or gives the request up.
+  void next(TimePoint now, ForwardRequest &request);
+  void onAdmitted(TimePoint now, const HostName &agent,
+                  const AttemptAdmitted &message);
+  void onPermit(TimePoint now, const HostName &agent,
+                const AttemptPermit &message);
+  void onRefused(TimePoint now, const HostName &agent,
+                 const AttemptRefused &message);
+  void onAgentLost(TimePoint now, const HostName &agent);
+  void onAgentLeaving(const AgentLeaving &message);
+  /// The agent of an attempt has said nothing in time.
+  void passBySilentAgent(TimePoint now, ForwardRequest &request);
+
+  /// The server didn't run the request; \p outcome says why.
+  void notRun(TimePoint now, ForwardRequest &request, ServerOutcome outcome,
+              ReleaseKind release);
+  /// \returns whether a request that may have run may be sent to another
+  /// server, and takes that from the budget.
+  bool takeRetry(TimePoint now, const ForwardRequest &request) const;
+  /// Ends an attempt that failed and starts another one.
+  /// \pre takeRetry() has said yes.
+  void tryAgain(TimePoint now, ForwardRequest &request);
+  /// Ends the attempt: the agent and the counters learn of it.
+  void endAttempt(TimePoint now, ForwardRequest &request,
+                  ServerOutcome outcome, ReleaseKind release);
+  /// Takes back whatever is under way for the request.
+  void cancel(TimePoint now, ForwardRequest &request);
+
+  /// Answers with a refusal that promises that the request did not run, or
+  /// with a failure where it may have run, and forgets the request.
+  void giveUp(TimePoint now, ForwardRequest &request, ForwardFailure why);
+  void finish(ForwardRequest &request);
+  void note(TimePoint now, const char *name, const ForwardRequest &request,
+            std::string detail = {}, int status = 0, bool lost = false);
+
+private:
+  void askAgent(TimePoint now, ForwardRequest &request, const Route &route);
+  void send(TimePoint now, ForwardRequest &request, ServerView &server);
+  void release(const ForwardAttempt &attempt, ReleaseKind kind);
+  void noteLoad(const HostName &agent, const LoadFigures &load);
+  ForwardRequest *find(const AttemptId &attempt, const HostName &agent);
+  bool maySendAgain(const ForwardRequest &request) const;
+
+  ForwardBoard &Board;
+  RoutingPolicy &Routing;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/EventStream.cpp
@@ -0,0 +1,79 @@
+#include "pimentofront/Forward.h"
+
+#include <charconv>
+
+namespace pimentofront {
+namespace {
+
+/// \returns where the first event in \p text ends, behind its empty line, or
+/// npos. Looks from \p from on.
+std::size_t endOfEvent(std::string_view text, std::size_t from) {
+  for (std::size_t i = text.find('\n', from); i != std::string_view::npos;
+       i = text.find('\n', i + 1)) {
+    const std::string_view rest = text.substr(i + 1);
+    if (rest.starts_with('\n'))
+      return i + 2;
+    if (rest.starts_with("\r\n"))
+      return i + 3;
+  }
+  return std::string_view::npos;
+}
+
+/// \returns the value of the `id` line of an event.
+std::optional<std::uint64_t> idOf(std::string_view event) {
+  constexpr std::string_view Name = "id:";
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(Name)) {
+      line.remove_prefix(Name.size());
+      if (line.starts_with(' '))
+        line.remove_prefix(1);
+      std::uint64_t id = 0;
+      const auto read =
+          std::from_chars(line.data(), line.data() + line.size(), id);
+      if (read.ec == std::errc())
+        return id;
+      return std::nullopt;
+    }
+    if (end == std::string_view::npos)
+      break;
+    event.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool EventStream::accept(std::string_view event) {
+  const std::optional<std::uint64_t> id = idOf(event);
+  if (id && Last && *id <= *Last)
+    return false;
+  if (id)
+    Last = id;
+  ++Events;
+  return true;
+}
+
+std::string EventStream::take(std::string_view bytes) {
+  // An empty line may stand half in what came before.
+  constexpr std::size_t LongestEnd = 3;
+  std::size_t from =
+      Partial.size() > LongestEnd ? Partial.size() - LongestEnd : 0;
+  Partial += bytes;
+  std::string out;
+  std::size_t begin = 0;
+  while (true) {
+    const std::size_t end = endOfEvent(Partial, std::max(from, begin));
+    if (end == std::string::npos)
+      break;
+    const auto event = std::string_view(Partial).substr(begin, end - begin);
+    if (accept(event))
+      out += event;
+    begin = end;
+  }
+  Partial.erase(0, begin);
+  return out;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -0,0 +1,201 @@
+#ifndef PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
+#define PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
+
+#include "EventStream.h"
+#include "RoutingTable.h"
+#include "ServerSet.h"
+
+#include <memory>
+
+namespace pimentofront {
+
+/// \class ForwardOptions
+/// \ingroup Forward
+/// \brief The knobs of forwarding. docs/OPERATORS.md says what each does.
+struct ForwardOptions {
+  /// Random number drawn when the process started.
+  std::uint64_t Incarnation = 0;
+  ServerSetOptions Servers;
+  /// An agent that doesn't answer at all in this time is passed by: some
+  /// round trips between zones, and a wait for a turn of its processor.
+  Duration PermitTimeout = std::chrono::milliseconds(250);
+  /// Kept back of a caller's time, for the way of the final answer.
+  Duration AnswerReserve = std::chrono::milliseconds(30);
+  /// Sends to a second server for each request. All entries together stay
+  /// under a fifth, which is what backend servers are laid out for.
+  double RetryShare = 0.15;
+  /// Such sends that are saved up by one entry.
+  double RetryReserve = 4;
+  /// Connections that fail before a request is given up.
+  std::uint32_t MaxUnreachable = 3;
+  /// Answers up to this size are held until they are whole, so that one that
+  /// breaks off can be replaced by another server's.
+  std::size_t HoldBytes = std::size_t(64) << 10;
+  /// Shortest time to come back that a refusal names.
+  Duration LeastComeBack = std::chrono::milliseconds(100);
+  /// When to come back to a process without a routing document.
+  Duration UnreadyComeBack = std::chrono::milliseconds(500);
+};
+
+/// Why a request has no answer of a backend server.
+enum class ForwardFailure : std::uint8_t {
+  /// No routing document is known yet.
+  NotReady,
+  NoRoute,
+  /// The request has no id, so that its answer couldn't be told from others.
+  Malformed,
+  NoServer,
+  /// All that could take it declined.
+  Declined,
+  TimedOut,
+  /// It broke off, and may not run once more.
+  BrokeOff,
+  CallerGone,
+};
+/// \returns the name of \p failure in logs and metrics.
+const char *forwardFailureName(ForwardFailure failure);
+
+/// \class ForwardAttempt
+/// \ingroup Forward
+/// \brief One try at one backend server.
+struct ForwardAttempt {
+  AttemptId Id;
+  /// Agent that was asked for a permit; empty for a plain service.
+  HostName Agent;
+  bool OnlyIfResident = false;
+  /// The agent has said something.
+  bool Heard = false;
+  HostName Server;
+  TimePoint StartedAt;
+  bool Sent = false;
+  /// The head of the right answer has come.
+  std::optional<ResponseHead> Head;
+  /// Body, as long as it is held.
+  std::string Held;
+};
+
+/// \class ForwardRequest
+/// \ingroup Forward
+/// \brief A caller's request in progress.
+struct ForwardRequest {
+  std::uint64_t Key = 0;
+  RequestHead Head;
+  std::shared_ptr<const std::string> Body;
+  RequestTraits Traits;
+  std::shared_ptr<const RoutingTable> Table;
+  const RouteSpec *Route = nullptr;
+  ServiceName Service;
+  bool ToEngine = false;
+  AdapterKey Adapter;
+  TimePoint ArrivedAt;
+  TimePoint Deadline;
+  std::optional<ForwardAttempt> Attempt;
+  /// Agents that turned it down.
+  std::vector<TriedHost> Tried;
+  /// Servers that had their try, reached or not.
+  std::vector<HostName> Avoid;
+  /// Servers that may have received it.
+  std::uint32_t Sends = 0;
+  std::uint32_t Unreachable = 0;
+  /// Some server may have run it.
+  bool MayHaveRun = false;
+  /// The caller has the head of the answer.
+  bool Answering = false;
+  EventStream Events;
+  /// The longest that a refusal told to wait.
+  Duration ComeBack = Duration::zero();
+  RefusalReason LastRefusal = RefusalReason::None;
+};
+
+/// Sends a request to a backend server.
+struct SendUpstream {
+  AttemptId Attempt;
+  std::string Address;
+  RequestHead Head;
+  std::shared_ptr<const std::string> Body;
+  /// The request may run once only, so it gets a connection of its own.
+  bool Once = false;
+};
+/// Closes the connection of an attempt, which has the server stop.
+struct CancelUpstream {
+  AttemptId Attempt;
+};
+/// Reads an answer to its end, for the sake of its connection.
+struct IgnoreUpstream {
+  AttemptId Attempt;
+};
+/// Answers a caller whole.
+struct ReplyWhole {
+  std::uint64_t Key = 0;
+  ResponseHead Head;
+  std::string Body;
+};
+/// Begins an answer whose length isn't known.
+struct ReplyHead {
+  std::uint64_t Key = 0;
+  ResponseHead Head;
+};
+struct ReplyPiece {
+  std::uint64_t Key = 0;
+  std::string Bytes;
+};
+struct ReplyEnd {
+  std::uint64_t Key = 0;
+};
+/// Ends the caller's connection, so that the answer doesn't look complete.
+struct ReplyAbort {
+  std::uint64_t Key = 0;
+};
+using ForwardCommand =
+    std::variant<SendToAgent, SendUpstream, CancelUpstream, IgnoreUpstream,
+                 ReplyWhole, ReplyHead, ReplyPiece, ReplyEnd, ReplyAbort>;
+
+/// \class ForwardEvent
+/// \ingroup Forward
+/// \brief A decision about a request, with what decided it, for logs and
+/// metrics.
+struct ForwardEvent {
+  const char *Name = "";
+  std::string Request;
+  std::string Route;
+  HostName Server;
+  std::string Detail;
+  /// Since the request arrived.
+  Duration Took = Duration::zero();
+  int Status = 0;
+  /// The request has no answer of a backend server.
+  bool Lost = false;
+};
+
+/// \class ForwardBoard
+/// \ingroup Forward
+/// \brief What the controllers of forwarding know in common.
+struct ForwardBoard {
+  ForwardBoard(const ForwardOptions &options,
+               const ConfigurationView &configuration, const HeaderCodec &codec)
+      : Options(options), Configuration(configuration), Codec(codec),
+        Servers(options.Servers), Jitter(options.Incarnation),
+        Budget(options.RetryShare, options.RetryReserve) {}
+
+  const ForwardOptions Options;
+  const ConfigurationView &Configuration;
+  const HeaderCodec &Codec;
+  ServerSet Servers;
+  Random Jitter;
+  RetryBudget Budget;
+  std::shared_ptr<const RoutingTable> Table;
+  std::unordered_map<std::uint64_t, ForwardRequest> Requests;
+  std::unordered_map<AttemptId, std::uint64_t> Attempts;
+  std::uint64_t LastSequence = 0;
+  std::vector<ForwardCommand> Commands;
+  std::vector<ForwardEvent> Events;
+
+  ForwardRequest *find(const AttemptId &attempt) {
+    const auto it = Attempts.find(attempt);
+    return it == Attempts.end() ? nullptr : &Requests.at(it->second);
+  }
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -0,0 +1,128 @@
+#include "pimentofront/Forward.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+/// \returns the live version of an adapter; 0 when none was ever named.
+VersionNumber liveVersion(const ConfigurationView &configuration,
+                          const AdapterName &name) {
+  const std::optional<AdapterRecord> adapter = configuration.findAdapter(name);
+  VersionNumber highest = 0;
+  if (adapter)
+    for (const VersionRecord &it : adapter->Versions)
+      if (it.Live)
+        highest = std::max(highest, it.Number);
+  return highest;
+}
+
+/// \returns a number from [0, 1) that is the same for the same id, so that a
+/// request sent again takes the same way.
+double drawOf(const std::string &id) {
+  constexpr unsigned UnusedBits = 11;
+  constexpr double Scale = 1.0 / 9007199254740992.0; // 2^-53
+  return static_cast<double>(stableHash(id) >> UnusedBits) * Scale;
+}
+
+} // namespace
+
+ForwardController::ForwardController(const ForwardOptions &options,
+                                     const ConfigurationView &configuration,
+                                     const HeaderCodec &codec,
+                                     RoutingPolicy &routing)
+    : Board(options, configuration, codec), Attempts(Board, routing),
+      Answers(Board, Attempts) {}
+
+void ForwardController::setTable(std::shared_ptr<const RoutingTable> table) {
+  Board.Table = std::move(table);
+}
+
+void ForwardController::onMembers(const MemberUpdate &update) {
+  Board.Servers.apply(update);
+}
+
+void ForwardController::onRequest(TimePoint now, std::uint64_t key,
+                                  RequestHead head, std::string body) {
+  ForwardRequest &request =
+      Board.Requests
+          .emplace(key, ForwardRequest{.Key = key,
+                                       .Head = std::move(head),
+                                       .Body =
+                                           std::make_shared<const std::string>(
+                                               std::move(body)),
+                                       .Table = Board.Table,
+                                       .ArrivedAt = now})
+          .first->second;
+  request.Traits = Board.Codec.decodeRequest(request.Head);
+  request.Events = EventStream(request.Traits.LastEvent);
+  resolve(now, request);
+}
+
+void ForwardController::resolve(TimePoint now, ForwardRequest &request) {
+  if (!request.Table) {
+    request.ComeBack = Board.Options.UnreadyComeBack;
+    return Attempts.giveUp(now, request, ForwardFailure::NotReady);
+  }
+  if (request.Traits.Id.empty())
+    return Attempts.giveUp(now, request, ForwardFailure::Malformed);
+  const std::string *host = findHeader(request.Head.Headers, "host");
+  request.Route =
+      request.Table->findRoute(host ? *host : "", request.Head.Target);
+  if (!request.Route)
+    return Attempts.giveUp(now, request, ForwardFailure::NoRoute);
+  const Duration timeLeft =
+      request.Traits.TimeLeft.value_or(request.Route->Timeout);
+  request.Deadline = now + std::min(timeLeft, request.Route->Timeout) -
+                     Board.Options.AnswerReserve;
+  request.Service = RoutingTable::chooseService(*request.Route,
+                                                drawOf(request.Traits.Id));
+  const ServiceSpec *service = request.Table->findService(request.Service);
+  request.ToEngine = service && service->Engine;
+  if (request.ToEngine && !request.Traits.Adapter.empty()) {
+    const AdapterName name(request.Traits.BaseModel + "/" +
+                           request.Traits.Adapter);
+    request.Adapter = {name, liveVersion(Board.Configuration, name)};
+  }
+  Board.Budget.noteRequest();
+  Attempts.next(now, request);
+}
+
+void ForwardController::onCallerGone(TimePoint now, std::uint64_t key) {
+  const auto it = Board.Requests.find(key);
+  if (it == Board.Requests.end())
+    return;
+  Attempts.note(now, "caller_gone", it->second);
+  Attempts.cancel(now, it->second);
+  Attempts.finish(it->second);
+}
+
+void ForwardController::expire(TimePoint now, ForwardRequest &request) {
+  Attempts.giveUp(now, request, ForwardFailure::TimedOut);
+}
+
+void ForwardController::tick(TimePoint now) {
+  std::vector<std::uint64_t> late;
+  std::vector<std::uint64_t> silent;
+  for (const auto &[key, it] : Board.Requests) {
+    if (now >= it.Deadline)
+      late.push_back(key);
+    else if (it.Attempt && !it.Attempt->Sent && !it.Attempt->Heard &&
+             now >= it.Attempt->StartedAt + Board.Options.PermitTimeout)
+      silent.push_back(key);
+  }
+  for (const std::uint64_t key : late)
+    expire(now, Board.Requests.at(key));
+  for (const std::uint64_t key : silent)
+    Attempts.passBySilentAgent(now, Board.Requests.at(key));
+}
+
+std::vector<ForwardCommand> ForwardController::takeCommands() {
+  return std::exchange(Board.Commands, {});
+}
+
+std::vector<ForwardEvent> ForwardController::takeEvents() {
+  return std::exchange(Board.Events, {});
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -0,0 +1,50 @@
+#ifndef PIMENTOFRONT_FORWARD_FORWARD_CONTROLLER_H
+#define PIMENTOFRONT_FORWARD_FORWARD_CONTROLLER_H
+
+#include "AnswerController.h"
+
+namespace pimentofront {
+
+/// \class ForwardController
+/// \ingroup Forward
+/// \brief All decisions of an entry about requests that are passed on as they
+/// are. The shell tells it what happened and carries out the commands.
+class ForwardController {
+public:
+  /// \param configuration, \p codec and \p routing outlive the controller.
+  ForwardController(const ForwardOptions &options,
+                    const ConfigurationView &configuration,
+                    const HeaderCodec &codec, RoutingPolicy &routing);
+
+  /// A new routing document is in force.
+  void setTable(std::shared_ptr<const RoutingTable> table);
+  void onMembers(const MemberUpdate &update);
+
+  /// A request has arrived whole. \p key names it until its answer has ended.
+  void onRequest(TimePoint now, std::uint64_t key, RequestHead head,
+                 std::string body);
+  /// The caller has closed its connection.
+  void onCallerGone(TimePoint now, std::uint64_t key);
+
+  AttemptController &attempts() { return Attempts; }
+  AnswerController &answers() { return Answers; }
+  /// Looks at time limits; to be called every some ten milliseconds.
+  void tick(TimePoint now);
+
+  std::vector<ForwardCommand> takeCommands();
+  std::vector<ForwardEvent> takeEvents();
+  bool idle() const { return Board.Requests.empty(); }
+  const ForwardBoard &board() const { return Board; }
+
+private:
+  void resolve(TimePoint now, ForwardRequest &request);
+  void expire(TimePoint now, ForwardRequest &request);
+
+  ForwardBoard Board;
+  AttemptController Attempts;
+  AnswerController Answers;
+};
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -0,0 +1,198 @@
+#include "pimentofront/Forward.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+std::string ipOf(const std::string &address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+/// \returns a pause that doubles with each failure, up to sixteenfold.
+Duration pauseAfter(Duration first, std::uint32_t failures) {
+  constexpr std::uint32_t MostDoublings = 4;
+  return first * (1U << std::min(failures, MostDoublings));
+}
+
+template <class Views> void markUnconfirmed(Views &views) {
+  for (auto &[host, it] : views)
+    it.Unconfirmed = true;
+}
+
+template <class Views> void dropUnconfirmed(Views &views) {
+  std::erase_if(views, [](const auto &it) { return it.second.Unconfirmed; });
+}
+
+} // namespace
+
+bool isOf(const MemberRecord &server, const ServiceName &service) {
+  return std::ranges::find(server.Services, service) != server.Services.end();
+}
+
+void ServerSet::apply(const MemberUpdate &update) {
+  // A new leader knows only who has spoken to it: until it has led for a whole
+  // lease, those that it doesn't name may well be there.
+  if (update.Full) {
+    markUnconfirmed(Servers);
+    markUnconfirmed(Agents);
+  }
+  for (const MemberRecord &it : update.Members)
+    put(it);
+  if (update.Complete) {
+    dropUnconfirmed(Servers);
+    dropUnconfirmed(Agents);
+  }
+  joinAgents();
+}
+
+void ServerSet::put(const MemberRecord &record) {
+  if (!record.Registered) {
+    if (record.Gone) {
+      Agents.erase(record.Host);
+      return;
+    }
+    MemberView &view = Agents[record.Host];
+    view.Record = record;
+    view.NameHash = stableHash(record.Host.str());
+    view.Unconfirmed = false;
+    return;
+  }
+  if (record.Gone) {
+    Servers.erase(record.Host);
+    return;
+  }
+  const bool isNew = !Servers.contains(record.Host);
+  ServerView &view = Servers[record.Host];
+  view.Record = record;
+  view.Unconfirmed = false;
+  if (isNew)
+    dropOthersAt(record);
+}
+
+/// Whoever had the address before has ended.
+void ServerSet::dropOthersAt(const MemberRecord &record) {
+  std::erase_if(Servers, [&](const auto &it) {
+    return it.first != record.Host &&
+           it.second.Record.Address == record.Address;
+  });
+}
+
+void ServerSet::joinAgents() {
+  std::map<std::string, const ServerView *> byIp;
+  for (const auto &[host, it] : Servers)
+    byIp[ipOf(it.Record.Address)] = &it;
+  Beside.clear();
+  for (auto &[host, agent] : Agents) {
+    const auto it = byIp.find(ipOf(agent.Record.Address));
+    const bool usable =
+        it != byIp.end() && !it->second->Record.Leaving &&
+        isOf(it->second->Record, ServiceName(agent.Record.BaseModel));
+    agent.Drained = !usable;
+    if (usable)
+      Beside[host] = it->second->Record.Host;
+  }
+}
+
+ServerView *ServerSet::find(const HostName &server) {
+  const auto it = Servers.find(server);
+  return it == Servers.end() ? nullptr : &it->second;
+}
+
+ServerView *ServerSet::beside(const HostName &agent) {
+  const auto it = Beside.find(agent);
+  return it == Beside.end() ? nullptr : find(it->second);
+}
+
+bool ServerSet::serves(const ServiceName &service) const {
+  return std::ranges::any_of(Servers, [&](const auto &it) {
+    return isOf(it.second.Record, service) && !it.second.Record.Leaving;
+  });
+}
+
+double ServerSet::meanFailureShare(const ServiceName &service) const {
+  double sum = 0;
+  std::size_t n = 0;
+  for (const auto &[host, it] : Servers) {
+    if (!isOf(it.Record, service))
+      continue;
+    sum += it.FailureShare;
+    ++n;
+  }
+  return n == 0 ? 0 : sum / static_cast<double>(n);
+}
+
+double ServerSet::scoreOf(TimePoint now, const ServerView &server,
+                          double siblingFailures) const {
+  const double slots = std::max(server.Record.Slots, 1U);
+  std::uint32_t busy = server.InFlight;
+  if (now < server.LoadAt + Options.LoadLifetime)
+    busy = std::max(busy, server.Load.Running + server.Load.Waiting);
+  double score = busy / slots;
+  if (server.Record.Zone != Options.Zone)
+    score += Options.ZonePreference;
+  score += Options.FailurePenalty *
+           std::max(server.FailureShare - siblingFailures, 0.0);
+  return score;
+}
+
+ServerView *ServerSet::choose(TimePoint now, const ServiceName &service,
+                              const std::vector<HostName> &without) {
+  const double failures = meanFailureShare(service);
+  ServerView *best = nullptr;
+  std::pair<bool, double> least;
+  for (auto &[host, it] : Servers) {
+    if (!isOf(it.Record, service) || it.Record.Leaving ||
+        std::ranges::find(without, host) != without.end())
+      continue;
+    const std::pair<bool, double> rank{now < it.SuspendedUntil,
+                                       scoreOf(now, it, failures)};
+    if (best && rank >= least)
+      continue;
+    best = &it;
+    least = rank;
+  }
+  return best;
+}
+
+void ServerSet::noteSent(const HostName &server) {
+  if (ServerView *it = find(server))
+    ++it->InFlight;
+}
+
+void ServerSet::noteEnded(TimePoint now, const HostName &server,
+                          ServerOutcome outcome) {
+  ServerView *it = find(server);
+  if (!it)
+    return;
+  it->InFlight -= std::min(it->InFlight, 1U);
+  if (outcome == ServerOutcome::Declined)
+    return;
+  const bool failed = outcome != ServerOutcome::Answered;
+  it->FailureShare += Options.FailureWeight * (failed - it->FailureShare);
+  if (outcome == ServerOutcome::Unreachable) {
+    it->SuspendedUntil = now + pauseAfter(Options.SuspendTime, it->Failures);
+    ++it->Failures;
+  } else {
+    it->Failures = 0;
+  }
+}
+
+void ServerSet::noteLoad(TimePoint now, const HostName &server,
+                         const ServerLoad &load) {
+  if (ServerView *it = find(server)) {
+    it->Load = load;
+    it->LoadAt = now;
+  }
+}
+
+void ServerSet::suspendAgent(TimePoint now, const HostName &agent) {
+  const auto it = Agents.find(agent);
+  if (it == Agents.end())
+    return;
+  it->second.SuspendedUntil =
+      now + pauseAfter(Options.SuspendTime, it->second.Failures);
+  ++it->second.Failures;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -0,0 +1,108 @@
+#ifndef PIMENTOFRONT_FORWARD_SERVER_SET_H
+#define PIMENTOFRONT_FORWARD_SERVER_SET_H
+
+#include "HeaderCodec.h"
+#include "pimentofront/State.h"
+
+namespace pimentofront {
+
+/// \class ServerView
+/// \ingroup Forward
+/// \brief What an entry knows of one registered backend server.
+struct ServerView {
+  MemberRecord Record;
+  /// Requests of this entry that it works on.
+  std::uint32_t InFlight = 0;
+  /// Its last word on its load, and when it came.
+  ServerLoad Load;
+  TimePoint LoadAt;
+  /// Set after connections failed: used only when nothing else is left.
+  TimePoint SuspendedUntil;
+  std::uint32_t Failures = 0;
+  /// Share of its last answers that were failures, decayed by answer.
+  double FailureShare = 0;
+  /// The leader of the replicas hasn't named it since the leader changed.
+  bool Unconfirmed = false;
+};
+
+/// How a backend server dealt with a request.
+enum class ServerOutcome : std::uint8_t {
+  Answered,
+  /// Turned it down without running it: full, or another process.
+  Declined,
+  /// Answered by a failure, broke off, or spoilt the answer.
+  Failed,
+  /// No connection came about.
+  Unreachable,
+};
+
+/// \class ServerSetOptions
+/// \ingroup Forward
+struct ServerSetOptions {
+  ZoneName Zone;
+  /// How much more loaded, in parts of its slots, a backend server of this
+  /// zone may be than one of another: bytes between zones cost, and a plain
+  /// service answers as well at half its slots as when it is idle.
+  double ZonePreference = 0.5;
+  /// First pause of a server that can't be reached; doubles up to sixteenfold.
+  Duration SuspendTime = std::chrono::milliseconds(250);
+  /// A word on load counts for so long; loads change within some requests.
+  Duration LoadLifetime = std::chrono::seconds(1);
+  /// Weight of the newest answer in the share of failures: about the last ten
+  /// count.
+  double FailureWeight = 0.1;
+  /// How much a share of failures above that of the siblings counts, in parts
+  /// of the slots: a server that fails a third more is chosen last.
+  double FailurePenalty = 3;
+};
+
+/// \class ServerSet
+/// \ingroup Forward
+/// \brief The backend servers that registered themselves, the agents beside
+/// some of them, and how they do.
+class ServerSet {
+public:
+  explicit ServerSet(const ServerSetOptions &options) : Options(options) {}
+
+  void apply(const MemberUpdate &update);
+  ServerView *find(const HostName &server);
+  /// \returns the server on the agent's host that is in use, or null.
+  ServerView *beside(const HostName &agent);
+  /// \returns the best server of \p service for one more request, but for
+  /// those in \p without; null when there is none.
+  ServerView *choose(TimePoint now, const ServiceName &service,
+                     const std::vector<HostName> &without);
+  /// \returns whether any server of \p service is in use.
+  bool serves(const ServiceName &service) const;
+  /// Agents with what they said of their engines; one whose engine isn't
+  /// registered counts as taken out of use.
+  MemberViews &agents() { return Agents; }
+  const MemberViews &agents() const { return Agents; }
+  const std::map<HostName, ServerView> &servers() const { return Servers; }
+
+  void noteSent(const HostName &server);
+  void noteEnded(TimePoint now, const HostName &server, ServerOutcome outcome);
+  void noteLoad(TimePoint now, const HostName &server, const ServerLoad &load);
+  void suspendAgent(TimePoint now, const HostName &agent);
+
+private:
+  void put(const MemberRecord &record);
+  void dropOthersAt(const MemberRecord &record);
+  void joinAgents();
+  double scoreOf(TimePoint now, const ServerView &server,
+                 double siblingFailures) const;
+  double meanFailureShare(const ServiceName &service) const;
+
+  ServerSetOptions Options;
+  std::map<HostName, ServerView> Servers;
+  MemberViews Agents;
+  /// By the agent's host: the server with the same IP address.
+  std::map<HostName, HostName> Beside;
+};
+
+/// \returns whether \p server belongs to \p service.
+bool isOf(const MemberRecord &server, const ServiceName &service);
+
+} // namespace pimentofront
+
+#endif
--- /dev/null
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -0,0 +1,221 @@
+#include "detail/CallerChannel.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+namespace pimentofront::detail {
+namespace {
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusRequestTimeout = 408;
+constexpr int StatusBodyTooLarge = 413;
+constexpr int StatusHeadTooLarge = 431;
+
+int statusOf(HttpFault fault) {
+  switch (fault) {
+  case HttpFault::HeadTooLarge:
+    return StatusHeadTooLarge;
+  case HttpFault::BodyTooLarge:
+    return StatusBodyTooLarge;
+  default:
+    return StatusBadRequest;
+  }
+}
+
+HttpLimits limitsOf(const CallerLimits &limits) {
+  return {.MaxHeadBytes = limits.MaxHeadBytes,
+          .MaxBodyBytes = limits.MaxBodyBytes};
+}
+
+} // namespace
+
+CallerChannel::CallerChannel(CallerListener &owner, std::uint64_t id,
+                             bufferevent *bev)
+    : Owner(owner), Id(id), Bev(bev),
+      Parser(HttpSide::Requests, limitsOf(owner.Options.Limits), *this),
+      Since(owner.Loop.now()) {
+  bufferevent_setcb(Bev, onReadable, onWritten, onEvent, this);
+  bufferevent_enable(Bev, EV_READ | EV_WRITE);
+}
+
+CallerChannel::~CallerChannel() { bufferevent_free(Bev); }
+
+void CallerChannel::setLimits() {
+  Parser.setLimits(limitsOf(Owner.Options.Limits));
+}
+
+//===----------------------------------------------------------------------===//
+// Reading
+//===----------------------------------------------------------------------===//
+
+void CallerChannel::onReadable(bufferevent *, void *arg) {
+  static_cast<CallerChannel *>(arg)->parse();
+}
+
+void CallerChannel::parse() {
+  evbuffer *input = bufferevent_get_input(Bev);
+  // What comes behind a request waits until that one is answered.
+  while (Key == 0 && !Closing && !Ended && evbuffer_get_length(input) > 0) {
+    if (!Sending) {
+      Sending = true;
+      Since = Owner.Loop.now();
+    }
+    const std::size_t n = evbuffer_get_contiguous_space(input);
+    const auto *bytes =
+        reinterpret_cast<const char *>(evbuffer_pullup(input, n));
+    const std::size_t used = Parser.feed({bytes, n});
+    evbuffer_drain(input, used);
+    if (Parser.fault() != HttpFault::None)
+      return refuse(statusOf(Parser.fault()));
+    if (used == 0)
+      break;
+  }
+}
+
+bool CallerChannel::onRequestHead(RequestHead head) {
+  const std::string *expect = findHeader(head.Headers, "expect");
+  if (expect && sameHeaderName(*expect, "100-continue")) {
+    constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    bufferevent_write(Bev, Continue.data(), Continue.size());
+    removeHeader(head.Headers, "expect");
+  }
+  Head = std::move(head);
+  Body.clear();
+  return true;
+}
+
+void CallerChannel::onBody(std::string_view bytes) { Body += bytes; }
+
+void CallerChannel::onMessageEnd() {
+  Sending = false;
+  HeadOnly = Head.Method == "HEAD";
+  LastRequest = !Parser.keepsConnection();
+  Framing = Parser.isHttp11() ? HttpFraming::Chunked : HttpFraming::Close;
+  Key = Owner.addKey(Id);
+  Owner.Handler.onRequest(Key, std::move(Head),
+                          std::exchange(Body, std::string()));
+}
+
+void CallerChannel::refuse(int status) {
+  const ResponseHead head{.Status = status};
+  const std::string text =
+      writeResponseHead(head, HttpFraming::Length, 0, false);
+  bufferevent_write(Bev, text.data(), text.size());
+  closeWhenWritten();
+}
+
+void CallerChannel::checkTime(TimePoint now) {
+  if (Key != 0 || Closing)
+    return;
+  const CallerLimits &limits = Owner.Options.Limits;
+  if (Sending) {
+    // A body that grows may take its time; a head may not.
+    const Duration limit =
+        Parser.headDone() ? limits.IdleTimeout : limits.HeadTimeout;
+    if (now >= Since + limit)
+      refuse(StatusRequestTimeout);
+    return;
+  }
+  // Callers use a connection up to the limit: it ends a little later.
+  constexpr Duration Grace = std::chrono::seconds(1);
+  if (now >= Since + limits.IdleTimeout + Grace)
+    end();
+}
+
+//===----------------------------------------------------------------------===//
+// Answering
+//===----------------------------------------------------------------------===//
+
+bool CallerChannel::keepsConnection() const {
+  return !LastRequest && !Owner.Stopping;
+}
+
+void CallerChannel::reply(const ResponseHead &head, std::string_view body) {
+  const std::string text = writeResponseHead(head, HttpFraming::Length,
+                                             body.size(), keepsConnection());
+  evbuffer *output = bufferevent_get_output(Bev);
+  evbuffer_add(output, text.data(), text.size());
+  if (!HeadOnly)
+    evbuffer_add(output, body.data(), body.size());
+  answerEnded();
+}
+
+void CallerChannel::replyHead(const ResponseHead &head) {
+  const std::string text =
+      writeResponseHead(head, Framing, 0, keepsConnection());
+  bufferevent_write(Bev, text.data(), text.size());
+}
+
+void CallerChannel::replyPiece(std::string_view bytes) {
+  if (bytes.empty() || HeadOnly)
+    return;
+  evbuffer *output = bufferevent_get_output(Bev);
+  if (evbuffer_get_length(output) > Owner.Options.MaxUnsentBytes)
+    return abort();
+  if (Framing == HttpFraming::Close) {
+    evbuffer_add(output, bytes.data(), bytes.size());
+    return;
+  }
+  const std::string head = writeChunkHead(bytes.size());
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, bytes.data(), bytes.size());
+  evbuffer_add(output, "\r\n", 2);
+}
+
+void CallerChannel::replyEnd() {
+  if (Framing == HttpFraming::Close)
+    LastRequest = true;
+  else if (!HeadOnly)
+    bufferevent_write(Bev, "0\r\n\r\n", 5);
+  answerEnded();
+}
+
+void CallerChannel::answerEnded() {
+  Owner.dropKey(Key);
+  Key = 0;
+  Since = Owner.Loop.now();
+  if (!keepsConnection())
+    return closeWhenWritten();
+  // A request that came behind this one: its turn is a turn of the loop later.
+  if (evbuffer_get_length(bufferevent_get_input(Bev)) > 0)
+    bufferevent_trigger(Bev, EV_READ,
+                        BEV_OPT_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
+}
+
+void CallerChannel::closeWhenWritten() {
+  Closing = true;
+  if (evbuffer_get_length(bufferevent_get_output(Bev)) == 0)
+    end();
+}
+
+void CallerChannel::onWritten(bufferevent *, void *arg) {
+  auto *self = static_cast<CallerChannel *>(arg);
+  if (self->Closing)
+    self->end();
+}
+
+void CallerChannel::abort() {
+  // Also what was written and not sent: half of an answer helps nobody.
+  end();
+}
+
+void CallerChannel::onEvent(bufferevent *, short what, void *arg) {
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    static_cast<CallerChannel *>(arg)->end();
+}
+
+void CallerChannel::end() {
+  if (Ended)
+    return;
+  Ended = true;
+  bufferevent_disable(Bev, EV_READ | EV_WRITE);
+  const CallerKey key = std::exchange(Key, 0);
+  if (key != 0) {
+    Owner.dropKey(key);
+    Owner.Handler.onCallerGone(key);
+  }
+  Owner.bury(Id);
+}
+
+} // namespace pimentofront::detail
--- /dev/null
+++ b/packages/http/pimentofront/src/Http/CallerListener.cpp
@@ -0,0 +1,133 @@
+#include "detail/CallerChannel.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+
+namespace pimentofront {
+namespace {
+
+/// Time limits are looked at this often; they are of seconds.
+constexpr Duration SweepPeriod = std::chrono::milliseconds(250);
+
+} // namespace
+
+CallerListener::CallerListener(EventLoop &loop,
+                               const CallerListenerOptions &options,
+                               CallerHandler &handler)
+    : Loop(loop), Options(options), Handler(handler) {
+  constexpr int Backlog = 1024;
+  const sockaddr_in address = toSocketAddress(options.Address);
+  Listener = evconnlistener_new_bind(
+      loop.base(), onAccept, this,
+      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+      Backlog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+  if (!Listener)
+    throw std::runtime_error("can't listen for callers on " +
+                             options.Address.Ip + ":" +
+                             std::to_string(options.Address.Port));
+  Sweeper = loop.every(SweepPeriod, [this] { sweep(); });
+}
+
+CallerListener::~CallerListener() {
+  if (Listener)
+    evconnlistener_free(Listener);
+}
+
+void CallerListener::onAccept(evconnlistener *, int fd, sockaddr *, int,
+                              void *arg) {
+  auto *self = static_cast<CallerListener *>(arg);
+  prepareSocket(fd);
+  bufferevent *bev =
+      bufferevent_socket_new(self->Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+  const ChannelId id = ++self->LastChannel;
+  self->Channels.emplace(
+      id, std::make_unique<detail::CallerChannel>(*self, id, bev));
+}
+
+void CallerListener::setLimits(const CallerLimits &limits) {
+  if (limits == Options.Limits)
+    return;
+  Options.Limits = limits;
+  for (const auto &[id, it] : Channels)
+    it->setLimits();
+}
+
+CallerKey CallerListener::addKey(ChannelId id) {
+  Keys.emplace(++LastKey, id);
+  return LastKey;
+}
+
+detail::CallerChannel *CallerListener::find(CallerKey key) {
+  const auto it = Keys.find(key);
+  return it == Keys.end() ? nullptr : Channels.at(it->second).get();
+}
+
+void CallerListener::reply(CallerKey key, const ResponseHead &head,
+                           std::string_view body) {
+  if (detail::CallerChannel *it = find(key))
+    it->reply(head, body);
+}
+
+void CallerListener::replyHead(CallerKey key, const ResponseHead &head) {
+  if (detail::CallerChannel *it = find(key))
+    it->replyHead(head);
+}
+
+void CallerListener::replyPiece(CallerKey key, std::string_view bytes) {
+  if (detail::CallerChannel *it = find(key))
+    it->replyPiece(bytes);
+}
+
+void CallerListener::replyEnd(CallerKey key) {
+  if (detail::CallerChannel *it = find(key))
+    it->replyEnd();
+}
+
+void CallerListener::replyAbort(CallerKey key) {
+  if (detail::CallerChannel *it = find(key))
+    it->abort();
+}
+
+void CallerListener::beginStop() { Stopping = true; }
+
+void CallerListener::stopListening() {
+  if (Listener)
+    evconnlistener_free(std::exchange(Listener, nullptr));
+  std::vector<ChannelId> idle;
+  for (const auto &[id, it] : Channels)
+    if (it->isIdle())
+      idle.push_back(id);
+  for (const ChannelId it : idle)
+    bury(it);
+}
+
+void CallerListener::bury(ChannelId id) {
+  const auto it = Channels.find(id);
+  if (it == Channels.end())
+    return;
+  Dead.push_back(std::move(it->second));
+  Channels.erase(it);
+  if (!Reaper)
+    Reaper = Loop.after(Duration::zero(), [this] { reap(); });
+}
+
+void CallerListener::reap() {
+  const auto dead = std::exchange(Dead, {});
+  Reaper.reset();
+}
+
+void CallerListener::sweep() {
+  const TimePoint now = Loop.now();
+  std::vector<detail::CallerChannel *> all;
+  all.reserve(Channels.size());
+  for (const auto &[id, it] : Channels)
+    all.push_back(it.get());
+  // A channel that ends stays until the next turn of the loop.
+  for (detail::CallerChannel *it : all)
+    it->checkTime(now);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/http/pimentofront/src/Http/HttpParser.cpp
@@ -0,0 +1,222 @@
+#include "pimentofront/Http.h"
+
+#include <algorithm>
+#include <http_parser.h>
+
+namespace pimentofront {
+namespace {
+
+constexpr int StatusOk = 200;
+
+bool isTokenChar(char c) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return std::isalnum(static_cast<unsigned char>(c)) ||
+         Marks.find(c) != std::string_view::npos;
+}
+
+/// The library takes `Name : value` for a header whose name ends in a space;
+/// another program may take it for `Name`.
+bool isProperName(const std::string &name) {
+  return !name.empty() && std::ranges::all_of(name, isTokenChar);
+}
+
+/// Only the one coding that all programs agree on.
+bool isProperCoding(const HttpHeader &header) {
+  return !sameHeaderName(header.Name, "transfer-encoding") ||
+         sameHeaderName(header.Value, "chunked");
+}
+
+} // namespace
+
+struct HttpParser::Impl {
+  HttpMessageHandler &Handler;
+  HttpLimits Limits;
+  http_parser Parser{};
+  HttpFault Fault = HttpFault::None;
+  std::string Target;
+  HttpHeaders Headers;
+  bool LastWasValue = false;
+  std::size_t HeadBytes = 0;
+  std::size_t BodyBytes = 0;
+  bool InMessage = false;
+  bool HeadDone = false;
+  bool KeepsConnection = true;
+  bool Interim = false;
+  bool SkipsBody = false;
+  bool AnswerHasNoBody = false;
+
+  Impl(HttpSide side, const HttpLimits &limits, HttpMessageHandler &handler)
+      : Handler(handler), Limits(limits) {
+    http_parser_init(&Parser,
+                     side == HttpSide::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    Parser.data = this;
+  }
+
+  static Impl &of(http_parser *parser) {
+    return *static_cast<Impl *>(parser->data);
+  }
+
+  int fail(HttpFault fault) {
+    Fault = fault;
+    return 1;
+  }
+
+  int countHead(std::size_t n) {
+    HeadBytes += n;
+    return HeadBytes > Limits.MaxHeadBytes ? fail(HttpFault::HeadTooLarge) : 0;
+  }
+
+  static int onBegin(http_parser *parser) {
+    Impl &self = of(parser);
+    self.InMessage = true;
+    self.HeadDone = false;
+    self.Target.clear();
+    self.Headers.clear();
+    self.LastWasValue = true;
+    self.HeadBytes = 0;
+    self.BodyBytes = 0;
+    return 0;
+  }
+
+  static int onUrl(http_parser *parser, const char *at, std::size_t n) {
+    Impl &self = of(parser);
+    self.Target.append(at, n);
+    return self.countHead(n);
+  }
+
+  static int onField(http_parser *parser, const char *at, std::size_t n) {
+    Impl &self = of(parser);
+    if (self.LastWasValue)
+      self.Headers.emplace_back();
+    self.LastWasValue = false;
+    self.Headers.back().Name.append(at, n);
+    return self.countHead(n);
+  }
+
+  static int onValue(http_parser *parser, const char *at, std::size_t n) {
+    Impl &self = of(parser);
+    // What stands behind the last chunk isn't passed on.
+    if (self.HeadDone)
+      return 0;
+    self.LastWasValue = true;
+    self.Headers.back().Value.append(at, n);
+    return self.countHead(n);
+  }
+
+  static int onHeadersComplete(http_parser *parser) {
+    Impl &self = of(parser);
+    constexpr int NoBody = 1;
+    self.HeadDone = true;
+    for (const HttpHeader &it : self.Headers)
+      if (!isProperName(it.Name) || !isProperCoding(it))
+        return -self.fail(HttpFault::Malformed);
+    // Other protocols aren't spoken here.
+    parser->upgrade = 0;
+    if (parser->type == HTTP_REQUEST)
+      return self.requestHead(*parser);
+    self.Interim = parser->status_code < StatusOk;
+    self.KeepsConnection = http_should_keep_alive(parser) != 0;
+    if (!self.Interim)
+      self.SkipsBody = !self.Handler.onResponseHead(
+          {parser->status_code, std::move(self.Headers)});
+    return self.AnswerHasNoBody ? NoBody : 0;
+  }
+
+  int requestHead(const http_parser &parser) {
+    if (parser.method == HTTP_CONNECT)
+      return -fail(HttpFault::Malformed);
+    KeepsConnection = http_should_keep_alive(&parser) != 0;
+    constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
+    if (parser.content_length != UnknownLength &&
+        parser.content_length > Limits.MaxBodyBytes)
+      return -fail(HttpFault::BodyTooLarge);
+    SkipsBody = !Handler.onRequestHead(
+        {http_method_str(static_cast<http_method>(parser.method)),
+         std::move(Target), std::move(Headers)});
+    return 0;
+  }
+
+  static int onBody(http_parser *parser, const char *at, std::size_t n) {
+    Impl &self = of(parser);
+    self.BodyBytes += n;
+    if (parser->type == HTTP_REQUEST &&
+        self.BodyBytes > self.Limits.MaxBodyBytes)
+      return self.fail(HttpFault::BodyTooLarge);
+    if (!self.SkipsBody)
+      self.Handler.onBody({at, n});
+    return 0;
+  }
+
+  static int onComplete(http_parser *parser) {
+    Impl &self = of(parser);
+    self.InMessage = false;
+    // One message at a time: the next one may belong to somebody else.
+    http_parser_pause(parser, 1);
+    if (!self.Interim)
+      self.Handler.onMessageEnd();
+    self.Interim = false;
+    return 0;
+  }
+
+  static const http_parser_settings &settings() {
+    static const http_parser_settings Result = [] {
+      http_parser_settings it;
+      http_parser_settings_init(&it);
+      it.on_message_begin = onBegin;
+      it.on_url = onUrl;
+      it.on_header_field = onField;
+      it.on_header_value = onValue;
+      it.on_headers_complete = onHeadersComplete;
+      it.on_body = onBody;
+      it.on_message_complete = onComplete;
+      return it;
+    }();
+    return Result;
+  }
+};
+
+HttpParser::HttpParser(HttpSide side, const HttpLimits &limits,
+                       HttpMessageHandler &handler)
+    : State(new Impl(side, limits, handler)) {}
+
+HttpParser::~HttpParser() = default;
+
+std::size_t HttpParser::feed(std::string_view bytes) {
+  Impl &self = *State;
+  if (self.Fault != HttpFault::None || bytes.empty())
+    return 0;
+  http_parser_pause(&self.Parser, 0);
+  const std::size_t used = http_parser_execute(
+      &self.Parser, &Impl::settings(), bytes.data(), bytes.size());
+  const http_errno ec = HTTP_PARSER_ERRNO(&self.Parser);
+  if (ec != HPE_OK && ec != HPE_PAUSED && self.Fault == HttpFault::None)
+    self.Fault = ec == HPE_HEADER_OVERFLOW ? HttpFault::HeadTooLarge
+                                           : HttpFault::Malformed;
+  return used;
+}
+
+void HttpParser::finish() {
+  Impl &self = *State;
+  if (self.Fault != HttpFault::None || !self.InMessage)
+    return;
+  http_parser_pause(&self.Parser, 0);
+  http_parser_execute(&self.Parser, &Impl::settings(), nullptr, 0);
+  if (self.InMessage)
+    self.Fault = HttpFault::Malformed;
+}
+
+void HttpParser::expectAnswerTo(const std::string &method) {
+  State->AnswerHasNoBody = method == "HEAD";
+}
+
+void HttpParser::setLimits(const HttpLimits &limits) { State->Limits = limits; }
+HttpFault HttpParser::fault() const { return State->Fault; }
+bool HttpParser::inMessage() const { return State->InMessage; }
+bool HttpParser::headDone() const { return State->HeadDone; }
+bool HttpParser::keepsConnection() const { return State->KeepsConnection; }
+bool HttpParser::isHttp11() const {
+  const http_parser &it = State->Parser;
+  return it.http_major > 1 || (it.http_major == 1 && it.http_minor >= 1);
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -0,0 +1,169 @@
+#include "detail/UpstreamChannel.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+namespace pimentofront::detail {
+namespace {
+
+/// \returns the seconds in a `Keep-Alive: timeout=N` value.
+std::optional<std::uint32_t> keepAliveSeconds(const std::string &value) {
+  constexpr std::string_view Name = "timeout=";
+  const std::size_t at = value.find(Name);
+  if (at == std::string::npos)
+    return std::nullopt;
+  std::uint32_t seconds = 0;
+  const char *begin = value.data() + at + Name.size();
+  const auto read = std::from_chars(begin, value.data() + value.size(), seconds);
+  return read.ec == std::errc() ? std::optional(seconds) : std::nullopt;
+}
+
+} // namespace
+
+UpstreamChannel::UpstreamChannel(UpstreamPool &owner, std::uint64_t id,
+                                 std::string address)
+    : Owner(owner), Id(id), Address(std::move(address)),
+      Parser(HttpSide::Answers,
+             {.MaxHeadBytes = owner.Options.MaxAnswerHeadBytes}, *this),
+      OpenedAt(owner.Loop.now()), Keep(owner.Options.DefaultKeep) {
+  const std::optional<HostPort> parsed = HostPort::parse(Address);
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+                          0);
+  prepareSocket(fd);
+  Bev = bufferevent_socket_new(Owner.Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(Bev, onReadable, nullptr, onEvent, this);
+  const sockaddr_in to = toSocketAddress(parsed.value_or(HostPort{}));
+  bufferevent_enable(Bev, EV_READ | EV_WRITE);
+  bufferevent_socket_connect(Bev, reinterpret_cast<const sockaddr *>(&to),
+                             sizeof(to));
+}
+
+UpstreamChannel::~UpstreamChannel() { bufferevent_free(Bev); }
+
+void UpstreamChannel::send(const SendUpstream &request) {
+  Attempt = request.Attempt;
+  Ours = false;
+  Ignored = false;
+  Done = false;
+  Parser.expectAnswerTo(request.Head.Method);
+  const std::string head = writeRequestHead(request.Head, request.Body->size());
+  evbuffer *output = bufferevent_get_output(Bev);
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, request.Body->data(), request.Body->size());
+}
+
+void UpstreamChannel::onReadable(bufferevent *, void *arg) {
+  static_cast<UpstreamChannel *>(arg)->parse();
+}
+
+void UpstreamChannel::parse() {
+  evbuffer *input = bufferevent_get_input(Bev);
+  // Bytes without a request belong to nobody.
+  if (!Attempt)
+    return end();
+  while (!Ended && !Done && evbuffer_get_length(input) > 0) {
+    const std::size_t n = evbuffer_get_contiguous_space(input);
+    const auto *bytes =
+        reinterpret_cast<const char *>(evbuffer_pullup(input, n));
+    const std::size_t used = Parser.feed({bytes, n});
+    evbuffer_drain(input, used);
+    if (Parser.fault() != HttpFault::None)
+      return broke(UpstreamEnding::BrokeOff);
+    if (used == 0)
+      break;
+  }
+  if (Done && !Ended)
+    answered();
+}
+
+bool UpstreamChannel::onResponseHead(ResponseHead head) {
+  noteKeepAlive(head.Headers);
+  Ours = true;
+  if (Ignored)
+    return false;
+  Ours = Owner.Handler.onHead(*Attempt, std::move(head)) == HeadVerdict::Take;
+  return Ours;
+}
+
+void UpstreamChannel::onBody(std::string_view bytes) {
+  if (!Ignored && !Ended)
+    Owner.Handler.onBody(*Attempt, bytes);
+}
+
+void UpstreamChannel::onMessageEnd() { Done = Ours; }
+
+void UpstreamChannel::noteKeepAlive(const HttpHeaders &headers) {
+  const std::string *value = findHeader(headers, "keep-alive");
+  const auto seconds = value ? keepAliveSeconds(*value) : std::nullopt;
+  Keep = seconds ? fromSeconds(*seconds * Owner.Options.KeepShare)
+                 : Owner.Options.DefaultKeep;
+}
+
+void UpstreamChannel::answered() {
+  const AttemptId attempt = *Attempt;
+  Attempt.reset();
+  Owner.Busy.erase(attempt);
+  // More bytes, or a body that the server hasn't read: no second request can
+  // be told from them.
+  const bool clean =
+      Parser.keepsConnection() &&
+      evbuffer_get_length(bufferevent_get_input(Bev)) == 0 &&
+      evbuffer_get_length(bufferevent_get_output(Bev)) == 0;
+  if (clean) {
+    UsableUntil = Owner.Loop.now() + Keep;
+    Owner.keep(*this);
+  } else {
+    end();
+  }
+  if (!Ignored)
+    Owner.Handler.onEnd(attempt, UpstreamEnding::Complete);
+}
+
+void UpstreamChannel::broke(UpstreamEnding ending) {
+  const std::optional<AttemptId> attempt = std::exchange(Attempt, std::nullopt);
+  end();
+  if (!attempt)
+    return;
+  Owner.Busy.erase(*attempt);
+  if (!Ignored)
+    Owner.Handler.onEnd(*attempt, ending);
+}
+
+void UpstreamChannel::onEvent(bufferevent *, short what, void *arg) {
+  auto *self = static_cast<UpstreamChannel *>(arg);
+  if (what & BEV_EVENT_CONNECTED) {
+    self->Connected = true;
+    return;
+  }
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+    return;
+  if (!self->Connected)
+    return self->broke(UpstreamEnding::NotSent);
+  // An answer without a length is whole when its connection ends well.
+  if ((what & BEV_EVENT_EOF) && self->Attempt) {
+    self->Parser.finish();
+    if (self->Done && !self->Ended)
+      return self->answered();
+  }
+  self->broke(UpstreamEnding::BrokeOff);
+}
+
+void UpstreamChannel::checkTime(TimePoint now) {
+  if (!Connected && now >= OpenedAt + Owner.Options.ConnectTimeout)
+    return broke(UpstreamEnding::NotSent);
+  if (!Attempt && now >= UsableUntil)
+    end();
+}
+
+void UpstreamChannel::end() {
+  if (Ended)
+    return;
+  Ended = true;
+  bufferevent_disable(Bev, EV_READ | EV_WRITE);
+  Owner.bury(Id);
+}
+
+} // namespace pimentofront::detail
--- /dev/null
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -0,0 +1,64 @@
+#ifndef PIMENTOFRONT_HTTP_DETAIL_CALLER_CHANNEL_H
+#define PIMENTOFRONT_HTTP_DETAIL_CALLER_CHANNEL_H
+
+#include "pimentofront/Http.h"
+
+struct bufferevent;
+
+namespace pimentofront::detail {
+
+/// \class CallerChannel
+/// \ingroup Http
+/// \brief One connection of a caller.
+class CallerChannel : public HttpMessageHandler {
+public:
+  CallerChannel(CallerListener &owner, std::uint64_t id, bufferevent *bev);
+  ~CallerChannel() override;
+
+  bool onRequestHead(RequestHead head) override;
+  void onBody(std::string_view bytes) override;
+  void onMessageEnd() override;
+
+  void reply(const ResponseHead &head, std::string_view body);
+  void replyHead(const ResponseHead &head);
+  void replyPiece(std::string_view bytes);
+  void replyEnd();
+  void abort();
+  /// Looks at the time limits of a caller that sends slowly or not at all.
+  void checkTime(TimePoint now);
+  void setLimits();
+  bool isIdle() const { return Key == 0 && !Parser.inMessage(); }
+
+private:
+  static void onReadable(bufferevent *, void *arg);
+  static void onWritten(bufferevent *, void *arg);
+  static void onEvent(bufferevent *, short what, void *arg);
+  void parse();
+  void refuse(int status);
+  void closeWhenWritten();
+  void answerEnded();
+  void end();
+  bool keepsConnection() const;
+
+  CallerListener &Owner;
+  std::uint64_t Id;
+  bufferevent *Bev;
+  HttpParser Parser;
+  RequestHead Head;
+  std::string Body;
+  /// The request that is being answered; 0 is none.
+  CallerKey Key = 0;
+  HttpFraming Framing = HttpFraming::Length;
+  bool HeadOnly = false;
+  /// The caller ends the connection with this request.
+  bool LastRequest = false;
+  bool Closing = false;
+  bool Ended = false;
+  /// Since when the caller has been idle, or busy sending.
+  TimePoint Since;
+  bool Sending = false;
+};
+
+} // namespace pimentofront::detail
+
+#endif
--- /dev/null
+++ b/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
@@ -0,0 +1,62 @@
+#ifndef PIMENTOFRONT_HTTP_DETAIL_UPSTREAM_CHANNEL_H
+#define PIMENTOFRONT_HTTP_DETAIL_UPSTREAM_CHANNEL_H
+
+#include "pimentofront/Http.h"
+
+struct bufferevent;
+
+namespace pimentofront::detail {
+
+/// \class UpstreamChannel
+/// \ingroup Http
+/// \brief One connection to a backend server.
+class UpstreamChannel : public HttpMessageHandler {
+public:
+  UpstreamChannel(UpstreamPool &owner, std::uint64_t id, std::string address);
+  ~UpstreamChannel() override;
+
+  /// \pre no request is under way.
+  void send(const SendUpstream &request);
+  void ignore() { Ignored = true; }
+  void checkTime(TimePoint now);
+  bool isUsable(TimePoint now) const {
+    return !Ended && !Attempt && now < UsableUntil;
+  }
+
+  bool onResponseHead(ResponseHead head) override;
+  void onBody(std::string_view bytes) override;
+  void onMessageEnd() override;
+
+  const std::string &address() const { return Address; }
+  std::uint64_t id() const { return Id; }
+  void end();
+
+private:
+  static void onReadable(bufferevent *, void *arg);
+  static void onEvent(bufferevent *, short what, void *arg);
+  void parse();
+  void answered();
+  void broke(UpstreamEnding ending);
+  void noteKeepAlive(const HttpHeaders &headers);
+
+  UpstreamPool &Owner;
+  std::uint64_t Id;
+  std::string Address;
+  bufferevent *Bev;
+  HttpParser Parser;
+  std::optional<AttemptId> Attempt;
+  bool Connected = false;
+  TimePoint OpenedAt;
+  /// The answer that is being read is for the request under way.
+  bool Ours = false;
+  bool Ignored = false;
+  /// Whole answer has been read.
+  bool Done = false;
+  bool Ended = false;
+  Duration Keep;
+  TimePoint UsableUntil;
+};
+
+} // namespace pimentofront::detail
+
+#endif
--- a/packages/net/pimentofront/src/Net/HttpServer.h
+++ b/packages/net/pimentofront/src/Net/HttpServer.h
@@ -2,20 +2,13 @@
 #define PIMENTOFRONT_NET_HTTP_SERVER_H
 
 #include "EventLoop.h"
+#include "pimentofront/Forward.h"
 
 #include <string_view>
 #include <vector>
 
 namespace pimentofront {
 
-/// \class HttpHeader
-/// \ingroup Net
-/// \brief One header line.
-struct HttpHeader {
-  std::string Name;
-  std::string Value;
-};
-
 /// \class HttpExchange
 /// \ingroup Net
 /// \brief One request that arrived whole, and the way to answer it, at once or
--- a/packages/net/pimentofront/src/Net/PeerNetwork.cpp
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.cpp
@@ -2,10 +2,8 @@
 
 #include "detail/WebSocketPeer.h"
 
-#include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/tcp.h>
 #include <stdexcept>
 #include <unordered_map>
 
@@ -27,34 +25,6 @@
     Last = std::max(Last, seen);
 }
 
-namespace {
-
-sockaddr_in toSocketAddress(const HostPort &address) {
-  sockaddr_in result{};
-  result.sin_family = AF_INET;
-  result.sin_port = htons(address.Port);
-  inet_pton(AF_INET, address.Ip.c_str(), &result.sin_addr);
-  return result;
-}
-
-/// Sends at once, and ends a connection whose other side acknowledges nothing:
-/// by itself TCP notices that only after a quarter of an hour.
-void prepareSocket(evutil_socket_t fd) {
-  const int on = 1;
-  const unsigned unacknowledgedMilliseconds = 10'000;
-  const int idleSeconds = 5;
-  const int probes = 2;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds,
-             sizeof(unacknowledgedMilliseconds));
-  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idleSeconds, sizeof(idleSeconds));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-}
-
-} // namespace
-
 struct PeerNetwork::Impl {
   struct Link : detail::WebSocketHandler {
     Link(Impl &self, LinkId id) : Self(self), Id(id) {}
--- a/packages/node/pimentofront/Node.h
+++ b/packages/node/pimentofront/Node.h
@@ -11,7 +11,7 @@
 #define PIMENTOFRONT_NODE_H
 
 #include "pimentofront/Consensus.h"
-#include "pimentofront/State.h"
+#include "pimentofront/Forward.h"
 
 // The parts, in the order of their dependencies.
 // clang-format off
@@ -20,7 +20,10 @@
 #include "src/Node/Subscribers.h"
 #include "src/Node/ReplicaNode.h"
 #include "src/Node/AgentNode.h"
+#include "src/Node/ReplicaFeed.h"
+#include "src/Node/AgentLinks.h"
 #include "src/Node/EntryNode.h"
+#include "src/Node/ForwardNode.h"
 // clang-format on
 
 #endif
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/AgentLinks.cpp
@@ -0,0 +1,59 @@
+#include "pimentofront/Node.h"
+
+#include <cassert>
+
+namespace pimentofront {
+namespace {
+
+bool takesBack(const Message &message) {
+  return std::holds_alternative<CancelAttempt>(message) ||
+         std::holds_alternative<AttemptReleased>(message);
+}
+
+} // namespace
+
+bool AgentLinks::send(const SendToAgent &message) {
+  auto it = ByHost.find(message.Host);
+  const bool isNew = it == ByHost.end();
+  if (isNew) {
+    if (takesBack(message.Content))
+      return false;
+    const LinkId link = Network.open(message.Address);
+    Links[link] = {message.Host, message.Address};
+    it = ByHost.emplace(message.Host, link).first;
+  }
+  Network.send(it->second, message.Content);
+  return isNew;
+}
+
+const AgentLink *AgentLinks::find(LinkId link) const {
+  const auto it = Links.find(link);
+  return it == Links.end() ? nullptr : &it->second;
+}
+
+void AgentLinks::onOpen(LinkId link) {
+  const auto it = Links.find(link);
+  if (it != Links.end())
+    it->second.Open = true;
+}
+
+AgentLink AgentLinks::onClosed(LinkId link) {
+  const auto it = Links.find(link);
+  assert(it != Links.end() && "find() tells whether it is a link to an agent");
+  AgentLink result = std::move(it->second);
+  Links.erase(it);
+  ByHost.erase(result.Host);
+  return result;
+}
+
+std::vector<LinkId> AgentLinks::staleLinks(const MemberViews &members) const {
+  std::vector<LinkId> stale;
+  for (const auto &[link, agent] : Links) {
+    const auto it = members.find(agent.Host);
+    if (it == members.end() || it->second.Record.Address != agent.Address)
+      stale.push_back(link);
+  }
+  return stale;
+}
+
+} // namespace pimentofront
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -61,14 +61,56 @@
   const bool fromLeader = Leader.owns(link);
   if (fromLeader)
     Leader.onHeard(now);
+  if (fromLeader)
+    onLeaderMessage(now, message);
+  else
+    onEntryMessage(now, link, message);
+  flush(now);
+}
+
+void AgentNode::onEntryMessage(TimePoint now, LinkId link,
+                               const Message &message) {
   if (const auto *it = std::get_if<ExecuteRequest>(&message)) {
+    if (it->Delegated)
+      Delegated[it->Attempt] = link;
     Controller.onExecute(now, link, *it);
   } else if (const auto *cancel = std::get_if<CancelAttempt>(&message)) {
     Controller.onCancel(now, cancel->Attempt);
-  } else if (fromLeader) {
-    onLeaderMessage(now, message);
+  } else if (const auto *released = std::get_if<AttemptReleased>(&message)) {
+    onReleased(now, *released);
+  } else if (const auto *profile = std::get_if<EngineProfile>(&message)) {
+    takeProfile(now, *profile);
   }
-  flush(now);
+}
+
+void AgentNode::onReleased(TimePoint now, const AttemptReleased &message) {
+  Delegated.erase(message.Attempt);
+  Controller.onReleased(now, message.Attempt, message.Kind);
+}
+
+void AgentNode::takeProfile(TimePoint now, const EngineProfile &profile) {
+  if (profile.At <= Profile.At)
+    return;
+  Profile = profile;
+  Controller.onProfile(now, profile.AdapterSlots, profile.BatchCapacity);
+  if (ProfileAction)
+    ProfileAction(profile);
+}
+
+/// An attempt that its entry sends itself needs only the word that it may.
+void AgentNode::start(TimePoint now, const ExecuteRequest &request) {
+  const auto it = Delegated.find(request.Attempt);
+  if (it == Delegated.end())
+    return Driver.generate(request);
+  Network.send(it->second,
+               AttemptPermit{request.Attempt, Controller.figures(now)});
+}
+
+void AgentNode::cancelWork(TimePoint now, const AttemptId &attempt) {
+  if (Delegated.erase(attempt) == 0)
+    return Driver.cancel(attempt);
+  // The entry ends its own connection to the engine.
+  Controller.onReleased(now, attempt, ReleaseKind::BrokeOff);
 }
 
 void AgentNode::onLeaderMessage(TimePoint now, const Message &message) {
@@ -77,11 +119,14 @@
       NextRenewal = now;
     Announced = lease->Known;
     LeasedUntil = now + lease->Lease;
+    Fence = std::max(Fence, lease->Fence);
     Controller.onMembers(lease->Members);
   } else if (const auto *redirect = std::get_if<NotLeader>(&message)) {
     Leader.onRedirect(now, redirect->LeaderAddress);
     Announced = false;
     NextRenewal = now;
+  } else if (const auto *replicas = std::get_if<ReplicaAddresses>(&message)) {
+    Leader.setAddresses(replicas->Peers);
   } else if (const auto *ticket = std::get_if<LoadTicket>(&message)) {
     Controller.onTicket(now, *ticket);
   } else if (const auto *status = std::get_if<LoadQueueStatus>(&message)) {
@@ -103,20 +148,26 @@
 }
 
 void AgentNode::flush(TimePoint now) {
-  for (const AgentCommand &command : Controller.takeCommands()) {
-    if (const auto *it = std::get_if<SendToEntry>(&command))
-      Network.send(it->Entry, it->Content);
-    else if (const auto *message = std::get_if<SendToScheduler>(&command))
-      sendToScheduler(now, message->Content);
-    else if (const auto *start = std::get_if<StartGeneration>(&command))
-      Driver.generate(start->Request);
-    else if (const auto *call = std::get_if<StartServiceCall>(&command))
-      Driver.callService(call->Request);
-    else if (const auto *cancel = std::get_if<CancelWork>(&command))
-      Driver.cancel(cancel->Attempt);
-    else if (const auto *load = std::get_if<StartLoad>(&command))
-      Driver.load(*load);
-  }
+  // Ending delegated work may lead to further decisions.
+  for (auto commands = Controller.takeCommands(); !commands.empty();
+       commands = Controller.takeCommands())
+    for (const AgentCommand &command : commands)
+      carryOut(now, command);
+}
+
+void AgentNode::carryOut(TimePoint now, const AgentCommand &command) {
+  if (const auto *it = std::get_if<SendToEntry>(&command))
+    Network.send(it->Entry, it->Content);
+  else if (const auto *message = std::get_if<SendToScheduler>(&command))
+    sendToScheduler(now, message->Content);
+  else if (const auto *begin = std::get_if<StartGeneration>(&command))
+    start(now, begin->Request);
+  else if (const auto *call = std::get_if<StartServiceCall>(&command))
+    Driver.callService(call->Request);
+  else if (const auto *cancel = std::get_if<CancelWork>(&command))
+    cancelWork(now, cancel->Attempt);
+  else if (const auto *load = std::get_if<StartLoad>(&command))
+    Driver.load(*load);
 }
 
 void AgentNode::leave(TimePoint now) {
--- a/packages/node/pimentofront/src/Node/AgentNode.h
+++ b/packages/node/pimentofront/src/Node/AgentNode.h
@@ -4,6 +4,7 @@
 #include "LeaderLink.h"
 #include "pimentofront/Serving.h"
 
+#include <functional>
 #include <memory>
 
 namespace pimentofront {
@@ -59,6 +60,11 @@
   void leave(TimePoint now);
   /// Tells the leader that this process ends.
   void sayGoodbye(TimePoint now);
+  /// The routing document says something new of the engine.
+  using ProfileCallback = std::function<void(const EngineProfile &)>;
+  void onProfile(ProfileCallback action) { ProfileAction = std::move(action); }
+  /// \returns the fencing token for orders; 0 before the leader has given one.
+  std::uint64_t fence() const { return Fence; }
   /// \returns time left of the lease on membership.
   Duration leaseLeft(TimePoint now) const;
 
@@ -67,6 +73,12 @@
   void announce(TimePoint now, bool gone);
   MemberRecord record(bool gone) const;
   void sendToScheduler(TimePoint now, const Message &message);
+  void onEntryMessage(TimePoint now, LinkId link, const Message &message);
+  void onReleased(TimePoint now, const AttemptReleased &message);
+  void takeProfile(TimePoint now, const EngineProfile &profile);
+  void start(TimePoint now, const ExecuteRequest &request);
+  void carryOut(TimePoint now, const AgentCommand &command);
+  void cancelWork(TimePoint now, const AttemptId &attempt);
 
   AgentNodeOptions Options;
   BackendDriver &Driver;
@@ -78,6 +90,11 @@
   bool Announced = false;
   TimePoint NextRenewal;
   TimePoint LeasedUntil;
+  std::uint64_t Fence = 0;
+  /// Attempts that an entry sends to the engine itself.
+  std::unordered_map<AttemptId, LinkId> Delegated;
+  EngineProfile Profile;
+  ProfileCallback ProfileAction;
 };
 
 } // namespace pimentofront
--- a/packages/node/pimentofront/src/Node/EntryNode.cpp
+++ b/packages/node/pimentofront/src/Node/EntryNode.cpp
@@ -17,11 +17,16 @@
                      RoutingPolicy &routing, Transport &transport,
                      AnswerSink &sink)
     : Options(options), Network(transport), Sink(sink),
-      Copy(options.Configuration), Controller(options.Entry, Copy, routing),
-      Replica(transport, options.Replicas, options.Entry.Incarnation),
+      Feed({.Host = options.Host,
+            .Incarnation = options.Entry.Incarnation,
+            .Configuration = options.Configuration,
+            .Replicas = options.Replicas,
+            .ProbePeriod = options.ProbePeriod},
+           transport),
       Leader(transport, options.Replicas, options.Entry.Incarnation + 1,
              LeaderSilence),
-      LastNonce(OwnNonces) {
+      Controller(options.Entry, Feed.configuration(), routing),
+      Agents(transport), LastNonce(OwnNonces) {
   tick(now);
 }
 
@@ -30,101 +35,45 @@
 //===----------------------------------------------------------------------===//
 
 void EntryNode::onLinkOpen(TimePoint now, LinkId link, const Hello &) {
-  if (Replica.owns(link)) {
-    Replica.onHeard(now);
-    subscribe(now);
-  } else if (Leader.owns(link)) {
+  if (Feed.owns(link))
+    Feed.onLinkOpen(now);
+  else if (Leader.owns(link))
     Leader.onHeard(now);
-  } else if (const auto it = Agents.find(link); it != Agents.end()) {
-    it->second.Open = true;
-  }
+  else
+    Agents.onOpen(link);
 }
 
 void EntryNode::onLinkClosed(TimePoint now, LinkId link) {
-  if (Replica.owns(link)) {
-    Replica.onClosed(now);
-    Subscribed = false;
+  if (Feed.owns(link)) {
+    Feed.onLinkClosed(now);
   } else if (Leader.owns(link)) {
     Leader.onClosed(now);
-  } else if (const auto it = Agents.find(link); it != Agents.end()) {
-    const Agent agent = it->second;
-    Agents.erase(it);
-    AgentLinks.erase(agent.Host);
+  } else if (Agents.find(link)) {
+    const AgentLink agent = Agents.onClosed(link);
     Controller.onLinkLost(now, agent.Host, agent.Open);
     flush(now);
   }
 }
 
-void EntryNode::sendToAgent(const SendToAgent &message) {
-  auto it = AgentLinks.find(message.Host);
-  if (it == AgentLinks.end()) {
-    // Nothing can be cancelled on a link that has ended.
-    if (std::holds_alternative<CancelAttempt>(message.Content))
-      return;
-    const LinkId link = Network.open(message.Address);
-    Agents[link] = {message.Host, message.Address};
-    it = AgentLinks.emplace(message.Host, link).first;
-  }
-  Network.send(it->second, message.Content);
-}
-
 /// A host that came back at another address, or is gone, has a link that leads
 /// nowhere.
 void EntryNode::dropStaleAgentLinks(TimePoint now) {
-  std::vector<LinkId> stale;
-  for (const auto &[link, agent] : Agents) {
-    const auto it = Controller.board().Members.find(agent.Host);
-    if (it == Controller.board().Members.end() ||
-        it->second.Record.Address != agent.Address)
-      stale.push_back(link);
-  }
-  for (const LinkId it : stale) {
-    Network.close(it);
+  for (const LinkId it : Agents.staleLinks(Controller.board().Members)) {
+    Agents.close(it);
     onLinkClosed(now, it);
   }
 }
 
-//===----------------------------------------------------------------------===//
-// Configuration and members
-//===----------------------------------------------------------------------===//
-
-void EntryNode::subscribe(TimePoint now) {
-  const auto link = Replica.link(now);
-  if (!link)
-    return;
-  Network.send(*link, Subscribe{.Host = Options.Host,
-                                .Known = Copy.revision(),
-                                .KnownMembers = Members.version(),
-                                .WantsMembers = true});
-  Subscribed = true;
-  probe(now);
-}
-
-void EntryNode::probe(TimePoint now) {
-  NextProbe = now + Options.ProbePeriod;
-  const auto link = Replica.link(now);
-  if (link && Subscribed)
-    Network.send(*link, ProbeRevision{.Host = Options.Host,
-                                      .Nonce = Copy.beginProbe(now),
-                                      .InForce = Copy.revision()});
-}
-
 void EntryNode::onReplicaMessage(TimePoint now, const Message &message) {
-  if (const auto *it = std::get_if<ConfigurationUpdate>(&message)) {
-    const bool drains = Copy.apply(*it);
-    if (drains)
-      Controller.onDrains();
-    // Reports at once what is in force, and has it confirmed.
-    if (!it->Partial)
-      probe(now);
-  } else if (const auto *reply = std::get_if<ProbeReply>(&message)) {
-    Copy.onProbeReply(*reply);
-  } else if (const auto *members = std::get_if<MemberUpdate>(&message)) {
-    if (!Members.apply(*members))
-      return subscribe(now);
-    Controller.onMembers(now, *members);
+  const FeedNews news = Feed.onMessage(now, message);
+  if (news.Drains)
+    Controller.onDrains();
+  if (news.Members) {
+    Controller.onMembers(now, *news.Members);
     dropStaleAgentLinks(now);
   }
+  if (std::holds_alternative<ReplicaAddresses>(message))
+    Leader.setAddresses(Feed.replicas());
 }
 
 //===----------------------------------------------------------------------===//
@@ -148,8 +97,7 @@
 void EntryNode::onMessage(TimePoint now, LinkId link, const Message &message) {
   if (const auto *reply = std::get_if<AdminReply>(&message))
     onAdminReply(*reply);
-  if (Replica.owns(link)) {
-    Replica.onHeard(now);
+  if (Feed.owns(link)) {
     onReplicaMessage(now, message);
   } else if (Leader.owns(link)) {
     Leader.onHeard(now);
@@ -159,8 +107,8 @@
       Leader.onRedirect(now, redirect->LeaderAddress);
       sendProposals(now);
     }
-  } else if (const auto it = Agents.find(link); it != Agents.end()) {
-    onAgentMessage(now, HostName(it->second.Host), message);
+  } else if (const AgentLink *agent = Agents.find(link)) {
+    onAgentMessage(now, HostName(agent->Host), message);
   }
   flush(now);
 }
@@ -250,7 +198,7 @@
 void EntryNode::flush(TimePoint now) {
   for (const EntryCommand &command : Controller.takeCommands()) {
     if (const auto *it = std::get_if<SendToAgent>(&command))
-      sendToAgent(*it);
+      Agents.send(*it);
     else if (const auto *chunk = std::get_if<DeliverChunk>(&command))
       Sink.onChunk(chunk->Key, chunk->Position, chunk->Text);
     else if (const auto *final = std::get_if<DeliverFinal>(&command))
@@ -263,11 +211,7 @@
 }
 
 void EntryNode::tick(TimePoint now) {
-  Replica.tick(now);
-  if (!Replica.link(now))
-    Subscribed = false;
-  if (now >= NextProbe)
-    probe(now);
+  Feed.tick(now);
   Leader.tick(now);
   std::vector<std::uint64_t> late;
   for (const auto &[nonce, it] : Proposals)
--- a/packages/node/pimentofront/src/Node/EntryNode.h
+++ b/packages/node/pimentofront/src/Node/EntryNode.h
@@ -1,8 +1,8 @@
 #ifndef PIMENTOFRONT_NODE_ENTRY_NODE_H
 #define PIMENTOFRONT_NODE_ENTRY_NODE_H
 
-#include "LeaderLink.h"
-#include "pimentofront/State.h"
+#include "AgentLinks.h"
+#include "ReplicaFeed.h"
 
 #include <functional>
 
@@ -65,10 +65,13 @@
   bool idle() const { return Controller.idle() && Proposals.empty(); }
   /// \returns whether requests are served: the configuration is confirmed.
   bool ready(TimePoint now) const {
-    return Copy.isConfirmed(now) && !Controller.board().Stopping;
+    return Feed.configuration().isConfirmed(now) &&
+           !Controller.board().Stopping;
   }
   const EntryController &controller() const { return Controller; }
-  const ConfigurationCopy &configuration() const { return Copy; }
+  const ConfigurationCopy &configuration() const {
+    return Feed.configuration();
+  }
 
 private:
   struct Proposal {
@@ -79,11 +82,6 @@
     TimePoint SentAt;
     CommandCallback Done;
   };
-  struct Agent {
-    HostName Host;
-    std::string Address;
-    bool Open = false;
-  };
   struct AdminCall {
     AdminRequest Request;
     LinkId Link = 0;
@@ -92,9 +90,6 @@
   };
 
   void flush(TimePoint now);
-  void sendToAgent(const SendToAgent &message);
-  void subscribe(TimePoint now);
-  void probe(TimePoint now);
   void onReplicaMessage(TimePoint now, const Message &message);
   void onAgentMessage(TimePoint now, const HostName &host,
                       const Message &message);
@@ -106,16 +101,11 @@
   EntryNodeOptions Options;
   Transport &Network;
   AnswerSink &Sink;
-  ConfigurationCopy Copy;
-  EntryController Controller;
-  MemberTable Members;
   /// Any replica, for the configuration; the leader, for commands.
-  LeaderLink Replica;
+  ReplicaFeed Feed;
   LeaderLink Leader;
-  bool Subscribed = false;
-  TimePoint NextProbe;
-  std::map<LinkId, Agent> Agents;
-  std::map<HostName, LinkId> AgentLinks;
+  EntryController Controller;
+  AgentLinks Agents;
   std::map<std::uint64_t, Proposal> Proposals;
   std::map<std::uint64_t, AdminCall> AdminCalls;
   std::uint64_t LastNonce = 0;
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -0,0 +1,176 @@
+#include "pimentofront/Node.h"
+
+namespace pimentofront {
+
+ForwardNode::ForwardNode(TimePoint now, const ForwardNodeOptions &options,
+                         const HeaderCodec &headers,
+                         const DocumentCodec &documents, RoutingPolicy &routing,
+                         Transport &transport, ForwardSink &sink)
+    : Options(options), Documents(documents), Sink(sink),
+      Feed(options.Feed, transport), Agents(transport),
+      Controller(options.Forward, Feed.configuration(), headers, routing) {
+  tick(now);
+}
+
+//===----------------------------------------------------------------------===//
+// Links and messages
+//===----------------------------------------------------------------------===//
+
+void ForwardNode::onLinkOpen(TimePoint now, LinkId link, const Hello &) {
+  if (Feed.owns(link))
+    Feed.onLinkOpen(now);
+  else
+    Agents.onOpen(link);
+}
+
+void ForwardNode::onLinkClosed(TimePoint now, LinkId link) {
+  if (Feed.owns(link))
+    return Feed.onLinkClosed(now);
+  if (!Agents.find(link))
+    return;
+  const AgentLink agent = Agents.onClosed(link);
+  Controller.attempts().onAgentLost(now, agent.Host);
+  flush();
+}
+
+void ForwardNode::onMessage(TimePoint now, LinkId link,
+                            const Message &message) {
+  if (Feed.owns(link)) {
+    const FeedNews news = Feed.onMessage(now, message);
+    if (news.Members) {
+      Controller.onMembers(*news.Members);
+      dropStaleLinks(now);
+    }
+    useDocument(now);
+  } else if (const AgentLink *agent = Agents.find(link)) {
+    onAgentMessage(now, HostName(agent->Host), message);
+  }
+  flush();
+}
+
+void ForwardNode::onAgentMessage(TimePoint now, const HostName &host,
+                                 const Message &message) {
+  AttemptController &attempts = Controller.attempts();
+  if (const auto *permit = std::get_if<AttemptPermit>(&message))
+    attempts.onPermit(now, host, *permit);
+  else if (const auto *admitted = std::get_if<AttemptAdmitted>(&message))
+    attempts.onAdmitted(now, host, *admitted);
+  else if (const auto *refused = std::get_if<AttemptRefused>(&message))
+    attempts.onRefused(now, host, *refused);
+  else if (const auto *leaving = std::get_if<AgentLeaving>(&message))
+    attempts.onAgentLeaving(*leaving);
+}
+
+void ForwardNode::dropStaleLinks(TimePoint now) {
+  const MemberViews &members = Controller.board().Servers.agents();
+  for (const LinkId it : Agents.staleLinks(members)) {
+    Agents.close(it);
+    onLinkClosed(now, it);
+  }
+}
+
+//===----------------------------------------------------------------------===//
+// The routing document
+//===----------------------------------------------------------------------===//
+
+void ForwardNode::useDocument(TimePoint now) {
+  Confirmed = Confirmed || Feed.configuration().isConfirmed(now);
+  const DocumentRecord *record = Feed.configuration().document();
+  if (!record || !Confirmed || record->ChangedAt <= InUse)
+    return;
+  InUse = record->ChangedAt;
+  Findings findings;
+  const std::string text = unpackText(record->Packed);
+  RoutingDocument document = Documents.decode(text, findings);
+  document.check(findings);
+  // It was checked before it was accepted; an entry of an older release may
+  // still not understand it, and then serves on by the one before.
+  if (!findings.empty())
+    return Sink.onEvent({.Name = "document_not_understood",
+                         .Detail = findings.toText(),
+                         .Lost = true});
+  const auto table =
+      std::make_shared<const RoutingTable>(InUse, std::move(document));
+  Controller.setTable(table);
+  Sink.onTable(*table);
+  for (const auto &[host, it] : Controller.board().Servers.agents())
+    sendProfile(host, it.Record.Address);
+}
+
+/// Tells an agent what its engine is to hold.
+void ForwardNode::sendProfile(const HostName &host,
+                              const std::string &address) {
+  const ForwardBoard &board = Controller.board();
+  const auto agent = board.Servers.agents().find(host);
+  if (!board.Table || agent == board.Servers.agents().end())
+    return;
+  const ServiceSpec *service = board.Table->findService(
+      ServiceName(agent->second.Record.BaseModel));
+  if (!service || !service->Engine || service->Engine->Models.empty())
+    return;
+  const EngineSpec &engine = *service->Engine;
+  Agents.send({host, address,
+               EngineProfile{.At = board.Table->revision(),
+                             .BaseModel = engine.Models.front().Name,
+                             .AdapterSlots = engine.AdapterSlots,
+                             .BatchCapacity = engine.BatchCapacity}});
+}
+
+void ForwardNode::sendToAgent(const SendToAgent &message) {
+  if (Agents.send(message))
+    sendProfile(message.Host, message.Address);
+}
+
+//===----------------------------------------------------------------------===//
+// Callers, backend servers and time
+//===----------------------------------------------------------------------===//
+
+void ForwardNode::request(TimePoint now, std::uint64_t key, RequestHead head,
+                          std::string body) {
+  Controller.onRequest(now, key, std::move(head), std::move(body));
+  flush();
+}
+
+void ForwardNode::callerGone(TimePoint now, std::uint64_t key) {
+  Controller.onCallerGone(now, key);
+  flush();
+}
+
+HeadVerdict ForwardNode::upstreamHead(TimePoint now, const AttemptId &attempt,
+                                      ResponseHead head) {
+  const HeadVerdict verdict =
+      Controller.answers().onHead(now, attempt, std::move(head));
+  flush();
+  return verdict;
+}
+
+void ForwardNode::upstreamBody(TimePoint now, const AttemptId &attempt,
+                               std::string_view bytes) {
+  Controller.answers().onBody(now, attempt, bytes);
+  flush();
+}
+
+void ForwardNode::upstreamEnd(TimePoint now, const AttemptId &attempt,
+                              UpstreamEnding ending) {
+  Controller.answers().onEnd(now, attempt, ending);
+  flush();
+}
+
+void ForwardNode::tick(TimePoint now) {
+  Feed.tick(now);
+  Controller.tick(now);
+  flush();
+}
+
+void ForwardNode::flush() {
+  for (ForwardCommand &command : Controller.takeCommands()) {
+    if (const auto *it = std::get_if<SendToAgent>(&command))
+      sendToAgent(*it);
+    else
+      Sink.onCommand(std::move(command));
+  }
+  for (const ForwardEvent &it : Controller.takeEvents())
+    Sink.onEvent(it);
+}
+
+} // namespace pimentofront
--- a/packages/node/pimentofront/src/Node/LeaderLink.cpp
+++ b/packages/node/pimentofront/src/Node/LeaderLink.cpp
@@ -30,6 +30,11 @@
   return Link;
 }
 
+void LeaderLink::setAddresses(const std::vector<std::string> &addresses) {
+  if (!addresses.empty())
+    Addresses = addresses;
+}
+
 void LeaderLink::onClosed(TimePoint now) {
   Link.reset();
   RetryAt = now + RetryPause;
--- a/packages/node/pimentofront/src/Node/LeaderLink.h
+++ b/packages/node/pimentofront/src/Node/LeaderLink.h
@@ -22,6 +22,9 @@
 
   /// \returns the link to send on, open or opening; opens one if need be.
   std::optional<LinkId> link(TimePoint now);
+  /// The replicas are at other addresses now; a link that is there stays.
+  void setAddresses(const std::vector<std::string> &addresses);
+  const std::vector<std::string> &addresses() const { return Addresses; }
   bool owns(LinkId link) const { return Link && *Link == link; }
   /// The link opened, or anything arrived on it.
   void onHeard(TimePoint now) { HeardAt = now; }
--- /dev/null
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
@@ -0,0 +1,72 @@
+#include "pimentofront/Node.h"
+
+namespace pimentofront {
+
+ReplicaFeed::ReplicaFeed(const ReplicaFeedOptions &options,
+                         Transport &transport)
+    : Options(options), Network(transport), Copy(options.Configuration),
+      Replica(transport, options.Replicas, options.Incarnation) {}
+
+void ReplicaFeed::onLinkOpen(TimePoint now) {
+  Replica.onHeard(now);
+  subscribe(now);
+}
+
+void ReplicaFeed::onLinkClosed(TimePoint now) {
+  Replica.onClosed(now);
+  Subscribed = false;
+}
+
+void ReplicaFeed::subscribe(TimePoint now) {
+  const auto link = Replica.link(now);
+  if (!link)
+    return;
+  Network.send(*link, Subscribe{.Host = Options.Host,
+                                .Known = Copy.revision(),
+                                .KnownMembers = Members.version(),
+                                .WantsMembers = true});
+  Subscribed = true;
+  probe(now);
+}
+
+void ReplicaFeed::probe(TimePoint now) {
+  NextProbe = now + Options.ProbePeriod;
+  const auto link = Replica.link(now);
+  if (link && Subscribed)
+    Network.send(*link, ProbeRevision{.Host = Options.Host,
+                                      .Nonce = Copy.beginProbe(now),
+                                      .InForce = Copy.revision()});
+}
+
+FeedNews ReplicaFeed::onMessage(TimePoint now, const Message &message) {
+  Replica.onHeard(now);
+  FeedNews news;
+  if (const auto *it = std::get_if<ConfigurationUpdate>(&message)) {
+    news.Drains = Copy.apply(*it);
+    // Reports at once what is in force, and has it confirmed.
+    if (!it->Partial) {
+      news.Configuration = true;
+      probe(now);
+    }
+  } else if (const auto *reply = std::get_if<ProbeReply>(&message)) {
+    Copy.onProbeReply(*reply);
+  } else if (const auto *members = std::get_if<MemberUpdate>(&message)) {
+    if (Members.apply(*members))
+      news.Members = *members;
+    else
+      subscribe(now);
+  } else if (const auto *replicas = std::get_if<ReplicaAddresses>(&message)) {
+    Replica.setAddresses(replicas->Peers);
+  }
+  return news;
+}
+
+void ReplicaFeed::tick(TimePoint now) {
+  Replica.tick(now);
+  if (!Replica.link(now))
+    Subscribed = false;
+  if (now >= NextProbe)
+    probe(now);
+}
+
+} // namespace pimentofront
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -1,6 +1,7 @@
 #include "pimentofront/Node.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace pimentofront {
 namespace {
@@ -94,8 +95,11 @@
                             const Message &message) {
   if (onLogMessage(now, link, message) || onLeaderMessage(now, link, message))
     return;
-  if (const auto *it = std::get_if<Subscribe>(&message))
+  if (const auto *it = std::get_if<Subscribe>(&message)) {
     Listeners.add(link, *it);
+    if (it->Known != MembersOnly)
+      Network.send(link, ReplicaAddresses{groupAddresses()});
+  }
   else if (const auto *probe = std::get_if<ProbeRevision>(&message))
     onProbe(now, link, *probe);
   else if (const auto *read = std::get_if<ReadIndexRequest>(&message))
@@ -148,6 +152,7 @@
   if (announce) {
     Members.announce(now, announce->Member);
     answerLease(now, link, announce->Member.Host, true);
+    Network.send(link, ReplicaAddresses{groupAddresses()});
   } else if (renew) {
     const bool known = Members.renew(now, renew->Host, renew->Incarnation);
     answerLease(now, link, renew->Host, known);
@@ -167,12 +172,75 @@
 void ReplicaNode::answerLease(TimePoint, LinkId link, const HostName &host,
                               bool known) {
   AgentLinks[host] = link;
-  const auto engines = std::ranges::count_if(
-      Members.members(), [](const auto &it) { return it.second.Slots > 0; });
+  const auto engines =
+      std::ranges::count_if(Members.members(), [](const auto &it) {
+        return it.second.Slots > 0 && !it.second.Registered;
+      });
+  // Terms outlive every loss that the group outlives, so a token is never
+  // given out twice, and a later leader's are higher.
+  constexpr unsigned FencesPerTermBits = 24;
   Network.send(link,
                LeaseReply{.Known = known,
                           .Lease = Options.Members.Lease,
-                          .Members = static_cast<std::uint32_t>(engines)});
+                          .Members = static_cast<std::uint32_t>(engines),
+                          .Fence = Log.term() << FencesPerTermBits |
+                                   ++FencesGiven});
+}
+
+std::string ReplicaNode::leaderAddress() const {
+  const ReplicaDescriptor *leader = Log.leader();
+  return leader && leader->Id != Log.id() ? leader->Address : std::string();
+}
+
+void ReplicaNode::announce(TimePoint now, const MemberRecord &member,
+                           std::uint64_t sequence) {
+  assert(leads(now) && "only the leader keeps the table of members");
+  noteTerm(now);
+  Members.announce(now, member, sequence);
+}
+
+bool ReplicaNode::acceptsCommands() const {
+  const auto voters = std::ranges::count(Log.group().Replicas, false,
+                                         &ReplicaDescriptor::Learner);
+  return !Failure && (State.configuration().revision() > 0 ||
+                      voters >= Options.VotersAtFirst);
+}
+
+bool ReplicaNode::propose(TimePoint now, const Command &command,
+                          DecisionCallback done) {
+  if (!leads(now) || !acceptsCommands())
+    return false;
+  const auto index =
+      Log.propose(now, Wall.milliseconds(), encodeCommand(command));
+  if (!index)
+    return false;
+  Proposals[*index] = {.AtTerm = Log.term(), .Done = std::move(done)};
+  flush(now);
+  return true;
+}
+
+const Configuration *ReplicaNode::currentConfiguration(TimePoint now) const {
+  const auto index = Log.readIndex(now);
+  return index && *index <= AppliedIndex ? &State.configuration() : nullptr;
+}
+
+std::vector<std::string> ReplicaNode::groupAddresses() const {
+  std::vector<std::string> result;
+  for (const ReplicaDescriptor &it : Log.group().Replicas)
+    result.push_back(it.Address);
+  return result;
+}
+
+/// Processes learn of replicas that came after their own start, and so outlive
+/// those that they were told of.
+void ReplicaNode::pushAddresses() {
+  const std::vector<std::string> addresses = groupAddresses();
+  if (addresses == PushedAddresses)
+    return;
+  PushedAddresses = addresses;
+  Listeners.sendAll(ReplicaAddresses{addresses});
+  for (const auto &[host, link] : AgentLinks)
+    Network.send(link, ReplicaAddresses{addresses});
 }
 
 void ReplicaNode::onPropose(TimePoint now, LinkId link,
@@ -181,7 +249,8 @@
       Log.propose(now, Wall.milliseconds(), encodeCommand(message.Proposal));
   if (!index)
     return redirect(link);
-  Proposals[*index] = {link, message.Nonce, Log.term()};
+  Proposals[*index] = {
+      .Link = link, .Nonce = message.Nonce, .AtTerm = Log.term()};
 }
 
 void ReplicaNode::onAdmin(TimePoint now, LinkId link,
@@ -293,6 +362,7 @@
   if (LedTerm == Log.term())
     return;
   LedTerm = Log.term();
+  FencesGiven = 0;
   Members.beginTerm(now, LedTerm);
   Loads = LoadScheduler(Options.Loads);
 }
@@ -353,6 +423,7 @@
 }
 
 void ReplicaNode::applyEntry(const LogEntry &entry) {
+  BytesSinceSnapshot += entry.Data.size();
   const auto command = decodeCommand(entry.Data);
   CommandOutcome outcome{.Result = CommandResult::Invalid};
   if (command)
@@ -362,10 +433,18 @@
     return;
   // Another leader's entry may stand where ours was to stand.
   const bool ours = it->second.AtTerm == entry.EntryTerm;
-  Network.send(it->second.Link, ProposeReply{.Nonce = it->second.Nonce,
-                                             .Decided = ours,
-                                             .Outcome = outcome});
+  const PendingProposal proposal = std::move(it->second);
   Proposals.erase(it);
+  decide(proposal, ours, outcome);
+}
+
+void ReplicaNode::decide(const PendingProposal &proposal, bool ours,
+                         const CommandOutcome &outcome) {
+  if (proposal.Done)
+    return proposal.Done(ours ? std::optional(outcome) : std::nullopt);
+  Network.send(proposal.Link, ProposeReply{.Nonce = proposal.Nonce,
+                                           .Decided = ours,
+                                           .Outcome = outcome});
 }
 
 void ReplicaNode::flush(TimePoint now) {
@@ -401,12 +480,16 @@
   if (now < NextPush)
     return;
   NextPush = now + PushPeriod;
+  pushAddresses();
   Listeners.push(State.configuration(), Members);
 }
 
 void ReplicaNode::compactIfDue() {
-  if (Log.entriesHeld() < Options.CompactAfter || Failure)
+  const bool due = Log.entriesHeld() >= Options.CompactAfter ||
+                   BytesSinceSnapshot >= Options.CompactAfterBytes;
+  if (!due || Failure)
     return;
+  BytesSinceSnapshot = 0;
   const auto snapshot = Log.snapshotAt(AppliedIndex, State.encode());
   const auto done = Store.compact(snapshot, Log.entriesAfter(AppliedIndex));
   if (!done) {
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -4,6 +4,7 @@
 #include "Subscribers.h"
 #include "pimentofront/Consensus.h"
 
+#include <functional>
 #include <unordered_map>
 
 namespace pimentofront {
@@ -19,6 +20,11 @@
   ClaimLedgerOptions Claims;
   /// Entries after which the log is replaced by a snapshot.
   std::size_t CompactAfter = 8192;
+  /// The same by bytes of entries: documents of operators are large.
+  std::size_t CompactAfterBytes = std::size_t(4) << 20;
+  /// Replicas with a vote before the first command is accepted: what is
+  /// accepted must outlive the loss of a disk from the first one on.
+  std::uint32_t VotersAtFirst = 1;
 };
 
 /// \class ReplicaNode
@@ -38,6 +44,25 @@
 
   /// Makes this replica, alone, the group.
   bool bootstrap(TimePoint now);
+
+  /// Whether this replica leads, so that it may announce, propose and read.
+  bool leads(TimePoint now) const { return Log.holdsLease(now); }
+  /// \returns the peer address of the leader, empty when none is known or it
+  /// is this replica.
+  std::string leaderAddress() const;
+  /// A backend server has registered itself here.
+  /// \pre leads(now)
+  void announce(TimePoint now, const MemberRecord &member,
+                std::uint64_t sequence);
+  /// Has the group decide on a command. \p done is called with the outcome, or
+  /// with nothing when another leader took over before it was known.
+  /// \returns false when this replica can't accept it now.
+  using DecisionCallback =
+      std::function<void(const std::optional<CommandOutcome> &)>;
+  bool propose(TimePoint now, const Command &command, DecisionCallback done);
+  /// \returns the configuration as of now, or null when a newer one may be in
+  /// force elsewhere.
+  const Configuration *currentConfiguration(TimePoint now) const;
   /// Carries out what was decided: writes, sends, applies. To be called when
   /// the messages at hand have been taken in, so that they share one sync.
   void flush(TimePoint now);
@@ -51,9 +76,12 @@
 
 private:
   struct PendingProposal {
+    /// Set for a command that came over a link.
     LinkId Link = 0;
     std::uint64_t Nonce = 0;
     Term AtTerm = 0;
+    /// Set for a command of this process.
+    DecisionCallback Done;
   };
   /// A question for the current revision, waiting for its confirmation.
   struct PendingProbe {
@@ -88,7 +116,11 @@
   void compactIfDue();
   void giveTickets(TimePoint now);
   void join(TimePoint now);
-  bool leads(TimePoint now) const { return Log.holdsLease(now); }
+  bool acceptsCommands() const;
+  void decide(const PendingProposal &proposal, bool ours,
+              const CommandOutcome &outcome);
+  void pushAddresses();
+  std::vector<std::string> groupAddresses() const;
 
   ReplicaNodeOptions Options;
   LogStore &Store;
@@ -116,6 +148,11 @@
   ReplicaId Followed = 0;
   Term FollowedTerm = 0;
   Term LedTerm = 0;
+  /// Fencing tokens given out in this term.
+  std::uint64_t FencesGiven = 0;
+  /// Bytes of entries since the last snapshot.
+  std::size_t BytesSinceSnapshot = 0;
+  std::vector<std::string> PushedAddresses;
   TimePoint NextJoin;
   TimePoint NextPush;
 };
--- a/packages/node/pimentofront/src/Node/Subscribers.cpp
+++ b/packages/node/pimentofront/src/Node/Subscribers.cpp
@@ -86,6 +86,12 @@
   }
 }
 
+void Subscribers::sendAll(const Message &message) {
+  for (const auto &[link, it] : All)
+    if (it.Known != MembersOnly)
+      Network.send(link, message);
+}
+
 std::vector<RevisionInForce> Subscribers::inForce() const {
   std::vector<RevisionInForce> result;
   for (const auto &[link, it] : All)
--- a/packages/node/pimentofront/src/Node/Subscribers.h
+++ b/packages/node/pimentofront/src/Node/Subscribers.h
@@ -22,6 +22,8 @@
   void noteInForce(LinkId link, Revision revision);
   /// Sends what each one lacks.
   void push(const Configuration &configuration, const MemberTable &members);
+  /// Sends all that follow the configuration the same.
+  void sendAll(const Message &message);
   std::vector<RevisionInForce> inForce() const;
   std::size_t size() const { return All.size(); }
 
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 Duration AdmissionController::queueWait() const {
-  const std::uint32_t capacity = std::max(Board.Options.BatchCapacity, 1U);
+  const std::uint32_t capacity = std::max(Board.BatchCapacity, 1U);
   const std::size_t ahead = Board.runningOnEngine() + Board.WaitingCount;
   if (ahead < capacity)
     return Duration::zero();
@@ -35,7 +35,7 @@
   constexpr double Thousand = 1000;
   return {.Running = Board.runningOnEngine(),
           .Queued = static_cast<std::uint32_t>(Board.WaitingCount),
-          .BatchCapacity = Board.Options.BatchCapacity,
+          .BatchCapacity = Board.BatchCapacity,
           .LoadWait = loadBacklog(now),
           .VictimValue = static_cast<std::uint32_t>(victim * Thousand)};
 }
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -136,12 +136,14 @@
 struct AgentBoard {
   AgentBoard(const AgentOptions &options, const EvictionPolicy &eviction)
       : Options(options), Eviction(eviction), Slots(options.Slots),
-        Popularity(options.Popularity), Jitter(options.Incarnation),
+        BatchCapacity(options.BatchCapacity), Popularity(options.Popularity), Jitter(options.Incarnation),
         LoadTime(options.LoadTime), ServiceTime(options.ServiceTime) {}
 
   const AgentOptions Options;
   const EvictionPolicy &Eviction;
   SlotTable Slots;
+  /// Requests that the engine runs in one step, as far as is known now.
+  std::uint32_t BatchCapacity;
   PopularityTable Popularity;
   Random Jitter;
 
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -76,11 +76,8 @@
     return;
   const RunningAttempt running = it->second;
   endAttempt(now, attempt, running);
-  if (!running.IsService && ending == AttemptEnding::Answered) {
-    constexpr int SmoothingShare = 16;
-    Board.ServiceTime +=
-        (now - running.StartedAt - Board.ServiceTime) / SmoothingShare;
-  }
+  if (!running.IsService && ending == AttemptEnding::Answered)
+    noteServiceTime(now - running.StartedAt);
   Board.Commands.push_back(
       SendToEntry{running.Entry, AttemptFinished{
                                      .Attempt = attempt,
@@ -93,6 +90,40 @@
   decide(now);
 }
 
+void AgentController::onReleased(TimePoint now, const AttemptId &attempt,
+                                 ReleaseKind kind) {
+  const auto it = Board.Running.find(attempt);
+  if (it == Board.Running.end()) {
+    Admission.forget(attempt);
+    return decide(now);
+  }
+  const RunningAttempt running = it->second;
+  if (kind == ReleaseKind::Answered)
+    noteServiceTime(now - running.StartedAt);
+  endAttempt(now, attempt, running);
+  decide(now);
+}
+
+void AgentController::noteServiceTime(Duration took) {
+  constexpr int SmoothingShare = 16;
+  Board.ServiceTime += (took - Board.ServiceTime) / SmoothingShare;
+}
+
+void AgentController::onProfile(TimePoint now, std::uint32_t slots,
+                                std::uint32_t batchCapacity) {
+  Board.Slots.resize(slots);
+  Board.BatchCapacity = std::max(batchCapacity, 1U);
+  decide(now);
+}
+
+void AgentController::onResident(TimePoint now,
+                                 const std::vector<AdapterKey> &resident) {
+  if (!Board.EngineReady)
+    return;
+  Board.Slots.keepOnly(resident);
+  decide(now);
+}
+
 void AgentController::onWorkNotStarted(TimePoint now,
                                        const AttemptId &attempt) {
   const auto it = Board.Running.find(attempt);
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -32,6 +32,17 @@
                    AttemptEnding ending, std::string payload);
   /// The engine or service turned an attempt down before it began.
   void onWorkNotStarted(TimePoint now, const AttemptId &attempt);
+  /// An entry that sent an attempt to the engine itself is done with it.
+  void onReleased(TimePoint now, const AttemptId &attempt, ReleaseKind kind);
+  /// The configuration says how many adapters the engine may hold, and how many
+  /// requests it runs in one step.
+  void onProfile(TimePoint now, std::uint32_t slots,
+                 std::uint32_t batchCapacity);
+  /// What the engine holds, told again while it is in use: an adapter that is
+  /// gone has to be loaded anew.
+  void onResident(TimePoint now, const std::vector<AdapterKey> &resident);
+  /// \returns the load as entries are told it.
+  LoadFigures figures(TimePoint now) const { return Admission.figures(now); }
   void onLoadEnded(TimePoint now, const AdapterKey &key, bool succeeded,
                    Duration took);
   /// The engine answers; \p resident is what it holds, \p idle says that it
@@ -62,6 +73,7 @@
   void endAttempt(TimePoint now, const AttemptId &attempt,
                   const RunningAttempt &running);
   void breakOff(TimePoint now, bool services);
+  void noteServiceTime(Duration took);
 
   AgentBoard Board;
   LoadGate &Gate;
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -54,7 +54,7 @@
 void DispatchController::run(TimePoint now) {
   if (!Board.EngineReady || waitsForCompany(now))
     return;
-  while (Board.runningOnEngine() < Board.Options.BatchCapacity) {
+  while (Board.runningOnEngine() < Board.BatchCapacity) {
     const std::optional<Candidate> next = choose();
     if (!next)
       return;
--- a/packages/serving/pimentofront/src/Serving/EntryController.cpp
+++ b/packages/serving/pimentofront/src/Serving/EntryController.cpp
@@ -436,6 +436,9 @@
       member.Unconfirmed = true;
   std::vector<HostName> gone;
   for (const MemberRecord &it : update.Members) {
+    // Without an agent there is nobody who takes this interface's requests.
+    if (it.Registered)
+      continue;
     MemberView &member = Board.Members[it.Host];
     const bool restarted = member.Record.Incarnation != 0 &&
                            member.Record.Incarnation != it.Incarnation;
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -18,6 +18,11 @@
   for (const auto &[key, queue] : Board.Waiting) {
     if (Board.Slots.isReady(key) || Board.Slots.isLoading(key))
       continue;
+    // A replacement goes into the slot of the version before, once that one
+    // serves nobody.
+    const Slot *former = Board.Slots.otherVersion(key);
+    if (former && !mayEvict(*former, Board.Waiting))
+      continue;
     Demand demand{.Key = key, .Slack = Duration::max()};
     for (const WaitingAttempt &it : queue) {
       demand.Weight += std::max(it.Request.Weight, 1U);
@@ -62,7 +67,9 @@
 }
 
 void LoadController::begin(const AdapterKey &key,
-                           const std::optional<AdapterKey> &victim) {
+                           std::optional<AdapterKey> victim) {
+  if (const Slot *former = Board.Slots.otherVersion(key))
+    victim = former->Key;
   Board.Slots.beginLoad(key, victim);
   const std::string source = Board.Waiting.at(key).front().Request.Source;
   Board.Commands.push_back(StartLoad{key, source, victim});
--- a/packages/serving/pimentofront/src/Serving/LoadController.h
+++ b/packages/serving/pimentofront/src/Serving/LoadController.h
@@ -27,7 +27,7 @@
   };
   std::vector<Demand> demands(TimePoint now) const;
   Room findRoom(TimePoint now) const;
-  void begin(const AdapterKey &key, const std::optional<AdapterKey> &victim);
+  void begin(const AdapterKey &key, std::optional<AdapterKey> victim);
   void setAside(TimePoint now, const AdapterKey &key);
   void endStalls(TimePoint now, const AdapterKey &key);
 
--- a/packages/serving/pimentofront/src/Serving/SlotTable.cpp
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.cpp
@@ -17,6 +17,8 @@
 }
 
 bool SlotTable::isReady(const AdapterKey &key) const {
+  if (key.Adapter.empty())
+    return true;
   const Slot *slot = find(key);
   return slot && slot->State == SlotState::Ready;
 }
@@ -60,6 +62,8 @@
 }
 
 void SlotTable::pin(TimePoint now, const AdapterKey &key) {
+  if (key.Adapter.empty())
+    return;
   Slot *slot = find(key);
   assert(slot && slot->State == SlotState::Ready &&
          "only a loaded adapter can serve");
@@ -75,6 +79,28 @@
   slot->LastUsed = now;
 }
 
+const Slot *SlotTable::otherVersion(const AdapterKey &key) const {
+  const auto it = std::ranges::find_if(Slots, [&](const Slot &slot) {
+    return slot.State != SlotState::Empty &&
+           slot.Key.Adapter == key.Adapter && slot.Key.Version != key.Version;
+  });
+  return it == Slots.end() ? nullptr : &*it;
+}
+
+void SlotTable::resize(std::uint32_t slots) {
+  while (Slots.size() > slots && Slots.back().State == SlotState::Empty)
+    Slots.pop_back();
+  if (Slots.size() < slots)
+    Slots.resize(slots);
+}
+
+void SlotTable::keepOnly(const std::vector<AdapterKey> &resident) {
+  for (Slot &it : Slots)
+    if (it.State == SlotState::Ready && it.Pins == 0 &&
+        std::ranges::find(resident, it.Key) == resident.end())
+      it = Slot{};
+}
+
 void SlotTable::clear() { Slots.assign(Slots.size(), Slot{}); }
 
 void SlotTable::adopt(TimePoint now, const std::vector<AdapterKey> &resident) {
--- a/packages/serving/pimentofront/src/Serving/SlotTable.h
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.h
@@ -32,7 +32,8 @@
 /// \class SlotTable
 /// \ingroup Serving
 /// \brief What is in the slots of the engine beside this agent, the only place
-/// that knows it without lag.
+/// that knows it without lag. A key without an adapter stands for the base
+/// model alone, which needs no slot.
 class SlotTable {
 public:
   explicit SlotTable(std::uint32_t slots) : Slots(slots) {}
@@ -41,6 +42,9 @@
   bool isReady(const AdapterKey &key) const;
   bool isLoading(const AdapterKey &key) const;
   bool hasEmpty() const;
+  /// \returns the slot with another version of the adapter, or null: an engine
+  /// holds one version of an adapter at a time.
+  const Slot *otherVersion(const AdapterKey &key) const;
 
   /// Reserves a slot for a load, in place of \p victim if it is set.
   /// \pre the victim has no pins, or there is an empty slot.
@@ -50,6 +54,10 @@
   /// \pre the adapter is ready.
   void pin(TimePoint now, const AdapterKey &key);
   void unpin(TimePoint now, const AdapterKey &key);
+  /// The engine has another number of slots; only empty ones are taken away.
+  void resize(std::uint32_t slots);
+  /// Empties the slots whose adapter isn't in \p resident and isn't in use.
+  void keepOnly(const std::vector<AdapterKey> &resident);
   /// The engine started anew: all slots are empty, nothing runs.
   void clear();
   /// Takes over what an engine held before this agent started.
--- a/packages/state/pimentofront/src/State/Configuration.cpp
+++ b/packages/state/pimentofront/src/State/Configuration.cpp
@@ -25,6 +25,8 @@
     Kinds[kind->Name] = *kind;
   if (const auto *drain = std::get_if<DrainRecord>(&record))
     Drains[drain->Host] = *drain;
+  if (const auto *document = std::get_if<DocumentRecord>(&record))
+    Document = *document;
 }
 
 void Configuration::advance(Revision revision) {
@@ -34,7 +36,7 @@
 void Configuration::forEachChanged(
     Revision since,
     const std::function<void(const ConfigurationRecord &)> &visit) const {
-  // Kinds and drains are few; they go between the adapters where they belong.
+  // All but adapters are few; they go between the adapters where they belong.
   std::vector<ConfigurationRecord> few;
   for (const auto &[name, it] : Kinds)
     if (it.ChangedAt > since)
@@ -42,6 +44,8 @@
   for (const auto &[host, it] : Drains)
     if (it.ChangedAt > since)
       few.emplace_back(it);
+  if (Document && Document->ChangedAt > since)
+    few.emplace_back(*Document);
   std::ranges::sort(few, {}, changedAt);
   auto next = few.begin();
   for (const AdapterStore::Changed &it : Adapters.changedSince(since)) {
--- a/packages/state/pimentofront/src/State/Configuration.h
+++ b/packages/state/pimentofront/src/State/Configuration.h
@@ -19,6 +19,10 @@
   }
   const KindRecord *findKind(const KindName &name) const;
   const DrainRecord *findDrain(const HostName &host) const;
+  /// \returns the routing document, or null before the first one.
+  const DocumentRecord *document() const {
+    return Document ? &*Document : nullptr;
+  }
   std::size_t adapterCount() const { return Adapters.size(); }
   const std::map<KindName, KindRecord> &kinds() const { return Kinds; }
   std::size_t memoryBytes() const { return Adapters.memoryBytes(); }
@@ -38,6 +42,7 @@
   AdapterStore Adapters;
   std::map<KindName, KindRecord> Kinds;
   std::map<HostName, DrainRecord> Drains;
+  std::optional<DocumentRecord> Document;
 };
 
 /// \returns the revision at which a record was changed last.
--- a/packages/state/pimentofront/src/State/ConfigurationCopy.h
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.h
@@ -50,6 +50,7 @@
     return Records.findKind(name);
   }
   bool isDrained(const HostName &host) const override;
+  const DocumentRecord *document() const { return Records.document(); }
   bool isConfirmed(TimePoint now) const override;
 
 private:
--- a/packages/state/pimentofront/src/State/MemberTable.cpp
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -1,5 +1,7 @@
 #include "pimentofront/State.h"
 
+#include <algorithm>
+
 namespace pimentofront {
 
 void MemberTable::beginTerm(TimePoint now, std::uint64_t term) {
@@ -8,6 +10,7 @@
   TermBegan = now;
   Members.clear();
   HeardAt.clear();
+  Sequences.clear();
   Changes.clear();
 }
 
@@ -21,18 +24,39 @@
     Changes.pop_front();
 }
 
-void MemberTable::announce(TimePoint now, const MemberRecord &member) {
-  HeardAt[member.Host] = now;
+bool MemberTable::cameLate(TimePoint now, const MemberRecord &member,
+                           std::uint64_t sequence) {
+  const auto goodbye = Goodbyes.find(member.Host);
+  if (goodbye != Goodbyes.end() &&
+      goodbye->second.Incarnation == member.Incarnation &&
+      now < goodbye->second.At + Options.GoodbyeKept)
+    return true;
+  if (sequence == 0)
+    return false;
+  std::uint64_t &newest = Sequences[member.Host];
+  const bool late = sequence <= newest;
+  newest = std::max(newest, sequence);
+  return late;
+}
+
+bool MemberTable::announce(TimePoint now, const MemberRecord &member,
+                           std::uint64_t sequence) {
   const auto it = Members.find(member.Host);
   if (member.Gone) {
-    // Goodbye; one of an earlier process of this host means nothing.
+    Goodbyes[member.Host] = {member.Incarnation, now};
+    HeardAt.erase(member.Host);
+    Sequences.erase(member.Host);
+    // One of an earlier process of this host means nothing.
     if (it != Members.end() && it->second.Incarnation == member.Incarnation)
       change(member);
-    HeardAt.erase(member.Host);
-    return;
+    return true;
   }
+  if (cameLate(now, member, sequence))
+    return false;
+  HeardAt[member.Host] = now;
   if (it == Members.end() || it->second != member)
     change(member);
+  return true;
 }
 
 bool MemberTable::renew(TimePoint now, const HostName &host,
@@ -51,10 +75,14 @@
       gone.push_back(host);
   for (const HostName &it : gone) {
     HeardAt.erase(it);
+    Sequences.erase(it);
     MemberRecord record = Members.at(it);
     record.Gone = true;
     change(record);
   }
+  std::erase_if(Goodbyes, [&](const auto &it) {
+    return it.second.At + Options.GoodbyeKept < now;
+  });
   if (!Complete && now >= TermBegan + Options.Lease) {
     Complete = true;
     ++Version.Sequence; // Tells everybody, without a record.
--- a/packages/state/pimentofront/src/State/MemberTable.h
+++ b/packages/state/pimentofront/src/State/MemberTable.h
@@ -17,6 +17,8 @@
   Duration Lease = std::chrono::seconds(6);
   /// Changes kept for those who missed a few.
   std::size_t ChangesKept = 1024;
+  /// How long a goodbye is remembered, against announcements that come late.
+  Duration GoodbyeKept = std::chrono::seconds(60);
 };
 
 /// \class MemberTable
@@ -33,7 +35,12 @@
 
   /// This process became the leader: all must announce themselves anew.
   void beginTerm(TimePoint now, std::uint64_t term);
-  void announce(TimePoint now, const MemberRecord &member);
+  /// \param sequence grows with each announcement of one process, where its
+  /// announcements may overtake one another; 0 where they can't.
+  /// \returns false for an announcement that came late: a newer one is known,
+  /// or the process has said goodbye. It changes nothing.
+  bool announce(TimePoint now, const MemberRecord &member,
+                std::uint64_t sequence = 0);
   /// \returns whether the host is known under this incarnation.
   bool renew(TimePoint now, const HostName &host, std::uint64_t incarnation);
   /// \returns hosts whose lease ran out just now.
@@ -50,7 +57,13 @@
   const std::map<HostName, MemberRecord> &members() const { return Members; }
 
 private:
+  struct Goodbye {
+    std::uint64_t Incarnation = 0;
+    TimePoint At;
+  };
   void change(const MemberRecord &member);
+  bool cameLate(TimePoint now, const MemberRecord &member,
+                std::uint64_t sequence);
 
   MemberTableOptions Options;
   MemberVersion Version;
@@ -58,6 +71,8 @@
   TimePoint TermBegan;
   std::map<HostName, MemberRecord> Members;
   std::map<HostName, TimePoint> HeardAt;
+  std::map<HostName, std::uint64_t> Sequences;
+  std::map<HostName, Goodbye> Goodbyes;
   /// The last changes; the newest has the sequence of `Version`.
   std::deque<MemberRecord> Changes;
 };
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -94,6 +94,10 @@
     return declare(command, *it);
   if (const auto *it = std::get_if<SetKind>(&body))
     return setKind(command, *it);
+  if (const auto *it = std::get_if<PutDocument>(&body))
+    return putDocument(command, *it);
+  if (const auto *it = std::get_if<NameVersion>(&body))
+    return nameVersion(command, *it);
   return setDrained(command, std::get<SetDrained>(body));
 }
 
@@ -172,6 +176,42 @@
                 DrainRecord{.Host = body.Host, .Drained = body.Drained});
 }
 
+CommandOutcome StateMachine::putDocument(const Command &command,
+                                         const PutDocument &body) {
+  const DocumentRecord *present = Records.document();
+  if (present && body.Number <= present->Number)
+    return {.Result = CommandResult::Accepted, .At = Records.revision()};
+  return accept(command, DocumentRecord{.Number = body.Number,
+                                        .Packed = body.Packed});
+}
+
+CommandOutcome StateMachine::nameVersion(const Command &command,
+                                         const NameVersion &body) {
+  if (!isProperName(body.Adapter.str()) || !isProperName(body.BaseModel))
+    return refuse(CommandResult::Invalid, NameRule);
+  if (body.Number == 0)
+    return refuse(CommandResult::Invalid, "a version has a number from 1");
+  AdapterRecord adapter = Records.findAdapter(body.Adapter)
+                              .value_or(AdapterRecord{
+                                  .Name = body.Adapter,
+                                  .BaseModel = body.BaseModel});
+  const auto isNewer = [&](const VersionRecord &it) {
+    return it.Live && it.Number >= body.Number;
+  };
+  if (std::ranges::any_of(adapter.Versions, isNewer))
+    return {.Result = CommandResult::Accepted, .At = Records.revision()};
+  for (VersionRecord &it : adapter.Versions)
+    it.Live = false;
+  std::erase_if(adapter.Versions, [&](const VersionRecord &it) {
+    return it.Number == body.Number;
+  });
+  // Named versions come without end; the oldest one is forgotten.
+  if (adapter.Versions.size() >= MaxVersions)
+    adapter.Versions.erase(adapter.Versions.begin());
+  adapter.Versions.push_back({.Number = body.Number, .Live = true});
+  return accept(command, std::move(adapter));
+}
+
 std::string StateMachine::encode() const {
   std::string bytes;
   const auto add = [&](const StateItem &item) {
@@ -203,6 +243,8 @@
     Records.put(*kind);
   else if (const auto *drain = std::get_if<DrainRecord>(&item))
     Records.put(*drain);
+  else if (const auto *document = std::get_if<DocumentRecord>(&item))
+    Records.put(*document);
 }
 
 tl::expected<void, DecodeError> StateMachine::decode(std::string_view bytes) {
--- a/packages/state/pimentofront/src/State/StateMachine.h
+++ b/packages/state/pimentofront/src/State/StateMachine.h
@@ -35,6 +35,8 @@
   CommandOutcome declare(const Command &command, const DeclareLive &body);
   CommandOutcome setKind(const Command &command, const SetKind &body);
   CommandOutcome setDrained(const Command &command, const SetDrained &body);
+  CommandOutcome putDocument(const Command &command, const PutDocument &body);
+  CommandOutcome nameVersion(const Command &command, const NameVersion &body);
   /// Puts a changed record in force as the next revision.
   template <class Record>
   CommandOutcome accept(const Command &command, Record record);
--- a/packages/wire/pimentofront/Wire.h
+++ b/packages/wire/pimentofront/Wire.h
@@ -22,6 +22,7 @@
 #include "src/Wire/ControlMessages.h"
 #include "src/Wire/Message.h"
 #include "src/Wire/Codec.h"
+#include "src/Wire/PackedText.h"
 // clang-format on
 
 #endif
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -5,6 +5,7 @@
 #include "pimentofront/Base.h"
 
 #include <string>
+#include <vector>
 
 namespace pimentofront {
 
@@ -61,6 +62,16 @@
                       VictimValue)
 };
 
+/// \class PromptPart
+/// \ingroup Wire
+/// \brief One part of a prompt; requests with the same parts before it share
+/// what an engine keeps of it.
+struct PromptPart {
+  std::uint64_t Id = 0;
+  std::uint32_t Tokens = 0;
+  PIMENTOFRONT_FIELDS(PromptPart, Id, Tokens)
+};
+
 /// \class ExecuteRequest
 /// \ingroup Wire
 /// \brief Entry to agent: run this once, or refuse it.
@@ -87,9 +98,54 @@
   std::string Payload;
   /// Refuse with `NotResident` rather than load the adapter.
   bool OnlyIfResident = false;
+  /// The entry sends the request to the engine itself, once it has a permit:
+  /// answers under way then don't depend on the agent.
+  bool Delegated = false;
+  /// Parts of the prompt in order, for what the engine may have cached.
+  std::vector<PromptPart> Parts;
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, Resumed,
-                      MaxTokens, Service, Method, Payload, OnlyIfResident)
+                      MaxTokens, Service, Method, Payload, OnlyIfResident,
+                      Delegated, Parts)
+};
+
+/// Agent to entry: a place at the engine is yours, send the request now. The
+/// adapter is in its slot and stays there until `AttemptReleased`.
+struct AttemptPermit {
+  AttemptId Attempt;
+  LoadFigures Load;
+  PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load)
+};
+
+/// What became of an attempt that had a permit.
+enum class ReleaseKind : std::uint8_t {
+  Answered,
+  /// Began and broke off, or was never heard of.
+  BrokeOff,
+  /// The engine said that it did not run it.
+  NotRun,
+  /// The engine said that it doesn't hold the adapter.
+  NotResident,
+};
+
+/// Entry to agent: the place is free again.
+struct AttemptReleased {
+  AttemptId Attempt;
+  ReleaseKind Kind = ReleaseKind::Answered;
+  PIMENTOFRONT_FIELDS(AttemptReleased, Attempt, Kind)
+};
+
+/// \class EngineProfile
+/// \ingroup Wire
+/// \brief Entry to agent: what the routing document says of its engine. The
+/// agent follows the highest revision.
+struct EngineProfile {
+  std::uint64_t At = 0;
+  /// Base model that the engine has to hold.
+  std::string BaseModel;
+  std::uint32_t AdapterSlots = 0;
+  std::uint32_t BatchCapacity = 0;
+  PIMENTOFRONT_FIELDS(EngineProfile, At, BaseModel, AdapterSlots, BatchCapacity)
 };
 
 /// Entry to agent: nobody wants this answer any more.
--- a/packages/wire/pimentofront/src/Wire/Commands.h
+++ b/packages/wire/pimentofront/src/Wire/Commands.h
@@ -80,9 +80,26 @@
   PIMENTOFRONT_FIELDS(RecordEnding, Caller, Request, Holder, Ending, Answer)
 };
 
+/// Puts a routing document in force. One whose number isn't higher than that
+/// of the document in force is accepted, and changes nothing.
+struct PutDocument {
+  std::uint64_t Number = 0;
+  std::string Packed;
+  PIMENTOFRONT_FIELDS(PutDocument, Number, Packed)
+};
+
+/// Makes a version of an adapter the only live one, unless a higher one is
+/// live; the adapter comes into being by it.
+struct NameVersion {
+  AdapterName Adapter;
+  std::string BaseModel;
+  VersionNumber Number = 0;
+  PIMENTOFRONT_FIELDS(NameVersion, Adapter, BaseModel, Number)
+};
+
 using CommandBody =
     std::variant<CreateAdapter, CreateVersion, DeclareLive, SetKind, SetDrained,
-                 ClaimRequest, RecordEnding>;
+                 ClaimRequest, RecordEnding, PutDocument, NameVersion>;
 
 /// \class Command
 /// \ingroup Wire
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -12,6 +12,13 @@
   PIMENTOFRONT_FIELDS(Announce, Member)
 };
 
+/// Replica to process: where the members of the group are now, so that a
+/// process outlives the replicas that it was told of at its start.
+struct ReplicaAddresses {
+  std::vector<std::string> Peers;
+  PIMENTOFRONT_FIELDS(ReplicaAddresses, Peers)
+};
+
 /// Agent to leader: my lease, please, nothing has changed.
 struct RenewLease {
   HostName Host;
@@ -25,7 +32,11 @@
   Duration Lease = Duration::zero();
   /// Live agents with an engine, for the share without a scheduler.
   std::uint32_t Members = 0;
-  PIMENTOFRONT_FIELDS(LeaseReply, Known, Lease, Members)
+  /// Fencing token for the orders of this incarnation: higher than any that
+  /// was given out before. The leader's term, which survives, stands in its
+  /// upper bits.
+  std::uint64_t Fence = 0;
+  PIMENTOFRONT_FIELDS(LeaseReply, Known, Lease, Members, Fence)
 };
 
 /// Any process to a replica that doesn't lead, in answer: ask there.
--- a/packages/wire/pimentofront/src/Wire/Message.h
+++ b/packages/wire/pimentofront/src/Wire/Message.h
@@ -17,7 +17,8 @@
     Subscribe, ProbeRevision, ProbeReply, ConfigurationUpdate, MemberUpdate,
     Propose, ProposeReply, ReadIndexRequest, ReadIndexReply, VoteRequest,
     VoteReply, AppendRequest, AppendReply, SnapshotPart, SnapshotReply,
-    JoinRequest, AdminRequest, AdminReply>;
+    JoinRequest, AdminRequest, AdminReply, AttemptPermit, AttemptReleased,
+    EngineProfile, ReplicaAddresses>;
 
 /// Version of the protocol between processes. A process refuses a `Hello`
 /// with a higher one before it reads anything else.
--- a/packages/wire/pimentofront/src/Wire/Records.h
+++ b/packages/wire/pimentofront/src/Wire/Records.h
@@ -69,10 +69,24 @@
   PIMENTOFRONT_FIELDS(DrainRecord, Host, Drained, ChangedAt, ChangedBy)
 };
 
+/// \class DocumentRecord
+/// \ingroup Wire
+/// \brief The routing document in force, as an operator wrote it. The
+/// replicated state orders documents and never looks inside.
+struct DocumentRecord {
+  /// The operators' own number; the highest one is in force.
+  std::uint64_t Number = 0;
+  /// The document's bytes, packed (see packText).
+  std::string Packed;
+  Revision ChangedAt = 0;
+  OperatorName ChangedBy;
+  PIMENTOFRONT_FIELDS(DocumentRecord, Number, Packed, ChangedAt, ChangedBy)
+};
+
 /// Any record of the configuration. Records are never deleted, so the
 /// difference between two revisions is the records that changed since.
 using ConfigurationRecord =
-    std::variant<AdapterRecord, KindRecord, DrainRecord>;
+    std::variant<AdapterRecord, KindRecord, DrainRecord, DocumentRecord>;
 
 /// \class MemberRecord
 /// \ingroup Wire
@@ -94,8 +108,12 @@
   bool Leaving = false;
   /// Lease ran out or the host said goodbye.
   bool Gone = false;
+  /// A backend server that registered itself, in place of an agent: `Host` is
+  /// the name of its process, `Address` its HTTP address, `Slots` the requests
+  /// that it runs at one time.
+  bool Registered = false;
   PIMENTOFRONT_FIELDS(MemberRecord, Host, Incarnation, Zone, Address, BaseModel,
-                      Services, Slots, BatchCapacity, Leaving, Gone)
+                      Services, Slots, BatchCapacity, Leaving, Gone, Registered)
 };
 
 /// \class MemberVersion
