--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -120,7 +120,7 @@
                                  const std::vector<AdapterKey> &resident) {
   if (!Board.EngineReady)
     return;
-  Board.Slots.keepOnly(resident);
+  Board.Slots.reconcile(now, resident);
   decide(now);
 }
 
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -38,8 +38,7 @@
   /// requests it runs in one step.
   void onProfile(TimePoint now, std::uint32_t slots,
                  std::uint32_t batchCapacity);
-  /// What the engine holds, told again while it is in use: an adapter that is
-  /// gone has to be loaded anew.
+  /// What the engine holds, told again while it is in use.
   void onResident(TimePoint now, const std::vector<AdapterKey> &resident);
   /// \returns the load as entries are told it.
   LoadFigures figures(TimePoint now) const { return Admission.figures(now); }
--- a/packages/serving/pimentofront/src/Serving/SlotTable.cpp
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.cpp
@@ -94,11 +94,19 @@
     Slots.resize(slots);
 }
 
-void SlotTable::keepOnly(const std::vector<AdapterKey> &resident) {
+void SlotTable::reconcile(TimePoint now,
+                          const std::vector<AdapterKey> &resident) {
   for (Slot &it : Slots)
     if (it.State == SlotState::Ready && it.Pins == 0 &&
         std::ranges::find(resident, it.Key) == resident.end())
       it = Slot{};
+  for (const AdapterKey &it : resident) {
+    if (find(it) || otherVersion(it))
+      continue;
+    const auto empty = std::ranges::find(Slots, SlotState::Empty, &Slot::State);
+    if (empty != Slots.end())
+      *empty = {.State = SlotState::Ready, .Key = it, .LastUsed = now};
+  }
 }
 
 void SlotTable::clear() { Slots.assign(Slots.size(), Slot{}); }
--- a/packages/serving/pimentofront/src/Serving/SlotTable.h
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.h
@@ -56,8 +56,10 @@
   void unpin(TimePoint now, const AdapterKey &key);
   /// The engine has another number of slots; only empty ones are taken away.
   void resize(std::uint32_t slots);
-  /// Empties the slots whose adapter isn't in \p resident and isn't in use.
-  void keepOnly(const std::vector<AdapterKey> &resident);
+  /// Makes the table agree with what the engine says it holds: empties the
+  /// slots of adapters that are gone and serve nobody, and takes in those that
+  /// came by an order that was thought lost.
+  void reconcile(TimePoint now, const std::vector<AdapterKey> &resident);
   /// The engine started anew: all slots are empty, nothing runs.
   void clear();
   /// Takes over what an engine held before this agent started.
