End the process without waiting for the log library's thread

With one replica gone for good, the loss of the leader left the group without a majority for seconds (no replica_state line between 32.2 and 38.8 s). Ruled out: the election itself (it ends in 0.7 s once two are there). The same held up two entries past the end of their grace time. Change: the daemon leaves by _Exit after its loop; replicas log each change of what they believe of their group.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -276,7 +276,41 @@
   WasReady = ready;
 }
 
+namespace {
+
+const char *roleName(LogRole role) {
+  constexpr const char *Names[] = {"follower", "candidate", "leader"};
+  return Names[static_cast<std::size_t>(role)];
+}
+
+} // namespace
+
+/// One line for each change of what this replica believes of its group.
+void Daemon::logGroupState() {
+  const ReplicatedLog &log = Replica->log();
+  const ReplicaDescriptor *leader = log.leader();
+  std::string group;
+  for (const ReplicaDescriptor &it : log.group().Replicas)
+    group += (group.empty() ? "" : " ") + it.Host.str() +
+             (it.Learner ? " (learner)" : "");
+  const GroupState state{.Role = log.role(),
+                         .Term = log.term(),
+                         .Leader = leader ? leader->Host : HostName(),
+                         .Members = group};
+  if (state == LoggedGroup)
+    return;
+  LoggedGroup = state;
+  Log->write(LogLevel::Info, "replica_state",
+             {{"role", roleName(state.Role)},
+              {"term", state.Term},
+              {"leader", state.Leader.str()},
+              {"group", state.Members},
+              {"committed", log.commitIndex()},
+              {"last", log.lastIndex()}});
+}
+
 void Daemon::noteReplicaChanges() {
+  logGroupState();
   const bool leads = Replica->log().holdsLease(Loop.now());
   if (leads != Led)
     Log->write(LogLevel::Info, leads ? "leader_began" : "leader_ended",
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -63,6 +63,7 @@
   void tick();
   void flushSoon();
   void noteReplicaChanges();
+  void logGroupState();
   void beginStop();
   void continueStop();
   bool idle() const;
@@ -99,6 +100,15 @@
   std::unique_ptr<Timer> FlushTimer;
   std::unique_ptr<Timer> StopTimer;
   std::optional<TimePoint> StopBegan;
+  /// What was logged last of the replica group.
+  struct GroupState {
+    LogRole Role = LogRole::Follower;
+    pimentofront::Term Term = 0;
+    HostName Leader;
+    std::string Members;
+    friend bool operator==(const GroupState &, const GroupState &) = default;
+  };
+  GroupState LoggedGroup;
   bool Led = false;
   bool StoreFailed = false;
   bool WasReady = false;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -88,5 +88,11 @@
     std::puts("settings are good");
     return exitWith(ExitCode::Good);
   }
-  return exitWith(Daemon(settings).run());
+  Daemon daemon(settings);
+  const ExitCode code = daemon.run();
+  // All that must survive is synced and all answers are sent. The log library
+  // would wait for its idle thread, and a process that doesn't end isn't
+  // started anew.
+  std::fflush(nullptr);
+  std::_Exit(static_cast<int>(code));
 }
