Keep a replica's process when its disk takes no writes

Change: the replica part alone is given up; its links end, operators get 503, and the folder is read anew every 500 ms until the disk takes writes. A damaged folder still ends the process.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -28,6 +28,7 @@
   // Timers call into what is destroyed after them.
   FlushTimer.reset();
   StopTimer.reset();
+  StoreTimer.reset();
   Timers.clear();
 }
 
@@ -38,7 +39,10 @@
   if (!store) {
     std::fprintf(stderr, "%s: %s\n", Options.DataFolder.c_str(),
                  store.error().Detail.c_str());
-    return ExitCode::Data;
+    // A disk that takes no writes may take them later; damage stays.
+    return store.error().What == LogStoreError::Kind::Unwritable
+               ? ExitCode::Good
+               : ExitCode::Data;
   }
   Store = std::move(*store);
   Stored = Store->takeStored();
@@ -164,8 +168,10 @@
 
 void Daemon::createNodes() {
   const TimePoint now = Loop.now();
-  if (Options.IsReplica)
+  if (Store)
     createReplica(now);
+  else if (Options.IsReplica)
+    retryStoreLater();
   if (Options.IsAgent)
     createAgent(now);
   if (Options.IsEntry)
@@ -248,7 +254,8 @@
     return;
   FlushTimer = Loop.after(Duration::zero(), [this] {
     const auto keep = std::move(FlushTimer);
-    Replica->flush(Loop.now());
+    if (Replica)
+      Replica->flush(Loop.now());
   });
 }
 
@@ -316,14 +323,42 @@
     Log->write(LogLevel::Info, leads ? "leader_began" : "leader_ended",
                {{"term", Replica->log().term()}});
   Led = leads;
-  if (!Replica->storeError() || StoreFailed)
+  if (!Replica->storeError())
     return;
-  StoreFailed = true;
   Log->write(LogLevel::Error, "store_failed",
              {{"why", Replica->storeError()->Detail}});
-  // A replica that can't remember must not take part; what else this process
-  // plays ends gracefully.
-  beginStop();
+  closeReplica();
+}
+
+/// A replica that can't remember must not take part. What the folder holds is
+/// read anew, once the disk takes writes again: nothing that was promised to
+/// anybody is missing there.
+void Daemon::closeReplica() {
+  Control->setReplica(nullptr);
+  Api->setParts({Entry.get(), Agent.get(), nullptr});
+  Replica.reset();
+  Store.reset();
+  Led = false;
+  LoggedGroup = {};
+  Network->closeAll();
+  retryStoreLater();
+}
+
+void Daemon::retryStoreLater() {
+  constexpr Duration Pause = std::chrono::milliseconds(500);
+  StoreTimer = Loop.after(Pause, [this] {
+    const auto keep = std::move(StoreTimer);
+    if (openStore() != ExitCode::Good) {
+      StoreFailed = true;
+      return beginStop();
+    }
+    if (!Store)
+      return retryStoreLater();
+    Log->write(LogLevel::Info, "store_opened_again", {});
+    Network->setReplica(Stored.Id);
+    createReplica(Loop.now());
+    Api->setParts({Entry.get(), Agent.get(), Replica.get()});
+  });
 }
 
 void Daemon::beginStop() {
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -64,6 +64,8 @@
   void flushSoon();
   void noteReplicaChanges();
   void logGroupState();
+  void closeReplica();
+  void retryStoreLater();
   void beginStop();
   void continueStop();
   bool idle() const;
@@ -99,6 +101,7 @@
   std::vector<std::unique_ptr<Timer>> Timers;
   std::unique_ptr<Timer> FlushTimer;
   std::unique_ptr<Timer> StopTimer;
+  std::unique_ptr<Timer> StoreTimer;
   std::optional<TimePoint> StopBegan;
   /// What was logged last of the replica group.
   struct GroupState {
--- a/packages/net/pimentofront/src/Net/PeerNetwork.cpp
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.cpp
@@ -212,6 +212,18 @@
 }
 
 void PeerNetwork::close(LinkId link) { State->bury(link); }
+void PeerNetwork::closeAll() {
+  std::vector<LinkId> all;
+  for (const auto &[id, it] : State->Links)
+    all.push_back(id);
+  for (const LinkId it : all)
+    State->ended(it);
+}
+
+void PeerNetwork::setReplica(std::uint64_t identity) {
+  State->Options.Self.Replica = identity;
+}
+
 HybridClock &PeerNetwork::clock() { return State->Clock; }
 std::uint64_t PeerNetwork::bytesSent() const { return State->Sent; }
 std::uint64_t PeerNetwork::bytesReceived() const { return State->Received; }
--- a/packages/net/pimentofront/src/Net/PeerNetwork.h
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.h
@@ -47,6 +47,10 @@
               LinkPurpose purpose = LinkPurpose::General) override;
   void send(LinkId link, const Message &message) override;
   void close(LinkId link) override;
+  /// Ends all links; the handler learns of each.
+  void closeAll();
+  /// The greeting of links to come names another disk.
+  void setReplica(std::uint64_t identity);
   HybridClock &clock();
   /// \returns bytes of frames sent and received, for the budget of control.
   std::uint64_t bytesSent() const;
