--- /dev/null
+++ b/test/ForwardTest.cpp
@@ -0,0 +1,434 @@
+#include "pimentofront/Forward.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{100s};
+
+class NoAdapters : public ConfigurationView {
+public:
+  std::optional<AdapterRecord>
+  findAdapter(const AdapterName &name) const override {
+    if (Named == 0)
+      return std::nullopt;
+    return AdapterRecord{.Name = name, .Versions = {{Named, "", true}}};
+  }
+  const KindRecord *findKind(const KindName &) const override {
+    return nullptr;
+  }
+  bool isDrained(const HostName &) const override { return false; }
+  bool isConfirmed(TimePoint) const override { return true; }
+  VersionNumber Named = 0;
+};
+
+/// Headers with plain names: id, time, adapter; stamp, not-run.
+class PlainHeaders : public HeaderCodec {
+public:
+  RequestTraits decodeRequest(const RequestHead &head) const override {
+    RequestTraits traits;
+    if (const std::string *it = findHeader(head.Headers, "id"))
+      traits.Id = *it;
+    if (const std::string *it = findHeader(head.Headers, "time"))
+      traits.TimeLeft = std::chrono::milliseconds(std::stoi(*it));
+    if (const std::string *it = findHeader(head.Headers, "adapter"))
+      traits.Adapter = *it;
+    traits.BaseModel = "m";
+    return traits;
+  }
+  AnswerTraits decodeAnswer(const ResponseHead &head) const override {
+    const std::string *id = findHeader(head.Headers, "id");
+    return {.Id = id ? *id : "",
+            .Stamped = findHeader(head.Headers, "stamp") != nullptr,
+            .NotRun = findHeader(head.Headers, "not-run") != nullptr};
+  }
+  RequestHead encodeRequest(const RequestHead &head,
+                            const ForwardTraits &traits) const override {
+    RequestHead result = head;
+    result.Headers.push_back({"server", traits.Server.str()});
+    if (traits.LastEvent)
+      result.Headers.push_back({"last", std::to_string(*traits.LastEvent)});
+    return result;
+  }
+  HttpHeaders refusalHeaders(const RequestTraits &,
+                             Duration comeBack) const override {
+    return {{"come-back", std::to_string(comeBack.count())}};
+  }
+};
+
+RouteSpec route(const char *name, Repeatability kind, const char *service,
+                std::uint32_t servers, bool resumable = false) {
+  return {.Name = name,
+          .Host = "h",
+          .PathPrefix = std::string("/") + name + "/",
+          .Kind = kind,
+          .Split = {{ServiceName(service), 1}},
+          .Timeout = 10s,
+          .MaxServers = servers,
+          .Resumable = resumable};
+}
+
+MemberRecord server(const char *name, const char *service,
+                    const char *address) {
+  return {.Host = HostName(name),
+          .Zone = ZoneName("z"),
+          .Address = address,
+          .Services = {ServiceName(service)},
+          .Slots = 4,
+          .Registered = true};
+}
+
+MemberRecord agent(const char *name, const char *address) {
+  return {.Host = HostName(name),
+          .Incarnation = 1,
+          .Address = address,
+          .BaseModel = "engines",
+          .Slots = 8,
+          .BatchCapacity = 8};
+}
+
+/// An entry before two plain servers and two engines with their agents.
+struct ForwardUnderTest {
+  ForwardUnderTest()
+      : Controller({.Incarnation = 5, .Servers = {.Zone = ZoneName("z")}},
+                   Configuration, Headers, Routing) {
+    RoutingDocument document{
+        .Routes = {route("safe", Repeatability::Idempotent, "plain", 2),
+                   route("once", Repeatability::NonIdempotent, "plain", 1),
+                   route("flow", Repeatability::Stream, "engines", 2, true),
+                   route("brook", Repeatability::Stream, "engines", 1)},
+        .Services = {{.Name = ServiceName("plain")},
+                     {.Name = ServiceName("engines"),
+                      .Engine = EngineSpec{.AdapterSlots = 2}}}};
+    Controller.setTable(
+        std::make_shared<const RoutingTable>(1, std::move(document)));
+    Controller.onMembers(
+        {.Full = true,
+         .Complete = true,
+         .Members = {server("p1", "plain", "1.0.0.1:80"),
+                     server("p2", "plain", "1.0.0.2:80"),
+                     server("e1", "engines", "1.0.0.3:80"),
+                     server("e2", "engines", "1.0.0.4:80"),
+                     agent("a1", "1.0.0.3:9"), agent("a2", "1.0.0.4:9")}});
+  }
+
+  void request(const char *route, int milliseconds = 5000,
+               const char *adapter = "x") {
+    Controller.onRequest(Now, 1,
+                         {"POST",
+                          std::string("/") + route + "/q",
+                          {{"Host", "h"},
+                           {"id", "r1"},
+                           {"time", std::to_string(milliseconds)},
+                           {"adapter", adapter}}},
+                         "body");
+  }
+
+  template <class T> std::vector<T> take() {
+    for (ForwardCommand &it : Controller.takeCommands())
+      Commands.push_back(std::move(it));
+    std::vector<T> result;
+    std::erase_if(Commands, [&](ForwardCommand &it) {
+      auto *command = std::get_if<T>(&it);
+      if (command)
+        result.push_back(std::move(*command));
+      return command != nullptr;
+    });
+    return result;
+  }
+  template <class T> T only() {
+    auto all = take<T>();
+    REQUIRE(all.size() == 1);
+    return all.front();
+  }
+  /// Grants the permit that the entry asks for; \returns the send.
+  SendUpstream permit() {
+    const auto asked = only<SendToAgent>();
+    const auto execute = std::get<ExecuteRequest>(asked.Content);
+    Controller.attempts().onPermit(Now, asked.Host, {execute.Attempt, {}});
+    return only<SendUpstream>();
+  }
+  HeadVerdict head(const SendUpstream &sent, int status,
+                   HttpHeaders headers = {{"id", "r1"}, {"stamp", "s"}}) {
+    return Controller.answers().onHead(Now, sent.Attempt,
+                                       {status, std::move(headers)});
+  }
+  void body(const SendUpstream &sent, std::string_view bytes) {
+    Controller.answers().onBody(Now, sent.Attempt, bytes);
+  }
+  void end(const SendUpstream &sent, UpstreamEnding ending) {
+    Controller.answers().onEnd(Now, sent.Attempt, ending);
+  }
+
+  NoAdapters Configuration;
+  PlainHeaders Headers;
+  LeastLoaded Routing;
+  ForwardController Controller;
+  std::vector<ForwardCommand> Commands;
+};
+
+constexpr auto Whole = UpstreamEnding::Complete;
+constexpr auto Broke = UpstreamEnding::BrokeOff;
+constexpr auto NotSent = UpstreamEnding::NotSent;
+
+} // namespace
+
+TEST_CASE("an answer is passed on as it is") {
+  ForwardUnderTest it;
+  it.request("safe");
+  const auto sent = it.only<SendUpstream>();
+  CHECK(*sent.Body == "body");
+  it.head(sent, 201, {{"id", "r1"}, {"stamp", "s"}, {"Connection", "close"}});
+  it.body(sent, "ab");
+  it.body(sent, "cd");
+  CHECK(it.take<ReplyWhole>().empty());
+  it.end(sent, Whole);
+  const auto reply = it.only<ReplyWhole>();
+  CHECK(reply.Head.Status == 201);
+  CHECK(reply.Body == "abcd");
+  CHECK(*findHeader(reply.Head.Headers, "stamp") == "s");
+  CHECK_FALSE(findHeader(reply.Head.Headers, "connection"));
+  CHECK(it.Controller.idle());
+}
+
+TEST_CASE("an answer to another request is passed over") {
+  ForwardUnderTest it;
+  it.request("safe");
+  const auto sent = it.only<SendUpstream>();
+  CHECK(it.head(sent, 200, {{"id", "r0"}, {"stamp", "s"}}) ==
+        HeadVerdict::Skip);
+  CHECK(it.head(sent, 200) == HeadVerdict::Take);
+  it.end(sent, Whole);
+  CHECK(it.only<ReplyWhole>().Head.Status == 200);
+}
+
+TEST_CASE("a request that runs once at most is never sent twice") {
+  ForwardUnderTest it;
+  SECTION("the answer broke off") {
+    it.request("once");
+    const auto sent = it.only<SendUpstream>();
+    CHECK(sent.Once);
+    it.head(sent, 200);
+    it.body(sent, "half");
+    it.end(sent, Broke);
+    CHECK(it.only<ReplyWhole>().Head.Status == 502);
+  }
+  SECTION("the server ran it and failed") {
+    it.request("once");
+    const auto sent = it.only<SendUpstream>();
+    it.head(sent, 500);
+    it.end(sent, Whole);
+    CHECK(it.only<ReplyWhole>().Head.Status == 500);
+  }
+  SECTION("an answer without the server's stamp is none") {
+    it.request("once");
+    const auto sent = it.only<SendUpstream>();
+    it.head(sent, 200, {{"id", "r1"}});
+    CHECK(it.take<CancelUpstream>().size() == 1);
+    CHECK(it.only<ReplyWhole>().Head.Status == 502);
+  }
+  SECTION("time ran out while a server had it") {
+    it.request("once", 1000);
+    it.only<SendUpstream>();
+    it.Controller.tick(Now + 1s);
+    CHECK(it.take<CancelUpstream>().size() == 1);
+    CHECK(it.only<ReplyWhole>().Head.Status == 504);
+  }
+  CHECK(it.take<SendUpstream>().empty());
+}
+
+TEST_CASE("a refusal that promises not run is given only when that is true") {
+  ForwardUnderTest it;
+  it.request("once");
+  const auto sent = it.only<SendUpstream>();
+  it.head(sent, 503, {{"id", "r1"}, {"not-run", "1"}});
+  CHECK(it.take<IgnoreUpstream>().size() == 1);
+  const auto reply = it.only<ReplyWhole>();
+  CHECK(reply.Head.Status == 503);
+  CHECK(std::stoll(*findHeader(reply.Head.Headers, "come-back")) > 0);
+}
+
+TEST_CASE("a server that can't be reached costs no try") {
+  ForwardUnderTest it;
+  it.request("once");
+  const auto first = it.only<SendUpstream>();
+  it.end(first, NotSent);
+  const auto second = it.only<SendUpstream>();
+  CHECK(first.Address != second.Address);
+  it.head(second, 200);
+  it.end(second, Whole);
+  CHECK(it.only<ReplyWhole>().Head.Status == 200);
+}
+
+TEST_CASE("an idempotent request goes to a second server, and no further") {
+  ForwardUnderTest it;
+  it.request("safe");
+  const auto first = it.only<SendUpstream>();
+  it.head(first, 500);
+  const auto second = it.only<SendUpstream>();
+  CHECK(first.Address != second.Address);
+  SECTION("that answers") {
+    it.head(second, 200);
+    it.end(second, Whole);
+    CHECK(it.only<ReplyWhole>().Head.Status == 200);
+  }
+  SECTION("that fails, too") {
+    it.head(second, 500);
+    it.end(second, Whole);
+    CHECK(it.only<ReplyWhole>().Head.Status == 500);
+  }
+  CHECK(it.take<SendUpstream>().empty());
+}
+
+TEST_CASE("sends to a second server stay within the budget") {
+  ForwardUnderTest it;
+  int again = 0;
+  constexpr int Requests = 200;
+  for (std::uint64_t key = 1; key <= Requests; ++key) {
+    it.Controller.onRequest(
+        Now, key, {"GET", "/safe/", {{"Host", "h"}, {"id", "r1"}}}, "");
+    const auto sent = it.only<SendUpstream>();
+    it.head(sent, 500);
+    const auto second = it.take<SendUpstream>();
+    again += static_cast<int>(second.size());
+    const auto &last = second.empty() ? sent : second.front();
+    it.head(last, 500);
+    it.end(last, Whole);
+    CHECK(it.take<ReplyWhole>().size() == 1);
+  }
+  CHECK(again >= Requests / 10);
+  CHECK(again <= Requests * 15 / 100 + 4);
+}
+
+TEST_CASE("a caller that leaves takes its work along") {
+  ForwardUnderTest it;
+  SECTION("from a server") {
+    it.request("safe");
+    const auto sent = it.only<SendUpstream>();
+    it.Controller.onCallerGone(Now, 1);
+    CHECK(it.only<CancelUpstream>().Attempt == sent.Attempt);
+  }
+  SECTION("from an agent") {
+    it.request("flow");
+    it.only<SendToAgent>();
+    it.Controller.onCallerGone(Now, 1);
+    CHECK(std::holds_alternative<CancelAttempt>(
+        it.only<SendToAgent>().Content));
+  }
+  CHECK(it.take<SendUpstream>().empty());
+  CHECK(it.Controller.idle());
+}
+
+TEST_CASE("events go out as they come, and a stream goes on elsewhere") {
+  ForwardUnderTest it;
+  it.request("flow");
+  const auto first = it.permit();
+  it.head(first, 200);
+  CHECK(it.take<ReplyHead>().empty());
+  it.body(first, "id: 1\ndata: a\n\nid: 2\nda");
+  CHECK(it.only<ReplyHead>().Head.Status == 200);
+  CHECK(it.only<ReplyPiece>().Bytes == "id: 1\ndata: a\n\n");
+  it.end(first, Broke);
+  const auto release = it.take<SendToAgent>();
+  REQUIRE(release.size() == 2);
+  CHECK(std::get<AttemptReleased>(release[0].Content).Kind ==
+        ReleaseKind::BrokeOff);
+  const auto execute = std::get<ExecuteRequest>(release[1].Content);
+  CHECK(release[0].Host != release[1].Host);
+  it.Controller.attempts().onPermit(Now, release[1].Host,
+                                    {execute.Attempt, {}});
+  const auto second = it.only<SendUpstream>();
+  CHECK(*findHeader(second.Head.Headers, "last") == "1");
+  it.head(second, 200);
+  it.body(second, "id: 2\ndata: b\n\n");
+  CHECK(it.only<ReplyPiece>().Bytes == "id: 2\ndata: b\n\n");
+  it.end(second, Whole);
+  CHECK(it.take<ReplyEnd>().size() == 1);
+  CHECK(it.take<ReplyHead>().empty());
+}
+
+TEST_CASE("a stream that may not go on never looks complete") {
+  ForwardUnderTest it;
+  it.request("brook");
+  const auto sent = it.permit();
+  it.head(sent, 200);
+  it.body(sent, "id: 1\ndata: a\n\n");
+  it.end(sent, Broke);
+  CHECK(it.take<ReplyAbort>().size() == 1);
+  CHECK(it.take<ReplyEnd>().empty());
+  CHECK(it.take<SendUpstream>().empty());
+}
+
+TEST_CASE("an agent that says nothing is passed by") {
+  ForwardUnderTest it;
+  it.request("flow");
+  const auto first = it.only<SendToAgent>();
+  it.Controller.tick(Now + 100ms);
+  CHECK(it.take<SendToAgent>().empty());
+  it.Controller.tick(Now + 300ms);
+  const auto sent = it.take<SendToAgent>();
+  REQUIRE(sent.size() == 2);
+  CHECK(std::holds_alternative<CancelAttempt>(sent[0].Content));
+  CHECK(sent[1].Host != first.Host);
+  // Its permit comes late: the place is given back.
+  const auto execute = std::get<ExecuteRequest>(first.Content);
+  it.Controller.attempts().onPermit(Now, first.Host, {execute.Attempt, {}});
+  const auto back = it.only<SendToAgent>();
+  CHECK(std::get<AttemptReleased>(back.Content).Kind == ReleaseKind::NotRun);
+  CHECK(it.take<SendUpstream>().empty());
+}
+
+TEST_CASE("what can't be served gets its final answer at once") {
+  ForwardUnderTest it;
+  SECTION("an unknown route") {
+    it.request("nothing");
+    CHECK(it.only<ReplyWhole>().Head.Status == 404);
+  }
+  SECTION("no id") {
+    it.Controller.onRequest(Now, 1, {"GET", "/safe/", {{"Host", "h"}}}, "");
+    CHECK(it.only<ReplyWhole>().Head.Status == 400);
+  }
+  SECTION("no routing document") {
+    it.Controller.setTable(nullptr);
+    it.request("safe");
+    CHECK(it.only<ReplyWhole>().Head.Status == 503);
+  }
+  SECTION("all servers leave") {
+    MemberRecord leaving = server("p1", "plain", "1.0.0.1:80");
+    leaving.Leaving = true;
+    it.Controller.onMembers({.Members = {leaving}});
+    it.request("safe");
+    CHECK(it.only<SendUpstream>().Address == "1.0.0.2:80");
+    it.Controller.onCallerGone(Now, 1);
+    leaving = server("p2", "plain", "1.0.0.2:80");
+    leaving.Gone = true;
+    it.Controller.onMembers({.Members = {leaving}});
+    it.take<CancelUpstream>();
+    it.request("safe");
+    CHECK(it.only<ReplyWhole>().Head.Status == 503);
+  }
+}
+
+TEST_CASE("a new leader that names nobody yet takes no server away") {
+  ForwardUnderTest it;
+  it.Controller.onMembers({.Full = true});
+  it.request("safe");
+  CHECK(it.take<SendUpstream>().size() == 1);
+  it.Controller.onCallerGone(Now, 1);
+  it.take<CancelUpstream>();
+  it.Controller.onMembers({.Full = true, .Complete = true});
+  it.request("safe");
+  CHECK(it.only<ReplyWhole>().Head.Status == 503);
+}
+
+TEST_CASE("a named version is the one that is asked for") {
+  ForwardUnderTest it;
+  it.Configuration.Named = 7;
+  it.request("flow");
+  const auto asked = it.only<SendToAgent>();
+  CHECK(std::get<ExecuteRequest>(asked.Content).Key ==
+        AdapterKey{AdapterName("m/x"), 7});
+}
--- /dev/null
+++ b/test/HttpTest.cpp
@@ -0,0 +1,211 @@
+#include "pimentofront/Http.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+
+namespace {
+
+/// Collects what a parser gives out, message by message.
+struct Collector : HttpMessageHandler {
+  bool onRequestHead(RequestHead head) override {
+    Requests.push_back(std::move(head));
+    return true;
+  }
+  bool onResponseHead(ResponseHead head) override {
+    Answers.push_back(std::move(head));
+    return true;
+  }
+  void onBody(std::string_view bytes) override { Body += bytes; }
+  void onMessageEnd() override { ++Ended; }
+
+  std::vector<RequestHead> Requests;
+  std::vector<ResponseHead> Answers;
+  std::string Body;
+  int Ended = 0;
+};
+
+struct Reading {
+  explicit Reading(HttpSide side, const HttpLimits &limits = {})
+      : Parser(side, limits, Seen) {}
+  /// Feeds all bytes, \p step at a time; \returns whether there is no fault.
+  bool feed(std::string_view bytes, std::size_t step = 100000) {
+    while (!bytes.empty() && Parser.fault() == HttpFault::None) {
+      std::string_view part = bytes.substr(0, step);
+      const std::size_t used = Parser.feed(part);
+      if (used == 0)
+        break;
+      bytes.remove_prefix(used);
+    }
+    return Parser.fault() == HttpFault::None;
+  }
+  Collector Seen;
+  HttpParser Parser;
+};
+
+HttpFault faultOf(std::string_view bytes, HttpLimits limits = {}) {
+  Reading reading(HttpSide::Requests, limits);
+  reading.feed(bytes);
+  return reading.Parser.fault();
+}
+
+} // namespace
+
+TEST_CASE("a request is read the same in any pieces") {
+  const std::string bytes = "POST /a/b?c=d HTTP/1.1\r\nHost: x.example\r\n"
+                            "Transfer-Encoding: chunked\r\nX-Y: z\r\n\r\n"
+                            "3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n";
+  for (const std::size_t step : {1U, 2U, 7U, 1000U}) {
+    Reading reading(HttpSide::Requests);
+    REQUIRE(reading.feed(bytes, step));
+    REQUIRE(reading.Seen.Ended == 1);
+    CHECK(reading.Seen.Body == "abcde");
+    CHECK(reading.Seen.Requests.at(0).Method == "POST");
+    CHECK(reading.Seen.Requests.at(0).Target == "/a/b?c=d");
+    CHECK(*findHeader(reading.Seen.Requests.at(0).Headers, "x-y") == "z");
+  }
+}
+
+TEST_CASE("one message at a time is read from what came together") {
+  Reading reading(HttpSide::Requests);
+  const std::string two = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
+  const std::size_t used = reading.Parser.feed(two);
+  CHECK(used == two.size() / 2);
+  CHECK(reading.Seen.Requests.size() == 1);
+  reading.feed(two.substr(used));
+  CHECK(reading.Seen.Requests.size() == 2);
+}
+
+TEST_CASE("a request that could be read in two ways is refused") {
+  const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const char *smuggling[] = {
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "Content-Length : 3\r\n\r\nabc",
+      "Content-Length: +3\r\n\r\nabc",
+      "Content-Length: -3\r\n\r\nabc",
+  };
+  for (const char *it : smuggling) {
+    INFO(it);
+    CHECK(faultOf(start + it) == HttpFault::Malformed);
+  }
+  CHECK(faultOf(start + std::string("X-A: b\0c\r\n\r\n", 12)) ==
+        HttpFault::Malformed);
+  CHECK(faultOf("CONNECT a:1 HTTP/1.1\r\n\r\n") == HttpFault::Malformed);
+  CHECK(faultOf("not http at all\r\n\r\n") == HttpFault::Malformed);
+}
+
+TEST_CASE("a request beyond the limits is refused") {
+  const HttpLimits limits{.MaxHeadBytes = 1000, .MaxBodyBytes = 10};
+  CHECK(faultOf("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n",
+                limits) == HttpFault::HeadTooLarge);
+  CHECK(faultOf("GET /" + std::string(2000, 'x') + " HTTP/1.1\r\n\r\n",
+                limits) == HttpFault::HeadTooLarge);
+  std::string flood = "GET / HTTP/1.1\r\n";
+  for (int i = 0; i < 200; ++i)
+    flood += "X-" + std::to_string(i) + ": y\r\n";
+  CHECK(faultOf(flood + "\r\n", limits) == HttpFault::HeadTooLarge);
+  CHECK(faultOf("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", limits) ==
+        HttpFault::BodyTooLarge);
+  CHECK(faultOf("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "b\r\n01234567890\r\n0\r\n\r\n",
+                limits) == HttpFault::BodyTooLarge);
+  CHECK(faultOf("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n0123456789",
+                limits) == HttpFault::None);
+}
+
+TEST_CASE("an answer that is cut off is never taken for a whole one") {
+  const char *cut[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+  };
+  for (const char *it : cut) {
+    INFO(it);
+    Reading reading(HttpSide::Answers);
+    reading.feed(it);
+    reading.Parser.finish();
+    CHECK(reading.Seen.Ended == 0);
+    CHECK(reading.Parser.fault() == HttpFault::Malformed);
+  }
+}
+
+TEST_CASE("an answer without a length is whole when the connection ends") {
+  Reading reading(HttpSide::Answers);
+  reading.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  CHECK(reading.Seen.Ended == 0);
+  reading.Parser.finish();
+  CHECK(reading.Seen.Ended == 1);
+  CHECK(reading.Seen.Body == "abc");
+  CHECK_FALSE(reading.Parser.keepsConnection());
+}
+
+TEST_CASE("answers of doubtful framing are refused") {
+  for (const char *it :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "\x01\x02\x03garbage\r\n\r\n"}) {
+    Reading reading(HttpSide::Answers);
+    CHECK_FALSE(reading.feed(it));
+  }
+}
+
+TEST_CASE("an interim answer is passed over, and HEAD has no body") {
+  Reading reading(HttpSide::Answers);
+  reading.Parser.expectAnswerTo("HEAD");
+  REQUIRE(reading.feed("HTTP/1.1 100 Continue\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"));
+  REQUIRE(reading.Seen.Ended == 1);
+  CHECK(reading.Seen.Answers.at(0).Status == 200);
+  CHECK(reading.Seen.Body.empty());
+}
+
+TEST_CASE("no bytes make the parser do anything but refuse them") {
+  // Mutations of sound messages, by a fixed seed.
+  const std::string sound[] = {
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+      "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+      "0\r\n\r\n"};
+  Random random(7);
+  for (int round = 0; round < 20000; ++round) {
+    std::string bytes = sound[random.next() % 2];
+    for (std::uint64_t n = random.next() % 4; n > 0; --n)
+      bytes[random.next() % bytes.size()] = static_cast<char>(random.next());
+    Reading reading(HttpSide::Requests);
+    reading.feed(bytes, 1 + random.next() % bytes.size());
+    CHECK(reading.Seen.Ended <= 2);
+    CHECK(reading.Seen.Body.size() <= bytes.size());
+  }
+}
+
+TEST_CASE("what is written is read again as it was") {
+  const RequestHead head{"POST", "/x", {{"Host", "h"}, {"A", "b"}}};
+  Reading requests(HttpSide::Requests);
+  REQUIRE(requests.feed(writeRequestHead(head, 3) + "abc"));
+  REQUIRE(requests.Seen.Ended == 1);
+  CHECK(requests.Seen.Requests.at(0).Target == "/x");
+  CHECK(requests.Seen.Body == "abc");
+  const ResponseHead answer{200, {{"A", "b"}}};
+  Reading answers(HttpSide::Answers);
+  REQUIRE(answers.feed(
+      writeResponseHead(answer, HttpFraming::Chunked, 0, true) +
+      writeChunkHead(20) + std::string(20, 'x') + "\r\n0\r\n\r\n"));
+  CHECK(answers.Seen.Body == std::string(20, 'x'));
+  CHECK(writeResponseHead(answer, HttpFraming::Length, 3, false)
+            .find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("headers of one connection aren't passed on") {
+  HttpHeaders headers = {{"Connection", "close, X-Hop"},
+                         {"x-hop", "1"},
+                         {"Keep-Alive", "timeout=5"},
+                         {"Transfer-Encoding", "chunked"},
+                         {"Content-Length", "3"},
+                         {"X-Stays", "2"}};
+  removeConnectionHeaders(headers);
+  CHECK(headers == HttpHeaders{{"X-Stays", "2"}});
+}
--- /dev/null
+++ b/test/PlatformTest.cpp
@@ -0,0 +1,185 @@
+#include "EngineReport.h"
+#include "ManifestReader.h"
+#include "RequestHeaders.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+const platform::RequestHeaders Headers;
+
+constexpr const char *Manifest = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "hostname": "h.example", "pathPrefix": "/a/",
+     "routeType": "streaming", "timeoutMs": 10000, "targetLatencyMs": 1000,
+     "priority": 1, "backend": "engines", "attempts": 2, "resumable": true},
+    {"name": "r2", "hostname": "h.example", "pathPrefix": "/b/",
+     "routeType": "non_idempotent", "timeoutMs": 1200.5,
+     "targetLatencyMs": 150, "priority": 2, "attempts": 1,
+     "split": [{"backend": "engines", "weight": 90},
+               {"backend": "plain", "weight": 10}]}],
+  "services": [
+    {"name": "engines", "healthPath": "/h", "maxConns": 360,
+     "engine": {"slots": 64, "kvCapacity": 232000, "weightsMb": 35300.0,
+                "adapterSlots": 8,
+                "models": [{"name": "m", "weightsMb": 34300.0,
+                            "adapterMb": 40.0}]}},
+    {"name": "plain", "healthPath": "/h", "maxConns": 100}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
+
+Findings faultsOf(std::string_view text) {
+  Findings findings;
+  platform::ManifestReader().decode(text, findings).check(findings);
+  return findings;
+}
+
+std::string replaced(std::string text, const std::string &from,
+                     const std::string &to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("a routing document is decoded into typed values") {
+  Findings findings;
+  const RoutingDocument it =
+      platform::ManifestReader().decode(Manifest, findings);
+  it.check(findings);
+  INFO(findings.toText());
+  REQUIRE(findings.empty());
+  CHECK(it.Number == 7);
+  REQUIRE(it.Routes.size() == 2);
+  CHECK(it.Routes[0].Kind == Repeatability::Stream);
+  CHECK(it.Routes[0].mayRepeat());
+  CHECK(it.Routes[0].MaxServers == 2);
+  CHECK(it.Routes[1].Timeout == 1200500us);
+  CHECK(it.Routes[1].Split.size() == 2);
+  CHECK(it.Routes[1].Split[1] == WeightedService{ServiceName("plain"), 10});
+  REQUIRE(it.Services[0].Engine);
+  CHECK(it.Services[0].Engine->AdapterSlots == 8);
+  CHECK(it.Services[0].Engine->Models.at(0).Name == "m");
+  CHECK(it.Limits.IdleTimeout == 15s);
+}
+
+TEST_CASE("a document that can't be used in full is refused, with places") {
+  const std::string text = Manifest;
+  CHECK_FALSE(faultsOf(text.substr(0, text.size() / 2)).empty());
+  CHECK_FALSE(faultsOf("").empty());
+  CHECK_FALSE(faultsOf("[]").empty());
+  CHECK_FALSE(
+      faultsOf(replaced(text, "\"backend\": \"engines\"", "\"backend\": \"x\""))
+          .empty());
+  CHECK_FALSE(faultsOf(replaced(text, "/b/", "/a/")).empty());
+  CHECK_FALSE(faultsOf(replaced(replaced(text, "90", "0"), "10}", "0}"))
+                  .empty());
+  CHECK_FALSE(faultsOf(replaced(text, "10000", "0")).empty());
+  const Findings two =
+      faultsOf(replaced(replaced(text, "\"attempts\": 2", "\"attempts\": -1"),
+                        "non_idempotent", "whatever"));
+  REQUIRE(two.items().size() == 2);
+  CHECK(two.items()[0].Place == "/routes/0/attempts");
+  CHECK(two.items()[1].Place == "/routes/1/routeType");
+}
+
+TEST_CASE("a request's headers are decoded") {
+  const RequestTraits it = Headers.decodeRequest(
+      {"POST",
+       "/a/x",
+       {{"pimentofront-attempt-id", "9c41"},
+        {"Last-Event-Id", "12"},
+        {"Pimentofront-Model", "m/a3"},
+        {"Pimentofront-Token-Usage", "1460,80"},
+        {"Pimentofront-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+        {"Pimentofront-Deadline-Ms", "6000"}}});
+  CHECK(it.Id == "9c41");
+  CHECK(it.LastEvent == 12U);
+  CHECK(it.BaseModel == "m");
+  CHECK(it.Adapter == "a3");
+  CHECK(it.PromptTokens == 1460);
+  CHECK(it.MaxOutputTokens == 80);
+  CHECK(it.Parts ==
+        std::vector<PromptPart>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}});
+  CHECK(it.TimeLeft == 6s);
+}
+
+TEST_CASE("malformed headers are as good as none") {
+  const RequestTraits it = Headers.decodeRequest(
+      {"POST",
+       "/",
+       {{"Pimentofront-Token-Usage", "x,y"},
+        {"Pimentofront-Prompt-Prefix", "zz:1,,:"},
+        {"Pimentofront-Deadline-Ms", "soon"}}});
+  CHECK(it.Id.empty());
+  CHECK(it.PromptTokens == 0);
+  CHECK(it.Parts.empty());
+  CHECK_FALSE(it.TimeLeft);
+}
+
+TEST_CASE("what only the system may set is never the caller's") {
+  const RequestHead sent = Headers.encodeRequest(
+      {"POST",
+       "/a/x?y",
+       {{"Host", "h"},
+        {"Pimentofront-Attempt-Id", "1"},
+        {"Pimentofront-Model", "m"},
+        {"Pimentofront-Hold", "theirs"},
+        {"pimentofront-pin-ms", "4000"},
+        {"Pimentofront-Kv-Backup", "1.1.1.1:1"},
+        {"Kv-From", "1.1.1.1:1/2"},
+        {"Kv-Fetch", "1.1.1.1:1"},
+        {"Pimentofront-Expect-Instance", "theirs"},
+        {"Pimentofront-Request-Priority", "0"},
+        {"Pimentofront-Deadline-Ms", "99999"},
+        {"Connection", "keep-alive"}}},
+      {.TimeLeft = 1500ms,
+       .Server = HostName("i-1"),
+       .Version = 4,
+       .Priority = 12,
+       .LastEvent = 3});
+  CHECK(sent.Target == "/a/x?y");
+  CHECK(sent.Headers ==
+        HttpHeaders{{"Host", "h"},
+                    {"Pimentofront-Attempt-Id", "1"},
+                    {"Pimentofront-Model", "m"},
+                    {"Pimentofront-Deadline-Ms", "1500"},
+                    {"Pimentofront-Expect-Instance", "i-1"},
+                    {"Pimentofront-Expect-Version", "4"},
+                    {"Pimentofront-Request-Priority", "9"},
+                    {"Last-Event-Id", "3"}});
+}
+
+TEST_CASE("an answer's headers are decoded") {
+  const AnswerTraits it = Headers.decodeAnswer(
+      {503,
+       {{"Pimentofront-Attempt-Id", "1"},
+        {"Pimentofront-Not-Executed", "1"},
+        {"Pimentofront-Server-Load", "3,0,8"}}});
+  CHECK(it.Id == "1");
+  CHECK(it.NotRun);
+  CHECK_FALSE(it.Stamped);
+  CHECK(it.Load == ServerLoad{3, 0, 8});
+}
+
+TEST_CASE("an engine's report is decoded") {
+  const auto it = platform::readEngineReport(
+      R"({"stage":"both","models":[{"name":"m","version":1,
+          "adapters":["a1@1","a7@12"]}],"busy":true,"seq":2,
+          "pending":["m/a9@1"],"queued":1})");
+  REQUIRE(it);
+  CHECK(it->holdsModel("m"));
+  CHECK_FALSE(it->holdsModel("n"));
+  CHECK(it->versionOf(AdapterName("m/a7")) == 12U);
+  CHECK_FALSE(it->versionOf(AdapterName("m/a9")));
+  CHECK(it->isPending(AdapterName("m/a9")));
+  CHECK(it->Busy);
+  CHECK(it->OrdersAccepted == 2);
+  CHECK_FALSE(platform::readEngineReport("{\"models\":3}"));
+  CHECK_FALSE(platform::readEngineReport("nonsense"));
+}
--- /dev/null
+++ b/test/RoutingTest.cpp
@@ -0,0 +1,114 @@
+#include "pimentofront/Forward.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+RouteSpec route(std::string name, std::string host, std::string prefix) {
+  return {.Name = std::move(name),
+          .Host = std::move(host),
+          .PathPrefix = std::move(prefix),
+          .Split = {{ServiceName("s"), 1}},
+          .Timeout = 1s};
+}
+
+RoutingDocument document() {
+  return {.Number = 3,
+          .Routes = {route("root", "a.example", "/"),
+                     route("long", "a.example", "/x/y/"),
+                     route("short", "a.example", "/x/"),
+                     route("other", "b.example", "/x/")},
+          .Services = {{.Name = ServiceName("s")}}};
+}
+
+std::string found(const RoutingTable &table, const char *host,
+                  const char *path) {
+  const RouteSpec *it = table.findRoute(host, path);
+  return it ? it->Name : "-";
+}
+
+std::string faultsOf(const RoutingDocument &document) {
+  Findings findings;
+  document.check(findings);
+  return findings.toText();
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes wins") {
+  const RoutingTable table(1, document());
+  CHECK(found(table, "a.example", "/x/y/z") == "long");
+  CHECK(found(table, "a.example", "/x/y") == "short");
+  CHECK(found(table, "A.Example:8080", "/x/yy/?q=/x/y/") == "short");
+  CHECK(found(table, "a.example", "/q") == "root");
+  CHECK(found(table, "b.example", "/x/") == "other");
+  CHECK(found(table, "b.example", "/x") == "-");
+  CHECK(found(table, "c.example", "/x/") == "-");
+  CHECK(found(table, "", "") == "-");
+}
+
+TEST_CASE("services are chosen by the weights of the split") {
+  RouteSpec split = route("r", "h", "/");
+  split.Split = {{ServiceName("none"), 0},
+                 {ServiceName("most"), 90},
+                 {ServiceName("few"), 10}};
+  int few = 0;
+  constexpr int Draws = 1000;
+  for (int i = 0; i < Draws; ++i) {
+    const ServiceName &it =
+        RoutingTable::chooseService(split, double(i) / Draws);
+    CHECK(it != ServiceName("none"));
+    few += it == ServiceName("few");
+  }
+  CHECK(few == 100);
+}
+
+TEST_CASE("all faults of a document are found, with their places") {
+  CHECK(faultsOf(document()).empty());
+  RoutingDocument bad = document();
+  bad.Routes[0].Split = {{ServiceName("missing"), 1}};
+  bad.Routes[1].Split = {{ServiceName("s"), 0}};
+  bad.Routes[2].Timeout = 0s;
+  bad.Routes[3] = bad.Routes[2];
+  const std::string faults = faultsOf(bad);
+  CHECK(faults.find("/routes/0/split: no service 'missing'") !=
+        std::string::npos);
+  CHECK(faults.find("/routes/1/split: the weights add up to 0") !=
+        std::string::npos);
+  CHECK(faults.find("/routes/2/timeout") != std::string::npos);
+  CHECK(faults.find("/routes/3/prefix: another route") != std::string::npos);
+}
+
+TEST_CASE("events are given out whole, in any pieces, each once") {
+  const std::string bytes =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: half";
+  for (std::size_t step = 1; step <= bytes.size(); ++step) {
+    EventStream stream;
+    std::string out;
+    for (std::size_t i = 0; i < bytes.size(); i += step)
+      out += stream.take(std::string_view(bytes).substr(i, step));
+    CHECK(out == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+    CHECK(stream.partial() == "id: 3\ndata: half");
+    CHECK(stream.last() == 2U);
+    // Another server goes on, from an event that the caller has.
+    stream.restart();
+    CHECK(stream.take("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") ==
+          "id: 3\ndata: c\n\n");
+  }
+}
+
+TEST_CASE("a packed text comes back, damage doesn't") {
+  std::string text;
+  for (int i = 0; i < 1000; ++i)
+    text += "{\"route\": " + std::to_string(i) + "}";
+  const std::string packed = packText(text);
+  CHECK(packed.size() < text.size() / 4);
+  CHECK(unpackText(packed) == text);
+  CHECK(unpackText(packText("")).empty());
+  CHECK(unpackText(packed.substr(0, packed.size() / 2)).empty());
+  CHECK(unpackText("").empty());
+  CHECK(unpackText(std::string(16, '\xff')).empty());
+}
