--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -70,6 +70,8 @@
   std::string events = request.Events.take(bytes);
   if (events.empty())
     return;
+  if (!request.Attempt->FirstEventAt)
+    request.Attempt->FirstEventAt = now;
   beginAnswer(now, request);
   Board.Commands.push_back(ReplyPiece{request.Key, std::move(events)});
 }
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -11,6 +11,16 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusGatewayTimeout = 504;
 
+/// \returns a number for all parts but the last, which is a request's own.
+std::uint64_t prefixOf(const std::vector<PromptPart> &parts) {
+  std::uint64_t prefix = 0;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+    prefix = stableHash({reinterpret_cast<const char *>(&parts[i].Id),
+                         sizeof(parts[i].Id)},
+                        prefix);
+  return prefix;
+}
+
 /// \returns the status for a request without an answer. 503 promises that the
 /// request has not run and never will.
 int statusOf(ForwardFailure why, bool mayHaveRun) {
@@ -64,7 +74,8 @@
   } else {
     const RouteQuery query{.Key = request.Adapter,
                            .BaseModel = request.Service.str(),
-                           .Tried = request.Tried};
+                           .Tried = request.Tried,
+                           .Prefix = prefixOf(request.Traits.Parts)};
     const std::optional<Route> route =
         Routing.choose(now, query, Board.Servers.agents());
     if (route)
@@ -95,7 +106,8 @@
                                  .MaxTokens = request.Traits.MaxOutputTokens,
                                  .OnlyIfResident = route.OnlyIfResident,
                                  .Delegated = true,
-                                 .Parts = request.Traits.Parts}});
+                                 .Parts = request.Traits.Parts,
+                                 .MaxWait = route.MaxWait}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
@@ -108,6 +120,7 @@
   ForwardAttempt &attempt = *request.Attempt;
   attempt.Server = server.Record.Host;
   attempt.Sent = true;
+  attempt.SentAt = now;
   ++request.Sends;
   request.Avoid.push_back(server.Record.Host);
   Board.Servers.noteSent(server.Record.Host);
@@ -186,7 +199,9 @@
   request->Tried.push_back({agent, message.Reason, message.Load,
                             request->Attempt->OnlyIfResident});
   request->LastRefusal = message.Reason;
-  if (message.Reason != RefusalReason::NotResident)
+  const bool asksAround = message.Reason == RefusalReason::NotResident ||
+                          message.Reason == RefusalReason::Busy;
+  if (!asksAround)
     request->ComeBack = std::max(request->ComeBack, message.ComeBack);
   Board.Attempts.erase(message.Attempt);
   request->Attempt.reset();
@@ -233,9 +248,12 @@
   const auto agent = Board.Servers.agents().find(attempt.Agent);
   if (agent == Board.Servers.agents().end())
     return;
-  Board.Commands.push_back(SendToAgent{attempt.Agent,
-                                       agent->second.Record.Address,
-                                       AttemptReleased{attempt.Id, kind}});
+  const Duration firstEvent =
+      attempt.FirstEventAt ? *attempt.FirstEventAt - attempt.SentAt
+                           : Duration::zero();
+  Board.Commands.push_back(
+      SendToAgent{attempt.Agent, agent->second.Record.Address,
+                  AttemptReleased{attempt.Id, kind, firstEvent}});
 }
 
 void AttemptController::endAttempt(TimePoint now, ForwardRequest &request,
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -68,6 +68,8 @@
   HostName Server;
   TimePoint StartedAt;
   bool Sent = false;
+  TimePoint SentAt;
+  std::optional<TimePoint> FirstEventAt;
   /// The head of the right answer has come.
   std::optional<ResponseHead> Head;
   /// Body, as long as it is held.
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -85,14 +85,14 @@
 
 void AgentNode::onReleased(TimePoint now, const AttemptReleased &message) {
   Delegated.erase(message.Attempt);
-  Controller.onReleased(now, message.Attempt, message.Kind);
+  Controller.onReleased(now, message);
 }
 
 void AgentNode::takeProfile(TimePoint now, const EngineProfile &profile) {
   if (profile.At <= Profile.At)
     return;
   Profile = profile;
-  Controller.onProfile(now, profile.AdapterSlots, profile.BatchCapacity);
+  Controller.onProfile(now, profile);
   if (ProfileAction)
     ProfileAction(profile);
 }
@@ -110,7 +110,7 @@
   if (Delegated.erase(attempt) == 0)
     return Driver.cancel(attempt);
   // The entry ends its own connection to the engine.
-  Controller.onReleased(now, attempt, ReleaseKind::BrokeOff);
+  Controller.onReleased(now, {attempt, ReleaseKind::BrokeOff});
 }
 
 void AgentNode::onLeaderMessage(TimePoint now, const Message &message) {
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -113,7 +113,8 @@
                EngineProfile{.At = board.Table->revision(),
                              .BaseModel = engine.Models.front().Name,
                              .AdapterSlots = engine.AdapterSlots,
-                             .BatchCapacity = engine.BatchCapacity}});
+                             .BatchCapacity = engine.BatchCapacity,
+                             .CacheTokens = engine.CacheTokens}});
 }
 
 void ForwardNode::sendToAgent(const SendToAgent &message) {
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -17,6 +17,7 @@
 // clang-format off
 #include "src/Serving/Popularity.h"
 #include "src/Serving/SlotTable.h"
+#include "src/Serving/PrefillModel.h"
 #include "src/Serving/EvictionPolicy.h"
 #include "src/Serving/AgentBoard.h"
 #include "src/Serving/LoadGate.h"
@@ -28,6 +29,7 @@
 #include "src/Serving/RetryBudget.h"
 #include "src/Serving/InFlightLimits.h"
 #include "src/Serving/RoutingPolicy.h"
+#include "src/Serving/PrefixRouting.h"
 #include "src/Serving/EntryBoard.h"
 #include "src/Serving/EntryController.h"
 // clang-format on
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -37,7 +37,8 @@
           .Queued = static_cast<std::uint32_t>(Board.WaitingCount),
           .BatchCapacity = Board.BatchCapacity,
           .LoadWait = loadBacklog(now),
-          .VictimValue = static_cast<std::uint32_t>(victim * Thousand)};
+          .VictimValue = static_cast<std::uint32_t>(victim * Thousand),
+          .PrefillWait = Board.Prefill.wait(now)};
 }
 
 AdmissionController::Verdict
@@ -101,6 +102,13 @@
     Board.Waiting.erase(it);
 }
 
+Duration AdmissionController::expectedWait(TimePoint now,
+                                           const AdapterKey &key) const {
+  const Duration load =
+      Board.Slots.isReady(key) ? Duration::zero() : Board.LoadTime;
+  return load + Board.Prefill.wait(now);
+}
+
 AdmissionController::Verdict
 AdmissionController::judge(TimePoint now, const ExecuteRequest &request) const {
   if (Board.Leaving)
@@ -113,6 +121,9 @@
     return {RefusalReason::NoSuchBackend};
   if (Board.WaitingCount >= Board.Options.QueueLimit)
     return {RefusalReason::QueueFull, queueWait()};
+  const Duration wait = expectedWait(now, request.Key);
+  if (request.MaxWait > Duration::zero() && wait > request.MaxWait)
+    return {RefusalReason::Busy, wait};
   if (Board.Slots.isReady(request.Key) || Board.Slots.isLoading(request.Key))
     return judgeResident(request);
   return judgeMissing(now, request);
@@ -134,7 +145,9 @@
   const Verdict verdict = judge(now, request);
   const bool toEngine = request.Service.empty();
   // A request that is only asking around isn't demand for this host yet.
-  if (toEngine && verdict.Reason != RefusalReason::NotResident)
+  const bool asksAround = verdict.Reason == RefusalReason::NotResident ||
+                          verdict.Reason == RefusalReason::Busy;
+  if (toEngine && !asksAround)
     Board.Popularity.noteRequest(now, request.Key);
   if (verdict.Reason != RefusalReason::None)
     return refuse(entry, request.Attempt, verdict, figures(now));
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_SERVING_AGENT_BOARD_H
 
 #include "EvictionPolicy.h"
+#include "PrefillModel.h"
 
 #include <deque>
 #include <map>
@@ -89,6 +90,10 @@
   TimePoint Deadline;
   std::uint64_t Tokens = 0;
   Duration LoadStall = Duration::zero();
+  /// Tokens of its prompt that the engine had to read.
+  std::uint32_t PromptTokens = 0;
+  /// The engine had no other prompt to read when it began.
+  bool ReadAlone = false;
 };
 
 /// \class FailedLoads
@@ -145,6 +150,7 @@
   /// Requests that the engine runs in one step, as far as is known now.
   std::uint32_t BatchCapacity;
   PopularityTable Popularity;
+  PrefillModel Prefill;
   Random Jitter;
 
   /// Admitted and not running, by adapter, in order of arrival.
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -90,17 +90,19 @@
   decide(now);
 }
 
-void AgentController::onReleased(TimePoint now, const AttemptId &attempt,
-                                 ReleaseKind kind) {
-  const auto it = Board.Running.find(attempt);
+void AgentController::onReleased(TimePoint now,
+                                 const AttemptReleased &message) {
+  const auto it = Board.Running.find(message.Attempt);
   if (it == Board.Running.end()) {
-    Admission.forget(attempt);
+    Admission.forget(message.Attempt);
     return decide(now);
   }
   const RunningAttempt running = it->second;
-  if (kind == ReleaseKind::Answered)
+  if (message.Kind == ReleaseKind::Answered)
     noteServiceTime(now - running.StartedAt);
-  endAttempt(now, attempt, running);
+  if (running.ReadAlone)
+    Board.Prefill.learn(running.PromptTokens, message.FirstEvent);
+  endAttempt(now, message.Attempt, running);
   decide(now);
 }
 
@@ -109,10 +111,10 @@
   Board.ServiceTime += (took - Board.ServiceTime) / SmoothingShare;
 }
 
-void AgentController::onProfile(TimePoint now, std::uint32_t slots,
-                                std::uint32_t batchCapacity) {
-  Board.Slots.resize(slots);
-  Board.BatchCapacity = std::max(batchCapacity, 1U);
+void AgentController::onProfile(TimePoint now, const EngineProfile &profile) {
+  Board.Slots.resize(profile.AdapterSlots);
+  Board.BatchCapacity = std::max(profile.BatchCapacity, 1U);
+  Board.Prefill.setCacheTokens(profile.CacheTokens);
   decide(now);
 }
 
@@ -187,6 +189,7 @@
   if (!Board.EngineReady)
     return;
   Board.EngineReady = false;
+  Board.Prefill.clear(now);
   breakOff(now, /*services=*/false);
   for (const Slot &it : std::vector<Slot>(Board.Slots.all()))
     if (it.State == SlotState::Loading)
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -33,11 +33,10 @@
   /// The engine or service turned an attempt down before it began.
   void onWorkNotStarted(TimePoint now, const AttemptId &attempt);
   /// An entry that sent an attempt to the engine itself is done with it.
-  void onReleased(TimePoint now, const AttemptId &attempt, ReleaseKind kind);
+  void onReleased(TimePoint now, const AttemptReleased &message);
   /// The configuration says how many adapters the engine may hold, and how many
   /// requests it runs in one step.
-  void onProfile(TimePoint now, std::uint32_t slots,
-                 std::uint32_t batchCapacity);
+  void onProfile(TimePoint now, const EngineProfile &profile);
   /// What the engine holds, told again while it is in use.
   void onResident(TimePoint now, const std::vector<AdapterKey> &resident);
   /// \returns the load as entries are told it.
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -72,12 +72,17 @@
     Board.Waiting.erase(candidate.Key);
   --Board.WaitingCount;
   Board.Slots.pin(now, candidate.Key);
+  const bool alone = Board.Prefill.wait(now) == Duration::zero();
+  const std::uint32_t tokens =
+      Board.Prefill.begin(now, candidate.Key, attempt.Request.Parts);
   Board.Running.emplace(attempt.Request.Attempt,
                         RunningAttempt{.Entry = attempt.Entry,
                                        .Key = candidate.Key,
                                        .StartedAt = now,
                                        .Deadline = attempt.Deadline,
-                                       .LoadStall = attempt.LoadStall});
+                                       .LoadStall = attempt.LoadStall,
+                                       .PromptTokens = tokens,
+                                       .ReadAlone = alone});
   CurrentPass = candidate.Pass;
   const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
   Passes[attempt.Request.Kind] = candidate.Pass + 1.0 / weight;
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
@@ -0,0 +1,85 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+/// Names a part together with all that stand before it.
+std::uint64_t chainOf(std::uint64_t before, const PromptPart &part) {
+  const std::uint64_t pair[] = {before, part.Id};
+  return stableHash({reinterpret_cast<const char *>(pair), sizeof(pair)});
+}
+
+std::uint64_t chainStart(const AdapterKey &key) {
+  return stableHash(key.Adapter.str(), key.Version);
+}
+
+} // namespace
+
+std::uint32_t PrefillModel::missing(const AdapterKey &key,
+                                    const std::vector<PromptPart> &parts) const {
+  std::uint64_t chain = chainStart(key);
+  std::uint32_t tokens = 0;
+  bool cached = true;
+  for (const PromptPart &it : parts) {
+    chain = chainOf(chain, it);
+    cached = cached && ByChain.contains(chain);
+    if (!cached)
+      tokens += it.Tokens;
+  }
+  return tokens;
+}
+
+std::uint32_t PrefillModel::begin(TimePoint now, const AdapterKey &key,
+                                  const std::vector<PromptPart> &parts) {
+  const std::uint32_t tokens = missing(key, parts);
+  BusyUntil = std::max(BusyUntil, now) + fromSeconds(tokens / Rate);
+  std::uint64_t chain = chainStart(key);
+  for (const PromptPart &it : parts) {
+    chain = chainOf(chain, it);
+    const auto known = ByChain.find(chain);
+    if (known != ByChain.end()) {
+      Cached.splice(Cached.begin(), Cached, known->second);
+      continue;
+    }
+    Cached.push_front({chain, it.Tokens});
+    ByChain.emplace(chain, Cached.begin());
+    CachedTokens += it.Tokens;
+  }
+  shrink();
+  return tokens;
+}
+
+void PrefillModel::shrink() {
+  while (CachedTokens > Options.CacheTokens && !Cached.empty()) {
+    CachedTokens -= Cached.back().Tokens;
+    ByChain.erase(Cached.back().Chain);
+    Cached.pop_back();
+  }
+}
+
+void PrefillModel::learn(std::uint32_t tokens, Duration took) {
+  if (tokens < Options.LeastMeasured || took <= Duration::zero())
+    return;
+  // One measurement may be spoilt by what else the engine did.
+  constexpr double MostChange = 4;
+  const double measured =
+      std::clamp(tokens / toSeconds(took), Rate / MostChange, Rate * MostChange);
+  Rate += Options.LearningRate * (measured - Rate);
+}
+
+void PrefillModel::setCacheTokens(std::uint64_t tokens) {
+  if (tokens > 0)
+    Options.CacheTokens = tokens;
+  shrink();
+}
+
+void PrefillModel::clear(TimePoint now) {
+  BusyUntil = now;
+  Cached.clear();
+  ByChain.clear();
+  CachedTokens = 0;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.h
@@ -0,0 +1,65 @@
+#ifndef PIMENTOFRONT_SERVING_PREFIX_ROUTING_H
+#define PIMENTOFRONT_SERVING_PREFIX_ROUTING_H
+
+#include "RoutingPolicy.h"
+
+namespace pimentofront {
+
+/// \class PrefixRoutingOptions
+/// \ingroup Serving
+struct PrefixRoutingOptions {
+  /// A request goes on to another engine that holds its adapter when it would
+  /// wait longer than this: about the time to read a long prompt anew.
+  Duration SpillWait = std::chrono::milliseconds(250);
+  /// The same to an engine that has to load the adapter first, load included.
+  Duration LoadWait = std::chrono::milliseconds(500);
+  /// Engines beyond the adapter's own that are asked under a limit.
+  std::uint32_t SpillChoices = 2;
+  /// Half-life of what is known of popularity: demand moves on within seconds.
+  Duration HalfLife = std::chrono::seconds(10);
+  /// Requests that are thought to have gone before, so that the first ones of
+  /// a process don't look popular.
+  double PriorRequests = 100;
+  /// Adapters whose popularity is remembered.
+  std::size_t Capacity = 4096;
+};
+
+/// \class PrefixRouting
+/// \ingroup Serving
+/// \brief Sends the requests for one adapter to as many engines as its share
+/// of all requests needs, and among these the requests with one prefix to the
+/// same engine.
+///
+/// Each adapter has its own order of engines (rendezvous hashing, Thaler and
+/// Ravishankar, 1998), so all entries agree without a word, an adapter that was
+/// given up is loaded again where the engine still has a copy, and a cached
+/// prefix is found again. The agents' own word on how long a request would
+/// wait bounds what that costs (after consistent hashing with bounded loads,
+/// Mirrokni et al., 2018).
+class PrefixRouting : public RoutingPolicy {
+public:
+  explicit PrefixRouting(const PrefixRoutingOptions &options)
+      : Options(options) {}
+  std::optional<Route> choose(TimePoint now, const RouteQuery &query,
+                              const MemberViews &members) override;
+
+private:
+  struct Count {
+    double Value = 0;
+    TimePoint At;
+  };
+  double decayed(TimePoint now, const Count &count) const;
+  void noteRequest(TimePoint now, const AdapterKey &key);
+  /// \returns how many of \p engines the adapter's requests need.
+  std::size_t enginesFor(TimePoint now, const AdapterKey &key,
+                         std::size_t engines) const;
+  void forgetSome(TimePoint now);
+
+  PrefixRoutingOptions Options;
+  std::unordered_map<AdapterKey, Count> Counts;
+  Count Total;
+};
+
+} // namespace pimentofront
+
+#endif
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -47,6 +47,8 @@
   /// Set for a plain service; then there is no adapter.
   ServiceName Service;
   const std::vector<TriedHost> &Tried;
+  /// Requests with the same number share most of their prompt; 0 is none.
+  std::uint64_t Prefix = 0;
 };
 
 /// \class Route
@@ -55,6 +57,9 @@
   HostName Host;
   /// Asks the host to refuse rather than load.
   bool OnlyIfResident = false;
+  /// Asks the host to refuse rather than have it wait longer; zero sets no
+  /// limit.
+  Duration MaxWait = Duration::zero();
 };
 
 /// \class RoutingPolicy
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -40,8 +40,10 @@
   NoClaim,
   /// The adapter isn't in a slot there, and the attempt asked only for that.
   NotResident,
+  /// It would have to wait longer there than the attempt allows.
+  Busy,
 };
-constexpr unsigned RefusalReasonCount = 15;
+constexpr unsigned RefusalReasonCount = 16;
 
 /// \returns the name of \p reason as logs, metrics and errors show it.
 const char *refusalReasonName(RefusalReason reason);
@@ -58,8 +60,10 @@
   /// Popularity of the adapter that would be given up next, in thousandths of
   /// a request; 0 with an empty slot, very much when all slots are in use.
   std::uint32_t VictimValue = 0;
+  /// How long the engine is busy with the prompts that it was given.
+  Duration PrefillWait = Duration::zero();
   PIMENTOFRONT_FIELDS(LoadFigures, Running, Queued, BatchCapacity, LoadWait,
-                      VictimValue)
+                      VictimValue, PrefillWait)
 };
 
 /// \class PromptPart
@@ -103,10 +107,13 @@
   bool Delegated = false;
   /// Parts of the prompt in order, for what the engine may have cached.
   std::vector<PromptPart> Parts;
+  /// Refuse with `Busy` when it would wait longer, for its adapter and for
+  /// prompts before it; zero sets no limit.
+  Duration MaxWait = Duration::zero();
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, Resumed,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
-                      Delegated, Parts)
+                      Delegated, Parts, MaxWait)
 };
 
 /// Agent to entry: a place at the engine is yours, send the request now. The
@@ -132,7 +139,9 @@
 struct AttemptReleased {
   AttemptId Attempt;
   ReleaseKind Kind = ReleaseKind::Answered;
-  PIMENTOFRONT_FIELDS(AttemptReleased, Attempt, Kind)
+  /// From its sending to the first event of its answer; zero if unknown.
+  Duration FirstEvent = Duration::zero();
+  PIMENTOFRONT_FIELDS(AttemptReleased, Attempt, Kind, FirstEvent)
 };
 
 /// \class EngineProfile
@@ -145,7 +154,10 @@
   std::string BaseModel;
   std::uint32_t AdapterSlots = 0;
   std::uint32_t BatchCapacity = 0;
-  PIMENTOFRONT_FIELDS(EngineProfile, At, BaseModel, AdapterSlots, BatchCapacity)
+  /// Tokens of prompts and answers that it keeps.
+  std::uint64_t CacheTokens = 0;
+  PIMENTOFRONT_FIELDS(EngineProfile, At, BaseModel, AdapterSlots, BatchCapacity,
+                      CacheTokens)
 };
 
 /// Entry to agent: nobody wants this answer any more.
