Share the slack of the retry budget by the number of entries

Cause: each entry saved up four further sends whatever the number of entries; with many the sum passes what the backend servers are laid out for, with few most of it lies idle. Change: followers tell the leader how many processes follow the configuration from them, and each probe's answer carries the sum.

--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -35,7 +35,10 @@
       reader.milliseconds("permit_timeout_ms", forward.PermitTimeout);
   forward.RetryShare = reader.real("retry_share", forward.RetryShare, 0, 1);
   forward.RetryReserve =
-      reader.real("retry_reserve", forward.RetryReserve, 0, 1000);
+      reader.real("retry_reserve", forward.RetryReserve, 0, 100000);
+  // The count of entries is some seconds old when one of them starts or ends.
+  constexpr double SafeShare = 0.8;
+  forward.RetryReserve *= SafeShare;
   forward.Servers.ZonePreference = reader.real(
       "zone_preference", forward.Servers.ZonePreference, 0, 1000);
   reader.finish();
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -24,8 +24,10 @@
   /// Sends to a second server for each request. All entries together stay
   /// under a fifth, which is what backend servers are laid out for.
   double RetryShare = 0.15;
-  /// Such sends that are saved up by one entry.
-  double RetryReserve = 4;
+  /// Such sends that may be saved up, by all entries together.
+  double RetryReserve = 40;
+  /// Entries among which they are shared until their number is known.
+  double PresumedEntries = 10;
   /// Connections that fail before a request is given up.
   std::uint32_t MaxUnreachable = 3;
   /// Answers up to this size are held until they are whole, so that one that
@@ -177,7 +179,8 @@
                const ConfigurationView &configuration, const HeaderCodec &codec)
       : Options(options), Configuration(configuration), Codec(codec),
         Servers(options.Servers), Jitter(options.Incarnation),
-        Budget(options.RetryShare, options.RetryReserve) {}
+        Budget(options.RetryShare,
+               options.RetryReserve / options.PresumedEntries) {}
 
   const ForwardOptions Options;
   const ConfigurationView &Configuration;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -42,6 +42,10 @@
   Board.Servers.apply(update);
 }
 
+void ForwardController::onEntries(std::uint32_t entries) {
+  Board.Budget.setReserve(Board.Options.RetryReserve / std::max(entries, 1U));
+}
+
 void ForwardController::onRequest(TimePoint now, std::uint64_t key,
                                   RequestHead head, std::string body) {
   ForwardRequest &request =
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -41,6 +41,8 @@
       Controller.onMembers(*news.Members);
       dropStaleLinks(now);
     }
+    if (news.Subscribers)
+      Controller.onEntries(*news.Subscribers);
     useDocument(now);
   } else if (const AgentLink *agent = Agents.find(link)) {
     onAgentMessage(now, HostName(agent->Host), message);
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
@@ -50,6 +50,7 @@
     }
   } else if (const auto *reply = std::get_if<ProbeReply>(&message)) {
     Copy.onProbeReply(*reply);
+    news.Subscribers = reply->Subscribers;
   } else if (const auto *members = std::get_if<MemberUpdate>(&message)) {
     if (Members.apply(*members))
       news.Members = *members;
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.h
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.h
@@ -26,6 +26,8 @@
   /// Hosts were taken out of use, or back.
   bool Drains = false;
   std::optional<MemberUpdate> Members;
+  /// Processes that follow the configuration, this one among them.
+  std::optional<std::uint32_t> Subscribers;
 };
 
 /// \class ReplicaFeed
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -304,7 +304,8 @@
   if (!waiting || ReadUnderWay)
     return;
   if (const auto index = Log.readIndex(now)) {
-    Reads.push_back({++ReadRound, *index, Members.version()});
+    Reads.push_back(
+        {++ReadRound, *index, Members.version(), allSubscribers(now)});
     return answerProbes();
   }
   const ReplicaDescriptor *leader = Log.leader();
@@ -312,21 +313,35 @@
     return;
   ReadUnderWay = true;
   ReadAskedAt = now;
-  sendToReplica(*leader, ReadIndexRequest{Log.id(), ++ReadRound});
+  sendToReplica(*leader, ReadIndexRequest{Log.id(), ++ReadRound,
+                                          Listeners.followingConfiguration()});
 }
 
 void ReplicaNode::onReadIndex(TimePoint now, LinkId link,
                               const ReadIndexRequest &message) {
+  FollowersSubscribers[message.From] = {message.Subscribers, now};
   // Without a lease no answer: the follower's own probes then run out.
   if (const auto index = Log.readIndex(now))
-    Network.send(link,
-                 ReadIndexReply{message.Nonce, *index, Members.version()});
+    Network.send(link, ReadIndexReply{message.Nonce, *index, Members.version(),
+                                      allSubscribers(now)});
+}
+
+/// A follower with subscribers asks about once a second; one that has been
+/// silent for longer serves nobody.
+std::uint32_t ReplicaNode::allSubscribers(TimePoint now) const {
+  constexpr Duration Remembered = std::chrono::seconds(5);
+  std::uint32_t sum = Listeners.followingConfiguration();
+  for (const auto &[replica, it] : FollowersSubscribers)
+    if (now < it.HeardAt + Remembered)
+      sum += it.Count;
+  return sum;
 }
 
 void ReplicaNode::onReadIndexReply(const ReadIndexReply &message) {
   if (message.Nonce == ReadRound)
     ReadUnderWay = false;
-  Reads.push_back({message.Nonce, message.Index, message.Members});
+  Reads.push_back(
+      {message.Nonce, message.Index, message.Members, message.Subscribers});
   answerProbes();
 }
 
@@ -340,7 +355,8 @@
       Network.send(it.Link,
                    ProbeReply{.Nonce = it.Nonce,
                               .Confirmed = State.configuration().revision(),
-                              .Members = read.Members});
+                              .Members = read.Members,
+                              .Subscribers = read.Subscribers});
       return true;
     });
   }
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -94,6 +94,12 @@
     std::uint64_t Round = 0;
     LogIndex Index = 0;
     MemberVersion Members;
+    std::uint32_t Subscribers = 0;
+  };
+  /// What a follower said of those that it serves.
+  struct FollowerSubscribers {
+    std::uint32_t Count = 0;
+    TimePoint HeardAt;
   };
 
   bool onLogMessage(TimePoint now, LinkId link, const Message &message);
@@ -108,6 +114,7 @@
   void redirect(LinkId link);
   void useOtherLink(ReplicaId replica);
   void sendToReplica(const ReplicaDescriptor &to, const Message &message);
+  std::uint32_t allSubscribers(TimePoint now) const;
   void answerProbes();
   void askLeader(TimePoint now);
   void followLeader(TimePoint now);
@@ -141,6 +148,7 @@
   std::map<LogIndex, PendingProposal> Proposals;
   std::vector<PendingProbe> Probes;
   std::vector<PendingRead> Reads;
+  std::map<ReplicaId, FollowerSubscribers> FollowersSubscribers;
   std::uint64_t ReadRound = 0;
   bool ReadUnderWay = false;
   TimePoint ReadAskedAt;
--- a/packages/node/pimentofront/src/Node/Subscribers.cpp
+++ b/packages/node/pimentofront/src/Node/Subscribers.cpp
@@ -1,5 +1,7 @@
 #include "pimentofront/Node.h"
 
+#include <algorithm>
+
 namespace pimentofront {
 namespace {
 
@@ -92,6 +94,13 @@
       Network.send(link, message);
 }
 
+std::uint32_t Subscribers::followingConfiguration() const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(All, [](const auto &it) {
+        return it.second.Known != MembersOnly;
+      }));
+}
+
 std::vector<RevisionInForce> Subscribers::inForce() const {
   std::vector<RevisionInForce> result;
   for (const auto &[link, it] : All)
--- a/packages/node/pimentofront/src/Node/Subscribers.h
+++ b/packages/node/pimentofront/src/Node/Subscribers.h
@@ -25,6 +25,8 @@
   /// Sends all that follow the configuration the same.
   void sendAll(const Message &message);
   std::vector<RevisionInForce> inForce() const;
+  /// \returns how many follow the configuration, not only the members.
+  std::uint32_t followingConfiguration() const;
   std::size_t size() const { return All.size(); }
 
 private:
--- a/packages/serving/pimentofront/src/Serving/RetryBudget.h
+++ b/packages/serving/pimentofront/src/Serving/RetryBudget.h
@@ -26,6 +26,12 @@
     return true;
   }
 
+  /// Another number of processes shares what may be saved up.
+  void setReserve(double reserve) {
+    Tokens = std::min(Tokens + std::max(reserve - Reserve, 0.0), reserve);
+    Reserve = reserve;
+  }
+
 private:
   double Share;
   double Reserve;
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -109,7 +109,10 @@
   Revision Confirmed = 0;
   /// Nothing of the members has been missed up to here.
   MemberVersion Members;
-  PIMENTOFRONT_FIELDS(ProbeReply, Nonce, Confirmed, Members)
+  /// Processes that follow the configuration, over all replicas: those among
+  /// which a common budget is shared out.
+  std::uint32_t Subscribers = 0;
+  PIMENTOFRONT_FIELDS(ProbeReply, Nonce, Confirmed, Members, Subscribers)
 };
 
 /// Replica to process: records that changed. A process applies them in order
@@ -153,14 +156,18 @@
 struct ReadIndexRequest {
   ReplicaId From = 0;
   std::uint64_t Nonce = 0;
-  PIMENTOFRONT_FIELDS(ReadIndexRequest, From, Nonce)
+  /// Processes that follow the configuration from this replica.
+  std::uint32_t Subscribers = 0;
+  PIMENTOFRONT_FIELDS(ReadIndexRequest, From, Nonce, Subscribers)
 };
 
 struct ReadIndexReply {
   std::uint64_t Nonce = 0;
   std::uint64_t Index = 0;
   MemberVersion Members;
-  PIMENTOFRONT_FIELDS(ReadIndexReply, Nonce, Index, Members)
+  /// The same over all replicas.
+  std::uint32_t Subscribers = 0;
+  PIMENTOFRONT_FIELDS(ReadIndexReply, Nonce, Index, Members, Subscribers)
 };
 
 /// What an operator asks of the replica group itself.
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -303,6 +303,24 @@
   CHECK(again <= Requests * 15 / 100 + 4);
 }
 
+TEST_CASE("the entries share what may be saved up of further sends") {
+  RetryBudget budget(0, 4);
+  const auto left = [&] {
+    int n = 0;
+    while (budget.take())
+      ++n;
+    return n;
+  };
+  budget.setReserve(10);
+  CHECK(left() == 10);
+  // Fewer entries again: what was spent stays spent but for the difference.
+  budget.setReserve(10);
+  CHECK(left() == 0);
+  budget.setReserve(4);
+  budget.setReserve(5);
+  CHECK(left() == 1);
+}
+
 TEST_CASE("a caller that leaves takes its work along") {
   ForwardUnderTest it;
   SECTION("from a server") {
