Trial: pass by an agent that is slow to have an adapter loaded

Cause: where loads are slow because too many are under way, a second load of the same adapter makes all of them slower.

--- a/packages/daemon/src/ForwardFront.cpp
+++ b/packages/daemon/src/ForwardFront.cpp
@@ -60,11 +60,11 @@
 
 void ForwardFront::onTable(const RoutingTable &table) {
   Callers.setLimits(table.document().Limits);
-  Log.write(LogLevel::Info, "routing_in_force",
-            {{"revision", table.revision()},
-             {"number", table.document().Number},
-             {"routes",
-              static_cast<std::uint64_t>(table.document().Routes.size())}});
+  Log.write(
+      LogLevel::Info, "routing_in_force",
+      {{"revision", table.revision()},
+       {"number", table.document().Number},
+       {"routes", static_cast<std::uint64_t>(table.document().Routes.size())}});
 }
 
 } // namespace pimentofront
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -39,8 +39,8 @@
   // The count of entries is some seconds old when one of them starts or ends.
   constexpr double SafeShare = 0.8;
   forward.RetryReserve *= SafeShare;
-  forward.Servers.ZonePreference = reader.real(
-      "zone_preference", forward.Servers.ZonePreference, 0, 1000);
+  forward.Servers.ZonePreference =
+      reader.real("zone_preference", forward.Servers.ZonePreference, 0, 1000);
   reader.finish();
 }
 
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -81,6 +81,7 @@
   ForwardRequest *request = Board.find(attempt);
   if (!request || !request->Attempt->Head)
     return;
+  request->Attempt->HeardAt = now;
   if (isStream(*request))
     return onStreamBytes(now, *request, bytes);
   if (request->Answering && request->Route->Kind == Repeatability::Stream)
@@ -109,20 +110,18 @@
     request.Attempt->Held = request.Events.partial();
   if (request.Answering) {
     if (stream && !request.Attempt->Held.empty())
-      Board.Commands.push_back(
-          ReplyPiece{request.Key, request.Attempt->Held});
+      Board.Commands.push_back(ReplyPiece{request.Key, request.Attempt->Held});
     Board.Commands.push_back(ReplyEnd{request.Key});
   } else {
     ResponseHead head = *request.Attempt->Head;
     removeConnectionHeaders(head.Headers);
-    Board.Commands.push_back(
-        ReplyWhole{request.Key, std::move(head),
-                   std::move(request.Attempt->Held)});
+    Board.Commands.push_back(ReplyWhole{request.Key, std::move(head),
+                                        std::move(request.Attempt->Held)});
   }
   const bool failed = status >= StatusServerError;
-  Attempts.endAttempt(
-      now, request, failed ? ServerOutcome::Failed : ServerOutcome::Answered,
-      failed ? ReleaseKind::BrokeOff : ReleaseKind::Answered);
+  Attempts.endAttempt(now, request,
+                      failed ? ServerOutcome::Failed : ServerOutcome::Answered,
+                      failed ? ReleaseKind::BrokeOff : ReleaseKind::Answered);
   Attempts.finish(request);
 }
 
@@ -136,6 +135,11 @@
   Attempts.giveUp(now, request, ForwardFailure::BrokeOff);
 }
 
+void AnswerController::onServerLost(TimePoint now, ForwardRequest &request) {
+  Board.Commands.push_back(CancelUpstream{request.Attempt->Id});
+  brokeOff(now, request);
+}
+
 void AnswerController::onEnd(TimePoint now, const AttemptId &attempt,
                              UpstreamEnding ending) {
   ForwardRequest *request = Board.find(attempt);
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -34,6 +34,8 @@
                      ResponseHead head);
   void onBody(TimePoint now, const AttemptId &attempt, std::string_view bytes);
   void onEnd(TimePoint now, const AttemptId &attempt, UpstreamEnding ending);
+  /// The server's host has gone: the connection will never say so.
+  void onServerLost(TimePoint now, ForwardRequest &request);
 
 private:
   bool isStream(const ForwardRequest &request) const;
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -15,9 +15,9 @@
 std::uint64_t prefixOf(const std::vector<PromptPart> &parts) {
   std::uint64_t prefix = 0;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i)
-    prefix = stableHash({reinterpret_cast<const char *>(&parts[i].Id),
-                         sizeof(parts[i].Id)},
-                        prefix);
+    prefix = stableHash(
+        {reinterpret_cast<const char *>(&parts[i].Id), sizeof(parts[i].Id)},
+        prefix);
   return prefix;
 }
 
@@ -39,8 +39,8 @@
 } // namespace
 
 const char *forwardFailureName(ForwardFailure failure) {
-  constexpr const char *Names[] = {"not_ready", "no_route",  "malformed",
-                                   "no_server", "declined",  "timed_out",
+  constexpr const char *Names[] = {"not_ready", "no_route",   "malformed",
+                                   "no_server", "declined",   "timed_out",
                                    "broke_off", "caller_gone"};
   return Names[static_cast<std::size_t>(failure)];
 }
@@ -93,6 +93,8 @@
   request.Attempt = ForwardAttempt{.Id = id,
                                    .Agent = route.Host,
                                    .OnlyIfResident = route.OnlyIfResident,
+                                   .Last = !route.OnlyIfResident &&
+                                           route.MaxWait == Duration::zero(),
                                    .StartedAt = now};
   Board.Attempts.emplace(id, request.Key);
   Board.Commands.push_back(
@@ -196,8 +198,8 @@
     Routing.learn(request->Adapter, agent, false);
   if (message.Reason == RefusalReason::BackendDown)
     Board.Servers.suspendAgent(now, agent);
-  request->Tried.push_back({agent, message.Reason, message.Load,
-                            request->Attempt->OnlyIfResident});
+  request->Tried.push_back(
+      {agent, message.Reason, message.Load, request->Attempt->OnlyIfResident});
   request->LastRefusal = message.Reason;
   const bool asksAround = message.Reason == RefusalReason::NotResident ||
                           message.Reason == RefusalReason::Busy;
@@ -213,13 +215,28 @@
   const ForwardAttempt &attempt = *request.Attempt;
   note(now, "agent_silent", request, attempt.Agent.str());
   Board.Servers.suspendAgent(now, attempt.Agent);
-  request.Tried.push_back({attempt.Agent, RefusalReason::BackendDown, {},
+  suspect(now, attempt.Agent);
+  request.Tried.push_back({attempt.Agent,
+                           RefusalReason::BackendDown,
+                           {},
+                           /*OnlyIfResident=*/false});
+  cancel(now, request);
+  next(now, request);
+}
+
+void AttemptController::passBySlowAgent(TimePoint now,
+                                        ForwardRequest &request) {
+  const HostName agent = request.Attempt->Agent;
+  note(now, "agent_slow", request, agent.str());
+  request.Tried.push_back({agent, RefusalReason::Busy,
+                           Board.Servers.agents()[agent].Load,
                            /*OnlyIfResident=*/false});
   cancel(now, request);
   next(now, request);
 }
 
 void AttemptController::onAgentLost(TimePoint now, const HostName &agent) {
+  suspect(now, agent);
   std::vector<std::uint64_t> waiting;
   for (const auto &[attempt, key] : Board.Attempts) {
     const ForwardRequest &request = Board.Requests.at(key);
@@ -230,6 +247,14 @@
     passBySilentAgent(now, Board.Requests.at(key));
 }
 
+void AttemptController::suspect(TimePoint now, const HostName &agent) {
+  for (const auto &[attempt, key] : Board.Attempts) {
+    ForwardAttempt &it = *Board.Requests.at(key).Attempt;
+    if (it.Agent == agent && it.Sent)
+      it.SuspectedAt = now;
+  }
+}
+
 void AttemptController::onAgentLeaving(const AgentLeaving &message) {
   const auto it = Board.Servers.agents().find(message.Host);
   if (it != Board.Servers.agents().end() &&
@@ -248,9 +273,9 @@
   const auto agent = Board.Servers.agents().find(attempt.Agent);
   if (agent == Board.Servers.agents().end())
     return;
-  const Duration firstEvent =
-      attempt.FirstEventAt ? *attempt.FirstEventAt - attempt.SentAt
-                           : Duration::zero();
+  const Duration firstEvent = attempt.FirstEventAt
+                                  ? *attempt.FirstEventAt - attempt.SentAt
+                                  : Duration::zero();
   Board.Commands.push_back(
       SendToAgent{attempt.Agent, agent->second.Record.Address,
                   AttemptReleased{attempt.Id, kind, firstEvent}});
@@ -298,7 +323,9 @@
   if (request.Attempt->Sent && !reached)
     --request.Sends;
   if (!agent.empty()) {
-    request.Tried.push_back({agent, RefusalReason::QueueFull, {},
+    request.Tried.push_back({agent,
+                             RefusalReason::QueueFull,
+                             {},
                              /*OnlyIfResident=*/false});
     if (kind == ReleaseKind::NotResident)
       Routing.learn(request.Adapter, agent, false);
@@ -324,8 +351,10 @@
   request.Events.restart();
   // Another engine must take it: the one that failed may fail again.
   if (!request.Attempt->Agent.empty())
-    request.Tried.push_back({request.Attempt->Agent, RefusalReason::BackendDown,
-                             {}, /*OnlyIfResident=*/false});
+    request.Tried.push_back({request.Attempt->Agent,
+                             RefusalReason::BackendDown,
+                             {},
+                             /*OnlyIfResident=*/false});
   endAttempt(now, request, ServerOutcome::Failed, ReleaseKind::BrokeOff);
   next(now, request);
 }
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -27,6 +27,8 @@
   void onAgentLeaving(const AgentLeaving &message);
   /// The agent of an attempt has said nothing in time.
   void passBySilentAgent(TimePoint now, ForwardRequest &request);
+  /// The agent of an attempt has given no permit in time.
+  void passBySlowAgent(TimePoint now, ForwardRequest &request);
 
   /// The server didn't run the request; \p outcome says why.
   void notRun(TimePoint now, ForwardRequest &request, ServerOutcome outcome,
@@ -38,8 +40,8 @@
   /// \pre takeRetry() has said yes.
   void tryAgain(TimePoint now, ForwardRequest &request);
   /// Ends the attempt: the agent and the counters learn of it.
-  void endAttempt(TimePoint now, ForwardRequest &request,
-                  ServerOutcome outcome, ReleaseKind release);
+  void endAttempt(TimePoint now, ForwardRequest &request, ServerOutcome outcome,
+                  ReleaseKind release);
   /// Takes back whatever is under way for the request.
   void cancel(TimePoint now, ForwardRequest &request);
 
@@ -51,6 +53,8 @@
             std::string detail = {}, int status = 0, bool lost = false);
 
 private:
+  /// The host of an agent may be gone, and the engine with it.
+  void suspect(TimePoint now, const HostName &agent);
   void askAgent(TimePoint now, ForwardRequest &request, const Route &route);
   void send(TimePoint now, ForwardRequest &request, ServerView &server);
   void release(const ForwardAttempt &attempt, ReleaseKind kind);
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -19,6 +19,15 @@
   /// An agent that doesn't answer at all in this time is passed by: some
   /// round trips between zones, and a wait for a turn of its processor.
   Duration PermitTimeout = std::chrono::milliseconds(250);
+  /// Part of the route's latency target after which a request that waits at an
+  /// agent, for its adapter, is tried at another one: what is left is enough
+  /// to have it loaded there.
+  double PatienceShare = 0.5;
+  /// A server whose host is suspected to be gone is given up when it has sent
+  /// nothing for so long: long enough for a prompt of usual size.
+  Duration LostSilence = std::chrono::milliseconds(500);
+  /// And so long after the suspicion, in which a byte clears it.
+  Duration LostGrace = std::chrono::milliseconds(200);
   /// Kept back of a caller's time, for the way of the final answer.
   Duration AnswerReserve = std::chrono::milliseconds(30);
   /// Sends to a second server for each request. All entries together stay
@@ -67,11 +76,18 @@
   bool OnlyIfResident = false;
   /// The agent has said something.
   bool Heard = false;
+  /// No other agent is left to try.
+  bool Last = false;
   HostName Server;
   TimePoint StartedAt;
   bool Sent = false;
   TimePoint SentAt;
   std::optional<TimePoint> FirstEventAt;
+  /// When the server sent something last.
+  TimePoint HeardAt;
+  /// When its host was suspected to be gone: its agent ended or fell silent,
+  /// or its lease ran out.
+  TimePoint SuspectedAt;
   /// The head of the right answer has come.
   std::optional<ResponseHead> Head;
   /// Body, as long as it is held.
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -50,13 +50,13 @@
                                   RequestHead head, std::string body) {
   ForwardRequest &request =
       Board.Requests
-          .emplace(key, ForwardRequest{.Key = key,
-                                       .Head = std::move(head),
-                                       .Body =
-                                           std::make_shared<const std::string>(
-                                               std::move(body)),
-                                       .Table = Board.Table,
-                                       .ArrivedAt = now})
+          .emplace(key,
+                   ForwardRequest{.Key = key,
+                                  .Head = std::move(head),
+                                  .Body = std::make_shared<const std::string>(
+                                      std::move(body)),
+                                  .Table = Board.Table,
+                                  .ArrivedAt = now})
           .first->second;
   request.Traits = Board.Codec.decodeRequest(request.Head);
   request.Events = EventStream(request.Traits.LastEvent);
@@ -79,8 +79,8 @@
       request.Traits.TimeLeft.value_or(request.Route->Timeout);
   request.Deadline = now + std::min(timeLeft, request.Route->Timeout) -
                      Board.Options.AnswerReserve;
-  request.Service = RoutingTable::chooseService(*request.Route,
-                                                drawOf(request.Traits.Id));
+  request.Service =
+      RoutingTable::chooseService(*request.Route, drawOf(request.Traits.Id));
   const ServiceSpec *service = request.Table->findService(request.Service);
   request.ToEngine = service && service->Engine;
   if (request.ToEngine && !request.Traits.Adapter.empty()) {
@@ -108,17 +108,52 @@
 void ForwardController::tick(TimePoint now) {
   std::vector<std::uint64_t> late;
   std::vector<std::uint64_t> silent;
+  std::vector<std::uint64_t> slow;
+  std::vector<std::uint64_t> lost;
   for (const auto &[key, it] : Board.Requests) {
     if (now >= it.Deadline)
       late.push_back(key);
-    else if (it.Attempt && !it.Attempt->Sent && !it.Attempt->Heard &&
-             now >= it.Attempt->StartedAt + Board.Options.PermitTimeout)
-      silent.push_back(key);
+    else if (!it.Attempt)
+      continue;
+    else if (it.Attempt->Sent)
+      isLost(now, it) ? lost.push_back(key) : void();
+    else if (!it.Attempt->Heard)
+      isSilent(now, it) ? silent.push_back(key) : void();
+    else if (isSlow(now, it))
+      slow.push_back(key);
   }
   for (const std::uint64_t key : late)
     expire(now, Board.Requests.at(key));
   for (const std::uint64_t key : silent)
     Attempts.passBySilentAgent(now, Board.Requests.at(key));
+  for (const std::uint64_t key : slow)
+    Attempts.passBySlowAgent(now, Board.Requests.at(key));
+  for (const std::uint64_t key : lost)
+    Answers.onServerLost(now, Board.Requests.at(key));
+}
+
+bool ForwardController::isSilent(TimePoint now,
+                                 const ForwardRequest &request) const {
+  return now >= request.Attempt->StartedAt + Board.Options.PermitTimeout;
+}
+
+bool ForwardController::isSlow(TimePoint now,
+                               const ForwardRequest &request) const {
+  const Duration patience = fromSeconds(
+      toSeconds(request.Route->LatencyTarget) * Board.Options.PatienceShare);
+  return !request.Attempt->Last && patience > Duration::zero() &&
+         now >= request.Attempt->StartedAt + patience;
+}
+
+bool ForwardController::isLost(TimePoint now,
+                               const ForwardRequest &request) const {
+  const ForwardAttempt &attempt = *request.Attempt;
+  if (!request.Route->mayRepeat())
+    return false;
+  const TimePoint heard = std::max(attempt.SentAt, attempt.HeardAt);
+  const bool suspected = attempt.SuspectedAt > heard;
+  return suspected && now >= heard + Board.Options.LostSilence &&
+         now >= attempt.SuspectedAt + Board.Options.LostGrace;
 }
 
 std::vector<ForwardCommand> ForwardController::takeCommands() {
--- a/packages/forward/pimentofront/src/Forward/HttpMessage.cpp
+++ b/packages/forward/pimentofront/src/Forward/HttpMessage.cpp
@@ -11,9 +11,15 @@
 }
 
 constexpr std::array<std::string_view, 10> ConnectionHeaders = {
-    "connection",          "keep-alive",        "proxy-authenticate",
-    "proxy-authorization", "proxy-connection",  "te",
-    "trailer",             "transfer-encoding", "upgrade",
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
     "content-length"};
 
 bool isConnectionHeader(std::string_view name) {
@@ -48,8 +54,7 @@
 } // namespace
 
 bool sameHeaderName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         std::ranges::equal(a, b, {}, lower, lower);
+  return a.size() == b.size() && std::ranges::equal(a, b, {}, lower, lower);
 }
 
 const std::string *findHeader(const HttpHeaders &headers,
--- a/packages/http/pimentofront/src/Http/CallerListener.h
+++ b/packages/http/pimentofront/src/Http/CallerListener.h
@@ -20,8 +20,7 @@
 public:
   virtual ~CallerHandler() = default;
   /// A request has arrived whole.
-  virtual void onRequest(CallerKey key, RequestHead head,
-                         std::string body) = 0;
+  virtual void onRequest(CallerKey key, RequestHead head, std::string body) = 0;
   /// The caller went away before it had its whole answer.
   virtual void onCallerGone(CallerKey key) = 0;
 };
--- a/packages/http/pimentofront/src/Http/HttpParser.cpp
+++ b/packages/http/pimentofront/src/Http/HttpParser.cpp
@@ -186,8 +186,8 @@
   if (self.Fault != HttpFault::None || bytes.empty())
     return 0;
   http_parser_pause(&self.Parser, 0);
-  const std::size_t used = http_parser_execute(
-      &self.Parser, &Impl::settings(), bytes.data(), bytes.size());
+  const std::size_t used = http_parser_execute(&self.Parser, &Impl::settings(),
+                                               bytes.data(), bytes.size());
   const http_errno ec = HTTP_PARSER_ERRNO(&self.Parser);
   if (ec != HPE_OK && ec != HPE_PAUSED && self.Fault == HttpFault::None)
     self.Fault = ec == HPE_HEADER_OVERFLOW ? HttpFault::HeadTooLarge
--- a/packages/http/pimentofront/src/Http/HttpWriter.cpp
+++ b/packages/http/pimentofront/src/Http/HttpWriter.cpp
@@ -55,8 +55,8 @@
 std::string writeChunkHead(std::size_t n) {
   constexpr int Hexadecimal = 16;
   char digits[2 * sizeof(n)];
-  const auto end = std::to_chars(digits, digits + sizeof(digits), n,
-                                 Hexadecimal);
+  const auto end =
+      std::to_chars(digits, digits + sizeof(digits), n, Hexadecimal);
   return std::string(digits, end.ptr) + "\r\n";
 }
 
--- a/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -17,7 +17,8 @@
     return std::nullopt;
   std::uint32_t seconds = 0;
   const char *begin = value.data() + at + Name.size();
-  const auto read = std::from_chars(begin, value.data() + value.size(), seconds);
+  const auto read =
+      std::from_chars(begin, value.data() + value.size(), seconds);
   return read.ec == std::errc() ? std::optional(seconds) : std::nullopt;
 }
 
@@ -30,8 +31,8 @@
              {.MaxHeadBytes = owner.Options.MaxAnswerHeadBytes}, *this),
       OpenedAt(owner.Loop.now()), Keep(owner.Options.DefaultKeep) {
   const std::optional<HostPort> parsed = HostPort::parse(Address);
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-                          0);
+  const int fd =
+      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   prepareSocket(fd);
   Bev = bufferevent_socket_new(Owner.Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(Bev, onReadable, nullptr, onEvent, this);
@@ -108,10 +109,9 @@
   Owner.Busy.erase(attempt);
   // More bytes, or a body that the server hasn't read: no second request can
   // be told from them.
-  const bool clean =
-      Parser.keepsConnection() &&
-      evbuffer_get_length(bufferevent_get_input(Bev)) == 0 &&
-      evbuffer_get_length(bufferevent_get_output(Bev)) == 0;
+  const bool clean = Parser.keepsConnection() &&
+                     evbuffer_get_length(bufferevent_get_input(Bev)) == 0 &&
+                     evbuffer_get_length(bufferevent_get_output(Bev)) == 0;
   if (clean) {
     UsableUntil = Owner.Loop.now() + Keep;
     Owner.keep(*this);
--- a/packages/http/pimentofront/src/Http/UpstreamPool.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.cpp
@@ -42,8 +42,8 @@
   const ChannelId id = ++LastChannel;
   ++Opened;
   return *Channels
-              .emplace(id, std::make_unique<detail::UpstreamChannel>(
-                               *this, id, address))
+              .emplace(id, std::make_unique<detail::UpstreamChannel>(*this, id,
+                                                                     address))
               .first->second;
 }
 
--- a/packages/net/pimentofront/src/Net/Socket.cpp
+++ b/packages/net/pimentofront/src/Net/Socket.cpp
@@ -15,8 +15,10 @@
 
 void prepareSocket(int fd) {
   const int on = 1;
-  const unsigned unacknowledgedMilliseconds = 10'000;
-  const int idleSeconds = 5;
+  // A silent cut is noticed within three seconds: callers wait for an answer
+  // some seconds, and a lost packet is sent again several times before.
+  const unsigned unacknowledgedMilliseconds = 3'000;
+  const int idleSeconds = 1;
   const int probes = 2;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds,
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -106,8 +106,8 @@
   const auto agent = board.Servers.agents().find(host);
   if (!board.Table || agent == board.Servers.agents().end())
     return;
-  const ServiceSpec *service = board.Table->findService(
-      ServiceName(agent->second.Record.BaseModel));
+  const ServiceSpec *service =
+      board.Table->findService(ServiceName(agent->second.Record.BaseModel));
   if (!service || !service->Engine || service->Engine->Models.empty())
     return;
   const EngineSpec &engine = *service->Engine;
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -99,8 +99,7 @@
     Listeners.add(link, *it);
     if (it->Known != MembersOnly)
       Network.send(link, ReplicaAddresses{groupAddresses()});
-  }
-  else if (const auto *probe = std::get_if<ProbeRevision>(&message))
+  } else if (const auto *probe = std::get_if<ProbeRevision>(&message))
     onProbe(now, link, *probe);
   else if (const auto *read = std::get_if<ReadIndexRequest>(&message))
     onReadIndex(now, link, *read);
@@ -179,12 +178,11 @@
   // Terms outlive every loss that the group outlives, so a token is never
   // given out twice, and a later leader's are higher.
   constexpr unsigned FencesPerTermBits = 24;
-  Network.send(link,
-               LeaseReply{.Known = known,
-                          .Lease = Options.Members.Lease,
-                          .Members = static_cast<std::uint32_t>(engines),
-                          .Fence = Log.term() << FencesPerTermBits |
-                                   ++FencesGiven});
+  Network.send(link, LeaseReply{.Known = known,
+                                .Lease = Options.Members.Lease,
+                                .Members = static_cast<std::uint32_t>(engines),
+                                .Fence = Log.term() << FencesPerTermBits |
+                                         ++FencesGiven});
 }
 
 std::string ReplicaNode::leaderAddress() const {
--- a/packages/node/pimentofront/src/Node/Subscribers.cpp
+++ b/packages/node/pimentofront/src/Node/Subscribers.cpp
@@ -95,10 +95,8 @@
 }
 
 std::uint32_t Subscribers::followingConfiguration() const {
-  return static_cast<std::uint32_t>(
-      std::ranges::count_if(All, [](const auto &it) {
-        return it.second.Known != MembersOnly;
-      }));
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      All, [](const auto &it) { return it.second.Known != MembersOnly; }));
 }
 
 std::vector<RevisionInForce> Subscribers::inForce() const {
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -141,8 +141,9 @@
 struct AgentBoard {
   AgentBoard(const AgentOptions &options, const EvictionPolicy &eviction)
       : Options(options), Eviction(eviction), Slots(options.Slots),
-        BatchCapacity(options.BatchCapacity), Popularity(options.Popularity), Jitter(options.Incarnation),
-        LoadTime(options.LoadTime), ServiceTime(options.ServiceTime) {}
+        BatchCapacity(options.BatchCapacity), Popularity(options.Popularity),
+        Jitter(options.Incarnation), LoadTime(options.LoadTime),
+        ServiceTime(options.ServiceTime) {}
 
   const AgentOptions Options;
   const EvictionPolicy &Eviction;
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-std::uint32_t PrefillModel::missing(const AdapterKey &key,
-                                    const std::vector<PromptPart> &parts) const {
+std::uint32_t
+PrefillModel::missing(const AdapterKey &key,
+                      const std::vector<PromptPart> &parts) const {
   std::uint64_t chain = chainStart(key);
   std::uint32_t tokens = 0;
   bool cached = true;
@@ -64,8 +65,8 @@
     return;
   // One measurement may be spoilt by what else the engine did.
   constexpr double MostChange = 4;
-  const double measured =
-      std::clamp(tokens / toSeconds(took), Rate / MostChange, Rate * MostChange);
+  const double measured = std::clamp(tokens / toSeconds(took),
+                                     Rate / MostChange, Rate * MostChange);
   Rate += Options.LearningRate * (measured - Rate);
 }
 
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -64,8 +64,8 @@
   const auto it = Counts.find(key);
   if (it == Counts.end())
     return 1;
-  const double share = decayed(now, it->second) /
-                       (decayed(now, Total) + Options.PriorRequests);
+  const double share =
+      decayed(now, it->second) / (decayed(now, Total) + Options.PriorRequests);
   const auto n =
       static_cast<std::size_t>(std::ceil(share * static_cast<double>(engines)));
   return std::clamp<std::size_t>(n, 1, engines);
@@ -103,7 +103,8 @@
     return std::pair(word == nullptr,
                      word ? word->Load.PrefillWait : it->Load.PrefillWait);
   };
-  return Route{.Host = (*std::ranges::min_element(hosts, {}, wait))->Record.Host};
+  return Route{.Host =
+                   (*std::ranges::min_element(hosts, {}, wait))->Record.Host};
 }
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/SlotTable.cpp
+++ b/packages/serving/pimentofront/src/Serving/SlotTable.cpp
@@ -81,8 +81,8 @@
 
 const Slot *SlotTable::otherVersion(const AdapterKey &key) const {
   const auto it = std::ranges::find_if(Slots, [&](const Slot &slot) {
-    return slot.State != SlotState::Empty &&
-           slot.Key.Adapter == key.Adapter && slot.Key.Version != key.Version;
+    return slot.State != SlotState::Empty && slot.Key.Adapter == key.Adapter &&
+           slot.Key.Version != key.Version;
   });
   return it == Slots.end() ? nullptr : &*it;
 }
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -181,8 +181,8 @@
   const DocumentRecord *present = Records.document();
   if (present && body.Number <= present->Number)
     return {.Result = CommandResult::Accepted, .At = Records.revision()};
-  return accept(command, DocumentRecord{.Number = body.Number,
-                                        .Packed = body.Packed});
+  return accept(command,
+                DocumentRecord{.Number = body.Number, .Packed = body.Packed});
 }
 
 CommandOutcome StateMachine::nameVersion(const Command &command,
@@ -191,10 +191,10 @@
     return refuse(CommandResult::Invalid, NameRule);
   if (body.Number == 0)
     return refuse(CommandResult::Invalid, "a version has a number from 1");
-  AdapterRecord adapter = Records.findAdapter(body.Adapter)
-                              .value_or(AdapterRecord{
-                                  .Name = body.Adapter,
-                                  .BaseModel = body.BaseModel});
+  AdapterRecord adapter =
+      Records.findAdapter(body.Adapter)
+          .value_or(
+              AdapterRecord{.Name = body.Adapter, .BaseModel = body.BaseModel});
   const auto isNewer = [&](const VersionRecord &it) {
     return it.Live && it.Number >= body.Number;
   };
--- a/packages/wire/pimentofront/src/Wire/Codec.h
+++ b/packages/wire/pimentofront/src/Wire/Codec.h
@@ -65,8 +65,9 @@
 /// \ingroup Wire
 /// One item of the replicated state, as it stands in a snapshot. A snapshot is
 /// a sequence of these, so that no process ever holds it decoded as a whole.
-using StateItem = std::variant<StateHeader, AdapterRecord, KindRecord,
-                               DrainRecord, ClaimRecord, OutcomeRecord, DocumentRecord>;
+using StateItem =
+    std::variant<StateHeader, AdapterRecord, KindRecord, DrainRecord,
+                 ClaimRecord, OutcomeRecord, DocumentRecord>;
 
 /// Encodes as CBOR: an array of type number, hybrid time and fields.
 std::string encodeFrame(const Frame &frame);
--- a/packages/wire/pimentofront/src/Wire/PackedText.cpp
+++ b/packages/wire/pimentofront/src/Wire/PackedText.cpp
@@ -33,10 +33,10 @@
     return {};
   std::string text(length, '\0');
   uLongf n = length;
-  const int done = uncompress(
-      reinterpret_cast<Bytef *>(text.data()), &n,
-      reinterpret_cast<const Bytef *>(packed.data() + LengthBytes),
-      packed.size() - LengthBytes);
+  const int done =
+      uncompress(reinterpret_cast<Bytef *>(text.data()), &n,
+                 reinterpret_cast<const Bytef *>(packed.data() + LengthBytes),
+                 packed.size() - LengthBytes);
   return done == Z_OK && n == length ? text : std::string();
 }
 
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -67,6 +67,7 @@
           .Kind = kind,
           .Split = {{ServiceName(service), 1}},
           .Timeout = 10s,
+          .LatencyTarget = 1s,
           .MaxServers = servers,
           .Resumable = resumable};
 }
@@ -333,8 +334,8 @@
     it.request("flow");
     it.only<SendToAgent>();
     it.Controller.onCallerGone(Now, 1);
-    CHECK(std::holds_alternative<CancelAttempt>(
-        it.only<SendToAgent>().Content));
+    CHECK(
+        std::holds_alternative<CancelAttempt>(it.only<SendToAgent>().Content));
   }
   CHECK(it.take<SendUpstream>().empty());
   CHECK(it.Controller.idle());
@@ -450,3 +451,52 @@
   CHECK(std::get<ExecuteRequest>(asked.Content).Key ==
         AdapterKey{AdapterName("m/x"), 7});
 }
+
+TEST_CASE("an agent that takes long to have the adapter loaded is passed by") {
+  ForwardUnderTest it;
+  // The limit is half of the route's latency target.
+  it.request("brook");
+  const auto first = it.only<SendToAgent>();
+  const auto execute = std::get<ExecuteRequest>(first.Content);
+  it.Controller.attempts().onAdmitted(Now, first.Host, {execute.Attempt, {}});
+  it.Controller.tick(Now + 400ms);
+  CHECK(it.take<SendToAgent>().empty());
+  it.Controller.tick(Now + 500ms);
+  const auto next = it.take<SendToAgent>();
+  REQUIRE(next.size() == 2);
+  CHECK(std::holds_alternative<CancelAttempt>(next[0].Content));
+  CHECK(next[1].Host != first.Host);
+}
+
+TEST_CASE("a request is taken from a server whose host has gone") {
+  ForwardUnderTest it;
+  SECTION("if it may run elsewhere") {
+    it.request("flow");
+    const auto sent = it.permit();
+    const HostName agent(sent.Address == "1.0.0.3:80" ? "a1" : "a2");
+    it.Controller.attempts().onAgentLost(Now + 600ms, agent);
+    it.Controller.tick(Now + 700ms);
+    CHECK(it.take<CancelUpstream>().empty());
+    it.Controller.tick(Now + 800ms);
+    CHECK(it.only<CancelUpstream>().Attempt == sent.Attempt);
+    CHECK(it.take<SendToAgent>().back().Host != agent);
+  }
+  SECTION("but not if it still sends") {
+    it.request("flow");
+    const auto sent = it.permit();
+    const HostName agent(sent.Address == "1.0.0.3:80" ? "a1" : "a2");
+    it.head(sent, 200);
+    it.Controller.attempts().onAgentLost(Now - 1ms, agent);
+    it.body(sent, "id: 1\ndata: a\n\n");
+    it.Controller.tick(Now + 2s);
+    CHECK(it.take<CancelUpstream>().empty());
+  }
+  SECTION("and not if it may run once only") {
+    it.request("brook");
+    const auto sent = it.permit();
+    const HostName agent(sent.Address == "1.0.0.3:80" ? "a1" : "a2");
+    it.Controller.attempts().onAgentLost(Now + 600ms, agent);
+    it.Controller.tick(Now + 2s);
+    CHECK(it.take<CancelUpstream>().empty());
+  }
+}
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -200,12 +200,10 @@
 }
 
 TEST_CASE("headers of one connection aren't passed on") {
-  HttpHeaders headers = {{"Connection", "close, X-Hop"},
-                         {"x-hop", "1"},
-                         {"Keep-Alive", "timeout=5"},
-                         {"Transfer-Encoding", "chunked"},
-                         {"Content-Length", "3"},
-                         {"X-Stays", "2"}};
+  HttpHeaders headers = {
+      {"Connection", "close, X-Hop"}, {"x-hop", "1"},
+      {"Keep-Alive", "timeout=5"},    {"Transfer-Encoding", "chunked"},
+      {"Content-Length", "3"},        {"X-Stays", "2"}};
   removeConnectionHeaders(headers);
   CHECK(headers == HttpHeaders{{"X-Stays", "2"}});
 }
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -77,8 +77,8 @@
       faultsOf(replaced(text, "\"backend\": \"engines\"", "\"backend\": \"x\""))
           .empty());
   CHECK_FALSE(faultsOf(replaced(text, "/b/", "/a/")).empty());
-  CHECK_FALSE(faultsOf(replaced(replaced(text, "90", "0"), "10}", "0}"))
-                  .empty());
+  CHECK_FALSE(
+      faultsOf(replaced(replaced(text, "90", "0"), "10}", "0}")).empty());
   CHECK_FALSE(faultsOf(replaced(text, "10000", "0")).empty());
   const Findings two =
       faultsOf(replaced(replaced(text, "\"attempts\": 2", "\"attempts\": -1"),
@@ -110,12 +110,12 @@
 }
 
 TEST_CASE("malformed headers are as good as none") {
-  const RequestTraits it = Headers.decodeRequest(
-      {"POST",
-       "/",
-       {{"Pimentofront-Token-Usage", "x,y"},
-        {"Pimentofront-Prompt-Prefix", "zz:1,,:"},
-        {"Pimentofront-Deadline-Ms", "soon"}}});
+  const RequestTraits it =
+      Headers.decodeRequest({"POST",
+                             "/",
+                             {{"Pimentofront-Token-Usage", "x,y"},
+                              {"Pimentofront-Prompt-Prefix", "zz:1,,:"},
+                              {"Pimentofront-Deadline-Ms", "soon"}}});
   CHECK(it.Id.empty());
   CHECK(it.PromptTokens == 0);
   CHECK(it.Parts.empty());
@@ -123,44 +123,43 @@
 }
 
 TEST_CASE("what only the system may set is never the caller's") {
-  const RequestHead sent = Headers.encodeRequest(
-      {"POST",
-       "/a/x?y",
-       {{"Host", "h"},
-        {"Pimentofront-Attempt-Id", "1"},
-        {"Pimentofront-Model", "m"},
-        {"Pimentofront-Hold", "theirs"},
-        {"pimentofront-pin-ms", "4000"},
-        {"Pimentofront-Kv-Backup", "1.1.1.1:1"},
-        {"Kv-From", "1.1.1.1:1/2"},
-        {"Kv-Fetch", "1.1.1.1:1"},
-        {"Pimentofront-Expect-Instance", "theirs"},
-        {"Pimentofront-Request-Priority", "0"},
-        {"Pimentofront-Deadline-Ms", "99999"},
-        {"Connection", "keep-alive"}}},
-      {.TimeLeft = 1500ms,
-       .Server = HostName("i-1"),
-       .Version = 4,
-       .Priority = 12,
-       .LastEvent = 3});
+  const RequestHead sent =
+      Headers.encodeRequest({"POST",
+                             "/a/x?y",
+                             {{"Host", "h"},
+                              {"Pimentofront-Attempt-Id", "1"},
+                              {"Pimentofront-Model", "m"},
+                              {"Pimentofront-Hold", "theirs"},
+                              {"pimentofront-pin-ms", "4000"},
+                              {"Pimentofront-Kv-Backup", "1.1.1.1:1"},
+                              {"Kv-From", "1.1.1.1:1/2"},
+                              {"Kv-Fetch", "1.1.1.1:1"},
+                              {"Pimentofront-Expect-Instance", "theirs"},
+                              {"Pimentofront-Request-Priority", "0"},
+                              {"Pimentofront-Deadline-Ms", "99999"},
+                              {"Connection", "keep-alive"}}},
+                            {.TimeLeft = 1500ms,
+                             .Server = HostName("i-1"),
+                             .Version = 4,
+                             .Priority = 12,
+                             .LastEvent = 3});
   CHECK(sent.Target == "/a/x?y");
-  CHECK(sent.Headers ==
-        HttpHeaders{{"Host", "h"},
-                    {"Pimentofront-Attempt-Id", "1"},
-                    {"Pimentofront-Model", "m"},
-                    {"Pimentofront-Deadline-Ms", "1500"},
-                    {"Pimentofront-Expect-Instance", "i-1"},
-                    {"Pimentofront-Expect-Version", "4"},
-                    {"Pimentofront-Request-Priority", "9"},
-                    {"Last-Event-Id", "3"}});
+  CHECK(sent.Headers == HttpHeaders{{"Host", "h"},
+                                    {"Pimentofront-Attempt-Id", "1"},
+                                    {"Pimentofront-Model", "m"},
+                                    {"Pimentofront-Deadline-Ms", "1500"},
+                                    {"Pimentofront-Expect-Instance", "i-1"},
+                                    {"Pimentofront-Expect-Version", "4"},
+                                    {"Pimentofront-Request-Priority", "9"},
+                                    {"Last-Event-Id", "3"}});
 }
 
 TEST_CASE("an answer's headers are decoded") {
-  const AnswerTraits it = Headers.decodeAnswer(
-      {503,
-       {{"Pimentofront-Attempt-Id", "1"},
-        {"Pimentofront-Not-Executed", "1"},
-        {"Pimentofront-Server-Load", "3,0,8"}}});
+  const AnswerTraits it =
+      Headers.decodeAnswer({503,
+                            {{"Pimentofront-Attempt-Id", "1"},
+                             {"Pimentofront-Not-Executed", "1"},
+                             {"Pimentofront-Server-Load", "3,0,8"}}});
   CHECK(it.Id == "1");
   CHECK(it.NotRun);
   CHECK_FALSE(it.Stamped);
