--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -8,6 +8,17 @@
 constexpr int StatusMisdirected = 421;
 constexpr int StatusServerError = 500;
 
+/// \returns where the time until the first event went, for the log.
+std::string timesOf(const ForwardRequest &request) {
+  const auto milliseconds = [&](TimePoint at) {
+    return std::to_string((at - request.ArrivedAt).count() / 1000);
+  };
+  const ForwardAttempt &attempt = *request.Attempt;
+  return "asked " + milliseconds(attempt.StartedAt) + ", sent " +
+         milliseconds(attempt.SentAt) + " ms after arrival, agents asked " +
+         std::to_string(request.Tried.size() + 1);
+}
+
 bool isSuccess(int status) {
   return status >= StatusSuccess && status < StatusRedirection;
 }
@@ -61,7 +72,7 @@
   request.Answering = true;
   ResponseHead head = *request.Attempt->Head;
   removeConnectionHeaders(head.Headers);
-  Attempts.note(now, "answer_began", request, {}, head.Status);
+  Attempts.note(now, "answer_began", request, timesOf(request), head.Status);
   Board.Commands.push_back(ReplyHead{request.Key, std::move(head)});
 }
 
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -93,8 +93,6 @@
   request.Attempt = ForwardAttempt{.Id = id,
                                    .Agent = route.Host,
                                    .OnlyIfResident = route.OnlyIfResident,
-                                   .Last = !route.OnlyIfResident &&
-                                           route.MaxWait == Duration::zero(),
                                    .StartedAt = now};
   Board.Attempts.emplace(id, request.Key);
   Board.Commands.push_back(
@@ -224,17 +222,6 @@
   next(now, request);
 }
 
-void AttemptController::passBySlowAgent(TimePoint now,
-                                        ForwardRequest &request) {
-  const HostName agent = request.Attempt->Agent;
-  note(now, "agent_slow", request, agent.str());
-  request.Tried.push_back({agent, RefusalReason::Busy,
-                           Board.Servers.agents()[agent].Load,
-                           /*OnlyIfResident=*/false});
-  cancel(now, request);
-  next(now, request);
-}
-
 void AttemptController::onAgentLost(TimePoint now, const HostName &agent) {
   suspect(now, agent);
   std::vector<std::uint64_t> waiting;
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -27,8 +27,6 @@
   void onAgentLeaving(const AgentLeaving &message);
   /// The agent of an attempt has said nothing in time.
   void passBySilentAgent(TimePoint now, ForwardRequest &request);
-  /// The agent of an attempt has given no permit in time.
-  void passBySlowAgent(TimePoint now, ForwardRequest &request);
 
   /// The server didn't run the request; \p outcome says why.
   void notRun(TimePoint now, ForwardRequest &request, ServerOutcome outcome,
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -19,10 +19,6 @@
   /// An agent that doesn't answer at all in this time is passed by: some
   /// round trips between zones, and a wait for a turn of its processor.
   Duration PermitTimeout = std::chrono::milliseconds(250);
-  /// Part of the route's latency target after which a request that waits at an
-  /// agent, for its adapter, is tried at another one: what is left is enough
-  /// to have it loaded there.
-  double PatienceShare = 0.5;
   /// A server whose host is suspected to be gone is given up when it has sent
   /// nothing for so long: long enough for a prompt of usual size.
   Duration LostSilence = std::chrono::milliseconds(500);
@@ -76,8 +72,6 @@
   bool OnlyIfResident = false;
   /// The agent has said something.
   bool Heard = false;
-  /// No other agent is left to try.
-  bool Last = false;
   HostName Server;
   TimePoint StartedAt;
   bool Sent = false;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -108,48 +108,35 @@
 void ForwardController::tick(TimePoint now) {
   std::vector<std::uint64_t> late;
   std::vector<std::uint64_t> silent;
-  std::vector<std::uint64_t> slow;
   std::vector<std::uint64_t> lost;
   for (const auto &[key, it] : Board.Requests) {
     if (now >= it.Deadline)
       late.push_back(key);
-    else if (!it.Attempt)
-      continue;
-    else if (it.Attempt->Sent)
-      isLost(now, it) ? lost.push_back(key) : void();
-    else if (!it.Attempt->Heard)
-      isSilent(now, it) ? silent.push_back(key) : void();
-    else if (isSlow(now, it))
-      slow.push_back(key);
+    else if (isSilent(now, it))
+      silent.push_back(key);
+    else if (isLost(now, it))
+      lost.push_back(key);
   }
   for (const std::uint64_t key : late)
     expire(now, Board.Requests.at(key));
   for (const std::uint64_t key : silent)
     Attempts.passBySilentAgent(now, Board.Requests.at(key));
-  for (const std::uint64_t key : slow)
-    Attempts.passBySlowAgent(now, Board.Requests.at(key));
   for (const std::uint64_t key : lost)
     Answers.onServerLost(now, Board.Requests.at(key));
 }
 
 bool ForwardController::isSilent(TimePoint now,
                                  const ForwardRequest &request) const {
-  return now >= request.Attempt->StartedAt + Board.Options.PermitTimeout;
-}
-
-bool ForwardController::isSlow(TimePoint now,
-                               const ForwardRequest &request) const {
-  const Duration patience = fromSeconds(
-      toSeconds(request.Route->LatencyTarget) * Board.Options.PatienceShare);
-  return !request.Attempt->Last && patience > Duration::zero() &&
-         now >= request.Attempt->StartedAt + patience;
+  const auto &attempt = request.Attempt;
+  return attempt && !attempt->Sent && !attempt->Heard &&
+         now >= attempt->StartedAt + Board.Options.PermitTimeout;
 }
 
 bool ForwardController::isLost(TimePoint now,
                                const ForwardRequest &request) const {
-  const ForwardAttempt &attempt = *request.Attempt;
-  if (!request.Route->mayRepeat())
+  if (!request.Attempt || !request.Attempt->Sent || !request.Route->mayRepeat())
     return false;
+  const ForwardAttempt &attempt = *request.Attempt;
   const TimePoint heard = std::max(attempt.SentAt, attempt.HeardAt);
   const bool suspected = attempt.SuspectedAt > heard;
   return suspected && now >= heard + Board.Options.LostSilence &&
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -43,8 +43,6 @@
   void expire(TimePoint now, ForwardRequest &request);
   /// The agent hasn't said anything for too long.
   bool isSilent(TimePoint now, const ForwardRequest &request) const;
-  /// The agent hasn't given its permit for too long.
-  bool isSlow(TimePoint now, const ForwardRequest &request) const;
   /// The server's host has gone, by all that is known of it.
   bool isLost(TimePoint now, const ForwardRequest &request) const;
 
