--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -159,7 +159,7 @@
                   .ProbePeriod = Options.Entry.ProbePeriod};
   forward.Forward.Incarnation = Incarnation;
   forward.Forward.Servers.Zone = Options.Zone;
-  ForwardRouting = std::make_unique<PrefixRouting>(PrefixRoutingOptions{});
+  ForwardRouting = std::make_unique<PrefixRouting>(Options.Prefix);
   Forward = std::make_unique<ForwardNode>(now, forward, Headers, Documents,
                                           *ForwardRouting, *Network, *Front);
   Front->setNode(*Forward);
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -36,6 +36,12 @@
   forward.RetryShare = reader.real("retry_share", forward.RetryShare, 0, 1);
   forward.RetryReserve =
       reader.real("retry_reserve", forward.RetryReserve, 0, 100000);
+  PrefixRoutingOptions &prefix = settings.Prefix;
+  prefix.SpillWait = reader.milliseconds("spill_wait_ms", prefix.SpillWait);
+  prefix.LoadWait = reader.milliseconds("load_wait_ms", prefix.LoadWait);
+  prefix.Spread = reader.real("spread", prefix.Spread, 0.01, 100);
+  prefix.SpillChoices = static_cast<std::uint32_t>(
+      reader.integer("spill_choices", prefix.SpillChoices, 0, 64));
   // The count of entries is some seconds old when one of them starts or ends.
   constexpr double SafeShare = 0.8;
   forward.RetryReserve *= SafeShare;
--- a/packages/daemon/src/Settings.h
+++ b/packages/daemon/src/Settings.h
@@ -38,6 +38,7 @@
   /// Where callers' requests that are passed on as they are come in.
   std::string ForwardAddress;
   ForwardNodeOptions Forward;
+  PrefixRoutingOptions Prefix;
 
   AgentNodeOptions Agent;
   std::string EngineAddress;
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -66,8 +66,8 @@
     return 1;
   const double share =
       decayed(now, it->second) / (decayed(now, Total) + Options.PriorRequests);
-  const auto n =
-      static_cast<std::size_t>(std::ceil(share * static_cast<double>(engines)));
+  const auto n = static_cast<std::size_t>(
+      std::ceil(share * Options.Spread * static_cast<double>(engines)));
   return std::clamp<std::size_t>(n, 1, engines);
 }
 
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.h
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.h
@@ -9,12 +9,16 @@
 /// \ingroup Serving
 struct PrefixRoutingOptions {
   /// A request goes on to another engine that holds its adapter when it would
-  /// wait longer than this: about the time to read a long prompt anew.
-  Duration SpillWait = std::chrono::milliseconds(250);
+  /// wait longer than this: the time to read one or two long prompts anew.
+  Duration SpillWait = std::chrono::milliseconds(400);
   /// The same to an engine that has to load the adapter first, load included.
-  Duration LoadWait = std::chrono::milliseconds(500);
-  /// Engines beyond the adapter's own that are asked under a limit.
-  std::uint32_t SpillChoices = 2;
+  Duration LoadWait = std::chrono::milliseconds(800);
+  /// Engines beyond the adapter's own that are asked under a limit. Each load
+  /// that it saves is one that others don't wait behind.
+  std::uint32_t SpillChoices = 1;
+  /// Engines for an adapter whose share of the requests is one engine's: more
+  /// of them shorten its queue, fewer of them save loads.
+  double Spread = 1;
   /// Half-life of what is known of popularity: demand moves on within seconds.
   Duration HalfLife = std::chrono::seconds(10);
   /// Requests that are thought to have gone before, so that the first ones of
