Log each decision about a request, bounded, without waiting for the reader

Cause: with only refusals logged nobody could say why an answer was late, and a full pipe on standard output would have stopped the process. Change: one line a decision with its inputs, a token bucket for each event (gaps are told), lines that find standard output full are dropped and counted, lines for lost and regained peers; pimentofrontctl explain REQUEST LOG... prints a request's lines and its cause in a sentence.

--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -76,7 +76,12 @@
     text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
     if (content.empty())
       continue;
-    const Json json = Json::parse(content, nullptr, false);
+    // A collector may have put something before the event.
+    const std::size_t begin = content.find('{');
+    const Json json =
+        begin == std::string_view::npos
+            ? Json()
+            : Json::parse(content.substr(begin), nullptr, false);
     if (!json.is_object() || !json.contains("hlc")) {
       findings.add(file + ":" + std::to_string(line), "this is no event");
       continue;
@@ -100,14 +105,72 @@
 
 void TimeLine::sort() { std::ranges::sort(Events); }
 
+namespace {
+
+std::string lineOf(const TimeLineEvent &it) {
+  std::string text = clockText(it.Milliseconds) + " " + it.Zone + "/" +
+                     it.Host + " " + it.Event;
+  if (!it.Request.empty())
+    text += " [" + it.Request + "]";
+  return text + (it.Details.empty() ? "\n" : " " + it.Details + "\n");
+}
+
+/// What an event says of the request's end, and what to do next.
+struct Meaning {
+  const char *Event;
+  /// Part of the details that must be there.
+  const char *Mark;
+  const char *Sentence;
+};
+constexpr Meaning Meanings[] = {
+    {"request_lost", "not_ready",
+     "refused: this entry had no confirmed routing document; look for "
+     "replica_state and peer_lost around that time"},
+    {"request_lost", "no_route",
+     "refused: no route of the document in force has that host and path; "
+     "compare its revision with routing_in_force"},
+    {"request_lost", "no_server",
+     "refused: no backend server of its service was registered or reachable"},
+    {"request_lost", "declined",
+     "refused: each server or agent that could take it declined; the reason "
+     "stands behind the comma"},
+    {"request_lost", "timed_out",
+     "its time ran out; without a server it waited for its adapter, with one "
+     "for the server's answer"},
+    {"request_lost", "broke_off",
+     "its answer broke off and it could not be sent again; see "
+     "attempt_broke_off for the server"},
+    {"caller_gone", "", "the caller gave it up before the end"},
+    {"request_answered", "status=5", "the backend server answered a failure"},
+    {"request_answered", "", "it was answered; answer_began says where the "
+                             "time until the first event went"},
+};
+
+} // namespace
+
+std::string TimeLine::explain(const std::string &request) const {
+  std::string text;
+  const TimeLineEvent *last = nullptr;
+  for (const TimeLineEvent &it : Events) {
+    if (it.Request != request)
+      continue;
+    text += lineOf(it);
+    last = &it;
+  }
+  if (!last)
+    return {};
+  for (const Meaning &it : Meanings)
+    if (last->Event == it.Event &&
+        last->Details.find(it.Mark) != std::string::npos)
+      return text + "=> " + it.Sentence + "\n";
+  return text + "=> its end isn't in these logs: it may be under way, or the "
+                "entry ended (look for process_started)\n";
+}
+
 std::string TimeLine::toText() const {
   std::string text;
   for (const TimeLineEvent &it : Events) {
-    text += clockText(it.Milliseconds) + " " + it.Zone + "/" + it.Host + " " +
-            it.Event;
-    if (!it.Request.empty())
-      text += " [" + it.Request + "]";
-    text += it.Details.empty() ? "\n" : " " + it.Details + "\n";
+    text += lineOf(it);
   }
   return text;
 }
--- a/packages/ctl/src/TimeLine.h
+++ b/packages/ctl/src/TimeLine.h
@@ -39,6 +39,9 @@
 
   const std::vector<TimeLineEvent> &events() const { return Events; }
   std::string toText() const;
+  /// \returns the lines of one request in order and, in a sentence, what they
+  /// say of its end; empty if no line names it.
+  std::string explain(const std::string &request) const;
   /// \returns one page that needs nothing else: a column a process.
   std::string toPage() const;
 
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -30,6 +30,7 @@
     "Questions:\n"
     "  adapter NAME, kinds, status\n"
     "  timeline FILE...                  merge logs; with --request, --page\n"
+    "  explain REQUEST FILE...           a request's lines, and its cause\n"
     "Calls, to try a deployment:\n"
     "  generate ADAPTER PROMPT           with --kind, --version, "
     "--max-tokens,\n"
@@ -201,12 +202,10 @@
   return exitOf(client.call("Assistant/CallService", request));
 }
 
-int timeLine(const Arguments &arguments) {
-  if (arguments.Words.size() < 2)
-    return usage();
+TimeLine readLogs(const Arguments &arguments, std::size_t first,
+                  Findings &findings) {
   TimeLine line;
-  Findings findings;
-  for (std::size_t i = 1; i < arguments.Words.size(); ++i) {
+  for (std::size_t i = first; i < arguments.Words.size(); ++i) {
     const std::string &name = arguments.Words[i];
     std::ifstream file(name);
     if (!file)
@@ -215,6 +214,29 @@
     text << file.rdbuf();
     line.addLog(name, text.str(), findings);
   }
+  return line;
+}
+
+int explain(const Arguments &arguments) {
+  if (arguments.Words.size() < 3)
+    return usage();
+  Findings findings;
+  TimeLine line = readLogs(arguments, 2, findings);
+  line.sort();
+  const std::string text = line.explain(arguments.Words[1]);
+  if (text.empty())
+    std::fprintf(stderr, "no line names request %s (%zu lines couldn't be "
+                         "read)\n",
+                 arguments.Words[1].c_str(), findings.items().size());
+  std::fputs(text.c_str(), stdout);
+  return exitOf(!text.empty());
+}
+
+int timeLine(const Arguments &arguments) {
+  if (arguments.Words.size() < 2)
+    return usage();
+  Findings findings;
+  TimeLine line = readLogs(arguments, 1, findings);
   if (!arguments.Request.empty())
     line.keepRequest(arguments.Request);
   line.sort();
@@ -235,6 +257,8 @@
   const std::string &command = arguments.Words[0];
   if (command == "timeline")
     return timeLine(arguments);
+  if (command == "explain")
+    return explain(arguments);
   const auto address = HostPort::parse(arguments.Entry);
   if (!address)
     return usage();
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -195,7 +195,10 @@
   Timers.push_back(Loop.every(TickPeriod, [this] { tick(); }));
   for (const int it : {SIGTERM, SIGINT})
     Timers.push_back(Loop.onSignal(it, [this] { beginStop(); }));
-  Timers.push_back(Loop.onSignal(SIGHUP, [this] { Log->reopen(); }));
+  Timers.push_back(Loop.onSignal(SIGHUP, [this] {
+    Log->reopen();
+    Log->write(LogLevel::Info, "log_reopened", {});
+  }));
   Timers.push_back(Loop.onSignal(SIGPIPE, [] {}));
   Log->write(LogLevel::Info, "process_started",
              {{"http", Options.HttpAddress},
@@ -212,6 +215,9 @@
 
 void Daemon::onLinkOpen(LinkId link, const Hello &hello) {
   const TimePoint now = Loop.now();
+  Peers[link] = hello.Host;
+  Log->write(LogLevel::Info, "peer_connected",
+             {{"peer", hello.Host.str()}, {"link", link}});
   if (Replica)
     Replica->onLinkOpen(now, link, hello);
   if (Agent)
@@ -238,6 +244,10 @@
 
 void Daemon::onLinkClosed(LinkId link) {
   const TimePoint now = Loop.now();
+  const auto peer = Peers.extract(link);
+  Log->write(LogLevel::Info, "peer_lost",
+             {{"peer", peer ? peer.mapped().str() : "never reached"},
+              {"link", link}});
   if (Replica)
     Replica->onLinkClosed(now, link);
   if (Agent)
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -112,6 +112,8 @@
     friend bool operator==(const GroupState &, const GroupState &) = default;
   };
   GroupState LoggedGroup;
+  /// Who is on the other side of each link, for the log.
+  std::map<LinkId, HostName> Peers;
   bool Led = false;
   bool StoreFailed = false;
   bool WasReady = false;
--- a/packages/daemon/src/EventLog.cpp
+++ b/packages/daemon/src/EventLog.cpp
@@ -1,10 +1,14 @@
 #include "EventLog.h"
 
+#include "LogGate.h"
+#include "PipeAppender.h"
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace pimentofront {
 namespace {
@@ -46,20 +50,54 @@
     : Name(name), Value(std::to_string(value)) {}
 
 struct EventLog::Impl {
-  const EventLoop &Loop;
+  EventLoop &Loop;
   HybridClock &Clock;
   std::string Prefix;
   log4cplus::helpers::Properties Properties;
   log4cplus::Initializer Library;
   log4cplus::Logger Logger;
+  /// Set when lines go to standard output.
+  PipeAppender *Pipe = nullptr;
+  bool Console = false;
+  LogGate Gate;
+  std::uint64_t DroppedTold = 0;
+  std::unique_ptr<Timer> Reporter;
 
   void configure() {
     log4cplus::PropertyConfigurator(Properties).configure();
     Logger = log4cplus::Logger::getRoot();
+    if (!Console)
+      return;
+    Pipe = new PipeAppender(STDOUT_FILENO);
+    Logger.addAppender(log4cplus::SharedAppenderPtr(Pipe));
+  }
+
+  void put(LogLevel level, const char *event,
+           std::initializer_list<LogField> fields) {
+    const std::uint64_t wall = Loop.wallMilliseconds();
+    std::string line = "{\"hlc\":" + std::to_string(Clock.tick(wall)) +
+                       ",\"ms\":" + std::to_string(wall) + Prefix +
+                       ",\"level\":\"" + nameOf(level) + "\",\"event\":\"" +
+                       event + "\"";
+    for (const LogField &it : fields)
+      line += std::string(",\"") + it.Name + "\":" + it.Value;
+    Logger.log(levelOf(level), line + "}");
+  }
+
+  /// Says what was left out, so that a gap is never taken for silence.
+  void reportGaps() {
+    for (const auto &[event, n] : Gate.takeLeftOut())
+      put(LogLevel::Warn, "lines_left_out", {{"of", event}, {"count", n}});
+    const std::uint64_t dropped = Pipe ? Pipe->dropped() : 0;
+    if (dropped == DroppedTold)
+      return;
+    put(LogLevel::Warn, "lines_dropped",
+        {{"why", "standard output is full"}, {"count", dropped - DroppedTold}});
+    DroppedTold = dropped;
   }
 };
 
-EventLog::EventLog(const Settings &settings, const EventLoop &loop,
+EventLog::EventLog(const Settings &settings, EventLoop &loop,
                    HybridClock &clock)
     : State(new Impl{loop, clock}) {
   State->Prefix = ",\"host\":" + quoted(settings.Host.str()) +
@@ -67,12 +105,11 @@
   auto &properties = State->Properties;
   // The library starts threads of its own; one, which idles, is the least.
   properties.setProperty("log4cplus.threadPoolSize", "1");
-  properties.setProperty("log4cplus.rootLogger", settings.LogLevel + ", out");
-  const bool console = settings.LogFile == "-";
-  properties.setProperty("log4cplus.appender.out",
-                         console ? "log4cplus::ConsoleAppender"
-                                 : "log4cplus::FileAppender");
-  if (!console) {
+  State->Console = settings.LogFile == "-";
+  properties.setProperty("log4cplus.rootLogger",
+                         settings.LogLevel + (State->Console ? "" : ", out"));
+  if (!State->Console) {
+    properties.setProperty("log4cplus.appender.out", "log4cplus::FileAppender");
     properties.setProperty("log4cplus.appender.out.File", settings.LogFile);
     properties.setProperty("log4cplus.appender.out.Append", "true");
   }
@@ -82,6 +119,9 @@
   properties.setProperty("log4cplus.appender.out.layout.ConversionPattern",
                          "%m%n");
   State->configure();
+  constexpr Duration ReportPeriod = std::chrono::seconds(1);
+  State->Reporter =
+      State->Loop.every(ReportPeriod, [this] { State->reportGaps(); });
 }
 
 EventLog::~EventLog() = default;
@@ -90,14 +130,14 @@
                      std::initializer_list<LogField> fields) {
   if (!State->Logger.isEnabledFor(levelOf(level)))
     return;
-  const std::uint64_t wall = State->Loop.wallMilliseconds();
-  std::string line = "{\"hlc\":" + std::to_string(State->Clock.tick(wall)) +
-                     ",\"ms\":" + std::to_string(wall) + State->Prefix +
-                     ",\"level\":\"" + nameOf(level) + "\",\"event\":\"" +
-                     event + "\"";
-  for (const LogField &it : fields)
-    line += std::string(",\"") + it.Name + "\":" + it.Value;
-  State->Logger.log(levelOf(level), line + "}");
+  // What goes wrong is never left out.
+  if (level < LogLevel::Warn && !State->Gate.take(State->Loop.now(), event))
+    return;
+  State->put(level, event, fields);
+}
+
+std::uint64_t EventLog::linesDropped() const {
+  return State->Pipe ? State->Pipe->dropped() : 0;
 }
 
 void EventLog::reopen() {
--- a/packages/daemon/src/EventLog.h
+++ b/packages/daemon/src/EventLog.h
@@ -26,17 +26,20 @@
 /// \class EventLog
 /// \brief Events as JSON lines, by log4cplus. Each carries the process, its
 /// availability zone and a hybrid logical time, so that the lines of all
-/// processes merge into one time line.
+/// processes merge into one time line. Lines below warnings are bounded for
+/// each event (LogGate), and standard output is never waited for.
 class EventLog {
 public:
   /// \param clock stamps the events; outlives the log.
-  EventLog(const Settings &settings, const EventLoop &loop, HybridClock &clock);
+  EventLog(const Settings &settings, EventLoop &loop, HybridClock &clock);
   ~EventLog();
   EventLog(const EventLog &) = delete;
   EventLog &operator=(const EventLog &) = delete;
 
   void write(LogLevel level, const char *event,
              std::initializer_list<LogField> fields);
+  /// \returns lines that found standard output full.
+  std::uint64_t linesDropped() const;
   /// Opens the file anew, after it was moved away.
   void reopen();
 
--- a/packages/daemon/src/ForwardFront.cpp
+++ b/packages/daemon/src/ForwardFront.cpp
@@ -49,7 +49,7 @@
 
 void ForwardFront::onEvent(const ForwardEvent &event) {
   Counters.noteForward(event);
-  Log.write(event.Lost ? LogLevel::Warn : LogLevel::Debug, event.Name,
+  Log.write(event.Lost ? LogLevel::Warn : LogLevel::Info, event.Name,
             {{"request", event.Request},
              {"route", event.Route},
              {"server", event.Server.str()},
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -100,7 +100,7 @@
 void Metrics::noteForward(const ForwardEvent &event) {
   State->Forwarded.Add({{"event", event.Name}}).Increment();
   if (event.Lost)
-    State->Lost.Add({{"reason", event.Detail}}).Increment();
+    State->Lost.Add({{"reason", event.Reason}}).Increment();
   if (event.Status != 0 && !event.Lost)
     State->ForwardTimes
         .Add({{"event", event.Name}, {"route", event.Route}}, StallBuckets)
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -21,6 +21,18 @@
   return prefix;
 }
 
+/// \returns what decided the end of a request, for the log.
+std::string inputsOf(TimePoint now, const ForwardRequest &request) {
+  if (!request.Route)
+    return {};
+  const auto left = (request.Deadline - now).count() / 1000;
+  return "; servers sent to " + std::to_string(request.Sends) +
+         ", agents that declined " + std::to_string(request.Tried.size()) +
+         ", unreachable " + std::to_string(request.Unreachable) + ", " +
+         std::to_string(left) + " ms left, table of revision " +
+         std::to_string(request.Table->revision());
+}
+
 /// \returns the status for a request without an answer. 503 promises that the
 /// request has not run and never will.
 int statusOf(ForwardFailure why, bool mayHaveRun) {
@@ -354,7 +366,9 @@
   std::string detail = forwardFailureName(why);
   if (request.LastRefusal != RefusalReason::None)
     detail += std::string(", ") + refusalReasonName(request.LastRefusal);
+  detail += inputsOf(now, request);
   note(now, "request_lost", request, detail, status, /*lost=*/true);
+  Board.Events.back().Reason = forwardFailureName(why);
   cancel(now, request);
   if (request.Answering) {
     Board.Commands.push_back(ReplyAbort{request.Key});
@@ -366,7 +380,8 @@
                     .Headers = Board.Codec.refusalHeaders(
                         request.Traits, Board.Jitter.jitter(comeBack))};
   Board.Commands.push_back(
-      ReplyWhole{request.Key, std::move(head), detail + "\n"});
+      ReplyWhole{request.Key, std::move(head),
+                 std::string(forwardFailureName(why)) + "\n"});
   finish(request);
 }
 
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -174,6 +174,8 @@
   std::string Route;
   HostName Server;
   std::string Detail;
+  /// For a request without an answer.
+  const char *Reason = "";
   /// Since the request arrived.
   Duration Took = Duration::zero();
   int Status = 0;
--- /dev/null
+++ b/test/LogTest.cpp
@@ -0,0 +1,43 @@
+#include "LogGate.h"
+#include "PipeAppender.h"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+TEST_CASE("the lines of one event are bounded, and gaps are counted") {
+  LogGate gate({.Burst = 5, .PerSecond = 2});
+  const TimePoint start{100s};
+  int written = 0;
+  for (int i = 0; i < 100; ++i)
+    written += gate.take(start, "busy");
+  CHECK(written == 5);
+  CHECK(gate.take(start, "other"));
+  CHECK(gate.takeLeftOut() ==
+        std::map<std::string, std::uint64_t>{{"busy", 95}});
+  CHECK(gate.takeLeftOut().empty());
+  for (int i = 0; i < 100; ++i)
+    written += gate.take(start + 10ms * i, "busy");
+  CHECK(written == 6);
+}
+
+TEST_CASE("a reader that takes nothing holds nobody up") {
+  int fds[2];
+  REQUIRE(::pipe(fds) == 0);
+  PipeAppender appender(fds[1]);
+  const std::string line(1000, 'x');
+  const log4cplus::spi::InternalLoggingEvent event(
+      "test", log4cplus::INFO_LOG_LEVEL, line, __FILE__, __LINE__);
+  constexpr int Lines = 1000;
+  for (int i = 0; i < Lines; ++i)
+    appender.doAppend(event);
+  // A pipe takes 64 KB; the rest was dropped, and the calls came back.
+  CHECK(appender.dropped() > Lines / 2);
+  CHECK(appender.dropped() < Lines);
+  ::close(fds[0]);
+  ::close(fds[1]);
+}
--- a/test/TimeLineTest.cpp
+++ b/test/TimeLineTest.cpp
@@ -35,3 +35,22 @@
   clock.observe(~0ULL, 1000);
   CHECK(clock.tick(1000) < first + (6ULL << 16));
 }
+
+TEST_CASE("a request's id leads to its cause") {
+  TimeLine line;
+  Findings findings;
+  line.addLog("collected",
+              "  12.5 host-1 {\"hlc\":2,\"host\":\"e\",\"event\":"
+              "\"request_lost\",\"request\":\"r1\","
+              "\"why\":\"declined, busy; servers sent to 0\"}\n"
+              "  12.4 host-1 {\"hlc\":1,\"host\":\"e\",\"event\":"
+              "\"agent_silent\",\"request\":\"r1\"}\n"
+              "cut off {\"hlc\":3,\n",
+              findings);
+  line.sort();
+  const std::string text = line.explain("r1");
+  CHECK(text.find("agent_silent") < text.find("request_lost"));
+  CHECK(text.find("=> refused: each server or agent") != std::string::npos);
+  CHECK(line.explain("r2").empty());
+  CHECK(findings.items().size() == 1);
+}
