Test the real processes between stand-ins of the platform

Seventeen requests to backend servers that misbehave in every way that is known, as callers see them; again after the leader was killed, and through an entry that was stopped gracefully. The first runs found, each seen failing and then passing: an agent was taken for that of another service on its host (test added); an agent refused a request with less time left than its guess of two seconds, though the entry sends it itself; a stream that was given up lost what the caller could have had. An answer without chunks is now ended by a reset.

--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -79,17 +79,18 @@
 }
 
 void ServerSet::joinAgents() {
-  std::map<std::string, const ServerView *> byIp;
+  // A host may run servers of several services; an agent is for one of them.
+  std::map<std::pair<std::string, ServiceName>, const ServerView *> byPlace;
   for (const auto &[host, it] : Servers)
-    byIp[ipOf(it.Record.Address)] = &it;
+    for (const ServiceName &service : it.Record.Services)
+      if (!it.Record.Leaving)
+        byPlace[{ipOf(it.Record.Address), service}] = &it;
   Beside.clear();
   for (auto &[host, agent] : Agents) {
-    const auto it = byIp.find(ipOf(agent.Record.Address));
-    const bool usable =
-        it != byIp.end() && !it->second->Record.Leaving &&
-        isOf(it->second->Record, ServiceName(agent.Record.BaseModel));
-    agent.Drained = !usable;
-    if (usable)
+    const auto it = byPlace.find({ipOf(agent.Record.Address),
+                                  ServiceName(agent.Record.BaseModel)});
+    agent.Drained = it == byPlace.end();
+    if (!agent.Drained)
       Beside[host] = it->second->Record.Host;
   }
 }
--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -152,7 +152,7 @@
     return;
   evbuffer *output = bufferevent_get_output(Bev);
   if (evbuffer_get_length(output) > Owner.Options.MaxUnsentBytes)
-    return abort();
+    return end();
   if (Framing == HttpFraming::Close) {
     evbuffer_add(output, bytes.data(), bytes.size());
     return;
@@ -196,7 +196,15 @@
 }
 
 void CallerChannel::abort() {
-  // Also what was written and not sent: half of an answer helps nobody.
+  Owner.dropKey(Key);
+  Key = 0;
+  // What the caller has is its own, and it may go on from there. Without the
+  // last chunk it doesn't look complete; without chunks only a reset tells.
+  if (Framing == HttpFraming::Chunked)
+    return closeWhenWritten();
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(Bev), SOL_SOCKET, SO_LINGER, &reset,
+             sizeof(reset));
   end();
 }
 
--- a/packages/net/pimentofront/src/Net/HttpClient.cpp
+++ b/packages/net/pimentofront/src/Net/HttpClient.cpp
@@ -11,6 +11,16 @@
 namespace pimentofront {
 namespace {
 
+evhttp_cmd_type methodOf(const std::string &name) {
+  if (name == "GET")
+    return EVHTTP_REQ_GET;
+  if (name == "PUT")
+    return EVHTTP_REQ_PUT;
+  if (name == "DELETE")
+    return EVHTTP_REQ_DELETE;
+  return EVHTTP_REQ_POST;
+}
+
 constexpr std::size_t IdleConnectionsKept = 256;
 constexpr int StatusOk = 200;
 constexpr ev_ssize_t MaxAnswerBytes = ev_ssize_t(16) << 20;
@@ -188,8 +198,7 @@
     evhttp_add_header(headers, it.Name.c_str(), it.Value.c_str());
   evbuffer_add(evhttp_request_get_output_buffer(req), active->Call.Body.data(),
                active->Call.Body.size());
-  const evhttp_cmd_type method =
-      active->Call.Method == "GET" ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+  const evhttp_cmd_type method = methodOf(active->Call.Method);
   const std::string path = active->Call.Path;
   evhttp_make_request(con, req, method, path.c_str());
   return id;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -56,8 +56,10 @@
   const Duration wait = queueWait();
   if (request.OnlyIfResident && wait > Board.Options.SpillDelay)
     return {RefusalReason::QueueFull, wait};
-  if (Board.Options.RefusesEarly &&
-      wait + Board.ServiceTime > request.Remaining)
+  // An entry that sends the request itself judges how long the answer takes.
+  const Duration service =
+      request.Delegated ? Duration::zero() : Board.ServiceTime;
+  if (Board.Options.RefusesEarly && wait + service > request.Remaining)
     return {RefusalReason::QueueFull, wait};
   return {};
 }
--- /dev/null
+++ b/packages/testkit/src/FakePlatformMain.cpp
@@ -0,0 +1,293 @@
+// Plays the users' platform against running processes of the system: backend
+// servers that register, an operator, callers; checks what each of them sees.
+
+#include "FakePlatformServers.h"
+
+#include <cstdio>
+#include <getopt.h>
+#include <nlohmann/json.hpp>
+
+using namespace pimentofront;
+using namespace pimentofront::testkit;
+
+namespace {
+
+struct Arguments {
+  std::vector<std::string> Control;
+  std::string Front;
+  std::string Plain;
+  std::string Engine;
+  std::string Engine2;
+};
+
+/// What a caller must see of one request.
+struct Expectation {
+  const char *Path;
+  std::vector<int> Statuses;
+  /// Empty takes any body.
+  std::string Body;
+  /// The most times that it may run.
+  int MaxRuns = 1;
+  bool MustBreakOff = false;
+};
+
+std::string events(int n) {
+  std::string text;
+  for (int i = 1; i <= n; ++i)
+    text += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) +
+            "\n\n";
+  return text;
+}
+
+/// Engines are in use a little after they have registered.
+constexpr std::string_view FirstOfEngines = "/flow/stream";
+/// Stands for the request's own id in an expected body.
+constexpr const char *OwnId = "<id>";
+
+const std::vector<Expectation> &expectations() {
+  static const std::vector<Expectation> All = {
+      {"/once/ok", {200}, OwnId},
+      {"/once/unframed", {200}, OwnId},
+      {"/once/extra", {200}, OwnId},
+      {"/once/late", {200}, OwnId},
+      {"/once/fail", {500}, "sorry"},
+      {"/once/cut", {502}, ""},
+      {"/once/garbage", {502}, ""},
+      {"/once/unstamped", {502}, ""},
+      {"/once/shed", {503}, "", 0},
+      {"/once/hang", {504}, ""},
+      {"/safe/fail-once", {200}, OwnId, 2},
+      {"/safe/cut", {502}, "", 2},
+      {"/flow/stream", {200}, events(5)},
+      {"/flow/stream-cut", {200}, events(5), 2},
+      {"/brook/stream", {200}, events(5)},
+      {"/brook/stream-cut", {200}, "", 1, true},
+      {"/nowhere/ok", {404}, "", 0},
+  };
+  return All;
+}
+
+nlohmann::json route(const char *prefix, const char *kind, const char *service,
+                     int servers, bool resumable) {
+  return {{"name", prefix},
+          {"hostname", "test.example"},
+          {"pathPrefix", std::string("/") + prefix + "/"},
+          {"routeType", kind},
+          {"timeoutMs", 2000},
+          {"targetLatencyMs", 500},
+          {"priority", 1},
+          {"backend", service},
+          {"attempts", servers},
+          {"resumable", resumable}};
+}
+
+nlohmann::json manifest(int version) {
+  return {
+      {"version", version},
+      {"routes",
+       {route("once", "non_idempotent", "plain", 1, false),
+        route("safe", "idempotent", "plain", 2, false),
+        route("flow", "streaming", "engines", 2, true),
+        route("brook", "streaming", "engines", 1, false)}},
+      {"services",
+       {{{"name", "plain"}, {"healthPath", "/h"}, {"maxConns", 100}},
+        {{"name", "engines"},
+         {"healthPath", "/h"},
+         {"maxConns", 100},
+         {"engine",
+          {{"slots", 8},
+           {"kvCapacity", 100000},
+           {"weightsMb", 1000},
+           {"adapterSlots", 2},
+           {"models",
+            {{{"name", "m0"}, {"weightsMb", 900}, {"adapterMb", 10}}}}}}}}}};
+}
+
+class Player : public UpstreamHandler {
+public:
+  Player(EventLoop &loop, const Arguments &arguments)
+      : Loop(loop), Options(arguments), Control(loop), Callers(loop, {}, *this),
+        Plain1(loop, *HostPort::parse(Options.Plain), "i-p1", Runs),
+        Plain2(loop, nextPort(Options.Plain), "i-p2", Runs),
+        Engine1(loop, *HostPort::parse(Options.Engine), "i-e1", Runs),
+        Engine2(loop, *HostPort::parse(Options.Engine2), "i-e2", Runs) {
+    constexpr Duration Beat = std::chrono::milliseconds(300);
+    Beats = Loop.every(Beat, [this] { beat(); });
+    beat();
+  }
+
+  int run() {
+    Loop.run();
+    return Failures == 0 ? 0 : 1;
+  }
+
+  HeadVerdict onHead(const AttemptId &, ResponseHead head) override {
+    Status = head.Status;
+    return HeadVerdict::Take;
+  }
+  void onBody(const AttemptId &, std::string_view bytes) override {
+    Body += bytes;
+  }
+  void onEnd(const AttemptId &, UpstreamEnding ending) override {
+    // Until the servers are known and the document is in force everywhere.
+    const bool first =
+        Next == 0 || std::string_view(expectations()[Next].Path) == FirstOfEngines;
+    const bool early = first && Status != 200;
+    if (early) {
+      Retry = Loop.after(std::chrono::milliseconds(200), [this] { ask(); });
+      return;
+    }
+    judge(ending);
+    if (++Next < expectations().size())
+      Retry = Loop.after(Duration::zero(), [this] { ask(); });
+    else
+      Loop.stop();
+  }
+
+private:
+  static HostPort nextPort(const std::string &address) {
+    HostPort result = *HostPort::parse(address);
+    ++result.Port;
+    return result;
+  }
+
+  static std::string text(const HostPort &it) {
+    return it.Ip + ":" + std::to_string(it.Port);
+  }
+
+  void beat() {
+    ++Sequence;
+    put("i-p1", "plain", *HostPort::parse(Options.Plain));
+    put("i-p2", "plain", nextPort(Options.Plain));
+    put("i-e1", "engines", *HostPort::parse(Options.Engine));
+    put("i-e2", "engines", *HostPort::parse(Options.Engine2));
+    if (!Accepted)
+      send("/-/config", manifest(1), 0, [this](int status) {
+        if (status != 200 || Accepted)
+          return;
+        Accepted = true;
+        std::puts("ok: the routing document is accepted");
+        ask();
+      });
+  }
+
+  void put(const std::string &id, const char *service,
+           const HostPort &address) {
+    send("/-/instances/" + id,
+         {{"backend", service},
+          {"address", text(address)},
+          {"zone", "z"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"seq", Sequence}},
+         0, [](int) {});
+  }
+
+  /// Asks one replica after another until one takes the call itself.
+  void send(const std::string &path, const nlohmann::json &body, std::size_t at,
+            const std::function<void(int)> &done) {
+    if (at >= Options.Control.size())
+      return done(0);
+    Control.start({.Address = *HostPort::parse(Options.Control[at]),
+                   .Method = "PUT",
+                   .Path = path,
+                   .Headers = {{"Content-Type", "application/json"}},
+                   .Body = body.dump(),
+                   .Timeout = std::chrono::seconds(1),
+                   .OnEnd = [=, this](const HttpAnswer &answer) {
+                     constexpr int Redirect = 307;
+                     const bool good = answer.Ending == HttpEnding::Complete &&
+                                       answer.Status < Redirect;
+                     if (good)
+                       return done(answer.Status);
+                     send(path, body, at + 1, done);
+                   }});
+  }
+
+  void ask() {
+    const Expectation &it = expectations()[Next];
+    Id = "r" + std::to_string(++Asked);
+    Status = 0;
+    Body.clear();
+    RequestHead head{"POST",
+                     it.Path,
+                     {{"Host", "test.example"},
+                      {"Pimentofront-Attempt-Id", Id},
+                      {"Pimentofront-Model", "m0/a1"},
+                      {"Pimentofront-Token-Usage", "100,10"},
+                      {"Pimentofront-Prompt-Prefix", "a1:60,b2:40"},
+                      {"Pimentofront-Deadline-Ms", "1500"}}};
+    Callers.send({.Attempt = {1, ++Sent},
+                  .Address = Options.Front,
+                  .Head = std::move(head),
+                  .Body = std::make_shared<const std::string>(1000, 'x')});
+  }
+
+  int runs() const {
+    const auto it = Runs.find(Id);
+    return it == Runs.end() ? 0 : it->second;
+  }
+
+  void judge(UpstreamEnding ending) {
+    const Expectation &it = expectations()[Next];
+    std::string body = it.Body == OwnId ? Id : it.Body;
+    const bool broke = ending != UpstreamEnding::Complete;
+    const bool good =
+        std::ranges::find(it.Statuses, Status) != it.Statuses.end() &&
+        (body.empty() || body == Body) && runs() <= it.MaxRuns &&
+        broke == it.MustBreakOff;
+    std::printf("%s: %s status %d, runs %d%s\n", good ? "ok" : "FAILED",
+                it.Path, Status, runs(), broke ? ", broke off" : "");
+    Failures += good ? 0 : 1;
+  }
+
+  EventLoop &Loop;
+  Arguments Options;
+  HttpClient Control;
+  UpstreamPool Callers;
+  std::map<std::string, int> Runs;
+  FakeServer Plain1;
+  FakeServer Plain2;
+  FakeServer Engine1;
+  FakeServer Engine2;
+  std::unique_ptr<Timer> Beats;
+  std::unique_ptr<Timer> Retry;
+  std::uint64_t Sequence = 0;
+  std::uint64_t Sent = 0;
+  std::uint64_t Asked = 0;
+  bool Accepted = false;
+  std::size_t Next = 0;
+  std::string Id;
+  int Status = 0;
+  std::string Body;
+  int Failures = 0;
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const option options[] = {{"control", required_argument, nullptr, 'c'},
+                            {"front", required_argument, nullptr, 'f'},
+                            {"plain", required_argument, nullptr, 'p'},
+                            {"engine", required_argument, nullptr, 'e'},
+                            {nullptr, 0, nullptr, 0}};
+  Arguments arguments;
+  int c = 0;
+  while ((c = getopt_long(argc, argv, "", options, nullptr)) != -1) {
+    if (c == 'c')
+      arguments.Control.emplace_back(optarg);
+    else if (c == 'f')
+      arguments.Front = optarg;
+    else if (c == 'p')
+      arguments.Plain = optarg;
+    else if (c == 'e' && arguments.Engine.empty())
+      arguments.Engine = optarg;
+    else if (c == 'e')
+      arguments.Engine2 = optarg;
+    else
+      return 2;
+  }
+  EventLoop loop;
+  // A run that doesn't end is a failed one; ctest ends it.
+  return Player(loop, arguments).run();
+}
--- /dev/null
+++ b/packages/testkit/src/FakePlatformServers.cpp
@@ -0,0 +1,215 @@
+#include "FakePlatformServers.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace pimentofront::testkit {
+namespace {
+
+constexpr const char *Model = "m0";
+
+std::string headerOf(const RequestHead &head, const char *name) {
+  const std::string *value = findHeader(head.Headers, name);
+  return value ? *value : std::string();
+}
+
+std::string whole(const std::string &status, const std::string &headers,
+                  const std::string &body) {
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) +
+         "\n\n";
+}
+
+std::string chunk(const std::string &bytes) {
+  return writeChunkHead(bytes.size()) + bytes + "\r\n";
+}
+
+} // namespace
+
+/// One connection; requests are answered one after another.
+class FakeServer::Channel : public HttpMessageHandler {
+public:
+  Channel(FakeServer &owner, bufferevent *bev)
+      : Owner(owner), Bev(bev), Parser(HttpSide::Requests, {}, *this) {
+    bufferevent_setcb(bev, onReadable, nullptr, onEvent, this);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+  }
+  ~Channel() override { bufferevent_free(Bev); }
+
+  bool onRequestHead(RequestHead head) override {
+    Head = std::move(head);
+    Body.clear();
+    return true;
+  }
+  void onBody(std::string_view bytes) override { Body += bytes; }
+  void onMessageEnd() override { Owner.answer(*this, Head); }
+
+  void write(const std::string &bytes) {
+    bufferevent_write(Bev, bytes.data(), bytes.size());
+  }
+  /// Writes past the buffer, which would still be full when the end comes.
+  void writeAndClose(const std::string &bytes) {
+    const auto n = ::send(bufferevent_getfd(Bev), bytes.data(), bytes.size(),
+                          MSG_NOSIGNAL);
+    Closing = n == static_cast<ssize_t>(bytes.size());
+  }
+  const std::string &body() const { return Body; }
+
+private:
+  static void onReadable(bufferevent *bev, void *arg) {
+    auto *self = static_cast<Channel *>(arg);
+    evbuffer *input = bufferevent_get_input(bev);
+    while (evbuffer_get_length(input) > 0 && !self->Closing) {
+      const std::size_t n = evbuffer_get_contiguous_space(input);
+      const auto *bytes =
+          reinterpret_cast<const char *>(evbuffer_pullup(input, n));
+      const std::size_t used = self->Parser.feed({bytes, n});
+      if (used == 0)
+        break;
+      evbuffer_drain(input, used);
+    }
+    if (self->Closing)
+      self->finish();
+  }
+  static void onEvent(bufferevent *, short what, void *arg) {
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+      static_cast<Channel *>(arg)->finish();
+  }
+  void finish() {
+    const int fd = bufferevent_getfd(Bev);
+    if (fd < 0)
+      return;
+    bufferevent_disable(Bev, EV_READ | EV_WRITE);
+    bufferevent_setfd(Bev, -1);
+    evutil_closesocket(fd);
+  }
+
+  FakeServer &Owner;
+  bufferevent *Bev;
+  HttpParser Parser;
+  RequestHead Head;
+  std::string Body;
+  bool Closing = false;
+};
+
+FakeServer::FakeServer(EventLoop &loop, const HostPort &listen,
+                       std::string instance, std::map<std::string, int> &runs)
+    : Loop(loop), Instance(std::move(instance)), Runs(runs) {
+  const sockaddr_in address = toSocketAddress(listen);
+  constexpr int Backlog = 128;
+  Listener = evconnlistener_new_bind(
+      loop.base(), onAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+      Backlog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+  if (!Listener)
+    throw std::runtime_error("can't listen on port " +
+                             std::to_string(listen.Port));
+}
+
+FakeServer::~FakeServer() { evconnlistener_free(Listener); }
+
+void FakeServer::onAccept(evconnlistener *, int fd, sockaddr *, int,
+                          void *arg) {
+  auto *self = static_cast<FakeServer *>(arg);
+  self->Channels.push_back(std::make_unique<Channel>(
+      *self, bufferevent_socket_new(self->Loop.base(), fd, 0)));
+}
+
+void FakeServer::answer(Channel &channel, const RequestHead &head) {
+  if (head.Target == "/-/report")
+    return channel.write(whole("200 OK", "", report()));
+  if (head.Target == "/-/order")
+    return channel.write(whole(takeOrder(channel.body()), "", ""));
+  const std::string id = headerOf(head, "Pimentofront-Attempt-Id");
+  const std::string echo = "Pimentofront-Attempt-Id: " + id + "\r\n";
+  const std::string stamps = echo + "Pimentofront-Response-Stamp: s\r\n";
+  if (headerOf(head, "Pimentofront-Expect-Instance") != Instance)
+    return channel.write(whole("421 Misdirected Request", echo, ""));
+  const std::string how = head.Target.substr(head.Target.rfind('/') + 1);
+  if (how == "shed")
+    return channel.write(whole("503 Service Unavailable",
+                               echo + "Pimentofront-Not-Executed: 1\r\n", ""));
+  const int runs = ++Runs[id];
+  if (how == "fail")
+    channel.write(whole("500 Internal Server Error", stamps, "sorry"));
+  else if (how == "fail-once" && runs == 1)
+    channel.write(whole("500 Internal Server Error", stamps, "sorry"));
+  else if (how == "cut") {
+    channel.writeAndClose("HTTP/1.1 200 OK\r\n" + stamps +
+                          "Content-Length: 100\r\n\r\nhalf");
+  } else if (how == "garbage") {
+    channel.writeAndClose("\x01\x02 this is no answer\r\n\r\n");
+  } else if (how == "unstamped")
+    channel.write(whole("200 OK", echo, "forged"));
+  else if (how == "extra")
+    channel.write(whole("200 OK", stamps, id) +
+                  whole("200 OK", stamps, "second answer"));
+  else if (how == "late")
+    channel.write(whole("200 OK",
+                        "Pimentofront-Attempt-Id: earlier\r\n"
+                        "Pimentofront-Response-Stamp: s\r\n",
+                        "of another request") +
+                  whole("200 OK", stamps, id));
+  else if (how == "unframed") {
+    channel.writeAndClose("HTTP/1.1 200 OK\r\n" + stamps + "\r\n" + id);
+  } else if (how == "hang")
+    return;
+  else if (how == "stream" || how == "stream-cut")
+    answerStream(channel, head, stamps, how == "stream-cut" && runs == 1);
+  else
+    channel.write(whole("200 OK", stamps, id));
+}
+
+void FakeServer::answerStream(Channel &channel, const RequestHead &head,
+                              const std::string &stamps, bool cut) {
+  const std::string last = headerOf(head, "Last-Event-Id");
+  int next = last.empty() ? 1 : std::stoi(last) + 1;
+  std::string out = "HTTP/1.1 200 OK\r\n" + stamps +
+                    "Content-Type: text/event-stream\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n";
+  constexpr int Events = 5;
+  constexpr int CutAfter = 2;
+  for (; next <= (cut ? CutAfter : Events); ++next)
+    out += chunk(event(next));
+  if (cut)
+    return channel.writeAndClose(out + chunk("id: 3\nda"));
+  channel.write(out + "0\r\n\r\n");
+}
+
+std::string FakeServer::report() const {
+  nlohmann::json adapters = nlohmann::json::array();
+  for (const std::string &it : Adapters)
+    adapters.push_back(it + "@1");
+  return nlohmann::json{{"models", {{{"name", Model},
+                                     {"version", 1},
+                                     {"adapters", adapters}}}},
+                        {"busy", false},
+                        {"seq", Orders}}
+      .dump();
+}
+
+std::string FakeServer::takeOrder(const std::string &body) {
+  const auto order = nlohmann::json::parse(body, nullptr, false);
+  if (!order.is_object() || !order.contains("fence") ||
+      order.value("holder", "").empty())
+    return "400 Bad Request";
+  if (order.value("expect", std::uint64_t(0)) != Orders)
+    return "409 Conflict";
+  ++Orders;
+  const std::string adapter = order.value("adapter", "");
+  if (order.value("operation", "") == "load")
+    Adapters.insert(adapter);
+  else
+    Adapters.erase(adapter);
+  return "202 Accepted";
+}
+
+} // namespace pimentofront::testkit
--- /dev/null
+++ b/packages/testkit/src/FakePlatformServers.h
@@ -0,0 +1,51 @@
+#ifndef PIMENTOFRONT_TESTKIT_FAKE_PLATFORM_SERVERS_H
+#define PIMENTOFRONT_TESTKIT_FAKE_PLATFORM_SERVERS_H
+
+#include "pimentofront/Http.h"
+
+#include <set>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace pimentofront::testkit {
+
+/// \class FakeServer
+/// \brief A backend server of the platform that misbehaves on demand: the last
+/// part of a request's path says how it answers.
+///
+/// Counts how often each request ran, so that a test sees what ran twice.
+class FakeServer {
+public:
+  /// \param runs counts the runs of each request, over all servers.
+  FakeServer(EventLoop &loop, const HostPort &listen, std::string instance,
+             std::map<std::string, int> &runs);
+  ~FakeServer();
+  FakeServer(const FakeServer &) = delete;
+  FakeServer &operator=(const FakeServer &) = delete;
+
+  const std::string &instance() const { return Instance; }
+  std::uint64_t orders() const { return Orders; }
+
+private:
+  class Channel;
+  static void onAccept(evconnlistener *, int fd, struct sockaddr *, int,
+                       void *arg);
+  void answer(Channel &channel, const RequestHead &head);
+  void answerStream(Channel &channel, const RequestHead &head,
+                    const std::string &stamps, bool cut);
+  std::string report() const;
+  std::string takeOrder(const std::string &body);
+
+  EventLoop &Loop;
+  std::string Instance;
+  evconnlistener *Listener = nullptr;
+  std::vector<std::unique_ptr<Channel>> Channels;
+  std::map<std::string, int> &Runs;
+  std::set<std::string> Adapters;
+  std::uint64_t Orders = 0;
+};
+
+} // namespace pimentofront::testkit
+
+#endif
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -484,3 +484,11 @@
     CHECK(it.take<CancelUpstream>().empty());
   }
 }
+
+TEST_CASE("a host may run servers of several services") {
+  ForwardUnderTest it;
+  it.Controller.onMembers({.Members = {server("p3", "plain", "1.0.0.3:81"),
+                                       server("p4", "plain", "1.0.0.4:81")}});
+  it.request("flow");
+  CHECK(it.permit().Address.ends_with(":80"));
+}
--- /dev/null
+++ b/test/platform.sh
@@ -0,0 +1,55 @@
+#!/bin/sh
+# The real processes between stand-ins of the users' platform, on loopback: what
+# callers see of backend servers that misbehave in every way that is known; then
+# the same with the leader of the replicas killed, and after a graceful stop of
+# the entry. Waits for events, never for a time. Argument: the built packages.
+set -eu
+bin=$1
+work=$(mktemp -d)
+pids=""
+base=$((10000 + $$ % 1000 * 20))
+trap 'for it in $pids; do kill -TERM $it 2>/dev/null || true; done; for it in $pids; do wait $it 2>/dev/null || true; done; rm -rf "$work"' EXIT
+
+daemon() { # name
+  "$bin/daemon/pimentofrontd" --settings "$work/$1.json" >>"$work/$1.log" 2>&1 &
+  eval "pid_$1=$!"
+  pids="$! $pids"
+}
+common() { # name http peers
+  echo "\"host\": \"$1\", \"zone\": \"z\", \"http\": \"127.0.0.1:$((base + $2))\", \"peers\": \"127.0.0.1:$((base + $3))\",
+ \"replicas\": [\"127.0.0.1:$((base + 11))\", \"127.0.0.1:$((base + 12))\", \"127.0.0.1:$((base + 13))\"],
+ \"member_lease_ms\": 3000, \"renew_period_ms\": 1000, \"stop_notice_ms\": 50"
+}
+for i in 1 2 3; do
+  echo "{$(common "n$i" $i $((10 + i))), \"replica\": {\"folder\": \"$work/data$i\", \"bootstrap\": true, \"tolerated_losses\": 1}}" >"$work/n$i.json"
+  daemon "n$i"
+done
+echo "{$(common e1 4 14), \"forward\": {\"listen\": \"127.0.0.1:$((base + 5))\"}}" >"$work/e1.json"
+echo "{$(common w1 6 16), \"agent\": {\"engine\": \"127.0.0.1:$((base + 7))\", \"engine_interface\": \"orders\", \"engine_settle_ms\": 0, \"engine_probe_ms\": 100, \"base_model\": \"engines\", \"company_share\": 0}}" >"$work/w1.json"
+sed "s/\"w1\"/\"w2\"/; s/127.0.0.1:$((base + 6))\"/127.0.0.2:$((base + 6))\"/; s/127.0.0.1:$((base + 16))\"/127.0.0.2:$((base + 16))\"/; s/127.0.0.1:$((base + 7))\"/127.0.0.2:$((base + 7))\"/" "$work/w1.json" >"$work/w2.json"
+daemon e1
+daemon w1
+daemon w2
+
+play() {
+  "$bin/testkit/pimentofront-fake-platform" --control "127.0.0.1:$((base + 1))" \
+    --control "127.0.0.1:$((base + 2))" --control "127.0.0.1:$((base + 3))" \
+    --front "127.0.0.1:$((base + 5))" --plain "127.0.0.1:$((base + 8))" --engine "127.0.0.1:$((base + 7))" --engine "127.0.0.2:$((base + 7))" ||
+    { echo "failed: $1"; tail -n 20 "$work"/*.log; exit 1; }
+  echo "ok: $1"
+}
+play "all of them behave as they should"
+
+leader=$(grep -l '"event":"leader_began"' "$work"/n?.log | head -n 1)
+name=$(basename "$leader" .log)
+eval "kill -KILL \$pid_$name"
+play "also after the leader was killed"
+
+kill -TERM "$pid_e1"
+wait "$pid_e1" || { echo "the entry's exit code is bad"; exit 1; }
+daemon e1
+play "also through an entry that stopped gracefully and came back"
+
+id=$(grep -h '"event":"request_lost"' "$work/e1.log" | grep -o '"request":"[^"]*"' | tail -n 1 | cut -d'"' -f4)
+"$bin/ctl/pimentofrontctl" explain "$id" "$work"/*.log | grep -q '^=> ' || { echo "no cause for $id"; exit 1; }
+echo "ok: a lost request's id leads to its cause"
