Pass by an engine that fails more than its siblings

Cause: engines that answer failures while their health is good were chosen like the others, since only plain services were ranked by failures. Change: an engine whose share of failures lies 0.3 above its siblings' mean is passed by for 2 s, a third of them at most.

--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -177,6 +177,27 @@
   } else {
     it->Failures = 0;
   }
+  if (failed)
+    ejectIfFailing(now, *it);
+}
+
+void ServerSet::ejectIfFailing(TimePoint now, ServerView &server) {
+  const auto agent = std::ranges::find_if(Beside, [&](const auto &it) {
+    return it.second == server.Record.Host;
+  });
+  if (agent == Beside.end() || server.Record.Services.empty())
+    return;
+  const double mean = meanFailureShare(server.Record.Services.front());
+  if (server.FailureShare < mean + Options.EjectAbove)
+    return;
+  const auto out = std::ranges::count_if(
+      Agents, [&](const auto &it) { return it.second.SuspendedUntil > now; });
+  if (static_cast<double>(out) >=
+      Options.EjectShare * static_cast<double>(Agents.size()))
+    return;
+  Agents[agent->first].SuspendedUntil = now + Options.EjectTime;
+  // It gets another chance afterwards.
+  server.FailureShare = mean;
 }
 
 void ServerSet::noteLoad(TimePoint now, const HostName &server,
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -48,9 +48,15 @@
   Duration SuspendTime = std::chrono::milliseconds(250);
   /// A word on load counts for so long; loads change within some requests.
   Duration LoadLifetime = std::chrono::seconds(1);
-  /// Weight of the newest answer in the share of failures: about the last ten
+  /// Weight of the newest answer in the share of failures: about the last five
   /// count.
-  double FailureWeight = 0.1;
+  double FailureWeight = 0.2;
+  /// An engine whose share of failures lies so far above that of its siblings
+  /// is passed by for a while: two failures in a row do it.
+  double EjectAbove = 0.3;
+  Duration EjectTime = std::chrono::seconds(2);
+  /// Part of the engines that may be passed by at one time.
+  double EjectShare = 0.34;
   /// How much a share of failures above that of the siblings counts, in parts
   /// of the slots: a server that fails a third more is chosen last.
   double FailurePenalty = 3;
@@ -92,6 +98,8 @@
   double scoreOf(TimePoint now, const ServerView &server,
                  double siblingFailures) const;
   double meanFailureShare(const ServiceName &service) const;
+  /// Passes an engine by that fails more than its siblings.
+  void ejectIfFailing(TimePoint now, ServerView &server);
 
   ServerSetOptions Options;
   std::map<HostName, ServerView> Servers;
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -492,3 +492,33 @@
   it.request("flow");
   CHECK(it.permit().Address.ends_with(":80"));
 }
+
+TEST_CASE("an engine that fails more than its siblings is passed by") {
+  ForwardUnderTest it;
+  const auto failOn = [&](const std::string &address) {
+    it.request("brook");
+    const auto sent = it.permit();
+    it.take<SendToAgent>();
+    if (sent.Address == address || address.empty()) {
+      it.head(sent, 500);
+      it.end(sent, Whole);
+    } else {
+      it.head(sent, 200);
+      it.body(sent, "id: 1\ndata: a\n\n");
+      it.end(sent, Whole);
+    }
+    it.take<SendToAgent>();
+    it.take<ReplyWhole>();
+    it.take<ReplyHead>();
+    it.take<ReplyPiece>();
+    it.take<ReplyEnd>();
+    return sent.Address;
+  };
+  const std::string bad = "1.0.0.3:80";
+  for (int i = 0; i < 12; ++i)
+    failOn(bad);
+  int toBad = 0;
+  for (int i = 0; i < 10; ++i)
+    toBad += failOn(bad) == bad;
+  CHECK(toBad == 0);
+}
