--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -147,6 +147,13 @@
   settings.StopNotice =
       reader.milliseconds("stop_notice_ms", settings.StopNotice);
   settings.StopLimit = reader.milliseconds("stop_limit_ms", settings.StopLimit);
+  if (reader.has("grace_s")) {
+    // Whoever ends this process after its grace time must not come first.
+    constexpr double Reserve = 0.3;
+    constexpr double Longest = 3600;
+    const double grace = reader.real("grace_s", 1, 1, Longest);
+    settings.StopLimit = fromSeconds(grace - Reserve);
+  }
   if (copy.Lease < 2 * settings.Entry.ProbePeriod)
     reader.fault("configuration_lease_ms",
                  "expected at least twice probe_period_ms");
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -40,8 +40,9 @@
   std::size_t HoldBytes = std::size_t(64) << 10;
   /// Shortest time to come back that a refusal names.
   Duration LeastComeBack = std::chrono::milliseconds(100);
-  /// When to come back to a process without a routing document.
-  Duration UnreadyComeBack = std::chrono::milliseconds(500);
+  /// When to come back to a process without a routing document: replicas that
+  /// were all killed need so long for a leader and its word.
+  Duration UnreadyComeBack = std::chrono::milliseconds(800);
 };
 
 /// Why a request has no answer of a backend server.
