--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -78,10 +78,9 @@
       continue;
     // A collector may have put something before the event.
     const std::size_t begin = content.find('{');
-    const Json json =
-        begin == std::string_view::npos
-            ? Json()
-            : Json::parse(content.substr(begin), nullptr, false);
+    const Json json = begin == std::string_view::npos
+                          ? Json()
+                          : Json::parse(content.substr(begin), nullptr, false);
     if (!json.is_object() || !json.contains("hlc")) {
       findings.add(file + ":" + std::to_string(line), "this is no event");
       continue;
@@ -142,8 +141,9 @@
      "attempt_broke_off for the server"},
     {"caller_gone", "", "the caller gave it up before the end"},
     {"request_answered", "status=5", "the backend server answered a failure"},
-    {"request_answered", "", "it was answered; answer_began says where the "
-                             "time until the first event went"},
+    {"request_answered", "",
+     "it was answered; answer_began says where the "
+     "time until the first event went"},
 };
 
 } // namespace
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -225,8 +225,9 @@
   line.sort();
   const std::string text = line.explain(arguments.Words[1]);
   if (text.empty())
-    std::fprintf(stderr, "no line names request %s (%zu lines couldn't be "
-                         "read)\n",
+    std::fprintf(stderr,
+                 "no line names request %s (%zu lines couldn't be "
+                 "read)\n",
                  arguments.Words[1].c_str(), findings.items().size());
   std::fputs(text.c_str(), stdout);
   return exitOf(!text.empty());
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -116,7 +116,7 @@
   agent.Replicas = Options.Replicas;
   BackendDriver *driver = nullptr;
   if (Options.EngineTakesOrders) {
-    Gate = std::make_unique<UncoordinatedLoads>();
+    Gate = std::make_unique<AdaptiveLoads>(AdaptiveLoadsOptions{});
     Orders = std::make_unique<platform::EngineOrders>(
         Loop, *Client,
         platform::EngineOrdersOptions{
@@ -245,9 +245,9 @@
 void Daemon::onLinkClosed(LinkId link) {
   const TimePoint now = Loop.now();
   const auto peer = Peers.extract(link);
-  Log->write(LogLevel::Info, "peer_lost",
-             {{"peer", peer ? peer.mapped().str() : "never reached"},
-              {"link", link}});
+  Log->write(
+      LogLevel::Info, "peer_lost",
+      {{"peer", peer ? peer.mapped().str() : "never reached"}, {"link", link}});
   if (Replica)
     Replica->onLinkClosed(now, link);
   if (Agent)
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -87,8 +87,8 @@
         byPlace[{ipOf(it.Record.Address), service}] = &it;
   Beside.clear();
   for (auto &[host, agent] : Agents) {
-    const auto it = byPlace.find({ipOf(agent.Record.Address),
-                                  ServiceName(agent.Record.BaseModel)});
+    const auto it = byPlace.find(
+        {ipOf(agent.Record.Address), ServiceName(agent.Record.BaseModel)});
     agent.Drained = it == byPlace.end();
     if (!agent.Drained)
       Beside[host] = it->second->Record.Host;
@@ -182,9 +182,8 @@
 }
 
 void ServerSet::ejectIfFailing(TimePoint now, ServerView &server) {
-  const auto agent = std::ranges::find_if(Beside, [&](const auto &it) {
-    return it.second == server.Record.Host;
-  });
+  const auto agent = std::ranges::find_if(
+      Beside, [&](const auto &it) { return it.second == server.Record.Host; });
   if (agent == Beside.end() || server.Record.Services.empty())
     return;
   const double mean = meanFailureShare(server.Record.Services.front());
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -21,6 +21,7 @@
 #include "src/Serving/EvictionPolicy.h"
 #include "src/Serving/AgentBoard.h"
 #include "src/Serving/LoadGate.h"
+#include "src/Serving/AdaptiveLoads.h"
 #include "src/Serving/AdmissionController.h"
 #include "src/Serving/DispatchController.h"
 #include "src/Serving/LoadController.h"
--- a/packages/serving/pimentofront/src/Serving/LoadGate.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.cpp
@@ -6,17 +6,6 @@
 namespace pimentofront {
 namespace {
 
-/// \returns the demand with the most weight waiting, then the least slack.
-const Demand *heaviest(const std::vector<Demand> &demands) {
-  const auto before = [](const Demand &a, const Demand &b) {
-    if (a.Weight != b.Weight)
-      return a.Weight > b.Weight;
-    return a.Slack < b.Slack;
-  };
-  const auto it = std::ranges::min_element(demands, before);
-  return it == demands.end() ? nullptr : &*it;
-}
-
 bool contains(const std::vector<Demand> &demands, const AdapterKey &key) {
   return std::ranges::find(demands, key, &Demand::Key) != demands.end();
 }
@@ -30,10 +19,20 @@
 
 } // namespace
 
+const Demand *heaviestDemand(const std::vector<Demand> &demands) {
+  const auto before = [](const Demand &a, const Demand &b) {
+    if (a.Weight != b.Weight)
+      return a.Weight > b.Weight;
+    return a.Slack < b.Slack;
+  };
+  const auto it = std::ranges::min_element(demands, before);
+  return it == demands.end() ? nullptr : &*it;
+}
+
 std::optional<AdapterKey>
 UncoordinatedLoads::next(TimePoint, AgentBoard &,
                          const std::vector<Demand> &demands) {
-  const Demand *it = heaviest(demands);
+  const Demand *it = heaviestDemand(demands);
   return it ? std::optional(it->Key) : std::nullopt;
 }
 
@@ -47,7 +46,7 @@
                   const std::vector<Demand> &demands) {
   if (Busy || now < NextAllowed)
     return std::nullopt;
-  const Demand *it = heaviest(demands);
+  const Demand *it = heaviestDemand(demands);
   if (!it)
     return std::nullopt;
   Busy = true;
--- a/packages/serving/pimentofront/src/Serving/LoadGate.h
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.h
@@ -16,6 +16,10 @@
   friend auto operator<=>(const Demand &, const Demand &) = default;
 };
 
+/// \returns the demand with the most weight waiting, then the least slack; null
+/// when there is none.
+const Demand *heaviestDemand(const std::vector<Demand> &demands);
+
 /// \class LoadGate
 /// \ingroup Serving
 /// \brief Says which adapter this agent may load now: how the agents share the
--- a/packages/testkit/src/FakePlatformMain.cpp
+++ b/packages/testkit/src/FakePlatformMain.cpp
@@ -131,7 +131,8 @@
   void onEnd(const AttemptId &, UpstreamEnding ending) override {
     // Until the servers are known and the document is in force everywhere.
     const bool first =
-        Next == 0 || std::string_view(expectations()[Next].Path) == FirstOfEngines;
+        Next == 0 ||
+        std::string_view(expectations()[Next].Path) == FirstOfEngines;
     const bool early = first && Status != 200;
     if (early) {
       Retry = Loop.after(std::chrono::milliseconds(200), [this] { ask(); });
--- a/packages/testkit/src/FakePlatformServers.cpp
+++ b/packages/testkit/src/FakePlatformServers.cpp
@@ -188,11 +188,10 @@
   nlohmann::json adapters = nlohmann::json::array();
   for (const std::string &it : Adapters)
     adapters.push_back(it + "@1");
-  return nlohmann::json{{"models", {{{"name", Model},
-                                     {"version", 1},
-                                     {"adapters", adapters}}}},
-                        {"busy", false},
-                        {"seq", Orders}}
+  return nlohmann::json{
+      {"models", {{{"name", Model}, {"version", 1}, {"adapters", adapters}}}},
+      {"busy", false},
+      {"seq", Orders}}
       .dump();
 }
 
