--- a/test/platform.sh
+++ b/test/platform/run.sh
@@ -2,7 +2,7 @@
 # The real processes between stand-ins of the users' platform, on loopback: what
 # callers see of backend servers that misbehave in every way that is known; then
 # the same with the leader of the replicas killed, and after a graceful stop of
-# the entry. Waits for events, never for a time. Argument: the built packages.
+# the entry. Waits for events, never for a time. Argument: the build folder.
 set -eu
 bin=$1
 work=$(mktemp -d)
@@ -11,7 +11,7 @@
 trap 'for it in $pids; do kill -TERM $it 2>/dev/null || true; done; for it in $pids; do wait $it 2>/dev/null || true; done; rm -rf "$work"' EXIT
 
 daemon() { # name
-  "$bin/daemon/pimentofrontd" --settings "$work/$1.json" >>"$work/$1.log" 2>&1 &
+  "$bin/packages/daemon/pimentofrontd" --settings "$work/$1.json" >>"$work/$1.log" 2>&1 &
   eval "pid_$1=$!"
   pids="$! $pids"
 }
@@ -32,7 +32,7 @@
 daemon w2
 
 play() {
-  "$bin/testkit/pimentofront-fake-platform" --control "127.0.0.1:$((base + 1))" \
+  "$bin/test/pimentofront-fake-platform" --control "127.0.0.1:$((base + 1))" \
     --control "127.0.0.1:$((base + 2))" --control "127.0.0.1:$((base + 3))" \
     --front "127.0.0.1:$((base + 5))" --plain "127.0.0.1:$((base + 8))" --engine "127.0.0.1:$((base + 7))" --engine "127.0.0.2:$((base + 7))" ||
     { echo "failed: $1"; tail -n 20 "$work"/*.log; exit 1; }
@@ -51,5 +51,5 @@
 play "also through an entry that stopped gracefully and came back"
 
 id=$(grep -h '"event":"request_lost"' "$work/e1.log" | grep -o '"request":"[^"]*"' | tail -n 1 | cut -d'"' -f4)
-"$bin/ctl/pimentofrontctl" explain "$id" "$work"/*.log | grep -q '^=> ' || { echo "no cause for $id"; exit 1; }
+"$bin/packages/ctl/pimentofrontctl" explain "$id" "$work"/*.log | grep -q '^=> ' || { echo "no cause for $id"; exit 1; }
 echo "ok: a lost request's id leads to its cause"
