--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -122,21 +122,21 @@
   const char *Sentence;
 };
 constexpr Meaning Meanings[] = {
-    {"request_lost", "not_ready",
+    {"request_lost", "why=not_ready",
      "refused: this entry had no confirmed routing document; look for "
      "replica_state and peer_lost around that time"},
-    {"request_lost", "no_route",
+    {"request_lost", "why=no_route",
      "refused: no route of the document in force has that host and path; "
      "compare its revision with routing_in_force"},
-    {"request_lost", "no_server",
+    {"request_lost", "why=no_server",
      "refused: no backend server of its service was registered or reachable"},
-    {"request_lost", "declined",
+    {"request_lost", "why=declined",
      "refused: each server or agent that could take it declined; the reason "
      "stands behind the comma"},
-    {"request_lost", "timed_out",
+    {"request_lost", "why=timed_out",
      "its time ran out; without a server it waited for its adapter, with one "
      "for the server's answer"},
-    {"request_lost", "broke_off",
+    {"request_lost", "why=broke_off",
      "its answer broke off and it could not be sent again; see "
      "attempt_broke_off for the server"},
     {"caller_gone", "", "the caller gave it up before the end"},
@@ -163,8 +163,9 @@
     if (last->Event == it.Event &&
         last->Details.find(it.Mark) != std::string::npos)
       return text + "=> " + it.Sentence + "\n";
-  return text + "=> its end isn't in these logs: it may be under way, or the "
-                "entry ended (look for process_started)\n";
+  return text + "=> its end isn't in these logs: it may be under way, its line "
+                "was one too many (lines_left_out), or the entry ended "
+                "(process_started)\n";
 }
 
 std::string TimeLine::toText() const {
--- a/test/TimeLineTest.cpp
+++ b/test/TimeLineTest.cpp
@@ -52,5 +52,10 @@
   CHECK(text.find("agent_silent") < text.find("request_lost"));
   CHECK(text.find("=> refused: each server or agent") != std::string::npos);
   CHECK(line.explain("r2").empty());
+  line.addLog("more",
+              R"({"hlc":5,"host":"e","event":"request_lost","request":"r3",)"
+              R"("why":"timed_out; agents that declined 0"})",
+              findings);
+  CHECK(line.explain("r3").find("=> its time ran out") != std::string::npos);
   CHECK(findings.items().size() == 1);
 }
