Follow another replica before a change is overdue

Ruled out: the election (a leader 0.6 s after the freeze, by replica_state). Tests: two, seen failing before the change.

--- a/packages/node/pimentofront/src/Node/LeaderLink.cpp
+++ b/packages/node/pimentofront/src/Node/LeaderLink.cpp
@@ -22,14 +22,20 @@
     return Link;
   if (now < RetryAt)
     return std::nullopt;
-  const std::string address =
-      Hint.empty() ? Addresses[Next++ % Addresses.size()] : Hint;
+  Current = Hint.empty() ? nextAddress() : Hint;
   Hint.clear();
   HeardAt = now;
-  Link = Network.open(address);
+  Link = Network.open(Current);
   return Link;
 }
 
+std::string LeaderLink::nextAddress() {
+  const std::string &address = Addresses[Next++ % Addresses.size()];
+  if (address != Silent || Addresses.size() == 1)
+    return address;
+  return Addresses[Next++ % Addresses.size()];
+}
+
 void LeaderLink::setAddresses(const std::vector<std::string> &addresses) {
   if (!addresses.empty())
     Addresses = addresses;
@@ -54,8 +60,10 @@
 }
 
 void LeaderLink::tick(TimePoint now) {
-  if (Link && HeardAt + SilenceLimit < now)
-    giveUp(now);
+  if (!Link || HeardAt + SilenceLimit >= now)
+    return;
+  Silent = Current;
+  giveUp(now);
 }
 
 } // namespace pimentofront
--- a/packages/node/pimentofront/src/Node/LeaderLink.h
+++ b/packages/node/pimentofront/src/Node/LeaderLink.h
@@ -36,6 +36,9 @@
 
 private:
   void giveUp(TimePoint now);
+  /// \returns the next address in turn, but not the one that was silent last:
+  /// a frozen host still takes connections.
+  std::string nextAddress();
 
   Transport &Network;
   std::vector<std::string> Addresses;
@@ -43,6 +46,9 @@
   Duration SilenceLimit;
   std::string Hint;
   std::optional<LinkId> Link;
+  /// Where the link leads, and which address was given up for its silence.
+  std::string Current;
+  std::string Silent;
   TimePoint HeardAt;
   TimePoint RetryAt;
 };
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
@@ -1,11 +1,20 @@
 #include "pimentofront/Node.h"
 
 namespace pimentofront {
+namespace {
+
+/// Probes that go unanswered before another replica is asked. A change must be
+/// in force everywhere within two seconds, also where the replica that was
+/// followed froze just before.
+constexpr double SilentProbes = 1.5;
+
+} // namespace
 
 ReplicaFeed::ReplicaFeed(const ReplicaFeedOptions &options,
                          Transport &transport)
     : Options(options), Network(transport), Copy(options.Configuration),
-      Replica(transport, options.Replicas, options.Incarnation) {}
+      Replica(transport, options.Replicas, options.Incarnation,
+              fromSeconds(toSeconds(options.ProbePeriod) * SilentProbes)) {}
 
 void ReplicaFeed::onLinkOpen(TimePoint now) {
   Replica.onHeard(now);
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -10,12 +10,16 @@
 
 class RecordingTransport : public Transport {
 public:
-  LinkId open(const std::string &, LinkPurpose) override { return ++Last; }
+  LinkId open(const std::string &address, LinkPurpose) override {
+    Opened.push_back(address);
+    return ++Last;
+  }
   void send(LinkId link, const Message &) override { Used.insert(link); }
   void close(LinkId) override {}
 
   LinkId Last = 100;
   std::set<LinkId> Used;
+  std::vector<std::string> Opened;
 };
 
 class NoClock : public WallClock {
@@ -43,3 +47,29 @@
   CHECK(transport.Used.contains(1));
   CHECK_FALSE(transport.Used.contains(2));
 }
+
+TEST_CASE(
+    "a process doesn't go back to the replica that has just been silent") {
+  RecordingTransport transport;
+  TimePoint now{100s};
+  LeaderLink link(transport, {"a", "b", "c"}, 0, 1500ms);
+  link.link(now);
+  // The order has changed meanwhile: the next one in turn is the same.
+  link.setAddresses({"b", "a", "c"});
+  now += 1600ms;
+  link.tick(now);
+  now += 200ms;
+  link.link(now);
+  CHECK(transport.Opened == std::vector<std::string>{"a", "c"});
+}
+
+TEST_CASE("another replica is followed before a change is overdue") {
+  RecordingTransport transport;
+  TimePoint now{100s};
+  ReplicaFeed feed({.Replicas = {"a", "b"}}, transport);
+  feed.tick(now);
+  feed.onLinkOpen(now);
+  for (int i = 0; i < 100 && transport.Opened.size() < 2; ++i)
+    feed.tick(now += 20ms);
+  CHECK(now - TimePoint{100s} < 1700ms);
+}
