--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -1,37 +1,32 @@
+//===- Forward.h - Requests that are passed on as they are ------*- C++ -*-===//
+///
+/// \file
+/// \defgroup Forward Forward
+/// What an entry decides about requests that it passes on as they are: which
+/// service and backend server, when to send once more, when to give up, and
+/// what the caller is told. No I/O: the shell reports what callers, agents and
+/// backend servers did and carries out the commands that the controller
+/// leaves. Use it in front of backend servers that speak HTTP; for calls of
+/// this project's own interface there is EntryController.
+///
+//===----------------------------------------------------------------------===//
 #ifndef PIMENTOFRONT_FORWARD_H
 #define PIMENTOFRONT_FORWARD_H
 
-/// \defgroup Forward
-/// \brief What an entry decides about requests that it passes on as they are:
-/// which service and backend server, when to send once more, when to give up,
-/// and what the caller is told.
-///
-/// No I/O: the shell reports what callers, agents and backend servers did and
-/// carries out the commands that the controller leaves. Use it in front of
-/// backend servers that speak HTTP; for calls of this project's own interface
-/// there is EntryController.
-
 #include "pimentofront/State.h"
 
-// In the order of their dependencies.
+// The parts, in the order of their dependencies.
+// clang-format off
 #include "src/Forward/HttpMessage.h"
-
 #include "src/Forward/RoutingDocument.h"
-
 #include "src/Forward/RoutingTable.h"
-
 #include "src/Forward/HeaderCodec.h"
-
 #include "src/Forward/EventStream.h"
-
 #include "src/Forward/ServerSet.h"
-
 #include "src/Forward/ForwardBoard.h"
-
 #include "src/Forward/AttemptController.h"
-
 #include "src/Forward/AnswerController.h"
-
 #include "src/Forward/ForwardController.h"
+// clang-format on
 
 #endif
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -91,7 +91,6 @@
       continue;
     }
     const Duration limit = i < own ? Options.SpillWait : Options.LoadWait;
-    // The last of an adapter's engines isn't spared for a stranger.
     return Route{.Host = it.Record.Host, .MaxWait = limit};
   }
   // All are busy: the one that is so least takes it.
