--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -208,8 +208,9 @@
     Routing.learn(request->Adapter, agent, false);
   if (message.Reason == RefusalReason::BackendDown)
     Board.Servers.suspendAgent(now, agent);
-  request->Tried.push_back(
-      {agent, message.Reason, message.Load, request->Attempt->OnlyIfResident});
+  request->Tried.push_back({agent, message.Reason, message.Load,
+                            request->Attempt->OnlyIfResident,
+                            message.ComeBack});
   request->LastRefusal = message.Reason;
   const bool asksAround = message.Reason == RefusalReason::NotResident ||
                           message.Reason == RefusalReason::Busy;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -104,11 +104,36 @@
     Board.Waiting.erase(it);
 }
 
+Duration AdmissionController::slotWait(const AdapterKey &key) const {
+  std::int64_t free = 0;
+  std::int64_t pinned = 0;
+  for (const Slot &it : Board.Slots.all()) {
+    if (it.State == SlotState::Empty || mayEvict(it, Board.Waiting))
+      ++free;
+    else if (it.State == SlotState::Ready)
+      ++pinned;
+  }
+  std::int64_t ahead = 0;
+  for (const auto &[waiting, queue] : Board.Waiting)
+    if (waiting != key && !Board.Slots.isReady(waiting) &&
+        !Board.Slots.isLoading(waiting))
+      ++ahead;
+  if (ahead < free)
+    return Duration::zero();
+  // The slots in use come free one after the other, each within the time that
+  // a request takes.
+  return Board.ServiceTime * (ahead - free + 1) /
+         std::max<std::int64_t>(pinned, 1);
+}
+
 Duration AdmissionController::expectedWait(TimePoint now,
                                            const AdapterKey &key) const {
-  const Duration load =
-      Board.Slots.isReady(key) ? Duration::zero() : Board.LoadTime;
-  return load + Board.Prefill.wait(now);
+  Duration wait = Board.Prefill.wait(now);
+  if (!Board.Slots.isReady(key))
+    wait += Board.LoadTime;
+  if (!Board.Slots.isReady(key) && !Board.Slots.isLoading(key))
+    wait += slotWait(key);
+  return wait;
 }
 
 AdmissionController::Verdict
@@ -133,13 +158,16 @@
 
 void AdmissionController::refuse(EntryLink entry, const AttemptId &attempt,
                                  Verdict verdict, const LoadFigures &figures) {
-  Board.Commands.push_back(
-      SendToEntry{entry, AttemptRefused{
-                             .Attempt = attempt,
-                             .Reason = verdict.Reason,
-                             .ComeBack = spread(Board.Jitter, verdict.ComeBack),
-                             .Load = figures,
-                         }});
+  // An entry compares the waits of several busy hosts, so they aren't spread.
+  const bool busy = verdict.Reason == RefusalReason::Busy;
+  const Duration comeBack =
+      busy ? verdict.ComeBack : spread(Board.Jitter, verdict.ComeBack);
+  Board.Commands.push_back(SendToEntry{entry, AttemptRefused{
+                                                  .Attempt = attempt,
+                                                  .Reason = verdict.Reason,
+                                                  .ComeBack = comeBack,
+                                                  .Load = figures,
+                                              }});
 }
 
 void AdmissionController::onExecute(TimePoint now, EntryLink entry,
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -41,6 +41,9 @@
   Verdict judgeResident(const ExecuteRequest &request) const;
   Verdict judgeMissing(TimePoint now, const ExecuteRequest &request) const;
   Duration queueWait() const;
+  /// \returns how long a request would wait until a slot can be given up for
+  /// its adapter.
+  Duration slotWait(const AdapterKey &key) const;
   /// \returns how long a request would wait for its adapter and for the
   /// prompts before its own.
   Duration expectedWait(TimePoint now, const AdapterKey &key) const;
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -100,7 +100,7 @@
   const auto wait = [&](const MemberView *it) {
     const TriedHost *word = triedOf(query, *it);
     return std::pair(word == nullptr,
-                     word ? word->Load.PrefillWait : it->Load.PrefillWait);
+                     word ? word->Wait : it->Load.PrefillWait);
   };
   return Route{.Host =
                    (*std::ranges::min_element(hosts, {}, wait))->Record.Host};
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.h
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.h
@@ -13,9 +13,10 @@
   Duration SpillWait = std::chrono::milliseconds(400);
   /// The same to an engine that has to load the adapter first, load included.
   Duration LoadWait = std::chrono::milliseconds(800);
-  /// Engines beyond the adapter's own that are asked under a limit. Each load
-  /// that it saves is one that others don't wait behind.
-  std::uint32_t SpillChoices = 1;
+  /// Engines beyond the adapter's own that are asked under a limit. A question
+  /// costs a round trip, a wait for a slot of a busy engine hundreds of them;
+  /// but each engine more may mean another load.
+  std::uint32_t SpillChoices = 3;
   /// Engines for an adapter whose share of the requests is one engine's: more
   /// of them shorten its queue, fewer of them save loads.
   double Spread = 1;
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -37,6 +37,8 @@
   LoadFigures Load;
   /// The host was asked only for what is resident.
   bool OnlyIfResident = false;
+  /// How long this request would wait there, by the word of a busy host.
+  Duration Wait = Duration::zero();
 };
 
 /// \class RouteQuery
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -266,3 +266,30 @@
   REQUIRE(cancelled.size() == 1);
   CHECK(cancelled[0].Attempt == AttemptId{1, 1});
 }
+
+TEST_CASE("an agent's word on waiting counts the wait for a slot") {
+  Agent agent;
+  for (const char *adapter : {"a", "b"}) {
+    agent.Controller.onExecute(Now, Entry, request(adapter[0], adapter));
+    agent.load(Now, adapter);
+  }
+  ExecuteRequest next = request(3, "c");
+  // Both slots serve a request, which takes two seconds by the options: a load
+  // could begin after about one, when the first of them is free.
+  next.MaxWait = 800ms;
+  agent.Controller.onExecute(Now, Entry, next);
+  const auto refused = agent.refusal();
+  REQUIRE(refused);
+  CHECK(refused->Reason == RefusalReason::Busy);
+  CHECK(refused->ComeBack == 1250ms);
+  next.Attempt = {1, 4};
+  next.MaxWait = 1500ms;
+  agent.Controller.onExecute(Now, Entry, next);
+  // The one after it waits for the second slot.
+  next = request(5, "d");
+  next.MaxWait = 1500ms;
+  agent.Controller.onExecute(Now, Entry, next);
+  REQUIRE(agent.refusal());
+  CHECK(agent.refusal()->Attempt == AttemptId{1, 5});
+  CHECK(agent.refusal()->ComeBack == 2250ms);
+}
