--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -37,8 +37,8 @@
   forward.RetryReserve =
       reader.real("retry_reserve", forward.RetryReserve, 0, 100000);
   PrefixRoutingOptions &prefix = settings.Prefix;
-  prefix.SpillWait = reader.milliseconds("spill_wait_ms", prefix.SpillWait);
-  prefix.LoadWait = reader.milliseconds("load_wait_ms", prefix.LoadWait);
+  prefix.OwnShare = reader.real("own_share", prefix.OwnShare, 0, 100);
+  prefix.SpillShare = reader.real("spill_share", prefix.SpillShare, 0, 100);
   prefix.Spread = reader.real("spread", prefix.Spread, 0.01, 100);
   prefix.SpillChoices = static_cast<std::uint32_t>(
       reader.integer("spill_choices", prefix.SpillChoices, 0, 64));
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -84,10 +84,14 @@
     if (server)
       return send(now, request, *server);
   } else {
-    const RouteQuery query{.Key = request.Adapter,
-                           .BaseModel = request.Service.str(),
-                           .Tried = request.Tried,
-                           .Prefix = prefixOf(request.Traits.Parts)};
+    const Duration waited = now - request.ArrivedAt;
+    const RouteQuery query{
+        .Key = request.Adapter,
+        .BaseModel = request.Service.str(),
+        .Tried = request.Tried,
+        .Prefix = prefixOf(request.Traits.Parts),
+        .Target =
+            std::max(request.Route->LatencyTarget - waited, Duration::zero())};
     const std::optional<Route> route =
         Routing.choose(now, query, Board.Servers.agents());
     if (route)
@@ -119,7 +123,7 @@
                                  .OnlyIfResident = route.OnlyIfResident,
                                  .Delegated = true,
                                  .Parts = request.Traits.Parts,
-                                 .MaxWait = route.MaxWait}});
+                                 .FirstEventWithin = route.FirstEventWithin}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -126,9 +126,12 @@
          std::max<std::int64_t>(pinned, 1);
 }
 
-Duration AdmissionController::expectedWait(TimePoint now,
-                                           const AdapterKey &key) const {
-  Duration wait = Board.Prefill.wait(now);
+Duration
+AdmissionController::expectedFirstEvent(TimePoint now,
+                                        const ExecuteRequest &request) const {
+  const AdapterKey &key = request.Key;
+  Duration wait =
+      Board.Prefill.wait(now) + Board.Prefill.reading(key, request.Parts);
   if (!Board.Slots.isReady(key))
     wait += Board.LoadTime;
   if (!Board.Slots.isReady(key) && !Board.Slots.isLoading(key))
@@ -148,8 +151,9 @@
     return {RefusalReason::NoSuchBackend};
   if (Board.WaitingCount >= Board.Options.QueueLimit)
     return {RefusalReason::QueueFull, queueWait()};
-  const Duration wait = expectedWait(now, request.Key);
-  if (request.MaxWait > Duration::zero() && wait > request.MaxWait)
+  const Duration wait = expectedFirstEvent(now, request);
+  if (request.FirstEventWithin > Duration::zero() &&
+      wait > request.FirstEventWithin)
     return {RefusalReason::Busy, wait};
   if (Board.Slots.isReady(request.Key) || Board.Slots.isLoading(request.Key))
     return judgeResident(request);
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -44,9 +44,10 @@
   /// \returns how long a request would wait until a slot can be given up for
   /// its adapter.
   Duration slotWait(const AdapterKey &key) const;
-  /// \returns how long a request would wait for its adapter and for the
-  /// prompts before its own.
-  Duration expectedWait(TimePoint now, const AdapterKey &key) const;
+  /// \returns how long the first event would take: the wait for a slot, for
+  /// the adapter, for the prompts before its own, and its own.
+  Duration expectedFirstEvent(TimePoint now,
+                              const ExecuteRequest &request) const;
   /// \returns how long a new load would wait, as far as is known.
   Duration loadBacklog(TimePoint now) const;
   void refuse(EntryLink entry, const AttemptId &attempt, Verdict verdict,
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.h
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.h
@@ -39,6 +39,11 @@
   /// \returns the tokens of \p parts that aren't cached for \p key.
   std::uint32_t missing(const AdapterKey &key,
                         const std::vector<PromptPart> &parts) const;
+  /// \returns how long it takes to read \p parts for \p key.
+  Duration reading(const AdapterKey &key,
+                   const std::vector<PromptPart> &parts) const {
+    return fromSeconds(missing(key, parts) / Rate);
+  }
   /// \returns how long the engine is busy with the prompts it was given.
   Duration wait(TimePoint now) const {
     return std::max(BusyUntil - now, Duration::zero());
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -83,15 +83,15 @@
   const std::size_t asked = std::min(own + Options.SpillChoices, hosts.size());
   detail::orderByRendezvous(query.Key, asked, hosts);
   orderByPrefix(query.Prefix, own, hosts);
-  std::size_t tried = 0;
+  const Duration target =
+      query.Target > Duration::zero() ? query.Target : Options.DefaultTarget;
   for (std::size_t i = 0; i < asked; ++i) {
     const MemberView &it = *hosts[i];
-    if (triedOf(query, it)) {
-      ++tried;
+    if (triedOf(query, it))
       continue;
-    }
-    const Duration limit = i < own ? Options.SpillWait : Options.LoadWait;
-    return Route{.Host = it.Record.Host, .MaxWait = limit};
+    const double share = i < own ? Options.OwnShare : Options.SpillShare;
+    return Route{.Host = it.Record.Host,
+                 .FirstEventWithin = fromSeconds(toSeconds(target) * share)};
   }
   // All are busy: the one that is so least takes it.
   std::erase_if(hosts, [&](const MemberView *it) { return isOut(query, *it); });
@@ -99,8 +99,7 @@
     return std::nullopt;
   const auto wait = [&](const MemberView *it) {
     const TriedHost *word = triedOf(query, *it);
-    return std::pair(word == nullptr,
-                     word ? word->Wait : it->Load.PrefillWait);
+    return std::pair(word == nullptr, word ? word->Wait : it->Load.PrefillWait);
   };
   return Route{.Host =
                    (*std::ranges::min_element(hosts, {}, wait))->Record.Host};
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.h
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.h
@@ -8,11 +8,15 @@
 /// \class PrefixRoutingOptions
 /// \ingroup Serving
 struct PrefixRoutingOptions {
-  /// A request goes on to another engine that holds its adapter when it would
-  /// wait longer than this: the time to read one or two long prompts anew.
-  Duration SpillWait = std::chrono::milliseconds(400);
-  /// The same to an engine that has to load the adapter first, load included.
-  Duration LoadWait = std::chrono::milliseconds(800);
+  /// A request goes on to another engine when its first event would take more
+  /// than this part of the time it has until then: an engine that has the
+  /// adapter and the prompt's prefix is worth some waiting.
+  double OwnShare = 0.7;
+  /// The same at the further engines.
+  double SpillShare = 0.9;
+  /// The time a first event has where a request names no target: a person
+  /// waits for it.
+  Duration DefaultTarget = std::chrono::seconds(1);
   /// Engines beyond the adapter's own that are asked under a limit. A question
   /// costs a round trip, a wait for a slot of a busy engine hundreds of them;
   /// but each engine more may mean another load.
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -51,6 +51,8 @@
   const std::vector<TriedHost> &Tried;
   /// Requests with the same number share most of their prompt; 0 is none.
   std::uint64_t Prefix = 0;
+  /// Time until the first event has to come; zero when there is no target.
+  Duration Target = Duration::zero();
 };
 
 /// \class Route
@@ -59,9 +61,9 @@
   HostName Host;
   /// Asks the host to refuse rather than load.
   bool OnlyIfResident = false;
-  /// Asks the host to refuse rather than have it wait longer; zero sets no
-  /// limit.
-  Duration MaxWait = Duration::zero();
+  /// Asks the host to refuse when the first event would come later; zero sets
+  /// no limit.
+  Duration FirstEventWithin = Duration::zero();
 };
 
 /// \class RoutingPolicy
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -107,13 +107,14 @@
   bool Delegated = false;
   /// Parts of the prompt in order, for what the engine may have cached.
   std::vector<PromptPart> Parts;
-  /// Refuse with `Busy` when it would wait longer, for its adapter and for
-  /// prompts before it; zero sets no limit.
-  Duration MaxWait = Duration::zero();
+  /// Refuse with `Busy` when its first event would come later: after the wait
+  /// for its adapter, the prompts before its own, and its own; zero sets no
+  /// limit.
+  Duration FirstEventWithin = Duration::zero();
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, Resumed,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
-                      Delegated, Parts, MaxWait)
+                      Delegated, Parts, FirstEventWithin)
 };
 
 /// Agent to entry: a place at the engine is yours, send the request now. The
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -267,6 +267,21 @@
   CHECK(cancelled[0].Attempt == AttemptId{1, 1});
 }
 
+TEST_CASE("an agent's word on the first event counts the prompt's own reading") {
+  Agent agent;
+  ExecuteRequest next = request(1, "a");
+  // 8,000 tokens at 40,000 a second, after a load of 250 ms.
+  next.Parts = {{.Id = 1, .Tokens = 6000}, {.Id = 2, .Tokens = 2000}};
+  next.FirstEventWithin = 440ms;
+  agent.Controller.onExecute(Now, Entry, next);
+  REQUIRE(agent.refusal());
+  CHECK(agent.refusal()->ComeBack == 450ms);
+  next.FirstEventWithin = 450ms;
+  next.Attempt = {1, 2};
+  agent.Controller.onExecute(Now, Entry, next);
+  CHECK(agent.take<StartLoad>().size() == 1);
+}
+
 TEST_CASE("an agent's word on waiting counts the wait for a slot") {
   Agent agent;
   for (const char *adapter : {"a", "b"}) {
@@ -276,18 +291,18 @@
   ExecuteRequest next = request(3, "c");
   // Both slots serve a request, which takes two seconds by the options: a load
   // could begin after about one, when the first of them is free.
-  next.MaxWait = 800ms;
+  next.FirstEventWithin = 800ms;
   agent.Controller.onExecute(Now, Entry, next);
   const auto refused = agent.refusal();
   REQUIRE(refused);
   CHECK(refused->Reason == RefusalReason::Busy);
   CHECK(refused->ComeBack == 1250ms);
   next.Attempt = {1, 4};
-  next.MaxWait = 1500ms;
+  next.FirstEventWithin = 1500ms;
   agent.Controller.onExecute(Now, Entry, next);
   // The one after it waits for the second slot.
   next = request(5, "d");
-  next.MaxWait = 1500ms;
+  next.FirstEventWithin = 1500ms;
   agent.Controller.onExecute(Now, Entry, next);
   REQUIRE(agent.refusal());
   CHECK(agent.refusal()->Attempt == AttemptId{1, 5});
--- a/test/PrefixRoutingTest.cpp
+++ b/test/PrefixRoutingTest.cpp
@@ -25,13 +25,15 @@
   PrefixRouting Routing{PrefixRoutingOptions{}};
   MemberViews Members = engines(10);
   std::vector<TriedHost> Tried;
+  Duration Target = Duration::zero();
 
   std::optional<Route> next(std::uint64_t prefix = 1) {
     return Routing.choose(Now,
                           {.Key = {AdapterName("a"), 1},
                            .BaseModel = "base",
                            .Tried = Tried,
-                           .Prefix = prefix},
+                           .Prefix = prefix,
+                           .Target = Target},
                           Members);
   }
   void isBusy(const Route &route, Duration wait) {
@@ -49,14 +51,24 @@
   for (const Duration wait : waits) {
     const auto route = asking.next();
     REQUIRE(route);
-    CHECK(route->MaxWait > Duration::zero());
+    CHECK(route->FirstEventWithin > Duration::zero());
     asked.push_back(route->Host);
     asking.isBusy(*route, wait);
   }
   const auto last = asking.next();
   REQUIRE(last);
   CHECK(last->Host == asked[2]);
-  CHECK(last->MaxWait == Duration::zero());
+  CHECK(last->FirstEventWithin == Duration::zero());
+}
+
+TEST_CASE("limits are parts of the time until the first event has to come") {
+  Asking asking;
+  const Route usual = *asking.next();
+  CHECK(usual.FirstEventWithin == 700ms);
+  asking.Target = 500ms;
+  CHECK(asking.next()->FirstEventWithin == 350ms);
+  asking.isBusy(usual, 1s);
+  CHECK(asking.next()->FirstEventWithin == 450ms);
 }
 
 TEST_CASE("a host that is out for another reason isn't asked again") {
