--- a/packages/serving/pimentofront/src/Serving/AdaptiveLoads.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdaptiveLoads.cpp
@@ -9,7 +9,7 @@
                     const std::vector<Demand> &demands) {
   if (UnderWay >= static_cast<std::uint32_t>(Limit))
     return std::nullopt;
-  const Demand *it = heaviestDemand(demands);
+  const Demand *it = worthiestDemand(demands);
   if (!it)
     return std::nullopt;
   ++UnderWay;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -188,11 +188,14 @@
   const TimePoint deadline = now + request.Remaining;
   if (toEngine) {
     const bool ready = Board.Slots.isReady(request.Key);
-    Board.Waiting[request.Key].push_back({.Request = request,
-                                          .Entry = entry,
-                                          .ArrivedAt = now,
-                                          .Deadline = deadline,
-                                          .NeededLoad = !ready});
+    WaitingAttempt attempt{.Request = request,
+                           .Entry = entry,
+                           .ArrivedAt = now,
+                           .Deadline = deadline,
+                           .NeededLoad = !ready};
+    if (request.FirstEventDue != NoTarget)
+      attempt.OnTimeUntil = now + request.FirstEventDue;
+    Board.Waiting[request.Key].push_back(std::move(attempt));
     ++Board.WaitingCount;
   } else {
     Board.Running.emplace(request.Attempt,
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -43,6 +43,8 @@
   /// would be more, it is refused. A shorter queue of loads ends as many waits
   /// each second as a long one.
   double StallShare = 0.4;
+  /// What a late answer is worth beside one on time, when loads are chosen.
+  double LateWorth = 0.4;
   /// Part of its time that a request may wait for company when the engine is
   /// idle: steps that are shared cost little more than steps for one.
   double CompanyShare = 0.05;
@@ -68,6 +70,8 @@
   TimePoint ArrivedAt;
   /// After this the answer is useless.
   TimePoint Deadline;
+  /// After this the first event is late; none without a target.
+  std::optional<TimePoint> OnTimeUntil;
   /// Time that it waited for its adapter, when that is over.
   Duration LoadStall = Duration::zero();
   bool NeededLoad = false;
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -24,16 +24,29 @@
     if (former && !mayEvict(*former, Board.Waiting))
       continue;
     Demand demand{.Key = key, .Slack = Duration::max()};
-    for (const WaitingAttempt &it : queue) {
-      demand.Weight += std::max(it.Request.Weight, 1U);
-      const TimePoint limit = stallLimit(it, Board.Options.StallShare);
-      demand.Slack = std::min(demand.Slack, limit - now);
-    }
+    for (const WaitingAttempt &it : queue)
+      count(now, it, demand);
     result.push_back(demand);
   }
   return result;
 }
 
+void LoadController::count(TimePoint now, const WaitingAttempt &attempt,
+                           Demand &demand) const {
+  const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
+  const Duration reading =
+      Board.Prefill.reading(attempt.Request.Key, attempt.Request.Parts);
+  const TimePoint firstEvent = now + Board.LoadTime + reading;
+  const bool hasTarget = attempt.OnTimeUntil.has_value();
+  const bool onTime = !hasTarget || firstEvent <= *attempt.OnTimeUntil;
+  const TimePoint limit = hasTarget && onTime
+                              ? *attempt.OnTimeUntil
+                              : stallLimit(attempt, Board.Options.StallShare);
+  demand.Weight += weight;
+  demand.Worth += onTime ? weight : Board.Options.LateWorth * weight;
+  demand.Slack = std::min(demand.Slack, limit - now);
+}
+
 LoadController::Room LoadController::findRoom(TimePoint now) const {
   if (Board.Slots.hasEmpty())
     return {.Found = true};
--- a/packages/serving/pimentofront/src/Serving/LoadController.h
+++ b/packages/serving/pimentofront/src/Serving/LoadController.h
@@ -26,6 +26,9 @@
     std::optional<AdapterKey> Victim;
   };
   std::vector<Demand> demands(TimePoint now) const;
+  /// Adds a waiting attempt to the demand for its adapter.
+  void count(TimePoint now, const WaitingAttempt &attempt,
+             Demand &demand) const;
   Room findRoom(TimePoint now) const;
   void begin(const AdapterKey &key, std::optional<AdapterKey> victim);
   void setAside(TimePoint now, const AdapterKey &key);
--- a/packages/serving/pimentofront/src/Serving/LoadGate.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.cpp
@@ -19,8 +19,10 @@
 
 } // namespace
 
-const Demand *heaviestDemand(const std::vector<Demand> &demands) {
+const Demand *worthiestDemand(const std::vector<Demand> &demands) {
   const auto before = [](const Demand &a, const Demand &b) {
+    if (a.Worth != b.Worth)
+      return a.Worth > b.Worth;
     if (a.Weight != b.Weight)
       return a.Weight > b.Weight;
     return a.Slack < b.Slack;
@@ -32,7 +34,7 @@
 std::optional<AdapterKey>
 UncoordinatedLoads::next(TimePoint, AgentBoard &,
                          const std::vector<Demand> &demands) {
-  const Demand *it = heaviestDemand(demands);
+  const Demand *it = worthiestDemand(demands);
   return it ? std::optional(it->Key) : std::nullopt;
 }
 
@@ -46,7 +48,7 @@
                   const std::vector<Demand> &demands) {
   if (Busy || now < NextAllowed)
     return std::nullopt;
-  const Demand *it = heaviestDemand(demands);
+  const Demand *it = worthiestDemand(demands);
   if (!it)
     return std::nullopt;
   Busy = true;
--- a/packages/serving/pimentofront/src/Serving/LoadGate.h
+++ b/packages/serving/pimentofront/src/Serving/LoadGate.h
@@ -11,14 +11,19 @@
 struct Demand {
   AdapterKey Key;
   std::uint32_t Weight = 0;
-  /// Time until the first of them is useless.
+  /// Time until the first of them is useless, or late.
   Duration Slack = Duration::zero();
+  /// What a load that begins now is worth: the weight of those that it lets be
+  /// on time, and a part of the others'.
+  double Worth = 0;
   friend auto operator<=>(const Demand &, const Demand &) = default;
 };
 
-/// \returns the demand with the most weight waiting, then the least slack; null
-/// when there is none.
-const Demand *heaviestDemand(const std::vector<Demand> &demands);
+/// \returns the demand whose load is worth most, then the one with the most
+/// weight waiting, then with the least slack; null when there is none. While
+/// the store is crowded, the least slack alone would bring each adapter just
+/// too late.
+const Demand *worthiestDemand(const std::vector<Demand> &demands);
 
 /// \class LoadGate
 /// \ingroup Serving
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -83,8 +83,8 @@
   const std::size_t asked = std::min(own + Options.SpillChoices, hosts.size());
   detail::orderByRendezvous(query.Key, asked, hosts);
   orderByPrefix(query.Prefix, own, hosts);
-  const Duration target =
-      query.Target > Duration::zero() ? query.Target : Options.DefaultTarget;
+  const bool aims = query.Target != NoTarget && query.Target > Duration::zero();
+  const Duration target = aims ? query.Target : Options.DefaultTarget;
   for (std::size_t i = 0; i < asked; ++i) {
     const MemberView &it = *hosts[i];
     if (triedOf(query, it))
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.h
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.h
@@ -14,8 +14,8 @@
   double OwnShare = 0.7;
   /// The same at the further engines.
   double SpillShare = 0.9;
-  /// The time a first event has where a request names no target: a person
-  /// waits for it.
+  /// The time a first event has where a request names no target, or is late
+  /// already: a person waits for it.
   Duration DefaultTarget = std::chrono::seconds(1);
   /// Engines beyond the adapter's own that are asked under a limit. A question
   /// costs a round trip, a wait for a slot of a busy engine hundreds of them;
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -51,8 +51,8 @@
   const std::vector<TriedHost> &Tried;
   /// Requests with the same number share most of their prompt; 0 is none.
   std::uint64_t Prefix = 0;
-  /// Time until the first event has to come; zero when there is no target.
-  Duration Target = Duration::zero();
+  /// Time until the first event has to come; not positive when it is late.
+  Duration Target = NoTarget;
 };
 
 /// \class Route
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -76,6 +76,9 @@
   PIMENTOFRONT_FIELDS(PromptPart, Id, Tokens)
 };
 
+/// Stands for the time left of a request that is never late.
+constexpr Duration NoTarget = Duration::max();
+
 /// \class ExecuteRequest
 /// \ingroup Wire
 /// \brief Entry to agent: run this once, or refuse it.
@@ -111,10 +114,12 @@
   /// for its adapter, the prompts before its own, and its own; zero sets no
   /// limit.
   Duration FirstEventWithin = Duration::zero();
+  /// What is left of the time in which its first event counts as on time.
+  Duration FirstEventDue = NoTarget;
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, Resumed,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
-                      Delegated, Parts, FirstEventWithin)
+                      Delegated, Parts, FirstEventWithin, FirstEventDue)
 };
 
 /// Agent to entry: a place at the engine is yours, send the request now. The
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -267,7 +267,8 @@
   CHECK(cancelled[0].Attempt == AttemptId{1, 1});
 }
 
-TEST_CASE("an agent's word on the first event counts the prompt's own reading") {
+TEST_CASE(
+    "an agent's word on the first event counts the prompt's own reading") {
   Agent agent;
   ExecuteRequest next = request(1, "a");
   // 8,000 tokens at 40,000 a second, after a load of 250 ms.
@@ -308,3 +309,34 @@
   CHECK(agent.refusal()->Attempt == AttemptId{1, 5});
   CHECK(agent.refusal()->ComeBack == 2250ms);
 }
+
+TEST_CASE("the load that lets an answer be on time goes before late ones") {
+  Agent agent({.Host = HostName("w"),
+               .Incarnation = 1,
+               .BaseModel = "base",
+               .Slots = 1,
+               .BatchCapacity = 2,
+               .CompanyShare = 0});
+  agent.Controller.onExecute(Now, Entry, request(1, "held"));
+  agent.load(Now, "held");
+  // Both wait for the only slot; the first one is late whatever happens, and
+  // has less time until its answer is useless.
+  ExecuteRequest late = request(2, "late", 4s);
+  late.FirstEventDue = 200ms;
+  agent.Controller.onExecute(Now, Entry, late);
+  ExecuteRequest onTime = request(3, "soon", 10s);
+  onTime.FirstEventDue = 900ms;
+  agent.Controller.onExecute(Now, Entry, onTime);
+  agent.take<StartLoad>();
+  const auto chosen = [&](Duration later) {
+    agent.Controller.onReleased(
+        Now + later, {.Attempt = {1, 1}, .Kind = ReleaseKind::Answered});
+    return agent.take<StartLoad>().at(0).Key.Adapter;
+  };
+  SECTION("while it can be on time") {
+    CHECK(chosen(100ms) == AdapterName("soon"));
+  }
+  SECTION("afterwards the one with less time goes first") {
+    CHECK(chosen(800ms) == AdapterName("late"));
+  }
+}
--- a/test/PrefixRoutingTest.cpp
+++ b/test/PrefixRoutingTest.cpp
@@ -25,7 +25,7 @@
   PrefixRouting Routing{PrefixRoutingOptions{}};
   MemberViews Members = engines(10);
   std::vector<TriedHost> Tried;
-  Duration Target = Duration::zero();
+  Duration Target = NoTarget;
 
   std::optional<Route> next(std::uint64_t prefix = 1) {
     return Routing.choose(Now,
