--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -24,6 +24,7 @@
 #include "src/Forward/EventStream.h"
 #include "src/Forward/ServerSet.h"
 #include "src/Forward/ForwardBoard.h"
+#include "src/Forward/HoldController.h"
 #include "src/Forward/AttemptController.h"
 #include "src/Forward/AnswerController.h"
 #include "src/Forward/ForwardController.h"
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -21,6 +21,14 @@
   return prefix;
 }
 
+/// \returns what is left of the time in which the first event is on time.
+Duration firstEventDue(TimePoint now, const ForwardRequest &request) {
+  const Duration target = request.Route->LatencyTarget;
+  if (target <= Duration::zero())
+    return NoTarget;
+  return target - (now - request.ArrivedAt);
+}
+
 /// \returns what decided the end of a request, for the log.
 std::string inputsOf(TimePoint now, const ForwardRequest &request) {
   if (!request.Route)
@@ -84,22 +92,41 @@
     if (server)
       return send(now, request, *server);
   } else {
-    const Duration waited = now - request.ArrivedAt;
-    const RouteQuery query{
-        .Key = request.Adapter,
-        .BaseModel = request.Service.str(),
-        .Tried = request.Tried,
-        .Prefix = prefixOf(request.Traits.Parts),
-        .Target =
-            std::max(request.Route->LatencyTarget - waited, Duration::zero())};
+    const RouteQuery query{.Key = request.Adapter,
+                           .BaseModel = request.Service.str(),
+                           .Tried = request.Tried,
+                           .Prefix = prefixOf(request.Traits.Parts),
+                           .Target = firstEventDue(now, request)};
     const std::optional<Route> route =
         Routing.choose(now, query, Board.Servers.agents());
     if (route)
       return askAgent(now, request, *route);
   }
   const bool any = Board.Servers.serves(request.Service);
-  giveUp(now, request,
-         any ? ForwardFailure::Declined : ForwardFailure::NoServer);
+  const ForwardFailure why =
+      any ? ForwardFailure::Declined : ForwardFailure::NoServer;
+  const bool mayPass = any ? isOutage(request) : !Board.Servers.isComplete();
+  if (mayPass)
+    return holdOrGiveUp(now, request, why);
+  giveUp(now, request, why);
+}
+
+bool AttemptController::isOutage(const ForwardRequest &request) const {
+  const auto outOfService = [](const TriedHost &it) {
+    return it.Reason == RefusalReason::BackendDown ||
+           it.Reason == RefusalReason::Leaving;
+  };
+  return request.ToEngine && std::ranges::all_of(request.Tried, outOfService);
+}
+
+void AttemptController::holdOrGiveUp(TimePoint now, ForwardRequest &request,
+                                     ForwardFailure why) {
+  if (!Holds.hold(now, request))
+    return giveUp(now, request, why);
+  note(now, "request_held", request, forwardFailureName(why));
+  // Whoever couldn't take it may be back when it is tried again.
+  request.Tried.clear();
+  request.Avoid.clear();
 }
 
 void AttemptController::askAgent(TimePoint now, ForwardRequest &request,
@@ -111,19 +138,20 @@
                                    .OnlyIfResident = route.OnlyIfResident,
                                    .StartedAt = now};
   Board.Attempts.emplace(id, request.Key);
-  Board.Commands.push_back(
-      SendToAgent{route.Host, agent.Record.Address,
-                  ExecuteRequest{.Attempt = id,
-                                 .Request = RequestId(request.Traits.Id),
-                                 .Kind = KindName(request.Route->Name),
-                                 .Remaining = request.Deadline - now,
-                                 .Key = request.Adapter,
-                                 .BaseModel = request.Service.str(),
-                                 .MaxTokens = request.Traits.MaxOutputTokens,
-                                 .OnlyIfResident = route.OnlyIfResident,
-                                 .Delegated = true,
-                                 .Parts = request.Traits.Parts,
-                                 .FirstEventWithin = route.FirstEventWithin}});
+  Board.Commands.push_back(SendToAgent{
+      route.Host, agent.Record.Address,
+      ExecuteRequest{.Attempt = id,
+                     .Request = RequestId(request.Traits.Id),
+                     .Kind = KindName(request.Route->Name),
+                     .Remaining = request.Deadline - now,
+                     .Key = request.Adapter,
+                     .BaseModel = request.Service.str(),
+                     .MaxTokens = request.Traits.MaxOutputTokens,
+                     .OnlyIfResident = route.OnlyIfResident,
+                     .Delegated = true,
+                     .Parts = request.Traits.Parts,
+                     .FirstEventWithin = route.FirstEventWithin,
+                     .FirstEventDue = firstEventDue(now, request)}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
@@ -393,6 +421,7 @@
 void AttemptController::finish(ForwardRequest &request) {
   if (request.Attempt)
     Board.Attempts.erase(request.Attempt->Id);
+  Board.Held.erase(request.Key);
   Board.Requests.erase(request.Key);
 }
 
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -1,7 +1,7 @@
 #ifndef PIMENTOFRONT_FORWARD_ATTEMPT_CONTROLLER_H
 #define PIMENTOFRONT_FORWARD_ATTEMPT_CONTROLLER_H
 
-#include "ForwardBoard.h"
+#include "HoldController.h"
 
 namespace pimentofront {
 
@@ -12,8 +12,9 @@
 class AttemptController {
 public:
   /// \param routing chooses among agents; outlives the controller.
-  AttemptController(ForwardBoard &board, RoutingPolicy &routing)
-      : Board(board), Routing(routing) {}
+  AttemptController(ForwardBoard &board, HoldController &holds,
+                    RoutingPolicy &routing)
+      : Board(board), Holds(holds), Routing(routing) {}
 
   /// Starts the first or another attempt, or gives the request up.
   void next(TimePoint now, ForwardRequest &request);
@@ -43,6 +44,8 @@
   /// Takes back whatever is under way for the request.
   void cancel(TimePoint now, ForwardRequest &request);
 
+  /// Keeps the request for a while, or gives it up.
+  void holdOrGiveUp(TimePoint now, ForwardRequest &request, ForwardFailure why);
   /// Answers with a refusal that promises that the request did not run, or
   /// with a failure where it may have run, and forgets the request.
   void giveUp(TimePoint now, ForwardRequest &request, ForwardFailure why);
@@ -59,8 +62,11 @@
   void noteLoad(const HostName &agent, const LoadFigures &load);
   ForwardRequest *find(const AttemptId &attempt, const HostName &agent);
   bool maySendAgain(const ForwardRequest &request) const;
+  /// \returns whether whoever was asked is out of service, not overloaded.
+  bool isOutage(const ForwardRequest &request) const;
 
   ForwardBoard &Board;
+  HoldController &Holds;
   RoutingPolicy &Routing;
 };
 
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -6,6 +6,7 @@
 #include "ServerSet.h"
 
 #include <memory>
+#include <set>
 
 namespace pimentofront {
 
@@ -38,6 +39,17 @@
   /// Answers up to this size are held until they are whole, so that one that
   /// breaks off can be replaced by another server's.
   std::size_t HoldBytes = std::size_t(64) << 10;
+  /// A request that nothing can take just now may wait so long for that to
+  /// pass: a lost power supply's second without a routing document, and the
+  /// time in which engines have their base model back from their disks.
+  Duration HoldTime = std::chrono::seconds(2);
+  /// And this part of the time that its caller waits, so that a refusal leaves
+  /// time to come back.
+  double HoldShare = 1.0 / 3;
+  /// It is tried again after so long.
+  Duration HoldPause = std::chrono::milliseconds(100);
+  /// Requests that may wait so at one time: some seconds of an entry's share.
+  std::size_t MostHeld = 256;
   /// Shortest time to come back that a refusal names.
   Duration LeastComeBack = std::chrono::milliseconds(100);
   /// When to come back to a process without a routing document: replicas that
@@ -120,6 +132,8 @@
   /// The longest that a refusal told to wait.
   Duration ComeBack = Duration::zero();
   RefusalReason LastRefusal = RefusalReason::None;
+  /// When a held request is tried again.
+  TimePoint NextTryAt;
 };
 
 /// Sends a request to a backend server.
@@ -204,6 +218,8 @@
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
   std::unordered_map<AttemptId, std::uint64_t> Attempts;
+  /// Requests that wait until something can take them.
+  std::set<std::uint64_t> Held;
   std::uint64_t LastSequence = 0;
   std::vector<ForwardCommand> Commands;
   std::vector<ForwardEvent> Events;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -31,8 +31,8 @@
                                      const ConfigurationView &configuration,
                                      const HeaderCodec &codec,
                                      RoutingPolicy &routing)
-    : Board(options, configuration, codec), Attempts(Board, routing),
-      Answers(Board, Attempts) {}
+    : Board(options, configuration, codec), Holds(Board),
+      Attempts(Board, Holds, routing), Answers(Board, Attempts) {}
 
 void ForwardController::setTable(std::shared_ptr<const RoutingTable> table) {
   Board.Table = std::move(table);
@@ -55,7 +55,6 @@
                                   .Head = std::move(head),
                                   .Body = std::make_shared<const std::string>(
                                       std::move(body)),
-                                  .Table = Board.Table,
                                   .ArrivedAt = now})
           .first->second;
   request.Traits = Board.Codec.decodeRequest(request.Head);
@@ -64,10 +63,13 @@
 }
 
 void ForwardController::resolve(TimePoint now, ForwardRequest &request) {
+  request.Table = Board.Table;
   if (!request.Table) {
     request.ComeBack = Board.Options.UnreadyComeBack;
-    return Attempts.giveUp(now, request, ForwardFailure::NotReady);
+    request.Deadline = now + request.Traits.TimeLeft.value_or(Duration::zero());
+    return Attempts.holdOrGiveUp(now, request, ForwardFailure::NotReady);
   }
+  request.ComeBack = Duration::zero();
   if (request.Traits.Id.empty())
     return Attempts.giveUp(now, request, ForwardFailure::Malformed);
   const std::string *host = findHeader(request.Head.Headers, "host");
@@ -77,7 +79,8 @@
     return Attempts.giveUp(now, request, ForwardFailure::NoRoute);
   const Duration timeLeft =
       request.Traits.TimeLeft.value_or(request.Route->Timeout);
-  request.Deadline = now + std::min(timeLeft, request.Route->Timeout) -
+  request.Deadline = request.ArrivedAt +
+                     std::min(timeLeft, request.Route->Timeout) -
                      Board.Options.AnswerReserve;
   request.Service =
       RoutingTable::chooseService(*request.Route, drawOf(request.Traits.Id));
@@ -101,8 +104,14 @@
   Attempts.finish(it->second);
 }
 
-void ForwardController::expire(TimePoint now, ForwardRequest &request) {
-  Attempts.giveUp(now, request, ForwardFailure::TimedOut);
+void ForwardController::retryHeld(TimePoint now) {
+  for (const std::uint64_t key : Holds.takeDue(now)) {
+    ForwardRequest &request = Board.Requests.at(key);
+    if (request.Table)
+      Attempts.next(now, request);
+    else
+      resolve(now, request);
+  }
 }
 
 void ForwardController::tick(TimePoint now) {
@@ -118,11 +127,12 @@
       lost.push_back(key);
   }
   for (const std::uint64_t key : late)
-    expire(now, Board.Requests.at(key));
+    Attempts.giveUp(now, Board.Requests.at(key), ForwardFailure::TimedOut);
   for (const std::uint64_t key : silent)
     Attempts.passBySilentAgent(now, Board.Requests.at(key));
   for (const std::uint64_t key : lost)
     Answers.onServerLost(now, Board.Requests.at(key));
+  retryHeld(now);
 }
 
 bool ForwardController::isSilent(TimePoint now,
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -40,13 +40,15 @@
 
 private:
   void resolve(TimePoint now, ForwardRequest &request);
-  void expire(TimePoint now, ForwardRequest &request);
+  /// Tries held requests again.
+  void retryHeld(TimePoint now);
   /// The agent hasn't said anything for too long.
   bool isSilent(TimePoint now, const ForwardRequest &request) const;
   /// The server's host has gone, by all that is known of it.
   bool isLost(TimePoint now, const ForwardRequest &request) const;
 
   ForwardBoard Board;
+  HoldController Holds;
   AttemptController Attempts;
   AnswerController Answers;
 };
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -34,12 +34,14 @@
   // A new leader knows only who has spoken to it: until it has led for a whole
   // lease, those that it doesn't name may well be there.
   if (update.Full) {
+    Complete = false;
     markUnconfirmed(Servers);
     markUnconfirmed(Agents);
   }
   for (const MemberRecord &it : update.Members)
     put(it);
   if (update.Complete) {
+    Complete = true;
     dropUnconfirmed(Servers);
     dropUnconfirmed(Agents);
   }
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -78,6 +78,9 @@
   /// those in \p without; null when there is none.
   ServerView *choose(TimePoint now, const ServiceName &service,
                      const std::vector<HostName> &without);
+  /// \returns whether all servers are known that there are: whoever isn't
+  /// named by then doesn't exist.
+  bool isComplete() const { return Complete; }
   /// \returns whether any server of \p service is in use.
   bool serves(const ServiceName &service) const;
   /// Agents with what they said of their engines; one whose engine isn't
@@ -104,6 +107,7 @@
   ServerSetOptions Options;
   std::map<HostName, ServerView> Servers;
   MemberViews Agents;
+  bool Complete = false;
   /// By the agent's host: the server with the same IP address.
   std::map<HostName, HostName> Beside;
 };
