End idle connections of callers at a stop, rather than drop them

Cause: stopListening() took idle connections out of the table without ending them. Until the next turn of the loop such a connection still read; a request that came just then got a key to a connection that was no longer there, and the answer to it threw out_of_range: the entry aborted in its graceful stop, with all it was answering. Ruled out: the keys of the forwarding board (each is erased with its request).

--- a/packages/http/pimentofront/src/Http/CallerListener.cpp
+++ b/packages/http/pimentofront/src/Http/CallerListener.cpp
@@ -96,12 +96,14 @@
 void CallerListener::stopListening() {
   if (Listener)
     evconnlistener_free(std::exchange(Listener, nullptr));
-  std::vector<ChannelId> idle;
+  std::vector<detail::CallerChannel *> idle;
   for (const auto &[id, it] : Channels)
     if (it->isIdle())
-      idle.push_back(id);
-  for (const ChannelId it : idle)
-    bury(it);
+      idle.push_back(it.get());
+  // They stay until the next turn of the loop, and what comes until then isn't
+  // read any more: its caller sees the end without an answer, and nothing ran.
+  for (detail::CallerChannel *it : idle)
+    it->end();
 }
 
 void CallerListener::bury(ChannelId id) {
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -27,6 +27,8 @@
   /// Looks at the time limits of a caller that sends slowly or not at all.
   void checkTime(TimePoint now);
   void setLimits();
+  /// Ends the connection; what it is sent meanwhile isn't read any more.
+  void end();
   bool isIdle() const { return Key == 0 && !Parser.inMessage(); }
 
 private:
@@ -37,7 +39,6 @@
   void refuse(int status);
   void closeWhenWritten();
   void answerEnded();
-  void end();
   bool keepsConnection() const;
 
   CallerListener &Owner;
--- /dev/null
+++ b/test/CallerListenerTest.cpp
@@ -0,0 +1,62 @@
+#include "pimentofront/Http.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace pimentofront;
+
+namespace {
+
+struct Recorder : CallerHandler {
+  void onRequest(CallerKey key, RequestHead, std::string) override {
+    Keys.push_back(key);
+  }
+  void onCallerGone(CallerKey) override {}
+  std::vector<CallerKey> Keys;
+};
+
+/// \returns an address of this process's own, on which no other one listens.
+HostPort ownAddress() {
+  constexpr int Octet = 256;
+  constexpr std::uint16_t Port = 9000;
+  const int id = ::getpid();
+  return {"127.77." + std::to_string(id / Octet % Octet) + "." +
+              std::to_string(id % Octet),
+          Port};
+}
+
+int connectTo(const HostPort &to) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in address = toSocketAddress(to);
+  REQUIRE(::connect(fd, reinterpret_cast<const sockaddr *>(&address),
+                    sizeof(address)) == 0);
+  return fd;
+}
+
+} // namespace
+
+TEST_CASE("a request that crosses the end of its idle connection isn't taken") {
+  EventLoop loop;
+  Recorder handler;
+  const HostPort address = ownAddress();
+  CallerListener listener(loop, {.Address = address}, handler);
+  const int fd = connectTo(address);
+  while (listener.channels() == 0)
+    event_base_loop(loop.base(), EVLOOP_ONCE);
+  constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  REQUIRE(::send(fd, Request.data(), Request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Request.size()));
+  listener.beginStop();
+  listener.stopListening();
+  for (int turn = 0; turn < 3; ++turn)
+    event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+  CHECK(handler.Keys.empty());
+  for (const CallerKey it : handler.Keys)
+    CHECK_NOTHROW(listener.reply(it, {.Status = 200}, "late"));
+  // The caller sees that it wasn't answered.
+  char byte = 0;
+  CHECK(::recv(fd, &byte, 1, 0) <= 0);
+  ::close(fd);
+}
