Release a delegated request's slot when its end was never told

Cause: an agent gives up the slot of a request that an entry sent itself only when the entry says so or its link ends. On a link that carries nothing any more and doesn't end, the word is lost: both slots of an engine stayed in use for 27 s, no adapter was loaded, and requests for it timed out. Change: 1 s after its deadline such a request counts as ended.

--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -56,6 +56,10 @@
   /// An engine that was found running must be idle for so long, so that
   /// requests and loads of an earlier agent process have ended.
   Duration EngineSettleTime = std::chrono::seconds(2);
+  /// A delegated request whose entry hasn't said that it ended is taken for
+  /// ended so long after its deadline: the word may have been lost with the
+  /// link, and its slot would stay in use.
+  Duration ReleaseSlack = std::chrono::seconds(1);
   /// First and longest pause after failed loads of one adapter.
   Duration FailedLoadPause = std::chrono::seconds(2);
   Duration FailedLoadPauseMax = std::chrono::minutes(2);
@@ -90,6 +94,8 @@
   EntryLink Entry = 0;
   AdapterKey Key;
   bool IsService = false;
+  /// Its entry sent it to the engine, and says when it has ended.
+  bool Delegated = false;
   TimePoint StartedAt;
   TimePoint Deadline;
   std::uint64_t Tokens = 0;
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -223,8 +223,18 @@
   decide(now);
 }
 
+void AgentController::releaseOverdue(TimePoint now) {
+  std::vector<AttemptId> overdue;
+  for (const auto &[attempt, it] : Board.Running)
+    if (it.Delegated && now >= it.Deadline + Board.Options.ReleaseSlack)
+      overdue.push_back(attempt);
+  for (const AttemptId &it : overdue)
+    onReleased(now, {.Attempt = it, .Kind = ReleaseKind::BrokeOff});
+}
+
 void AgentController::tick(TimePoint now) {
   Admission.refuseHopeless(now);
+  releaseOverdue(now);
   std::erase_if(Board.SetAside, [&](const auto &it) {
     constexpr Duration Remembered = std::chrono::minutes(10);
     return it.second.Until + Remembered < now;
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -67,6 +67,8 @@
   const AgentBoard &board() const { return Board; }
 
 private:
+  /// Gives up the slots of delegated requests that must have ended by now.
+  void releaseOverdue(TimePoint now);
   void decide(TimePoint now);
   void endAttempt(TimePoint now, const AttemptId &attempt,
                   const RunningAttempt &running);
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -78,6 +78,7 @@
   Board.Running.emplace(attempt.Request.Attempt,
                         RunningAttempt{.Entry = attempt.Entry,
                                        .Key = candidate.Key,
+                                       .Delegated = attempt.Request.Delegated,
                                        .StartedAt = now,
                                        .Deadline = attempt.Deadline,
                                        .LoadStall = attempt.LoadStall,
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -340,3 +340,19 @@
     CHECK(chosen(800ms) == AdapterName("late"));
   }
 }
+
+TEST_CASE("a slot isn't kept for a request whose end was never told") {
+  Agent agent;
+  for (const char *adapter : {"a", "b"}) {
+    ExecuteRequest delegated = request(adapter[0], adapter, 2s);
+    delegated.Delegated = true;
+    agent.Controller.onExecute(Now, Entry, delegated);
+    agent.load(Now, adapter);
+  }
+  agent.Controller.onExecute(Now, Entry, request(3, "c"));
+  agent.take<StartLoad>();
+  agent.Controller.tick(Now + 2900ms);
+  CHECK(agent.take<StartLoad>().empty());
+  agent.Controller.tick(Now + 3s);
+  CHECK(agent.take<StartLoad>().size() == 1);
+}
