Replace links that have gone silent, between replicas and to agents

Cause: a link that carries nothing any more without ending was kept until the system noticed, which it doesn't while something between acknowledges. After the leader's disk was lost, the two others had such a link between them and were candidates for 30 s: no election, no change, no document for entries. Ruled out: the votes themselves (both had log 16 of term 2), the empty replica's rejoining (it waited for a leader). Change: LinkWatch; a question without anything coming back for three election timeouts (between replicas) or 1.5 s (entry to agent) ends the link, and the next message opens another. ForwardNode's unused options are gone.

--- a/packages/node/pimentofront/Node.h
+++ b/packages/node/pimentofront/Node.h
@@ -17,6 +17,7 @@
 // clang-format off
 #include "src/Node/Transport.h"
 #include "src/Node/LeaderLink.h"
+#include "src/Node/LinkWatch.h"
 #include "src/Node/Subscribers.h"
 #include "src/Node/ReplicaNode.h"
 #include "src/Node/AgentNode.h"
--- a/packages/node/pimentofront/src/Node/AgentLinks.cpp
+++ b/packages/node/pimentofront/src/Node/AgentLinks.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-bool AgentLinks::send(const SendToAgent &message) {
+bool AgentLinks::send(TimePoint now, const SendToAgent &message) {
   auto it = ByHost.find(message.Host);
   const bool isNew = it == ByHost.end();
   if (isNew) {
@@ -22,6 +22,8 @@
     Links[link] = {message.Host, message.Address};
     it = ByHost.emplace(message.Host, link).first;
   }
+  if (std::holds_alternative<ExecuteRequest>(message.Content))
+    Watch.noteAsked(now, it->second);
   Network.send(it->second, message.Content);
   return isNew;
 }
@@ -40,6 +42,7 @@
 AgentLink AgentLinks::onClosed(LinkId link) {
   const auto it = Links.find(link);
   assert(it != Links.end() && "find() tells whether it is a link to an agent");
+  Watch.forget(link);
   AgentLink result = std::move(it->second);
   Links.erase(it);
   ByHost.erase(result.Host);
--- a/packages/node/pimentofront/src/Node/EntryNode.cpp
+++ b/packages/node/pimentofront/src/Node/EntryNode.cpp
@@ -108,6 +108,7 @@
       sendProposals(now);
     }
   } else if (const AgentLink *agent = Agents.find(link)) {
+    Agents.onHeard(link);
     onAgentMessage(now, HostName(agent->Host), message);
   }
   flush(now);
@@ -198,7 +199,7 @@
 void EntryNode::flush(TimePoint now) {
   for (const EntryCommand &command : Controller.takeCommands()) {
     if (const auto *it = std::get_if<SendToAgent>(&command))
-      Agents.send(*it);
+      Agents.send(now, *it);
     else if (const auto *chunk = std::get_if<DeliverChunk>(&command))
       Sink.onChunk(chunk->Key, chunk->Position, chunk->Text);
     else if (const auto *final = std::get_if<DeliverFinal>(&command))
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -6,8 +6,8 @@
                          const HeaderCodec &headers,
                          const DocumentCodec &documents, RoutingPolicy &routing,
                          Transport &transport, ForwardSink &sink)
-    : Options(options), Documents(documents), Sink(sink),
-      Feed(options.Feed, transport), Agents(transport),
+    : Documents(documents), Sink(sink), Feed(options.Feed, transport),
+      Agents(transport),
       Controller(options.Forward, Feed.configuration(), headers, routing) {
   tick(now);
 }
@@ -30,7 +30,7 @@
     return;
   const AgentLink agent = Agents.onClosed(link);
   Controller.attempts().onAgentLost(now, agent.Host);
-  flush();
+  flush(now);
 }
 
 void ForwardNode::onMessage(TimePoint now, LinkId link,
@@ -39,15 +39,16 @@
     const FeedNews news = Feed.onMessage(now, message);
     if (news.Members) {
       Controller.onMembers(*news.Members);
-      dropStaleLinks(now);
+      dropLinks(now, Agents.staleLinks(Controller.board().Servers.agents()));
     }
     if (news.Subscribers)
       Controller.onEntries(*news.Subscribers);
     useDocument(now);
   } else if (const AgentLink *agent = Agents.find(link)) {
+    Agents.onHeard(link);
     onAgentMessage(now, HostName(agent->Host), message);
   }
-  flush();
+  flush(now);
 }
 
 void ForwardNode::onAgentMessage(TimePoint now, const HostName &host,
@@ -63,9 +64,8 @@
     attempts.onAgentLeaving(*leaving);
 }
 
-void ForwardNode::dropStaleLinks(TimePoint now) {
-  const MemberViews &members = Controller.board().Servers.agents();
-  for (const LinkId it : Agents.staleLinks(members)) {
+void ForwardNode::dropLinks(TimePoint now, const std::vector<LinkId> &links) {
+  for (const LinkId it : links) {
     Agents.close(it);
     onLinkClosed(now, it);
   }
@@ -96,11 +96,11 @@
   Controller.setTable(table);
   Sink.onTable(*table);
   for (const auto &[host, it] : Controller.board().Servers.agents())
-    sendProfile(host, it.Record.Address);
+    sendProfile(now, host, it.Record.Address);
 }
 
 /// Tells an agent what its engine is to hold.
-void ForwardNode::sendProfile(const HostName &host,
+void ForwardNode::sendProfile(TimePoint now, const HostName &host,
                               const std::string &address) {
   const ForwardBoard &board = Controller.board();
   const auto agent = board.Servers.agents().find(host);
@@ -111,17 +111,17 @@
   if (!service || !service->Engine || service->Engine->Models.empty())
     return;
   const EngineSpec &engine = *service->Engine;
-  Agents.send({host, address,
-               EngineProfile{.At = board.Table->revision(),
-                             .BaseModel = engine.Models.front().Name,
-                             .AdapterSlots = engine.AdapterSlots,
-                             .BatchCapacity = engine.BatchCapacity,
-                             .CacheTokens = engine.CacheTokens}});
+  Agents.send(now, {host, address,
+                    EngineProfile{.At = board.Table->revision(),
+                                  .BaseModel = engine.Models.front().Name,
+                                  .AdapterSlots = engine.AdapterSlots,
+                                  .BatchCapacity = engine.BatchCapacity,
+                                  .CacheTokens = engine.CacheTokens}});
 }
 
-void ForwardNode::sendToAgent(const SendToAgent &message) {
-  if (Agents.send(message))
-    sendProfile(message.Host, message.Address);
+void ForwardNode::sendToAgent(TimePoint now, const SendToAgent &message) {
+  if (Agents.send(now, message))
+    sendProfile(now, message.Host, message.Address);
 }
 
 //===----------------------------------------------------------------------===//
@@ -131,44 +131,45 @@
 void ForwardNode::request(TimePoint now, std::uint64_t key, RequestHead head,
                           std::string body) {
   Controller.onRequest(now, key, std::move(head), std::move(body));
-  flush();
+  flush(now);
 }
 
 void ForwardNode::callerGone(TimePoint now, std::uint64_t key) {
   Controller.onCallerGone(now, key);
-  flush();
+  flush(now);
 }
 
 HeadVerdict ForwardNode::upstreamHead(TimePoint now, const AttemptId &attempt,
                                       ResponseHead head) {
   const HeadVerdict verdict =
       Controller.answers().onHead(now, attempt, std::move(head));
-  flush();
+  flush(now);
   return verdict;
 }
 
 void ForwardNode::upstreamBody(TimePoint now, const AttemptId &attempt,
                                std::string_view bytes) {
   Controller.answers().onBody(now, attempt, bytes);
-  flush();
+  flush(now);
 }
 
 void ForwardNode::upstreamEnd(TimePoint now, const AttemptId &attempt,
                               UpstreamEnding ending) {
   Controller.answers().onEnd(now, attempt, ending);
-  flush();
+  flush(now);
 }
 
 void ForwardNode::tick(TimePoint now) {
   Feed.tick(now);
+  dropLinks(now, Agents.takeSilent(now));
   Controller.tick(now);
-  flush();
+  flush(now);
 }
 
-void ForwardNode::flush() {
+void ForwardNode::flush(TimePoint now) {
   for (ForwardCommand &command : Controller.takeCommands()) {
     if (const auto *it = std::get_if<SendToAgent>(&command))
-      sendToAgent(*it);
+      sendToAgent(now, *it);
     else
       Sink.onCommand(std::move(command));
   }
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -78,12 +78,12 @@
   void useDocument(TimePoint now);
   void onAgentMessage(TimePoint now, const HostName &host,
                       const Message &message);
-  void sendToAgent(const SendToAgent &message);
-  void sendProfile(const HostName &host, const std::string &address);
-  void dropStaleLinks(TimePoint now);
-  void flush();
+  void sendToAgent(TimePoint now, const SendToAgent &message);
+  void sendProfile(TimePoint now, const HostName &host,
+                   const std::string &address);
+  void dropLinks(TimePoint now, const std::vector<LinkId> &links);
+  void flush(TimePoint now);
 
-  ForwardNodeOptions Options;
   const DocumentCodec &Documents;
   ForwardSink &Sink;
   ReplicaFeed Feed;
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -12,6 +12,19 @@
 /// A question to the leader that isn't answered in this time is asked again.
 constexpr Duration ReadTimeout = std::chrono::milliseconds(500);
 
+/// A link between replicas on which nothing has come for so many election
+/// timeouts after a question is ended. Without that, two replicas that had such
+/// a link between them elected no leader for as long as it lasted.
+constexpr int SilentElectionTimeouts = 3;
+
+/// \returns whether a living replica answers \p message at once.
+bool isQuestion(const Message &message) {
+  return std::holds_alternative<VoteRequest>(message) ||
+         std::holds_alternative<AppendRequest>(message) ||
+         std::holds_alternative<SnapshotPart>(message) ||
+         std::holds_alternative<ReadIndexRequest>(message);
+}
+
 } // namespace
 
 ReplicaNode::ReplicaNode(TimePoint now, const ReplicaNodeOptions &options,
@@ -19,7 +32,8 @@
                          Transport &transport, const WallClock &wall)
     : Options(options), Store(store), Network(transport), Wall(wall),
       Log(now, options.Log, stored), State(options.Claims),
-      Members(options.Members), Loads(options.Loads), Listeners(transport) {
+      Members(options.Members), Loads(options.Loads), Listeners(transport),
+      Watch(SilentElectionTimeouts * options.Log.ElectionTimeout) {
   flush(now);
 }
 
@@ -39,6 +53,7 @@
 }
 
 void ReplicaNode::onLinkClosed(TimePoint now, LinkId link) {
+  Watch.forget(link);
   Listeners.remove(link);
   std::erase_if(Probes, [&](const auto &it) { return it.Link == link; });
   std::erase_if(AgentLinks, [&](const auto &it) { return it.second == link; });
@@ -66,11 +81,21 @@
     ReplicaLinks[replica] = other->first;
 }
 
-void ReplicaNode::sendToReplica(const ReplicaDescriptor &to,
+void ReplicaNode::endSilentLinks(TimePoint now) {
+  for (const LinkId it : Watch.takeSilent(now)) {
+    Network.close(it);
+    onLinkClosed(now, it);
+  }
+}
+
+void ReplicaNode::sendToReplica(TimePoint now, const ReplicaDescriptor &to,
                                 const Message &message) {
   const auto known = ReplicaLinks.find(to.Id);
-  if (known != ReplicaLinks.end())
+  if (known != ReplicaLinks.end()) {
+    if (isQuestion(message))
+      Watch.noteAsked(now, known->second);
     return Network.send(known->second, message);
+  }
   if (to.Address.empty())
     return;
   const auto opened = OpenedTo.find(to.Address);
@@ -93,6 +118,7 @@
 
 void ReplicaNode::onMessage(TimePoint now, LinkId link,
                             const Message &message) {
+  Watch.noteHeard(link);
   if (onLogMessage(now, link, message) || onLeaderMessage(now, link, message))
     return;
   if (const auto *it = std::get_if<Subscribe>(&message)) {
@@ -311,8 +337,9 @@
     return;
   ReadUnderWay = true;
   ReadAskedAt = now;
-  sendToReplica(*leader, ReadIndexRequest{Log.id(), ++ReadRound,
-                                          Listeners.followingConfiguration()});
+  sendToReplica(now, *leader,
+                ReadIndexRequest{Log.id(), ++ReadRound,
+                                 Listeners.followingConfiguration()});
 }
 
 void ReplicaNode::onReadIndex(TimePoint now, LinkId link,
@@ -389,7 +416,7 @@
                              .Host = Options.Log.Host,
                              .Address = Options.Log.Address}};
   for (const std::string &it : Options.Others)
-    sendToReplica({.Address = it}, request);
+    sendToReplica(now, {.Address = it}, request);
   for (const auto &[replica, link] : ReplicaLinks)
     Network.send(link, request);
 }
@@ -424,6 +451,7 @@
 void ReplicaNode::tick(TimePoint now) {
   if (!Failure)
     Log.tick(now, Wall.milliseconds());
+  endSilentLinks(now);
   join(now);
   followLeader(now);
   if (leads(now)) {
@@ -478,7 +506,7 @@
       Log.synced(now);
     }
     for (const OutgoingLogMessage &it : actions.Messages)
-      sendToReplica(it.To, it.Content);
+      sendToReplica(now, it.To, it.Content);
     if (actions.Restore) {
       if (!actions.Restore->state().empty() &&
           !State.decode(actions.Restore->state()))
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -113,7 +113,10 @@
                    bool known);
   void redirect(LinkId link);
   void useOtherLink(ReplicaId replica);
-  void sendToReplica(const ReplicaDescriptor &to, const Message &message);
+  void sendToReplica(TimePoint now, const ReplicaDescriptor &to,
+                     const Message &message);
+  /// Ends links to replicas that carry nothing any more.
+  void endSilentLinks(TimePoint now);
   std::uint32_t allSubscribers(TimePoint now) const;
   void answerProbes();
   void askLeader(TimePoint now);
@@ -144,6 +147,8 @@
   std::map<ReplicaId, LinkId> ReplicaLinks;
   std::map<LinkId, ReplicaId> ReplicaOfLink;
   std::map<std::string, LinkId> OpenedTo;
+  /// Finds links between replicas that carry nothing any more.
+  LinkWatch Watch;
   std::map<HostName, LinkId> AgentLinks;
   std::map<LogIndex, PendingProposal> Proposals;
   std::vector<PendingProbe> Probes;
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -15,11 +15,12 @@
     return ++Last;
   }
   void send(LinkId link, const Message &) override { Used.insert(link); }
-  void close(LinkId) override {}
+  void close(LinkId link) override { Closed.push_back(link); }
 
   LinkId Last = 100;
   std::set<LinkId> Used;
   std::vector<std::string> Opened;
+  std::vector<LinkId> Closed;
 };
 
 class NoClock : public WallClock {
@@ -73,3 +74,39 @@
     feed.tick(now += 20ms);
   CHECK(now - TimePoint{100s} < 1700ms);
 }
+
+TEST_CASE("a link is silent when a question on it brings nothing back") {
+  const TimePoint now{100s};
+  LinkWatch watch(1s);
+  watch.noteAsked(now, 1);
+  watch.noteAsked(now, 2);
+  watch.noteAsked(now + 900ms, 2);
+  watch.noteHeard(1);
+  watch.noteAsked(now + 900ms, 1);
+  CHECK(watch.takeSilent(now + 999ms).empty());
+  CHECK(watch.takeSilent(now + 1000ms) == std::vector<LinkId>{2});
+  CHECK(watch.takeSilent(now + 1001ms).empty());
+  CHECK(watch.takeSilent(now + 1900ms) == std::vector<LinkId>{1});
+}
+
+TEST_CASE("a replica replaces a link to another one that has gone silent") {
+  MemoryLogStore store(1);
+  ReplicaGroup group;
+  for (ReplicaId id = 1; id <= 3; ++id)
+    group.Replicas.push_back({.Id = id, .Address = std::to_string(id)});
+  store.Stored.Snapshot = LogSnapshot::make(1, 1, group, "");
+  RecordingTransport transport;
+  const NoClock clock;
+  TimePoint now{100s};
+  ReplicaNode node(now, {}, store.Stored, store, transport, clock);
+  constexpr LinkId Silent = 1;
+  node.onLinkOpen(now, Silent, {.Protocol = ProtocolVersion, .Replica = 2});
+  // It asks for votes, again and again, and nobody answers.
+  for (int i = 0; i < 1000 && transport.Closed.empty(); ++i)
+    node.tick(now += 10ms);
+  REQUIRE(transport.Closed == std::vector<LinkId>{Silent});
+  const std::size_t before = transport.Opened.size();
+  for (int i = 0; i < 1000 && transport.Opened.size() == before; ++i)
+    node.tick(now += 10ms);
+  CHECK(transport.Opened.back() == "2");
+}
