A fault soak of the real processes, seeded

Separate processes on loopback, each host an address of its own, a proxy of ours on each way between them (new setting peers_listen). From a seed: delay, cut, cut one way, silence for good, reset; SIGKILL, SIGTERM, SIGSTOP; a lost disk at a time. Checked while it runs, by callers, operator and stand-ins for backend servers: whole answers of the own request, runs at most as often as allowed, refusals that are true, no acknowledged document lost, shown older or undone, answers in time while nothing was disturbed, no process that ends by itself, all served again within 25 s.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -52,7 +52,7 @@
 void Daemon::openNetwork() {
   Network = std::make_unique<PeerNetwork>(
       Loop,
-      PeerNetworkOptions{.Listen = *HostPort::parse(Options.PeerAddress),
+      PeerNetworkOptions{.Listen = *HostPort::parse(Options.PeerListenAddress),
                          .Self = {.Protocol = ProtocolVersion,
                                   .Host = Options.Host,
                                   .Replica = Stored.Id}},
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -185,6 +185,9 @@
   settings.Zone = ZoneName(reader.requiredText("zone"));
   settings.HttpAddress = reader.address("http", true);
   settings.PeerAddress = reader.address("peers", true);
+  settings.PeerListenAddress = reader.address("peers_listen", false);
+  if (settings.PeerListenAddress.empty())
+    settings.PeerListenAddress = settings.PeerAddress;
   settings.Replicas = reader.addresses("replicas");
   settings.LoadsPerSecond =
       reader.real("loads_per_second", settings.LoadsPerSecond, 0.01, 100000);
--- a/packages/daemon/src/Settings.h
+++ b/packages/daemon/src/Settings.h
@@ -18,6 +18,9 @@
   ZoneName Zone;
   std::string HttpAddress;
   std::string PeerAddress;
+  /// Where the process listens, when others reach it by another address: behind
+  /// address translation, or a proxy.
+  std::string PeerListenAddress;
   std::vector<std::string> Replicas;
 
   bool IsEntry = false;
--- a/scripts/free-ports.sh
+++ b/scripts/free-ports.sh
@@ -23,20 +23,22 @@
 
 free_ports() {
   mkdir -p "$port_claims"
-  block=50
-  limit=$(cut -f1 /proc/sys/net/ipv4/ip_local_port_range)
-  first=10000
-  while [ $((first + block)) -le "$limit" ]; do
-    claim=$port_claims/$first
-    # A claim whose owner's folder is gone is over.
-    owner=$(cat "$claim" 2>/dev/null || true)
-    if [ -n "$owner" ] && [ ! -d "$owner" ]; then rm -f "$claim"; fi
-    if (set -C; echo "$2" >"$claim") 2>/dev/null; then
-      ports_used "$first" $((first + $1 - 1)) || { echo "$first"; return; }
-      rm -f "$claim"
-    fi
-    first=$((first + block))
-  done
-  echo "no $1 free ports in a row" >&2
-  return 1
+  (
+    flock 9
+    block=50
+    limit=$(cut -f1 /proc/sys/net/ipv4/ip_local_port_range)
+    first=10000
+    while [ $((first + block)) -le "$limit" ]; do
+      claim=$port_claims/$first
+      # A claim whose owner's folder is gone is over.
+      if [ ! -e "$claim" ] || [ ! -d "$(cat "$claim")" ]; then
+        echo "$2" >"$claim"
+        ports_used "$first" $((first + $1 - 1)) || { echo "$first"; exit 0; }
+        rm -f "$claim"
+      fi
+      first=$((first + block))
+    done
+    echo "no $1 free ports in a row" >&2
+    exit 1
+  ) 9>"$port_claims/lock"
 }
--- /dev/null
+++ b/test/platform/soak/Callers.cpp
@@ -0,0 +1,241 @@
+#include "Callers.h"
+
+#include <algorithm>
+
+namespace pimentofront::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+constexpr Duration SendPeriod = milliseconds(15);
+constexpr Duration MarkerPeriod = milliseconds(250);
+/// What each caller says that it waits.
+constexpr Duration CallerTime = milliseconds(1500);
+/// After that an answer must be there in calm times.
+constexpr Duration AnswerSlack = milliseconds(700);
+/// So long must nothing have been disturbed for the promises of calm times:
+/// a lease, and a leader's election after it.
+constexpr Duration CalmTime = seconds(5);
+/// Good answers in a row after which an entry counts as serving.
+constexpr std::uint32_t EnoughGood = 20;
+/// An entry that showed a document's effect may show the one before for so
+/// long, in requests that it had already taken in.
+constexpr Duration RollbackSlack = milliseconds(250);
+
+/// What is asked for, how often; the last part is how a server behaves.
+constexpr const char *UsualPaths[] = {
+    "/once/ok",     "/once/ok",   "/once/extra",  "/once/late",
+    "/once/cut",    "/once/fail", "/once/shed",   "/once/unframed",
+    "/once/hang",   "/safe/ok",   "/safe/ok",     "/safe/fail-once",
+    "/safe/cut",    "/safe/ok",   "/flow/stream", "/flow/stream-cut",
+    "/flow/stream", "/flow/ok",   "/brook/stream"};
+
+bool endsWell(const std::string &path) {
+  return path.ends_with("/ok") || path.ends_with("/stream");
+}
+
+} // namespace
+
+Callers::Callers(EventLoop &loop, Deployment &deployment, FaultPlan &faults,
+                 Operator &changes, std::uint64_t seed, Report &report)
+    : Loop(loop), World(deployment), Faults(faults), Changes(changes),
+      Numbers(seed), Seen(report), Pool(loop, {}, *this), BegunAt(loop.now()),
+      Entries(deployment.fronts().size()),
+      Sender(loop.every(SendPeriod, [this] { sendOne(); })),
+      MarkerSender(loop.every(MarkerPeriod, [this] { sendMarker(); })) {}
+
+Callers::Promise Callers::promiseOf(const std::string &path) {
+  if (path.starts_with("/flow/"))
+    return {.MostRuns = 2, .Stream = true};
+  if (path.starts_with("/brook/"))
+    return {.MostRuns = 1, .Stream = true};
+  return {.MostRuns = path.starts_with("/once/") ? 1 : 2};
+}
+
+std::string Callers::wholeStream() {
+  constexpr int Events = 5;
+  std::string text;
+  for (int i = 1; i <= Events; ++i)
+    text += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) +
+            "\n\n";
+  return text;
+}
+
+//===----------------------------------------------------------------------===//
+// Sending
+//===----------------------------------------------------------------------===//
+
+bool Callers::isCalm(TimePoint now, Duration time) const {
+  const auto since = Faults.calmSince();
+  return since && now - *since >= time;
+}
+
+void Callers::sendOne() {
+  Request request;
+  request.Path = UsualPaths[Numbers.next() % std::size(UsualPaths)];
+  request.Entry = Numbers.next() % Entries.size();
+  send(std::move(request));
+}
+
+void Callers::sendMarker() {
+  const std::uint64_t version = Changes.acknowledged();
+  if (version == 0)
+    return;
+  Request request;
+  request.Marker = version;
+  request.Path = "/m" + std::to_string(version) + "/ok";
+  request.Entry = Numbers.next() % Entries.size();
+  send(std::move(request));
+}
+
+void Callers::send(Request request) {
+  const TimePoint now = Loop.now();
+  const auto &[address, daemon] = World.fronts()[request.Entry];
+  request.Id = "r" + std::to_string(++LastId);
+  request.SentAt = now;
+  request.SentCalm = isCalm(now, CalmTime);
+  request.EntryStart = daemon->Process.starts();
+  Paths[request.Id] = request.Path;
+  constexpr int Adapters = 6;
+  RequestHead head{"POST",
+                   request.Path,
+                   {{"Host", "test.example"},
+                    {"Pimentofront-Attempt-Id", request.Id},
+                    {"Pimentofront-Model",
+                     "m0/a" + std::to_string(Numbers.next() % Adapters)},
+                    {"Pimentofront-Token-Usage", "100,10"},
+                    {"Pimentofront-Prompt-Prefix", "a1:60,b2:40"},
+                    {"Pimentofront-Deadline-Ms",
+                     std::to_string(CallerTime / milliseconds(1))}}};
+  const AttemptId attempt{1, LastId};
+  UnderWay.emplace(attempt, std::move(request));
+  ++Seen.Counts["requests"];
+  Pool.send({.Attempt = attempt,
+             .Address = address.Ip + ":" + std::to_string(address.Port),
+             .Head = std::move(head),
+             .Body = std::make_shared<const std::string>("body")});
+}
+
+//===----------------------------------------------------------------------===//
+// Answers
+//===----------------------------------------------------------------------===//
+
+HeadVerdict Callers::onHead(const AttemptId &attempt, ResponseHead head) {
+  UnderWay.at(attempt).Status = head.Status;
+  return HeadVerdict::Take;
+}
+
+void Callers::onBody(const AttemptId &attempt, std::string_view bytes) {
+  UnderWay.at(attempt).Body += bytes;
+}
+
+void Callers::onEnd(const AttemptId &attempt, UpstreamEnding ending) {
+  const auto node = UnderWay.extract(attempt);
+  const Request &request = node.mapped();
+  judgeTime(request);
+  if (ending != UpstreamEnding::Complete) {
+    ++Seen.Counts["answers that broke off"];
+    Entries[request.Entry].GoodInARow = 0;
+    return;
+  }
+  ++Seen.Counts["answers with " + std::to_string(request.Status)];
+  judge(request, ending);
+  if (request.Marker != 0)
+    judgeMarker(request);
+}
+
+void Callers::broke(const Request &request, const std::string &what) {
+  Seen.broke(BegunAt, Loop.now(),
+             request.Id + " " + request.Path + " through " +
+                 World.fronts()[request.Entry].second->Name + ": " + what);
+}
+
+void Callers::judgeTime(const Request &request) {
+  const Duration took = Loop.now() - request.SentAt;
+  if (request.SentCalm && isCalm(Loop.now(), CalmTime) &&
+      took > CallerTime + AnswerSlack)
+    broke(request, "took " + std::to_string(took.count() / 1000) + " ms");
+}
+
+void Callers::judge(const Request &request, UpstreamEnding) {
+  EntryView &view = Entries[request.Entry];
+  const bool good = request.Status == StatusOk;
+  if (endsWell(request.Path) && request.Marker == 0)
+    view.GoodInARow = good ? view.GoodInARow + 1 : 0;
+  if (request.Status == StatusUnavailable)
+    Refused.push_back(request.Id);
+  if (request.Status == StatusNotFound && request.Marker == 0)
+    broke(request, "404 for a route that every document has");
+  if (!good)
+    return;
+  const bool stream = request.Path.find("/stream") != std::string::npos;
+  const std::string expected = stream ? wholeStream() : request.Id;
+  if (request.Body != expected)
+    broke(request, "another body than the server's: " + request.Body);
+}
+
+void Callers::judgeMarker(const Request &request) {
+  EntryView &view = Entries[request.Entry];
+  if (view.Start != request.EntryStart)
+    view = {.Start = request.EntryStart, .GoodInARow = view.GoodInARow};
+  const TimePoint now = Loop.now();
+  if (request.Status == StatusOk) {
+    const bool afterNewer = request.Marker < view.Newest &&
+                            request.SentAt > view.SeenAt + RollbackSlack;
+    if (afterNewer)
+      broke(request, "served by an older document than before");
+    if (request.Marker > view.Newest) {
+      view.Newest = request.Marker;
+      view.SeenAt = now;
+    }
+    return;
+  }
+  const bool current =
+      request.Marker == Changes.acknowledged() && !Changes.changeUnderWay();
+  const bool due = request.SentAt >= Changes.acknowledgedAt() + InForceBound;
+  if (request.Status == StatusNotFound && current && due && request.SentCalm)
+    broke(request, "404 though its document was acknowledged in time");
+}
+
+//===----------------------------------------------------------------------===//
+// Ends
+//===----------------------------------------------------------------------===//
+
+bool Callers::served() const {
+  return std::ranges::all_of(
+      Entries, [](const EntryView &it) { return it.GoodInARow >= EnoughGood; });
+}
+
+void Callers::checkRuns() {
+  const auto runsOf = [&](const std::string &id) {
+    const auto it = World.runs().find(id);
+    return it == World.runs().end() ? 0 : it->second;
+  };
+  for (const auto &[id, path] : Paths)
+    if (runsOf(id) > promiseOf(path).MostRuns)
+      Seen.broke(BegunAt, Loop.now(),
+                 id + " " + path + " ran " + std::to_string(runsOf(id)) +
+                     " times");
+  for (const std::string &id : Refused)
+    if (runsOf(id) > 0)
+      Seen.broke(BegunAt, Loop.now(),
+                 id + " " + Paths.at(id) + " ran though it was refused");
+  for (const auto &[attempt, it] : UnderWay)
+    broke(it, "sent " +
+                  std::to_string((Loop.now() - it.SentAt).count() / 1000) +
+                  " ms ago, has no end; status " + std::to_string(it.Status) +
+                  ", " + std::to_string(it.Body.size()) + " B so far");
+}
+
+std::string Callers::state() const {
+  std::string text;
+  for (const EntryView &it : Entries)
+    text += " " + std::to_string(it.GoodInARow);
+  return "good answers in a row by entry:" + text;
+}
+
+} // namespace pimentofront::soak
--- /dev/null
+++ b/test/platform/soak/Child.cpp
@@ -0,0 +1,58 @@
+#include "Child.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+namespace pimentofront::soak {
+
+Child::Child(Child &&other) noexcept
+    : Command(std::move(other.Command)), Log(std::move(other.Log)),
+      Id(std::exchange(other.Id, 0)), Starts(other.Starts) {}
+
+Child::~Child() {
+  if (!runs())
+    return;
+  ::kill(Id, SIGKILL);
+  ::waitpid(Id, nullptr, 0);
+}
+
+void Child::start() {
+  std::vector<char *> arguments;
+  for (std::string &it : Command)
+    arguments.push_back(it.data());
+  arguments.push_back(nullptr);
+  const pid_t id = ::fork();
+  if (id < 0)
+    throw std::runtime_error("can't start a process");
+  if (id == 0) {
+    // A soak that is killed leaves nothing behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int fd = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ::dup2(fd, STDOUT_FILENO);
+    ::dup2(fd, STDERR_FILENO);
+    ::execv(arguments[0], arguments.data());
+    ::_exit(127);
+  }
+  Id = id;
+  ++Starts;
+}
+
+void Child::signal(int number) {
+  if (runs())
+    ::kill(Id, number);
+}
+
+std::optional<int> Child::reap() {
+  int status = 0;
+  if (!runs() || ::waitpid(Id, &status, WNOHANG) != Id)
+    return std::nullopt;
+  Id = 0;
+  return status;
+}
+
+} // namespace pimentofront::soak
--- /dev/null
+++ b/test/platform/soak/Deployment.cpp
@@ -0,0 +1,148 @@
+#include "Deployment.h"
+
+#include <filesystem>
+#include <fstream>
+
+namespace pimentofront::soak {
+namespace {
+
+/// Offsets from the first port; the same on all hosts.
+enum Port : std::uint16_t { Peers, PeersListen, Http, Front, App, AppListen };
+
+std::string replicaIp(int i) { return "127.0.1." + std::to_string(i + 1); }
+std::string entryIp(int i) { return "127.0.2." + std::to_string(i + 1); }
+std::string engineIp(int i) { return "127.0.3." + std::to_string(i + 1); }
+std::string plainIp(int i) { return "127.0.4." + std::to_string(i + 1); }
+
+std::string text(const HostPort &it) {
+  return it.Ip + ":" + std::to_string(it.Port);
+}
+std::string quoted(const std::string &it) { return "\"" + it + "\""; }
+
+} // namespace
+
+Deployment::Deployment(EventLoop &loop, const DeploymentOptions &options)
+    : Loop(loop), Options(options) {
+  // Others point at them.
+  Daemons.reserve(static_cast<std::size_t>(options.Replicas + options.Entries +
+                                           options.Engines));
+  addReplicas();
+  addEntries();
+  addEngines();
+  addPlainServers();
+  for (Daemon &it : Daemons)
+    it.Process.start();
+}
+
+HostPort Deployment::at(const std::string &ip, std::uint16_t offset) const {
+  return {ip, static_cast<std::uint16_t>(Options.FirstPort + offset)};
+}
+
+std::string Deployment::settingsFile(const std::string &name) const {
+  return Options.Folder + "/" + name + ".json";
+}
+
+void Deployment::writeSettings(const std::string &name, const std::string &ip,
+                               const std::string &parts) const {
+  std::string replicas;
+  for (int i = 0; i < Options.Replicas; ++i)
+    replicas += (i ? ", " : "") + quoted(text(at(replicaIp(i), Peers)));
+  std::ofstream file(settingsFile(name));
+  file << "{\"host\": " << quoted(name)
+       << ", \"zone\": \"z\", \"http\": " << quoted(text(at(ip, Http)))
+       << ", \"peers\": " << quoted(text(at(ip, Peers)))
+       << ", \"peers_listen\": " << quoted(text(at(ip, PeersListen)))
+       << ", \"replicas\": [" << replicas
+       << "], \"member_lease_ms\": 4000, \"renew_period_ms\": 1200, "
+          "\"stop_notice_ms\": 200, \"grace_s\": 4, "
+       << parts << "}\n";
+}
+
+Daemon &Deployment::addDaemon(const std::string &name, const std::string &ip,
+                              const std::string &parts) {
+  writeSettings(name, ip, parts);
+  Daemons.push_back(
+      {.Name = name,
+       .Process = Child({Options.Daemon, "--settings", settingsFile(name)},
+                        Options.Folder + "/" + name + ".log"),
+       .Peers = std::make_unique<TcpProxy>(Loop, at(ip, Peers),
+                                           at(ip, PeersListen))});
+  return Daemons.back();
+}
+
+std::string Deployment::replicaParts(const std::string &name,
+                                     bool bootstrap) const {
+  return "\"replica\": {\"folder\": " +
+         quoted(Options.Folder + "/" + name + ".data") +
+         ", \"heartbeat_ms\": 100, \"election_timeout_ms\": 400, "
+         "\"bootstrap\": " +
+         (bootstrap ? "true" : "false") + ", \"tolerated_losses\": 1}";
+}
+
+void Deployment::addReplicas() {
+  for (int i = 0; i < Options.Replicas; ++i) {
+    const std::string name = "replica-" + std::to_string(i);
+    addDaemon(name, replicaIp(i), replicaParts(name, /*bootstrap=*/true))
+        .IsReplica = true;
+    Controls.push_back(at(replicaIp(i), Http));
+  }
+}
+
+void Deployment::addEntries() {
+  for (int i = 0; i < Options.Entries; ++i) {
+    const HostPort front = at(entryIp(i), Front);
+    Daemon &it =
+        addDaemon("entry-" + std::to_string(i), entryIp(i),
+                  "\"forward\": {\"listen\": " + quoted(text(front)) + "}");
+    Fronts.emplace_back(front, &it);
+  }
+}
+
+void Deployment::addServer(const std::string &ip, const std::string &service) {
+  const std::string instance = "i-" + service + std::to_string(Servers.size());
+  Servers.push_back({.Service = service,
+                     .Registered = at(ip, App),
+                     .Fake = std::make_unique<testkit::FakeServer>(
+                         Loop, at(ip, AppListen), instance, Runs),
+                     .Calls = std::make_unique<TcpProxy>(Loop, at(ip, App),
+                                                         at(ip, AppListen))});
+}
+
+void Deployment::addEngines() {
+  for (int i = 0; i < Options.Engines; ++i) {
+    addServer(engineIp(i), "engines");
+    addDaemon(
+        "agent-" + std::to_string(i), engineIp(i),
+        "\"agent\": {\"engine\": " + quoted(text(at(engineIp(i), AppListen))) +
+            ", \"engine_interface\": \"orders\", \"engine_settle_ms\": "
+            "0, \"engine_probe_ms\": 100, \"base_model\": \"engines\", "
+            "\"company_share\": 0}");
+  }
+}
+
+void Deployment::addPlainServers() {
+  for (int i = 0; i < Options.PlainServers; ++i)
+    addServer(plainIp(i), "plain");
+}
+
+std::vector<TcpProxy *> Deployment::proxies() {
+  std::vector<TcpProxy *> result;
+  for (Daemon &it : Daemons)
+    result.push_back(it.Peers.get());
+  for (Server &it : Servers)
+    result.push_back(it.Calls.get());
+  return result;
+}
+
+void Deployment::wipe(const Daemon &replica) {
+  std::filesystem::remove_all(Options.Folder + "/" + replica.Name + ".data");
+}
+
+void Deployment::endBootstrap() {
+  for (int i = 0; i < Options.Replicas; ++i) {
+    const std::string name = "replica-" + std::to_string(i);
+    writeSettings(name, replicaIp(i), replicaParts(name, /*bootstrap=*/false));
+  }
+}
+
+} // namespace pimentofront::soak
--- /dev/null
+++ b/test/platform/soak/Deployment.h
@@ -0,0 +1,89 @@
+#ifndef PIMENTOFRONT_SOAK_DEPLOYMENT_H
+#define PIMENTOFRONT_SOAK_DEPLOYMENT_H
+
+#include "../FakePlatformServers.h"
+#include "Child.h"
+#include "TcpProxy.h"
+
+namespace pimentofront::soak {
+
+/// \class DeploymentOptions
+struct DeploymentOptions {
+  std::string Daemon;
+  /// Takes settings, data folders and logs.
+  std::string Folder;
+  /// First of ten ports in a row that are free on all loopback addresses.
+  std::uint16_t FirstPort = 0;
+  int Replicas = 3;
+  int Entries = 2;
+  /// Engines, each with an agent beside it.
+  int Engines = 2;
+  int PlainServers = 2;
+};
+
+/// A daemon with the proxy through which other processes reach it.
+struct Daemon {
+  std::string Name;
+  Child Process;
+  std::unique_ptr<TcpProxy> Peers;
+  bool IsReplica = false;
+};
+
+/// A backend server with the proxy through which entries reach it.
+struct Server {
+  std::string Service;
+  HostPort Registered;
+  std::unique_ptr<testkit::FakeServer> Fake;
+  std::unique_ptr<TcpProxy> Calls;
+};
+
+/// \class Deployment
+/// \brief The processes of the system on loopback, each host an address of its
+/// own, with a proxy on each way between them, and stand-ins for the backend
+/// servers.
+class Deployment {
+public:
+  Deployment(EventLoop &loop, const DeploymentOptions &options);
+
+  std::vector<Daemon> &daemons() { return Daemons; }
+  std::vector<Server> &servers() { return Servers; }
+  std::vector<TcpProxy *> proxies();
+  /// Where the operator and the backend servers call.
+  const std::vector<HostPort> &controls() const { return Controls; }
+  /// Where callers connect, and which daemon is there.
+  const std::vector<std::pair<HostPort, Daemon *>> &fronts() const {
+    return Fronts;
+  }
+  /// How often each request ran, over all backend servers.
+  const std::map<std::string, int> &runs() const { return Runs; }
+  /// Empties the disk of a replica that doesn't run.
+  void wipe(const Daemon &replica);
+  /// Ends the first start: a replica with an empty disk joins from now on.
+  void endBootstrap();
+
+private:
+  void addReplicas();
+  void addEntries();
+  void addEngines();
+  void addPlainServers();
+  void addServer(const std::string &ip, const std::string &service);
+  Daemon &addDaemon(const std::string &name, const std::string &ip,
+                    const std::string &parts);
+  std::string settingsFile(const std::string &name) const;
+  std::string replicaParts(const std::string &name, bool bootstrap) const;
+  void writeSettings(const std::string &name, const std::string &ip,
+                     const std::string &parts) const;
+  HostPort at(const std::string &ip, std::uint16_t offset) const;
+
+  EventLoop &Loop;
+  DeploymentOptions Options;
+  std::vector<Daemon> Daemons;
+  std::vector<Server> Servers;
+  std::vector<HostPort> Controls;
+  std::vector<std::pair<HostPort, Daemon *>> Fronts;
+  std::map<std::string, int> Runs;
+};
+
+} // namespace pimentofront::soak
+
+#endif
--- /dev/null
+++ b/test/platform/soak/Operator.h
@@ -0,0 +1,61 @@
+#ifndef PIMENTOFRONT_SOAK_OPERATOR_H
+#define PIMENTOFRONT_SOAK_OPERATOR_H
+
+#include "Deployment.h"
+#include "FaultPlan.h"
+
+namespace pimentofront::soak {
+
+/// How long after its acknowledgement a routing document must be in force.
+constexpr Duration InForceBound = std::chrono::seconds(2);
+
+/// \class Operator
+/// \brief Registers the backend servers, changes the routing document again and
+/// again, and reads it back; checks that what was acknowledged stays.
+///
+/// Each document has a route of its own, /m<version>/, which the next one
+/// drops: whether it is served shows which document an entry has.
+class Operator {
+public:
+  Operator(EventLoop &loop, Deployment &deployment, std::uint64_t seed,
+           Report &report);
+
+  /// From now on the document changes.
+  void begin() { Changing = true; }
+  void end() { Changing = false; }
+  /// \returns the newest acknowledged version, and when it was.
+  std::uint64_t acknowledged() const { return Acknowledged; }
+  TimePoint acknowledgedAt() const { return AcknowledgedAt; }
+  /// \returns whether a version has been sent that may be in force besides.
+  bool changeUnderWay() const { return Sending > Acknowledged; }
+  /// Reads the document at each replica.
+  void readBack();
+
+private:
+  void beat();
+  void change();
+  void sendChange(std::size_t attempt);
+  void put(const Server &server, const std::string &id, std::size_t at);
+  void onRead(const HttpAnswer &answer, std::uint64_t atLeast);
+
+  EventLoop &Loop;
+  Deployment &World;
+  Random Numbers;
+  Report &Seen;
+  HttpClient Client;
+  TimePoint BegunAt;
+  bool Changing = false;
+  std::uint64_t Beats = 0;
+  std::uint64_t Sending = 0;
+  bool InFlight = false;
+  std::uint64_t Acknowledged = 0;
+  TimePoint AcknowledgedAt;
+  std::unique_ptr<Timer> Beater;
+  std::unique_ptr<Timer> Changer;
+  std::unique_ptr<Timer> Reader;
+  std::unique_ptr<Timer> Retry;
+};
+
+} // namespace pimentofront::soak
+
+#endif
--- /dev/null
+++ b/test/platform/soak/Report.h
@@ -0,0 +1,27 @@
+#ifndef PIMENTOFRONT_SOAK_REPORT_H
+#define PIMENTOFRONT_SOAK_REPORT_H
+
+#include "pimentofront/Base.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pimentofront::soak {
+
+/// \class Report
+/// \brief What a run saw: each broken promise with its place, and how often
+/// everything happened.
+struct Report {
+  std::vector<std::string> Broken;
+  std::map<std::string, std::uint64_t> Counts;
+
+  void broke(TimePoint since, TimePoint now, const std::string &what) {
+    Broken.push_back(std::to_string((now - since).count() / 1000) +
+                     " ms: " + what);
+  }
+};
+
+} // namespace pimentofront::soak
+
+#endif
--- /dev/null
+++ b/test/platform/soak/TcpProxy.cpp
@@ -0,0 +1,149 @@
+#include "TcpProxy.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace pimentofront::soak {
+namespace {
+
+/// How often held bytes are looked at.
+constexpr Duration TickPeriod = std::chrono::milliseconds(5);
+
+} // namespace
+
+const char *disturbanceName(Disturbance disturbance) {
+  constexpr const char *Names[] = {"none",        "delay",   "cut",
+                                   "cut one way", "silence", "reset"};
+  return Names[static_cast<std::size_t>(disturbance)];
+}
+
+TcpProxy::TcpProxy(EventLoop &loop, const HostPort &listen,
+                   const HostPort &target)
+    : Loop(loop), TargetAddress(target) {
+  const sockaddr_in address = toSocketAddress(listen);
+  constexpr int Backlog = 128;
+  Listener = evconnlistener_new_bind(
+      loop.base(), onAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+      Backlog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+  if (!Listener)
+    throw std::runtime_error("a proxy can't listen on port " +
+                             std::to_string(listen.Port));
+  Ticker = loop.every(TickPeriod, [this] { tick(); });
+}
+
+TcpProxy::~TcpProxy() {
+  evconnlistener_free(Listener);
+  for (Connection &it : Connections)
+    end(it, /*reset=*/false);
+}
+
+void TcpProxy::disturb(Disturbance disturbance, Duration delay) {
+  Present = disturbance;
+  Delay = delay;
+  for (Connection &it : Connections) {
+    if (disturbance == Disturbance::Silence)
+      it.Silent = true;
+    if (disturbance == Disturbance::Reset && !it.Over)
+      end(it, /*reset=*/true);
+  }
+  if (disturbance == Disturbance::Silence || disturbance == Disturbance::Reset)
+    Present = Disturbance::None;
+}
+
+void TcpProxy::setUp(bufferevent *bev, Connection &connection) {
+  bufferevent_setcb(bev, onReadable, nullptr, onEvent, &connection);
+  bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+void TcpProxy::onAccept(evconnlistener *, int fd, sockaddr *, int, void *arg) {
+  auto *self = static_cast<TcpProxy *>(arg);
+  Connection &it = self->Connections.emplace_back();
+  it.Owner = self;
+  it.Caller.Bev =
+      bufferevent_socket_new(self->Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+  it.Target.Bev =
+      bufferevent_socket_new(self->Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  setUp(it.Caller.Bev, it);
+  setUp(it.Target.Bev, it);
+  const sockaddr_in address = toSocketAddress(self->TargetAddress);
+  if (bufferevent_socket_connect(it.Target.Bev,
+                                 reinterpret_cast<const sockaddr *>(&address),
+                                 sizeof(address)) != 0)
+    it.Target.Ended = true;
+}
+
+void TcpProxy::onReadable(bufferevent *bev, void *arg) {
+  auto &it = *static_cast<Connection *>(arg);
+  evbuffer *input = bufferevent_get_input(bev);
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  Side &to = bev == it.Caller.Bev ? it.Target : it.Caller;
+  TcpProxy &self = *it.Owner;
+  const bool late = self.Present == Disturbance::Delay;
+  const TimePoint at = self.Loop.now() + (late ? self.Delay : Duration::zero());
+  to.Held.emplace_back(at, std::move(bytes));
+  self.pump(it);
+}
+
+void TcpProxy::onEvent(bufferevent *bev, short what, void *arg) {
+  auto &it = *static_cast<Connection *>(arg);
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    (bev == it.Caller.Bev ? it.Caller : it.Target).Ended = true;
+}
+
+bool TcpProxy::passes(const Connection &connection, const Side &to) const {
+  if (connection.Silent || Present == Disturbance::Cut)
+    return false;
+  return Present != Disturbance::CutOneWay || &to != &connection.Target;
+}
+
+void TcpProxy::pump(Connection &connection) {
+  for (Side *to : {&connection.Caller, &connection.Target}) {
+    if (!passes(connection, *to))
+      continue;
+    while (!to->Held.empty() && to->Held.front().first <= Loop.now()) {
+      const std::string &bytes = to->Held.front().second;
+      bufferevent_write(to->Bev, bytes.data(), bytes.size());
+      to->Held.pop_front();
+    }
+  }
+}
+
+void TcpProxy::end(Connection &connection, bool reset) {
+  if (connection.Over)
+    return;
+  connection.Over = true;
+  for (Side *it : {&connection.Caller, &connection.Target}) {
+    const int fd = bufferevent_getfd(it->Bev);
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    if (reset && fd >= 0)
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    bufferevent_free(it->Bev);
+    it->Bev = nullptr;
+  }
+}
+
+void TcpProxy::tick() {
+  for (Connection &it : Connections) {
+    if (it.Over)
+      continue;
+    pump(it);
+    // An end is passed on behind the bytes before it, and not through a cut.
+    const bool callerLeft =
+        it.Caller.Ended && passes(it, it.Target) && it.Target.Held.empty();
+    const bool targetLeft =
+        it.Target.Ended && passes(it, it.Caller) && it.Caller.Held.empty();
+    const bool written =
+        evbuffer_get_length(bufferevent_get_output(it.Caller.Bev)) == 0 ||
+        it.Caller.Ended;
+    if (callerLeft || (targetLeft && written))
+      end(it, /*reset=*/false);
+  }
+  Connections.remove_if([](const Connection &it) { return it.Over; });
+}
+
+} // namespace pimentofront::soak
