--- a/test/PrefixRoutingTest.cpp
+++ b/test/PrefixRoutingTest.cpp
@@ -13,9 +13,8 @@
   MemberViews members;
   for (int i = 0; i < n; ++i) {
     const HostName host("w" + std::to_string(i));
-    members[host] = {
-        .Record = {.Host = host, .BaseModel = "base", .Slots = 8},
-        .NameHash = stableHash(host.str())};
+    members[host] = {.Record = {.Host = host, .BaseModel = "base", .Slots = 8},
+                     .NameHash = stableHash(host.str())};
   }
   return members;
 }
--- a/test/platform/soak/Callers.cpp
+++ b/test/platform/soak/Callers.cpp
@@ -175,7 +175,8 @@
   const bool stream = request.Path.find("/stream") != std::string::npos;
   const std::string expected = stream ? wholeStream() : request.Id;
   if (request.Body != expected)
-    broke(request, "another body than the server's: " + request.Body);
+    broke(request,
+          std::string("another body than the server's: ").append(request.Body));
 }
 
 void Callers::judgeMarker(const Request &request) {
@@ -210,6 +211,10 @@
       Entries, [](const EntryView &it) { return it.GoodInARow >= EnoughGood; });
 }
 
+void Callers::brokeRun(const std::string &id, const std::string &what) {
+  Seen.broke(BegunAt, Loop.now(), id + " " + Paths.at(id) + " " + what);
+}
+
 void Callers::checkRuns() {
   const auto runsOf = [&](const std::string &id) {
     const auto it = World.runs().find(id);
@@ -217,13 +222,10 @@
   };
   for (const auto &[id, path] : Paths)
     if (runsOf(id) > promiseOf(path).MostRuns)
-      Seen.broke(BegunAt, Loop.now(),
-                 id + " " + path + " ran " + std::to_string(runsOf(id)) +
-                     " times");
+      brokeRun(id, "ran " + std::to_string(runsOf(id)) + " times");
   for (const std::string &id : Refused)
     if (runsOf(id) > 0)
-      Seen.broke(BegunAt, Loop.now(),
-                 id + " " + Paths.at(id) + " ran though it was refused");
+      brokeRun(id, "ran though it was refused");
   for (const auto &[attempt, it] : UnderWay)
     broke(it, "sent " +
                   std::to_string((Loop.now() - it.SentAt).count() / 1000) +
--- a/test/platform/soak/Callers.h
+++ b/test/platform/soak/Callers.h
@@ -63,6 +63,7 @@
   void judgeMarker(const Request &request);
   void judgeTime(const Request &request);
   void broke(const Request &request, const std::string &what);
+  void brokeRun(const std::string &id, const std::string &what);
   static Promise promiseOf(const std::string &path);
   static std::string wholeStream();
 
--- a/test/platform/soak/Deployment.cpp
+++ b/test/platform/soak/Deployment.cpp
@@ -24,8 +24,8 @@
 Deployment::Deployment(EventLoop &loop, const DeploymentOptions &options)
     : Loop(loop), Options(options) {
   // Others point at them.
-  Daemons.reserve(static_cast<std::size_t>(options.Replicas + options.Entries +
-                                           options.Engines));
+  constexpr std::size_t MostDaemons = 400;
+  Daemons.reserve(MostDaemons);
   addReplicas();
   addEntries();
   addEngines();
--- a/test/platform/soak/Deployment.h
+++ b/test/platform/soak/Deployment.h
@@ -8,6 +8,7 @@
 namespace pimentofront::soak {
 
 /// \class DeploymentOptions
+/// \brief How large a deployment is; 400 daemons at most.
 struct DeploymentOptions {
   std::string Daemon;
   /// Takes settings, data folders and logs.
