--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/WorldLinks.cpp
@@ -0,0 +1,217 @@
+#include "pimentofront/Testkit.h"
+
+#include <algorithm>
+
+namespace pimentofront::testkit {
+namespace {
+
+constexpr Duration ConnectTimeout = std::chrono::seconds(2);
+/// A link whose other side acknowledges nothing for so long ends.
+constexpr Duration UserTimeout = std::chrono::seconds(10);
+
+} // namespace
+
+bool World::isCut(const HostName &from, const HostName &to) const {
+  return Cuts.contains({from, to});
+}
+
+Duration World::delayBetween(const HostName &from, const HostName &to) const {
+  const auto slow = Slow.find({from, to});
+  if (slow != Slow.end())
+    return slow->second;
+  const bool same =
+      Processes.at(from)->Spec.Zone == Processes.at(to)->Spec.Zone;
+  return same ? Options.InZone : Options.BetweenZones;
+}
+
+LinkId World::openLink(WorldProcess &from, const std::string &address,
+                       LinkPurpose purpose) {
+  // An address of the world is the host's name.
+  const LinkId id = ++LastLink;
+  Ends[id] = {.Host = from.Spec.Host,
+              .Incarnation = from.Incarnation,
+              .PeerHost = HostName(address),
+              .Purpose = purpose};
+  connect(id);
+  return id;
+}
+
+void World::connect(LinkId ours) {
+  const End end = Ends.at(ours);
+  const auto peer = Processes.find(end.PeerHost);
+  const bool reachable = peer != Processes.end() &&
+                         !isCut(end.Host, end.PeerHost) &&
+                         !isCut(end.PeerHost, end.Host);
+  if (!reachable)
+    return after(ConnectTimeout, [=, this] { tellClosed(ours); });
+  const Duration delay = delayBetween(end.Host, end.PeerHost);
+  if (!peer->second->Alive)
+    return after(2 * delay, [=, this] { tellClosed(ours); });
+  const LinkId theirs = ++LastLink;
+  Ends[theirs] = {.Host = end.PeerHost,
+                  .Incarnation = peer->second->Incarnation,
+                  .PeerHost = end.Host,
+                  .Peer = ours,
+                  .Known = true,
+                  .LastArrival = Now + delay};
+  Ends[ours].Peer = theirs;
+  Ends[ours].Known = true;
+  const auto hello = [this](const HostName &host, bool accepted,
+                            LinkPurpose purpose) {
+    const WorldProcess &it = *Processes.at(host);
+    const bool named = accepted || purpose == LinkPurpose::Replication;
+    return Hello{.Protocol = ProtocolVersion,
+                 .Host = host,
+                 .Replica = it.Disk && named ? it.Disk->Stored.Id : 0,
+                 .Accepted = accepted};
+  };
+  Ends[ours].LastArrival = Now + 2 * delay;
+  after(delay, [=, this] {
+    const auto it = Ends.find(theirs);
+    if (it == Ends.end())
+      return;
+    tellOpen(theirs, hello(end.Host, false, end.Purpose));
+    // A frozen process accepts, as its kernel does it, but doesn't greet.
+    atProcess(end.PeerHost, it->second.Incarnation, [=](WorldProcess &p) {
+      World &world = p.In;
+      const Hello greeting = hello(end.PeerHost, true, end.Purpose);
+      world.after(delay, [=, &world] { world.tellOpen(ours, greeting); });
+    });
+  });
+}
+
+void World::tellOpen(LinkId link, const Hello &hello) {
+  const auto it = Ends.find(link);
+  if (it == Ends.end())
+    return;
+  atProcess(it->second.Host, it->second.Incarnation, [=](WorldProcess &p) {
+    const auto end = p.In.Ends.find(link);
+    if (end == p.In.Ends.end())
+      return;
+    end->second.Open = true;
+    p.In.sendUnsent(link);
+    for (Node *node : {static_cast<Node *>(p.Replica.get()),
+                       static_cast<Node *>(p.Agent.get()),
+                       static_cast<Node *>(p.Entry.get())})
+      if (node)
+        node->onLinkOpen(p.In.now(), link, hello);
+  });
+}
+
+void World::sendUnsent(LinkId link) {
+  const std::vector<Message> unsent = std::exchange(Ends.at(link).Unsent, {});
+  for (const Message &it : unsent)
+    sendOn(link, it);
+}
+
+void World::sendOn(LinkId link, const Message &message) {
+  const auto it = Ends.find(link);
+  if (it == Ends.end())
+    return;
+  End &end = it->second;
+  if (!end.Open || isCut(end.Host, end.PeerHost) || !end.Unsent.empty()) {
+    if (end.Unsent.empty())
+      end.UnsentSince = Now;
+    end.Unsent.push_back(message);
+    return;
+  }
+  const auto peer = Ends.find(end.Peer);
+  if (peer == Ends.end())
+    return;
+  const TimePoint arrival = std::max(Now + delayBetween(end.Host, end.PeerHost),
+                                     peer->second.LastArrival);
+  peer->second.LastArrival = arrival;
+  after(arrival - Now,
+        [this, to = end.Peer, message] { deliver(to, message); });
+}
+
+void World::deliver(LinkId to, const Message &message) {
+  const auto it = Ends.find(to);
+  if (it == Ends.end())
+    return;
+  atProcess(it->second.Host, it->second.Incarnation, [=](WorldProcess &p) {
+    if (!p.In.Ends.contains(to))
+      return;
+    const TimePoint now = p.In.now();
+    if (p.Replica) {
+      p.Replica->onMessage(now, to, message);
+      p.Replica->flush(now);
+    }
+    if (p.Agent)
+      p.Agent->onMessage(now, to, message);
+    if (p.Entry)
+      p.Entry->onMessage(now, to, message);
+  });
+}
+
+void World::tellClosed(LinkId link) {
+  const auto it = Ends.find(link);
+  if (it == Ends.end())
+    return;
+  const End end = it->second;
+  atProcess(end.Host, end.Incarnation, [=](WorldProcess &p) {
+    if (p.In.Ends.erase(link) == 0)
+      return;
+    for (Node *node : {static_cast<Node *>(p.Replica.get()),
+                       static_cast<Node *>(p.Agent.get()),
+                       static_cast<Node *>(p.Entry.get())})
+      if (node)
+        node->onLinkClosed(p.In.now(), link);
+  });
+}
+
+void World::closeLink(LinkId link) {
+  const auto it = Ends.find(link);
+  if (it == Ends.end())
+    return;
+  const End end = it->second;
+  Ends.erase(it);
+  if (end.Peer == 0)
+    return;
+  // Behind a cut nobody hears of the end.
+  const bool cut = isCut(end.Host, end.PeerHost);
+  const Duration delay =
+      cut ? UserTimeout : delayBetween(end.Host, end.PeerHost);
+  after(delay, [this, peer = end.Peer] { tellClosed(peer); });
+}
+
+void World::dropLinksOf(const HostName &host) {
+  std::vector<LinkId> links;
+  for (const auto &[link, end] : Ends)
+    if (end.Host == host)
+      links.push_back(link);
+  for (const LinkId it : links)
+    closeLink(it);
+}
+
+void World::expireUnsent() {
+  std::vector<LinkId> dead;
+  for (const auto &[link, end] : Ends)
+    if (!end.Unsent.empty() && end.UnsentSince + UserTimeout < Now)
+      dead.push_back(link);
+  for (const LinkId it : dead) {
+    Ends.at(it).Unsent.clear();
+    tellClosed(it);
+  }
+}
+
+void World::cut(const HostName &from, const HostName &to) {
+  Cuts.insert({from, to});
+}
+
+void World::healAll() {
+  Cuts.clear();
+  std::vector<LinkId> links;
+  for (const auto &[link, end] : Ends)
+    if (!end.Unsent.empty())
+      links.push_back(link);
+  for (const LinkId it : links)
+    if (Ends.at(it).Open)
+      sendUnsent(it);
+}
+
+void World::slow(const HostName &from, const HostName &to, Duration delay) {
+  Slow[{from, to}] = delay;
+}
+
+} // namespace pimentofront::testkit
--- a/test/platform/FakePlatformMain.cpp
+++ b/test/platform/FakePlatformMain.cpp
@@ -2,6 +2,7 @@
 // servers that register, an operator, callers; checks what each of them sees.
 
 #include "FakePlatformServers.h"
+#include "TestDocument.h"
 
 #include <cstdio>
 #include <getopt.h>
@@ -67,42 +68,6 @@
   return All;
 }
 
-nlohmann::json route(const char *prefix, const char *kind, const char *service,
-                     int servers, bool resumable) {
-  return {{"name", prefix},
-          {"hostname", "test.example"},
-          {"pathPrefix", std::string("/") + prefix + "/"},
-          {"routeType", kind},
-          {"timeoutMs", 2000},
-          {"targetLatencyMs", 500},
-          {"priority", 1},
-          {"backend", service},
-          {"attempts", servers},
-          {"resumable", resumable}};
-}
-
-nlohmann::json manifest(int version) {
-  return {
-      {"version", version},
-      {"routes",
-       {route("once", "non_idempotent", "plain", 1, false),
-        route("safe", "idempotent", "plain", 2, false),
-        route("flow", "streaming", "engines", 2, true),
-        route("brook", "streaming", "engines", 1, false)}},
-      {"services",
-       {{{"name", "plain"}, {"healthPath", "/h"}, {"maxConns", 100}},
-        {{"name", "engines"},
-         {"healthPath", "/h"},
-         {"maxConns", 100},
-         {"engine",
-          {{"slots", 8},
-           {"kvCapacity", 100000},
-           {"weightsMb", 1000},
-           {"adapterSlots", 2},
-           {"models",
-            {{{"name", "m0"}, {"weightsMb", 900}, {"adapterMb", 10}}}}}}}}}};
-}
-
 class Player : public UpstreamHandler {
 public:
   Player(EventLoop &loop, const Arguments &arguments)
@@ -163,7 +128,7 @@
     put("i-e1", "engines", *HostPort::parse(Options.Engine));
     put("i-e2", "engines", *HostPort::parse(Options.Engine2));
     if (!Accepted)
-      send("/-/config", manifest(1), 0, [this](int status) {
+      send("/-/config", testDocument(1), 0, [this](int status) {
         if (status != 200 || Accepted)
           return;
         Accepted = true;
--- a/test/platform/soak/Callers.h
+++ b/test/platform/soak/Callers.h
@@ -15,7 +15,10 @@
           Operator &changes, std::uint64_t seed, Report &report);
 
   /// Sends no more requests; those under way go on.
-  void end() { Sender.reset(); }
+  void end() {
+    Sender.reset();
+    MarkerSender.reset();
+  }
   /// \returns whether the last requests through each entry were all answered.
   bool served() const;
   /// \returns what served() is decided by, for the report.
--- a/test/platform/soak/Operator.cpp
+++ b/test/platform/soak/Operator.cpp
@@ -1,6 +1,6 @@
 #include "Operator.h"
 
-#include <nlohmann/json.hpp>
+#include "../TestDocument.h"
 
 namespace pimentofront::soak {
 namespace {
@@ -15,41 +15,12 @@
 constexpr Duration CallTimeout = std::chrono::seconds(1);
 constexpr Duration RetryPause = milliseconds(150);
 
-nlohmann::json route(const std::string &prefix, const char *kind,
-                     const char *service, int servers, bool resumable) {
-  return {{"name", prefix},
-          {"hostname", "test.example"},
-          {"pathPrefix", "/" + prefix + "/"},
-          {"routeType", kind},
-          {"timeoutMs", 2000},
-          {"targetLatencyMs", 500},
-          {"priority", 1},
-          {"backend", service},
-          {"attempts", servers},
-          {"resumable", resumable}};
-}
-
+/// \returns the document of a version, with the route that only it has.
 nlohmann::json document(std::uint64_t version) {
-  return {
-      {"version", version},
-      {"routes",
-       {route("once", "non_idempotent", "plain", 1, false),
-        route("safe", "idempotent", "plain", 2, false),
-        route("flow", "streaming", "engines", 2, true),
-        route("brook", "streaming", "engines", 1, false),
-        route("m" + std::to_string(version), "idempotent", "plain", 2, false)}},
-      {"services",
-       {{{"name", "plain"}, {"healthPath", "/h"}, {"maxConns", 100}},
-        {{"name", "engines"},
-         {"healthPath", "/h"},
-         {"maxConns", 100},
-         {"engine",
-          {{"slots", 8},
-           {"kvCapacity", 100000},
-           {"weightsMb", 1000},
-           {"adapterSlots", 2},
-           {"models",
-            {{{"name", "m0"}, {"weightsMb", 900}, {"adapterMb", 10}}}}}}}}}};
+  nlohmann::json result = testkit::testDocument(version);
+  result["routes"].push_back(testkit::testRoute(
+      "m" + std::to_string(version), "idempotent", "plain", 2, false));
+  return result;
 }
 
 bool isGood(const HttpAnswer &answer) {
