Give a vote to a caught-up learner in place of a voter that is gone

Cause: a replica's machine was replaced at 8.6 s by one of another host. The new one joined as a learner at 10.6 s and stayed one, since the group had its three voters, one of them gone for good. Change: with all places taken, the voter that has been silent longest, and for 4.5 s at least, gives its place to a learner that has caught up. Test: three sections, one of which is the fault: voters stay 1, 2, 3 without the change. A voter that wakes after its place was given away isn't told so; that is open (docs/FINDINGS.md).

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -43,10 +43,32 @@
   NextHeartbeat = now;
 }
 
+ReplicaId
+ReplicatedLog::voterToReplace(TimePoint now,
+                              const ReplicaDescriptor &learner) const {
+  for (const ReplicaDescriptor &it : Group.Replicas)
+    if (it.Host == learner.Host && !it.Learner)
+      return it.Id;
+  if (voterCount() < Options.WantedVoters)
+    return 0;
+  ReplicaId longest = 0;
+  TimePoint heard = now - Options.ReplaceAfter;
+  for (const ReplicaDescriptor &it : Group.Replicas) {
+    const auto follower = Followers.find(it.Id);
+    if (it.Learner || follower == Followers.end() ||
+        follower->second.HeardAt > heard)
+      continue;
+    longest = it.Id;
+    heard = follower->second.HeardAt;
+  }
+  return longest;
+}
+
 /// One step at a time, each only when the one before is committed: take in
 /// who asks, as a learner; when it has caught up, take the host's former
-/// identity out, whose disk is lost; then give the learner a vote. A learner
-/// never counts before, so a lost disk can't be mistaken for a full one.
+/// identity out, whose disk is lost, or a voter that seems gone for good; then
+/// give the learner a vote. A learner never counts before, so a lost disk can't
+/// be mistaken for a full one.
 void ReplicatedLog::reviewGroup(TimePoint now, std::uint64_t wallMilliseconds) {
   if (changePending())
     return;
@@ -72,12 +94,9 @@
         follower->second.Match + CaughtUpWithin < lastIndex())
       continue;
     ReplicaGroup group = Group;
-    const auto former =
-        std::ranges::find_if(group.Replicas, [&](const auto &o) {
-          return o.Host == it.Host && !o.Learner;
-        });
-    if (former != group.Replicas.end()) {
-      group.Replicas.erase(former);
+    if (const ReplicaId former = voterToReplace(now, it)) {
+      std::erase_if(group.Replicas,
+                    [&](const auto &o) { return o.Id == former; });
       return proposeGroup(now, wallMilliseconds, group);
     }
     if (voterCount() >= Options.WantedVoters)
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -26,6 +26,10 @@
   std::size_t SnapshotPartBytes = std::size_t(256) << 10;
   /// Replicas with a vote that the leader tries to have.
   std::uint32_t WantedVoters = 3;
+  /// A voter that hasn't been heard for so long gives its place to a learner
+  /// that has caught up: it may be gone for good, and the next loss would take
+  /// the majority. Longer than a process is usually frozen or restarted.
+  Duration ReplaceAfter = std::chrono::milliseconds(4500);
   std::uint64_t Seed = 1;
 };
 
@@ -178,6 +182,10 @@
   std::uint64_t beginRound(TimePoint now);
 
   // GroupChange.cpp
+  /// \returns the voter whose place \p learner takes, or 0: the one of its own
+  /// host, or with all places taken the one that has been silent longest.
+  ReplicaId voterToReplace(TimePoint now,
+                           const ReplicaDescriptor &learner) const;
   void reviewGroup(TimePoint now, std::uint64_t wallMilliseconds);
   bool changePending() const;
   void proposeGroup(TimePoint now, std::uint64_t wallMilliseconds,
--- a/test/ConsensusTest.cpp
+++ b/test/ConsensusTest.cpp
@@ -1,6 +1,7 @@
 #include "pimentofront/Consensus.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace pimentofront;
 using namespace std::chrono_literals;
@@ -164,3 +165,66 @@
   CHECK_FALSE(sent<AppendReply>(log).at(0).Matched);
   CHECK(log.lastIndex() == 3);
 }
+
+namespace {
+
+/// A leader of three, number 1, with what its followers answer.
+struct LeaderOfThree {
+  LeaderOfThree() : Log(Start, {}, storedOfThree(1)) { elect(Log, Now); }
+
+  /// \p alive answer each message of the leader for \p time.
+  void play(Duration time, const std::set<ReplicaId> &alive) {
+    for (const TimePoint end = Now + time; Now < end; Now += 50ms) {
+      Log.tick(Now, 0);
+      const LogActions actions = Log.takeActions();
+      Log.synced(Now);
+      for (const OutgoingLogMessage &it : actions.Messages)
+        if (alive.contains(it.To.Id))
+          answer(it);
+    }
+  }
+  void answer(const OutgoingLogMessage &message) {
+    if (const auto *it = std::get_if<AppendRequest>(&message.Content))
+      Log.onMessage(Now, 0,
+                    AppendReply{message.To.Id, Log.term(), true,
+                                it->PreviousIndex + it->Entries.size(),
+                                it->Round});
+  }
+  /// \returns the replicas with a vote.
+  std::set<ReplicaId> voters() const {
+    std::set<ReplicaId> result;
+    for (const ReplicaDescriptor &it : Log.group().Replicas)
+      if (!it.Learner)
+        result.insert(it.Id);
+    return result;
+  }
+
+  TimePoint Now = Start + 5s;
+  ReplicatedLog Log;
+};
+
+} // namespace
+
+TEST_CASE("a learner of another host replaces a voter that is gone") {
+  LeaderOfThree leader;
+  leader.play(500ms, {2, 3});
+  const JoinRequest join{
+      {.Id = 4, .Host = HostName("n4"), .Address = "b", .Learner = true}};
+  SECTION("but not one that is heard") {
+    leader.Log.onMessage(leader.Now, 0, join);
+    leader.play(10s, {2, 3, 4});
+    CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+  }
+  SECTION("nor one that has been silent for a short while") {
+    leader.Log.onMessage(leader.Now, 0, join);
+    leader.play(4s, {2, 4});
+    CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+  }
+  SECTION("once it has been silent for long") {
+    leader.play(2s, {2});
+    leader.Log.onMessage(leader.Now, 0, join);
+    leader.play(4s, {2, 4});
+    CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 4});
+    CHECK(leader.Log.role() == LogRole::Leader);
+  }
+}
