Read again: what the soak kept and never read, and three texts that stood twice

FaultPlan kept the time of each signal for nobody; Callers had a type for a promise of which one field was read; a lost disk rewrote the settings that the begin of the faults had written already. The events of a whole stream stood in the server's stand-in, in its player and in the soak, the store of three replicas in two tests: one copy each.

--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -28,14 +28,20 @@
   std::uint64_t milliseconds() const override { return 0; }
 };
 
-} // namespace
-
-TEST_CASE("when one of two links to a replica ends the other one serves") {
+/// The disk of replica 1 in a group of three.
+MemoryLogStore storeOfThree() {
   MemoryLogStore store(1);
   ReplicaGroup group;
   for (ReplicaId id = 1; id <= 3; ++id)
     group.Replicas.push_back({.Id = id, .Address = std::to_string(id)});
   store.Stored.Snapshot = LogSnapshot::make(1, 1, group, "");
+  return store;
+}
+
+} // namespace
+
+TEST_CASE("when one of two links to a replica ends the other one serves") {
+  MemoryLogStore store = storeOfThree();
   RecordingTransport transport;
   const NoClock clock;
   const TimePoint now{100s};
@@ -90,11 +96,7 @@
 }
 
 TEST_CASE("a replica replaces a link to another one that has gone silent") {
-  MemoryLogStore store(1);
-  ReplicaGroup group;
-  for (ReplicaId id = 1; id <= 3; ++id)
-    group.Replicas.push_back({.Id = id, .Address = std::to_string(id)});
-  store.Stored.Snapshot = LogSnapshot::make(1, 1, group, "");
+  MemoryLogStore store = storeOfThree();
   RecordingTransport transport;
   const NoClock clock;
   TimePoint now{100s};
--- a/test/platform/FakePlatformMain.cpp
+++ b/test/platform/FakePlatformMain.cpp
@@ -32,14 +32,6 @@
   bool MustBreakOff = false;
 };
 
-std::string events(int n) {
-  std::string text;
-  for (int i = 1; i <= n; ++i)
-    text += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) +
-            "\n\n";
-  return text;
-}
-
 /// Engines are in use a little after they have registered.
 constexpr std::string_view FirstOfEngines = "/flow/stream";
 /// Stands for the request's own id in an expected body.
@@ -59,9 +51,9 @@
       {"/once/hang", {504}, ""},
       {"/safe/fail-once", {200}, OwnId, 2},
       {"/safe/cut", {502}, "", 2},
-      {"/flow/stream", {200}, events(5)},
-      {"/flow/stream-cut", {200}, events(5), 2},
-      {"/brook/stream", {200}, events(5)},
+      {"/flow/stream", {200}, FakeServer::events()},
+      {"/flow/stream-cut", {200}, FakeServer::events(), 2},
+      {"/brook/stream", {200}, FakeServer::events()},
       {"/brook/stream-cut", {200}, "", 1, true},
       {"/nowhere/ok", {404}, "", 0},
   };
--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr const char *Model = "m0";
+/// Events of a whole stream.
+constexpr int Events = 5;
 
 std::string headerOf(const RequestHead &head, const char *name) {
   const std::string *value = findHeader(head.Headers, name);
@@ -173,7 +175,6 @@
   std::string out = "HTTP/1.1 200 OK\r\n" + stamps +
                     "Content-Type: text/event-stream\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n";
-  constexpr int Events = 5;
   constexpr int CutAfter = 2;
   for (; next <= (cut ? CutAfter : Events); ++next)
     out += chunk(event(next));
@@ -182,6 +183,13 @@
   channel.write(out + "0\r\n\r\n");
 }
 
+std::string FakeServer::events() {
+  std::string text;
+  for (int i = 1; i <= Events; ++i)
+    text += event(i);
+  return text;
+}
+
 std::string FakeServer::report() const {
   nlohmann::json adapters = nlohmann::json::array();
   for (const std::string &it : Adapters)
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -24,6 +24,8 @@
   FakeServer(const FakeServer &) = delete;
   FakeServer &operator=(const FakeServer &) = delete;
 
+  /// \returns the events of a whole stream.
+  static std::string events();
   const std::string &instance() const { return Instance; }
   std::uint64_t orders() const { return Orders; }
 
--- a/test/platform/soak/Callers.cpp
+++ b/test/platform/soak/Callers.cpp
@@ -48,21 +48,9 @@
       Sender(loop.every(SendPeriod, [this] { sendOne(); })),
       MarkerSender(loop.every(MarkerPeriod, [this] { sendMarker(); })) {}
 
-Callers::Promise Callers::promiseOf(const std::string &path) {
-  if (path.starts_with("/flow/"))
-    return {.MostRuns = 2, .Stream = true};
-  if (path.starts_with("/brook/"))
-    return {.MostRuns = 1, .Stream = true};
-  return {.MostRuns = path.starts_with("/once/") ? 1 : 2};
-}
-
-std::string Callers::wholeStream() {
-  constexpr int Events = 5;
-  std::string text;
-  for (int i = 1; i <= Events; ++i)
-    text += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) +
-            "\n\n";
-  return text;
+int Callers::mostRunsOf(const std::string &path) {
+  const bool once = path.starts_with("/once/") || path.starts_with("/brook/");
+  return once ? 1 : 2;
 }
 
 //===----------------------------------------------------------------------===//
@@ -143,7 +131,7 @@
     return;
   }
   ++Seen.Counts["answers with " + std::to_string(request.Status)];
-  judge(request, ending);
+  judge(request);
   if (request.Marker != 0)
     judgeMarker(request);
 }
@@ -161,7 +149,7 @@
     broke(request, "took " + std::to_string(took.count() / 1000) + " ms");
 }
 
-void Callers::judge(const Request &request, UpstreamEnding) {
+void Callers::judge(const Request &request) {
   EntryView &view = Entries[request.Entry];
   const bool good = request.Status == StatusOk;
   if (endsWell(request.Path) && request.Marker == 0)
@@ -173,7 +161,8 @@
   if (!good)
     return;
   const bool stream = request.Path.find("/stream") != std::string::npos;
-  const std::string expected = stream ? wholeStream() : request.Id;
+  const std::string expected =
+      stream ? testkit::FakeServer::events() : request.Id;
   if (request.Body != expected)
     broke(request,
           std::string("another body than the server's: ").append(request.Body));
@@ -221,7 +210,7 @@
     return it == World.runs().end() ? 0 : it->second;
   };
   for (const auto &[id, path] : Paths)
-    if (runsOf(id) > promiseOf(path).MostRuns)
+    if (runsOf(id) > mostRunsOf(path))
       brokeRun(id, "ran " + std::to_string(runsOf(id)) + " times");
   for (const std::string &id : Refused)
     if (runsOf(id) > 0)
--- a/test/platform/soak/Callers.h
+++ b/test/platform/soak/Callers.h
@@ -44,11 +44,6 @@
     int Status = 0;
     std::string Body;
   };
-  /// What a path promises.
-  struct Promise {
-    int MostRuns = 1;
-    bool Stream = false;
-  };
   /// What has been seen of one start of an entry.
   struct EntryView {
     std::uint32_t Start = 0;
@@ -62,13 +57,13 @@
   void sendMarker();
   void send(Request request);
   bool isCalm(TimePoint now, Duration time) const;
-  void judge(const Request &request, UpstreamEnding ending);
+  void judge(const Request &request);
   void judgeMarker(const Request &request);
   void judgeTime(const Request &request);
   void broke(const Request &request, const std::string &what);
   void brokeRun(const std::string &id, const std::string &what);
-  static Promise promiseOf(const std::string &path);
-  static std::string wholeStream();
+  /// \returns how often a request for \p path may run.
+  static int mostRunsOf(const std::string &path);
 
   EventLoop &Loop;
   Deployment &World;
--- a/test/platform/soak/FaultPlan.cpp
+++ b/test/platform/soak/FaultPlan.cpp
@@ -58,11 +58,6 @@
   return Ends.empty() ? std::optional(LastAt) : std::nullopt;
 }
 
-TimePoint FaultPlan::signalledAt(const Daemon &daemon) const {
-  const auto it = Signalled.find(&daemon);
-  return it == Signalled.end() ? TimePoint() : it->second;
-}
-
 void FaultPlan::tick() {
   reap();
   const TimePoint now = Loop.now();
@@ -94,10 +89,8 @@
                      std::to_string(*status));
     // As on the platform: whatever ends is started anew after a short while.
     const TimePoint now = Loop.now();
-    later(now + between(milliseconds(100), seconds(1)), [this, &it] {
-      it.Process.start();
-      Signalled[&it] = Loop.now();
-    });
+    later(now + between(milliseconds(100), seconds(1)),
+          [&it] { it.Process.start(); });
   }
 }
 
@@ -136,7 +129,6 @@
   const int kind = Kinds[draw(std::size(Kinds))];
   if (!it.Process.runs())
     return;
-  Signalled[&it] = now;
   it.Process.signal(kind);
   if (kind != SIGSTOP) {
     // Until it has ended and its successor is up.
@@ -145,10 +137,7 @@
                          ", " + it.Name);
   }
   const Duration time = between(milliseconds(200), seconds(3));
-  later(now + time, [this, &it] {
-    it.Process.signal(SIGCONT);
-    Signalled[&it] = Loop.now();
-  });
+  later(now + time, [&it] { it.Process.signal(SIGCONT); });
   note(now, "freeze, " + it.Name);
 }
 
@@ -165,9 +154,7 @@
       replicas.push_back(&it);
   Daemon *lost = replicas[draw(replicas.size())];
   DiskSafeAt = now + CatchUp + SeriesPause;
-  Signalled[lost] = now;
   lost->Process.signal(SIGKILL);
-  World.endBootstrap();
   // No other disk is lost until this one has caught up; other faults go on.
   later(now + milliseconds(50), [this, lost] { World.wipe(*lost); });
   note(now, "disk lost, " + lost->Name);
--- a/test/platform/soak/FaultPlan.h
+++ b/test/platform/soak/FaultPlan.h
@@ -25,8 +25,6 @@
   /// \returns since when nothing has been disturbed; not set while something
   /// is.
   std::optional<TimePoint> calmSince() const;
-  /// \returns when \p daemon itself was signalled last.
-  TimePoint signalledAt(const Daemon &daemon) const;
 
 private:
   struct Pending {
@@ -54,8 +52,6 @@
   TimePoint LastAt;
   TimePoint DiskSafeAt;
   std::vector<Pending> Ends;
-  /// By daemon: when it was signalled, and whether its end is meant.
-  std::map<const Daemon *, TimePoint> Signalled;
   std::unique_ptr<Timer> Ticker;
 };
 
