Share the connections to a backend server among the entries

Cause: the cap of the routing document was read and used nowhere; each request that may run once opened a connection, which was kept afterwards, 60 a second.

Each entry now lives within its part of the cap (three quarters, by the number of entries), halved for a while when a new connection is turned away; idle connections are given up before one too many is opened, and a request finds another server, or a refusal at once, when the part is used up.

Ruled out: keeping at most four a server, which bounds only what is idle.

--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -22,6 +22,7 @@
 #include "src/Forward/RoutingTable.h"
 #include "src/Forward/HeaderCodec.h"
 #include "src/Forward/EventStream.h"
+#include "src/Forward/ConnectionShare.h"
 #include "src/Forward/ServerSet.h"
 #include "src/Forward/ForwardBoard.h"
 #include "src/Forward/HoldController.h"
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -161,6 +161,8 @@
                            ReleaseKind::NotRun);
   if (ending == UpstreamEnding::Complete && request->Attempt->Head)
     return complete(now, *request);
+  if (ending == UpstreamEnding::TurnedAway)
+    Board.Servers.noteTurnedAway(now, request->Attempt->Server);
   brokeOff(now, *request);
 }
 
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -12,6 +12,9 @@
   NotSent,
   /// The request may have reached the server; the answer isn't whole.
   BrokeOff,
+  /// The same, on a new connection that the server ended before it answered
+  /// anything: most likely it has as many as it accepts.
+  TurnedAway,
 };
 
 /// What the shell does with an answer whose head has come.
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -180,7 +180,8 @@
                    .Address = server.Record.Address,
                    .Head = Board.Codec.encodeRequest(request.Head, traits),
                    .Body = request.Body,
-                   .Once = !request.Route->mayRepeat()});
+                   .Once = !request.Route->mayRepeat(),
+                   .Connections = Board.Servers.connections(now, server)});
 }
 
 //===----------------------------------------------------------------------===//
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -142,8 +142,11 @@
   std::string Address;
   RequestHead Head;
   std::shared_ptr<const std::string> Body;
-  /// The request may run once only, so it gets a connection of its own.
+  /// The request may run once only, so it gets a connection that is surely
+  /// alive.
   bool Once = false;
+  /// The connections that there may be to the server, this one among them.
+  ConnectionPart Connections;
 };
 /// Closes the connection of an attempt, which has the server stop.
 struct CancelUpstream {
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -36,13 +36,16 @@
 
 void ForwardController::setTable(std::shared_ptr<const RoutingTable> table) {
   Board.Table = std::move(table);
+  if (Board.Table)
+    Board.Servers.useDocument(Board.Table->document());
 }
 
 void ForwardController::onMembers(const MemberUpdate &update) {
   Board.Servers.apply(update);
 }
 
-void ForwardController::onEntries(std::uint32_t entries) {
+void ForwardController::onEntries(TimePoint now, std::uint32_t entries) {
+  Board.Servers.onEntries(now, entries);
   Board.Budget.setReserve(Board.Options.RetryReserve / std::max(entries, 1U));
 }
 
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -19,8 +19,9 @@
   /// A new routing document is in force.
   void setTable(std::shared_ptr<const RoutingTable> table);
   void onMembers(const MemberUpdate &update);
-  /// So many entries share the budget of further sends.
-  void onEntries(std::uint32_t entries);
+  /// So many entries share the budget of further sends, and the connections
+  /// to each backend server.
+  void onEntries(TimePoint now, std::uint32_t entries);
 
   /// A request has arrived whole. \p key names it until its answer has ended.
   void onRequest(TimePoint now, std::uint64_t key, RequestHead head,
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -139,6 +139,32 @@
   return score;
 }
 
+void ServerSet::useDocument(const RoutingDocument &document) {
+  ConnectionCaps.clear();
+  for (const ServiceSpec &it : document.Services)
+    ConnectionCaps[it.Name] = it.MaxConnections;
+}
+
+void ServerSet::onEntries(TimePoint now, std::uint32_t entries) {
+  Entries.note(now, entries);
+}
+
+ConnectionPart ServerSet::connections(TimePoint now,
+                                      const ServerView &server) const {
+  std::uint32_t cap = 0;
+  for (const ServiceName &it : server.Record.Services)
+    if (const auto known = ConnectionCaps.find(it);
+        known != ConnectionCaps.end())
+      cap = std::max(cap, known->second);
+  return server.Connections.part(now, cap, Entries.value(),
+                                 Options.Connections);
+}
+
+void ServerSet::noteTurnedAway(TimePoint now, const HostName &server) {
+  if (ServerView *it = find(server))
+    it->Connections.noteTurnedAway(now, Options.Connections);
+}
+
 ServerView *ServerSet::choose(TimePoint now, const ServiceName &service,
                               const std::vector<HostName> &without) {
   const double failures = meanFailureShare(service);
@@ -146,7 +172,8 @@
   std::pair<bool, double> least;
   for (auto &[host, it] : Servers) {
     if (!isOf(it.Record, service) || it.Record.Leaving ||
-        std::ranges::find(without, host) != without.end())
+        std::ranges::find(without, host) != without.end() ||
+        it.InFlight >= connections(now, it).Open)
       continue;
     const std::pair<bool, double> rank{now < it.SuspendedUntil,
                                        scoreOf(now, it, failures)};
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -1,7 +1,9 @@
 #ifndef PIMENTOFRONT_FORWARD_SERVER_SET_H
 #define PIMENTOFRONT_FORWARD_SERVER_SET_H
 
+#include "ConnectionShare.h"
 #include "HeaderCodec.h"
+#include "RoutingTable.h"
 #include "pimentofront/State.h"
 
 namespace pimentofront {
@@ -11,8 +13,9 @@
 /// \brief What an entry knows of one registered backend server.
 struct ServerView {
   MemberRecord Record;
-  /// Requests of this entry that it works on.
+  /// Requests of this entry that it works on, each on its connection.
   std::uint32_t InFlight = 0;
+  ConnectionShare Connections;
   /// Its last word on its load, and when it came.
   ServerLoad Load;
   TimePoint LoadAt;
@@ -60,6 +63,9 @@
   /// How much a share of failures above that of the siblings counts, in parts
   /// of the slots: a server that fails a third more is chosen last.
   double FailurePenalty = 3;
+  ConnectionShareOptions Connections;
+  /// Entries among which connections are shared until their number is known.
+  std::uint32_t PresumedEntries = 10;
 };
 
 /// \class ServerSet
@@ -68,14 +74,20 @@
 /// some of them, and how they do.
 class ServerSet {
 public:
-  explicit ServerSet(const ServerSetOptions &options) : Options(options) {}
+  explicit ServerSet(const ServerSetOptions &options)
+      : Options(options), Entries(options.PresumedEntries) {}
 
   void apply(const MemberUpdate &update);
   ServerView *find(const HostName &server);
   /// \returns the server on the agent's host that is in use, or null.
   ServerView *beside(const HostName &agent);
+  /// What the services of \p document accept.
+  void useDocument(const RoutingDocument &document);
+  /// So many entries share the connections of each server.
+  void onEntries(TimePoint now, std::uint32_t entries);
   /// \returns the best server of \p service for one more request, but for
-  /// those in \p without; null when there is none.
+  /// those in \p without and those to which this entry has as many connections
+  /// as it may; null when there is none.
   ServerView *choose(TimePoint now, const ServiceName &service,
                      const std::vector<HostName> &without);
   /// \returns whether all servers are known that there are: whoever isn't
@@ -89,7 +101,11 @@
   const MemberViews &agents() const { return Agents; }
   const std::map<HostName, ServerView> &servers() const { return Servers; }
 
+  /// \returns the connections that this entry may have to \p server.
+  ConnectionPart connections(TimePoint now, const ServerView &server) const;
   void noteSent(const HostName &server);
+  /// The server ended a new connection before it answered anything.
+  void noteTurnedAway(TimePoint now, const HostName &server);
   void noteEnded(TimePoint now, const HostName &server, ServerOutcome outcome);
   void noteLoad(TimePoint now, const HostName &server, const ServerLoad &load);
   void suspendAgent(TimePoint now, const HostName &agent);
@@ -105,6 +121,9 @@
   void ejectIfFailing(TimePoint now, ServerView &server);
 
   ServerSetOptions Options;
+  EntryCount Entries;
+  /// Connections that each server of a service accepts.
+  std::map<ServiceName, std::uint32_t> ConnectionCaps;
   std::map<HostName, ServerView> Servers;
   MemberViews Agents;
   bool Complete = false;
--- a/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -62,6 +62,7 @@
 
 void UpstreamChannel::parse() {
   evbuffer *input = bufferevent_get_input(Bev);
+  Heard = true;
   // Bytes without a request belong to nobody.
   if (!Attempt)
     return end();
@@ -113,7 +114,8 @@
                      evbuffer_get_length(bufferevent_get_input(Bev)) == 0 &&
                      evbuffer_get_length(bufferevent_get_output(Bev)) == 0;
   if (clean) {
-    UsableUntil = Owner.Loop.now() + Keep;
+    FreeSince = Owner.Loop.now();
+    UsableUntil = FreeSince + Keep;
     Owner.keep(*this);
   } else {
     end();
@@ -136,6 +138,7 @@
   auto *self = static_cast<UpstreamChannel *>(arg);
   if (what & BEV_EVENT_CONNECTED) {
     self->Connected = true;
+    self->ConnectedAt = self->Owner.Loop.now();
     return;
   }
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
@@ -148,7 +151,13 @@
     if (self->Done && !self->Ended)
       return self->answered();
   }
-  self->broke(UpstreamEnding::BrokeOff);
+  self->broke(self->cutOff());
+}
+
+UpstreamEnding UpstreamChannel::cutOff() const {
+  const TimePoint now = Owner.Loop.now();
+  const bool soon = now < ConnectedAt + Owner.Options.TurnedAwayWithin;
+  return !Heard && soon ? UpstreamEnding::TurnedAway : UpstreamEnding::BrokeOff;
 }
 
 void UpstreamChannel::checkTime(TimePoint now) {
--- a/packages/http/pimentofront/src/Http/UpstreamPool.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.cpp
@@ -18,29 +18,31 @@
 
 UpstreamPool::~UpstreamPool() = default;
 
-detail::UpstreamChannel *UpstreamPool::takeKept(const std::string &address) {
-  const auto it = Kept.find(address);
-  if (it == Kept.end())
-    return nullptr;
+detail::UpstreamChannel *UpstreamPool::takeKept(Peer &peer, Duration idle) {
   const TimePoint now = Loop.now();
-  std::vector<ChannelId> &ids = it->second;
-  while (!ids.empty()) {
-    const ChannelId id = ids.back();
-    ids.pop_back();
-    const auto channel = Channels.find(id);
-    if (channel == Channels.end())
-      continue;
-    if (channel->second->isUsable(now))
-      return channel->second.get();
-    channel->second->end();
-  }
-  Kept.erase(it);
-  return nullptr;
+  if (peer.Kept.empty())
+    return nullptr;
+  detail::UpstreamChannel *channel = Channels.at(peer.Kept.back()).get();
+  if (!channel->isUsable(now, idle))
+    return nullptr;
+  peer.Kept.pop_back();
+  return channel;
+}
+
+void UpstreamPool::makeRoom(Peer &peer, std::uint32_t more) {
+  const auto tooMany = [&] {
+    return peer.Kept.size() > peer.Part.Kept ||
+           std::uint64_t(peer.Open) + more > peer.Part.Open;
+  };
+  // Ending one takes it from the list.
+  while (!peer.Kept.empty() && tooMany())
+    Channels.at(peer.Kept.front())->end();
 }
 
 detail::UpstreamChannel &UpstreamPool::open(const std::string &address) {
   const ChannelId id = ++LastChannel;
   ++Opened;
+  ++Peers[address].Open;
   return *Channels
               .emplace(id, std::make_unique<detail::UpstreamChannel>(*this, id,
                                                                      address))
@@ -48,12 +50,14 @@
 }
 
 void UpstreamPool::send(const SendUpstream &request) {
-  // A kept connection may end just as the request is under way, and then it
-  // isn't known whether it ran.
+  Peer &peer = Peers[request.Address];
+  peer.Part = request.Connections;
   detail::UpstreamChannel *channel =
-      request.Once ? nullptr : takeKept(request.Address);
-  if (!channel)
+      takeKept(peer, request.Once ? Options.OnceIdle : Duration::max());
+  if (!channel) {
+    makeRoom(peer, /*more=*/1);
     channel = &open(request.Address);
+  }
   Busy[request.Attempt] = channel->id();
   channel->send(request);
 }
@@ -79,15 +83,21 @@
 }
 
 void UpstreamPool::keep(detail::UpstreamChannel &channel) {
-  Kept[channel.address()].push_back(channel.id());
+  Peer &peer = Peers.at(channel.address());
+  peer.Kept.push_back(channel.id());
+  // The share may have shrunk meanwhile.
+  makeRoom(peer, /*more=*/0);
 }
 
 void UpstreamPool::bury(ChannelId id) {
   const auto it = Channels.find(id);
   if (it == Channels.end())
     return;
-  if (const auto kept = Kept.find(it->second->address()); kept != Kept.end())
-    std::erase(kept->second, id);
+  const auto peer = Peers.find(it->second->address());
+  std::erase(peer->second.Kept, id);
+  --peer->second.Open;
+  if (peer->second.Open == 0)
+    Peers.erase(peer);
   Dead.push_back(std::move(it->second));
   Channels.erase(it);
   if (!Reaper)
--- a/packages/http/pimentofront/src/Http/UpstreamPool.h
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.h
@@ -30,6 +30,12 @@
   double KeepShare = 0.5;
   /// How long one is kept whose server doesn't say.
   Duration DefaultKeep = std::chrono::milliseconds(300);
+  /// A request that may run once takes a kept connection that answered so
+  /// lately; after that, one may have ended unseen.
+  Duration OnceIdle = std::chrono::milliseconds(-1);
+  /// A new connection that ends within this time without an answer was turned
+  /// away: some round trips between zones, less than a server works.
+  Duration TurnedAwayWithin = std::chrono::milliseconds(20);
   std::size_t MaxAnswerHeadBytes = std::size_t(64) << 10;
 };
 
@@ -41,6 +47,10 @@
 /// \ingroup Http
 /// \brief Connections to backend servers, kept between requests. Never sends a
 /// request twice by itself.
+///
+/// Each request says how many connections may be open to its server. Those
+/// without a request are given up first, the one that was used longest ago
+/// before the others, rather than open one too many.
 class UpstreamPool {
 public:
   UpstreamPool(EventLoop &loop, const UpstreamPoolOptions &options,
@@ -60,8 +70,18 @@
 private:
   friend class detail::UpstreamChannel;
   using ChannelId = std::uint64_t;
-  detail::UpstreamChannel *takeKept(const std::string &address);
+  /// Connections to one address.
+  struct Peer {
+    std::uint32_t Open = 0;
+    ConnectionPart Part;
+    /// Those without a request, the last used one at the end.
+    std::vector<ChannelId> Kept;
+  };
+  /// \returns a kept connection that answered within \p idle, or null.
+  detail::UpstreamChannel *takeKept(Peer &peer, Duration idle);
   detail::UpstreamChannel &open(const std::string &address);
+  /// Ends kept connections until \p more fit beside those of \p peer.
+  void makeRoom(Peer &peer, std::uint32_t more);
   void keep(detail::UpstreamChannel &channel);
   void bury(ChannelId id);
   void reap();
@@ -75,8 +95,7 @@
   std::unordered_map<ChannelId, std::unique_ptr<detail::UpstreamChannel>>
       Channels;
   std::unordered_map<AttemptId, ChannelId> Busy;
-  /// Kept connections by address, the last used one at the end.
-  std::map<std::string, std::vector<ChannelId>> Kept;
+  std::map<std::string, Peer> Peers;
   std::vector<std::unique_ptr<detail::UpstreamChannel>> Dead;
   std::unique_ptr<Timer> Reaper;
   std::unique_ptr<Timer> Sweeper;
--- a/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
@@ -19,8 +19,9 @@
   void send(const SendUpstream &request);
   void ignore() { Ignored = true; }
   void checkTime(TimePoint now);
-  bool isUsable(TimePoint now) const {
-    return !Ended && !Attempt && now < UsableUntil;
+  /// \returns whether it is free, and answered within \p idle.
+  bool isUsable(TimePoint now, Duration idle) const {
+    return !Ended && !Attempt && now < UsableUntil && now - FreeSince <= idle;
   }
 
   bool onResponseHead(ResponseHead head) override;
@@ -37,6 +38,8 @@
   void parse();
   void answered();
   void broke(UpstreamEnding ending);
+  /// \returns how a connection ended that was cut off.
+  UpstreamEnding cutOff() const;
   void noteKeepAlive(const HttpHeaders &headers);
 
   UpstreamPool &Owner;
@@ -47,6 +50,9 @@
   std::optional<AttemptId> Attempt;
   bool Connected = false;
   TimePoint OpenedAt;
+  TimePoint ConnectedAt;
+  /// The server has sent something, for whichever request.
+  bool Heard = false;
   /// The answer that is being read is for the request under way.
   bool Ours = false;
   bool Ignored = false;
@@ -54,6 +60,7 @@
   bool Done = false;
   bool Ended = false;
   Duration Keep;
+  TimePoint FreeSince;
   TimePoint UsableUntil;
 };
 
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -42,7 +42,7 @@
       dropLinks(now, Agents.staleLinks(Controller.board().Servers.agents()));
     }
     if (news.Subscribers)
-      Controller.onEntries(*news.Subscribers);
+      Controller.onEntries(now, *news.Subscribers);
     useDocument(now);
   } else if (const AgentLink *agent = Agents.find(link)) {
     Agents.onHeard(link);
