Orders name the engine's process; a late heartbeat displaces nobody

The count of orders that it expects starts anew with the process, so it matched when the new one had as many, and all slots were full. Orders now name the process to which the entry will send the request, which other processes refuse; an agent knows a process that has ended and tells an entry that names it so at once. Ruled out: the count itself, which holds within one process (test's stand-in plays both).

A heartbeat that a cut delayed, of a process that has crashed, made entries drop the one that had registered at its address since: for good, since its record at the leader hadn't changed. The leader now gives an address to the process that was heard of first last; one that was displaced wrongly has it back after two heartbeats, when the other one is silent.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -133,6 +133,7 @@
                                  const Route &route) {
   const AttemptId id{Board.Options.Incarnation, ++Board.LastSequence};
   const MemberView &agent = Board.Servers.agents().at(route.Host);
+  const ServerView *engine = Board.Servers.beside(route.Host);
   request.Attempt = ForwardAttempt{.Id = id,
                                    .Agent = route.Host,
                                    .OnlyIfResident = route.OnlyIfResident,
@@ -151,7 +152,8 @@
                      .Delegated = true,
                      .Parts = request.Traits.Parts,
                      .FirstEventWithin = route.FirstEventWithin,
-                     .FirstEventDue = firstEventDue(now, request)}});
+                     .FirstEventDue = firstEventDue(now, request),
+                     .Server = engine ? engine->Record.Host : HostName()}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -71,9 +71,7 @@
 void AgentNode::onEntryMessage(TimePoint now, LinkId link,
                                const Message &message) {
   if (const auto *it = std::get_if<ExecuteRequest>(&message)) {
-    if (it->Delegated)
-      Delegated[it->Attempt] = link;
-    Controller.onExecute(now, link, *it);
+    onExecute(now, link, *it);
   } else if (const auto *cancel = std::get_if<CancelAttempt>(&message)) {
     Controller.onCancel(now, cancel->Attempt);
   } else if (const auto *released = std::get_if<AttemptReleased>(&message)) {
@@ -83,6 +81,27 @@
   }
 }
 
+void AgentNode::onExecute(TimePoint now, LinkId link,
+                          const ExecuteRequest &request) {
+  if (FormerProcesses.contains(request.Server))
+    return Network.send(link,
+                        AttemptRefused{.Attempt = request.Attempt,
+                                       .Reason = RefusalReason::BackendDown,
+                                       .Load = Controller.figures(now)});
+  if (!request.Server.empty())
+    Process = request.Server;
+  if (request.Delegated)
+    Delegated[request.Attempt] = link;
+  Controller.onExecute(now, link, request);
+}
+
+void AgentNode::onEngineRestarted() {
+  if (Process.empty())
+    return;
+  FormerProcesses.insert(Process);
+  Process = HostName();
+}
+
 void AgentNode::onReleased(TimePoint now, const AttemptReleased &message) {
   Delegated.erase(message.Attempt);
   Controller.onReleased(now, message);
--- a/packages/node/pimentofront/src/Node/AgentNode.h
+++ b/packages/node/pimentofront/src/Node/AgentNode.h
@@ -65,6 +65,11 @@
   void onProfile(ProfileCallback action) { ProfileAction = std::move(action); }
   /// \returns the fencing token for orders; 0 before the leader has given one.
   std::uint64_t fence() const { return Fence; }
+  /// \returns the engine's process, as entries named it last; empty while none
+  /// has, since it started.
+  const HostName &engineProcess() const { return Process; }
+  /// The process that entries named has ended; another one may have begun.
+  void onEngineRestarted();
   /// \returns time left of the lease on membership.
   Duration leaseLeft(TimePoint now) const;
 
@@ -74,6 +79,7 @@
   MemberRecord record(bool gone) const;
   void sendToScheduler(TimePoint now, const Message &message);
   void onEntryMessage(TimePoint now, LinkId link, const Message &message);
+  void onExecute(TimePoint now, LinkId link, const ExecuteRequest &request);
   void onReleased(TimePoint now, const AttemptReleased &message);
   void takeProfile(TimePoint now, const EngineProfile &profile);
   void start(TimePoint now, const ExecuteRequest &request);
@@ -93,6 +99,10 @@
   std::uint64_t Fence = 0;
   /// Attempts that an entry sends to the engine itself.
   std::unordered_map<AttemptId, LinkId> Delegated;
+  HostName Process;
+  /// Processes of the engine that have ended: an entry that names one hasn't
+  /// heard of the next one, and can't send it a request.
+  std::set<HostName> FormerProcesses;
   EngineProfile Profile;
   ProfileCallback ProfileAction;
 };
--- a/packages/state/pimentofront/src/State/MemberTable.cpp
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -11,6 +11,7 @@
   Members.clear();
   HeardAt.clear();
   Sequences.clear();
+  Superseded.clear();
   Changes.clear();
 }
 
@@ -39,10 +40,44 @@
   return late;
 }
 
+bool MemberTable::isDisplaced(TimePoint now, const MemberRecord &member) {
+  const auto it = Superseded.find(member.Host);
+  if (it == Superseded.end())
+    return false;
+  Displaced &former = it->second;
+  const auto other = HeardAt.find(former.By);
+  const bool lives =
+      other == HeardAt.end() ||
+      (former.CalledAt && now >= *former.CalledAt + Options.TakeBackAfter &&
+       other->second < *former.CalledAt);
+  if (lives) {
+    Superseded.erase(it);
+    return false;
+  }
+  if (!former.CalledAt || other->second >= *former.CalledAt)
+    former.CalledAt = now;
+  return true;
+}
+
+void MemberTable::displaceOthers(TimePoint now, const MemberRecord &member) {
+  if (!member.Registered)
+    return;
+  std::vector<MemberRecord> others;
+  for (const auto &[host, it] : Members)
+    if (it.Registered && host != member.Host && it.Address == member.Address)
+      others.push_back(it);
+  for (MemberRecord &it : others) {
+    Superseded[it.Host] = {.By = member.Host, .At = now};
+    HeardAt.erase(it.Host);
+    it.Gone = true;
+    change(it);
+  }
+}
+
 bool MemberTable::announce(TimePoint now, const MemberRecord &member,
                            std::uint64_t sequence) {
-  const auto it = Members.find(member.Host);
   if (member.Gone) {
+    const auto it = Members.find(member.Host);
     Goodbyes[member.Host] = {member.Incarnation, now};
     HeardAt.erase(member.Host);
     Sequences.erase(member.Host);
@@ -51,9 +86,11 @@
       change(member);
     return true;
   }
-  if (cameLate(now, member, sequence))
+  if (cameLate(now, member, sequence) || isDisplaced(now, member))
     return false;
+  displaceOthers(now, member);
   HeardAt[member.Host] = now;
+  const auto it = Members.find(member.Host);
   if (it == Members.end() || it->second != member)
     change(member);
   return true;
@@ -80,9 +117,11 @@
     record.Gone = true;
     change(record);
   }
-  std::erase_if(Goodbyes, [&](const auto &it) {
+  const auto isForgotten = [&](const auto &it) {
     return it.second.At + Options.GoodbyeKept < now;
-  });
+  };
+  std::erase_if(Goodbyes, isForgotten);
+  std::erase_if(Superseded, isForgotten);
   if (!Complete && now >= TermBegan + Options.Lease) {
     Complete = true;
     ++Version.Sequence; // Tells everybody, without a record.
--- a/packages/state/pimentofront/src/State/MemberTable.h
+++ b/packages/state/pimentofront/src/State/MemberTable.h
@@ -19,6 +19,10 @@
   std::size_t ChangesKept = 1024;
   /// How long a goodbye is remembered, against announcements that come late.
   Duration GoodbyeKept = std::chrono::seconds(60);
+  /// A process whose address another one has taken gets it back when it has
+  /// announced itself twice, so far apart, and the other one is silent: late
+  /// announcements come together.
+  Duration TakeBackAfter = std::chrono::milliseconds(500);
 };
 
 /// \class MemberTable
@@ -27,6 +31,9 @@
 /// stream of changes. Soft state: a new leader starts with an empty table, and
 /// calls it complete when it has led for a whole lease.
 ///
+/// An address belongs to one process that registers itself, the one that was
+/// heard of first last: a former one that is heard of once more is late.
+///
 /// Also the copy of it that followers and entries keep: apply() takes changes.
 class MemberTable {
 public:
@@ -61,7 +68,19 @@
     std::uint64_t Incarnation = 0;
     TimePoint At;
   };
+  /// A process whose address another one has taken.
+  struct Displaced {
+    HostName By;
+    TimePoint At;
+    /// Its first announcement since then.
+    std::optional<TimePoint> CalledAt;
+  };
   void change(const MemberRecord &member);
+  /// \returns whether another process took the address of \p member, and this
+  /// announcement doesn't prove that it is the one that lives.
+  bool isDisplaced(TimePoint now, const MemberRecord &member);
+  /// Whoever had the address of \p member before has ended.
+  void displaceOthers(TimePoint now, const MemberRecord &member);
   bool cameLate(TimePoint now, const MemberRecord &member,
                 std::uint64_t sequence);
 
@@ -73,6 +92,7 @@
   std::map<HostName, TimePoint> HeardAt;
   std::map<HostName, std::uint64_t> Sequences;
   std::map<HostName, Goodbye> Goodbyes;
+  std::map<HostName, Displaced> Superseded;
   /// The last changes; the newest has the sequence of `Version`.
   std::deque<MemberRecord> Changes;
 };
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -116,10 +116,13 @@
   Duration FirstEventWithin = Duration::zero();
   /// What is left of the time in which its first event counts as on time.
   Duration FirstEventDue = NoTarget;
+  /// The process of the engine to which a delegated request will be sent. An
+  /// order that the agent gives for its sake is for no other process.
+  HostName Server;
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, Resumed,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
-                      Delegated, Parts, FirstEventWithin, FirstEventDue)
+                      Delegated, Parts, FirstEventWithin, FirstEventDue, Server)
 };
 
 /// Agent to entry: a place at the engine is yours, send the request now. The
--- a/test/StateTest.cpp
+++ b/test/StateTest.cpp
@@ -231,3 +231,51 @@
   CHECK(table.expire(now + 12s).size() == 1);
   CHECK(table.members().empty());
 }
+
+namespace {
+
+MemberRecord registered(const char *process) {
+  return {.Host = HostName(process),
+          .Address = "1.0.0.1:80",
+          .Services = {ServiceName("s")},
+          .Registered = true};
+}
+
+/// \returns who is in use at the address.
+std::string ownerOf(const MemberTable &table) {
+  std::string owners;
+  for (const auto &[host, it] : table.members())
+    owners += host.str();
+  return owners;
+}
+
+} // namespace
+
+// A heartbeat that a cut delayed comes after its sender has crashed, and after
+// a new process has registered at the same address.
+TEST_CASE("a late heartbeat of a former process doesn't displace the new one") {
+  MemberTable table({.Lease = 6s});
+  const TimePoint now{100s};
+  table.beginTerm(now, 1);
+  CHECK(table.announce(now, registered("old"), 1));
+  CHECK(table.announce(now + 1s, registered("new"), 1));
+  CHECK(ownerOf(table) == "new");
+  const MemberVersion version = table.version();
+  CHECK_FALSE(table.announce(now + 2s, registered("old"), 3));
+  CHECK_FALSE(table.announce(now + 2s, registered("old"), 2));
+  CHECK(ownerOf(table) == "new");
+  CHECK(table.version() == version);
+}
+
+TEST_CASE("whoever goes on sending heartbeats has its address back") {
+  MemberTable table({.Lease = 6s});
+  const TimePoint now{100s};
+  table.beginTerm(now, 1);
+  // A new leader knows neither, and hears the late one last.
+  CHECK(table.announce(now, registered("new"), 7));
+  CHECK(table.announce(now + 100ms, registered("old"), 4));
+  CHECK(ownerOf(table) == "old");
+  CHECK_FALSE(table.announce(now + 1200ms, registered("new"), 8));
+  CHECK(table.announce(now + 2400ms, registered("new"), 9));
+  CHECK(ownerOf(table) == "new");
+}
