--- a/test/EngineOrdersTest.cpp
+++ b/test/EngineOrdersTest.cpp
@@ -241,3 +241,13 @@
   it.serve("b");
   CHECK(it.Engine.Adapters == std::set<std::string>{"b"});
 }
+
+TEST_CASE("an engine that is found without its base model gets it") {
+  AgentUnderTest it;
+  it.Engine.HasModel = false;
+  // An entry names the engine's process before the agent has seen it.
+  it.ask("a");
+  it.turnUntil([&] { return it.ready(); });
+  it.serve("a");
+  CHECK(it.Engine.Adapters == std::set<std::string>{"a"});
+}
