Count the wait for a place in the batch in an agent's word

Cause: an agent's word on the time to the first event left out the queue for a place in the engine's batch. Entries asked nobody else: they had been promised an early event.

Test first, with the load that showed it.

--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -130,13 +130,13 @@
 AdmissionController::expectedFirstEvent(TimePoint now,
                                         const ExecuteRequest &request) const {
   const AdapterKey &key = request.Key;
-  Duration wait =
-      Board.Prefill.wait(now) + Board.Prefill.reading(key, request.Parts);
-  if (!Board.Slots.isReady(key))
-    wait += Board.LoadTime;
-  if (!Board.Slots.isReady(key) && !Board.Slots.isLoading(key))
-    wait += slotWait(key);
-  return wait;
+  const bool ready = Board.Slots.isReady(key);
+  const bool loading = Board.Slots.isLoading(key);
+  // The requests that end give both their places and their slots.
+  const Duration ends =
+      ready || loading ? queueWait() : std::max(queueWait(), slotWait(key));
+  return ends + (ready ? Duration::zero() : Board.LoadTime) +
+         Board.Prefill.wait(now) + Board.Prefill.reading(key, request.Parts);
 }
 
 AdmissionController::Verdict
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -310,6 +310,25 @@
   CHECK(agent.refusal()->ComeBack == 2250ms);
 }
 
+// A popular adapter fills the batches of the engines that hold it while others
+// are idle: 64 requests in each, and the next ones waited two seconds there
+// though they had been promised a quarter of one.
+TEST_CASE(
+    "an agent's word on waiting counts the wait for a place in the batch") {
+  Agent agent;
+  agent.Controller.onExecute(Now, Entry, request(1, "a"));
+  agent.load(Now, "a");
+  agent.Controller.onExecute(Now, Entry, request(2, "a"));
+  REQUIRE(agent.take<StartGeneration>().size() == 2);
+  ExecuteRequest next = request(3, "a");
+  // Two requests of two seconds each: one of them ends within about one.
+  next.FirstEventWithin = 800ms;
+  agent.Controller.onExecute(Now, Entry, next);
+  REQUIRE(agent.refusal());
+  CHECK(agent.refusal()->Reason == RefusalReason::Busy);
+  CHECK(agent.refusal()->ComeBack == 1s);
+}
+
 TEST_CASE("the load that lets an answer be on time goes before late ones") {
   Agent agent({.Host = HostName("w"),
                .Incarnation = 1,
