Reckon the time of a load by what the engine has held

Cause: an agent reckoned 250 ms for each load, also for an adapter that its engine had held before and has back in 25; and loads of copies pulled the smoothed time of those from the store down. A model of an engine's copies now learns both times, and how many copies the engine keeps.

--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -18,6 +18,7 @@
 #include "src/Serving/Popularity.h"
 #include "src/Serving/SlotTable.h"
 #include "src/Serving/PrefillModel.h"
+#include "src/Serving/LoadTimeModel.h"
 #include "src/Serving/EvictionPolicy.h"
 #include "src/Serving/AgentBoard.h"
 #include "src/Serving/LoadGate.h"
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -135,7 +135,7 @@
   // The requests that end give both their places and their slots.
   const Duration ends =
       ready || loading ? queueWait() : std::max(queueWait(), slotWait(key));
-  return ends + (ready ? Duration::zero() : Board.LoadTime) +
+  return ends + (ready ? Duration::zero() : Board.LoadTimes.expected(key)) +
          Board.Prefill.wait(now) + Board.Prefill.reading(key, request.Parts);
 }
 
@@ -146,7 +146,7 @@
   if (!request.Service.empty())
     return judgeService(request);
   if (!Board.EngineReady)
-    return {RefusalReason::BackendDown, Board.LoadTime};
+    return {RefusalReason::BackendDown, Board.LoadTimes.fromStore()};
   if (request.BaseModel != Board.Options.BaseModel)
     return {RefusalReason::NoSuchBackend};
   if (Board.WaitingCount >= Board.Options.QueueLimit)
@@ -220,7 +220,7 @@
     const bool loading = Board.Slots.isLoading(key);
     const Duration load = ready || loading || !Board.Options.RefusesEarly
                               ? Duration::zero()
-                              : Board.LoadTime;
+                              : Board.LoadTimes.expected(key);
     const RefusalReason reason =
         ready ? RefusalReason::QueueFull : RefusalReason::LoadBacklog;
     std::erase_if(queue, [&](const WaitingAttempt &attempt) {
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_SERVING_AGENT_BOARD_H
 
 #include "EvictionPolicy.h"
+#include "LoadTimeModel.h"
 #include "PrefillModel.h"
 
 #include <deque>
@@ -30,7 +31,7 @@
   /// Calls of plain services in progress at one time.
   std::uint32_t ServiceLimit = 64;
   PopularityOptions Popularity;
-  /// What a load takes at full speed, until one has been measured.
+  /// What a load from the weight store takes, until one has been measured.
   Duration LoadTime = std::chrono::milliseconds(250);
   /// What serving a request takes, until some have been measured.
   Duration ServiceTime = std::chrono::seconds(2);
@@ -152,7 +153,7 @@
   AgentBoard(const AgentOptions &options, const EvictionPolicy &eviction)
       : Options(options), Eviction(eviction), Slots(options.Slots),
         BatchCapacity(options.BatchCapacity), Popularity(options.Popularity),
-        Jitter(options.Incarnation), LoadTime(options.LoadTime),
+        Jitter(options.Incarnation), LoadTimes({.Store = options.LoadTime}),
         ServiceTime(options.ServiceTime) {}
 
   const AgentOptions Options;
@@ -171,8 +172,8 @@
   std::uint32_t RunningServices = 0;
   std::unordered_map<AdapterKey, FailedLoads> SetAside;
 
-  /// Smoothed measurements of this host.
-  Duration LoadTime;
+  LoadTimeModel LoadTimes;
+  /// What a request took here, smoothed.
   Duration ServiceTime;
   /// Last word of the load scheduler on its queue, and when it came.
   Duration LoadBacklog = Duration::zero();
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -137,7 +137,7 @@
       SendToEntry{running.Entry, AttemptRefused{
                                      .Attempt = attempt,
                                      .Reason = RefusalReason::BackendDown,
-                                     .ComeBack = Board.LoadTime,
+                                     .ComeBack = Board.LoadTimes.fromStore(),
                                      .Load = Admission.figures(now),
                                  }});
   decide(now);
@@ -168,6 +168,8 @@
   if (now < *Board.EngineIdleSince + settle)
     return;
   Board.Slots.adopt(now, resident);
+  for (const AdapterKey &it : resident)
+    Board.LoadTimes.onHeld(it);
   Board.EngineReady = true;
   Board.EngineIsOurs = true;
   decide(now);
@@ -190,12 +192,14 @@
     return;
   Board.EngineReady = false;
   Board.Prefill.clear(now);
+  Board.LoadTimes.clear();
   breakOff(now, /*services=*/false);
   for (const Slot &it : std::vector<Slot>(Board.Slots.all()))
     if (it.State == SlotState::Loading)
       Gate.onLoadEnded(now, Board, it.Key, Duration::zero());
   Board.Slots.clear();
-  Admission.refuseAllWaiting(RefusalReason::BackendDown, Board.LoadTime);
+  Admission.refuseAllWaiting(RefusalReason::BackendDown,
+                             Board.LoadTimes.fromStore());
   decide(now);
 }
 
@@ -209,7 +213,8 @@
   Gate.onStatus(now, Board, status);
   if (Board.Slots.isReady(status.Key) || Board.Slots.isLoading(status.Key))
     return;
-  Admission.onLoadWait(now, status.Key, status.Backlog + Board.LoadTime);
+  Admission.onLoadWait(now, status.Key,
+                       status.Backlog + Board.LoadTimes.expected(status.Key));
   decide(now);
 }
 
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -3,15 +3,6 @@
 #include <algorithm>
 
 namespace pimentofront {
-namespace {
-
-/// Weight of the newest measurement in smoothed ones.
-constexpr int SmoothingShare = 8;
-Duration smoothed(Duration before, Duration measured) {
-  return before + (measured - before) / SmoothingShare;
-}
-
-} // namespace
 
 std::vector<Demand> LoadController::demands(TimePoint now) const {
   std::vector<Demand> result;
@@ -36,7 +27,8 @@
   const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
   const Duration reading =
       Board.Prefill.reading(attempt.Request.Key, attempt.Request.Parts);
-  const TimePoint firstEvent = now + Board.LoadTime + reading;
+  const TimePoint firstEvent =
+      now + Board.LoadTimes.expected(attempt.Request.Key) + reading;
   const bool hasTarget = attempt.OnTimeUntil.has_value();
   const bool onTime = !hasTarget || firstEvent <= *attempt.OnTimeUntil;
   const TimePoint limit = hasTarget && onTime
@@ -102,7 +94,7 @@
   Gate.onLoadEnded(now, Board, key, took);
   if (!succeeded)
     return setAside(now, key);
-  Board.LoadTime = smoothed(Board.LoadTime, took);
+  Board.LoadTimes.onLoaded(key, took);
   Board.SetAside.erase(key);
   endStalls(now, key);
 }
--- a/test/LoadGateTest.cpp
+++ b/test/LoadGateTest.cpp
@@ -81,3 +81,38 @@
   it.end(4, 0ms);
   CHECK(it.begin() == 4);
 }
+
+namespace {
+
+AdapterKey numbered(int n) { return {AdapterName("x" + std::to_string(n)), 1}; }
+
+} // namespace
+
+// Of 96 loads a second on one day, 19 were of adapters that the engine had held
+// before: they took 25 ms, the others 260.
+TEST_CASE("a load of what the engine has held takes less") {
+  LoadTimeModel model({.Store = 250ms});
+  CHECK(model.expected(numbered(1)) == 250ms);
+  model.onLoaded(numbered(1), 250ms);
+  REQUIRE(model.hasCopy(numbered(1)));
+  CHECK(model.expected(numbered(1)) < 100ms);
+  for (int i = 0; i < 50; ++i)
+    model.onLoaded(numbered(1), 25ms);
+  CHECK(model.expected(numbered(1)) < 30ms);
+  // What comes from a copy says nothing of the weight store.
+  CHECK(model.expected(numbered(2)) == 250ms);
+  model.clear();
+  CHECK(model.expected(numbered(1)) == 250ms);
+}
+
+TEST_CASE("how many copies an engine keeps is learned") {
+  LoadTimeModel model({.Store = 250ms});
+  for (int i = 0; i < 100; ++i)
+    model.onLoaded(numbered(i), 250ms);
+  CHECK(model.hasCopy(numbered(50)));
+  // It keeps forty: the fiftieth from the end is gone.
+  model.onLoaded(numbered(50), 250ms);
+  CHECK(model.hasCopy(numbered(50)));
+  CHECK(model.hasCopy(numbered(60)));
+  CHECK_FALSE(model.hasCopy(numbered(49)));
+}
