Ask further engines only for what they have; a copy more comes last

Cause: while the weight store was crowded a load took 380 ms and more, over the 350 that an engine of the adapter's own may take. So each request for a rare adapter asked four engines, none had it, and the one with the shortest word loaded it: 298 of 716 loads of eight seconds were further copies, and the store was at its limit (96 a second) through them.

Further engines are now asked whether they have the adapter, or it is on its way there; the first engine at which a load is on time takes it, the adapter's own ones first. When all are late, one that has it goes before a copy.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -244,8 +244,8 @@
   if (message.Reason == RefusalReason::BackendDown)
     Board.Servers.suspendAgent(now, agent);
   request->Tried.push_back({agent, message.Reason, message.Load,
-                            request->Attempt->OnlyIfResident,
-                            message.ComeBack});
+                            request->Attempt->OnlyIfResident, message.ComeBack,
+                            message.Holds});
   request->LastRefusal = message.Reason;
   const bool asksAround = message.Reason == RefusalReason::NotResident ||
                           message.Reason == RefusalReason::Busy;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -74,7 +74,7 @@
   if (demanded)
     return {};
   if (request.OnlyIfResident)
-    return {RefusalReason::NotResident};
+    return {RefusalReason::NotResident, expectedFirstEvent(now, request)};
   // Only the scheduler knows where this one would stand: it answers a demand
   // within a round trip, and then what is hopeless is refused.
   return {};
@@ -152,25 +152,27 @@
   if (Board.WaitingCount >= Board.Options.QueueLimit)
     return {RefusalReason::QueueFull, queueWait()};
   const Duration wait = expectedFirstEvent(now, request);
+  const bool holds =
+      Board.Slots.isReady(request.Key) || Board.Slots.isLoading(request.Key);
   if (request.FirstEventWithin > Duration::zero() &&
       wait > request.FirstEventWithin)
-    return {RefusalReason::Busy, wait};
-  if (Board.Slots.isReady(request.Key) || Board.Slots.isLoading(request.Key))
-    return judgeResident(request);
-  return judgeMissing(now, request);
+    return {RefusalReason::Busy, wait, holds};
+  return holds ? judgeResident(request) : judgeMissing(now, request);
 }
 
 void AdmissionController::refuse(EntryLink entry, const AttemptId &attempt,
                                  Verdict verdict, const LoadFigures &figures) {
-  // An entry compares the waits of several busy hosts, so they aren't spread.
-  const bool busy = verdict.Reason == RefusalReason::Busy;
+  // An entry compares the waits of several hosts, so they aren't spread.
+  const bool asksAround = verdict.Reason == RefusalReason::Busy ||
+                          verdict.Reason == RefusalReason::NotResident;
   const Duration comeBack =
-      busy ? verdict.ComeBack : spread(Board.Jitter, verdict.ComeBack);
+      asksAround ? verdict.ComeBack : spread(Board.Jitter, verdict.ComeBack);
   Board.Commands.push_back(SendToEntry{entry, AttemptRefused{
                                                   .Attempt = attempt,
                                                   .Reason = verdict.Reason,
                                                   .ComeBack = comeBack,
                                                   .Load = figures,
+                                                  .Holds = verdict.Holds,
                                               }});
 }
 
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -35,6 +35,8 @@
   struct Verdict {
     RefusalReason Reason = RefusalReason::None;
     Duration ComeBack = Duration::zero();
+    /// The adapter is here, or on its way.
+    bool Holds = false;
   };
   Verdict judge(TimePoint now, const ExecuteRequest &request) const;
   Verdict judgeService(const ExecuteRequest &request) const;
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -14,10 +14,17 @@
   return it == query.Tried.end() ? nullptr : &*it;
 }
 
-/// \returns whether the host said no for another reason than being busy.
+/// \returns whether the host said no only because the first event would come
+/// too late, or since it would have to load the adapter.
+bool isOpen(const TriedHost &word) {
+  return word.Reason == RefusalReason::Busy ||
+         (word.Reason == RefusalReason::NotResident && word.OnlyIfResident);
+}
+
+/// \returns whether the host said no for another reason.
 bool isOut(const RouteQuery &query, const MemberView &host) {
   return std::ranges::any_of(query.Tried, [&](const TriedHost &it) {
-    return it.Host == host.Record.Host && it.Reason != RefusalReason::Busy;
+    return it.Host == host.Record.Host && !isOpen(it);
   });
 }
 
@@ -89,20 +96,40 @@
     const MemberView &it = *hosts[i];
     if (triedOf(query, it))
       continue;
-    const double share = i < own ? Options.OwnShare : Options.SpillShare;
+    const bool isOwn = i < own;
+    const double share = isOwn ? Options.OwnShare : Options.SpillShare;
     return Route{.Host = it.Record.Host,
+                 .OnlyIfResident = !isOwn,
                  .FirstEventWithin = fromSeconds(toSeconds(target) * share)};
   }
-  // All are busy: the one that is so least takes it.
-  std::erase_if(hosts, [&](const MemberView *it) { return isOut(query, *it); });
-  if (hosts.empty())
-    return std::nullopt;
-  const auto wait = [&](const MemberView *it) {
-    const TriedHost *word = triedOf(query, *it);
-    return std::pair(word == nullptr, word ? word->Wait : it->Load.PrefillWait);
-  };
-  return Route{.Host =
-                   (*std::ranges::min_element(hosts, {}, wait))->Record.Host};
+  return byTheirWord(query, target, own, hosts);
+}
+
+std::optional<Route>
+PrefixRouting::byTheirWord(const RouteQuery &query, Duration target,
+                           std::size_t own,
+                           const std::vector<const MemberView *> &hosts) const {
+  const double seconds = toSeconds(target);
+  const Duration onTime = fromSeconds(seconds * Options.SpillShare);
+  const Duration copyCost = fromSeconds(seconds * Options.CopyCost);
+  const MemberView *best = nullptr;
+  std::pair<bool, Duration> least;
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    if (isOut(query, *hosts[i]))
+      continue;
+    const TriedHost *word = triedOf(query, *hosts[i]);
+    if (word && word->Wait <= onTime)
+      return Route{.Host = hosts[i]->Record.Host};
+    const Duration wait = word ? word->Wait : hosts[i]->Load.PrefillWait;
+    const bool isCopy = i >= own && !(word && word->Holds);
+    const std::pair rank(word == nullptr,
+                         wait + (isCopy ? copyCost : Duration::zero()));
+    if (best && rank >= least)
+      continue;
+    best = hosts[i];
+    least = rank;
+  }
+  return best ? std::optional(Route{.Host = best->Record.Host}) : std::nullopt;
 }
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.h
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.h
@@ -17,13 +17,18 @@
   /// The time a first event has where a request names no target, or is late
   /// already: a person waits for it.
   Duration DefaultTarget = std::chrono::seconds(1);
-  /// Engines beyond the adapter's own that are asked under a limit. A question
-  /// costs a round trip, a wait for a slot of a busy engine hundreds of them;
-  /// but each engine more may mean another load.
+  /// Engines beyond the adapter's own that are asked whether they have it. A
+  /// question costs a round trip, a wait for a slot of a busy engine hundreds
+  /// of them.
   std::uint32_t SpillChoices = 3;
   /// Engines for an adapter whose share of the requests is one engine's: more
   /// of them shorten its queue, fewer of them save loads.
   double Spread = 1;
+  /// When the first event will be late wherever the request goes, an engine
+  /// that would load a further copy of the adapter must be sooner by this part
+  /// of the time it has: while the weight store is crowded each copy more
+  /// makes others late.
+  double CopyCost = 0.5;
   /// Half-life of what is known of popularity: demand moves on within seconds.
   Duration HalfLife = std::chrono::seconds(10);
   /// Requests that are thought to have gone before, so that the first ones of
@@ -63,6 +68,12 @@
   std::size_t enginesFor(TimePoint now, const AdapterKey &key,
                          std::size_t engines) const;
   void forgetSome(TimePoint now);
+  /// \returns the host that takes the request when all that were asked under
+  /// a limit have said how long it would wait: the first one at which it is on
+  /// time, or else the soonest. \p own of \p hosts come first.
+  std::optional<Route>
+  byTheirWord(const RouteQuery &query, Duration target, std::size_t own,
+              const std::vector<const MemberView *> &hosts) const;
 
   PrefixRoutingOptions Options;
   std::unordered_map<AdapterKey, Count> Counts;
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -37,8 +37,10 @@
   LoadFigures Load;
   /// The host was asked only for what is resident.
   bool OnlyIfResident = false;
-  /// How long this request would wait there, by the word of a busy host.
+  /// How long this request would wait there, by the word of the host.
   Duration Wait = Duration::zero();
+  /// The host has its adapter, or is loading it.
+  bool Holds = false;
 };
 
 /// \class RouteQuery
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -186,10 +186,13 @@
 struct AttemptRefused {
   AttemptId Attempt;
   RefusalReason Reason = RefusalReason::None;
-  /// When it is worth while to come back.
+  /// When it is worth while to come back. Of one that asked around: how long
+  /// its first event would take.
   Duration ComeBack = Duration::zero();
   LoadFigures Load;
-  PIMENTOFRONT_FIELDS(AttemptRefused, Attempt, Reason, ComeBack, Load)
+  /// The adapter is there, or on its way.
+  bool Holds = false;
+  PIMENTOFRONT_FIELDS(AttemptRefused, Attempt, Reason, ComeBack, Load, Holds)
 };
 
 /// Agent to entry: a piece of the answer.
--- a/test/PrefixRoutingTest.cpp
+++ b/test/PrefixRoutingTest.cpp
@@ -35,8 +35,18 @@
                            .Target = Target},
                           Members);
   }
-  void isBusy(const Route &route, Duration wait) {
-    Tried.push_back({route.Host, RefusalReason::Busy, {}, false, wait});
+  void isBusy(const Route &route, Duration wait, bool holds = false) {
+    Tried.push_back({route.Host,
+                     RefusalReason::Busy,
+                     {},
+                     route.OnlyIfResident,
+                     wait,
+                     holds});
+  }
+  /// The host would have to load it.
+  void lacks(const Route &route, Duration wait) {
+    Tried.push_back(
+        {route.Host, RefusalReason::NotResident, {}, true, wait, false});
   }
 };
 
@@ -86,3 +96,52 @@
   for (std::uint64_t prefix = 1; prefix < 20; ++prefix)
     CHECK(one.next(prefix)->Host == other.next(prefix)->Host);
 }
+
+// The weight store is crowded and a load takes 400 of the 500 ms that a first
+// event has: engines that don't have the adapter can't be sooner, and each that
+// is made to load it makes the store's queue longer. On one day 298 of 716
+// loads were further copies.
+TEST_CASE("an adapter that nobody has is loaded at its own engine") {
+  Asking asking;
+  asking.Target = 500ms;
+  const Route own = *asking.next();
+  CHECK_FALSE(own.OnlyIfResident);
+  SECTION("on time") {
+    asking.isBusy(own, 400ms);
+    for (int i = 0; i < 3; ++i) {
+      const Route route = *asking.next();
+      CHECK(route.OnlyIfResident);
+      asking.lacks(route, 400ms);
+    }
+  }
+  SECTION("late, and little sooner elsewhere") {
+    asking.isBusy(own, 900ms);
+    for (int i = 0; i < 3; ++i)
+      asking.lacks(*asking.next(), 700ms);
+  }
+  const Route last = *asking.next();
+  CHECK(last.Host == own.Host);
+  CHECK_FALSE(last.OnlyIfResident);
+}
+
+TEST_CASE("an engine with room loads what its own one is too busy for") {
+  Asking asking;
+  asking.Target = 500ms;
+  asking.isBusy(*asking.next(), 2s, /*holds=*/true);
+  const Route first = *asking.next();
+  asking.lacks(first, 280ms);
+  asking.lacks(*asking.next(), 280ms);
+  asking.lacks(*asking.next(), 280ms);
+  CHECK(asking.next()->Host == first.Host);
+}
+
+TEST_CASE("when all are late, one that has the adapter goes before a copy") {
+  Asking asking;
+  asking.Target = 500ms;
+  asking.isBusy(*asking.next(), 2s);
+  asking.lacks(*asking.next(), 1000ms);
+  const Route holder = *asking.next();
+  asking.isBusy(holder, 1100ms, /*holds=*/true);
+  asking.lacks(*asking.next(), 1000ms);
+  CHECK(asking.next()->Host == holder.Host);
+}
