--- a/test/CallerListenerTest.cpp
+++ b/test/CallerListenerTest.cpp
@@ -1,3 +1,4 @@
+#include "OwnAddress.h"
 #include "pimentofront/Http.h"
 
 #include <catch2/catch.hpp>
@@ -17,14 +18,9 @@
   std::vector<CallerKey> Keys;
 };
 
-/// \returns an address of this process's own, on which no other one listens.
 HostPort ownAddress() {
-  constexpr int Octet = 256;
-  constexpr std::uint16_t Port = 9000;
-  const int id = ::getpid();
-  return {"127.77." + std::to_string(id / Octet % Octet) + "." +
-              std::to_string(id % Octet),
-          Port};
+  constexpr int Net = 77;
+  return test::ownAddress(Net);
 }
 
 int connectTo(const HostPort &to) {
--- a/test/ConnectionTest.cpp
+++ b/test/ConnectionTest.cpp
@@ -1,8 +1,8 @@
+#include "OwnAddress.h"
 #include "pimentofront/Http.h"
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
-#include <unistd.h>
 
 #include <deque>
 
@@ -57,12 +57,8 @@
         Pool(Loop, options, *this) {}
 
   static HostPort ownAddress() {
-    constexpr int Octet = 256;
-    constexpr std::uint16_t Port = 9001;
-    const int id = ::getpid();
-    return {"127.78." + std::to_string(id / Octet % Octet) + "." +
-                std::to_string(id % Octet),
-            Port};
+    constexpr int Net = 78;
+    return test::ownAddress(Net);
   }
 
   void onRequest(CallerKey key, RequestHead, std::string) override {
--- a/test/EngineOrdersTest.cpp
+++ b/test/EngineOrdersTest.cpp
@@ -1,10 +1,10 @@
 #include "EngineOrders.h"
+#include "OwnAddress.h"
 #include "pimentofront/Http.h"
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 using namespace pimentofront;
 using namespace std::chrono_literals;
@@ -22,12 +22,8 @@
       : Listener(loop, {.Address = address()}, *this) {}
 
   static HostPort address() {
-    constexpr int Octet = 256;
-    constexpr std::uint16_t Port = 9002;
-    const int id = ::getpid();
-    return {"127.79." + std::to_string(id / Octet % Octet) + "." +
-                std::to_string(id % Octet),
-            Port};
+    constexpr int Net = 79;
+    return test::ownAddress(Net);
   }
 
   void onRequest(CallerKey key, RequestHead head, std::string body) override {
