--- a/packages/http/pimentofront/src/Http/UpstreamPool.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.cpp
@@ -96,8 +96,6 @@
   const auto peer = Peers.find(it->second->address());
   std::erase(peer->second.Kept, id);
   --peer->second.Open;
-  if (peer->second.Open == 0)
-    Peers.erase(peer);
   Dead.push_back(std::move(it->second));
   Channels.erase(it);
   if (!Reaper)
@@ -117,6 +115,8 @@
     all.push_back(it.get());
   for (detail::UpstreamChannel *it : all)
     it->checkTime(now);
+  // Not sooner: whoever makes room for a connection holds on to its peer.
+  std::erase_if(Peers, [](const auto &it) { return it.second.Open == 0; });
 }
 
 } // namespace pimentofront
--- a/packages/http/pimentofront/src/Http/UpstreamPool.h
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.h
@@ -32,7 +32,7 @@
   Duration DefaultKeep = std::chrono::milliseconds(300);
   /// A request that may run once takes a kept connection that answered so
   /// lately; after that, one may have ended unseen.
-  Duration OnceIdle = std::chrono::milliseconds(-1);
+  Duration OnceIdle = std::chrono::milliseconds(500);
   /// A new connection that ends within this time without an answer was turned
   /// away: some round trips between zones, less than a server works.
   Duration TurnedAwayWithin = std::chrono::milliseconds(20);
--- a/test/ConnectionTest.cpp
+++ b/test/ConnectionTest.cpp
@@ -50,9 +50,12 @@
   return Many;
 }
 
+/// Keeps connections for as long as a busy machine may take.
+constexpr UpstreamPoolOptions Lasting{.DefaultKeep = 1min, .OnceIdle = 1min};
+
 /// A server on loopback that answers what it is asked, and a pool before it.
 struct PoolUnderTest : UpstreamHandler, CallerHandler {
-  explicit PoolUnderTest(const UpstreamPoolOptions &options = {})
+  explicit PoolUnderTest(const UpstreamPoolOptions &options = Lasting)
       : Server(Loop, {.Address = ownAddress()}, *this),
         Pool(Loop, options, *this) {}
 
@@ -203,15 +206,25 @@
   CHECK(it.Pool.connectionsOpened() == 4);
 }
 
+TEST_CASE("an entry whose part is less than one connection keeps none") {
+  PoolUnderTest it;
+  for (int i = 0; i < 3; ++i) {
+    it.exchange(1, /*most=*/0);
+    it.turnUntil([&] { return it.Server.channels() == 0; });
+  }
+  CHECK(it.Pool.connectionsOpened() == 3);
+}
+
 TEST_CASE("a request that runs once takes a connection that answered lately") {
   SECTION("a moment ago") {
-    PoolUnderTest it({.OnceIdle = 1min});
+    CHECK(UpstreamPoolOptions().OnceIdle >= 100ms);
+    PoolUnderTest it;
     it.exchange(1, 4, /*once=*/true);
     it.exchange(1, 4, /*once=*/true);
     CHECK(it.Pool.connectionsOpened() == 1);
   }
   SECTION("not one that may have ended unseen") {
-    PoolUnderTest it({.OnceIdle = -1us});
+    PoolUnderTest it({.DefaultKeep = 1min, .OnceIdle = -1us});
     it.exchange(1, 4, /*once=*/true);
     it.exchange(1, /*most=*/1, /*once=*/true);
     CHECK(it.Pool.connectionsOpened() == 2);
@@ -220,7 +233,7 @@
 }
 
 TEST_CASE("a new connection that ends without an answer was turned away") {
-  PoolUnderTest it({.TurnedAwayWithin = 1min});
+  PoolUnderTest it({.DefaultKeep = 1min, .TurnedAwayWithin = 1min});
   it.exchange(1, 4);
   SECTION("a new one") {
     it.send(4);
