Read again: one copy of what stood two or three times

Found reading the whole change; nothing decides otherwise.

- The presumed number of entries stood in two option structs; both users take the one of ServerSetOptions.
- Whether a refusal only asked around was written out at three places.
- An agent that says that it lacks an adapter reckoned the time to the first event a second time in the same decision.
- Tests of the listener sent their request twice in the same words.

No check, bound or expected text is changed.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -247,9 +247,7 @@
                             request->Attempt->OnlyIfResident, message.ComeBack,
                             message.Holds});
   request->LastRefusal = message.Reason;
-  const bool asksAround = message.Reason == RefusalReason::NotResident ||
-                          message.Reason == RefusalReason::Busy;
-  if (!asksAround)
+  if (!onlyAskedAround(message.Reason))
     request->ComeBack = std::max(request->ComeBack, message.ComeBack);
   Board.Attempts.erase(message.Attempt);
   request->Attempt.reset();
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -32,8 +32,6 @@
   double RetryShare = 0.15;
   /// Such sends that may be saved up, by all entries together.
   double RetryReserve = 40;
-  /// Entries among which they are shared until their number is known.
-  double PresumedEntries = 10;
   /// Connections that fail before a request is given up.
   std::uint32_t MaxUnreachable = 3;
   /// Answers up to this size are held until they are whole, so that one that
@@ -210,7 +208,7 @@
       : Options(options), Configuration(configuration), Codec(codec),
         Servers(options.Servers), Jitter(options.Incarnation),
         Budget(options.RetryShare,
-               options.RetryReserve / options.PresumedEntries) {}
+               options.RetryReserve / options.Servers.PresumedEntries) {}
 
   const ForwardOptions Options;
   const ConfigurationView &Configuration;
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -3,7 +3,7 @@
 
 #include "ConnectionShare.h"
 #include "HeaderCodec.h"
-#include "RoutingTable.h"
+#include "RoutingDocument.h"
 #include "pimentofront/State.h"
 
 namespace pimentofront {
@@ -64,7 +64,8 @@
   /// of the slots: a server that fails a third more is chosen last.
   double FailurePenalty = 3;
   ConnectionShareOptions Connections;
-  /// Entries among which connections are shared until their number is known.
+  /// Entries among which connections, and sends to a second server, are shared
+  /// until their number is known.
   std::uint32_t PresumedEntries = 10;
 };
 
--- a/packages/http/pimentofront/src/Http/UpstreamPool.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.cpp
@@ -39,10 +39,11 @@
     Channels.at(peer.Kept.front())->end();
 }
 
-detail::UpstreamChannel &UpstreamPool::open(const std::string &address) {
+detail::UpstreamChannel &UpstreamPool::open(Peer &peer,
+                                            const std::string &address) {
   const ChannelId id = ++LastChannel;
   ++Opened;
-  ++Peers[address].Open;
+  ++peer.Open;
   return *Channels
               .emplace(id, std::make_unique<detail::UpstreamChannel>(*this, id,
                                                                      address))
@@ -56,7 +57,7 @@
       takeKept(peer, request.Once ? Options.OnceIdle : Duration::max());
   if (!channel) {
     makeRoom(peer, /*more=*/1);
-    channel = &open(request.Address);
+    channel = &open(peer, request.Address);
   }
   Busy[request.Attempt] = channel->id();
   channel->send(request);
--- a/packages/http/pimentofront/src/Http/UpstreamPool.h
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.h
@@ -79,7 +79,7 @@
   };
   /// \returns a kept connection that answered within \p idle, or null.
   detail::UpstreamChannel *takeKept(Peer &peer, Duration idle);
-  detail::UpstreamChannel &open(const std::string &address);
+  detail::UpstreamChannel &open(Peer &peer, const std::string &address);
   /// Ends kept connections until \p more fit beside those of \p peer.
   void makeRoom(Peer &peer, std::uint32_t more);
   void keep(detail::UpstreamChannel &channel);
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -27,8 +27,6 @@
   /// Looks at the time limits of a caller that sends slowly or not at all.
   void checkTime(TimePoint now);
   void setLimits();
-  /// Ends the connection; what it is sent meanwhile isn't read any more.
-  void end();
   /// \returns whether no request is under way; the last answer may not be
   /// written yet.
   bool isIdle() const { return Key == 0 && !Parser.inMessage(); }
@@ -43,6 +41,8 @@
   void parse();
   void refuse(int status);
   void answerEnded();
+  /// Ends the connection; what it is sent meanwhile isn't read any more.
+  void end();
   bool keepsConnection() const;
 
   CallerListener &Owner;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -65,8 +65,8 @@
 }
 
 AdmissionController::Verdict
-AdmissionController::judgeMissing(TimePoint now,
-                                  const ExecuteRequest &request) const {
+AdmissionController::judgeMissing(TimePoint now, const ExecuteRequest &request,
+                                  Duration firstEvent) const {
   const auto aside = Board.SetAside.find(request.Key);
   if (aside != Board.SetAside.end() && aside->second.Until > now)
     return {RefusalReason::LoadFailed, aside->second.Until - now};
@@ -74,7 +74,7 @@
   if (demanded)
     return {};
   if (request.OnlyIfResident)
-    return {RefusalReason::NotResident, expectedFirstEvent(now, request)};
+    return {RefusalReason::NotResident, firstEvent};
   // Only the scheduler knows where this one would stand: it answers a demand
   // within a round trip, and then what is hopeless is refused.
   return {};
@@ -157,16 +157,15 @@
   if (request.FirstEventWithin > Duration::zero() &&
       wait > request.FirstEventWithin)
     return {RefusalReason::Busy, wait, holds};
-  return holds ? judgeResident(request) : judgeMissing(now, request);
+  return holds ? judgeResident(request) : judgeMissing(now, request, wait);
 }
 
 void AdmissionController::refuse(EntryLink entry, const AttemptId &attempt,
                                  Verdict verdict, const LoadFigures &figures) {
   // An entry compares the waits of several hosts, so they aren't spread.
-  const bool asksAround = verdict.Reason == RefusalReason::Busy ||
-                          verdict.Reason == RefusalReason::NotResident;
-  const Duration comeBack =
-      asksAround ? verdict.ComeBack : spread(Board.Jitter, verdict.ComeBack);
+  const Duration comeBack = onlyAskedAround(verdict.Reason)
+                                ? verdict.ComeBack
+                                : spread(Board.Jitter, verdict.ComeBack);
   Board.Commands.push_back(SendToEntry{entry, AttemptRefused{
                                                   .Attempt = attempt,
                                                   .Reason = verdict.Reason,
@@ -181,9 +180,7 @@
   const Verdict verdict = judge(now, request);
   const bool toEngine = request.Service.empty();
   // A request that is only asking around isn't demand for this host yet.
-  const bool asksAround = verdict.Reason == RefusalReason::NotResident ||
-                          verdict.Reason == RefusalReason::Busy;
-  if (toEngine && !asksAround)
+  if (toEngine && !onlyAskedAround(verdict.Reason))
     Board.Popularity.noteRequest(now, request.Key);
   if (verdict.Reason != RefusalReason::None)
     return refuse(entry, request.Attempt, verdict, figures(now));
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -41,7 +41,9 @@
   Verdict judge(TimePoint now, const ExecuteRequest &request) const;
   Verdict judgeService(const ExecuteRequest &request) const;
   Verdict judgeResident(const ExecuteRequest &request) const;
-  Verdict judgeMissing(TimePoint now, const ExecuteRequest &request) const;
+  /// \param firstEvent how long the first event would take.
+  Verdict judgeMissing(TimePoint now, const ExecuteRequest &request,
+                       Duration firstEvent) const;
   Duration queueWait() const;
   /// \returns how long a request would wait until a slot can be given up for
   /// its adapter.
--- a/packages/serving/pimentofront/src/Serving/LoadTimeModel.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadTimeModel.cpp
@@ -5,8 +5,8 @@
 namespace pimentofront {
 
 std::size_t LoadTimeModel::placeOf(const AdapterKey &key) const {
-  return static_cast<std::size_t>(
-      std::distance(Held.begin(), std::ranges::find(Held, key)));
+  const std::list<AdapterKey>::const_iterator it = Places.at(key);
+  return static_cast<std::size_t>(std::distance(Held.begin(), it));
 }
 
 bool LoadTimeModel::hasCopy(const AdapterKey &key) const {
--- a/packages/serving/pimentofront/src/Serving/LoadTimeModel.h
+++ b/packages/serving/pimentofront/src/Serving/LoadTimeModel.h
@@ -57,6 +57,7 @@
 private:
   void learn(Duration &mean, Duration took) const;
   /// \returns how many adapters were held after \p key.
+  /// \pre it is remembered.
   std::size_t placeOf(const AdapterKey &key) const;
 
   LoadTimeModelOptions Options;
--- a/packages/state/pimentofront/src/State/MemberTable.cpp
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -11,7 +11,7 @@
   Members.clear();
   HeardAt.clear();
   Sequences.clear();
-  Superseded.clear();
+  DisplacedMembers.clear();
   Changes.clear();
 }
 
@@ -41,8 +41,8 @@
 }
 
 bool MemberTable::isDisplaced(TimePoint now, const MemberRecord &member) {
-  const auto it = Superseded.find(member.Host);
-  if (it == Superseded.end())
+  const auto it = DisplacedMembers.find(member.Host);
+  if (it == DisplacedMembers.end())
     return false;
   Displaced &former = it->second;
   const auto other = HeardAt.find(former.By);
@@ -51,7 +51,7 @@
       (former.CalledAt && now >= *former.CalledAt + Options.TakeBackAfter &&
        other->second < *former.CalledAt);
   if (lives) {
-    Superseded.erase(it);
+    DisplacedMembers.erase(it);
     return false;
   }
   if (!former.CalledAt || other->second >= *former.CalledAt)
@@ -67,7 +67,7 @@
     if (it.Registered && host != member.Host && it.Address == member.Address)
       others.push_back(it);
   for (MemberRecord &it : others) {
-    Superseded[it.Host] = {.By = member.Host, .At = now};
+    DisplacedMembers[it.Host] = {.By = member.Host, .At = now};
     HeardAt.erase(it.Host);
     it.Gone = true;
     change(it);
@@ -122,7 +122,7 @@
     return it.second.At + Options.GoodbyeKept < now;
   };
   std::erase_if(Goodbyes, isForgotten);
-  std::erase_if(Superseded, isForgotten);
+  std::erase_if(DisplacedMembers, isForgotten);
   if (!Complete && now >= TermBegan + Options.Lease) {
     Complete = true;
     ++Version.Sequence; // Tells everybody, without a record.
--- a/packages/state/pimentofront/src/State/MemberTable.h
+++ b/packages/state/pimentofront/src/State/MemberTable.h
@@ -92,7 +92,7 @@
   std::map<HostName, TimePoint> HeardAt;
   std::map<HostName, std::uint64_t> Sequences;
   std::map<HostName, Goodbye> Goodbyes;
-  std::map<HostName, Displaced> Superseded;
+  std::map<HostName, Displaced> DisplacedMembers;
   /// The last changes; the newest has the sequence of `Version`.
   std::deque<MemberRecord> Changes;
 };
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -45,6 +45,12 @@
 };
 constexpr unsigned RefusalReasonCount = 16;
 
+/// \returns whether the request was only asking around: the host could take it,
+/// but another one may be better for it.
+constexpr bool onlyAskedAround(RefusalReason reason) {
+  return reason == RefusalReason::NotResident || reason == RefusalReason::Busy;
+}
+
 /// \returns the name of \p reason as logs, metrics and errors show it.
 const char *refusalReasonName(RefusalReason reason);
 
--- a/test/CallerListenerTest.cpp
+++ b/test/CallerListenerTest.cpp
@@ -31,6 +31,13 @@
   return fd;
 }
 
+/// Sends one request, without waiting for its answer.
+void sendRequest(int fd) {
+  constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  REQUIRE(::send(fd, Request.data(), Request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Request.size()));
+}
+
 } // namespace
 
 // An entry that stops ends its idle connections 2.5 s after the signal. Answers
@@ -42,9 +49,7 @@
   const HostPort address = ownAddress();
   CallerListener listener(loop, {.Address = address}, handler);
   const int fd = connectTo(address);
-  constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-  REQUIRE(::send(fd, Request.data(), Request.size(), MSG_NOSIGNAL) ==
-          static_cast<ssize_t>(Request.size()));
+  sendRequest(fd);
   while (handler.Keys.empty())
     event_base_loop(loop.base(), EVLOOP_ONCE);
   SECTION("the stop has begun") { listener.beginStop(); }
@@ -77,9 +82,7 @@
   const int fd = connectTo(address);
   while (listener.channels() == 0)
     event_base_loop(loop.base(), EVLOOP_ONCE);
-  constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-  REQUIRE(::send(fd, Request.data(), Request.size(), MSG_NOSIGNAL) ==
-          static_cast<ssize_t>(Request.size()));
+  sendRequest(fd);
   listener.beginStop();
   listener.stopListening();
   for (int turn = 0; turn < 3; ++turn)
