--- a/packages/base/pimentofront/Base.h
+++ b/packages/base/pimentofront/Base.h
@@ -15,6 +15,7 @@
 #include "src/Base/Identifier.h"
 #include "src/Base/Finding.h"
 #include "src/Base/Hash.h"
+#include "src/Base/ContentHash.h"
 #include "src/Base/Random.h"
 // clang-format on
 
--- a/packages/daemon/src/ForwardFront.cpp
+++ b/packages/daemon/src/ForwardFront.cpp
@@ -7,9 +7,9 @@
     : Loop(loop), Log(log), Counters(metrics),
       Callers(loop, {.Address = listen}, *this), Servers(loop, {}, *this) {}
 
-void ForwardFront::onRequest(CallerKey key, RequestHead head,
-                             std::string body) {
-  Node->request(Loop.now(), key, std::move(head), std::move(body));
+void ForwardFront::onRequest(CallerKey key, RequestHead head, std::string body,
+                             const ContentHash &bodyHash) {
+  Node->request(Loop.now(), key, std::move(head), std::move(body), bodyHash);
 }
 
 void ForwardFront::onCallerGone(CallerKey key) {
@@ -53,6 +53,7 @@
             {{"request", event.Request},
              {"route", event.Route},
              {"server", event.Server.str()},
+             {"content", event.Content.empty() ? "" : event.Content.str()},
              {"why", event.Detail},
              {"status", static_cast<std::uint64_t>(event.Status)},
              {"took_ms", toSeconds(event.Took) * 1000}});
--- a/packages/daemon/src/ForwardFront.h
+++ b/packages/daemon/src/ForwardFront.h
@@ -28,7 +28,8 @@
   /// its last one is written.
   bool idle() const { return Callers.channels() == 0; }
 
-  void onRequest(CallerKey key, RequestHead head, std::string body) override;
+  void onRequest(CallerKey key, RequestHead head, std::string body,
+                 const ContentHash &bodyHash) override;
   void onCallerGone(CallerKey key) override;
 
   HeadVerdict onHead(const AttemptId &attempt, ResponseHead head) override;
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -107,6 +107,8 @@
   RequestHead Head;
   std::shared_ptr<const std::string> Body;
   RequestTraits Traits;
+  /// The same for each attempt at the same request, at whichever entry.
+  ContentHash Content;
   std::shared_ptr<const RoutingTable> Table;
   const RouteSpec *Route = nullptr;
   ServiceName Service;
@@ -191,6 +193,8 @@
   std::string Request;
   std::string Route;
   HostName Server;
+  /// What the request is, whatever the id of this attempt.
+  ContentHash Content;
   std::string Detail;
   /// For a request without an answer.
   const char *Reason = "";
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -25,6 +25,20 @@
   return static_cast<double>(stableHash(id) >> UnusedBits) * Scale;
 }
 
+/// \returns what tells the request from others, whatever ids its attempts bear:
+/// where it is sent, who sends it, and its body.
+ContentHash contentOf(const ForwardRequest &request,
+                      const ContentHash &bodyHash) {
+  const std::string *host = findHeader(request.Head.Headers, "host");
+  return ContentHasher()
+      .addField(request.Head.Method)
+      .addField(host ? *host : std::string())
+      .addField(request.Head.Target)
+      .addField(request.Traits.Caller)
+      .addField({reinterpret_cast<const char *>(&bodyHash), sizeof(bodyHash)})
+      .finish();
+}
+
 } // namespace
 
 ForwardController::ForwardController(const ForwardOptions &options,
@@ -51,7 +65,8 @@
 }
 
 void ForwardController::onRequest(TimePoint now, std::uint64_t key,
-                                  RequestHead head, std::string body) {
+                                  RequestHead head, std::string body,
+                                  const ContentHash &bodyHash) {
   ForwardRequest &request =
       Board.Requests
           .emplace(key,
@@ -63,6 +78,7 @@
           .first->second;
   request.Traits = Board.Codec.decodeRequest(request.Head);
   request.Events = EventStream(request.Traits.LastEvent);
+  request.Content = contentOf(request, bodyHash);
   resolve(now, request);
 }
 
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -25,7 +25,7 @@
 
   /// A request has arrived whole. \p key names it until its answer has ended.
   void onRequest(TimePoint now, std::uint64_t key, RequestHead head,
-                 std::string body);
+                 std::string body, const ContentHash &bodyHash = {});
   /// The caller has closed its connection.
   void onCallerGone(TimePoint now, std::uint64_t key);
 
--- a/packages/forward/pimentofront/src/Forward/HeaderCodec.h
+++ b/packages/forward/pimentofront/src/Forward/HeaderCodec.h
@@ -12,6 +12,8 @@
 struct RequestTraits {
   /// Names this attempt of the caller; backend servers echo it.
   std::string Id;
+  /// Client account that sends it; empty where the outside system names none.
+  std::string Caller;
   /// How long the caller will wait; nothing if it doesn't say.
   std::optional<Duration> TimeLeft;
   std::string BaseModel;
--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -82,10 +82,14 @@
   }
   Head = std::move(head);
   Body.clear();
+  Hasher.finish(); // Whatever was left of a message that didn't end.
   return true;
 }
 
-void CallerChannel::onBody(std::string_view bytes) { Body += bytes; }
+void CallerChannel::onBody(std::string_view bytes) {
+  Body += bytes;
+  Hasher.add(bytes);
+}
 
 void CallerChannel::onMessageEnd() {
   Sending = false;
@@ -94,7 +98,7 @@
   Framing = Parser.isHttp11() ? HttpFraming::Chunked : HttpFraming::Close;
   Key = Owner.addKey(Id);
   Owner.Handler.onRequest(Key, std::move(Head),
-                          std::exchange(Body, std::string()));
+                          std::exchange(Body, std::string()), Hasher.finish());
 }
 
 void CallerChannel::refuse(int status) {
--- a/packages/http/pimentofront/src/Http/CallerListener.h
+++ b/packages/http/pimentofront/src/Http/CallerListener.h
@@ -19,8 +19,9 @@
 class CallerHandler {
 public:
   virtual ~CallerHandler() = default;
-  /// A request has arrived whole.
-  virtual void onRequest(CallerKey key, RequestHead head, std::string body) = 0;
+  /// A request has arrived whole. \p bodyHash was made as it came.
+  virtual void onRequest(CallerKey key, RequestHead head, std::string body,
+                         const ContentHash &bodyHash) = 0;
   /// The caller went away before it had its whole answer.
   virtual void onCallerGone(CallerKey key) = 0;
 };
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -51,6 +51,7 @@
   HttpParser Parser;
   RequestHead Head;
   std::string Body;
+  ContentHasher Hasher;
   /// The request that is being answered; 0 is none.
   CallerKey Key = 0;
   HttpFraming Framing = HttpFraming::Length;
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -129,8 +129,8 @@
 //===----------------------------------------------------------------------===//
 
 void ForwardNode::request(TimePoint now, std::uint64_t key, RequestHead head,
-                          std::string body) {
-  Controller.onRequest(now, key, std::move(head), std::move(body));
+                          std::string body, const ContentHash &bodyHash) {
+  Controller.onRequest(now, key, std::move(head), std::move(body), bodyHash);
   flush(now);
 }
 
--- a/test/CallerListenerTest.cpp
+++ b/test/CallerListenerTest.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 struct Recorder : CallerHandler {
-  void onRequest(CallerKey key, RequestHead, std::string) override {
+  void onRequest(CallerKey key, RequestHead, std::string,
+                 const ContentHash &) override {
     Keys.push_back(key);
   }
   void onCallerGone(CallerKey) override {}
--- a/test/ConnectionTest.cpp
+++ b/test/ConnectionTest.cpp
@@ -64,7 +64,8 @@
     return test::ownAddress(Net);
   }
 
-  void onRequest(CallerKey key, RequestHead, std::string) override {
+  void onRequest(CallerKey key, RequestHead, std::string,
+                 const ContentHash &) override {
     Asked.push_back(key);
   }
   void onCallerGone(CallerKey) override {}
--- a/test/EngineOrdersTest.cpp
+++ b/test/EngineOrdersTest.cpp
@@ -26,7 +26,8 @@
     return test::ownAddress(Net);
   }
 
-  void onRequest(CallerKey key, RequestHead head, std::string body) override {
+  void onRequest(CallerKey key, RequestHead head, std::string body,
+                 const ContentHash &) override {
     if (head.Method == "GET")
       return Listener.reply(key, {.Status = 200, .Headers = {}}, report());
     const std::string *instance =
