--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -0,0 +1,356 @@
+#include "pimentofront/Testkit.h"
+
+#include <algorithm>
+
+namespace pimentofront::testkit {
+namespace {
+
+constexpr const char *Service = "plain";
+constexpr const char *Path = "/flow/";
+constexpr std::uint32_t Slots = 64;
+constexpr int StatusOk = 200;
+constexpr int StatusMisdirected = 421;
+
+HostName replicaName(std::uint32_t i) {
+  return HostName("replica-" + std::to_string(i));
+}
+HostName entryName(std::uint32_t i) {
+  return HostName("entry-" + std::to_string(i));
+}
+
+std::string eventText(std::uint32_t id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+} // namespace
+
+/// Headers with plain names.
+class ForwardFleet::PlainHeaders : public HeaderCodec {
+public:
+  RequestTraits decodeRequest(const RequestHead &head) const override {
+    return {.Id = valueOf(head.Headers, "id"),
+            .TimeLeft = std::chrono::seconds(6)};
+  }
+  AnswerTraits decodeAnswer(const ResponseHead &head) const override {
+    return {.Id = valueOf(head.Headers, "id"),
+            .Stamped = findHeader(head.Headers, "stamp") != nullptr,
+            .NotRun = findHeader(head.Headers, "not-run") != nullptr};
+  }
+  RequestHead encodeRequest(const RequestHead &head,
+                            const ForwardTraits &traits) const override {
+    RequestHead result = head;
+    result.Headers.push_back({"server", traits.Server.str()});
+    if (traits.LastEvent)
+      result.Headers.push_back({"last", std::to_string(*traits.LastEvent)});
+    return result;
+  }
+  HttpHeaders refusalHeaders(const RequestTraits &request,
+                             Duration) const override {
+    return {{"id", request.Id}};
+  }
+  static std::string valueOf(const HttpHeaders &headers, const char *name) {
+    const std::string *value = findHeader(headers, name);
+    return value ? *value : std::string();
+  }
+};
+
+/// One route of resumable streams to one plain service.
+class ForwardFleet::FixedDocument : public DocumentCodec {
+public:
+  RoutingDocument decode(std::string_view, Findings &) const override {
+    return {.Routes = {{.Name = "flow",
+                        .Host = "h",
+                        .PathPrefix = Path,
+                        .Kind = Repeatability::Stream,
+                        .Split = {{ServiceName(Service), 1}},
+                        .Timeout = std::chrono::seconds(10),
+                        .LatencyTarget = std::chrono::seconds(1),
+                        .MaxServers = 2,
+                        .Resumable = true}},
+            .Services = {{.Name = ServiceName(Service)}}};
+  }
+};
+
+/// Carries out what one entry decides.
+class ForwardFleet::Front : public ForwardSink {
+public:
+  Front(ForwardFleet &fleet, HostName entry)
+      : Fleet(fleet), Entry(std::move(entry)) {}
+
+  void onCommand(ForwardCommand command) override {
+    WorldProcess &entry = Fleet.Place.process(Entry);
+    if (const auto *send = std::get_if<SendUpstream>(&command))
+      return Fleet.onSend(entry, *send);
+    if (const auto *cancel = std::get_if<CancelUpstream>(&command)) {
+      for (Server &it : Fleet.Servers)
+        std::erase_if(it.Runs, [&](const auto &run) {
+          return run.second.Attempt == cancel->Attempt;
+        });
+      return;
+    }
+    if (const auto *whole = std::get_if<ReplyWhole>(&command)) {
+      begin(whole->Key, whole->Head);
+      Fleet.Calls.at(whole->Key).Answer.Body = whole->Body;
+      return Fleet.endCall(whole->Key, /*whole=*/true);
+    }
+    if (const auto *head = std::get_if<ReplyHead>(&command))
+      return begin(head->Key, head->Head);
+    if (const auto *piece = std::get_if<ReplyPiece>(&command)) {
+      Fleet.Calls.at(piece->Key).Answer.Body += piece->Bytes;
+      return;
+    }
+    if (const auto *end = std::get_if<ReplyEnd>(&command))
+      return Fleet.endCall(end->Key, /*whole=*/true);
+    if (const auto *abort = std::get_if<ReplyAbort>(&command))
+      return Fleet.endCall(abort->Key, /*whole=*/false);
+  }
+  void onEvent(const ForwardEvent &event) override {
+    Fleet.Seen.push_back(event);
+  }
+  void onTable(const RoutingTable &) override {}
+
+private:
+  void begin(std::uint64_t key, const ResponseHead &head) {
+    CallerAnswer &answer = Fleet.Calls.at(key).Answer;
+    answer.Status = head.Status;
+    answer.Stamped = findHeader(head.Headers, "stamp") != nullptr;
+  }
+
+  ForwardFleet &Fleet;
+  HostName Entry;
+};
+
+ForwardFleet::ForwardFleet(const ForwardFleetOptions &options)
+    : Options(options), Place(options.World), Headers(new PlainHeaders),
+      Document(new FixedDocument) {
+  addReplicas();
+  addEntries();
+  addServers();
+}
+
+ForwardFleet::~ForwardFleet() = default;
+
+void ForwardFleet::addReplicas() {
+  ReplicaGroup group;
+  for (std::uint32_t i = 0; i < Options.Replicas; ++i) {
+    group.Replicas.push_back(
+        {.Id = 1 + i, .Host = replicaName(i), .Address = replicaName(i).str()});
+    Addresses.push_back(replicaName(i).str());
+  }
+  for (std::uint32_t i = 0; i < Options.Replicas; ++i) {
+    ProcessSpec spec{.Host = replicaName(i), .IsReplica = true};
+    spec.Replica.Log.Host = spec.Host;
+    spec.Replica.Log.Address = spec.Host.str();
+    spec.Replica.Others = Addresses;
+    WorldProcess &process = Place.add(spec);
+    process.Disk = std::make_unique<MemoryLogStore>(1 + i);
+    process.Disk->Stored.Snapshot =
+        LogSnapshot::make(1, 1, group, StateMachine().encode());
+    Place.start(process);
+  }
+}
+
+void ForwardFleet::addEntries() {
+  for (std::uint32_t i = 0; i < Options.Entries; ++i) {
+    const HostName host = entryName(i);
+    Fronts[host] = std::make_unique<Front>(*this, host);
+    ProcessSpec spec{.Host = host, .IsForward = true};
+    spec.Forward.Feed = {.Host = host, .Replicas = Addresses};
+    spec.MakeRouting = [] { return std::make_unique<LeastLoaded>(); };
+    spec.MakeForward = [this, host](const ForwardNodeOptions &forward,
+                                    RoutingPolicy &routing,
+                                    Transport &transport) {
+      return std::make_unique<ForwardNode>(Place.now(), forward, *Headers,
+                                           *Document, routing, transport,
+                                           *Fronts.at(host));
+    };
+    Place.start(Place.add(spec));
+  }
+}
+
+void ForwardFleet::addServers() {
+  for (std::uint32_t i = 0; i < Options.Servers; ++i) {
+    const std::string name = "server-" + std::to_string(i);
+    Servers.push_back({.Name = HostName(name + ".0"),
+                       .Address = "10.0.0." + std::to_string(i) + ":80"});
+  }
+  beat();
+}
+
+WorldProcess &ForwardFleet::entry(std::uint32_t i) {
+  return Place.process(entryName(i));
+}
+WorldProcess &ForwardFleet::replica(std::uint32_t i) {
+  return Place.process(replicaName(i));
+}
+
+/// Servers register, and the operators' document is put in force.
+void ForwardFleet::beat() {
+  Place.after(Options.Heartbeat, [this] { beat(); });
+  WorldProcess *leader = Place.leader();
+  ++Beats;
+  if (!leader || leader->Frozen)
+    return;
+  if (!Proposed)
+    leader->Replica->propose(
+        Place.now(), Command{.Body = PutDocument{1, packText("document")}},
+        [this](const auto &outcome) { Proposed = outcome.has_value(); });
+  for (const Server &it : Servers)
+    if (it.Up)
+      leader->Replica->announce(Place.now(),
+                                {.Host = it.Name,
+                                 .Address = it.Address,
+                                 .Services = {ServiceName(Service)},
+                                 .Slots = Slots,
+                                 .Registered = true},
+                                Beats);
+}
+
+//===----------------------------------------------------------------------===//
+// Callers
+//===----------------------------------------------------------------------===//
+
+void ForwardFleet::call(WorldProcess &entry, const std::string &content,
+                        std::function<void(const CallerAnswer &)> done) {
+  const std::uint64_t key = ++LastKey;
+  Calls[key] = {.Answer = {.SentAt = Place.now()}, .Done = std::move(done)};
+  if (!entry.Alive)
+    return endCall(key, /*whole=*/false);
+  const RequestHead head{"POST",
+                         Path + content,
+                         {{"Host", "h"}, {"id", "r" + std::to_string(key)}}};
+  Place.atProcess(entry.Spec.Host, entry.Incarnation, [=](WorldProcess &it) {
+    it.Forward->request(it.In.now(), key, head, content,
+                        ContentHasher().add(content).finish());
+  });
+}
+
+void ForwardFleet::endCall(std::uint64_t key, bool whole) {
+  const auto it = Calls.find(key);
+  if (it == Calls.end())
+    return;
+  Call call = std::move(it->second);
+  Calls.erase(it);
+  call.Answer.EndedAt = Place.now();
+  call.Answer.Whole = whole;
+  if (call.Done)
+    Place.after(Duration::zero(),
+                [call = std::move(call)] { call.Done(call.Answer); });
+}
+
+//===----------------------------------------------------------------------===//
+// Servers
+//===----------------------------------------------------------------------===//
+
+ForwardFleet::Server *ForwardFleet::at(const std::string &address) {
+  const auto it = std::ranges::find(Servers, address, &Server::Address);
+  return it == Servers.end() ? nullptr : &*it;
+}
+
+void ForwardFleet::tell(const Run &run,
+                        std::function<void(ForwardNode &)> action) {
+  Place.after(Options.Latency, [this, run, action] {
+    Place.atProcess(run.Entry, run.Incarnation,
+                    [action](WorldProcess &it) { action(*it.Forward); });
+  });
+}
+
+void ForwardFleet::onSend(WorldProcess &entry, const SendUpstream &send) {
+  const Server *server = at(send.Address);
+  const auto i = static_cast<std::size_t>(server - Servers.data());
+  Run run{.Attempt = send.Attempt,
+          .Entry = entry.Spec.Host,
+          .Incarnation = entry.Incarnation,
+          .Id = PlainHeaders::valueOf(send.Head.Headers, "id"),
+          .Content = send.Head.Target.substr(std::string_view(Path).size())};
+  Place.after(Options.Latency, [this, i, run, expected = send.Server.Name] {
+    onArrival(i, expected, run);
+  });
+}
+
+void ForwardFleet::onArrival(std::size_t i, const HostName &expected, Run run) {
+  Server &server = Servers[i];
+  if (server.Dark)
+    return;
+  if (!server.Up)
+    return tell(run, [this, run](ForwardNode &it) {
+      it.upstreamEnd(Place.now(), run.Attempt, UpstreamEnding::NotSent);
+    });
+  if (server.Name != expected)
+    return tell(run, [this, run](ForwardNode &it) {
+      it.upstreamHead(Place.now(), run.Attempt,
+                      {StatusMisdirected, {{"id", run.Id}, {"not-run", "1"}}});
+    });
+  Arrivals.push_back({Place.now(), run.Content, server.Name, run.Entry});
+  const std::uint64_t id = ++LastRun;
+  server.Runs.emplace(id, run);
+  const Duration wait = fromSeconds(toSeconds(Options.FirstEvent) *
+                                    (0.5 + Place.Chance.uniform()));
+  Place.after(wait, [this, i, id] { onEvent(i, id, 1); });
+}
+
+void ForwardFleet::onEvent(std::size_t i, std::uint64_t id,
+                           std::uint32_t event) {
+  Server &server = Servers[i];
+  const auto it = server.Runs.find(id);
+  if (it == server.Runs.end())
+    return;
+  const Run run = it->second;
+  if (Deadly.contains(run.Content)) {
+    Place.after(Options.CrashAfter, [this, i, name = server.Name, run] {
+      if (Servers[i].Up && Servers[i].Name == name)
+        crash(Servers[i], run.Content);
+    });
+    return;
+  }
+  tell(run, [this, run, event](ForwardNode &node) {
+    if (event == 1)
+      node.upstreamHead(Place.now(), run.Attempt,
+                        {StatusOk, {{"id", run.Id}, {"stamp", "s"}}});
+    node.upstreamBody(Place.now(), run.Attempt, eventText(event));
+  });
+  if (event < Options.Events) {
+    Place.after(Options.EventPause,
+                [this, i, id, event] { onEvent(i, id, event + 1); });
+    return;
+  }
+  server.Runs.erase(id);
+  tell(run, [this, run](ForwardNode &node) {
+    node.upstreamEnd(Place.now(), run.Attempt, UpstreamEnding::Complete);
+  });
+}
+
+void ForwardFleet::crash(Server &server, const std::string &content) {
+  ServerCrash crash{
+      .At = Place.now(), .Server = server.Name, .Content = content};
+  server.Up = false;
+  for (const auto &[id, run] : std::exchange(server.Runs, {})) {
+    crash.AtWork.push_back(run.Content);
+    tell(run, [this, run](ForwardNode &node) {
+      node.upstreamEnd(Place.now(), run.Attempt, UpstreamEnding::BrokeOff);
+    });
+  }
+  Crashes.push_back(std::move(crash));
+  const auto i = static_cast<std::size_t>(&server - Servers.data());
+  Place.after(Options.BackAfter, [this, i] {
+    Server &it = Servers[i];
+    it.Name = HostName("server-" + std::to_string(i) + "." +
+                       std::to_string(++it.Starts));
+    it.Up = true;
+    it.Dark = false;
+  });
+}
+
+void ForwardFleet::crashServer(std::uint32_t i) {
+  if (Servers[i].Up)
+    crash(Servers[i], "");
+}
+
+void ForwardFleet::darkenServer(std::uint32_t i) {
+  if (!Servers[i].Up)
+    return;
+  Servers[i].Dark = true;
+  Servers[i].Runs.clear();
+}
+
+} // namespace pimentofront::testkit
--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -0,0 +1,150 @@
+#ifndef PIMENTOFRONT_TESTKIT_FORWARD_FLEET_H
+#define PIMENTOFRONT_TESTKIT_FORWARD_FLEET_H
+
+#include "World.h"
+
+namespace pimentofront::testkit {
+
+/// \class ForwardFleetOptions
+/// \ingroup Testkit
+struct ForwardFleetOptions {
+  WorldOptions World;
+  std::uint32_t Replicas = 3;
+  std::uint32_t Entries = 4;
+  std::uint32_t Servers = 12;
+  /// Mean time from a request's arrival at a server to its first event, and to
+  /// each further one.
+  Duration FirstEvent = std::chrono::milliseconds(150);
+  Duration EventPause = std::chrono::milliseconds(60);
+  std::uint32_t Events = 16;
+  /// A server ends so long after it began to run a deadly request, and another
+  /// process of it is there later.
+  Duration CrashAfter = std::chrono::milliseconds(50);
+  Duration BackAfter = std::chrono::seconds(4);
+  /// How often servers register.
+  Duration Heartbeat = std::chrono::seconds(1);
+  /// Between an entry and a server, one way.
+  Duration Latency = std::chrono::microseconds(1400);
+};
+
+/// How an attempt of a caller ended.
+struct CallerAnswer {
+  TimePoint SentAt;
+  TimePoint EndedAt;
+  int Status = 0;
+  std::string Body;
+  /// The answer is complete; a server's own one, if it has a stamp.
+  bool Whole = false;
+  bool Stamped = false;
+};
+
+/// A send of a request that reached a server.
+struct ServerArrival {
+  TimePoint At;
+  std::string Content;
+  HostName Server;
+  HostName Entry;
+};
+
+/// The end of a server's process.
+struct ServerCrash {
+  TimePoint At;
+  HostName Server;
+  /// The deadly request that ended it; empty if it ended by itself.
+  std::string Content;
+  /// All that it was given and hadn't answered.
+  std::vector<std::string> AtWork;
+};
+
+/// \class ForwardFleet
+/// \ingroup Testkit
+/// \brief Replicas, forwarding entries and the plain servers behind them, some
+/// of whose requests end each process that begins to run them.
+///
+/// A request is named by its content. It is deadly if that was declared by
+/// addDeadly(); attempts at the same content differ in their ids alone. Use it
+/// to see what a whole fleet does with such requests; for the decisions of one
+/// entry, use ForwardController by itself.
+class ForwardFleet {
+public:
+  explicit ForwardFleet(const ForwardFleetOptions &options);
+  ~ForwardFleet();
+
+  TimePoint now() const { return Place.now(); }
+  void runFor(Duration d) { Place.runUntil(Place.now() + d); }
+  WorldProcess &entry(std::uint32_t i);
+  WorldProcess &replica(std::uint32_t i);
+  World &world() { return Place; }
+
+  void addDeadly(const std::string &content) { Deadly.insert(content); }
+  /// Sends an attempt at \p content to an entry. \p done gets its answer.
+  void call(WorldProcess &entry, const std::string &content,
+            std::function<void(const CallerAnswer &)> done = {});
+  /// Ends server \p i without a request's doing, for `BackAfter`.
+  void crashServer(std::uint32_t i);
+  /// Server \p i loses its power: silence.
+  void darkenServer(std::uint32_t i);
+
+  const std::vector<ServerArrival> &arrivals() const { return Arrivals; }
+  const std::vector<ServerCrash> &crashes() const { return Crashes; }
+  const std::vector<ForwardEvent> &events() const { return Seen; }
+
+private:
+  class Front;
+  class PlainHeaders;
+  class FixedDocument;
+  struct Run {
+    AttemptId Attempt;
+    HostName Entry;
+    std::uint64_t Incarnation = 0;
+    std::string Id;
+    std::string Content;
+  };
+  struct Server {
+    HostName Name;
+    std::string Address;
+    bool Up = true;
+    bool Dark = false;
+    std::uint64_t Starts = 0;
+    std::map<std::uint64_t, Run> Runs;
+  };
+  struct Call {
+    CallerAnswer Answer;
+    std::function<void(const CallerAnswer &)> Done;
+  };
+
+  void addReplicas();
+  void addEntries();
+  void addServers();
+  void beat();
+  Server *at(const std::string &address);
+  void onSend(WorldProcess &entry, const SendUpstream &send);
+  void onArrival(std::size_t server, const HostName &expected, Run run);
+  void onEvent(std::size_t server, std::uint64_t run, std::uint32_t event);
+  void crash(Server &server, const std::string &content);
+  /// Calls \p action at the entry of \p run, if that still lives, after the
+  /// way back.
+  void tell(const Run &run, std::function<void(ForwardNode &)> action);
+  void endCall(std::uint64_t key, bool whole);
+
+  ForwardFleetOptions Options;
+  World Place;
+  std::unique_ptr<PlainHeaders> Headers;
+  std::unique_ptr<FixedDocument> Document;
+  std::vector<std::string> Addresses;
+  std::vector<Server> Servers;
+  std::map<HostName, std::unique_ptr<Front>> Fronts;
+  std::map<std::uint64_t, Call> Calls;
+  std::set<std::string> Deadly;
+  std::uint64_t LastKey = 0;
+  std::uint64_t LastRun = 0;
+  std::uint64_t Beats = 0;
+  bool Proposed = false;
+  std::vector<ServerArrival> Arrivals;
+  std::vector<ServerCrash> Crashes;
+  std::vector<ForwardEvent> Seen;
+};
+
+} // namespace pimentofront::testkit
+
+#endif
--- a/packages/testkit/pimentofront/src/Testkit/World.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/World.cpp
@@ -97,6 +97,13 @@
     process.Entry = std::make_unique<EntryNode>(Now, options, *process.Routing,
                                                 process, process);
   }
+  if (spec.IsForward) {
+    ForwardNodeOptions options = spec.Forward;
+    options.Feed.Incarnation = process.Incarnation;
+    options.Forward.Incarnation = process.Incarnation;
+    process.Routing = spec.MakeRouting();
+    process.Forward = spec.MakeForward(options, *process.Routing, process);
+  }
   if (process.Engine) {
     const auto at = [this, host = spec.Host, incarnation = process.Incarnation](
                         auto action) { atProcess(host, incarnation, action); };
@@ -134,6 +141,7 @@
   process.Entry.reset();
   process.Agent.reset();
   process.Replica.reset();
+  process.Forward.reset();
 }
 
 void World::wake(WorldProcess &process) {
@@ -202,6 +210,8 @@
     Book.sawRevision(HostName(host.str() + "/entry"), incarnation,
                      process.Entry->configuration().revision());
   }
+  if (process.Forward)
+    process.Forward->tick(Now);
   expireUnsent();
 }
 
--- a/packages/testkit/pimentofront/src/Testkit/World.h
+++ b/packages/testkit/pimentofront/src/Testkit/World.h
@@ -32,6 +32,7 @@
   bool IsEntry = false;
   bool IsAgent = false;
   bool IsReplica = false;
+  bool IsForward = false;
   EntryNodeOptions Entry;
   AgentNodeOptions Agent;
   ReplicaNodeOptions Replica;
@@ -39,6 +40,10 @@
   std::function<std::unique_ptr<RoutingPolicy>()> MakeRouting;
   std::function<std::unique_ptr<EvictionPolicy>()> MakeEviction;
   std::function<std::unique_ptr<LoadGate>()> MakeGate;
+  ForwardNodeOptions Forward;
+  std::function<std::unique_ptr<ForwardNode>(const ForwardNodeOptions &,
+                                             RoutingPolicy &, Transport &)>
+      MakeForward;
 };
 
 class World;
@@ -76,6 +81,7 @@
   std::unique_ptr<EntryNode> Entry;
   std::unique_ptr<AgentNode> Agent;
   std::unique_ptr<ReplicaNode> Replica;
+  std::unique_ptr<ForwardNode> Forward;
   /// What arrived while it was frozen, in order.
   std::vector<std::function<void()>> Held;
   std::uint64_t KnownEngine = 0;
@@ -123,6 +129,11 @@
   void healAll();
   void slow(const HostName &from, const HostName &to, Duration delay);
 
+  /// Calls \p action if that process still lives; when it wakes, if it is
+  /// frozen.
+  void atProcess(const HostName &host, std::uint64_t incarnation,
+                 std::function<void(WorldProcess &)> action);
+
   /// Sends a caller's request to an entry.
   RequestKey request(WorldProcess &entry, CallerRequest request);
   /// Has an entry decide on an operator's command.
@@ -171,8 +182,6 @@
   /// Tells the owner of \p link that it ended.
   void tellClosed(LinkId link);
   void deliver(LinkId to, const Message &message);
-  void atProcess(const HostName &host, std::uint64_t incarnation,
-                 std::function<void(WorldProcess &)> action);
   bool isCut(const HostName &from, const HostName &to) const;
   Duration delayBetween(const HostName &from, const HostName &to) const;
   void tick(const HostName &host, std::uint64_t incarnation);
--- a/packages/testkit/pimentofront/src/Testkit/WorldLinks.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/WorldLinks.cpp
@@ -92,7 +92,8 @@
     p.In.sendUnsent(link);
     for (Node *node : {static_cast<Node *>(p.Replica.get()),
                        static_cast<Node *>(p.Agent.get()),
-                       static_cast<Node *>(p.Entry.get())})
+                       static_cast<Node *>(p.Entry.get()),
+                       static_cast<Node *>(p.Forward.get())})
       if (node)
         node->onLinkOpen(p.In.now(), link, hello);
   });
@@ -141,6 +142,8 @@
       p.Agent->onMessage(now, to, message);
     if (p.Entry)
       p.Entry->onMessage(now, to, message);
+    if (p.Forward)
+      p.Forward->onMessage(now, to, message);
   });
 }
 
@@ -154,7 +157,8 @@
       return;
     for (Node *node : {static_cast<Node *>(p.Replica.get()),
                        static_cast<Node *>(p.Agent.get()),
-                       static_cast<Node *>(p.Entry.get())})
+                       static_cast<Node *>(p.Entry.get()),
+                       static_cast<Node *>(p.Forward.get())})
       if (node)
         node->onLinkClosed(p.In.now(), link);
   });
