--- a/bench/SlopesMain.cpp
+++ b/bench/SlopesMain.cpp
@@ -283,7 +283,8 @@
                         record.ChangedAt = ++revision;
                         configuration.put(record);
                         configuration.advance(revision);
-                        subscribers.push(configuration, members);
+                        subscribers.push(configuration, members,
+                                         QuarantineLedger());
                         ++rounds;
                       })});
     bytes.push_back({static_cast<double>(n),
--- a/packages/daemon/src/ForwardFront.cpp
+++ b/packages/daemon/src/ForwardFront.cpp
@@ -5,7 +5,8 @@
 ForwardFront::ForwardFront(EventLoop &loop, const HostPort &listen,
                            EventLog &log, Metrics &metrics)
     : Loop(loop), Log(log), Counters(metrics),
-      Callers(loop, {.Address = listen}, *this), Servers(loop, {}, *this) {}
+      Callers(loop, {.Address = listen}, *this), Servers(loop, {}, *this),
+      Probe(loop) {}
 
 void ForwardFront::onRequest(CallerKey key, RequestHead head, std::string body,
                              const ContentHash &bodyHash) {
@@ -45,6 +46,14 @@
     Servers.cancel(cancel->Attempt);
   else if (const auto *ignored = std::get_if<IgnoreUpstream>(&command))
     Servers.ignore(ignored->Attempt);
+  else if (const auto *check = std::get_if<CheckServer>(&command))
+    checkServer(*check);
+}
+
+void ForwardFront::checkServer(const CheckServer &check) {
+  Probe.start(check.Address, [this, server = check.Server](ServerLife life) {
+    Node->serverChecked(Loop.now(), server, life);
+  });
 }
 
 void ForwardFront::onEvent(const ForwardEvent &event) {
--- a/packages/daemon/src/ForwardFront.h
+++ b/packages/daemon/src/ForwardFront.h
@@ -41,12 +41,15 @@
   void onTable(const RoutingTable &table) override;
 
 private:
+  void checkServer(const CheckServer &check);
+
   EventLoop &Loop;
   EventLog &Log;
   Metrics &Counters;
   ForwardNode *Node = nullptr;
   CallerListener Callers;
   UpstreamPool Servers;
+  ConnectProbe Probe;
 };
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -52,16 +52,18 @@
   if (traits.Id.empty() || (isSuccess(head.Status) && !traits.Stamped)) {
     // Not what this server sends: bytes that belong to no request.
     Board.Commands.push_back(CancelUpstream{attempt});
-    brokeOff(now, *request);
+    brokeOff(now, *request, /*serverMayHaveEnded=*/false);
     return HeadVerdict::Take;
   }
   request->Attempt->Head = std::move(head);
   if (request->Attempt->Head->Status < StatusServerError)
     return HeadVerdict::Take;
   // The server ran it and failed; another one may do better.
-  if (!Attempts.takeRetry(now, *request))
+  Quarantine.onSurvived(*request);
+  if (!Attempts.mayRepeat(now, *request) || !Board.Budget.hasRoom())
     return HeadVerdict::Take;
   Board.Commands.push_back(IgnoreUpstream{attempt});
+  Attempts.endBroken(now, *request);
   Attempts.tryAgain(now, *request);
   return HeadVerdict::Take;
 }
@@ -115,8 +117,9 @@
   const bool stream = isStream(request);
   if (request.Answering && !stream &&
       request.Route->Kind == Repeatability::Stream)
-    return brokeOff(now, request);
+    return brokeOff(now, request, /*serverMayHaveEnded=*/false);
   Attempts.note(now, "request_answered", request, {}, status);
+  Quarantine.onSurvived(request);
   if (stream)
     request.Attempt->Held = request.Events.partial();
   if (request.Answering) {
@@ -136,19 +139,20 @@
   Attempts.finish(request);
 }
 
-void AnswerController::brokeOff(TimePoint now, ForwardRequest &request) {
+void AnswerController::brokeOff(TimePoint now, ForwardRequest &request,
+                                bool serverMayHaveEnded) {
   Attempts.note(now, "attempt_broke_off", request);
-  if (Attempts.takeRetry(now, request))
-    return Attempts.tryAgain(now, request);
-  request.MayHaveRun = true;
-  Attempts.endAttempt(now, request, ServerOutcome::Failed,
-                      ReleaseKind::BrokeOff);
-  Attempts.giveUp(now, request, ForwardFailure::BrokeOff);
+  const bool checked =
+      serverMayHaveEnded && Quarantine.checkServer(now, request);
+  Attempts.endBroken(now, request);
+  // Whoever can't go on has the final answer at once.
+  if (!checked || !Attempts.mayRepeat(now, request))
+    Attempts.tryAgain(now, request);
 }
 
 void AnswerController::onServerLost(TimePoint now, ForwardRequest &request) {
   Board.Commands.push_back(CancelUpstream{request.Attempt->Id});
-  brokeOff(now, request);
+  brokeOff(now, request, /*serverMayHaveEnded=*/false);
 }
 
 void AnswerController::onEnd(TimePoint now, const AttemptId &attempt,
@@ -163,7 +167,7 @@
     return complete(now, *request);
   if (ending == UpstreamEnding::TurnedAway)
     Board.Servers.noteTurnedAway(now, request->Attempt->Server);
-  brokeOff(now, *request);
+  brokeOff(now, *request, /*serverMayHaveEnded=*/true);
 }
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -30,8 +30,9 @@
 /// until they are whole, or replaced by another server's.
 class AnswerController {
 public:
-  AnswerController(ForwardBoard &board, AttemptController &attempts)
-      : Board(board), Attempts(attempts) {}
+  AnswerController(ForwardBoard &board, AttemptController &attempts,
+                   QuarantineController &quarantine)
+      : Board(board), Attempts(attempts), Quarantine(quarantine) {}
 
   HeadVerdict onHead(TimePoint now, const AttemptId &attempt,
                      ResponseHead head);
@@ -46,10 +47,14 @@
                      std::string_view bytes);
   void beginAnswer(TimePoint now, ForwardRequest &request);
   void complete(TimePoint now, ForwardRequest &request);
-  void brokeOff(TimePoint now, ForwardRequest &request);
+  /// The answer isn't whole, or isn't one. \p serverMayHaveEnded: the
+  /// connection ended, with whatever was at its other end.
+  void brokeOff(TimePoint now, ForwardRequest &request,
+                bool serverMayHaveEnded);
 
   ForwardBoard &Board;
   AttemptController &Attempts;
+  QuarantineController &Quarantine;
 };
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -49,6 +49,9 @@
     return StatusNotFound;
   case ForwardFailure::Malformed:
     return StatusBadRequest;
+  case ForwardFailure::Quarantined:
+    // It has run, under an earlier id.
+    return StatusBadGateway;
   case ForwardFailure::TimedOut:
     return mayHaveRun ? StatusGatewayTimeout : StatusUnavailable;
   default:
@@ -59,9 +62,10 @@
 } // namespace
 
 const char *forwardFailureName(ForwardFailure failure) {
-  constexpr const char *Names[] = {"not_ready", "no_route",   "malformed",
-                                   "no_server", "declined",   "timed_out",
-                                   "broke_off", "caller_gone"};
+  constexpr const char *Names[] = {"not_ready", "no_route",    "malformed",
+                                   "no_server", "declined",    "timed_out",
+                                   "broke_off", "caller_gone", "quarantined",
+                                   "on_trial",  "no_leave"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -87,6 +91,26 @@
 void AttemptController::next(TimePoint now, ForwardRequest &request) {
   if (now >= request.Deadline)
     return giveUp(now, request, ForwardFailure::TimedOut);
+  goOn(now, request, Quarantine.askLeave(now, request));
+}
+
+void AttemptController::goOn(TimePoint now, ForwardRequest &request,
+                             SendLeave leave) {
+  switch (leave) {
+  case SendLeave::Asked:
+    return;
+  case SendLeave::NotKnown:
+    return holdOrGiveUp(now, request, ForwardFailure::NoLeave);
+  case SendLeave::OnTrial:
+    return holdOrGiveUp(now, request, ForwardFailure::OnTrial);
+  case SendLeave::Quarantined:
+    return giveUp(now, request, ForwardFailure::Quarantined);
+  case SendLeave::Granted:
+    return choose(now, request);
+  }
+}
+
+void AttemptController::choose(TimePoint now, ForwardRequest &request) {
   if (!request.ToEngine) {
     ServerView *server =
         Board.Servers.choose(now, request.Service, request.Avoid);
@@ -170,6 +194,7 @@
   ForwardAttempt &attempt = *request.Attempt;
   attempt.Server = server.Record.process();
   attempt.Sent = true;
+  request.SentOnTrial = request.Trial == TrialState::Granted;
   attempt.SentAt = now;
   ++request.Sends;
   request.Avoid.push_back(attempt.Server);
@@ -231,6 +256,9 @@
       release({.Id = message.Attempt, .Agent = agent}, ReleaseKind::NotRun);
     return;
   }
+  // A process that slept finds permits of before.
+  if (now >= request->Deadline)
+    return giveUp(now, *request, ForwardFailure::TimedOut);
   request->Attempt->Heard = true;
   Routing.learn(request->Adapter, agent, true);
   if (ServerView *server = Board.Servers.beside(agent))
@@ -387,15 +415,26 @@
   next(now, request);
 }
 
-bool AttemptController::takeRetry(TimePoint now,
+bool AttemptController::mayRepeat(TimePoint now,
                                   const ForwardRequest &request) const {
   const bool stream = request.Route->Kind == Repeatability::Stream;
   return request.Route->mayRepeat() && (!request.Answering || stream) &&
-         now < request.Deadline && maySendAgain(request);
+         now < request.Deadline && request.Sends < request.Route->MaxServers;
+}
+
+bool AttemptController::takeRetry(TimePoint now,
+                                  const ForwardRequest &request) const {
+  return mayRepeat(now, request) && Board.Budget.take();
 }
 
 void AttemptController::tryAgain(TimePoint now, ForwardRequest &request) {
+  if (!takeRetry(now, request))
+    return giveUp(now, request, ForwardFailure::BrokeOff);
   note(now, "request_sent_again", request);
+  next(now, request);
+}
+
+void AttemptController::endBroken(TimePoint now, ForwardRequest &request) {
   request.MayHaveRun = true;
   request.Events.restart();
   // Another engine must take it: the one that failed may fail again.
@@ -405,7 +444,6 @@
                              {},
                              /*OnlyIfResident=*/false});
   endAttempt(now, request, ServerOutcome::Failed, ReleaseKind::BrokeOff);
-  next(now, request);
 }
 
 void AttemptController::giveUp(TimePoint now, ForwardRequest &request,
@@ -424,11 +462,13 @@
     Board.Commands.push_back(ReplyAbort{request.Key});
     return finish(request);
   }
-  const Duration comeBack =
-      std::max(request.ComeBack, Board.Options.LeastComeBack);
+  std::optional<Duration> comeBack;
+  if (why != ForwardFailure::Quarantined)
+    comeBack = Board.Jitter.jitter(
+        std::max(request.ComeBack, Board.Options.LeastComeBack));
   ResponseHead head{.Status = status,
-                    .Headers = Board.Codec.refusalHeaders(
-                        request.Traits, Board.Jitter.jitter(comeBack))};
+                    .Headers =
+                        Board.Codec.refusalHeaders(request.Traits, comeBack)};
   Board.Commands.push_back(
       ReplyWhole{request.Key, std::move(head),
                  std::string(forwardFailureName(why)) + "\n"});
@@ -436,6 +476,7 @@
 }
 
 void AttemptController::finish(ForwardRequest &request) {
+  Quarantine.onFinished(request);
   if (request.Attempt)
     Board.Attempts.erase(request.Attempt->Id);
   Board.Held.erase(request.Key);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_FORWARD_ATTEMPT_CONTROLLER_H
 
 #include "HoldController.h"
+#include "QuarantineController.h"
 
 namespace pimentofront {
 
@@ -13,11 +14,13 @@
 public:
   /// \param routing chooses among agents; outlives the controller.
   AttemptController(ForwardBoard &board, HoldController &holds,
-                    RoutingPolicy &routing)
-      : Board(board), Holds(holds), Routing(routing) {}
+                    QuarantineController &quarantine, RoutingPolicy &routing)
+      : Board(board), Holds(holds), Quarantine(quarantine), Routing(routing) {}
 
   /// Starts the first or another attempt, or gives the request up.
   void next(TimePoint now, ForwardRequest &request);
+  /// Goes on by what was decided on the request's leave to be sent.
+  void goOn(TimePoint now, ForwardRequest &request, SendLeave leave);
   void onAdmitted(TimePoint now, const HostName &agent,
                   const AttemptAdmitted &message);
   void onPermit(TimePoint now, const HostName &agent,
@@ -38,9 +41,14 @@
   /// \returns whether a request that may have run may be sent to another
   /// server, and takes that from the budget.
   bool takeRetry(TimePoint now, const ForwardRequest &request) const;
-  /// Ends an attempt that failed and starts another one.
-  /// \pre takeRetry() has said yes.
+  /// Ends an attempt that failed, after which the request may have run.
+  void endBroken(TimePoint now, ForwardRequest &request);
+  /// Sends a request whose attempt has failed to another server, or gives it
+  /// up.
   void tryAgain(TimePoint now, ForwardRequest &request);
+  /// \returns whether the request may go to a further server, by its route and
+  /// its state.
+  bool mayRepeat(TimePoint now, const ForwardRequest &request) const;
   /// Ends the attempt: the agent and the counters learn of it.
   void endAttempt(TimePoint now, ForwardRequest &request, ServerOutcome outcome,
                   ReleaseKind release);
@@ -57,6 +65,8 @@
             std::string detail = {}, int status = 0, bool lost = false);
 
 private:
+  /// Asks an agent, or sends to a plain server.
+  void choose(TimePoint now, ForwardRequest &request);
   /// The host of an agent may be gone, and the engine with it.
   void suspect(TimePoint now, const HostName &agent);
   void askAgent(TimePoint now, ForwardRequest &request, const Route &route);
@@ -70,6 +80,7 @@
 
   ForwardBoard &Board;
   HoldController &Holds;
+  QuarantineController &Quarantine;
   RoutingPolicy &Routing;
 };
 
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
 
 #include "EventStream.h"
+#include "QuarantineSet.h"
 #include "RoutingTable.h"
 #include "ServerSet.h"
 
@@ -50,6 +51,21 @@
   std::size_t MostHeld = 256;
   /// Shortest time to come back that a refusal names.
   Duration LeastComeBack = std::chrono::milliseconds(100);
+  /// The replicas must have said by then whether a watched request may be
+  /// tried: a commit, a change of their leader, and little of a caller's time.
+  Duration LeaveTimeout = std::chrono::milliseconds(700);
+  /// A request under which a second server has ended asks for leave so much
+  /// later, when all entries that had requests there have reported: a few round
+  /// trips, with a connection to the leader and its commit. Without that, on
+  /// two of ten runs with three and more requests that end servers, a neighbour
+  /// was taken for the cause before the cause itself was reported.
+  Duration SettleTime = std::chrono::milliseconds(60);
+  /// A report on the end of a server, or of a trial, is sent again for so long:
+  /// the replicas' outages that are borne pass in it.
+  Duration ReportTimeout = std::chrono::seconds(30);
+  /// After the process has slept, requests wait so long at most for the word
+  /// of what is in quarantine; an entry that is cut off serves on.
+  Duration AskFirstTime = std::chrono::milliseconds(500);
   /// When to come back to a process without a routing document: replicas that
   /// were all killed need so long for a leader and its word.
   Duration UnreadyComeBack = std::chrono::milliseconds(800);
@@ -69,6 +85,13 @@
   /// It broke off, and may not run once more.
   BrokeOff,
   CallerGone,
+  /// It ends the servers that run it: nobody gets it any more.
+  Quarantined,
+  /// Servers ended under it, and another attempt at it is under way.
+  OnTrial,
+  /// Servers ended under it, and the replicas don't say whether it may be
+  /// tried.
+  NoLeave,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
@@ -99,6 +122,15 @@
   std::string Held;
 };
 
+/// Whether a watched request may be tried.
+enum class TrialState : std::uint8_t {
+  None,
+  /// The replicas will be asked when other entries have reported, too.
+  Settling,
+  Asked,
+  Granted,
+};
+
 /// \class ForwardRequest
 /// \ingroup Forward
 /// \brief A caller's request in progress.
@@ -126,6 +158,13 @@
   std::uint32_t Unreachable = 0;
   /// Some server may have run it.
   bool MayHaveRun = false;
+  TrialState Trial = TrialState::None;
+  /// Until when it is Settling.
+  TimePoint SettledAt;
+  /// It was sent with the leave that it has.
+  bool SentOnTrial = false;
+  /// Its server is looked at before it goes on.
+  std::optional<ServerProcess> Checks;
   /// The caller has the head of the answer.
   bool Answering = false;
   EventStream Events;
@@ -158,6 +197,25 @@
 struct IgnoreUpstream {
   AttemptId Attempt;
 };
+/// Asks whether the process of a server still runs.
+struct CheckServer {
+  ServerProcess Server;
+  std::string Address;
+};
+/// What a look at a server's address said of its process.
+enum class ServerLife : std::uint8_t {
+  Lives,
+  /// Its host refuses connections to it.
+  Ended,
+  /// Silence: a host without power, a cut, a frozen process.
+  Unknown,
+};
+/// Has the replicas decide.
+struct AskReplicas {
+  std::uint64_t Nonce = 0;
+  CommandBody Question;
+  Duration GiveUpAfter = Duration::zero();
+};
 /// Answers a caller whole.
 struct ReplyWhole {
   std::uint64_t Key = 0;
@@ -182,7 +240,8 @@
 };
 using ForwardCommand =
     std::variant<SendToAgent, SendUpstream, CancelUpstream, IgnoreUpstream,
-                 ReplyWhole, ReplyHead, ReplyPiece, ReplyEnd, ReplyAbort>;
+                 ReplyWhole, ReplyHead, ReplyPiece, ReplyEnd, ReplyAbort,
+                 CheckServer, AskReplicas>;
 
 /// \class ForwardEvent
 /// \ingroup Forward
@@ -222,6 +281,7 @@
   ServerSet Servers;
   Random Jitter;
   RetryBudget Budget;
+  QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
   std::unordered_map<AttemptId, std::uint64_t> Attempts;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -45,8 +45,9 @@
                                      const ConfigurationView &configuration,
                                      const HeaderCodec &codec,
                                      RoutingPolicy &routing)
-    : Board(options, configuration, codec), Holds(Board),
-      Attempts(Board, Holds, routing), Answers(Board, Attempts) {}
+    : Board(options, configuration, codec), Holds(Board), Quarantine(Board),
+      Attempts(Board, Holds, Quarantine, routing),
+      Answers(Board, Attempts, Quarantine) {}
 
 void ForwardController::setTable(std::shared_ptr<const RoutingTable> table) {
   Board.Table = std::move(table);
@@ -125,6 +126,25 @@
   Attempts.holdOrGiveUp(now, request, ForwardFailure::NotReady);
 }
 
+void ForwardController::onDecision(
+    TimePoint now, std::uint64_t nonce,
+    const std::optional<CommandOutcome> &outcome) {
+  const auto decision = Quarantine.onDecision(nonce, outcome);
+  if (!decision)
+    return;
+  ForwardRequest &request = Board.Requests.at(decision->Key);
+  if (now >= request.Deadline)
+    return Attempts.giveUp(now, request, ForwardFailure::TimedOut);
+  Attempts.goOn(now, request, decision->Leave);
+}
+
+void ForwardController::onServerChecked(TimePoint now,
+                                        const ServerProcess &server,
+                                        ServerLife life) {
+  for (const std::uint64_t key : Quarantine.onServerChecked(now, server, life))
+    Attempts.tryAgain(now, Board.Requests.at(key));
+}
+
 void ForwardController::onCallerGone(TimePoint now, std::uint64_t key) {
   const auto it = Board.Requests.find(key);
   if (it == Board.Requests.end())
@@ -163,6 +183,8 @@
   for (const std::uint64_t key : lost)
     Answers.onServerLost(now, Board.Requests.at(key));
   retryHeld(now);
+  for (const std::uint64_t key : Quarantine.takeSettled(now))
+    Attempts.next(now, Board.Requests.at(key));
 }
 
 bool ForwardController::isSilent(TimePoint now,
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -29,6 +29,14 @@
   /// The caller has closed its connection.
   void onCallerGone(TimePoint now, std::uint64_t key);
 
+  QuarantineController &quarantine() { return Quarantine; }
+  /// The replicas have decided on a question, or haven't in time.
+  void onDecision(TimePoint now, std::uint64_t nonce,
+                  const std::optional<CommandOutcome> &outcome);
+  /// A server whose answer had broken off was looked at.
+  void onServerChecked(TimePoint now, const ServerProcess &server,
+                       ServerLife life);
+
   AttemptController &attempts() { return Attempts; }
   AnswerController &answers() { return Answers; }
   /// Looks at time limits; to be called every some ten milliseconds.
@@ -53,6 +61,7 @@
 
   ForwardBoard Board;
   HoldController Holds;
+  QuarantineController Quarantine;
   AttemptController Attempts;
   AnswerController Answers;
 };
--- a/packages/forward/pimentofront/src/Forward/HeaderCodec.h
+++ b/packages/forward/pimentofront/src/Forward/HeaderCodec.h
@@ -76,9 +76,11 @@
   /// to one connection and what only the system may set.
   virtual RequestHead encodeRequest(const RequestHead &head,
                                     const ForwardTraits &traits) const = 0;
-  /// \returns headers that name the request and when to come back.
-  virtual HttpHeaders refusalHeaders(const RequestTraits &request,
-                                     Duration comeBack) const = 0;
+  /// \returns headers that name the request and, where that is any use, when
+  /// to come back.
+  virtual HttpHeaders
+  refusalHeaders(const RequestTraits &request,
+                 std::optional<Duration> comeBack) const = 0;
 };
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -247,6 +247,16 @@
   }
 }
 
+void ServerSet::noteProcessEnded(TimePoint now, const ServerProcess &server) {
+  ServerView *view = find(server);
+  if (!view)
+    return;
+  view->SuspendedUntil = now + pauseAfter(Options.SuspendTime, view->Failures);
+  for (const auto &[agent, host] : Beside)
+    if (host == server.Name)
+      suspendAgent(now, agent);
+}
+
 void ServerSet::suspendAgent(TimePoint now, const HostName &agent) {
   const auto it = Agents.find(agent);
   if (it == Agents.end())
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -115,6 +115,8 @@
   void noteLoad(TimePoint now, const ServerProcess &server,
                 const ServerLoad &load);
   void suspendAgent(TimePoint now, const HostName &agent);
+  /// The process has ended; another one of the server isn't there yet.
+  void noteProcessEnded(TimePoint now, const ServerProcess &server);
 
 private:
   void put(const MemberRecord &record);
--- a/packages/node/pimentofront/Node.h
+++ b/packages/node/pimentofront/Node.h
@@ -22,6 +22,7 @@
 #include "src/Node/ReplicaNode.h"
 #include "src/Node/AgentNode.h"
 #include "src/Node/ReplicaFeed.h"
+#include "src/Node/ProposalQueue.h"
 #include "src/Node/AgentLinks.h"
 #include "src/Node/EntryNode.h"
 #include "src/Node/ForwardNode.h"
--- a/packages/node/pimentofront/src/Node/EntryNode.cpp
+++ b/packages/node/pimentofront/src/Node/EntryNode.cpp
@@ -3,10 +3,6 @@
 namespace pimentofront {
 namespace {
 
-/// Operators' commands have nonces of their own, apart from the controller's.
-constexpr std::uint64_t OwnNonces = std::uint64_t(1) << 63;
-/// A proposal without an answer is sent again.
-constexpr Duration ResendPeriod = std::chrono::milliseconds(500);
 /// A leader answers a command within a few syncs of its disk; one that says
 /// nothing for so long may be cut off, and another one is looked for.
 constexpr Duration LeaderSilence = std::chrono::seconds(1);
@@ -26,7 +22,7 @@
       Leader(transport, options.Replicas, options.Entry.Incarnation + 1,
              LeaderSilence),
       Controller(options.Entry, Feed.configuration(), routing),
-      Agents(transport), LastNonce(OwnNonces) {
+      Agents(transport), Proposals(transport, Leader) {
   tick(now);
 }
 
@@ -102,11 +98,9 @@
   } else if (Leader.owns(link)) {
     Leader.onHeard(now);
     if (const auto *decided = std::get_if<ProposeReply>(&message))
-      onDecision(now, *decided);
-    if (const auto *redirect = std::get_if<NotLeader>(&message)) {
-      Leader.onRedirect(now, redirect->LeaderAddress);
-      sendProposals(now);
-    }
+      Proposals.onReply(now, *decided);
+    if (const auto *redirect = std::get_if<NotLeader>(&message))
+      Proposals.onRedirect(now, *redirect);
   } else if (const AgentLink *agent = Agents.find(link)) {
     Agents.onHeard(link);
     onAgentMessage(now, HostName(agent->Host), message);
@@ -120,37 +114,11 @@
 
 void EntryNode::command(TimePoint now, const Command &command,
                         CommandCallback done) {
-  Proposals[++LastNonce] = {.Content = command,
-                            .GiveUpAt = now + Options.CommandTimeout,
-                            .Done = std::move(done)};
-  sendProposals(now);
-}
-
-void EntryNode::sendProposals(TimePoint now) {
-  if (Proposals.empty())
-    return;
-  const auto link = Leader.link(now);
-  if (!link)
-    return;
-  for (auto &[nonce, it] : Proposals) {
-    if (it.SentOn == *link && now < it.SentAt + ResendPeriod)
-      continue;
-    it.SentOn = *link;
-    it.SentAt = now;
-    Network.send(*link, Propose{nonce, it.Content});
-  }
-}
-
-void EntryNode::onDecision(TimePoint now, const ProposeReply &reply) {
-  const auto it = Proposals.find(reply.Nonce);
-  if (it == Proposals.end() || !reply.Decided)
-    return; // Undecided ones are sent again.
-  const CommandCallback done = std::move(it->second.Done);
-  Proposals.erase(it);
-  if (done)
-    done(reply.Outcome);
-  else
-    Controller.onDecision(now, reply.Nonce, reply.Outcome);
+  Proposals.add(command, now + Options.CommandTimeout,
+                [done = std::move(done)](TimePoint, const auto &outcome) {
+                  done(outcome);
+                });
+  Proposals.send(now);
 }
 
 void EntryNode::admin(TimePoint now, AdminRequest request,
@@ -205,27 +173,19 @@
     else if (const auto *final = std::get_if<DeliverFinal>(&command))
       Sink.onFinal(final->Key, final->Kind, final->Answer);
     else if (const auto *proposal = std::get_if<ProposeCommand>(&command))
-      Proposals[proposal->Nonce] = {.Content = proposal->Proposal,
-                                    .GiveUpAt = proposal->GiveUpAt};
+      Proposals.add(
+          proposal->Proposal, proposal->GiveUpAt,
+          [this, nonce = proposal->Nonce](TimePoint at, const auto &outcome) {
+            Controller.onDecision(at, nonce, outcome);
+          });
   }
-  sendProposals(now);
+  Proposals.send(now);
 }
 
 void EntryNode::tick(TimePoint now) {
   Feed.tick(now);
   Leader.tick(now);
-  std::vector<std::uint64_t> late;
-  for (const auto &[nonce, it] : Proposals)
-    if (now >= it.GiveUpAt)
-      late.push_back(nonce);
-  for (const std::uint64_t nonce : late) {
-    const CommandCallback done = std::move(Proposals.at(nonce).Done);
-    Proposals.erase(nonce);
-    if (done)
-      done(std::nullopt);
-    else
-      Controller.onDecision(now, nonce, std::nullopt);
-  }
+  Proposals.tick(now);
   std::vector<std::uint64_t> lateCalls;
   for (const auto &[nonce, it] : AdminCalls)
     if (now >= it.GiveUpAt)
--- a/packages/node/pimentofront/src/Node/EntryNode.h
+++ b/packages/node/pimentofront/src/Node/EntryNode.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_NODE_ENTRY_NODE_H
 
 #include "AgentLinks.h"
+#include "ProposalQueue.h"
 #include "ReplicaFeed.h"
 
 #include <functional>
@@ -74,14 +75,6 @@
   }
 
 private:
-  struct Proposal {
-    Command Content;
-    TimePoint GiveUpAt;
-    /// Link on which it was sent last, and when.
-    LinkId SentOn = 0;
-    TimePoint SentAt;
-    CommandCallback Done;
-  };
   struct AdminCall {
     AdminRequest Request;
     LinkId Link = 0;
@@ -93,8 +86,6 @@
   void onReplicaMessage(TimePoint now, const Message &message);
   void onAgentMessage(TimePoint now, const HostName &host,
                       const Message &message);
-  void sendProposals(TimePoint now);
-  void onDecision(TimePoint now, const ProposeReply &reply);
   void onAdminReply(const AdminReply &reply);
   void dropStaleAgentLinks(TimePoint now);
 
@@ -106,7 +97,7 @@
   LeaderLink Leader;
   EntryController Controller;
   AgentLinks Agents;
-  std::map<std::uint64_t, Proposal> Proposals;
+  ProposalQueue Proposals;
   std::map<std::uint64_t, AdminCall> AdminCalls;
   std::uint64_t LastNonce = 0;
 };
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -1,13 +1,31 @@
 #include "pimentofront/Node.h"
 
 namespace pimentofront {
+namespace {
+
+/// A leader answers a command within a few syncs of its disk; one that says
+/// nothing for so long may be cut off, and another one is looked for.
+constexpr Duration LeaderSilence = std::chrono::milliseconds(500);
+/// A process that wasn't called for so long has slept: it is called every some
+/// ten milliseconds, and busy hosts let one wait for some hundred.
+constexpr Duration SleepGap = std::chrono::seconds(1);
+
+ReplicaFeedOptions withQuarantine(ReplicaFeedOptions feed) {
+  feed.WantsQuarantine = true;
+  return feed;
+}
+
+} // namespace
 
 ForwardNode::ForwardNode(TimePoint now, const ForwardNodeOptions &options,
                          const HeaderCodec &headers,
                          const DocumentCodec &documents, RoutingPolicy &routing,
                          Transport &transport, ForwardSink &sink)
-    : Documents(documents), Sink(sink), Feed(options.Feed, transport),
-      Agents(transport),
+    : Documents(documents), Sink(sink),
+      Feed(withQuarantine(options.Feed), transport),
+      Leader(transport, options.Feed.Replicas, options.Feed.Incarnation + 1,
+             LeaderSilence),
+      Proposals(transport, Leader), Agents(transport),
       Controller(options.Forward, Feed.configuration(), headers, routing) {
   tick(now);
 }
@@ -19,6 +37,8 @@
 void ForwardNode::onLinkOpen(TimePoint now, LinkId link, const Hello &) {
   if (Feed.owns(link))
     Feed.onLinkOpen(now);
+  else if (Leader.owns(link))
+    Leader.onHeard(now);
   else
     Agents.onOpen(link);
 }
@@ -26,6 +46,8 @@
 void ForwardNode::onLinkClosed(TimePoint now, LinkId link) {
   if (Feed.owns(link))
     return Feed.onLinkClosed(now);
+  if (Leader.owns(link))
+    return Leader.onClosed(now);
   if (!Agents.find(link))
     return;
   const AgentLink agent = Agents.onClosed(link);
@@ -35,15 +57,11 @@
 
 void ForwardNode::onMessage(TimePoint now, LinkId link,
                             const Message &message) {
+  noteTime(now);
   if (Feed.owns(link)) {
-    const FeedNews news = Feed.onMessage(now, message);
-    if (news.Members) {
-      Controller.onMembers(now, *news.Members);
-      dropLinks(now, Agents.staleLinks(Controller.board().Servers.agents()));
-    }
-    if (news.Subscribers)
-      Controller.onEntries(now, *news.Subscribers);
-    useDocument(now);
+    onFeedMessage(now, message);
+  } else if (Leader.owns(link)) {
+    onLeaderMessage(now, message);
   } else if (const AgentLink *agent = Agents.find(link)) {
     Agents.onHeard(link);
     onAgentMessage(now, HostName(agent->Host), message);
@@ -51,6 +69,48 @@
   flush(now);
 }
 
+void ForwardNode::onFeedMessage(TimePoint now, const Message &message) {
+  const FeedNews news = Feed.onMessage(now, message);
+  if (news.Quarantine)
+    Controller.quarantine().onUpdate(*news.Quarantine);
+  if (Feed.quarantineKnownAt())
+    Controller.quarantine().onKnown(*Feed.quarantineKnownAt());
+  if (news.Members) {
+    Controller.onMembers(now, *news.Members);
+    dropLinks(now, Agents.staleLinks(Controller.board().Servers.agents()));
+  }
+  if (news.Subscribers)
+    Controller.onEntries(now, *news.Subscribers);
+  if (std::holds_alternative<ReplicaAddresses>(message))
+    Leader.setAddresses(Feed.replicas());
+  useDocument(now);
+}
+
+void ForwardNode::onLeaderMessage(TimePoint now, const Message &message) {
+  Leader.onHeard(now);
+  if (const auto *decided = std::get_if<ProposeReply>(&message))
+    Proposals.onReply(now, *decided);
+  else if (const auto *redirect = std::get_if<NotLeader>(&message))
+    Proposals.onRedirect(now, *redirect);
+}
+
+void ForwardNode::askReplicas(TimePoint now, const AskReplicas &question) {
+  Proposals.add(
+      Command{.Body = question.Question}, now + question.GiveUpAfter,
+      [this, nonce = question.Nonce](TimePoint at, const auto &outcome) {
+        Controller.onDecision(at, nonce, outcome);
+      });
+  Proposals.send(now);
+}
+
+void ForwardNode::noteTime(TimePoint now) {
+  if (LastCall && now >= *LastCall + SleepGap) {
+    Controller.quarantine().onWake(now);
+    Feed.askNow(now);
+  }
+  LastCall = now;
+}
+
 void ForwardNode::onAgentMessage(TimePoint now, const HostName &host,
                                  const Message &message) {
   AttemptController &attempts = Controller.attempts();
@@ -130,17 +190,20 @@
 
 void ForwardNode::request(TimePoint now, std::uint64_t key, RequestHead head,
                           std::string body, const ContentHash &bodyHash) {
+  noteTime(now);
   Controller.onRequest(now, key, std::move(head), std::move(body), bodyHash);
   flush(now);
 }
 
 void ForwardNode::callerGone(TimePoint now, std::uint64_t key) {
+  noteTime(now);
   Controller.onCallerGone(now, key);
   flush(now);
 }
 
 HeadVerdict ForwardNode::upstreamHead(TimePoint now, const AttemptId &attempt,
                                       ResponseHead head) {
+  noteTime(now);
   const HeadVerdict verdict =
       Controller.answers().onHead(now, attempt, std::move(head));
   flush(now);
@@ -155,12 +218,23 @@
 
 void ForwardNode::upstreamEnd(TimePoint now, const AttemptId &attempt,
                               UpstreamEnding ending) {
+  noteTime(now);
   Controller.answers().onEnd(now, attempt, ending);
   flush(now);
 }
 
+void ForwardNode::serverChecked(TimePoint now, const ServerProcess &server,
+                                ServerLife life) {
+  noteTime(now);
+  Controller.onServerChecked(now, server, life);
+  flush(now);
+}
+
 void ForwardNode::tick(TimePoint now) {
+  noteTime(now);
   Feed.tick(now);
+  Leader.tick(now);
+  Proposals.tick(now);
   dropLinks(now, Agents.takeSilent(now));
   Controller.tick(now);
   flush(now);
@@ -170,6 +244,8 @@
   for (ForwardCommand &command : Controller.takeCommands()) {
     if (const auto *it = std::get_if<SendToAgent>(&command))
       sendToAgent(now, *it);
+    else if (const auto *question = std::get_if<AskReplicas>(&command))
+      askReplicas(now, *question);
     else
       Sink.onCommand(std::move(command));
   }
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_NODE_FORWARD_NODE_H
 
 #include "AgentLinks.h"
+#include "ProposalQueue.h"
 #include "ReplicaFeed.h"
 #include "pimentofront/Forward.h"
 
@@ -65,6 +66,9 @@
                     std::string_view bytes);
   void upstreamEnd(TimePoint now, const AttemptId &attempt,
                    UpstreamEnding ending);
+  /// Answers a CheckServer command.
+  void serverChecked(TimePoint now, const ServerProcess &server,
+                     ServerLife life);
 
   /// \returns whether requests can be served.
   bool ready() const { return Controller.board().Table != nullptr; }
@@ -82,13 +86,22 @@
   void sendProfile(TimePoint now, const HostName &host,
                    const std::string &address);
   void dropLinks(TimePoint now, const std::vector<LinkId> &links);
+  void onFeedMessage(TimePoint now, const Message &message);
+  void onLeaderMessage(TimePoint now, const Message &message);
+  void askReplicas(TimePoint now, const AskReplicas &question);
+  /// Notices that the process has slept since it was called last.
+  void noteTime(TimePoint now);
   void flush(TimePoint now);
 
   const DocumentCodec &Documents;
   ForwardSink &Sink;
   ReplicaFeed Feed;
+  /// The leader, for what the replicas decide.
+  LeaderLink Leader;
+  ProposalQueue Proposals;
   AgentLinks Agents;
   ForwardController Controller;
+  std::optional<TimePoint> LastCall;
   /// Revision of the document in use.
   Revision InUse = 0;
   bool Confirmed = false;
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
@@ -43,7 +43,9 @@
   Network.send(*link, Subscribe{.Host = Options.Host,
                                 .Known = Copy.revision(),
                                 .KnownMembers = Members.version(),
-                                .WantsMembers = true});
+                                .WantsMembers = true,
+                                .WantsQuarantine = Options.WantsQuarantine,
+                                .KnownQuarantine = Quarantine});
   Subscribed = true;
   probe(now);
 }
@@ -51,10 +53,17 @@
 void ReplicaFeed::probe(TimePoint now) {
   NextProbe = now + Options.ProbePeriod;
   const auto link = Replica.link(now);
-  if (link && Subscribed)
-    Network.send(*link, ProbeRevision{.Host = Options.Host,
-                                      .Nonce = Copy.beginProbe(now),
-                                      .InForce = Copy.revision()});
+  if (!link || !Subscribed)
+    return;
+  Asked = {.Nonce = Copy.beginProbe(now), .AskedAt = now};
+  Network.send(*link, ProbeRevision{.Host = Options.Host,
+                                    .Nonce = Asked.Nonce,
+                                    .InForce = Copy.revision()});
+}
+
+void ReplicaFeed::noteQuarantineKnown() {
+  if (Asked.Answer && *Asked.Answer <= Quarantine)
+    KnownAt = Asked.AskedAt;
 }
 
 FeedNews ReplicaFeed::onMessage(TimePoint now, const Message &message) {
@@ -70,11 +79,18 @@
   } else if (const auto *reply = std::get_if<ProbeReply>(&message)) {
     Copy.onProbeReply(*reply);
     news.Subscribers = reply->Subscribers;
+    if (reply->Nonce == Asked.Nonce)
+      Asked.Answer = reply->Quarantine;
+    noteQuarantineKnown();
   } else if (const auto *members = std::get_if<MemberUpdate>(&message)) {
     if (Members.apply(*members))
       news.Members = *members;
     else
       subscribe(now);
+  } else if (const auto *quarantine = std::get_if<QuarantineUpdate>(&message)) {
+    Quarantine = std::max(Quarantine, quarantine->To);
+    news.Quarantine = *quarantine;
+    noteQuarantineKnown();
   } else if (const auto *replicas = std::get_if<ReplicaAddresses>(&message)) {
     Replica.setAddresses(replicas->Peers);
   }
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.h
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.h
@@ -14,6 +14,8 @@
   std::uint64_t Incarnation = 0;
   ConfigurationCopyOptions Configuration;
   std::vector<std::string> Replicas;
+  /// The process wants to know of requests that end backend servers.
+  bool WantsQuarantine = false;
   /// How often the process asks whether its configuration is current.
   Duration ProbePeriod = std::chrono::seconds(1);
 };
@@ -26,6 +28,7 @@
   /// Hosts were taken out of use, or back.
   bool Drains = false;
   std::optional<MemberUpdate> Members;
+  std::optional<QuarantineUpdate> Quarantine;
   /// Processes that follow the configuration, this one among them.
   std::optional<std::uint32_t> Subscribers;
 };
@@ -45,6 +48,11 @@
   void tick(TimePoint now);
 
   const ConfigurationCopy &configuration() const { return Copy; }
+  /// \returns a time since when everything is known here that was decided on
+  /// the quarantine of requests before it.
+  std::optional<TimePoint> quarantineKnownAt() const { return KnownAt; }
+  /// Asks at once whether everything is current.
+  void askNow(TimePoint now) { probe(now); }
   /// \returns the replicas known now.
   const std::vector<std::string> &replicas() const {
     return Replica.addresses();
@@ -53,6 +61,7 @@
 private:
   void subscribe(TimePoint now);
   void probe(TimePoint now);
+  void noteQuarantineKnown();
 
   ReplicaFeedOptions Options;
   Transport &Network;
@@ -61,6 +70,16 @@
   LeaderLink Replica;
   bool Subscribed = false;
   TimePoint NextProbe;
+  /// Version of the quarantine ledger that is known.
+  std::uint64_t Quarantine = 0;
+  /// The last question, and the version of which its answer told.
+  struct Question {
+    std::uint64_t Nonce = 0;
+    TimePoint AskedAt;
+    std::optional<std::uint64_t> Answer;
+  };
+  Question Asked;
+  std::optional<TimePoint> KnownAt;
 };
 
 } // namespace pimentofront
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -32,7 +32,8 @@
                          Transport &transport, const WallClock &wall)
     : Options(options), Store(store), Network(transport), Wall(wall),
       Log(now, options.Log, stored), State(options.Claims),
-      Members(options.Members), Loads(options.Loads), Listeners(transport),
+      Review(options.Quarantine), Members(options.Members),
+      Loads(options.Loads), Listeners(transport),
       Watch(SilentElectionTimeouts * options.Log.ElectionTimeout) {
   flush(now);
 }
@@ -381,7 +382,8 @@
                    ProbeReply{.Nonce = it.Nonce,
                               .Confirmed = State.configuration().revision(),
                               .Members = read.Members,
-                              .Subscribers = read.Subscribers});
+                              .Subscribers = read.Subscribers,
+                              .Quarantine = State.quarantine().version()});
       return true;
     });
   }
@@ -406,6 +408,7 @@
   FencesGiven = 0;
   Members.beginTerm(now, LedTerm);
   Loads = LoadScheduler(Options.Loads);
+  Review.reset();
 }
 
 void ReplicaNode::join(TimePoint now) {
@@ -459,11 +462,19 @@
     for (const HostName &it : Members.expire(now))
       Loads.forgetHost(it);
     giveTickets(now);
+    reviewQuarantine(now);
   }
   askLeader(now);
   flush(now);
 }
 
+void ReplicaNode::reviewQuarantine(TimePoint now) {
+  ReviewQuarantine review = Review.take(now, State.quarantine());
+  if (!review.Due.empty())
+    Log.propose(now, Wall.milliseconds(),
+                encodeCommand(Command{.Body = std::move(review)}));
+}
+
 void ReplicaNode::applyEntry(const LogEntry &entry) {
   BytesSinceSnapshot += entry.Data.size();
   const auto command = decodeCommand(entry.Data);
@@ -523,7 +534,7 @@
     return;
   NextPush = now + PushPeriod;
   pushAddresses();
-  Listeners.push(State.configuration(), Members);
+  Listeners.push(State.configuration(), Members, State.quarantine());
 }
 
 void ReplicaNode::compactIfDue() {
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -18,6 +18,7 @@
   MemberTableOptions Members;
   LoadSchedulerOptions Loads;
   ClaimLedgerOptions Claims;
+  QuarantineReviewOptions Quarantine;
   /// Entries after which the log is replaced by a snapshot.
   std::size_t CompactAfter = 8192;
   /// The same by bytes of entries: documents of operators are large.
@@ -125,6 +126,7 @@
   void applyEntry(const LogEntry &entry);
   void compactIfDue();
   void giveTickets(TimePoint now);
+  void reviewQuarantine(TimePoint now);
   void join(TimePoint now);
   bool acceptsCommands() const;
   void decide(const PendingProposal &proposal, bool ours,
@@ -138,6 +140,7 @@
   const WallClock &Wall;
   ReplicatedLog Log;
   StateMachine State;
+  QuarantineReview Review;
   MemberTable Members;
   LoadScheduler Loads;
   Subscribers Listeners;
--- a/packages/node/pimentofront/src/Node/Subscribers.cpp
+++ b/packages/node/pimentofront/src/Node/Subscribers.cpp
@@ -33,7 +33,9 @@
   All[link] = {.Host = subscribe.Host,
                .Known = subscribe.Known,
                .KnownMembers = subscribe.KnownMembers,
-               .WantsMembers = subscribe.WantsMembers};
+               .WantsMembers = subscribe.WantsMembers,
+               .WantsQuarantine = subscribe.WantsQuarantine,
+               .KnownQuarantine = subscribe.KnownQuarantine};
 }
 
 void Subscribers::remove(LinkId link) { All.erase(link); }
@@ -67,9 +69,18 @@
 }
 
 void Subscribers::push(const Configuration &configuration,
-                       const MemberTable &members) {
+                       const MemberTable &members,
+                       const QuarantineLedger &quarantine) {
   bool sentLarge = false;
   for (auto &[link, subscriber] : All) {
+    // First: whoever is told that its configuration is the newest relies on
+    // knowing what is in quarantine, too.
+    if (subscriber.WantsQuarantine)
+      if (const auto update =
+              quarantine.updateSince(subscriber.KnownQuarantine)) {
+        Network.send(link, *update);
+        subscriber.KnownQuarantine = update->To;
+      }
     // Those who lack much take turns: each needs a whole configuration on its
     // way.
     const Revision missing = configuration.revision() - subscriber.Known;
--- a/packages/node/pimentofront/src/Node/Subscribers.h
+++ b/packages/node/pimentofront/src/Node/Subscribers.h
@@ -21,7 +21,8 @@
   void remove(LinkId link);
   void noteInForce(LinkId link, Revision revision);
   /// Sends what each one lacks.
-  void push(const Configuration &configuration, const MemberTable &members);
+  void push(const Configuration &configuration, const MemberTable &members,
+            const QuarantineLedger &quarantine);
   /// Sends all that follow the configuration the same.
   void sendAll(const Message &message);
   std::vector<RevisionInForce> inForce() const;
@@ -35,6 +36,8 @@
     Revision Known = 0;
     MemberVersion KnownMembers;
     bool WantsMembers = false;
+    bool WantsQuarantine = false;
+    std::uint64_t KnownQuarantine = 0;
     Revision InForce = 0;
   };
   void pushConfiguration(LinkId link, Subscriber &subscriber,
--- a/packages/serving/pimentofront/src/Serving/RetryBudget.h
+++ b/packages/serving/pimentofront/src/Serving/RetryBudget.h
@@ -18,9 +18,11 @@
       : Share(share), Reserve(reserve), Tokens(reserve) {}
 
   void noteRequest() { Tokens = std::min(Tokens + Share, Reserve); }
+  /// \returns whether a retry may be made.
+  bool hasRoom() const { return Tokens >= 1; }
   /// \returns whether a retry may be made, and takes it from the budget.
   bool take() {
-    if (Tokens < 1)
+    if (!hasRoom())
       return false;
     Tokens -= 1;
     return true;
--- a/packages/state/pimentofront/State.h
+++ b/packages/state/pimentofront/State.h
@@ -17,6 +17,8 @@
 #include "src/State/AdapterStore.h"
 #include "src/State/Configuration.h"
 #include "src/State/ClaimLedger.h"
+#include "src/State/QuarantineLedger.h"
+#include "src/State/QuarantineReview.h"
 #include "src/State/StateMachine.h"
 #include "src/State/MemberTable.h"
 #include "src/State/ConfigurationCopy.h"
--- /dev/null
+++ b/packages/state/pimentofront/src/State/QuarantineLedger.cpp
@@ -0,0 +1,218 @@
+#include "pimentofront/State.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+/// Ends remembered of one request: those that decide, and a few that were under
+/// way then.
+constexpr std::size_t EndsKept = 8;
+
+const ServerEnd *findEnd(const QuarantineRecord &record,
+                         const ServerProcess &server) {
+  const auto it = std::ranges::find_if(record.Ends, [&](const ServerEnd &end) {
+    return maybeSame(end.Server, server);
+  });
+  return it == record.Ends.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+QuarantineState stateOf(const QuarantineRecord &record) {
+  return record.Quarantined ? QuarantineState::Quarantined
+                            : QuarantineState::Watched;
+}
+
+const QuarantineRecord *
+QuarantineLedger::find(const ContentHash &content) const {
+  const auto it = Records.find(content);
+  return it == Records.end() ? nullptr : &it->second;
+}
+
+void QuarantineLedger::change(QuarantineRecord &record) {
+  record.ChangedAt = ++Version;
+}
+
+void QuarantineLedger::remove(const ContentHash &content) {
+  if (Records.erase(content) == 0)
+    return;
+  Removals.push_back({content, ++Version});
+  if (Removals.size() <= Options.RemovalsKept)
+    return;
+  RemovalsForgotten = Removals.front().At;
+  Removals.pop_front();
+}
+
+/// Gives up what was watched longest without a change.
+void QuarantineLedger::makeRoom() {
+  if (Records.size() < Options.Capacity)
+    return;
+  const auto rank = [](const auto &it) {
+    return std::pair(it.second.Quarantined, it.second.ChangedAt);
+  };
+  const auto it = std::ranges::min_element(Records, {}, rank);
+  remove(it->first);
+}
+
+//===----------------------------------------------------------------------===//
+// Ends of servers
+//===----------------------------------------------------------------------===//
+
+CommandOutcome QuarantineLedger::report(const ReportServerEnd &end) {
+  for (const RequestAtWork &it : end.AtWork)
+    add(end.Server, it);
+  return {.At = Version};
+}
+
+void QuarantineLedger::add(const ServerProcess &server,
+                           const RequestAtWork &request) {
+  if (!Records.contains(request.Content))
+    makeRoom();
+  QuarantineRecord &record = Records[request.Content];
+  record.Content = request.Content;
+  if (request.Holder != AttemptId() && record.Holder == request.Holder)
+    record.Holder = AttemptId();
+  const bool isNew = !findEnd(record, server);
+  if (isNew && record.Ends.size() < EndsKept)
+    record.Ends.push_back({server, request.Answering});
+  // Tried again after a quarantine, it has ended one more.
+  if (isNew && record.Quarantines > 0 && !record.Quarantined)
+    return putInQuarantine(record);
+  change(record);
+}
+
+bool QuarantineLedger::isAlone(const QuarantineRecord &record,
+                               const ServerEnd &end) const {
+  if (end.Answering)
+    return false;
+  return std::ranges::none_of(Records, [&](const auto &it) {
+    const ServerEnd *other = findEnd(it.second, end.Server);
+    return it.first != record.Content && other && !other->Answering;
+  });
+}
+
+bool QuarantineLedger::isGuilty(const QuarantineRecord &record) const {
+  if (record.LateTrials >= Options.MostLateTrials)
+    return true;
+  if (record.Quarantines > 0 || record.Ends.size() < Options.EndsToQuarantine)
+    return false;
+  if (record.Ends.size() >= Options.MostEnds)
+    return true;
+  return std::ranges::any_of(
+      record.Ends, [&](const ServerEnd &it) { return isAlone(record, it); });
+}
+
+void QuarantineLedger::putInQuarantine(QuarantineRecord &record) {
+  record.Quarantined = true;
+  record.Holder = AttemptId();
+  ++record.Quarantines;
+  change(record);
+}
+
+//===----------------------------------------------------------------------===//
+// Trials
+//===----------------------------------------------------------------------===//
+
+CommandOutcome QuarantineLedger::claim(const ClaimTrial &trial) {
+  const auto it = Records.find(trial.Content);
+  if (it == Records.end())
+    return {.Result = CommandResult::NotFound, .At = Version};
+  QuarantineRecord &record = it->second;
+  if (record.Holder != AttemptId() && record.Holder != trial.Holder)
+    return {.Result = CommandResult::InProgress, .At = Version};
+  if (!record.Quarantined && isGuilty(record))
+    putInQuarantine(record);
+  if (record.Quarantined)
+    return {.Result = CommandResult::Quarantined, .At = Version};
+  // Asked again by the same attempt, whose answer was lost, it is one trial.
+  const bool isNew = record.Holder != trial.Holder;
+  record.Holder = trial.Holder;
+  record.HeldFor = trial.HeldFor;
+  const bool late = record.Ends.size() >= Options.EndsToQuarantine;
+  if (isNew && late)
+    ++record.LateTrials;
+  return {.At = Version};
+}
+
+CommandOutcome QuarantineLedger::end(const EndTrial &trial) {
+  const auto it = Records.find(trial.Content);
+  if (it == Records.end())
+    return {.Result = CommandResult::NotFound, .At = Version};
+  if (trial.Ending == TrialEnding::Survived) {
+    remove(trial.Content);
+    return {.At = Version};
+  }
+  QuarantineRecord &record = it->second;
+  if (record.Holder != trial.Holder)
+    return {.Result = CommandResult::Conflict, .At = Version};
+  record.Holder = AttemptId();
+  if (trial.Ending == TrialEnding::NotRun && record.LateTrials > 0)
+    --record.LateTrials;
+  return {.At = Version};
+}
+
+//===----------------------------------------------------------------------===//
+// What has lasted long enough
+//===----------------------------------------------------------------------===//
+
+CommandOutcome QuarantineLedger::review(const ReviewQuarantine &review) {
+  for (const DueRecord &due : review.Due) {
+    const auto it = Records.find(due.Content);
+    if (it == Records.end() || it->second.ChangedAt != due.ChangedAt ||
+        it->second.Holder != due.Holder)
+      continue;
+    QuarantineRecord &record = it->second;
+    if (record.Holder != AttemptId()) {
+      record.Holder = AttemptId();
+    } else if (record.Quarantined) {
+      // Servers get mended: one careful trial.
+      record.Quarantined = false;
+      record.LateTrials = 0;
+      change(record);
+    } else {
+      remove(due.Content);
+    }
+  }
+  return {.At = Version};
+}
+
+CommandOutcome QuarantineLedger::release(const ReleaseQuarantine &release) {
+  if (!Records.contains(release.Content))
+    return {.Result = CommandResult::NotFound,
+            .At = Version,
+            .Detail = "no such request is watched or in quarantine"};
+  remove(release.Content);
+  return {.At = Version};
+}
+
+//===----------------------------------------------------------------------===//
+// What others know
+//===----------------------------------------------------------------------===//
+
+std::optional<QuarantineUpdate>
+QuarantineLedger::updateSince(std::uint64_t known) const {
+  if (known >= Version)
+    return std::nullopt;
+  QuarantineUpdate update{.Full = known < RemovalsForgotten, .To = Version};
+  for (const auto &[content, it] : Records)
+    if (update.Full || it.ChangedAt > known)
+      update.Notices.push_back({content, stateOf(it)});
+  if (update.Full)
+    return update;
+  for (const Removal &it : Removals)
+    if (it.At > known && !Records.contains(it.Content))
+      update.Notices.push_back({it.Content, QuarantineState::Clear});
+  return update;
+}
+
+void QuarantineLedger::restore(const QuarantineRecord &record) {
+  Records[record.Content] = record;
+}
+
+void QuarantineLedger::restoreVersion(std::uint64_t version) {
+  Version = version;
+  RemovalsForgotten = version;
+}
+
+} // namespace pimentofront
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -82,6 +82,8 @@
 CommandOutcome StateMachine::applyBody(std::uint64_t wallMilliseconds,
                                        const Command &command) {
   const CommandBody &body = command.Body;
+  if (const auto outcome = applyQuarantine(body))
+    return *outcome;
   if (const auto *it = std::get_if<ClaimRequest>(&body))
     return Claims.claim(wallMilliseconds, *it);
   if (const auto *it = std::get_if<RecordEnding>(&body))
@@ -101,6 +103,21 @@
   return setDrained(command, std::get<SetDrained>(body));
 }
 
+std::optional<CommandOutcome>
+StateMachine::applyQuarantine(const CommandBody &body) {
+  if (const auto *it = std::get_if<ReportServerEnd>(&body))
+    return Quarantine.report(*it);
+  if (const auto *it = std::get_if<ClaimTrial>(&body))
+    return Quarantine.claim(*it);
+  if (const auto *it = std::get_if<EndTrial>(&body))
+    return Quarantine.end(*it);
+  if (const auto *it = std::get_if<ReviewQuarantine>(&body))
+    return Quarantine.review(*it);
+  if (const auto *it = std::get_if<ReleaseQuarantine>(&body))
+    return Quarantine.release(*it);
+  return std::nullopt;
+}
+
 CommandOutcome StateMachine::create(const Command &command,
                                     const CreateAdapter &body) {
   if (!isProperName(body.Adapter.str()) || !isProperName(body.BaseModel))
@@ -225,6 +242,11 @@
     std::visit([&](const auto &it) { add(it); }, record);
   });
   Claims.forEach(add);
+  // Without it, an earlier release can read the state, too.
+  if (Quarantine.version() > 0)
+    add(QuarantineHeader{Quarantine.version()});
+  for (const auto &[content, it] : Quarantine.records())
+    add(it);
   for (const CommandId &it : OutcomeOrder)
     add(Outcomes.at(it));
   return bytes;
@@ -245,6 +267,10 @@
     Records.put(*drain);
   else if (const auto *document = std::get_if<DocumentRecord>(&item))
     Records.put(*document);
+  else if (const auto *ledger = std::get_if<QuarantineHeader>(&item))
+    Quarantine.restoreVersion(ledger->Version);
+  else if (const auto *record = std::get_if<QuarantineRecord>(&item))
+    Quarantine.restore(*record);
 }
 
 tl::expected<void, DecodeError> StateMachine::decode(std::string_view bytes) {
--- a/packages/state/pimentofront/src/State/StateMachine.h
+++ b/packages/state/pimentofront/src/State/StateMachine.h
@@ -3,6 +3,7 @@
 
 #include "ClaimLedger.h"
 #include "Configuration.h"
+#include "QuarantineLedger.h"
 
 #include <deque>
 
@@ -22,6 +23,7 @@
 
   const Configuration &configuration() const { return Records; }
   const ClaimLedger &claims() const { return Claims; }
+  const QuarantineLedger &quarantine() const { return Quarantine; }
   /// \returns the whole state as bytes, item by item.
   std::string encode() const;
   /// Replaces the state by an encoded one.
@@ -42,12 +44,16 @@
   CommandOutcome accept(const Command &command, Record record);
   CommandOutcome refuse(CommandResult result, std::string detail) const;
   CommandOutcome conflict(const OperatorName &winner, std::string detail) const;
+  /// \returns the outcome of a command for the quarantine ledger; nothing if
+  /// \p body is none.
+  std::optional<CommandOutcome> applyQuarantine(const CommandBody &body);
   void remember(const OutcomeRecord &record);
   void restoreItem(const StateItem &item);
 
   ClaimLedgerOptions Options;
   Configuration Records;
   ClaimLedger Claims;
+  QuarantineLedger Quarantine;
   std::map<CommandId, OutcomeRecord> Outcomes;
   std::deque<CommandId> OutcomeOrder;
 };
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -45,7 +45,7 @@
     return result;
   }
   HttpHeaders refusalHeaders(const RequestTraits &request,
-                             Duration) const override {
+                             std::optional<Duration>) const override {
     return {{"id", request.Id}};
   }
   static std::string valueOf(const HttpHeaders &headers, const char *name) {
@@ -81,6 +81,8 @@
     WorldProcess &entry = Fleet.Place.process(Entry);
     if (const auto *send = std::get_if<SendUpstream>(&command))
       return Fleet.onSend(entry, *send);
+    if (const auto *check = std::get_if<CheckServer>(&command))
+      return Fleet.onCheck(entry, *check);
     if (const auto *cancel = std::get_if<CancelUpstream>(&command)) {
       for (Server &it : Fleet.Servers)
         std::erase_if(it.Runs, [&](const auto &run) {
@@ -320,6 +322,23 @@
   });
 }
 
+void ForwardFleet::onCheck(WorldProcess &entry, const CheckServer &check) {
+  constexpr Duration Timeout = std::chrono::milliseconds(200);
+  const Server *server = at(check.Address);
+  ServerLife life = server->Up ? ServerLife::Lives : ServerLife::Ended;
+  if (server->Dark)
+    life = ServerLife::Unknown;
+  const Duration wait =
+      life == ServerLife::Unknown ? Timeout : 2 * Options.Latency;
+  Place.after(wait,
+              [this, host = entry.Spec.Host, incarnation = entry.Incarnation,
+               process = check.Server, life] {
+                Place.atProcess(host, incarnation, [=](WorldProcess &it) {
+                  it.Forward->serverChecked(it.In.now(), process, life);
+                });
+              });
+}
+
 void ForwardFleet::crash(Server &server, const std::string &content) {
   ServerCrash crash{
       .At = Place.now(), .Server = server.Name, .Content = content};
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -119,6 +119,7 @@
   void beat();
   Server *at(const std::string &address);
   void onSend(WorldProcess &entry, const SendUpstream &send);
+  void onCheck(WorldProcess &entry, const CheckServer &check);
   void onArrival(std::size_t server, const HostName &expected, Run run);
   void onEvent(std::size_t server, std::uint64_t run, std::uint32_t event);
   void crash(Server &server, const std::string &content);
--- a/packages/testkit/pimentofront/src/Testkit/Scenario.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Scenario.cpp
@@ -25,8 +25,9 @@
 
 const char *nameOf(CommandResult result) {
   constexpr const char *Names[] = {
-      "accepted",  "conflict",    "not_found",        "invalid",
-      "id_reused", "in_progress", "already_answered", "already_unknown"};
+      "accepted",         "conflict",        "not_found",
+      "invalid",          "id_reused",       "in_progress",
+      "already_answered", "already_unknown", "quarantined"};
   return Names[static_cast<std::size_t>(result)];
 }
 
--- a/packages/wire/pimentofront/src/Wire/Codec.cpp
+++ b/packages/wire/pimentofront/src/Wire/Codec.cpp
@@ -85,6 +85,10 @@
     return Json::array({value.Adapter.str(), value.Version});
   } else if constexpr (std::is_same_v<T, AttemptId>) {
     return Json::array({value.Incarnation, value.Sequence});
+  } else if constexpr (std::is_same_v<T, ServerProcess>) {
+    return Json::array({value.Name.str(), value.StartedAt});
+  } else if constexpr (std::is_same_v<T, ContentHash>) {
+    return Json::array({value.High, value.Low});
   } else if constexpr (HasFields<const T>) {
     Json json = Json::array();
     value.visitFields(
@@ -138,6 +142,14 @@
     require(json.is_array() && json.size() == 2);
     fromJson(json[0], value.Incarnation);
     fromJson(json[1], value.Sequence);
+  } else if constexpr (std::is_same_v<T, ServerProcess>) {
+    require(json.is_array() && json.size() == 2);
+    fromJson(json[0], value.Name);
+    fromJson(json[1], value.StartedAt);
+  } else if constexpr (std::is_same_v<T, ContentHash>) {
+    require(json.is_array() && json.size() == 2);
+    fromJson(json[0], value.High);
+    fromJson(json[1], value.Low);
   } else if constexpr (HasFields<T>) {
     fieldsFromJson(json, value);
   } else if constexpr (IsVector<T>::value) {
--- a/packages/wire/pimentofront/src/Wire/Codec.h
+++ b/packages/wire/pimentofront/src/Wire/Codec.h
@@ -62,12 +62,19 @@
   PIMENTOFRONT_FIELDS(StateHeader, Current)
 };
 
+/// Version of the quarantine ledger in a snapshot.
+struct QuarantineHeader {
+  std::uint64_t Version = 0;
+  PIMENTOFRONT_FIELDS(QuarantineHeader, Version)
+};
+
 /// \ingroup Wire
 /// One item of the replicated state, as it stands in a snapshot. A snapshot is
 /// a sequence of these, so that no process ever holds it decoded as a whole.
 using StateItem =
     std::variant<StateHeader, AdapterRecord, KindRecord, DrainRecord,
-                 ClaimRecord, OutcomeRecord, DocumentRecord>;
+                 ClaimRecord, OutcomeRecord, DocumentRecord, QuarantineHeader,
+                 QuarantineRecord>;
 
 /// Encodes as CBOR: an array of type number, hybrid time and fields.
 std::string encodeFrame(const Frame &frame);
--- a/packages/wire/pimentofront/src/Wire/Commands.h
+++ b/packages/wire/pimentofront/src/Wire/Commands.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_WIRE_COMMANDS_H
 #define PIMENTOFRONT_WIRE_COMMANDS_H
 
+#include "Quarantine.h"
 #include "Records.h"
 
 namespace pimentofront {
@@ -97,9 +98,70 @@
   PIMENTOFRONT_FIELDS(NameVersion, Adapter, BaseModel, Number)
 };
 
+/// The process of a backend server has ended; whatever it had may have ended
+/// it.
+struct ReportServerEnd {
+  ServerProcess Server;
+  std::vector<RequestAtWork> AtWork;
+  PIMENTOFRONT_FIELDS(ReportServerEnd, Server, AtWork)
+};
+
+/// Takes the leave to try a watched request. Granted to one attempt at a time.
+struct ClaimTrial {
+  ContentHash Content;
+  AttemptId Holder;
+  /// The attempt lasts no longer.
+  Duration HeldFor = Duration::zero();
+  PIMENTOFRONT_FIELDS(ClaimTrial, Content, Holder, HeldFor)
+};
+
+/// How a trial of a watched request ended, where its server didn't.
+enum class TrialEnding : std::uint8_t {
+  /// No server began to run it.
+  NotRun,
+  /// Nobody knows whether it would have ended its server.
+  Unclear,
+  /// A server ran it and lives.
+  Survived,
+};
+
+/// Gives the leave back. That a server survived clears the request, whoever
+/// says so.
+struct EndTrial {
+  ContentHash Content;
+  AttemptId Holder;
+  TrialEnding Ending = TrialEnding::Unclear;
+  PIMENTOFRONT_FIELDS(EndTrial, Content, Holder, Ending)
+};
+
+/// A record that has stood unchanged for its time.
+struct DueRecord {
+  ContentHash Content;
+  std::uint64_t ChangedAt = 0;
+  AttemptId Holder;
+  PIMENTOFRONT_FIELDS(DueRecord, Content, ChangedAt, Holder)
+};
+
+/// Leader: these trials have lasted too long, these requests have been watched
+/// or in quarantine for long enough. A record that has changed stays.
+struct ReviewQuarantine {
+  std::vector<DueRecord> Due;
+  PIMENTOFRONT_FIELDS(ReviewQuarantine, Due)
+};
+
+/// An operator clears a request: whatever made it end servers is mended.
+struct ReleaseQuarantine {
+  ContentHash Content;
+  PIMENTOFRONT_FIELDS(ReleaseQuarantine, Content)
+};
+
+/// The position in this list is the number of the command in the log: new ones
+/// go to the end.
 using CommandBody =
     std::variant<CreateAdapter, CreateVersion, DeclareLive, SetKind, SetDrained,
-                 ClaimRequest, RecordEnding, PutDocument, NameVersion>;
+                 ClaimRequest, RecordEnding, PutDocument, NameVersion,
+                 ReportServerEnd, ClaimTrial, EndTrial, ReviewQuarantine,
+                 ReleaseQuarantine>;
 
 /// \class Command
 /// \ingroup Wire
@@ -132,6 +194,8 @@
   AlreadyAnswered,
   /// Claim: it may have run; nobody will learn more.
   AlreadyUnknown,
+  /// Trial: the request ends servers, so none gets it.
+  Quarantined,
 };
 
 /// \class CommandOutcome
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -91,7 +91,10 @@
   Revision Known = 0;
   MemberVersion KnownMembers;
   bool WantsMembers = false;
-  PIMENTOFRONT_FIELDS(Subscribe, Host, Known, KnownMembers, WantsMembers)
+  bool WantsQuarantine = false;
+  std::uint64_t KnownQuarantine = 0;
+  PIMENTOFRONT_FIELDS(Subscribe, Host, Known, KnownMembers, WantsMembers,
+                      WantsQuarantine, KnownQuarantine)
 };
 
 /// Process to replica: is what I have current? Carries what is in force.
@@ -112,7 +115,10 @@
   /// Processes that follow the configuration, over all replicas: those among
   /// which a common budget is shared out.
   std::uint32_t Subscribers = 0;
-  PIMENTOFRONT_FIELDS(ProbeReply, Nonce, Confirmed, Members, Subscribers)
+  /// Version of the quarantine ledger then.
+  std::uint64_t Quarantine = 0;
+  PIMENTOFRONT_FIELDS(ProbeReply, Nonce, Confirmed, Members, Subscribers,
+                      Quarantine)
 };
 
 /// Replica to process: records that changed. A process applies them in order
--- a/packages/wire/pimentofront/src/Wire/Message.h
+++ b/packages/wire/pimentofront/src/Wire/Message.h
@@ -18,7 +18,7 @@
     Propose, ProposeReply, ReadIndexRequest, ReadIndexReply, VoteRequest,
     VoteReply, AppendRequest, AppendReply, SnapshotPart, SnapshotReply,
     JoinRequest, AdminRequest, AdminReply, AttemptPermit, AttemptReleased,
-    EngineProfile, ReplicaAddresses>;
+    EngineProfile, ReplicaAddresses, QuarantineUpdate>;
 
 /// Version of the protocol between processes. A process refuses a `Hello`
 /// with a higher one before it reads anything else.
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -55,8 +55,10 @@
     return result;
   }
   HttpHeaders refusalHeaders(const RequestTraits &,
-                             Duration comeBack) const override {
-    return {{"come-back", std::to_string(comeBack.count())}};
+                             std::optional<Duration> comeBack) const override {
+    if (!comeBack)
+      return {};
+    return {{"come-back", std::to_string(comeBack->count())}};
   }
 };
 
@@ -173,8 +175,12 @@
   void body(const SendUpstream &sent, std::string_view bytes) {
     Controller.answers().onBody(Now, sent.Attempt, bytes);
   }
-  void end(const SendUpstream &sent, UpstreamEnding ending) {
+  /// A server whose connection ends still lives, when it is looked at.
+  void end(const SendUpstream &sent, UpstreamEnding ending,
+           ServerLife life = ServerLife::Lives) {
     Controller.answers().onEnd(Now, sent.Attempt, ending);
+    for (const CheckServer &it : take<CheckServer>())
+      Controller.onServerChecked(Now, it.Server, life);
   }
 
   NoAdapters Configuration;
--- a/test/QuarantineFleetTest.cpp
+++ b/test/QuarantineFleetTest.cpp
@@ -7,6 +7,7 @@
 #include "pimentofront/Testkit.h"
 
 #include <catch2/catch.hpp>
+#include <cstdio>
 
 using namespace pimentofront;
 using namespace pimentofront::testkit;
@@ -111,3 +112,94 @@
     CHECK(it.Innocents == 0);
   }
 }
+
+TEST_CASE("ten such requests at one time cost nobody else the service",
+          "[quarantine]") {
+  std::vector<std::string> deadly;
+  for (int i = 0; i < 10; ++i)
+    deadly.push_back("deadly-" + std::to_string(i));
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    LoadedFleet it({.World = {.Seed = seed}});
+    it.run(20s, deadly);
+    INFO("seed " << seed << ", lost " << it.Lost << " of " << it.Ordinary);
+    CHECK(it.Innocents == 0);
+    for (const std::string &content : deadly) {
+      CHECK(it.sendsTooLate(content) <= 3);
+      CHECK(it.endsBy(content).size() <= 8);
+    }
+  }
+}
+
+TEST_CASE("servers that end by themselves put nobody in quarantine",
+          "[quarantine]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    LoadedFleet it({.World = {.Seed = seed}});
+    for (int i = 0; i < 60; ++i)
+      it.Fleet.world().after(i * 300ms, [&it, i] {
+        const auto server = static_cast<std::uint32_t>(i * 5 % 12);
+        if (i % 4 == 0)
+          it.Fleet.darkenServer(server);
+        else
+          it.Fleet.crashServer(server);
+      });
+    it.run(20s, {});
+    INFO("seed " << seed);
+    CHECK(it.Innocents == 0);
+    CHECK(it.Answered > it.Ordinary / 2);
+  }
+}
+
+TEST_CASE("the quarantine holds while replicas and entries come and go",
+          "[quarantine]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    LoadedFleet it({.World = {.Seed = seed}});
+    World &world = it.Fleet.world();
+    const auto during = [&](Duration at, std::function<void()> action) {
+      world.after(at, std::move(action));
+    };
+    // The leader goes just as the first ends are reported; an entry starts
+    // anew; one sleeps for three seconds; then all replicas start anew.
+    during(1500ms, [&] {
+      if (WorldProcess *leader = world.leader()) {
+        world.kill(*leader);
+        world.after(2s, [&world, leader] { world.start(*leader); });
+      }
+    });
+    during(5s, [&] { world.kill(it.Fleet.entry(1)); });
+    during(6s, [&] { world.start(it.Fleet.entry(1)); });
+    during(7s, [&] { world.freeze(it.Fleet.entry(2)); });
+    during(10s, [&] { world.wake(it.Fleet.entry(2)); });
+    during(12s, [&] {
+      for (std::uint32_t i = 0; i < 3; ++i) {
+        world.kill(it.Fleet.replica(i));
+        world.after(500ms, [&, i] { world.start(it.Fleet.replica(i)); });
+      }
+    });
+    it.run(20s, {"deadly"});
+    INFO("seed " << seed << ", " << it.endsBy("deadly").size() << " ended");
+    CHECK(it.sendsTooLate("deadly") <= 3);
+    CHECK(it.endsBy("deadly").size() <= 10);
+    CHECK(it.Innocents == 0);
+  }
+}
+
+TEST_CASE("figures of the quarantine", "[.figures]") {
+  for (const int n : {0, 1, 3, 10})
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      std::vector<std::string> deadly;
+      for (int i = 0; i < n; ++i)
+        deadly.push_back("deadly-" + std::to_string(i));
+      LoadedFleet it({.World = {.Seed = seed}});
+      it.run(20s, deadly);
+      std::string ends;
+      int late = 0;
+      for (const std::string &content : deadly) {
+        ends += " " + std::to_string(it.endsBy(content).size());
+        late += it.sendsTooLate(content);
+      }
+      std::printf("deadly %d seed %d: ends%s, late sends %d, innocents %d, "
+                  "ordinary %d answered %d lost %d\n",
+                  n, static_cast<int>(seed), ends.c_str(), late, it.Innocents,
+                  it.Ordinary, it.Answered, it.Lost);
+    }
+}
