--- /dev/null
+++ b/test/ForwardUnderTest.h
@@ -0,0 +1,202 @@
+#ifndef PIMENTOFRONT_TEST_FORWARD_UNDER_TEST_H
+#define PIMENTOFRONT_TEST_FORWARD_UNDER_TEST_H
+
+#include "pimentofront/Forward.h"
+
+#include <catch2/catch.hpp>
+
+namespace pimentofront::testing {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Now{100s};
+
+class NoAdapters : public ConfigurationView {
+public:
+  std::optional<AdapterRecord>
+  findAdapter(const AdapterName &name) const override {
+    if (Named == 0)
+      return std::nullopt;
+    return AdapterRecord{.Name = name, .Versions = {{Named, "", true}}};
+  }
+  const KindRecord *findKind(const KindName &) const override {
+    return nullptr;
+  }
+  bool isDrained(const HostName &) const override { return false; }
+  bool isConfirmed(TimePoint) const override { return Confirmed; }
+  VersionNumber Named = 0;
+  bool Confirmed = true;
+};
+
+/// Headers with plain names: id, time, adapter; stamp, not-run.
+class PlainHeaders : public HeaderCodec {
+public:
+  RequestTraits decodeRequest(const RequestHead &head) const override {
+    RequestTraits traits;
+    if (const std::string *it = findHeader(head.Headers, "id"))
+      traits.Id = *it;
+    if (const std::string *it = findHeader(head.Headers, "time"))
+      traits.TimeLeft = std::chrono::milliseconds(std::stoi(*it));
+    if (const std::string *it = findHeader(head.Headers, "adapter"))
+      traits.Adapter = *it;
+    traits.BaseModel = "m";
+    return traits;
+  }
+  AnswerTraits decodeAnswer(const ResponseHead &head) const override {
+    const std::string *id = findHeader(head.Headers, "id");
+    return {.Id = id ? *id : "",
+            .Stamped = findHeader(head.Headers, "stamp") != nullptr,
+            .NotRun = findHeader(head.Headers, "not-run") != nullptr};
+  }
+  RequestHead encodeRequest(const RequestHead &head,
+                            const ForwardTraits &traits) const override {
+    RequestHead result = head;
+    result.Headers.push_back({"server", traits.Server.str()});
+    if (traits.LastEvent)
+      result.Headers.push_back({"last", std::to_string(*traits.LastEvent)});
+    return result;
+  }
+  HttpHeaders refusalHeaders(const RequestTraits &,
+                             std::optional<Duration> comeBack) const override {
+    if (!comeBack)
+      return {};
+    return {{"come-back", std::to_string(comeBack->count())}};
+  }
+};
+
+inline RouteSpec route(const char *name, Repeatability kind,
+                       const char *service, std::uint32_t servers,
+                       bool resumable = false) {
+  return {.Name = name,
+          .Host = "h",
+          .PathPrefix = std::string("/") + name + "/",
+          .Kind = kind,
+          .Split = {{ServiceName(service), 1}},
+          .Timeout = 10s,
+          .LatencyTarget = 1s,
+          .MaxServers = servers,
+          .Resumable = resumable};
+}
+
+inline MemberRecord server(const char *name, const char *service,
+                           const char *address) {
+  return {.Host = HostName(name),
+          .Zone = ZoneName("z"),
+          .Address = address,
+          .Services = {ServiceName(service)},
+          .Slots = 4,
+          .Registered = true};
+}
+
+inline MemberRecord agent(const char *name, const char *address) {
+  return {.Host = HostName(name),
+          .Incarnation = 1,
+          .Address = address,
+          .BaseModel = "engines",
+          .Slots = 8,
+          .BatchCapacity = 8};
+}
+
+/// An entry before two plain servers and two engines with their agents.
+struct ForwardUnderTest {
+  explicit ForwardUnderTest(bool withTable = true)
+      : Controller({.Incarnation = 5, .Servers = {.Zone = ZoneName("z")}},
+                   Configuration, Headers, Routing) {
+    if (withTable)
+      setTable();
+    Controller.onMembers(
+        Now, {.Full = true,
+              .Complete = true,
+              .Members = {server("p1", "plain", "1.0.0.1:80"),
+                          server("p2", "plain", "1.0.0.2:80"),
+                          server("e1", "engines", "1.0.0.3:80"),
+                          server("e2", "engines", "1.0.0.4:80"),
+                          agent("a1", "1.0.0.3:9"), agent("a2", "1.0.0.4:9")}});
+  }
+
+  void setTable() {
+    RoutingDocument document{
+        .Routes = {route("safe", Repeatability::Idempotent, "plain", 2),
+                   route("once", Repeatability::NonIdempotent, "plain", 1),
+                   route("flow", Repeatability::Stream, "engines", 2, true),
+                   route("brook", Repeatability::Stream, "engines", 1)},
+        .Services = {{.Name = ServiceName("plain")},
+                     {.Name = ServiceName("engines"),
+                      .Engine = EngineSpec{.AdapterSlots = 2}}}};
+    Controller.setTable(
+        std::make_shared<const RoutingTable>(1, std::move(document)));
+  }
+  /// Refuses for the agent that was asked last.
+  void refuse(TimePoint now, RefusalReason reason) {
+    const auto asked = only<SendToAgent>();
+    const auto execute = std::get<ExecuteRequest>(asked.Content);
+    Controller.attempts().onRefused(
+        now, asked.Host, {.Attempt = execute.Attempt, .Reason = reason});
+  }
+
+  void request(const char *route, int milliseconds = 5000,
+               const char *adapter = "x") {
+    Controller.onRequest(Now, 1,
+                         {"POST",
+                          std::string("/") + route + "/q",
+                          {{"Host", "h"},
+                           {"id", "r1"},
+                           {"time", std::to_string(milliseconds)},
+                           {"adapter", adapter}}},
+                         "body");
+  }
+
+  template <class T> std::vector<T> take() {
+    for (ForwardCommand &it : Controller.takeCommands())
+      Commands.push_back(std::move(it));
+    std::vector<T> result;
+    std::erase_if(Commands, [&](ForwardCommand &it) {
+      auto *command = std::get_if<T>(&it);
+      if (command)
+        result.push_back(std::move(*command));
+      return command != nullptr;
+    });
+    return result;
+  }
+  template <class T> T only() {
+    auto all = take<T>();
+    REQUIRE(all.size() == 1);
+    return all.front();
+  }
+  /// Grants the permit that the entry asks for; \returns the send.
+  SendUpstream permit() {
+    const auto asked = only<SendToAgent>();
+    const auto execute = std::get<ExecuteRequest>(asked.Content);
+    Controller.attempts().onPermit(Now, asked.Host, {execute.Attempt, {}});
+    return only<SendUpstream>();
+  }
+  HeadVerdict head(const SendUpstream &sent, int status,
+                   HttpHeaders headers = {{"id", "r1"}, {"stamp", "s"}}) {
+    return Controller.answers().onHead(Now, sent.Attempt,
+                                       {status, std::move(headers)});
+  }
+  void body(const SendUpstream &sent, std::string_view bytes) {
+    Controller.answers().onBody(Now, sent.Attempt, bytes);
+  }
+  /// A server whose connection ends still lives, when it is looked at.
+  void end(const SendUpstream &sent, UpstreamEnding ending,
+           ServerLife life = ServerLife::Lives) {
+    Controller.answers().onEnd(Now, sent.Attempt, ending);
+    for (const CheckServer &it : take<CheckServer>())
+      Controller.onServerChecked(Now, it.Server, life);
+  }
+
+  NoAdapters Configuration;
+  PlainHeaders Headers;
+  LeastLoaded Routing;
+  ForwardController Controller;
+  std::vector<ForwardCommand> Commands;
+};
+
+constexpr auto Whole = UpstreamEnding::Complete;
+constexpr auto Broke = UpstreamEnding::BrokeOff;
+constexpr auto NotSent = UpstreamEnding::NotSent;
+
+} // namespace pimentofront::testing
+
+#endif
--- /dev/null
+++ b/test/QuarantineControllerTest.cpp
@@ -0,0 +1,252 @@
+#include "ForwardUnderTest.h"
+
+using namespace pimentofront;
+using namespace pimentofront::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr ServerLife Ended = ServerLife::Ended;
+
+/// An entry, and the questions that it has for the replicas.
+struct WatchfulEntry : ForwardUnderTest {
+  /// The question of this sort that the entry asks now.
+  template <class T> std::optional<T> question() {
+    std::optional<T> found;
+    for (const AskReplicas &it : take<AskReplicas>())
+      if (const auto *body = std::get_if<T>(&it.Question)) {
+        found = *body;
+        Nonce = it.Nonce;
+      }
+    return found;
+  }
+  void decide(CommandResult result, TimePoint at = Now) {
+    Controller.onDecision(at, Nonce, CommandOutcome{.Result = result});
+  }
+  ContentHash contentOfRequest() const {
+    return Controller.board().Requests.at(1).Content;
+  }
+  void tell(QuarantineState state) {
+    Controller.quarantine().onUpdate(
+        {.To = 9, .Notices = {{contentOfRequest(), state}}});
+  }
+  /// The request is in progress only to be known; its end is of no interest.
+  void learnContent(QuarantineState state) {
+    request("safe");
+    tell(state);
+    Controller.onCallerGone(Now, 1);
+    Controller.takeCommands();
+  }
+
+  std::uint64_t Nonce = 0;
+};
+
+} // namespace
+
+TEST_CASE("an end of a server is reported with all that was at work there") {
+  WatchfulEntry it;
+  it.request("safe");
+  const auto sent = it.only<SendUpstream>();
+  it.Controller.answers().onEnd(Now, sent.Attempt, Broke);
+  const auto check = it.only<CheckServer>();
+  CHECK(check.Server == sent.Server);
+  CHECK(check.Address == sent.Address);
+  CHECK(it.take<SendUpstream>().empty());
+  const ContentHash content = it.contentOfRequest();
+  it.Controller.onServerChecked(Now, check.Server, Ended);
+  const auto asked = it.take<AskReplicas>();
+  REQUIRE(asked.size() == 2);
+  const auto report = std::get<ReportServerEnd>(asked[0].Question);
+  CHECK(report.Server == sent.Server);
+  CHECK(report.AtWork ==
+        std::vector<RequestAtWork>{{content, /*Answering=*/false, {}}});
+  // It isn't sent again before the replicas have given leave.
+  CHECK(std::get<ClaimTrial>(asked[1].Question).Content == content);
+  CHECK(it.take<SendUpstream>().empty());
+  it.Controller.onDecision(Now, asked[1].Nonce, CommandOutcome{});
+  CHECK(it.only<SendUpstream>().Server != sent.Server);
+}
+
+TEST_CASE("what is no end of a process reports nothing") {
+  WatchfulEntry it;
+  it.request("safe");
+  const auto sent = it.only<SendUpstream>();
+  SECTION("the process lives, its connection was reset") {
+    it.end(sent, Broke, ServerLife::Lives);
+  }
+  SECTION("silence: a cut, or a host without power") {
+    it.end(sent, Broke, ServerLife::Unknown);
+  }
+  SECTION("the server had said that it leaves") {
+    MemberRecord leaving =
+        server(sent.Server.Name.str().c_str(), "plain", sent.Address.c_str());
+    leaving.Leaving = true;
+    it.Controller.onMembers(Now, {.Members = {leaving}});
+    it.Controller.answers().onEnd(Now, sent.Attempt, Broke);
+    CHECK(it.take<CheckServer>().empty());
+  }
+  SECTION("it answered nonsense") {
+    it.head(sent, 200, {{"id", "r1"}});
+    CHECK(it.take<CheckServer>().empty());
+  }
+  CHECK(it.take<AskReplicas>().empty());
+  it.only<SendUpstream>();
+}
+
+TEST_CASE("a server that turned a connection away is looked at, too") {
+  WatchfulEntry it;
+  it.request("safe");
+  it.end(it.only<SendUpstream>(), UpstreamEnding::TurnedAway, Ended);
+  CHECK(it.question<ReportServerEnd>());
+}
+
+TEST_CASE("who may not be repeated has its answer before the server is looked "
+          "at") {
+  WatchfulEntry it;
+  it.request("once");
+  const auto sent = it.only<SendUpstream>();
+  const ContentHash content = it.contentOfRequest();
+  it.Controller.answers().onEnd(Now, sent.Attempt, Broke);
+  CHECK(it.only<ReplyWhole>().Head.Status == 502);
+  it.Controller.onServerChecked(Now, it.only<CheckServer>().Server, Ended);
+  const auto report = it.question<ReportServerEnd>();
+  REQUIRE(report);
+  CHECK(report->AtWork.front().Content == content);
+}
+
+TEST_CASE("a request in quarantine has its final answer at once") {
+  WatchfulEntry it;
+  it.learnContent(QuarantineState::Quarantined);
+  it.request("safe");
+  const auto reply = it.only<ReplyWhole>();
+  // It has run, under other ids: neither "not run" nor a time to come back.
+  CHECK(reply.Head.Status == 502);
+  CHECK_FALSE(findHeader(reply.Head.Headers, "come-back"));
+  CHECK(reply.Body == "quarantined\n");
+  CHECK(it.take<SendUpstream>().empty());
+  CHECK(it.take<AskReplicas>().empty());
+  CHECK(it.Controller.idle());
+}
+
+TEST_CASE("a watched request is tried with leave, and its end is told") {
+  WatchfulEntry it;
+  it.learnContent(QuarantineState::Watched);
+  it.request("safe");
+  REQUIRE(it.question<ClaimTrial>());
+  CHECK(it.take<SendUpstream>().empty());
+  SECTION("the server survives it") {
+    it.decide(CommandResult::Accepted);
+    const auto sent = it.only<SendUpstream>();
+    it.head(sent, 200);
+    it.end(sent, Whole);
+    CHECK(it.question<EndTrial>()->Ending == TrialEnding::Survived);
+    it.request("safe");
+    it.only<SendUpstream>();
+  }
+  SECTION("the server failed it, and lives") {
+    it.decide(CommandResult::Accepted);
+    it.head(it.only<SendUpstream>(), 500);
+    CHECK(it.question<EndTrial>()->Ending == TrialEnding::Survived);
+  }
+  SECTION("the server ends: the leave goes with the report") {
+    it.decide(CommandResult::Accepted);
+    it.end(it.only<SendUpstream>(), Broke, Ended);
+    CHECK(it.question<ReportServerEnd>()->AtWork.front().Holder ==
+          AttemptId{5, 1});
+  }
+  SECTION("its caller leaves meanwhile") {
+    it.decide(CommandResult::Accepted);
+    it.only<SendUpstream>();
+    it.Controller.onCallerGone(Now, 1);
+    CHECK(it.question<EndTrial>()->Ending == TrialEnding::Unclear);
+  }
+  SECTION("its caller leaves before the leave has come") {
+    it.Controller.onCallerGone(Now, 1);
+    CHECK(it.question<EndTrial>()->Ending == TrialEnding::NotRun);
+    it.decide(CommandResult::Accepted);
+    CHECK(it.take<SendUpstream>().empty());
+  }
+  SECTION("it is clear meanwhile") {
+    it.decide(CommandResult::NotFound);
+    it.only<SendUpstream>();
+  }
+  SECTION("it is in quarantine meanwhile") {
+    it.decide(CommandResult::Quarantined);
+    CHECK(it.only<ReplyWhole>().Head.Status == 502);
+  }
+  SECTION("another attempt at it is under way, until the caller has to go") {
+    it.decide(CommandResult::InProgress);
+    CHECK(it.take<ReplyWhole>().empty());
+    it.Controller.tick(Now + 200ms);
+    REQUIRE(it.question<ClaimTrial>());
+    it.decide(CommandResult::InProgress, Now + 3s);
+    // This attempt truly hasn't run.
+    const auto reply = it.only<ReplyWhole>();
+    CHECK(reply.Head.Status == 503);
+    CHECK(findHeader(reply.Head.Headers, "come-back"));
+  }
+  SECTION("the replicas say nothing") {
+    it.Controller.onDecision(Now + 3s, it.Nonce, std::nullopt);
+    CHECK(it.only<ReplyWhole>().Head.Status == 503);
+    CHECK(it.take<SendUpstream>().empty());
+  }
+}
+
+TEST_CASE("after a second end the other entries' reports are waited for") {
+  WatchfulEntry it;
+  it.learnContent(QuarantineState::Watched);
+  it.request("safe");
+  REQUIRE(it.question<ClaimTrial>());
+  it.decide(CommandResult::Accepted);
+  it.end(it.only<SendUpstream>(), Broke, Ended);
+  CHECK_FALSE(it.question<ClaimTrial>());
+  it.Controller.tick(Now + 50ms);
+  CHECK_FALSE(it.question<ClaimTrial>());
+  it.Controller.tick(Now + 60ms);
+  CHECK(it.question<ClaimTrial>());
+}
+
+TEST_CASE("two requests that differ in one byte aren't the same") {
+  WatchfulEntry it;
+  it.learnContent(QuarantineState::Quarantined);
+  const RequestHead head{
+      "POST", "/safe/q", {{"Host", "h"}, {"id", "r2"}, {"time", "5000"}}};
+  const auto hash = [](const char *text) {
+    return ContentHasher().add(text).finish();
+  };
+  it.Controller.onRequest(Now, 2, head, "body", hash("body"));
+  it.Controller.onRequest(Now, 3, head, "bodz", hash("bodz"));
+  CHECK(it.take<SendUpstream>().size() == 2);
+}
+
+TEST_CASE("an entry that slept asks before it sends") {
+  WatchfulEntry it;
+  const TimePoint woken = Now + 3s;
+  it.Controller.quarantine().onWake(Now);
+  it.request("safe");
+  CHECK(it.take<SendUpstream>().empty());
+  SECTION("until it knows what was decided meanwhile") {
+    it.Controller.quarantine().onKnown(Now - 1ms);
+    it.Controller.tick(Now + 100ms);
+    CHECK(it.take<SendUpstream>().empty());
+    it.Controller.quarantine().onKnown(Now);
+    it.Controller.tick(Now + 200ms);
+    it.only<SendUpstream>();
+  }
+  SECTION("but not for long, if nobody can tell it") {
+    it.Controller.tick(Now + 400ms);
+    CHECK(it.take<SendUpstream>().empty());
+    it.Controller.tick(Now + 600ms);
+    it.only<SendUpstream>();
+  }
+  SECTION("and a permit of before is no use past the caller's time") {
+    it.Controller.onCallerGone(Now, 1);
+    it.Controller.quarantine().onKnown(Now);
+    it.request("flow", 1000);
+    const auto asked = it.only<SendToAgent>();
+    const auto execute = std::get<ExecuteRequest>(asked.Content);
+    it.Controller.attempts().onPermit(woken, asked.Host, {execute.Attempt, {}});
+    CHECK(it.take<SendUpstream>().empty());
+    CHECK(it.only<ReplyWhole>().Head.Status == 503);
+  }
+}
--- /dev/null
+++ b/test/QuarantineTest.cpp
@@ -0,0 +1,253 @@
+#include "pimentofront/State.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{100s};
+
+ContentHash content(std::uint64_t n) { return {n, n}; }
+AttemptId attempt(std::uint64_t n) { return {7, n}; }
+ServerProcess server(const char *name, std::uint64_t startedAt = 1) {
+  return {HostName(name), startedAt};
+}
+
+/// A ledger and the words of its entries.
+struct LedgerUnderTest {
+  /// All of \p atWork were waiting for their first event.
+  void end(const ServerProcess &process, std::vector<std::uint64_t> atWork,
+           bool answering = false) {
+    ReportServerEnd report{process, {}};
+    for (const std::uint64_t it : atWork)
+      report.AtWork.push_back({content(it), answering, {}});
+    Ledger.report(report);
+  }
+  CommandResult claim(std::uint64_t n, std::uint64_t by = 1) {
+    return Ledger.claim({content(n), attempt(by), 5s}).Result;
+  }
+  void give(std::uint64_t n, TrialEnding ending, std::uint64_t by = 1) {
+    Ledger.end({content(n), attempt(by), ending});
+  }
+  /// A trial of \p n that ends its server.
+  void failedTrial(std::uint64_t n, const ServerProcess &process) {
+    REQUIRE(claim(n) == CommandResult::Accepted);
+    Ledger.report({process, {{content(n), false, attempt(1)}}});
+  }
+
+  QuarantineLedger Ledger;
+};
+
+constexpr auto Granted = CommandResult::Accepted;
+constexpr auto Quarantined = CommandResult::Quarantined;
+
+} // namespace
+
+TEST_CASE("what no server ended under needs no leave") {
+  LedgerUnderTest it;
+  CHECK(it.claim(1) == CommandResult::NotFound);
+}
+
+TEST_CASE("a watched request is tried by one attempt at a time") {
+  LedgerUnderTest it;
+  it.end(server("s1"), {1});
+  CHECK(it.claim(1, 1) == Granted);
+  CHECK(it.claim(1, 1) == Granted); // Its answer was lost.
+  CHECK(it.claim(1, 2) == CommandResult::InProgress);
+  it.give(1, TrialEnding::NotRun, 2); // Not the holder's word.
+  CHECK(it.claim(1, 2) == CommandResult::InProgress);
+  it.give(1, TrialEnding::NotRun, 1);
+  CHECK(it.claim(1, 2) == Granted);
+}
+
+TEST_CASE("three ends, one of them alone, put a request in quarantine") {
+  LedgerUnderTest it;
+  it.end(server("s1"), {1, 2, 3});
+  it.failedTrial(1, server("s2"));
+  it.failedTrial(1, server("s3"));
+  CHECK(it.claim(1) == Quarantined);
+  CHECK(it.Ledger.find(content(1))->Quarantined);
+  CHECK(it.claim(2) == Granted);
+}
+
+TEST_CASE("a process counts once, whoever saw it end") {
+  LedgerUnderTest it;
+  for (int i = 0; i < 4; ++i)
+    it.end(server("s1"), {1});
+  CHECK(it.Ledger.find(content(1))->Ends.size() == 1);
+  SECTION("its next process counts anew") {
+    it.end(server("s1", 2), {1});
+    it.end(server("s1", 3), {1});
+    CHECK(it.claim(1) == Quarantined);
+  }
+}
+
+TEST_CASE("neighbours that saw the same ends aren't told apart too early") {
+  LedgerUnderTest it;
+  for (const char *name : {"s1", "s2", "s3", "s4"}) {
+    it.end(server(name), {1, 2});
+    CHECK(it.claim(1) == Granted);
+    it.give(1, TrialEnding::NotRun);
+  }
+  SECTION("the one that survives a server leaves the other one guilty") {
+    it.give(2, TrialEnding::Survived);
+    CHECK(it.Ledger.find(content(2)) == nullptr);
+    CHECK(it.claim(1) == Quarantined);
+  }
+  SECTION("but five ends are too many in any case") {
+    it.end(server("s5"), {1, 2});
+    CHECK(it.claim(1) == Quarantined);
+  }
+}
+
+TEST_CASE("what was answering when its servers ended is no first suspect") {
+  LedgerUnderTest it;
+  for (const char *name : {"s1", "s2", "s3", "s4"})
+    it.end(server(name), {1}, /*answering=*/true);
+  CHECK(it.claim(1) == Granted);
+  it.give(1, TrialEnding::NotRun);
+  it.end(server("s5"), {1}, /*answering=*/true);
+  CHECK(it.claim(1) == Quarantined);
+}
+
+TEST_CASE("trials after the third end that tell nothing are few") {
+  LedgerUnderTest it;
+  for (const char *name : {"s1", "s2", "s3"})
+    it.end(server(name), {1, 2});
+  for (int i = 0; i < 2; ++i) {
+    CHECK(it.claim(1) == Granted);
+    it.give(1, TrialEnding::Unclear);
+  }
+  CHECK(it.claim(1) == Quarantined);
+  // One that didn't reach a server isn't one.
+  for (int i = 0; i < 9; ++i) {
+    CHECK(it.claim(2) == Granted);
+    it.give(2, TrialEnding::NotRun);
+  }
+}
+
+TEST_CASE("servers get mended: a quarantine ends with one careful trial") {
+  LedgerUnderTest it;
+  QuarantineReview review({.WatchedKept = 1min, .QuarantineKept = 10min});
+  for (const char *name : {"s1", "s2", "s3"})
+    it.end(server(name), {1});
+  REQUIRE(it.claim(1) == Quarantined);
+  const auto pass = [&](TimePoint at) {
+    it.Ledger.review(review.take(at, it.Ledger));
+  };
+  pass(Now);
+  pass(Now + 9min);
+  CHECK(it.claim(1) == Quarantined);
+  pass(Now + 10min);
+  SECTION("which a server survives") {
+    CHECK(it.claim(1) == Granted);
+    it.give(1, TrialEnding::Survived);
+    CHECK(it.claim(1) == CommandResult::NotFound);
+  }
+  SECTION("or not, and the time doubles") {
+    it.failedTrial(1, server("s4"));
+    CHECK(it.claim(1) == Quarantined);
+    pass(Now + 11min);
+    pass(Now + 22min);
+    CHECK(it.claim(1) == Quarantined);
+    pass(Now + 32min);
+    CHECK(it.claim(1) == Granted);
+  }
+  SECTION("an end that was under way doesn't count as such a trial") {
+    it.end(server("s9"), {1});
+    pass(Now + 11min);
+    pass(Now + 22min);
+    CHECK(it.Ledger.find(content(1))->Quarantines == 2);
+  }
+}
+
+TEST_CASE("what nobody sends any more is forgotten, with a lost trial before") {
+  LedgerUnderTest it;
+  QuarantineReview review({.WatchedKept = 1min});
+  it.end(server("s1"), {1, 2});
+  REQUIRE(it.claim(1) == Granted);
+  const auto pass = [&](TimePoint at) {
+    it.Ledger.review(review.take(at, it.Ledger));
+  };
+  pass(Now);
+  // Its entry has ended: the leave lasts as long as the attempt could.
+  pass(Now + 5s);
+  CHECK(it.claim(1, 2) == CommandResult::InProgress);
+  pass(Now + 6s);
+  CHECK(it.claim(1, 2) == Granted);
+  pass(Now + 1min);
+  CHECK_FALSE(it.Ledger.find(content(2)));
+}
+
+TEST_CASE("a host that sleeps makes a quarantine's time pass, too") {
+  LedgerUnderTest it;
+  QuarantineReview review({.WatchedKept = 1min});
+  it.end(server("s1"), {1});
+  review.take(Now, it.Ledger);
+  // The boot clock has counted the hour asleep; nothing else has.
+  CHECK(review.take(Now + 1h, it.Ledger).Due.size() == 1);
+}
+
+TEST_CASE("an operator's release clears a request") {
+  LedgerUnderTest it;
+  for (const char *name : {"s1", "s2", "s3"})
+    it.end(server(name), {1});
+  REQUIRE(it.claim(1) == Quarantined);
+  CHECK(it.Ledger.release({content(1)}).Result == Granted);
+  CHECK(it.Ledger.release({content(1)}).Result == CommandResult::NotFound);
+  CHECK(it.claim(1) == CommandResult::NotFound);
+}
+
+TEST_CASE("entries get what changed, or all if they missed removals") {
+  QuarantineLedger ledger({.RemovalsKept = 2});
+  const auto report = [&](std::uint64_t n) {
+    ledger.report({server("s1"), {{content(n), false, {}}}});
+  };
+  for (std::uint64_t i = 1; i <= 5; ++i)
+    report(i);
+  const auto first = ledger.updateSince(0);
+  REQUIRE(first);
+  CHECK(first->Notices.size() == 5);
+  CHECK_FALSE(ledger.updateSince(first->To));
+  ledger.release({content(1)});
+  const auto second = ledger.updateSince(first->To);
+  REQUIRE(second);
+  CHECK_FALSE(second->Full);
+  CHECK(second->Notices ==
+        std::vector<QuarantineNotice>{{content(1), QuarantineState::Clear}});
+  for (std::uint64_t i = 2; i <= 4; ++i)
+    ledger.release({content(i)});
+  const auto third = ledger.updateSince(first->To);
+  REQUIRE(third);
+  CHECK(third->Full);
+  CHECK(third->Notices.size() == 1);
+}
+
+TEST_CASE("the ledger is bounded, and gives up what is watched longest") {
+  QuarantineLedger ledger({.Capacity = 3});
+  for (const char *name : {"s1", "s2", "s3"})
+    ledger.report({server(name), {{content(1), false, {}}}});
+  ledger.claim({content(1), attempt(1), 1s});
+  for (std::uint64_t i = 2; i <= 9; ++i)
+    ledger.report({server("s4"), {{content(i), false, {}}}});
+  CHECK(ledger.records().size() == 3);
+  CHECK(ledger.find(content(1))->Quarantined);
+  CHECK(ledger.find(content(9)));
+}
+
+TEST_CASE("the quarantine outlives a restart of the replicas") {
+  StateMachine state;
+  for (const char *name : {"s1", "s2", "s3"})
+    state.apply(
+        0, {.Body = ReportServerEnd{server(name), {{content(1), false, {}}}}});
+  const Command claim{.Body = ClaimTrial{content(1), attempt(1), 1s}};
+  REQUIRE(state.apply(0, claim).Result == Quarantined);
+  StateMachine copy;
+  REQUIRE(copy.decode(state.encode()));
+  CHECK(copy.apply(0, claim).Result == Quarantined);
+  CHECK(copy.quarantine().version() == state.quarantine().version());
+  // One that was further than the snapshot tells gets the whole.
+  CHECK(copy.quarantine().updateSince(0)->Full);
+}
