--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -139,6 +139,16 @@
     {"request_lost", "why=broke_off",
      "its answer broke off and it could not be sent again; see "
      "attempt_broke_off for the server"},
+    {"request_lost", "why=quarantined",
+     "backend servers ended under this content (see server_ended and the lines "
+     "with the same content), so none gets it; status lists it, release clears "
+     "it"},
+    {"request_lost", "why=on_trial",
+     "a server had ended under the same content, and another attempt at it was "
+     "under way"},
+    {"request_lost", "why=no_leave",
+     "a server had ended under the same content, and the replicas didn't say "
+     "whether it may be tried; look for replica_state and peer_lost"},
     {"caller_gone", "", "the caller gave it up before the end"},
     {"request_answered", "status=5", "the backend server answered a failure"},
     {"request_answered", "",
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -25,6 +25,8 @@
     "  set-kind NAME                     with --weight, --window-ms, --limit,\n"
     "                                    --caller-limit\n"
     "  drain HOST, undrain HOST          take a backend server out, or back\n"
+    "  release CONTENT                   clear a request under which servers "
+    "ended\n"
     "  bootstrap                         make this replica the group, once\n"
     "  remove-replica HOST               take a replica out for good\n"
     "Questions:\n"
@@ -163,6 +165,15 @@
   return exitOf(client.call(method, request));
 }
 
+int release(Client &client, const Arguments &arguments) {
+  if (arguments.Words.size() != 2)
+    return usage();
+  v1::ReleaseRequestRequest request;
+  fill(*request.mutable_change(), arguments);
+  request.set_content(arguments.Words[1]);
+  return exitOf(client.call("Operator/ReleaseRequest", request));
+}
+
 int generate(Client &client, const Arguments &arguments) {
   if (arguments.Words.size() != 3)
     return usage();
@@ -276,6 +287,8 @@
     return drain(client, arguments, "Operator/Drain");
   if (command == "undrain")
     return drain(client, arguments, "Operator/Undrain");
+  if (command == "release")
+    return release(client, arguments);
   if (command == "generate")
     return generate(client, arguments);
   if (command == "call")
--- a/packages/daemon/src/OperatorApi.cpp
+++ b/packages/daemon/src/OperatorApi.cpp
@@ -124,6 +124,7 @@
   void add(const std::string &address, const std::optional<AdminReply> &reply);
   void addReplica(const std::string &address, const ReplicaStatus &status);
   void addMembers(const ReplicaStatus &status);
+  void addQuarantine(const ReplicaStatus &status);
   void finish();
 };
 
@@ -164,12 +165,24 @@
   }
 }
 
+void StatusCollector::addQuarantine(const ReplicaStatus &status) {
+  for (const QuarantineRecord &it : status.Quarantine) {
+    v1::SuspectedRequest *request = Response.add_suspected_requests();
+    request->set_content(it.Content.str());
+    request->set_quarantined(it.Quarantined);
+    for (const ServerEnd &end : it.Ends)
+      request->add_servers(end.Server.Name.str());
+  }
+}
+
 void StatusCollector::add(const std::string &address,
                           const std::optional<AdminReply> &reply) {
   if (reply) {
     addReplica(address, reply->Status);
-    if (reply->Status.Leads)
+    if (reply->Status.Leads) {
       addMembers(reply->Status);
+      addQuarantine(reply->Status);
+    }
   } else {
     Response.add_replicas()->set_address(address);
   }
@@ -228,6 +241,19 @@
             SetDrained{HostName(message.host()), drained});
 }
 
+void releaseRequest(const ApiParts &parts, TimePoint now, const ApiCall &call) {
+  v1::ReleaseRequestRequest message;
+  if (!readOrFail(call, message))
+    return;
+  const ContentHash content = ContentHash::parse(message.content());
+  if (content.empty())
+    return call.fail({.Code = ConnectCode::InvalidArgument,
+                      .Message = "content is a hash of 32 hexadecimal digits",
+                      .NotRun = true,
+                      .Reason = "invalid"});
+  propose(parts, now, call, message.change(), ReleaseQuarantine{content});
+}
+
 bool serveChange(const ApiParts &parts, TimePoint now, std::string_view method,
                  const ApiCall &call) {
   if (method == "CreateAdapter") {
@@ -256,6 +282,8 @@
               SetKind{toRecord(message.kind())});
   } else if (method == "Drain" || method == "Undrain") {
     setDrained(parts, now, call, method == "Drain");
+  } else if (method == "ReleaseRequest") {
+    releaseRequest(parts, now, call);
   } else {
     return false;
   }
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -305,6 +305,8 @@
       .InForce = Listeners.inForce()};
   for (const auto &[host, it] : Members.members())
     result.Members.push_back(it);
+  for (const auto &[content, it] : State.quarantine().records())
+    result.Quarantine.push_back(it);
   return result;
 }
 
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -209,8 +209,11 @@
   std::vector<ReplicaDescriptor> Group;
   std::vector<MemberRecord> Members;
   std::vector<RevisionInForce> InForce;
+  /// Requests under which backend servers ended.
+  std::vector<QuarantineRecord> Quarantine;
   PIMENTOFRONT_FIELDS(ReplicaStatus, Host, Identity, Leads, Term, CommitIndex,
-                      Current, Adapters, Claims, Group, Members, InForce)
+                      Current, Adapters, Claims, Group, Members, InForce,
+                      Quarantine)
 };
 
 /// Replica to process.
