Count the later process that a trial has met under a known name

Cause: servers that keep their name and are back within 300 ms; an entry that doesn't know of the next process yet names the former one in its report, which counts once. A trial that began after that end was known has met a later process: it counts.

--- a/packages/state/pimentofront/src/State/QuarantineLedger.cpp
+++ b/packages/state/pimentofront/src/State/QuarantineLedger.cpp
@@ -65,15 +65,30 @@
   return {.At = Version};
 }
 
+/// A process that had ended when a trial began can't have ended by it: then it
+/// was a later one under that name, which the entry didn't know of yet. Counted
+/// as one, twelve servers ended in place of five where processes keep their
+/// names and are back within some hundred milliseconds.
+bool QuarantineLedger::isKnownEnd(const QuarantineRecord &record,
+                                  const ServerProcess &server, bool tried) {
+  const ServerEnd *end = findEnd(record, server);
+  const bool before =
+      end && end - record.Ends.data() <
+                 static_cast<std::ptrdiff_t>(record.EndsAtGrant);
+  return end && !(tried && before);
+}
+
 void QuarantineLedger::add(const ServerProcess &server,
                            const RequestAtWork &request) {
   if (!Records.contains(request.Content))
     makeRoom();
   QuarantineRecord &record = Records[request.Content];
   record.Content = request.Content;
-  if (request.Holder != AttemptId() && record.Holder == request.Holder)
+  const bool tried =
+      request.Holder != AttemptId() && record.Holder == request.Holder;
+  const bool isNew = !isKnownEnd(record, server, tried);
+  if (tried)
     record.Holder = AttemptId();
-  const bool isNew = !findEnd(record, server);
   if (isNew && record.Ends.size() < EndsKept)
     record.Ends.push_back({server, request.Answering});
   // Tried again after a quarantine, it has ended one more.
@@ -129,6 +144,7 @@
   const bool isNew = record.Holder != trial.Holder;
   record.Holder = trial.Holder;
   record.HeldFor = trial.HeldFor;
+  record.EndsAtGrant = static_cast<std::uint32_t>(record.Ends.size());
   const bool late = record.Ends.size() >= Options.EndsToQuarantine;
   if (isNew && late)
     ++record.LateTrials;
--- a/packages/state/pimentofront/src/State/QuarantineLedger.h
+++ b/packages/state/pimentofront/src/State/QuarantineLedger.h
@@ -70,6 +70,8 @@
 
 private:
   void add(const ServerProcess &server, const RequestAtWork &request);
+  static bool isKnownEnd(const QuarantineRecord &record,
+                         const ServerProcess &server, bool tried);
   void change(QuarantineRecord &record);
   void remove(const ContentHash &content);
   void makeRoom();
--- a/packages/wire/pimentofront/src/Wire/Quarantine.h
+++ b/packages/wire/pimentofront/src/Wire/Quarantine.h
@@ -49,6 +49,8 @@
   /// The one attempt that may be made now, and for how long at most.
   AttemptId Holder;
   Duration HeldFor = Duration::zero();
+  /// Ends that were known when the leave was given.
+  std::uint32_t EndsAtGrant = 0;
   /// Trials since enough servers had ended for a quarantine, without a clear
   /// end.
   std::uint32_t LateTrials = 0;
@@ -57,7 +59,7 @@
   /// Version of the ledger at the last change that others must know of.
   std::uint64_t ChangedAt = 0;
   PIMENTOFRONT_FIELDS(QuarantineRecord, Content, Ends, Quarantined, Holder,
-                      HeldFor, LateTrials, Quarantines, ChangedAt)
+                      HeldFor, EndsAtGrant, LateTrials, Quarantines, ChangedAt)
 };
 
 /// What entries have to know of one request.
--- a/test/QuarantineTest.cpp
+++ b/test/QuarantineTest.cpp
@@ -84,6 +84,26 @@
   }
 }
 
+TEST_CASE(
+    "a trial that ends a process known to have ended has met a later one") {
+  LedgerUnderTest it;
+  const ServerProcess known = server("s1");
+  it.end(known, {1});
+  it.failedTrial(1, known);
+  it.failedTrial(1, known);
+  CHECK(it.Ledger.find(content(1))->Ends.size() == 3);
+  CHECK(it.claim(1) == Quarantined);
+}
+
+TEST_CASE("a trial and another attempt that meet one process count it once") {
+  LedgerUnderTest it;
+  it.end(server("s1"), {1});
+  REQUIRE(it.claim(1) == Granted);
+  it.end(server("s2"), {1});
+  it.Ledger.report({server("s2"), {{content(1), false, attempt(1)}}});
+  CHECK(it.Ledger.find(content(1))->Ends.size() == 2);
+}
+
 TEST_CASE("neighbours that saw the same ends aren't told apart too early") {
   LedgerUnderTest it;
   for (const char *name : {"s1", "s2", "s3", "s4"}) {
--- a/test/platform/FakePlatformMain.cpp
+++ b/test/platform/FakePlatformMain.cpp
@@ -34,6 +34,7 @@
 
 /// Engines are in use a little after they have registered.
 constexpr std::string_view FirstOfEngines = "/flow/stream";
+constexpr const char *DeadlyPath = "/safe/crash";
 /// Stands for the request's own id in an expected body.
 constexpr const char *OwnId = "<id>";
 
@@ -86,6 +87,8 @@
     Body += bytes;
   }
   void onEnd(const AttemptId &, UpstreamEnding ending) override {
+    if (Next == expectations().size())
+      return judgeDeadly();
     // Until the servers are known and the document is in force everywhere.
     const bool first =
         Next == 0 ||
@@ -96,7 +99,7 @@
       return;
     }
     judge(ending);
-    if (++Next < expectations().size())
+    if (++Next <= expectations().size())
       Retry = Loop.after(Duration::zero(), [this] { ask(); });
     else
       Loop.stop();
@@ -131,6 +134,8 @@
 
   void put(const FakeServer &server, const char *service,
            const HostPort &address) {
+    if (!server.up())
+      return;
     send("/-/instances/" + server.instance(),
          {{"backend", service},
           {"address", text(address)},
@@ -164,12 +169,13 @@
   }
 
   void ask() {
-    const Expectation &it = expectations()[Next];
+    const char *path =
+        Next < expectations().size() ? expectations()[Next].Path : DeadlyPath;
     Id = "r" + std::to_string(++Asked);
     Status = 0;
     Body.clear();
     RequestHead head{"POST",
-                     it.Path,
+                     path,
                      {{"Host", "test.example"},
                       {"Pimentofront-Attempt-Id", Id},
                       {"Pimentofront-Model", "m0/a1"},
@@ -182,6 +188,24 @@
                   .Body = std::make_shared<const std::string>(1000, 'x')});
   }
 
+  /// A request that ends the servers that run it comes again and again, until
+  /// it is in quarantine, and then some times more.
+  void judgeDeadly() {
+    Held += Body == "quarantined\n" ? 1 : 0;
+    constexpr int HeldTimes = 5;
+    if (Held < HeldTimes) {
+      Retry = Loop.after(std::chrono::milliseconds(50), [this] { ask(); });
+      return;
+    }
+    constexpr std::uint64_t MostCrashes = 5;
+    const std::uint64_t crashes = Plain1.crashes() + Plain2.crashes();
+    const bool good = crashes <= MostCrashes && Status == 502;
+    std::printf("%s: %s ended %llu servers\n", good ? "ok" : "FAILED",
+                DeadlyPath, static_cast<unsigned long long>(crashes));
+    Failures += good ? 0 : 1;
+    Loop.stop();
+  }
+
   int runs() const {
     const auto it = Runs.find(Id);
     return it == Runs.end() ? 0 : it->second;
@@ -218,6 +242,8 @@
   std::size_t Next = 0;
   std::string Id;
   int Status = 0;
+  /// Answers that say that the deadly request is in quarantine.
+  int Held = 0;
   std::string Body;
   int Failures = 0;
 };
--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -65,6 +65,16 @@
     Closing = n == static_cast<ssize_t>(bytes.size());
   }
   const std::string &body() const { return Body; }
+  /// Ends the connection.
+  void finish() {
+    const int fd = bufferevent_getfd(Bev);
+    Closing = true;
+    if (fd < 0)
+      return;
+    bufferevent_disable(Bev, EV_READ | EV_WRITE);
+    bufferevent_setfd(Bev, -1);
+    evutil_closesocket(fd);
+  }
 
 private:
   static void onReadable(bufferevent *bev, void *arg) {
@@ -86,14 +96,6 @@
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
       static_cast<Channel *>(arg)->finish();
   }
-  void finish() {
-    const int fd = bufferevent_getfd(Bev);
-    if (fd < 0)
-      return;
-    bufferevent_disable(Bev, EV_READ | EV_WRITE);
-    bufferevent_setfd(Bev, -1);
-    evutil_closesocket(fd);
-  }
 
   FakeServer &Owner;
   bufferevent *Bev;
@@ -105,22 +107,37 @@
 
 FakeServer::FakeServer(EventLoop &loop, const HostPort &listen,
                        std::string instance, std::map<std::string, int> &runs)
-    : Loop(loop), Instance(std::move(instance)), Runs(runs),
-      StartedAt(static_cast<std::uint64_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              std::chrono::system_clock::now().time_since_epoch())
-              .count())) {
-  const sockaddr_in address = toSocketAddress(listen);
+    : Loop(loop), Address(listen), Instance(std::move(instance)), Runs(runs) {
+  this->listen();
+}
+
+void FakeServer::listen() {
+  StartedAt = Loop.wallMilliseconds();
+  const sockaddr_in address = toSocketAddress(Address);
   constexpr int Backlog = 128;
   Listener = evconnlistener_new_bind(
-      loop.base(), onAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+      Loop.base(), onAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
       Backlog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
   if (!Listener)
     throw std::runtime_error("can't listen on port " +
-                             std::to_string(listen.Port));
+                             std::to_string(Address.Port));
 }
 
-FakeServer::~FakeServer() { evconnlistener_free(Listener); }
+FakeServer::~FakeServer() {
+  if (Listener)
+    evconnlistener_free(Listener);
+}
+
+void FakeServer::crash() {
+  constexpr Duration Pause = std::chrono::milliseconds(300);
+  ++Crashes;
+  evconnlistener_free(std::exchange(Listener, nullptr));
+  for (const auto &it : Channels)
+    it->finish();
+  Adapters.clear();
+  Orders = 0;
+  Restart = Loop.after(Pause, [this] { listen(); });
+}
 
 void FakeServer::onAccept(evconnlistener *, int fd, sockaddr *, int,
                           void *arg) {
@@ -144,6 +161,8 @@
     return channel.write(whole("503 Service Unavailable",
                                echo + "Pimentofront-Not-Executed: 1\r\n", ""));
   const int runs = ++Runs[id];
+  if (how == "crash")
+    return crash();
   if (how == "fail" || (how == "fail-once" && runs == 1))
     channel.write(whole("500 Internal Server Error", stamps, "sorry"));
   else if (how == "cut") {
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -27,6 +27,10 @@
   /// \returns the events of a whole stream.
   static std::string events();
   const std::string &instance() const { return Instance; }
+  /// \returns whether its process runs: a request that ends it has it refuse
+  /// connections for a while, after which another process is there.
+  bool up() const { return Listener != nullptr; }
+  std::uint64_t crashes() const { return Crashes; }
   std::uint64_t orders() const { return Orders; }
   /// \returns when it started, as servers tell it: milliseconds since 1970.
   std::uint64_t startedAt() const { return StartedAt; }
@@ -35,6 +39,8 @@
   class Channel;
   static void onAccept(evconnlistener *, int fd, struct sockaddr *, int,
                        void *arg);
+  void listen();
+  void crash();
   void answer(Channel &channel, const RequestHead &head);
   void answerStream(Channel &channel, const RequestHead &head,
                     const std::string &stamps, bool cut);
@@ -42,6 +48,7 @@
   std::string takeOrder(const std::string &body);
 
   EventLoop &Loop;
+  HostPort Address;
   std::string Instance;
   evconnlistener *Listener = nullptr;
   std::vector<std::unique_ptr<Channel>> Channels;
@@ -49,6 +56,8 @@
   std::set<std::string> Adapters;
   std::uint64_t Orders = 0;
   std::uint64_t StartedAt = 0;
+  std::uint64_t Crashes = 0;
+  std::unique_ptr<Timer> Restart;
 };
 
 } // namespace pimentofront::testkit
