--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -343,7 +343,8 @@
   ServerCrash crash{
       .At = Place.now(), .Server = server.Name, .Content = content};
   server.Up = false;
-  for (const auto &[id, run] : std::exchange(server.Runs, {})) {
+  for (const auto &it : std::exchange(server.Runs, {})) {
+    const Run &run = it.second;
     crash.AtWork.push_back(run.Content);
     tell(run, [this, run](ForwardNode &node) {
       node.upstreamEnd(Place.now(), run.Attempt, UpstreamEnding::BrokeOff);
--- a/test/QuarantineFleetTest.cpp
+++ b/test/QuarantineFleetTest.cpp
@@ -19,6 +19,14 @@
 /// what is decided must be in force everywhere.
 constexpr Duration InForceWithin = 3s;
 
+std::vector<std::string> deadlyRequests(std::size_t n) {
+  std::vector<std::string> result;
+  result.reserve(n);
+  for (std::size_t i = 0; i < n; ++i)
+    result.push_back("deadly-" + std::to_string(i));
+  return result;
+}
+
 /// A fleet under some load, and what became of its callers.
 struct LoadedFleet {
   explicit LoadedFleet(const ForwardFleetOptions &options)
@@ -115,9 +123,7 @@
 
 TEST_CASE("ten such requests at one time cost nobody else the service",
           "[quarantine]") {
-  std::vector<std::string> deadly;
-  for (int i = 0; i < 10; ++i)
-    deadly.push_back("deadly-" + std::to_string(i));
+  const std::vector<std::string> deadly = deadlyRequests(10);
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     LoadedFleet it({.World = {.Seed = seed}});
     it.run(20s, deadly);
@@ -184,11 +190,9 @@
 }
 
 TEST_CASE("figures of the quarantine", "[.figures]") {
-  for (const int n : {0, 1, 3, 10})
+  for (const std::size_t n : {0U, 1U, 3U, 10U})
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-      std::vector<std::string> deadly;
-      for (int i = 0; i < n; ++i)
-        deadly.push_back("deadly-" + std::to_string(i));
+      const std::vector<std::string> deadly = deadlyRequests(n);
       LoadedFleet it({.World = {.Seed = seed}});
       it.run(20s, deadly);
       std::string ends;
@@ -197,7 +201,7 @@
         ends += " " + std::to_string(it.endsBy(content).size());
         late += it.sendsTooLate(content);
       }
-      std::printf("deadly %d seed %d: ends%s, late sends %d, innocents %d, "
+      std::printf("deadly %zu seed %d: ends%s, late sends %d, innocents %d, "
                   "ordinary %d answered %d lost %d\n",
                   n, static_cast<int>(seed), ends.c_str(), late, it.Innocents,
                   it.Ordinary, it.Answered, it.Lost);
