Read again: a check and a stand-in that stood twice, work per request that needn't be done

One hasher serves all requests of an entry, in place of one allocated for each. - hasServersLeft() is the one check of the servers that a route allows; takeRetry() went into its only caller. Unused: QuarantineSet::size(), an argument of checkServer(). - ConnectProbe has one timer in place of a timer and an event's timeout. A test of the probe was missing. - The body's hash has no default: with it all bodies were one.

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -142,8 +142,7 @@
 void AnswerController::brokeOff(TimePoint now, ForwardRequest &request,
                                 bool serverMayHaveEnded) {
   Attempts.note(now, "attempt_broke_off", request);
-  const bool checked =
-      serverMayHaveEnded && Quarantine.checkServer(now, request);
+  const bool checked = serverMayHaveEnded && Quarantine.checkServer(request);
   Attempts.endBroken(now, request);
   // Whoever can't go on has the final answer at once.
   if (!checked || !Attempts.mayRepeat(now, request))
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -386,8 +386,8 @@
   request.Attempt.reset();
 }
 
-bool AttemptController::maySendAgain(const ForwardRequest &request) const {
-  return request.Sends < request.Route->MaxServers && Board.Budget.take();
+bool AttemptController::hasServersLeft(const ForwardRequest &request) {
+  return request.Sends < request.Route->MaxServers;
 }
 
 void AttemptController::notRun(TimePoint now, ForwardRequest &request,
@@ -410,7 +410,7 @@
   endAttempt(now, request, outcome, kind);
   if (!reached && ++request.Unreachable > Board.Options.MaxUnreachable)
     return giveUp(now, request, ForwardFailure::NoServer);
-  if (reached && !maySendAgain(request))
+  if (reached && !(hasServersLeft(request) && Board.Budget.take()))
     return giveUp(now, request, ForwardFailure::Declined);
   next(now, request);
 }
@@ -419,16 +419,11 @@
                                   const ForwardRequest &request) const {
   const bool stream = request.Route->Kind == Repeatability::Stream;
   return request.Route->mayRepeat() && (!request.Answering || stream) &&
-         now < request.Deadline && request.Sends < request.Route->MaxServers;
-}
-
-bool AttemptController::takeRetry(TimePoint now,
-                                  const ForwardRequest &request) const {
-  return mayRepeat(now, request) && Board.Budget.take();
+         now < request.Deadline && hasServersLeft(request);
 }
 
 void AttemptController::tryAgain(TimePoint now, ForwardRequest &request) {
-  if (!takeRetry(now, request))
+  if (!mayRepeat(now, request) || !Board.Budget.take())
     return giveUp(now, request, ForwardFailure::BrokeOff);
   note(now, "request_sent_again", request);
   next(now, request);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -38,9 +38,6 @@
   /// The server didn't run the request; \p outcome says why.
   void notRun(TimePoint now, ForwardRequest &request, ServerOutcome outcome,
               ReleaseKind release);
-  /// \returns whether a request that may have run may be sent to another
-  /// server, and takes that from the budget.
-  bool takeRetry(TimePoint now, const ForwardRequest &request) const;
   /// Ends an attempt that failed, after which the request may have run.
   void endBroken(TimePoint now, ForwardRequest &request);
   /// Sends a request whose attempt has failed to another server, or gives it
@@ -74,7 +71,8 @@
   void release(const ForwardAttempt &attempt, ReleaseKind kind);
   void noteLoad(const HostName &agent, const LoadFigures &load);
   ForwardRequest *find(const AttemptId &attempt, const HostName &agent);
-  bool maySendAgain(const ForwardRequest &request) const;
+  /// \returns whether its route allows it a further server.
+  static bool hasServersLeft(const ForwardRequest &request);
   /// \returns whether whoever was asked is out of service, not overloaded.
   bool isOutage(const ForwardRequest &request) const;
 
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -27,11 +27,10 @@
 
 /// \returns what tells the request from others, whatever ids its attempts bear:
 /// where it is sent, who sends it, and its body.
-ContentHash contentOf(const ForwardRequest &request,
+ContentHash contentOf(ContentHasher &hasher, const ForwardRequest &request,
                       const ContentHash &bodyHash) {
   const std::string *host = findHeader(request.Head.Headers, "host");
-  return ContentHasher()
-      .addField(request.Head.Method)
+  return hasher.addField(request.Head.Method)
       .addField(host ? *host : std::string())
       .addField(request.Head.Target)
       .addField(request.Traits.Caller)
@@ -79,7 +78,7 @@
           .first->second;
   request.Traits = Board.Codec.decodeRequest(request.Head);
   request.Events = EventStream(request.Traits.LastEvent);
-  request.Content = contentOf(request, bodyHash);
+  request.Content = contentOf(Hasher, request, bodyHash);
   resolve(now, request);
 }
 
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -23,9 +23,10 @@
   /// to each backend server.
   void onEntries(TimePoint now, std::uint32_t entries);
 
-  /// A request has arrived whole. \p key names it until its answer has ended.
+  /// A request has arrived whole; \p bodyHash stands for its body. \p key names
+  /// it until its answer has ended.
   void onRequest(TimePoint now, std::uint64_t key, RequestHead head,
-                 std::string body, const ContentHash &bodyHash = {});
+                 std::string body, const ContentHash &bodyHash);
   /// The caller has closed its connection.
   void onCallerGone(TimePoint now, std::uint64_t key);
 
@@ -62,6 +63,7 @@
   ForwardBoard Board;
   HoldController Holds;
   QuarantineController Quarantine;
+  ContentHasher Hasher;
   AttemptController Attempts;
   AnswerController Answers;
 };
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -116,7 +116,7 @@
 // Ends of servers
 //===----------------------------------------------------------------------===//
 
-bool QuarantineController::checkServer(TimePoint, ForwardRequest &request) {
+bool QuarantineController::checkServer(ForwardRequest &request) {
   const ServerProcess process = request.Attempt->Server;
   const ServerView *server = Board.Servers.find(process);
   // One that said that it leaves has ended by plan.
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.h
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.h
@@ -54,7 +54,7 @@
   /// An attempt broke off: its server is looked at.
   /// \returns whether it is. Then onServerChecked() names the request again,
   /// unless it has ended meanwhile.
-  bool checkServer(TimePoint now, ForwardRequest &request);
+  bool checkServer(ForwardRequest &request);
   /// \returns the requests that waited for it.
   std::vector<std::uint64_t>
   onServerChecked(TimePoint now, const ServerProcess &server, ServerLife life);
--- a/packages/forward/pimentofront/src/Forward/QuarantineSet.h
+++ b/packages/forward/pimentofront/src/Forward/QuarantineSet.h
@@ -22,7 +22,6 @@
   void onReported(const ContentHash &content, std::uint64_t version);
   /// The ledger says what the request is.
   void put(const ContentHash &content, QuarantineState state);
-  std::size_t size() const { return Known.size(); }
 
 private:
   std::unordered_map<ContentHash, QuarantineState> Known;
--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -82,7 +82,6 @@
   }
   Head = std::move(head);
   Body.clear();
-  Hasher.finish(); // Whatever was left of a message that didn't end.
   return true;
 }
 
--- a/packages/http/pimentofront/src/Http/ConnectProbe.cpp
+++ b/packages/http/pimentofront/src/Http/ConnectProbe.cpp
@@ -25,7 +25,8 @@
   std::uint64_t Id = 0;
   evutil_socket_t Socket = -1;
   event *Ready = nullptr;
-  std::unique_ptr<Timer> Refused;
+  /// Ends the try without the socket's word.
+  std::unique_ptr<Timer> End;
   Callback Done;
 
   ~Try() {
@@ -34,12 +35,11 @@
     if (Socket >= 0)
       evutil_closesocket(Socket);
   }
-  static void onReady(evutil_socket_t fd, short what, void *arg) {
+  static void onReady(evutil_socket_t fd, short, void *arg) {
     auto *self = static_cast<Try *>(arg);
-    int error = ETIMEDOUT;
+    int error = 0;
     socklen_t n = sizeof(error);
-    if (what & EV_WRITE)
-      getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &n);
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &n);
     self->Owner->end(self->Id, lifeBy(error));
   }
 };
@@ -60,17 +60,17 @@
   const sockaddr_in to = toSocketAddress(parsed.value_or(HostPort{}));
   const int result = ::connect(
       slot->Socket, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
-  // A refusal may come at once from this host; it is told a turn later, too.
-  const bool refused = result != 0 && errno == ECONNREFUSED;
+  // A refusal that comes at once, from this host, is told a turn later, too. It
+  // takes the error from the socket, which would then look connected.
+  if (result != 0 && errno == ECONNREFUSED) {
+    slot->End = Loop.after(Duration::zero(),
+                           [this, id] { end(id, ServerLife::Ended); });
+    return;
+  }
   slot->Ready =
       event_new(Loop.base(), slot->Socket, EV_WRITE, Try::onReady, slot.get());
-  constexpr std::int64_t MicrosPerSecond = 1'000'000;
-  const timeval tv{.tv_sec = Timeout.count() / MicrosPerSecond,
-                   .tv_usec = Timeout.count() % MicrosPerSecond};
-  event_add(slot->Ready, &tv);
-  if (refused)
-    slot->Refused = Loop.after(Duration::zero(),
-                               [this, id] { end(id, ServerLife::Ended); });
+  event_add(slot->Ready, nullptr);
+  slot->End = Loop.after(Timeout, [this, id] { end(id, ServerLife::Unknown); });
 }
 
 void ConnectProbe::end(std::uint64_t id, ServerLife life) {
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -58,7 +58,7 @@
   void tick(TimePoint now) override;
 
   void request(TimePoint now, std::uint64_t key, RequestHead head,
-               std::string body, const ContentHash &bodyHash = {});
+               std::string body, const ContentHash &bodyHash);
   void callerGone(TimePoint now, std::uint64_t key);
   HeadVerdict upstreamHead(TimePoint now, const AttemptId &attempt,
                            ResponseHead head);
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -24,36 +24,6 @@
 
 } // namespace
 
-/// Headers with plain names.
-class ForwardFleet::PlainHeaders : public HeaderCodec {
-public:
-  RequestTraits decodeRequest(const RequestHead &head) const override {
-    return {.Id = valueOf(head.Headers, "id"),
-            .TimeLeft = std::chrono::seconds(6)};
-  }
-  AnswerTraits decodeAnswer(const ResponseHead &head) const override {
-    return {.Id = valueOf(head.Headers, "id"),
-            .Stamped = findHeader(head.Headers, "stamp") != nullptr,
-            .NotRun = findHeader(head.Headers, "not-run") != nullptr};
-  }
-  RequestHead encodeRequest(const RequestHead &head,
-                            const ForwardTraits &traits) const override {
-    RequestHead result = head;
-    result.Headers.push_back({"server", traits.Server.str()});
-    if (traits.LastEvent)
-      result.Headers.push_back({"last", std::to_string(*traits.LastEvent)});
-    return result;
-  }
-  HttpHeaders refusalHeaders(const RequestTraits &request,
-                             std::optional<Duration>) const override {
-    return {{"id", request.Id}};
-  }
-  static std::string valueOf(const HttpHeaders &headers, const char *name) {
-    const std::string *value = findHeader(headers, name);
-    return value ? *value : std::string();
-  }
-};
-
 /// One route of resumable streams to one plain service.
 class ForwardFleet::FixedDocument : public DocumentCodec {
 public:
@@ -123,8 +93,7 @@
 };
 
 ForwardFleet::ForwardFleet(const ForwardFleetOptions &options)
-    : Options(options), Place(options.World), Headers(new PlainHeaders),
-      Document(new FixedDocument) {
+    : Options(options), Place(options.World), Document(new FixedDocument) {
   addReplicas();
   addEntries();
   addServers();
@@ -162,7 +131,7 @@
     spec.MakeForward = [this, host](const ForwardNodeOptions &forward,
                                     RoutingPolicy &routing,
                                     Transport &transport) {
-      return std::make_unique<ForwardNode>(Place.now(), forward, *Headers,
+      return std::make_unique<ForwardNode>(Place.now(), forward, Headers,
                                            *Document, routing, transport,
                                            *Fronts.at(host));
     };
@@ -218,9 +187,10 @@
   Calls[key] = {.Answer = {.SentAt = Place.now()}, .Done = std::move(done)};
   if (!entry.Alive)
     return endCall(key, /*whole=*/false);
-  const RequestHead head{"POST",
-                         Path + content,
-                         {{"Host", "h"}, {"id", "r" + std::to_string(key)}}};
+  const RequestHead head{
+      "POST",
+      Path + content,
+      {{"Host", "h"}, {"id", "r" + std::to_string(key)}, {"time", "6000"}}};
   Place.atProcess(entry.Spec.Host, entry.Incarnation, [=](WorldProcess &it) {
     it.Forward->request(it.In.now(), key, head, content,
                         ContentHasher().add(content).finish());
@@ -263,7 +233,7 @@
   Run run{.Attempt = send.Attempt,
           .Entry = entry.Spec.Host,
           .Incarnation = entry.Incarnation,
-          .Id = PlainHeaders::valueOf(send.Head.Headers, "id"),
+          .Id = *findHeader(send.Head.Headers, "id"),
           .Content = send.Head.Target.substr(std::string_view(Path).size())};
   Place.after(Options.Latency, [this, i, run, expected = send.Server.Name] {
     onArrival(i, expected, run);
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_TESTKIT_FORWARD_FLEET_H
 #define PIMENTOFRONT_TESTKIT_FORWARD_FLEET_H
 
+#include "PlainHeaders.h"
 #include "World.h"
 
 namespace pimentofront::testkit {
@@ -91,7 +92,6 @@
 
 private:
   class Front;
-  class PlainHeaders;
   class FixedDocument;
   struct Run {
     AttemptId Attempt;
@@ -130,7 +130,7 @@
 
   ForwardFleetOptions Options;
   World Place;
-  std::unique_ptr<PlainHeaders> Headers;
+  PlainHeaders Headers;
   std::unique_ptr<FixedDocument> Document;
   std::vector<std::string> Addresses;
   std::vector<Server> Servers;
--- /dev/null
+++ b/packages/testkit/pimentofront/src/Testkit/PlainHeaders.h
@@ -0,0 +1,50 @@
+#ifndef PIMENTOFRONT_TESTKIT_PLAIN_HEADERS_H
+#define PIMENTOFRONT_TESTKIT_PLAIN_HEADERS_H
+
+#include "pimentofront/Forward.h"
+
+namespace pimentofront::testkit {
+
+/// \class PlainHeaders
+/// \ingroup Testkit
+/// \brief An outside system's headers by plain names: a request's id, time in
+/// milliseconds and adapter, an answer's id, stamp and not-run, a refusal's
+/// come-back in microseconds.
+class PlainHeaders : public HeaderCodec {
+public:
+  RequestTraits decodeRequest(const RequestHead &head) const override {
+    RequestTraits traits;
+    if (const std::string *it = findHeader(head.Headers, "id"))
+      traits.Id = *it;
+    if (const std::string *it = findHeader(head.Headers, "time"))
+      traits.TimeLeft = std::chrono::milliseconds(std::stoi(*it));
+    if (const std::string *it = findHeader(head.Headers, "adapter"))
+      traits.Adapter = *it;
+    traits.BaseModel = "m";
+    return traits;
+  }
+  AnswerTraits decodeAnswer(const ResponseHead &head) const override {
+    const std::string *id = findHeader(head.Headers, "id");
+    return {.Id = id ? *id : "",
+            .Stamped = findHeader(head.Headers, "stamp") != nullptr,
+            .NotRun = findHeader(head.Headers, "not-run") != nullptr};
+  }
+  RequestHead encodeRequest(const RequestHead &head,
+                            const ForwardTraits &traits) const override {
+    RequestHead result = head;
+    result.Headers.push_back({"server", traits.Server.str()});
+    if (traits.LastEvent)
+      result.Headers.push_back({"last", std::to_string(*traits.LastEvent)});
+    return result;
+  }
+  HttpHeaders refusalHeaders(const RequestTraits &,
+                             std::optional<Duration> comeBack) const override {
+    if (!comeBack)
+      return {};
+    return {{"come-back", std::to_string(comeBack->count())}};
+  }
+};
+
+} // namespace pimentofront::testkit
+
+#endif
--- a/test/ConnectionTest.cpp
+++ b/test/ConnectionTest.cpp
@@ -252,3 +252,22 @@
     CHECK(it.Endings.back() == UpstreamEnding::BrokeOff);
   }
 }
+
+TEST_CASE("a look at a server's address tells a process that has ended") {
+  PoolUnderTest it;
+  ConnectProbe probe(it.Loop);
+  HostPort nobody = PoolUnderTest::ownAddress();
+  ++nobody.Port;
+  const auto look = [&](const HostPort &at) {
+    std::optional<ServerLife> life;
+    probe.start(at.Ip + ":" + std::to_string(at.Port), [&](ServerLife found) {
+      life = found;
+      it.Loop.stop();
+    });
+    CHECK_FALSE(life); // Never from within the call.
+    it.Loop.run();
+    return life;
+  };
+  CHECK(look(PoolUnderTest::ownAddress()) == ServerLife::Lives);
+  CHECK(look(nobody) == ServerLife::Ended);
+}
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -180,7 +180,7 @@
   constexpr int Requests = 200;
   for (std::uint64_t key = 1; key <= Requests; ++key) {
     it.Controller.onRequest(
-        Now, key, {"GET", "/safe/", {{"Host", "h"}, {"id", "r1"}}}, "");
+        Now, key, {"GET", "/safe/", {{"Host", "h"}, {"id", "r1"}}}, "", NoBody);
     const auto sent = it.only<SendUpstream>();
     it.head(sent, 500);
     const auto second = it.take<SendUpstream>();
@@ -297,12 +297,14 @@
     CHECK(it.only<ReplyWhole>().Head.Status == 404);
   }
   SECTION("no id") {
-    it.Controller.onRequest(Now, 1, {"GET", "/safe/", {{"Host", "h"}}}, "");
+    it.Controller.onRequest(Now, 1, {"GET", "/safe/", {{"Host", "h"}}}, "",
+                            NoBody);
     CHECK(it.only<ReplyWhole>().Head.Status == 400);
   }
   SECTION("no routing document, and nothing known of the caller's time") {
     it.Controller.setTable(nullptr);
-    it.Controller.onRequest(Now, 1, {"GET", "/safe/", {{"id", "r1"}}}, "");
+    it.Controller.onRequest(Now, 1, {"GET", "/safe/", {{"id", "r1"}}}, "",
+                            NoBody);
     CHECK(it.only<ReplyWhole>().Head.Status == 503);
   }
   SECTION("no routing document, and more wait already than may") {
@@ -310,7 +312,8 @@
     const std::size_t most = ForwardOptions{}.MostHeld;
     for (std::uint64_t key = 2; key < most + 2; ++key)
       it.Controller.onRequest(
-          Now, key, {"GET", "/safe/", {{"id", "r"}, {"time", "5000"}}}, "");
+          Now, key, {"GET", "/safe/", {{"id", "r"}, {"time", "5000"}}}, "",
+          NoBody);
     CHECK(it.take<ReplyWhole>().empty());
     it.request("safe");
     CHECK(it.only<ReplyWhole>().Head.Status == 503);
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -1,7 +1,7 @@
 #ifndef PIMENTOFRONT_TEST_FORWARD_UNDER_TEST_H
 #define PIMENTOFRONT_TEST_FORWARD_UNDER_TEST_H
 
-#include "pimentofront/Forward.h"
+#include "pimentofront/Testkit.h"
 
 #include <catch2/catch.hpp>
 
@@ -28,41 +28,10 @@
   bool Confirmed = true;
 };
 
-/// Headers with plain names: id, time, adapter; stamp, not-run.
-class PlainHeaders : public HeaderCodec {
-public:
-  RequestTraits decodeRequest(const RequestHead &head) const override {
-    RequestTraits traits;
-    if (const std::string *it = findHeader(head.Headers, "id"))
-      traits.Id = *it;
-    if (const std::string *it = findHeader(head.Headers, "time"))
-      traits.TimeLeft = std::chrono::milliseconds(std::stoi(*it));
-    if (const std::string *it = findHeader(head.Headers, "adapter"))
-      traits.Adapter = *it;
-    traits.BaseModel = "m";
-    return traits;
-  }
-  AnswerTraits decodeAnswer(const ResponseHead &head) const override {
-    const std::string *id = findHeader(head.Headers, "id");
-    return {.Id = id ? *id : "",
-            .Stamped = findHeader(head.Headers, "stamp") != nullptr,
-            .NotRun = findHeader(head.Headers, "not-run") != nullptr};
-  }
-  RequestHead encodeRequest(const RequestHead &head,
-                            const ForwardTraits &traits) const override {
-    RequestHead result = head;
-    result.Headers.push_back({"server", traits.Server.str()});
-    if (traits.LastEvent)
-      result.Headers.push_back({"last", std::to_string(*traits.LastEvent)});
-    return result;
-  }
-  HttpHeaders refusalHeaders(const RequestTraits &,
-                             std::optional<Duration> comeBack) const override {
-    if (!comeBack)
-      return {};
-    return {{"come-back", std::to_string(comeBack->count())}};
-  }
-};
+using testkit::PlainHeaders;
+
+/// The hash of no bytes at all.
+inline const ContentHash NoBody = ContentHasher().finish();
 
 inline RouteSpec route(const char *name, Repeatability kind,
                        const char *service, std::uint32_t servers,
@@ -143,7 +112,7 @@
                            {"id", "r1"},
                            {"time", std::to_string(milliseconds)},
                            {"adapter", adapter}}},
-                         "body");
+                         "body", ContentHasher().add("body").finish());
   }
 
   template <class T> std::vector<T> take() {
--- a/test/QuarantineControllerTest.cpp
+++ b/test/QuarantineControllerTest.cpp
@@ -215,8 +215,11 @@
     return ContentHasher().add(text).finish();
   };
   it.Controller.onRequest(Now, 2, head, "body", hash("body"));
+  CHECK(it.only<ReplyWhole>().Body == "quarantined\n");
+  CHECK(it.take<SendUpstream>().empty());
   it.Controller.onRequest(Now, 3, head, "bodz", hash("bodz"));
-  CHECK(it.take<SendUpstream>().size() == 2);
+  CHECK(*it.only<SendUpstream>().Body == "bodz");
+  CHECK(it.take<ReplyWhole>().empty());
 }
 
 TEST_CASE("an entry that slept asks before it sends") {
