--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -20,6 +20,7 @@
 #include "src/Forward/HttpMessage.h"
 #include "src/Forward/RoutingDocument.h"
 #include "src/Forward/RoutingTable.h"
+#include "src/Forward/ServerFeedback.h"
 #include "src/Forward/HeaderCodec.h"
 #include "src/Forward/EventStream.h"
 #include "src/Forward/ConnectionShare.h"
--- a/packages/forward/pimentofront/src/Forward/HeaderCodec.h
+++ b/packages/forward/pimentofront/src/Forward/HeaderCodec.h
@@ -1,7 +1,7 @@
 #ifndef PIMENTOFRONT_FORWARD_HEADER_CODEC_H
 #define PIMENTOFRONT_FORWARD_HEADER_CODEC_H
 
-#include "HttpMessage.h"
+#include "ServerFeedback.h"
 #include "pimentofront/Account.h"
 #include "pimentofront/Wire.h"
 
@@ -66,6 +66,7 @@
   /// The backend server says that it did not run the request.
   bool NotRun = false;
   std::optional<ServerLoad> Load;
+  AnswerFeedback Feedback;
 };
 
 /// \class HeaderCodec
--- a/packages/forward/pimentofront/src/Forward/HttpMessage.cpp
+++ b/packages/forward/pimentofront/src/Forward/HttpMessage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace pimentofront {
 namespace {
@@ -51,6 +52,14 @@
   return names;
 }
 
+bool isDecimal(std::string_view text) {
+  const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+  return !text.empty() && isDigit(text.front()) && isDigit(text.back()) &&
+         std::ranges::count(text, '.') <= 1 &&
+         std::ranges::all_of(text,
+                             [&](char c) { return c == '.' || isDigit(c); });
+}
+
 } // namespace
 
 bool sameHeaderName(std::string_view a, std::string_view b) {
@@ -65,6 +74,25 @@
   return it == headers.end() ? nullptr : &it->Value;
 }
 
+DecimalHeader readDecimalHeader(const HttpHeaders &headers,
+                                std::string_view name) {
+  const auto isNamed = [&](const HttpHeader &it) {
+    return sameHeaderName(it.Name, name);
+  };
+  const auto n = std::ranges::count_if(headers, isNamed);
+  DecimalHeader header{.Present = n > 0};
+  if (n != 1)
+    return header;
+  const std::string_view text =
+      trimmed(std::ranges::find_if(headers, isNamed)->Value);
+  double value = 0;
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (isDecimal(text) && read.ec == std::errc())
+    header.Value = value;
+  return header;
+}
+
 void removeHeader(HttpHeaders &headers, std::string_view name) {
   std::erase_if(headers, [&](const HttpHeader &it) {
     return sameHeaderName(it.Name, name);
--- a/packages/forward/pimentofront/src/Forward/HttpMessage.h
+++ b/packages/forward/pimentofront/src/Forward/HttpMessage.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_FORWARD_HTTP_MESSAGE_H
 #define PIMENTOFRONT_FORWARD_HTTP_MESSAGE_H
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,23 @@
 const std::string *findHeader(const HttpHeaders &headers,
                               std::string_view name);
 
+/// \class DecimalHeader
+/// \ingroup Forward
+/// \brief A header that holds one number.
+struct DecimalHeader {
+  bool Present = false;
+  /// Not negative and finite; nothing if it can't be read or comes twice.
+  std::optional<double> Value;
+  friend auto operator<=>(const DecimalHeader &,
+                          const DecimalHeader &) = default;
+};
+
+/// \ingroup Forward
+/// Reads digits with an optional fraction, as in "1.5": no sign, no exponent,
+/// no date.
+DecimalHeader readDecimalHeader(const HttpHeaders &headers,
+                                std::string_view name);
+
 /// \ingroup Forward
 /// Takes out what concerns one connection only (RFC 9110, section 7.6.1), and
 /// the length, which whoever sends the message sets anew.
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -247,6 +247,35 @@
   }
 }
 
+std::string ServerSet::noteFeedback(TimePoint now, const ServerProcess &server,
+                                    const AnswerFeedback &feedback,
+                                    TimePoint sentAt) {
+  constexpr std::size_t MostKnown = 4096;
+  const auto known = Feedback.find(server.Name);
+  if (known == Feedback.end() && feedback == AnswerFeedback())
+    return {};
+  // The last words of a former process say nothing of this one.
+  const auto registered = Servers.find(server.Name);
+  if (registered != Servers.end() &&
+      !maybeSame(registered->second.Record.process(), server))
+    return {};
+  if (Feedback.size() >= MostKnown)
+    std::erase_if(Feedback, [&](const auto &it) {
+      return it.first != server.Name && !find(it.second.Process);
+    });
+  KnownFeedback &it = Feedback[server.Name];
+  if (!maybeSame(it.Process, server))
+    it = {.Process = server};
+  return it.Feedback.apply(now, feedback, sentAt);
+}
+
+ServerFeedback ServerSet::feedbackOf(const ServerProcess &server) const {
+  const auto it = Feedback.find(server.Name);
+  const bool known =
+      it != Feedback.end() && maybeSame(it->second.Process, server);
+  return known ? it->second.Feedback : ServerFeedback();
+}
+
 void ServerSet::noteProcessEnded(TimePoint now, const ServerProcess &server) {
   ServerView *view = find(server);
   if (!view)
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -114,6 +114,13 @@
                  ServerOutcome outcome);
   void noteLoad(TimePoint now, const ServerProcess &server,
                 const ServerLoad &load);
+  /// An answer to a request that was sent at \p sentAt has said what the server
+  /// asks for.
+  /// \returns what changed, for the log; empty if nothing did.
+  std::string noteFeedback(TimePoint now, const ServerProcess &server,
+                           const AnswerFeedback &feedback, TimePoint sentAt);
+  /// \returns what this process asks for.
+  ServerFeedback feedbackOf(const ServerProcess &server) const;
   void suspendAgent(TimePoint now, const HostName &agent);
   /// The process has ended; another one of the server isn't there yet.
   void noteProcessEnded(TimePoint now, const ServerProcess &server);
@@ -135,6 +142,13 @@
   std::map<HostName, ServerView> Servers;
   MemberViews Agents;
   bool Complete = false;
+  struct KnownFeedback {
+    ServerProcess Process;
+    ServerFeedback Feedback;
+  };
+  /// Apart from Servers: a registration that lapses and comes back is of the
+  /// same process.
+  std::map<HostName, KnownFeedback> Feedback;
   /// By the agent's host: the server with the same IP address.
   std::map<HostName, HostName> Beside;
 };
--- a/packages/testkit/pimentofront/src/Testkit/PlainHeaders.h
+++ b/packages/testkit/pimentofront/src/Testkit/PlainHeaders.h
@@ -9,8 +9,8 @@
 /// \ingroup Testkit
 /// \brief An outside system's headers by plain names: a request's id, time in
 /// milliseconds, adapter, tokens and key, the account and priority that it is
-/// sent with, an answer's id, stamp and not-run, a refusal's
-/// come-back in microseconds.
+/// sent with, an answer's id, stamp, not-run, limit, rest in seconds and
+/// leaving, a refusal's come-back in microseconds.
 class PlainHeaders : public HeaderCodec {
 public:
   RequestTraits decodeRequest(const RequestHead &head) const override {
@@ -32,9 +32,15 @@
   }
   AnswerTraits decodeAnswer(const ResponseHead &head) const override {
     const std::string *id = findHeader(head.Headers, "id");
+    AnswerFeedback feedback{
+        .RateLimit = readDecimalHeader(head.Headers, "limit").Value,
+        .Leaving = findHeader(head.Headers, "leaving") != nullptr};
+    if (const auto rest = readDecimalHeader(head.Headers, "rest").Value)
+      feedback.Rest = ServerFeedback::boundedRest(*rest);
     return {.Id = id ? *id : "",
             .Stamped = findHeader(head.Headers, "stamp") != nullptr,
-            .NotRun = findHeader(head.Headers, "not-run") != nullptr};
+            .NotRun = findHeader(head.Headers, "not-run") != nullptr,
+            .Feedback = feedback};
   }
   RequestHead encodeRequest(const RequestHead &head,
                             const ForwardTraits &traits) const override {
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -167,6 +167,39 @@
   CHECK(it.Load == ServerLoad{3, 0, 8});
 }
 
+TEST_CASE("what a backend server asks for in an answer is decoded") {
+  struct Case {
+    const char *What;
+    ResponseHead Head;
+    AnswerFeedback Feedback;
+  };
+  const Case cases[] = {
+      {"nothing", {200, {}}, {}},
+      {"a limit", {200, {{"Server-Limit", "1.2"}}}, {.RateLimit = 1.2}},
+      {"a limit of nothing", {200, {{"server-limit", "0"}}}, {.RateLimit = 0}},
+      {"a limit below nothing",
+       {200, {{"Server-Limit", "-1"}}},
+       {.Unreadable = "Server-Limit"}},
+      {"two limits",
+       {200, {{"Server-Limit", "1"}, {"Server-Limit", "9"}}},
+       {.Unreadable = "Server-Limit"}},
+      {"leaving", {200, {{"Server-Leaving", "1"}}}, {.Leaving = true}},
+      {"not leaving", {200, {{"Server-Leaving", "0"}}}, {}},
+      {"rest", {503, {{"Retry-After", "3"}}}, {.Rest = 3s}},
+      {"a part of a second", {503, {{"Retry-After", "0.25"}}}, {.Rest = 250ms}},
+      {"no rest", {503, {{"Retry-After", "0"}}}, {.Rest = 0s}},
+      {"a year", {503, {{"Retry-After", "31536000"}}}, {.Rest = 1h}},
+      {"a date",
+       {503, {{"Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT"}}},
+       {.Unreadable = "Retry-After"}},
+      {"another status", {500, {{"Retry-After", "3"}}}, {}},
+  };
+  for (const Case &it : cases) {
+    INFO(it.What);
+    CHECK(Headers.decodeAnswer(it.Head).Feedback == it.Feedback);
+  }
+}
+
 TEST_CASE("an engine's report is decoded") {
   const auto it = platform::readEngineReport(
       R"({"stage":"both","models":[{"name":"m","version":1,
