Reproduce: servers that name a limit get as many requests as before

Ruled out: limits kept by each entry alone, and repeats: no decision uses what was read, and no attempt was sent twice.

--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -10,6 +10,7 @@
 constexpr std::uint32_t Slots = 64;
 constexpr int StatusOk = 200;
 constexpr int StatusMisdirected = 421;
+constexpr int StatusUnavailable = 503;
 
 HostName replicaName(std::uint32_t i) {
   return HostName("replica-" + std::to_string(i));
@@ -18,15 +19,23 @@
   return HostName("entry-" + std::to_string(i));
 }
 
+/// The host of a server, where its agent listens.
+HostName agentName(std::uint32_t i) {
+  return HostName("10.0.0." + std::to_string(i) + ":9");
+}
+
 std::string eventText(std::uint32_t id) {
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
 } // namespace
 
-/// One route of resumable streams to one plain service.
+/// One route of resumable streams to one service.
 class ForwardFleet::FixedDocument : public DocumentCodec {
 public:
+  explicit FixedDocument(std::optional<EngineSpec> engine)
+      : Engine(std::move(engine)) {}
+
   RoutingDocument decode(std::string_view, Findings &) const override {
     return {.Routes = {{.Name = "flow",
                         .Host = "h",
@@ -37,8 +46,11 @@
                         .LatencyTarget = std::chrono::seconds(1),
                         .MaxServers = 2,
                         .Resumable = true}},
-            .Services = {{.Name = ServiceName(Service)}}};
+            .Services = {{.Name = ServiceName(Service), .Engine = Engine}}};
   }
+
+private:
+  std::optional<EngineSpec> Engine;
 };
 
 /// Carries out what one entry decides.
@@ -93,7 +105,13 @@
 };
 
 ForwardFleet::ForwardFleet(const ForwardFleetOptions &options)
-    : Options(options), Place(options.World), Document(new FixedDocument) {
+    : Options(options), Place(options.World) {
+  std::optional<EngineSpec> engine;
+  if (options.Engines)
+    engine = EngineSpec{.BatchCapacity = Slots,
+                        .AdapterSlots = options.AdapterSlots,
+                        .Models = {{.Name = Service}}};
+  Document = std::make_unique<FixedDocument>(std::move(engine));
   addReplicas();
   addEntries();
   addServers();
@@ -127,7 +145,9 @@
     Fronts[host] = std::make_unique<Front>(*this, host);
     ProcessSpec spec{.Host = host, .IsForward = true};
     spec.Forward.Feed = {.Host = host, .Replicas = Addresses};
-    spec.MakeRouting = [] { return std::make_unique<LeastLoaded>(); };
+    spec.MakeRouting = [] {
+      return std::make_unique<PrefixRouting>(PrefixRoutingOptions{});
+    };
     spec.MakeForward = [this, host](const ForwardNodeOptions &forward,
                                     RoutingPolicy &routing,
                                     Transport &transport) {
@@ -144,10 +164,36 @@
     const std::string name = "server-" + std::to_string(i);
     Servers.push_back({.Name = HostName(name + ".0"),
                        .Address = "10.0.0." + std::to_string(i) + ":80"});
+    if (Options.Engines)
+      addAgent(i);
   }
   beat();
 }
 
+void ForwardFleet::addAgent(std::uint32_t i) {
+  const HostName host = agentName(i);
+  ProcessSpec spec{.Host = host, .IsAgent = true};
+  spec.Engine.Slots = Options.AdapterSlots;
+  spec.Agent = {.Agent = {.Host = host,
+                          .BaseModel = Service,
+                          .Slots = Options.AdapterSlots,
+                          .BatchCapacity = Slots,
+                          .CompanyShare = 0},
+                .Address = host.str(),
+                .Replicas = Addresses};
+  spec.MakeEviction = [] { return std::make_unique<LeastPopular>(); };
+  spec.MakeGate = [] { return std::make_unique<UncoordinatedLoads>(); };
+  Place.start(Place.add(spec));
+}
+
+WorldProcess &ForwardFleet::agent(std::uint32_t i) {
+  return Place.process(agentName(i));
+}
+
+void ForwardFleet::setAsks(std::uint32_t i, const ServerAsks &asks) {
+  Servers[i].Asks = asks;
+}
+
 WorldProcess &ForwardFleet::entry(std::uint32_t i) {
   return Place.process(entryName(i));
 }
@@ -182,7 +228,8 @@
 //===----------------------------------------------------------------------===//
 
 void ForwardFleet::call(WorldProcess &entry, const std::string &content,
-                        std::function<void(const CallerAnswer &)> done) {
+                        std::function<void(const CallerAnswer &)> done,
+                        const std::string &adapter) {
   const std::uint64_t key = ++LastKey;
   Calls[key] = {.Answer = {.SentAt = Place.now()}, .Done = std::move(done)};
   if (!entry.Alive)
@@ -190,7 +237,10 @@
   const RequestHead head{
       "POST",
       Path + content,
-      {{"Host", "h"}, {"id", "r" + std::to_string(key)}, {"time", "6000"}}};
+      {{"Host", "h"},
+       {"id", "r" + std::to_string(key)},
+       {"time", "6000"},
+       {"adapter", Options.Engines ? adapter : std::string()}}};
   Place.atProcess(entry.Spec.Host, entry.Incarnation, [=](WorldProcess &it) {
     it.Forward->request(it.In.now(), key, head, content,
                         ContentHasher().add(content).finish());
@@ -254,6 +304,8 @@
                       {StatusMisdirected, {{"id", run.Id}, {"not-run", "1"}}});
     });
   Arrivals.push_back({Place.now(), run.Content, server.Name, run.Entry});
+  if (server.Asks.Rest)
+    return turnAway(server, run);
   const std::uint64_t id = ++LastRun;
   server.Runs.emplace(id, run);
   const Duration wait = fromSeconds(toSeconds(Options.FirstEvent) *
@@ -261,6 +313,28 @@
   Place.after(wait, [this, i, id] { onEvent(i, id, 1); });
 }
 
+void ForwardFleet::turnAway(const Server &server, const Run &run) {
+  const double seconds = toSeconds(*server.Asks.Rest);
+  tellHead(server, run, StatusUnavailable,
+           {{"not-run", "1"}, {"rest", std::to_string(seconds)}});
+}
+
+void ForwardFleet::tellHead(const Server &server, const Run &run, int status,
+                            HttpHeaders headers) {
+  const ServerAsks asks = server.Asks;
+  headers.push_back({"id", run.Id});
+  if (asks.Limit)
+    headers.push_back({"limit", std::to_string(*asks.Limit)});
+  if (asks.Leaving)
+    headers.push_back({"leaving", "1"});
+  tell(run, [this, run, status, headers, asks,
+             name = server.Name](ForwardNode &node) {
+    if (asks.Limit || asks.Rest || asks.Leaving)
+      Told.push_back({Place.now(), name, run.Entry, asks});
+    node.upstreamHead(Place.now(), run.Attempt, {status, headers});
+  });
+}
+
 void ForwardFleet::onEvent(std::size_t i, std::uint64_t id,
                            std::uint32_t event) {
   Server &server = Servers[i];
@@ -275,10 +349,9 @@
     });
     return;
   }
+  if (event == 1)
+    tellHead(server, run, StatusOk, {{"stamp", "s"}});
   tell(run, [this, run, event](ForwardNode &node) {
-    if (event == 1)
-      node.upstreamHead(Place.now(), run.Attempt,
-                        {StatusOk, {{"id", run.Id}, {"stamp", "s"}}});
     node.upstreamBody(Place.now(), run.Attempt, eventText(event));
   });
   if (event < Options.Events) {
@@ -313,6 +386,7 @@
   ServerCrash crash{
       .At = Place.now(), .Server = server.Name, .Content = content};
   server.Up = false;
+  server.Asks = {};
   for (const auto &it : std::exchange(server.Runs, {})) {
     const Run &run = it.second;
     crash.AtWork.push_back(run.Content);
@@ -321,8 +395,12 @@
     });
   }
   Crashes.push_back(std::move(crash));
-  const auto i = static_cast<std::size_t>(&server - Servers.data());
+  const auto i = static_cast<std::uint32_t>(&server - Servers.data());
+  if (Options.Engines)
+    agent(i).Engine->setDown(true);
   Place.after(Options.BackAfter, [this, i] {
+    if (Options.Engines)
+      agent(i).Engine->setDown(false);
     Server &it = Servers[i];
     it.Name = HostName("server-" + std::to_string(i) + "." +
                        std::to_string(++it.Starts));
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -22,6 +22,10 @@
   /// process of it is there later.
   Duration CrashAfter = std::chrono::milliseconds(50);
   Duration BackAfter = std::chrono::seconds(4);
+  /// The servers are engines, each with an agent beside it.
+  bool Engines = false;
+  /// Adapters that an engine holds.
+  std::uint32_t AdapterSlots = 8;
   /// How often servers register.
   Duration Heartbeat = std::chrono::seconds(1);
   /// Between an entry and a server, one way.
@@ -39,6 +43,23 @@
   bool Stamped = false;
 };
 
+/// What a server asks for in its answers.
+struct ServerAsks {
+  /// Requests a second, from all entries together.
+  std::optional<double> Limit;
+  /// Turns all new requests away and wants nothing for so long.
+  std::optional<Duration> Rest;
+  bool Leaving = false;
+};
+
+/// An entry has read what a server asks for.
+struct FeedbackTold {
+  TimePoint At;
+  HostName Server;
+  HostName Entry;
+  ServerAsks Asks;
+};
+
 /// A send of a request that reached a server.
 struct ServerArrival {
   TimePoint At;
@@ -59,8 +80,9 @@
 
 /// \class ForwardFleet
 /// \ingroup Testkit
-/// \brief Replicas, forwarding entries and the plain servers behind them, some
-/// of whose requests end each process that begins to run them.
+/// \brief Replicas, forwarding entries and the servers behind them, plain ones
+/// or engines with agents. Some requests end each process that begins to run
+/// them; servers name limits, ask for rest and leave.
 ///
 /// A request is named by its content. It is deadly if that was declared by
 /// addDeadly(); attempts at the same content differ in their ids alone. Use it
@@ -80,13 +102,20 @@
   void addDeadly(const std::string &content) { Deadly.insert(content); }
   /// Sends an attempt at \p content to an entry. \p done gets its answer.
   void call(WorldProcess &entry, const std::string &content,
-            std::function<void(const CallerAnswer &)> done = {});
+            std::function<void(const CallerAnswer &)> done = {},
+            const std::string &adapter = "a");
+  /// From now on server \p i asks for this with each answer.
+  void setAsks(std::uint32_t i, const ServerAsks &asks);
+  HostName serverName(std::uint32_t i) const { return Servers[i].Name; }
+  /// \pre the servers are engines.
+  WorldProcess &agent(std::uint32_t i);
   /// Ends server \p i without a request's doing, for `BackAfter`.
   void crashServer(std::uint32_t i);
   /// Server \p i loses its power: silence.
   void darkenServer(std::uint32_t i);
 
   const std::vector<ServerArrival> &arrivals() const { return Arrivals; }
+  const std::vector<FeedbackTold> &told() const { return Told; }
   const std::vector<ServerCrash> &crashes() const { return Crashes; }
   const std::vector<ForwardEvent> &events() const { return Seen; }
 
@@ -106,6 +135,7 @@
     bool Up = true;
     bool Dark = false;
     std::uint64_t Starts = 0;
+    ServerAsks Asks;
     std::map<std::uint64_t, Run> Runs;
   };
   struct Call {
@@ -116,11 +146,16 @@
   void addReplicas();
   void addEntries();
   void addServers();
+  void addAgent(std::uint32_t i);
   void beat();
   Server *at(const std::string &address);
   void onSend(WorldProcess &entry, const SendUpstream &send);
   void onCheck(WorldProcess &entry, const CheckServer &check);
   void onArrival(std::size_t server, const HostName &expected, Run run);
+  /// Answers a request that isn't run.
+  void turnAway(const Server &server, const Run &run);
+  void tellHead(const Server &server, const Run &run, int status,
+                HttpHeaders headers);
   void onEvent(std::size_t server, std::uint64_t run, std::uint32_t event);
   void crash(Server &server, const std::string &content);
   /// Calls \p action at the entry of \p run, if that still lives, after the
@@ -142,6 +177,7 @@
   std::uint64_t Beats = 0;
   bool Proposed = false;
   std::vector<ServerArrival> Arrivals;
+  std::vector<FeedbackTold> Told;
   std::vector<ServerCrash> Crashes;
   std::vector<ForwardEvent> Seen;
 };
--- /dev/null
+++ b/test/ServerFeedbackFleetTest.cpp
@@ -0,0 +1,178 @@
+// Engines in need named the requests a second that they take from all entries
+// together, and got as many as before: one that had named 1.2 got 14 in four
+// seconds, one that had named 1.0 got 12. The header went on to the caller with
+// the rest of the answer, and neither entry nor agent read it. The pace of each
+// entry didn't change when the limit was named, which it would have if each had
+// kept the limit for itself, and no attempt was repeated there.
+
+#include "pimentofront/Testkit.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+
+using namespace pimentofront;
+using namespace pimentofront::testkit;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Over so long a limit is kept.
+constexpr Duration Window = 4s;
+/// From so long after a limit was first named.
+constexpr Duration StableTime = 3s;
+/// An entry obeys so long after it has read a limit.
+constexpr Duration ToldFor = 500ms;
+/// Requests beyond the limit that all entries together may send at once.
+constexpr double Burst = 2;
+
+struct FleetLoad {
+  double PerSecond = 40;
+  std::uint32_t Adapters = 60;
+};
+
+/// A fleet under load, judged by what its servers count.
+struct AskingFleet {
+  AskingFleet(const ForwardFleetOptions &options, const FleetLoad &load)
+      : Fleet(options), Chance(options.World.Seed + 1), Load(load),
+        Entries(options.Entries) {
+    Fleet.runFor(5s);
+  }
+
+  WorldProcess &anyEntry() {
+    return Fleet.entry(static_cast<std::uint32_t>(Chance.uniform() * Entries));
+  }
+
+  /// A few adapters are asked for most of the time.
+  std::string anyAdapter() {
+    const double x = Chance.uniform();
+    return "a" + std::to_string(static_cast<int>(x * x * Load.Adapters));
+  }
+
+  /// A caller tries a second time, when it was told to.
+  void send() {
+    const std::string content = "request-" + std::to_string(++Sent);
+    const std::string adapter = anyAdapter();
+    Fleet.call(
+        anyEntry(), content,
+        [this, content, adapter](const CallerAnswer &it) {
+          if (note(it))
+            return;
+          Fleet.world().after(500ms, [this, content, adapter] {
+            Fleet.call(
+                anyEntry(), content,
+                [this](const CallerAnswer &again) { note(again); }, adapter);
+          });
+        },
+        adapter);
+  }
+  bool note(const CallerAnswer &answer) {
+    const bool answered = answer.Whole && answer.Stamped;
+    Answered += answered ? 1 : 0;
+    return answered;
+  }
+
+  void runFor(Duration time) {
+    const TimePoint end = Fleet.now() + time;
+    while (Fleet.now() < end) {
+      send();
+      Fleet.runFor(Chance.jitter(fromSeconds(1 / Load.PerSecond)));
+    }
+  }
+
+  std::vector<TimePoint> toldAt(const HostName &server,
+                                const HostName &entry) const {
+    std::vector<TimePoint> result;
+    for (const FeedbackTold &it : Fleet.told())
+      if (it.Server == server && it.Entry == entry)
+        result.push_back(it.At);
+    return result;
+  }
+
+  /// \returns the most requests that reached \p server within any window from
+  /// entries that had read its limit, while it named one from \p since on.
+  std::size_t mostInWindow(const HostName &server, TimePoint since,
+                           TimePoint until) const {
+    std::vector<TimePoint> counted;
+    std::map<HostName, TimePoint> firstTold;
+    for (const FeedbackTold &it : Fleet.told())
+      if (it.Server == server && it.At >= since)
+        firstTold.try_emplace(it.Entry, it.At);
+    for (const ServerArrival &it : Fleet.arrivals()) {
+      const auto told = firstTold.find(it.Entry);
+      if (it.Server == server && it.At >= since + StableTime &&
+          it.At <= until && told != firstTold.end() &&
+          it.At >= told->second + ToldFor)
+        counted.push_back(it.At);
+    }
+    std::size_t most = 0;
+    for (auto first = counted.begin(); first != counted.end(); ++first) {
+      const auto last =
+          std::ranges::upper_bound(first, counted.end(), *first + Window);
+      most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+  }
+
+  std::size_t arrivalsAt(const HostName &server, TimePoint since,
+                         TimePoint until) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Fleet.arrivals(), [&](const ServerArrival &it) {
+          return it.Server == server && it.At >= since && it.At < until;
+        }));
+  }
+
+  ForwardFleet Fleet;
+  Random Chance;
+  FleetLoad Load;
+  std::uint32_t Entries;
+  int Sent = 0;
+  int Answered = 0;
+};
+
+/// \returns the most requests that may come within a window.
+double bound(double limit) { return limit * toSeconds(Window) + Burst; }
+
+} // namespace
+
+namespace {
+
+ForwardFleetOptions fleetOf(std::uint64_t seed, bool engines) {
+  return {.World = {.Seed = seed, .Store = {.LoadsPerSecond = 40}},
+          .Engines = engines};
+}
+
+/// Two of twelve servers name limits for 30 seconds.
+void checkTwoLimits(std::uint64_t seed, bool engines) {
+  AskingFleet it(fleetOf(seed, engines), {});
+  it.runFor(10s);
+  const int sentBefore = it.Sent;
+  const int answeredBefore = it.Answered;
+  const TimePoint since = it.Fleet.now();
+  it.Fleet.setAsks(3, {.Limit = 1.2});
+  it.Fleet.setAsks(7, {.Limit = 1.0});
+  it.runFor(30s);
+  const TimePoint until = it.Fleet.now();
+  INFO("seed " << seed << (engines ? ", engines" : ", plain servers"));
+  const HostName first = it.Fleet.serverName(3);
+  const HostName second = it.Fleet.serverName(7);
+  CHECK(it.mostInWindow(first, since, until) <= bound(1.2));
+  CHECK(it.mostInWindow(second, since, until) <= bound(1.0));
+  // Both still serve, and the others do the rest.
+  CHECK(it.arrivalsAt(first, since, until) >= 10);
+  CHECK(it.Answered - answeredBefore >= (it.Sent - sentBefore) * 95 / 100);
+}
+
+} // namespace
+
+TEST_CASE("engines that name a limit get no more, from all entries together",
+          "[server-limit]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    checkTwoLimits(seed, /*engines=*/true);
+}
+
+TEST_CASE("plain servers that name a limit get no more, from all entries "
+          "together",
+          "[server-limit]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    checkTwoLimits(seed, /*engines=*/false);
+}
