Agents pace the permits for an engine that names a limit

Callers saw engines that were in need get the work of engines that weren't. Cause: what an answer says of a limit ended with its attempt. Evidence: the failing test, in which all entries have read the limit and none uses it.

An entry is asked for nothing new: it tells the agent beside the engine what an answer said (RateLimitSeen), and the agent, which is asked before each send of any entry, gives permits at that pace (RequestPacer: a bucket that starts empty and holds two). So the sum over all entries is kept by the one process that sees it. Its wait is part of the words by which entries choose an engine, so a limited engine attracts no more than it takes. Permits and requests carry the limit, so that entries and an agent that start anew know of it.

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -30,16 +30,6 @@
          isSuccess(request.Attempt->Head->Status);
 }
 
-void AnswerController::noteFeedback(TimePoint now,
-                                    const ForwardRequest &request,
-                                    const AnswerFeedback &feedback) {
-  const ForwardAttempt &attempt = *request.Attempt;
-  const std::string changes =
-      Board.Servers.noteFeedback(now, attempt.Server, feedback, attempt.SentAt);
-  if (!changes.empty())
-    Attempts.note(now, "server_feedback", request, changes);
-}
-
 HeadVerdict AnswerController::onHead(TimePoint now, const AttemptId &attempt,
                                      ResponseHead head) {
   ForwardRequest *request = Board.find(attempt);
@@ -52,7 +42,7 @@
   if (traits.Load)
     Board.Servers.noteLoad(now, request->Attempt->Server, *traits.Load);
   if (!traits.Id.empty())
-    noteFeedback(now, *request, traits.Feedback);
+    Attempts.noteFeedback(now, *request, traits.Feedback);
   if (declined) {
     Board.Commands.push_back(IgnoreUpstream{attempt});
     const bool misdirected = head.Status == StatusMisdirected;
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -42,9 +42,6 @@
   void onServerLost(TimePoint now, ForwardRequest &request);
 
 private:
-  /// Keeps what the server asks for with this answer.
-  void noteFeedback(TimePoint now, const ForwardRequest &request,
-                    const AnswerFeedback &feedback);
   bool isStream(const ForwardRequest &request) const;
   void onStreamBytes(TimePoint now, ForwardRequest &request,
                      std::string_view bytes);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -174,22 +174,23 @@
                                    .OnlyIfResident = route.OnlyIfResident,
                                    .StartedAt = now};
   Board.Attempts.emplace(id, request.Key);
-  Board.Commands.push_back(
-      SendToAgent{route.Host, agent.Record.Address,
-                  ExecuteRequest{.Attempt = id,
-                                 .Request = RequestId(request.Traits.Id),
-                                 .Kind = KindName(request.Route->Name),
-                                 .Remaining = request.Deadline - now,
-                                 .Key = request.Adapter,
-                                 .BaseModel = request.Service.str(),
-                                 .MaxTokens = request.Traits.MaxOutputTokens,
-                                 .OnlyIfResident = route.OnlyIfResident,
-                                 .Delegated = true,
-                                 .Parts = request.Traits.Parts,
-                                 .FirstEventWithin = route.FirstEventWithin,
-                                 .FirstEventDue = firstEventDue(now, request),
-                                 .Server = server.Name,
-                                 .ServerStartedAt = server.StartedAt}});
+  Board.Commands.push_back(SendToAgent{
+      route.Host, agent.Record.Address,
+      ExecuteRequest{.Attempt = id,
+                     .Request = RequestId(request.Traits.Id),
+                     .Kind = KindName(request.Route->Name),
+                     .Remaining = request.Deadline - now,
+                     .Key = request.Adapter,
+                     .BaseModel = request.Service.str(),
+                     .MaxTokens = request.Traits.MaxOutputTokens,
+                     .OnlyIfResident = route.OnlyIfResident,
+                     .Delegated = true,
+                     .Parts = request.Traits.Parts,
+                     .FirstEventWithin = route.FirstEventWithin,
+                     .FirstEventDue = firstEventDue(now, request),
+                     .Server = server.Name,
+                     .ServerStartedAt = server.StartedAt,
+                     .Limit = Board.Servers.feedbackOf(server).limit(now)}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
@@ -271,8 +272,14 @@
     return giveUp(now, *request, ForwardFailure::TimedOut);
   request->Attempt->Heard = true;
   Routing.learn(request->Adapter, agent, true);
-  if (ServerView *server = Board.Servers.beside(agent))
+  if (ServerView *server = Board.Servers.beside(agent)) {
+    const std::string changes =
+        Board.Servers.noteLimit(now, server->Record.process(), message.Limit);
+    if (!changes.empty())
+      note(now, "server_feedback", *request,
+           changes + ", told by agent " + agent.str());
     return send(now, *request, *server);
+  }
   notRun(now, *request, ServerOutcome::Declined, ReleaseKind::NotRun);
 }
 
@@ -368,6 +375,21 @@
   tellAgent(attempt.Agent, AttemptReleased{attempt.Id, kind, firstEvent});
 }
 
+void AttemptController::noteFeedback(TimePoint now,
+                                     const ForwardRequest &request,
+                                     const AnswerFeedback &feedback) {
+  const ForwardAttempt &attempt = *request.Attempt;
+  ServerSet &servers = Board.Servers;
+  const bool wasLimited = servers.feedbackOf(attempt.Server).isLimited();
+  const std::string changes =
+      servers.noteFeedback(now, attempt.Server, feedback, attempt.SentAt);
+  if (!changes.empty())
+    note(now, "server_feedback", request, changes);
+  const auto word = feedback.limitWord(now, attempt.SentAt);
+  if (word && (word->Named || wasLimited))
+    tellAgent(attempt.Agent, RateLimitSeen{attempt.Id, *word});
+}
+
 void AttemptController::noteBegan(const ForwardRequest &request) {
   const ForwardAttempt &attempt = *request.Attempt;
   tellAgent(attempt.Agent,
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -65,6 +65,9 @@
   void finish(TimePoint now, ForwardRequest &request);
   void note(TimePoint now, const char *name, const ForwardRequest &request,
             std::string detail = {}, int status = 0, bool lost = false);
+  /// Keeps what the server asks for with its answer, and tells its agent.
+  void noteFeedback(TimePoint now, const ForwardRequest &request,
+                    const AnswerFeedback &feedback);
   /// The server has run the request, or may have.
   void noteMayHaveRun(ForwardRequest &request) {
     Accounts.onMayHaveRun(request);
--- a/packages/forward/pimentofront/src/Forward/ServerFeedback.h
+++ b/packages/forward/pimentofront/src/Forward/ServerFeedback.h
@@ -2,7 +2,7 @@
 #define PIMENTOFRONT_FORWARD_SERVER_FEEDBACK_H
 
 #include "HttpMessage.h"
-#include "pimentofront/Base.h"
+#include "pimentofront/Wire.h"
 
 #include <algorithm>
 #include <optional>
@@ -23,6 +23,11 @@
   std::string Unreadable;
   friend auto operator<=>(const AnswerFeedback &,
                           const AnswerFeedback &) = default;
+
+  /// \returns its word on the limit, of an answer that came at \p now to a
+  /// request that was sent at \p sentAt; nothing if it can't be told.
+  std::optional<pimentofront::RateLimit> limitWord(TimePoint now,
+                                                   TimePoint sentAt) const;
 };
 
 /// \class ServerFeedback
@@ -36,21 +41,22 @@
   /// The longest rest that is kept. A server that needs more asks again; one
   /// that is there again for long must not stay unused by a mistaken word.
   static constexpr Duration MaxRest = std::chrono::hours(1);
-
   /// \returns the rest that a server asks for by \p seconds.
   static Duration boundedRest(double seconds) {
     return fromSeconds(std::min(seconds, toSeconds(MaxRest)));
   }
+
   /// Takes in what an answer said to a request that was sent at \p sentAt.
   /// \returns what changed, for the log; empty if nothing did.
   std::string apply(TimePoint now, const AnswerFeedback &answer,
                     TimePoint sentAt);
+  /// Takes in what another process knows of the limit.
+  /// \returns what changed, for the log; empty if nothing did.
+  std::string learnLimit(TimePoint now, const RateLimit &limit);
 
-  /// \returns the requests a second that the server takes from all entries
-  /// together; nothing while it names no limit.
-  const std::optional<double> &rateLimit() const { return Limit; }
-  /// \returns when the limit was named last.
-  TimePoint limitNamedAt() const { return LimitNamedAt; }
+  bool isLimited() const { return Limit.Named; }
+  /// \returns what to tell others of the limit.
+  RateLimit limit(TimePoint now) const;
   bool isResting(TimePoint now) const { return now < RestUntil; }
   TimePoint restUntil() const { return RestUntil; }
   bool isLeaving() const { return Leaving; }
@@ -58,8 +64,9 @@
                           const ServerFeedback &) = default;
 
 private:
-  std::optional<double> Limit;
-  TimePoint LimitNamedAt;
+  RateLimit Limit;
+  /// When the limit, or its end, was said; its age counts from here.
+  TimePoint LimitSaidAt;
   TimePoint RestUntil;
   bool Leaving = false;
 };
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -247,26 +247,38 @@
   }
 }
 
-std::string ServerSet::noteFeedback(TimePoint now, const ServerProcess &server,
-                                    const AnswerFeedback &feedback,
-                                    TimePoint sentAt) {
-  constexpr std::size_t MostKnown = 4096;
-  const auto known = Feedback.find(server.Name);
-  if (known == Feedback.end() && feedback == AnswerFeedback())
-    return {};
+ServerFeedback *ServerSet::keptFeedback(const ServerProcess &server) {
+  constexpr std::size_t MostKept = 4096;
   // The last words of a former process say nothing of this one.
   const auto registered = Servers.find(server.Name);
   if (registered != Servers.end() &&
       !maybeSame(registered->second.Record.process(), server))
-    return {};
-  if (Feedback.size() >= MostKnown)
+    return nullptr;
+  if (Feedback.size() >= MostKept)
     std::erase_if(Feedback, [&](const auto &it) {
       return it.first != server.Name && !find(it.second.Process);
     });
   KnownFeedback &it = Feedback[server.Name];
   if (!maybeSame(it.Process, server))
     it = {.Process = server};
-  return it.Feedback.apply(now, feedback, sentAt);
+  return &it.Feedback;
+}
+
+std::string ServerSet::noteFeedback(TimePoint now, const ServerProcess &server,
+                                    const AnswerFeedback &feedback,
+                                    TimePoint sentAt) {
+  if (feedback == AnswerFeedback() && !Feedback.contains(server.Name))
+    return {};
+  ServerFeedback *it = keptFeedback(server);
+  return it ? it->apply(now, feedback, sentAt) : std::string();
+}
+
+std::string ServerSet::noteLimit(TimePoint now, const ServerProcess &server,
+                                 const RateLimit &limit) {
+  if (!limit.Named)
+    return {};
+  ServerFeedback *it = keptFeedback(server);
+  return it ? it->learnLimit(now, limit) : std::string();
 }
 
 ServerFeedback ServerSet::feedbackOf(const ServerProcess &server) const {
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -119,6 +119,10 @@
   /// \returns what changed, for the log; empty if nothing did.
   std::string noteFeedback(TimePoint now, const ServerProcess &server,
                            const AnswerFeedback &feedback, TimePoint sentAt);
+  /// Another process has told of the server's limit.
+  /// \returns what changed, for the log; empty if nothing did.
+  std::string noteLimit(TimePoint now, const ServerProcess &server,
+                        const RateLimit &limit);
   /// \returns what this process asks for.
   ServerFeedback feedbackOf(const ServerProcess &server) const;
   void suspendAgent(TimePoint now, const HostName &agent);
@@ -141,6 +145,10 @@
   std::map<ServiceName, std::uint32_t> ConnectionCaps;
   std::map<HostName, ServerView> Servers;
   MemberViews Agents;
+  /// \returns the place to keep what the process asks for; null if another one
+  /// is registered under its name.
+  ServerFeedback *keptFeedback(const ServerProcess &server);
+
   bool Complete = false;
   struct KnownFeedback {
     ServerProcess Process;
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -85,6 +85,8 @@
     onReleased(now, *released);
   } else if (const auto *began = std::get_if<AttemptBegan>(&message)) {
     Controller.onBegan(now, *began);
+  } else if (const auto *limit = std::get_if<RateLimitSeen>(&message)) {
+    Controller.onRateLimitSeen(now, *limit);
   } else if (const auto *profile = std::get_if<EngineProfile>(&message)) {
     takeProfile(now, *profile);
   }
@@ -97,8 +99,12 @@
                         AttemptRefused{.Attempt = request.Attempt,
                                        .Reason = RefusalReason::BackendDown,
                                        .Load = Controller.figures(now)});
-  if (!request.Server.empty())
+  if (!request.Server.empty()) {
+    // What was learned of a former process doesn't hold for this one.
+    if (!Process.empty() && !maybeSame(Process, request.server()))
+      Controller.onProcessChanged();
     Process = request.server();
+  }
   if (request.Delegated)
     Delegated[request.Attempt] = link;
   Controller.onExecute(now, link, request);
@@ -146,7 +152,8 @@
   if (it == Delegated.end())
     return Driver.generate(request);
   Network.send(it->second,
-               AttemptPermit{request.Attempt, Controller.figures(now)});
+               AttemptPermit{request.Attempt, Controller.figures(now),
+                             Controller.rateLimit(now)});
 }
 
 void AgentNode::cancelWork(TimePoint now, const AttemptId &attempt) {
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -17,13 +17,45 @@
 
 } // namespace
 
-Duration AdmissionController::queueWait() const {
+Duration AdmissionController::queueWait(TimePoint now) const {
+  const Duration pace = Board.Pacer.wait(now, Board.WaitingCount);
   const std::uint32_t capacity = std::max(Board.BatchCapacity, 1U);
   const std::size_t ahead = Board.runningOnEngine() + Board.WaitingCount;
   if (ahead < capacity)
-    return Duration::zero();
+    return pace;
   const auto excess = static_cast<std::int64_t>(ahead - capacity + 1);
-  return Board.ServiceTime * excess / capacity;
+  return std::max(pace, Board.ServiceTime * excess / capacity);
+}
+
+bool AdmissionController::exceedsRateLimit(TimePoint now, std::size_t ahead,
+                                           Duration remaining) const {
+  const Duration most =
+      fromSeconds(toSeconds(remaining) * Board.Options.StallShare);
+  return Board.Pacer.wait(now, ahead) > most;
+}
+
+void AdmissionController::refuseBeyondRateLimit(TimePoint now) {
+  if (!Board.Pacer.isLimited())
+    return;
+  std::vector<const WaitingAttempt *> waiting;
+  for (const auto &[key, queue] : Board.Waiting)
+    for (const WaitingAttempt &it : queue)
+      waiting.push_back(&it);
+  std::ranges::sort(waiting, {}, &WaitingAttempt::ArrivedAt);
+  std::vector<std::pair<EntryLink, AttemptId>> refused;
+  std::size_t ahead = 0;
+  for (const WaitingAttempt *it : waiting) {
+    if (exceedsRateLimit(now, ahead, it->Deadline - now))
+      refused.emplace_back(it->Entry, it->Request.Attempt);
+    else
+      ++ahead;
+  }
+  for (const auto &[entry, attempt] : refused) {
+    forget(attempt);
+    refuse(entry, attempt,
+           {RefusalReason::RateLimited, Board.Pacer.wait(now, ahead)},
+           figures(now));
+  }
 }
 
 LoadFigures AdmissionController::figures(TimePoint now) const {
@@ -38,7 +70,8 @@
           .BatchCapacity = Board.BatchCapacity,
           .LoadWait = loadBacklog(now),
           .VictimValue = static_cast<std::uint32_t>(victim * Thousand),
-          .PrefillWait = Board.Prefill.wait(now) + lag(now)};
+          .PrefillWait = Board.Prefill.wait(now) + lag(now) +
+                         Board.Pacer.wait(now, Board.WaitingCount)};
 }
 
 AdmissionController::Verdict
@@ -52,8 +85,9 @@
 }
 
 AdmissionController::Verdict
-AdmissionController::judgeResident(const ExecuteRequest &request) const {
-  const Duration wait = queueWait();
+AdmissionController::judgeResident(TimePoint now,
+                                   const ExecuteRequest &request) const {
+  const Duration wait = queueWait(now);
   if (request.OnlyIfResident && wait > Board.Options.SpillDelay)
     return {RefusalReason::QueueFull, wait};
   // An entry that sends the request itself judges how long the answer takes.
@@ -136,8 +170,9 @@
   const bool ready = Board.Slots.isReady(key);
   const bool loading = Board.Slots.isLoading(key);
   // The requests that end give both their places and their slots.
-  const Duration ends =
-      ready || loading ? queueWait() : std::max(queueWait(), slotWait(key));
+  const Duration ends = ready || loading
+                            ? queueWait(now)
+                            : std::max(queueWait(now), slotWait(key));
   return ends + (ready ? Duration::zero() : Board.LoadTimes.expected(key)) +
          Board.Prefill.wait(now) + Board.Prefill.reading(key, request.Parts) +
          lag(now);
@@ -167,14 +202,17 @@
   if (request.BaseModel != Board.Options.BaseModel)
     return {RefusalReason::NoSuchBackend};
   if (Board.WaitingCount >= Board.Options.QueueLimit)
-    return {RefusalReason::QueueFull, queueWait()};
+    return {RefusalReason::QueueFull, queueWait(now)};
   const Duration wait = expectedFirstEvent(now, request);
   const bool holds =
       Board.Slots.isReady(request.Key) || Board.Slots.isLoading(request.Key);
   if (request.FirstEventWithin > Duration::zero() &&
       wait > request.FirstEventWithin)
     return {RefusalReason::Busy, wait, holds};
-  return holds ? judgeResident(request) : judgeMissing(now, request, wait);
+  if (exceedsRateLimit(now, Board.WaitingCount, request.Remaining))
+    return {RefusalReason::RateLimited,
+            Board.Pacer.wait(now, Board.WaitingCount)};
+  return holds ? judgeResident(now, request) : judgeMissing(now, request, wait);
 }
 
 void AdmissionController::refuse(EntryLink entry, const AttemptId &attempt,
@@ -229,6 +267,7 @@
 }
 
 void AdmissionController::refuseHopeless(TimePoint now) {
+  refuseBeyondRateLimit(now);
   std::optional<LoadFigures> shared;
   for (auto it = Board.Waiting.begin(); it != Board.Waiting.end();) {
     auto &[key, queue] = *it;
@@ -244,7 +283,7 @@
         return false;
       if (!shared)
         shared = figures(now);
-      const Duration wait = ready ? queueWait() : loadBacklog(now);
+      const Duration wait = ready ? queueWait(now) : loadBacklog(now);
       refuse(attempt.Entry, attempt.Request.Attempt, {reason, wait}, *shared);
       --Board.WaitingCount;
       return true;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -40,11 +40,17 @@
   };
   Verdict judge(TimePoint now, const ExecuteRequest &request) const;
   Verdict judgeService(const ExecuteRequest &request) const;
-  Verdict judgeResident(const ExecuteRequest &request) const;
+  Verdict judgeResident(TimePoint now, const ExecuteRequest &request) const;
   /// \param firstEvent how long the first event would take.
   Verdict judgeMissing(TimePoint now, const ExecuteRequest &request,
                        Duration firstEvent) const;
-  Duration queueWait() const;
+  Duration queueWait(TimePoint now) const;
+  /// \returns whether the engine's limit keeps a request waiting for too long
+  /// that has \p ahead others before it, and \p remaining time.
+  bool exceedsRateLimit(TimePoint now, std::size_t ahead,
+                        Duration remaining) const;
+  /// Refuses what the engine's limit doesn't let through in time.
+  void refuseBeyondRateLimit(TimePoint now);
   /// \returns how long a request would wait until a slot can be given up for
   /// its adapter.
   Duration slotWait(const AdapterKey &key) const;
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -4,6 +4,7 @@
 #include "EvictionPolicy.h"
 #include "LoadTimeModel.h"
 #include "PrefillModel.h"
+#include "RequestPacer.h"
 
 #include <deque>
 #include <map>
@@ -184,6 +185,8 @@
   /// Last word of the load scheduler on its queue, and when it came.
   Duration LoadBacklog = Duration::zero();
   TimePoint LoadBacklogAt;
+  /// Of the engine's process, while it names a limit.
+  RequestPacer Pacer;
 
   /// Takes no new work.
   bool Leaving = false;
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -19,6 +19,8 @@
 
 void AgentController::onExecute(TimePoint now, EntryLink entry,
                                 const ExecuteRequest &request) {
+  if (request.Limit.Named)
+    applyRateLimit(now, request.Limit);
   Admission.onExecute(now, entry, request);
   decide(now);
 }
@@ -100,6 +102,20 @@
     Board.Prefill.learn(it->second.PromptTokens, message.FirstEvent);
 }
 
+void AgentController::onRateLimitSeen(TimePoint now,
+                                      const RateLimitSeen &message) {
+  // Only of the process that runs now.
+  if (!Board.Running.contains(message.Attempt))
+    return;
+  applyRateLimit(now, message.Limit);
+  decide(now);
+}
+
+void AgentController::applyRateLimit(TimePoint now, const RateLimit &limit) {
+  if (Board.Pacer.apply(now, limit))
+    Admission.refuseHopeless(now);
+}
+
 void AgentController::onReleased(TimePoint now,
                                  const AttemptReleased &message) {
   const auto it = Board.Running.find(message.Attempt);
@@ -202,6 +218,7 @@
   if (!Board.EngineReady)
     return;
   Board.EngineReady = false;
+  Board.Pacer.reset();
   Board.Prefill.clear(now);
   Board.LoadTimes.clear();
   breakOff(now, /*services=*/false);
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -38,6 +38,12 @@
   /// The engine has begun to answer a delegated request.
   void onBegan(TimePoint now, const AttemptBegan &message);
   void onReleased(TimePoint now, const AttemptReleased &message);
+  /// \returns the engine's limit, for those who haven't learned of it.
+  RateLimit rateLimit(TimePoint now) const { return Board.Pacer.limit(now); }
+  /// The entries name another process of the engine.
+  void onProcessChanged() { Board.Pacer.reset(); }
+  /// An entry has learned what its answer said of the engine's limit.
+  void onRateLimitSeen(TimePoint now, const RateLimitSeen &message);
   /// The configuration says how many adapters the engine may hold, and how many
   /// requests it runs in one step.
   void onProfile(TimePoint now, const EngineProfile &profile);
@@ -71,6 +77,7 @@
   const AgentBoard &board() const { return Board; }
 
 private:
+  void applyRateLimit(TimePoint now, const RateLimit &limit);
   /// Gives up the slots of delegated requests that must have ended by now.
   void releaseOverdue(TimePoint now);
   void decide(TimePoint now);
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -56,7 +56,7 @@
     return;
   while (Board.runningOnEngine() < Board.BatchCapacity) {
     const std::optional<Candidate> next = choose();
-    if (!next)
+    if (!next || !Board.Pacer.take(now))
       return;
     start(now, *next);
   }
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/RequestPacer.cpp
@@ -0,0 +1,63 @@
+#include "pimentofront/Serving.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+
+bool RequestPacer::apply(TimePoint now, const RateLimit &limit) {
+  constexpr double Thousand = 1000;
+  const TimePoint saidAt = now - std::max(limit.Age, Duration::zero());
+  if (SaidAt && saidAt < *SaidAt)
+    return false;
+  SaidAt = saidAt;
+  const bool changes = limit.Named != isLimited() ||
+                       limit.PerThousandSeconds != PerThousandSeconds;
+  if (!changes)
+    return false;
+  fill(now);
+  PerThousandSeconds = limit.PerThousandSeconds;
+  if (!limit.Named) {
+    Rate.reset();
+    return true;
+  }
+  if (!Rate)
+    Level = 0;
+  Rate =
+      std::max(static_cast<double>(PerThousandSeconds) / Thousand, ProbeRate);
+  return true;
+}
+
+RateLimit RequestPacer::limit(TimePoint now) const {
+  return {.Named = isLimited(),
+          .PerThousandSeconds = PerThousandSeconds,
+          .Age = SaidAt ? now - *SaidAt : Duration::zero()};
+}
+
+double RequestPacer::levelAt(TimePoint now) const {
+  return std::min(Level + *Rate * toSeconds(now - FilledAt), Burst);
+}
+
+void RequestPacer::fill(TimePoint now) {
+  if (Rate)
+    Level = levelAt(now);
+  FilledAt = now;
+}
+
+Duration RequestPacer::wait(TimePoint now, std::size_t ahead) const {
+  if (!Rate)
+    return Duration::zero();
+  const double missing = static_cast<double>(ahead) + 1 - levelAt(now);
+  return fromSeconds(std::max(missing, 0.0) / *Rate);
+}
+
+bool RequestPacer::take(TimePoint now) {
+  if (!Rate)
+    return true;
+  fill(now);
+  if (Level < 1)
+    return false;
+  Level -= 1;
+  return true;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/serving/pimentofront/src/Serving/RequestPacer.h
@@ -0,0 +1,56 @@
+#ifndef PIMENTOFRONT_SERVING_REQUEST_PACER_H
+#define PIMENTOFRONT_SERVING_REQUEST_PACER_H
+
+#include "pimentofront/Wire.h"
+
+#include <optional>
+
+namespace pimentofront {
+
+/// \class RequestPacer
+/// \ingroup Serving
+/// \brief Paces the requests that all entries together send to one backend
+/// server which names a limit: a token bucket that starts empty.
+///
+/// There is one for each server: at the agent beside an engine, at the leader
+/// of the replicas for a server without one. Several words on the limit arrive
+/// in any order; the newest holds.
+class RequestPacer {
+public:
+  /// Requests that may be saved up: more of them would come all at once to a
+  /// server that is in need.
+  static constexpr double Burst = 2;
+  /// Requests a second that are sent however low the limit is: without an
+  /// answer nobody learns that it has ended.
+  static constexpr double ProbeRate = 0.25;
+
+  /// \returns whether another limit is in force now, or none any more.
+  bool apply(TimePoint now, const RateLimit &limit);
+  /// Another process of the server runs now.
+  void reset() { *this = RequestPacer(); }
+  bool isLimited() const { return Rate.has_value(); }
+  /// \returns what to tell others of the limit.
+  RateLimit limit(TimePoint now) const;
+  /// \returns how long it takes until a request may be sent that has \p ahead
+  /// others before it.
+  Duration wait(TimePoint now, std::size_t ahead) const;
+  /// \returns whether a request may be sent now, and counts it.
+  bool take(TimePoint now);
+
+private:
+  void fill(TimePoint now);
+  double levelAt(TimePoint now) const;
+
+  /// As it was named.
+  std::uint64_t PerThousandSeconds = 0;
+  /// Requests a second; nothing without a limit.
+  std::optional<double> Rate;
+  double Level = 0;
+  TimePoint FilledAt;
+  /// When the limit in force, or its end, was said.
+  std::optional<TimePoint> SaidAt;
+};
+
+} // namespace pimentofront
+
+#endif
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -1,7 +1,7 @@
 #ifndef PIMENTOFRONT_WIRE_ATTEMPT_MESSAGES_H
 #define PIMENTOFRONT_WIRE_ATTEMPT_MESSAGES_H
 
-#include "Fields.h"
+#include "RateLimit.h"
 #include "pimentofront/Base.h"
 
 #include <string>
@@ -42,8 +42,11 @@
   NotResident,
   /// It would have to wait longer there than the attempt allows.
   Busy,
+  /// The backend server has named a limit to the requests of all entries, which
+  /// leaves no room for this one in time.
+  RateLimited,
 };
-constexpr unsigned RefusalReasonCount = 16;
+constexpr unsigned RefusalReasonCount = 17;
 
 /// \returns whether the request was only asking around: the host could take it,
 /// but another one may be better for it.
@@ -127,13 +130,16 @@
   HostName Server;
   /// When that process started; 0 if it isn't told.
   std::uint64_t ServerStartedAt = 0;
+  /// What the entry knows of that process's limit: the agent may have started
+  /// since it was named.
+  RateLimit Limit;
   /// \returns that process.
   ServerProcess server() const { return {Server, ServerStartedAt}; }
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, Resumed,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
                       Delegated, Parts, FirstEventWithin, FirstEventDue, Server,
-                      ServerStartedAt)
+                      ServerStartedAt, Limit)
 };
 
 /// Agent to entry: a place at the engine is yours, send the request now. The
@@ -141,7 +147,9 @@
 struct AttemptPermit {
   AttemptId Attempt;
   LoadFigures Load;
-  PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load)
+  /// The engine's limit, which other entries may have learned.
+  RateLimit Limit;
+  PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load, Limit)
 };
 
 /// What became of an attempt that had a permit.
--- a/packages/wire/pimentofront/src/Wire/Codec.cpp
+++ b/packages/wire/pimentofront/src/Wire/Codec.cpp
@@ -281,7 +281,8 @@
       "none",        "leaving",      "queue_full",      "load_backlog",
       "load_failed", "backend_down", "no_such_backend", "isolated",
       "kind_limit",  "caller_limit", "no_backend",      "stopping",
-      "invalid",     "no_claim",     "not_resident",    "busy"};
+      "invalid",     "no_claim",     "not_resident",    "busy",
+      "rate_limited"};
   const auto i = static_cast<unsigned>(reason);
   return i < RefusalReasonCount ? Names[i] : "unknown";
 }
--- a/packages/wire/pimentofront/src/Wire/Message.h
+++ b/packages/wire/pimentofront/src/Wire/Message.h
@@ -20,7 +20,8 @@
     VoteReply, AppendRequest, AppendReply, SnapshotPart, SnapshotReply,
     JoinRequest, AdminRequest, AdminReply, AttemptPermit, AttemptReleased,
     EngineProfile, ReplicaAddresses, QuarantineUpdate, AllotmentReport,
-    AllotmentGrants, AttemptBegan>;
+    AllotmentGrants, AttemptBegan, RateLimitSeen, SendPermitQuery,
+    SendPermitReply>;
 
 /// Version of the protocol between processes. A process refuses a `Hello`
 /// with a higher one before it reads anything else.
--- /dev/null
+++ b/packages/wire/pimentofront/src/Wire/RateLimit.h
@@ -0,0 +1,53 @@
+#ifndef PIMENTOFRONT_WIRE_RATE_LIMIT_H
+#define PIMENTOFRONT_WIRE_RATE_LIMIT_H
+
+#include "Fields.h"
+#include "pimentofront/Base.h"
+
+namespace pimentofront {
+
+/// \class RateLimit
+/// \ingroup Wire
+/// \brief What a process knows of the limit that a backend server names for the
+/// requests of all entries together.
+struct RateLimit {
+  bool Named = false;
+  /// Requests in 1,000 seconds.
+  std::uint64_t PerThousandSeconds = 0;
+  /// How old that is: since the answer that named the limit came, or since the
+  /// request was sent whose answer named none.
+  Duration Age = Duration::zero();
+  PIMENTOFRONT_FIELDS(RateLimit, Named, PerThousandSeconds, Age)
+};
+
+/// Entry to agent: what the answer to an attempt said of the engine's limit.
+/// Sent while the engine is known to be limited, and when that ends.
+struct RateLimitSeen {
+  AttemptId Attempt;
+  RateLimit Limit;
+  PIMENTOFRONT_FIELDS(RateLimitSeen, Attempt, Limit)
+};
+
+/// Entry to leader: asks for sends to a limited backend server without an
+/// agent.
+struct SendPermitQuery {
+  std::uint64_t Nonce = 0;
+  ServerProcess Server;
+  RateLimit Limit;
+  PIMENTOFRONT_FIELDS(SendPermitQuery, Nonce, Server, Limit)
+};
+
+/// Leader to entry, in answer to a query.
+struct SendPermitReply {
+  std::uint64_t Nonce = 0;
+  bool Granted = false;
+  /// The send has to begin so soon after the query was sent.
+  Duration Lifetime = Duration::zero();
+  /// When to ask again, if none was granted.
+  Duration ComeBack = Duration::zero();
+  PIMENTOFRONT_FIELDS(SendPermitReply, Nonce, Granted, Lifetime, ComeBack)
+};
+
+} // namespace pimentofront
+
+#endif
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -431,3 +431,90 @@
     CHECK(agent.take<StartGeneration>().size() == 1);
   }
 }
+
+namespace {
+
+/// Lets an agent's engine name a limit, with one request that runs.
+void limitEngine(Agent &agent, TimePoint now, RateLimit limit) {
+  ExecuteRequest first = request(1000, "a");
+  first.Delegated = true;
+  agent.Controller.onExecute(now, Entry, first);
+  agent.load(now, "a");
+  agent.take<StartGeneration>();
+  agent.Controller.onRateLimitSeen(now, {first.Attempt, limit});
+}
+
+/// An agent whose engine runs as many requests as are asked for here.
+Agent roomyAgent() {
+  return Agent({.Host = HostName("w"),
+                .Incarnation = 1,
+                .BaseModel = "base",
+                .Slots = 2,
+                .BatchCapacity = 64,
+                .CompanyShare = 0});
+}
+
+constexpr RateLimit OnePerSecond{.Named = true, .PerThousandSeconds = 1000};
+
+} // namespace
+
+TEST_CASE("an engine's limit paces the permits of all entries") {
+  Agent agent = roomyAgent();
+  limitEngine(agent, Now, OnePerSecond);
+  for (std::uint64_t n = 1; n <= 3; ++n)
+    agent.Controller.onExecute(Now, Entry + n, request(n, "a"));
+  CHECK(agent.take<StartGeneration>().empty());
+  agent.Controller.tick(Now + 1s);
+  CHECK(agent.take<StartGeneration>().size() == 1);
+  agent.Controller.tick(Now + 1900ms);
+  CHECK(agent.take<StartGeneration>().empty());
+  agent.Controller.tick(Now + 3s);
+  CHECK(agent.take<StartGeneration>().size() == 2);
+}
+
+TEST_CASE("a request that its engine's limit keeps back for too long goes "
+          "elsewhere at once") {
+  Agent agent = roomyAgent();
+  limitEngine(agent, Now, OnePerSecond);
+  ExecuteRequest bounded = request(1, "a");
+  bounded.FirstEventWithin = 500ms;
+  agent.Controller.onExecute(Now, Entry, bounded);
+  REQUIRE(agent.refusal());
+  CHECK(agent.refusal()->Reason == RefusalReason::Busy);
+  CHECK(agent.refusal()->ComeBack >= 1s);
+  agent.Controller.onExecute(Now, Entry, request(2, "a", 2s));
+  CHECK(agent.refusal()->Reason == RefusalReason::RateLimited);
+  CHECK(agent.refusal()->ComeBack >= 900ms);
+}
+
+TEST_CASE("a limit that falls turns away what can't wait any more") {
+  Agent agent = roomyAgent();
+  limitEngine(agent, Now, {.Named = true, .PerThousandSeconds = 10000});
+  for (std::uint64_t n = 1; n <= 5; ++n)
+    agent.Controller.onExecute(Now, Entry, request(n, "a", 5s));
+  CHECK(agent.Controller.board().WaitingCount == 5);
+  agent.Controller.onRateLimitSeen(Now, {{1, 1000}, OnePerSecond});
+  CHECK(agent.Controller.board().WaitingCount == 2);
+  REQUIRE(agent.refusal());
+  CHECK(agent.refusal()->Reason == RefusalReason::RateLimited);
+}
+
+TEST_CASE("an agent that has started since learns a limit from its entries") {
+  Agent agent = roomyAgent();
+  ExecuteRequest told = request(1, "a");
+  told.Limit = {.Named = true, .PerThousandSeconds = 1000, .Age = 7s};
+  agent.Controller.onExecute(Now, Entry, told);
+  agent.load(Now, "a");
+  CHECK(agent.take<StartGeneration>().empty());
+  CHECK(agent.Controller.rateLimit(Now).Named);
+  // Another process of the engine is there.
+  agent.Controller.onEngineLost(Now + 1s);
+  CHECK_FALSE(agent.Controller.rateLimit(Now + 1s).Named);
+}
+
+TEST_CASE("a word on the limit of a request that isn't there is of a former "
+          "process") {
+  Agent agent = roomyAgent();
+  agent.Controller.onRateLimitSeen(Now, {{1, 999}, OnePerSecond});
+  CHECK_FALSE(agent.Controller.rateLimit(Now).Named);
+}
--- a/test/ServerFeedbackTest.cpp
+++ b/test/ServerFeedbackTest.cpp
@@ -45,19 +45,22 @@
 
 TEST_CASE("a server's limit holds as long as its answers name it",
           "[feedback]") {
+  constexpr RateLimit Named{.Named = true, .PerThousandSeconds = 1500};
   ServerFeedback it;
   CHECK(!it.apply(Now, {.RateLimit = 1.5}, Now - 1s).empty());
-  CHECK(it.rateLimit() == 1.5);
+  CHECK(it.limit(Now) == Named);
   CHECK(it.apply(Now + 1s, {.RateLimit = 1.5}, Now).empty());
-  CHECK(it.limitNamedAt() == Now + 1s);
   // Sent before the limit was named last: no word on what holds now.
   CHECK(it.apply(Now + 2s, {}, Now + 900ms).empty());
-  CHECK(it.rateLimit() == 1.5);
+  CHECK(it.limit(Now + 1s) == Named);
   // A word that can't be read neither sets nor ends a limit.
   CHECK(!it.apply(Now + 2s, {.Unreadable = "limit"}, Now + 1500ms).empty());
-  CHECK(it.rateLimit() == 1.5);
+  CHECK(it.isLimited());
+  // Others may have an older word.
+  CHECK(it.learnLimit(Now + 2s, {.Named = true, .Age = 1500ms}).empty());
+  CHECK(it.limit(Now + 1s) == Named);
   CHECK(!it.apply(Now + 3s, {}, Now + 2s).empty());
-  CHECK(!it.rateLimit());
+  CHECK(!it.isLimited());
 }
 
 TEST_CASE("of several rests the latest end counts", "[feedback]") {
