The leader paces sends to limited servers without an agent

Callers saw plain servers in need get up to 13 requests in 4 s where they had named 1.2 a second. Same cause as at engines; here nobody is asked before a send. Ways weighed: equal parts of the limit at each entry (1.2 a second over 28 entries is one request each in 23 s, and the first ones alone are over the bound), and one pacer that is asked, which stands.

The leader of the replicas keeps a RequestPacer for each such server under its lease (SendPermitLedger), entries ask it for one send at a time (SendPermits) on the ledger's link while there is work, and send elsewhere meanwhile. A permit lapses within the time of one request; a fresh leader starts with nothing. Without a leader a limited plain server gets nothing. What only limited servers could take waits for a permit, or is refused at once with the soonest time.

AgentTest: a wait is rounded up by a microsecond now, so that nobody comes back early; one test stood exactly on its bound and got 100 ms more.

--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -24,6 +24,7 @@
 #include "src/Forward/HeaderCodec.h"
 #include "src/Forward/EventStream.h"
 #include "src/Forward/ConnectionShare.h"
+#include "src/Forward/SendPermits.h"
 #include "src/Forward/ServerSet.h"
 #include "src/Forward/QuarantineSet.h"
 #include "src/Forward/ForwardBoard.h"
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -119,22 +119,66 @@
 }
 
 void AttemptController::choose(TimePoint now, ForwardRequest &request) {
-  if (!request.ToEngine) {
-    ServerView *server =
-        Board.Servers.choose(now, request.Service, request.Avoid);
-    if (server)
-      return send(now, request, *server);
-  } else {
-    const RouteQuery query{.Key = request.Adapter,
-                           .BaseModel = request.Service.str(),
-                           .Tried = request.Tried,
-                           .Prefix = prefixOf(request.Traits.Parts),
-                           .Target = firstEventDue(now, request)};
-    const std::optional<Route> route =
-        Routing.choose(now, query, Board.Servers.agents());
-    if (route)
-      return askAgent(now, request, *route);
+  if (request.ToEngine)
+    chooseEngine(now, request);
+  else
+    choosePlain(now, request);
+}
+
+void AttemptController::choosePlain(TimePoint now, ForwardRequest &request) {
+  const auto limited =
+      Board.Servers.limitedServers(now, request.Service, request.Avoid);
+  ServerView *server =
+      Board.Servers.choose(now, request.Service, request.Avoid, Board.Permits);
+  if (server) {
+    const ServerProcess process = server->Record.process();
+    if (Board.Permits.has(now, process))
+      Board.Permits.use(process);
   }
+  for (const ServerProcess &it : limited)
+    Board.Permits.want(now, it, Board.Servers.feedbackOf(it).limit(now));
+  if (server)
+    return send(now, request, *server);
+  if (limited.empty())
+    return noneTakes(now, request);
+  awaitPermit(now, request, limited);
+}
+
+void AttemptController::awaitPermit(TimePoint now, ForwardRequest &request,
+                                    const std::vector<ServerProcess> &limited) {
+  const auto chanceOf = [&](const ServerProcess &it) {
+    return Board.Permits.nextChance(now, it);
+  };
+  const TimePoint chance =
+      chanceOf(*std::ranges::min_element(limited, {}, chanceOf));
+  request.LastRefusal = RefusalReason::RateLimited;
+  // Each server gives one permit at a time.
+  const auto waiting = std::ranges::count_if(Board.Held, [&](const auto key) {
+    return Board.Requests.at(key).Service == request.Service;
+  });
+  if (chance < Holds.limitOf(request) &&
+      static_cast<std::size_t>(waiting) < limited.size()) {
+    holdOrGiveUp(now, request, ForwardFailure::Declined);
+    return Holds.wakeAt(request.Key, chance);
+  }
+  request.ComeBack = std::max(request.ComeBack, chance - now);
+  giveUp(now, request, ForwardFailure::Declined);
+}
+
+void AttemptController::chooseEngine(TimePoint now, ForwardRequest &request) {
+  const RouteQuery query{.Key = request.Adapter,
+                         .BaseModel = request.Service.str(),
+                         .Tried = request.Tried,
+                         .Prefix = prefixOf(request.Traits.Parts),
+                         .Target = firstEventDue(now, request)};
+  const std::optional<Route> route =
+      Routing.choose(now, query, Board.Servers.agents());
+  if (route)
+    return askAgent(now, request, *route);
+  noneTakes(now, request);
+}
+
+void AttemptController::noneTakes(TimePoint now, ForwardRequest &request) {
   const bool any = Board.Servers.serves(request.Service);
   const ForwardFailure why =
       any ? ForwardFailure::Declined : ForwardFailure::NoServer;
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -76,6 +76,14 @@
 private:
   /// Asks an agent, or sends to a plain server.
   void choose(TimePoint now, ForwardRequest &request);
+  void choosePlain(TimePoint now, ForwardRequest &request);
+  void chooseEngine(TimePoint now, ForwardRequest &request);
+  /// No server takes the request now.
+  void noneTakes(TimePoint now, ForwardRequest &request);
+  /// Only servers take it to which this entry has no permit to send: the
+  /// request waits for one, or is refused.
+  void awaitPermit(TimePoint now, ForwardRequest &request,
+                   const std::vector<ServerProcess> &limited);
   /// The host of an agent may be gone, and the engine with it.
   void suspect(TimePoint now, const HostName &agent);
   void askAgent(TimePoint now, ForwardRequest &request, const Route &route);
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -319,6 +319,7 @@
   Random Jitter;
   AllotmentLeases Leases;
   RetryBudget Budget;
+  SendPermits Permits;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -153,6 +153,18 @@
   }
 }
 
+void ForwardController::onSendPermit(TimePoint now,
+                                     const SendPermitReply &reply) {
+  Board.Permits.onReply(now, reply);
+  // Whoever waits for a permit is sent, told to wait on, or refused.
+  for (const std::uint64_t key : Board.Held) {
+    ForwardRequest &request = Board.Requests.at(key);
+    if (request.Route && !request.ToEngine)
+      request.NextTryAt = now;
+  }
+  retryHeld(now);
+}
+
 bool ForwardController::waitsTooLong(TimePoint now,
                                      const ForwardRequest &request) const {
   return request.Charge.Now == AllotmentCharge::State::Asked &&
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -44,11 +44,21 @@
   }
   /// The leader has answered a report.
   void onAllotmentGrants(TimePoint now, const AllotmentGrants &grants);
+  bool wantsPermitQuery() const { return Board.Permits.wantsQuery(); }
+  /// \returns what to ask the leader for sends to limited servers.
+  std::vector<SendPermitQuery> takePermitQueries() {
+    return Board.Permits.takeQueries();
+  }
+  /// The leader has answered a query.
+  void onSendPermit(TimePoint now, const SendPermitReply &reply);
   /// The link to the leader has ended.
-  void onAllotmentLinkLost() { Board.Leases.onLinkLost(); }
+  void onLedgerLinkLost(TimePoint now) {
+    Board.Leases.onLinkLost();
+    Board.Permits.onLinkLost(now);
+  }
   /// \returns whether the leader has left a question unanswered for too long.
-  bool allotmentUnanswered(TimePoint now) const {
-    return Board.Leases.unanswered(now);
+  bool ledgerUnanswered(TimePoint now) const {
+    return Board.Leases.unanswered(now) || Board.Permits.unanswered(now);
   }
   /// The replicas have decided on a question, or haven't in time.
   void onDecision(TimePoint now, std::uint64_t nonce,
--- a/packages/forward/pimentofront/src/Forward/HoldController.cpp
+++ b/packages/forward/pimentofront/src/Forward/HoldController.cpp
@@ -22,6 +22,13 @@
   return true;
 }
 
+void HoldController::wakeAt(std::uint64_t key, TimePoint at) {
+  if (!Board.Held.contains(key))
+    return;
+  ForwardRequest &request = Board.Requests.at(key);
+  request.NextTryAt = std::min(request.NextTryAt, at);
+}
+
 std::vector<std::uint64_t> HoldController::takeDue(TimePoint now) {
   std::vector<std::uint64_t> due;
   for (const std::uint64_t key : Board.Held) {
--- a/packages/forward/pimentofront/src/Forward/HoldController.h
+++ b/packages/forward/pimentofront/src/Forward/HoldController.h
@@ -24,6 +24,8 @@
   /// many wait already.
   /// \returns whether it is kept.
   bool hold(TimePoint now, ForwardRequest &request);
+  /// Has a held request tried at \p at, if that is sooner.
+  void wakeAt(std::uint64_t key, TimePoint at);
   /// \returns the requests that are to be tried again now, which aren't held
   /// any more.
   std::vector<std::uint64_t> takeDue(TimePoint now);
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -176,15 +176,39 @@
     it->Connections.noteTurnedAway(now, Options.Connections);
 }
 
+bool ServerSet::isOpen(TimePoint now, const ServerView &server,
+                       const ServiceName &service,
+                       const std::vector<ServerProcess> &without) const {
+  return isOf(server.Record, service) && !server.Record.Leaving &&
+         std::ranges::find(without, server.Record.process()) == without.end() &&
+         server.InFlight < connections(now, server).Open;
+}
+
+std::vector<ServerProcess>
+ServerSet::limitedServers(TimePoint now, const ServiceName &service,
+                          const std::vector<ServerProcess> &without) const {
+  std::vector<ServerProcess> result;
+  // Mostly no server asks for anything.
+  if (Feedback.empty())
+    return result;
+  for (const auto &[host, it] : Servers)
+    if (isOpen(now, it, service, without) &&
+        feedbackOf(it.Record.process()).isLimited())
+      result.push_back(it.Record.process());
+  return result;
+}
+
 ServerView *ServerSet::choose(TimePoint now, const ServiceName &service,
-                              const std::vector<ServerProcess> &without) {
+                              const std::vector<ServerProcess> &without,
+                              const SendPermits &permits) {
   const double failures = meanFailureShare(service);
   ServerView *best = nullptr;
   std::pair<bool, double> least;
   for (auto &[host, it] : Servers) {
-    if (!isOf(it.Record, service) || it.Record.Leaving ||
-        std::ranges::find(without, it.Record.process()) != without.end() ||
-        it.InFlight >= connections(now, it).Open)
+    if (!isOpen(now, it, service, without))
+      continue;
+    const ServerProcess process = it.Record.process();
+    if (feedbackOf(process).isLimited() && !permits.has(now, process))
       continue;
     const std::pair<bool, double> rank{now < it.SuspendedUntil,
                                        scoreOf(now, it, failures)};
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -4,6 +4,7 @@
 #include "ConnectionShare.h"
 #include "HeaderCodec.h"
 #include "RoutingDocument.h"
+#include "SendPermits.h"
 #include "pimentofront/State.h"
 
 namespace pimentofront {
@@ -90,10 +91,17 @@
   /// So many entries share the connections of each server.
   void onEntries(TimePoint now, std::uint32_t entries);
   /// \returns the best server of \p service for one more request, but for
-  /// those in \p without and those to which this entry has as many connections
-  /// as it may; null when there is none.
+  /// those in \p without, those to which this entry has as many connections as
+  /// it may, and limited ones without one of \p permits; null when there is
+  /// none.
   ServerView *choose(TimePoint now, const ServiceName &service,
-                     const std::vector<ServerProcess> &without);
+                     const std::vector<ServerProcess> &without,
+                     const SendPermits &permits);
+  /// \returns the servers of \p service that would take one more request with
+  /// a permit.
+  std::vector<ServerProcess>
+  limitedServers(TimePoint now, const ServiceName &service,
+                 const std::vector<ServerProcess> &without) const;
   /// \returns whether all servers are known that there are: whoever isn't
   /// named by then doesn't exist.
   bool isComplete() const { return Complete; }
@@ -130,6 +138,10 @@
   void noteProcessEnded(TimePoint now, const ServerProcess &server);
 
 private:
+  /// \returns whether the server may get one more request but for its limit.
+  bool isOpen(TimePoint now, const ServerView &server,
+              const ServiceName &service,
+              const std::vector<ServerProcess> &without) const;
   void put(const MemberRecord &record);
   void dropOthersAt(const MemberRecord &record);
   void joinAgents();
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -59,7 +59,7 @@
     return Leader.onClosed(now);
   if (Ledger.owns(link)) {
     Ledger.onClosed(now);
-    return Controller.onAllotmentLinkLost();
+    return Controller.onLedgerLinkLost(now);
   }
   if (!Agents.find(link))
     return;
@@ -115,26 +115,30 @@
   Ledger.onHeard(now);
   if (const auto *grants = std::get_if<AllotmentGrants>(&message)) {
     Controller.onAllotmentGrants(now, *grants);
+  } else if (const auto *permit = std::get_if<SendPermitReply>(&message)) {
+    Controller.onSendPermit(now, *permit);
   } else if (const auto *redirect = std::get_if<NotLeader>(&message)) {
     Ledger.onRedirect(now, redirect->LeaderAddress);
-    Controller.onAllotmentLinkLost();
+    Controller.onLedgerLinkLost(now);
   }
 }
 
 void ForwardNode::watchLedger(TimePoint now) {
-  const bool unanswered = Controller.allotmentUnanswered(now);
+  const bool unanswered = Controller.ledgerUnanswered(now);
   if (unanswered)
     Ledger.onRedirect(now, /*address=*/std::string());
   if (unanswered || Ledger.tick(now))
-    Controller.onAllotmentLinkLost();
+    Controller.onLedgerLinkLost(now);
 }
 
-void ForwardNode::reportAllotments(TimePoint now) {
-  if (!Controller.wantsAllotmentReport(now))
+void ForwardNode::askLedgers(TimePoint now) {
+  if (!Controller.wantsAllotmentReport(now) && !Controller.wantsPermitQuery())
     return;
   const auto link = Ledger.link(now);
   if (!link)
     return;
+  for (const SendPermitQuery &it : Controller.takePermitQueries())
+    Network.send(*link, it);
   if (const auto report = Controller.takeAllotmentReport(now))
     Network.send(*link, *report);
 }
@@ -299,7 +303,7 @@
   }
   for (const ForwardEvent &it : Controller.takeEvents())
     Sink.onEvent(it);
-  reportAllotments(now);
+  askLedgers(now);
 }
 
 } // namespace pimentofront
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -87,8 +87,9 @@
   void onLedgerMessage(TimePoint now, const Message &message);
   /// Looks for another leader when the ledger's one doesn't answer.
   void watchLedger(TimePoint now);
-  /// Tells the allotment ledger what was spent and what is needed.
-  void reportAllotments(TimePoint now);
+  /// Tells the allotment ledger what was spent and what is needed, and asks for
+  /// sends to limited servers.
+  void askLedgers(TimePoint now);
   /// Notices that the process has slept since it was called last.
   void noteTime(TimePoint now);
   void flush(TimePoint now);
@@ -100,8 +101,8 @@
   /// The leader, for what the replicas decide.
   LeaderLink Leader;
   ProposalQueue Proposals;
-  /// The leader, for the units of allotments. A link of its own: it is mostly
-  /// open, and its silence means something else.
+  /// The leader, for the units of allotments and for permits to send. A link of
+  /// its own: it is mostly open, and its silence means something else.
   LeaderLink Ledger;
   AgentLinks Agents;
   ForwardController Controller;
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -165,12 +165,14 @@
   const auto *done = std::get_if<LoadDone>(&message);
   const auto *proposal = std::get_if<Propose>(&message);
   const auto *allotments = std::get_if<AllotmentReport>(&message);
+  const auto *permit = std::get_if<SendPermitQuery>(&message);
   const auto *admin = std::get_if<AdminRequest>(&message);
   if (admin) {
     onAdmin(now, link, *admin);
     return true;
   }
-  if (!announce && !renew && !demand && !done && !proposal && !allotments)
+  if (!announce && !renew && !demand && !done && !proposal && !allotments &&
+      !permit)
     return false;
   if (!leads(now)) {
     redirect(link);
@@ -194,6 +196,9 @@
   } else if (allotments) {
     Network.send(link,
                  Allotments.onReport(now, State.configuration(), *allotments));
+  } else if (permit) {
+    SendPermits.lead(Log.term());
+    Network.send(link, SendPermits.onQuery(now, *permit));
   } else {
     onPropose(now, link, *proposal);
   }
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -147,6 +147,7 @@
   MemberTable Members;
   LoadScheduler Loads;
   LedgerKeeper Allotments;
+  SendPermitLedger SendPermits;
   Subscribers Listeners;
   LogIndex AppliedIndex = 0;
   std::optional<LogStoreError> Failure;
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -21,6 +21,7 @@
 #include "src/Serving/PrefillModel.h"
 #include "src/Serving/LoadTimeModel.h"
 #include "src/Serving/RequestPacer.h"
+#include "src/Serving/SendPermitLedger.h"
 #include "src/Serving/EvictionPolicy.h"
 #include "src/Serving/AgentBoard.h"
 #include "src/Serving/LoadGate.h"
--- a/packages/serving/pimentofront/src/Serving/RequestPacer.cpp
+++ b/packages/serving/pimentofront/src/Serving/RequestPacer.cpp
@@ -47,17 +47,19 @@
   if (!Rate)
     return Duration::zero();
   const double missing = static_cast<double>(ahead) + 1 - levelAt(now);
-  return fromSeconds(std::max(missing, 0.0) / *Rate);
+  if (missing <= 0)
+    return Duration::zero();
+  // Rounded up: whoever comes back then must not be early.
+  return fromSeconds(missing / *Rate) + Duration(1);
 }
 
-bool RequestPacer::take(TimePoint now) {
-  if (!Rate)
-    return true;
+std::optional<Duration> RequestPacer::reserve(TimePoint now, Duration ahead) {
+  const Duration delay = wait(now, 0);
+  if (delay > ahead)
+    return std::nullopt;
   fill(now);
-  if (Level < 1)
-    return false;
   Level -= 1;
-  return true;
+  return delay;
 }
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/RequestPacer.h
+++ b/packages/serving/pimentofront/src/Serving/RequestPacer.h
@@ -17,9 +17,10 @@
 /// in any order; the newest holds.
 class RequestPacer {
 public:
-  /// Requests that may be saved up: more of them would come all at once to a
-  /// server that is in need.
-  static constexpr double Burst = 2;
+  /// \param burst requests that may be saved up: more of them would come all at
+  /// once to a server that is in need.
+  explicit RequestPacer(double burst = 2) : Burst(burst) {}
+
   /// Requests a second that are sent however low the limit is: without an
   /// answer nobody learns that it has ended.
   static constexpr double ProbeRate = 0.25;
@@ -27,24 +28,34 @@
   /// \returns whether another limit is in force now, or none any more.
   bool apply(TimePoint now, const RateLimit &limit);
   /// Another process of the server runs now.
-  void reset() { *this = RequestPacer(); }
+  void reset() { *this = RequestPacer(Burst); }
   bool isLimited() const { return Rate.has_value(); }
+  /// \returns how long one request's share of the limit takes.
+  /// \pre the server is limited.
+  Duration interval() const { return fromSeconds(1 / *Rate); }
   /// \returns what to tell others of the limit.
   RateLimit limit(TimePoint now) const;
   /// \returns how long it takes until a request may be sent that has \p ahead
   /// others before it.
   Duration wait(TimePoint now, std::size_t ahead) const;
   /// \returns whether a request may be sent now, and counts it.
-  bool take(TimePoint now);
+  bool take(TimePoint now) {
+    return reserve(now, Duration::zero()).has_value();
+  }
+  /// Counts a request that may be sent within \p ahead.
+  /// \returns when it may; nothing if that would be later.
+  std::optional<Duration> reserve(TimePoint now, Duration ahead);
 
 private:
   void fill(TimePoint now);
   double levelAt(TimePoint now) const;
 
+  double Burst;
   /// As it was named.
   std::uint64_t PerThousandSeconds = 0;
   /// Requests a second; nothing without a limit.
   std::optional<double> Rate;
+  /// Below 0 while requests are reserved.
   double Level = 0;
   TimePoint FilledAt;
   /// When the limit in force, or its end, was said.
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -98,6 +98,8 @@
     CallerAnswer &answer = Fleet.Calls.at(key).Answer;
     answer.Status = head.Status;
     answer.Stamped = findHeader(head.Headers, "stamp") != nullptr;
+    if (const std::string *it = findHeader(head.Headers, "come-back"))
+      answer.ComeBack = Duration(std::stoll(*it));
   }
 
   ForwardFleet &Fleet;
@@ -272,7 +274,7 @@
 void ForwardFleet::tell(const Run &run,
                         std::function<void(ForwardNode &)> action) {
   Place.after(Options.Latency, [this, run, action] {
-    Place.atProcess(run.Entry, run.Incarnation,
+    Place.atProcess(run.Entry.Host, run.Entry.Incarnation,
                     [action](WorldProcess &it) { action(*it.Forward); });
   });
 }
@@ -281,8 +283,7 @@
   const Server *server = at(send.Address);
   const auto i = static_cast<std::size_t>(server - Servers.data());
   Run run{.Attempt = send.Attempt,
-          .Entry = entry.Spec.Host,
-          .Incarnation = entry.Incarnation,
+          .Entry = {entry.Spec.Host, entry.Incarnation},
           .Id = *findHeader(send.Head.Headers, "id"),
           .Content = send.Head.Target.substr(std::string_view(Path).size())};
   Place.after(Options.Latency, [this, i, run, expected = send.Server.Name] {
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -37,6 +37,8 @@
   TimePoint SentAt;
   TimePoint EndedAt;
   int Status = 0;
+  /// When to come back, of a refusal.
+  Duration ComeBack = Duration::zero();
   std::string Body;
   /// The answer is complete; a server's own one, if it has a stamp.
   bool Whole = false;
@@ -52,11 +54,18 @@
   bool Leaving = false;
 };
 
+/// One process of an entry.
+struct EntryProcess {
+  HostName Host;
+  std::uint64_t Incarnation = 0;
+  friend auto operator<=>(const EntryProcess &, const EntryProcess &) = default;
+};
+
 /// An entry has read what a server asks for.
 struct FeedbackTold {
   TimePoint At;
   HostName Server;
-  HostName Entry;
+  EntryProcess Entry;
   ServerAsks Asks;
 };
 
@@ -65,7 +74,7 @@
   TimePoint At;
   std::string Content;
   HostName Server;
-  HostName Entry;
+  EntryProcess Entry;
 };
 
 /// The end of a server's process.
@@ -124,8 +133,7 @@
   class FixedDocument;
   struct Run {
     AttemptId Attempt;
-    HostName Entry;
-    std::uint64_t Incarnation = 0;
+    EntryProcess Entry;
     std::string Id;
     std::string Content;
   };
--- a/packages/wire/pimentofront/src/Wire/RateLimit.h
+++ b/packages/wire/pimentofront/src/Wire/RateLimit.h
@@ -41,11 +41,14 @@
 struct SendPermitReply {
   std::uint64_t Nonce = 0;
   bool Granted = false;
-  /// The send has to begin so soon after the query was sent.
+  /// The send may begin so long after the reply has come,
+  Duration Delay = Duration::zero();
+  /// and has to begin so soon after that.
   Duration Lifetime = Duration::zero();
   /// When to ask again, if none was granted.
   Duration ComeBack = Duration::zero();
-  PIMENTOFRONT_FIELDS(SendPermitReply, Nonce, Granted, Lifetime, ComeBack)
+  PIMENTOFRONT_FIELDS(SendPermitReply, Nonce, Granted, Delay, Lifetime,
+                      ComeBack)
 };
 
 } // namespace pimentofront
--- a/test/AccountTest.cpp
+++ b/test/AccountTest.cpp
@@ -256,7 +256,7 @@
   }
   SECTION("and asks for nothing once its caller has left") {
     it.Controller.onCallerGone(Now, 1);
-    it.Controller.onAllotmentLinkLost();
+    it.Controller.onLedgerLinkLost(Now);
     CHECK_FALSE(it.Controller.takeAllotmentReport(Now + 500ms));
   }
 }
--- a/test/AgentTest.cpp
+++ b/test/AgentTest.cpp
@@ -491,7 +491,7 @@
   Agent agent = roomyAgent();
   limitEngine(agent, Now, {.Named = true, .PerThousandSeconds = 10000});
   for (std::uint64_t n = 1; n <= 5; ++n)
-    agent.Controller.onExecute(Now, Entry, request(n, "a", 5s));
+    agent.Controller.onExecute(Now, Entry, request(n, "a", 5100ms));
   CHECK(agent.Controller.board().WaitingCount == 5);
   agent.Controller.onRateLimitSeen(Now, {{1, 1000}, OnePerSecond});
   CHECK(agent.Controller.board().WaitingCount == 2);
--- a/test/ConnectionTest.cpp
+++ b/test/ConnectionTest.cpp
@@ -42,7 +42,7 @@
 std::uint32_t admitted(ServerSet &set, TimePoint now) {
   constexpr std::uint32_t Many = 1000;
   for (std::uint32_t n = 0; n < Many; ++n) {
-    const ServerView *it = set.choose(now, Book, {});
+    const ServerView *it = set.choose(now, Book, {}, {});
     if (!it)
       return n;
     set.noteSent(it->Record.process());
@@ -173,7 +173,7 @@
   CHECK(admitted(set, Now) == 2 * part);
   SECTION("a server that has answered takes another one") {
     set.noteEnded(Now, {HostName("far")}, ServerOutcome::Answered);
-    CHECK(set.choose(Now, Book, {})->Record.Host == HostName("far"));
+    CHECK(set.choose(Now, Book, {}, {})->Record.Host == HostName("far"));
   }
   SECTION("entries that have ended leave their parts to the others") {
     set.onEntries(Now, 2);
--- a/test/RequestPacerTest.cpp
+++ b/test/RequestPacerTest.cpp
@@ -22,8 +22,8 @@
   CHECK(pacer.wait(Now, 100) == 0s);
   CHECK(pacer.apply(Now, named(2000)));
   CHECK_FALSE(pacer.take(Now));
-  CHECK(pacer.wait(Now, 0) == 500ms);
-  CHECK(pacer.wait(Now, 3) == 2s);
+  CHECK(pacer.wait(Now, 0) == 500ms + 1us);
+  CHECK(pacer.wait(Now, 3) == 2s + 1us);
   CHECK(pacer.take(Now + 500ms));
   CHECK_FALSE(pacer.take(Now + 600ms));
   CHECK(pacer.take(Now + 100s));
@@ -50,11 +50,46 @@
   CHECK_FALSE(pacer.apply(Now + 3s, {.Age = 1s}));
 }
 
+TEST_CASE("what is reserved ahead counts", "[pacer]") {
+  RequestPacer pacer;
+  pacer.apply(Now, named(2000));
+  CHECK_FALSE(pacer.reserve(Now, 400ms));
+  CHECK(pacer.reserve(Now, 600ms) == 500ms + 1us);
+  CHECK(pacer.wait(Now, 0) == 1s + 1us);
+  CHECK_FALSE(pacer.take(Now + 600ms));
+  CHECK(pacer.take(Now + 1001ms));
+}
+
 TEST_CASE("however low a limit is, a request goes now and then", "[pacer]") {
   RequestPacer pacer;
   pacer.apply(Now, named(0));
-  CHECK(pacer.wait(Now, 0) == 4s);
+  CHECK(pacer.wait(Now, 0) == 4s + 1us);
   CHECK(pacer.limit(Now).PerThousandSeconds == 0);
   CHECK_FALSE(pacer.take(Now + 3999ms));
   CHECK(pacer.take(Now + 4s));
 }
+
+TEST_CASE("the leader lets sends to a limited server through at its pace",
+          "[pacer]") {
+  SendPermitLedger ledger;
+  ledger.lead(1);
+  const ServerProcess server{HostName("s"), 1};
+  const auto ask = [&](TimePoint now, std::uint64_t nonce) {
+    return ledger.onQuery(now, {nonce, server, named(2000)});
+  };
+  const SendPermitReply first = ask(Now, 1);
+  CHECK_FALSE(first.Granted);
+  CHECK(first.Nonce == 1);
+  CHECK(first.ComeBack == 500ms + 1us);
+  // The second one comes behind the first.
+  CHECK(ask(Now, 2).ComeBack == 1s + 1us);
+  // Given a little before it may be used, so that nobody comes late.
+  CHECK(ask(Now + 400ms, 3).Granted);
+  CHECK_FALSE(ask(Now + 501ms, 4).Granted);
+  for (std::uint64_t n = 0; n < 100; ++n)
+    CHECK(ask(Now + 501ms, 10 + n).ComeBack <= 3s);
+  // Another leader may have given permits in between.
+  CHECK(ask(Now + 10s, 200).Granted);
+  ledger.lead(3);
+  CHECK_FALSE(ask(Now + 10s, 201).Granted);
+}
--- a/test/ServerFeedbackFleetTest.cpp
+++ b/test/ServerFeedbackFleetTest.cpp
@@ -79,21 +79,12 @@
     }
   }
 
-  std::vector<TimePoint> toldAt(const HostName &server,
-                                const HostName &entry) const {
-    std::vector<TimePoint> result;
-    for (const FeedbackTold &it : Fleet.told())
-      if (it.Server == server && it.Entry == entry)
-        result.push_back(it.At);
-    return result;
-  }
-
   /// \returns the most requests that reached \p server within any window from
   /// entries that had read its limit, while it named one from \p since on.
   std::size_t mostInWindow(const HostName &server, TimePoint since,
                            TimePoint until) const {
     std::vector<TimePoint> counted;
-    std::map<HostName, TimePoint> firstTold;
+    std::map<EntryProcess, TimePoint> firstTold;
     for (const FeedbackTold &it : Fleet.told())
       if (it.Server == server && it.At >= since)
         firstTold.try_emplace(it.Entry, it.At);
@@ -176,3 +167,136 @@
   for (std::uint64_t seed = 1; seed <= 5; ++seed)
     checkTwoLimits(seed, /*engines=*/false);
 }
+
+TEST_CASE("what limited servers take is used while callers wait for it",
+          "[server-limit]") {
+  for (const bool engines : {true, false})
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      ForwardFleetOptions options = fleetOf(seed, engines);
+      options.Servers = 4;
+      AskingFleet it(options, {.Adapters = 8});
+      it.runFor(10s);
+      for (std::uint32_t i = 0; i < 4; ++i)
+        it.Fleet.setAsks(i, {.Limit = 1 + i});
+      it.runFor(5s);
+      const TimePoint since = it.Fleet.now();
+      it.runFor(30s);
+      INFO("seed " << seed << (engines ? ", engines" : ", plain servers"));
+      double used = 0;
+      for (std::uint32_t i = 0; i < 4; ++i) {
+        const HostName server = it.Fleet.serverName(i);
+        used +=
+            static_cast<double>(it.arrivalsAt(server, since, it.Fleet.now()));
+        CHECK(it.mostInWindow(server, since - 5s, it.Fleet.now()) <=
+              bound(1 + i));
+      }
+      CHECK(used >= 0.9 * 10 * 30);
+    }
+}
+
+TEST_CASE("a limit of nothing is noticed to have ended", "[server-limit]") {
+  for (const bool engines : {true, false}) {
+    AskingFleet it(fleetOf(1, engines), {});
+    it.runFor(10s);
+    const HostName server = it.Fleet.serverName(2);
+    const TimePoint since = it.Fleet.now();
+    it.Fleet.setAsks(2, {.Limit = 0});
+    it.runFor(20s);
+    CHECK(it.mostInWindow(server, since, it.Fleet.now()) <= bound(0.25));
+    it.Fleet.setAsks(2, {});
+    it.runFor(10s);
+    const TimePoint ended = it.Fleet.now();
+    it.runFor(10s);
+    const std::size_t after = it.arrivalsAt(server, ended, it.Fleet.now());
+    CHECK(static_cast<double>(after) > RequestPacer::ProbeRate * 10 + Burst);
+  }
+}
+
+namespace {
+
+/// Limits begin, fall, rise and end while entries, agents and the leader start
+/// anew or stand still. \returns what broke the bound, empty if nothing did.
+std::string playSchedule(std::uint64_t seed) {
+  Random chance(seed);
+  const auto draw = [&](std::uint64_t n) {
+    return static_cast<std::uint32_t>(chance.next() % n);
+  };
+  const bool engines = draw(2) == 0;
+  ForwardFleetOptions options = fleetOf(seed, engines);
+  options.Servers = 3 + draw(6);
+  options.Entries = 2 + draw(5);
+  AskingFleet it(options,
+                 {.PerSecond = 10.0 + draw(50), .Adapters = 4 + draw(40)});
+  World &world = it.Fleet.world();
+  const std::uint32_t limited = draw(options.Servers);
+  const HostName server = it.Fleet.serverName(limited);
+  std::string strikes;
+  const auto strike = [&] {
+    WorldProcess *process = &it.Fleet.entry(draw(options.Entries));
+    const std::uint32_t kind = draw(4);
+    if (kind == 1 && engines)
+      process = &it.Fleet.agent(limited);
+    if (kind == 2)
+      process = world.leader();
+    if (!process || !process->Alive || process->Frozen)
+      return;
+    const Duration away = (200 + draw(3000)) * 1ms;
+    strikes += "; " +
+               std::to_string(toSeconds(it.Fleet.now().time_since_epoch())) +
+               (kind == 3 ? " freeze " : " kill ") + process->Spec.Host.str() +
+               " for " + std::to_string(toSeconds(away));
+    if (kind == 3) {
+      world.freeze(*process);
+      return world.after(away, [&world, process] {
+        if (process->Alive && process->Frozen)
+          world.wake(*process);
+      });
+    }
+    world.kill(*process);
+    world.after(away, [&world, process] { world.start(*process); });
+  };
+  it.runFor(4s);
+  std::string broken;
+  for (int period = 0; period < 3; ++period) {
+    const double limit = draw(120) / 10.0;
+    const TimePoint since = it.Fleet.now();
+    it.Fleet.setAsks(limited, {.Limit = limit});
+    for (int i = 0; i < 8; ++i) {
+      if (draw(3) == 0)
+        strike();
+      it.runFor(1s);
+    }
+    const std::size_t most = it.mostInWindow(server, since, it.Fleet.now());
+    const double allowed = bound(std::max(limit, 0.25));
+    if (static_cast<double>(most) > allowed)
+      broken += (engines ? " engines," : " plain,") + std::string(" limit ") +
+                std::to_string(limit) + ": " + std::to_string(most) +
+                ", allowed " + std::to_string(allowed);
+    if (draw(2) == 0) {
+      it.Fleet.setAsks(limited, {});
+      it.runFor(3s);
+    }
+  }
+  return broken.empty() ? broken : broken + strikes;
+}
+
+void checkSchedules(std::uint64_t first, std::uint64_t last) {
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    const std::string broken = playSchedule(seed);
+    INFO("seed " << seed << ":" << broken);
+    CHECK(broken.empty());
+  }
+}
+
+} // namespace
+
+TEST_CASE("a limit is kept while processes start anew and stand still",
+          "[server-limit]") {
+  checkSchedules(1, 100);
+}
+
+// To be run by hand; --rng-seed says where it begins.
+TEST_CASE("a limit is kept on many schedules", "[.limit-schedules]") {
+  const std::uint64_t first = Catch::rngSeed();
+  checkSchedules(first, first + 1249);
+}
--- a/test/ServerFeedbackTest.cpp
+++ b/test/ServerFeedbackTest.cpp
@@ -110,3 +110,128 @@
   CHECK(told[0].Detail.find("limit 1.5") != std::string::npos);
   CHECK(told[0].Server == sent.Server.Name);
 }
+
+TEST_CASE("an entry asks for one permit at a time, and not too early",
+          "[feedback]") {
+  SendPermits permits;
+  const ServerProcess server{HostName("s"), 1};
+  const auto query = [&](TimePoint now) {
+    permits.want(now, server, {.Named = true, .PerThousandSeconds = 1000});
+    return permits.takeQueries();
+  };
+  const auto first = query(Now);
+  REQUIRE(first.size() == 1);
+  CHECK(query(Now).empty());
+  permits.onReply(Now, {.Nonce = first[0].Nonce + 1, .Granted = true});
+  CHECK_FALSE(permits.has(Now, server));
+  permits.onReply(Now, {.Nonce = first[0].Nonce, .ComeBack = 1s});
+  CHECK(permits.nextChance(Now, server) == Now + 1s);
+  CHECK(query(Now + 900ms).empty());
+  const auto second = query(Now + 1s);
+  REQUIRE(second.size() == 1);
+  permits.onReply(Now + 1s, {.Nonce = second[0].Nonce,
+                             .Granted = true,
+                             .Delay = 100ms,
+                             .Lifetime = 1s});
+  CHECK(permits.nextChance(Now + 1s, server) == Now + 1100ms);
+  CHECK_FALSE(permits.has(Now + 1099ms, server));
+  CHECK(permits.has(Now + 2099ms, server));
+  CHECK(query(Now + 1500ms).empty());
+  // A process that slept finds it lapsed.
+  CHECK_FALSE(permits.has(Now + 2100ms, server));
+  const auto third = query(Now + 2100ms);
+  REQUIRE(third.size() == 1);
+  CHECK(permits.unanswered(Now + 3s));
+  permits.onLinkLost(Now + 3s);
+  CHECK_FALSE(permits.unanswered(Now + 4s));
+  const auto fourth = query(Now + 4s);
+  REQUIRE(fourth.size() == 1);
+  permits.onReply(Now + 4s,
+                  {.Nonce = fourth[0].Nonce, .Granted = true, .Lifetime = 1s});
+  permits.use(server);
+  CHECK_FALSE(permits.has(Now + 4s, server));
+}
+
+namespace {
+
+/// An entry whose two plain servers have named limits.
+struct LimitedPlainServers : ForwardUnderTest {
+  LimitedPlainServers() {
+    for (int i = 0; i < 2; ++i) {
+      request("safe");
+      const auto sent = only<SendUpstream>();
+      head(sent, 200, {{"id", "r1"}, {"stamp", "s"}, {"limit", "1"}});
+      end(sent, Whole);
+      take<ReplyWhole>();
+    }
+    request("safe");
+    Queries = Controller.takePermitQueries();
+  }
+  std::vector<SendPermitQuery> Queries;
+};
+
+} // namespace
+
+TEST_CASE("a request for limited servers waits for a permit", "[feedback]") {
+  LimitedPlainServers it;
+  CHECK(it.take<SendUpstream>().empty());
+  REQUIRE(it.Queries.size() == 2);
+  it.Controller.onSendPermit(
+      Now + 2ms,
+      {.Nonce = it.Queries[1].Nonce, .Granted = true, .Lifetime = 1s});
+  CHECK(it.only<SendUpstream>().Server == it.Queries[1].Server);
+  // A permit is good for one send.
+  it.Controller.onCallerGone(Now + 2ms, 1);
+  it.request("safe");
+  CHECK(it.take<SendUpstream>().empty());
+}
+
+TEST_CASE("a request for which no permit comes in time is refused at once",
+          "[feedback]") {
+  LimitedPlainServers it;
+  for (const SendPermitQuery &query : it.Queries)
+    it.Controller.onSendPermit(Now + 2ms,
+                               {.Nonce = query.Nonce, .ComeBack = 3s});
+  it.Controller.tick(Now + 110ms);
+  const auto reply = it.only<ReplyWhole>();
+  CHECK(reply.Head.Status == 503);
+  CHECK(std::stoll(*findHeader(reply.Head.Headers, "come-back")) >= 2'890'000);
+}
+
+TEST_CASE("an entry tells the agent of its engine's limit, and of its end",
+          "[feedback]") {
+  ForwardUnderTest it;
+  it.request("flow");
+  const auto sent = it.permit();
+  it.head(sent, 200, {{"id", "r1"}, {"stamp", "s"}, {"limit", "1.5"}});
+  const auto told = it.only<SendToAgent>();
+  const auto seen = std::get<RateLimitSeen>(told.Content);
+  CHECK(seen.Limit == RateLimit{.Named = true, .PerThousandSeconds = 1500});
+  it.end(sent, Whole);
+  it.take<SendToAgent>();
+  // The next request names it, for an agent that has started since.
+  const HostName agent = told.Host;
+  it.Controller.onRequest(
+      Now + 1s, 2,
+      {"POST", "/flow/q", {{"Host", "h"}, {"id", "r2"}, {"time", "5000"}}}, "",
+      NoBody);
+  auto asked = it.only<SendToAgent>();
+  auto execute = std::get<ExecuteRequest>(asked.Content);
+  if (asked.Host != agent) {
+    it.Controller.attempts().onRefused(
+        Now + 1s, asked.Host,
+        {.Attempt = execute.Attempt, .Reason = RefusalReason::Leaving});
+    asked = it.only<SendToAgent>();
+    execute = std::get<ExecuteRequest>(asked.Content);
+  }
+  REQUIRE(asked.Host == agent);
+  CHECK(execute.Limit ==
+        RateLimit{.Named = true, .PerThousandSeconds = 1500, .Age = 1s});
+  it.Controller.attempts().onPermit(Now + 1s, agent, {execute.Attempt, {}});
+  const auto again = it.only<SendUpstream>();
+  it.Controller.answers().onHead(Now + 2s, again.Attempt,
+                                 {200, {{"id", "r2"}, {"stamp", "s"}}});
+  const auto ended =
+      std::get<RateLimitSeen>(it.only<SendToAgent>().Content).Limit;
+  CHECK(ended == RateLimit{.Age = 1s});
+}
