--- a/test/ServerFeedbackFleetTest.cpp
+++ b/test/ServerFeedbackFleetTest.cpp
@@ -295,6 +295,80 @@
   checkSchedules(1, 100);
 }
 
+namespace {
+
+/// \returns the requests that reached servers from entries that they had asked
+/// for rest, after these had read it and before it was over.
+std::size_t sentIntoRest(const ForwardFleet &fleet) {
+  // On the way to the server when the answer was read.
+  constexpr Duration Latency = 2ms;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(fleet.arrivals(), [&](const ServerArrival &sent) {
+        return std::ranges::any_of(fleet.told(), [&](const FeedbackTold &it) {
+          return it.Server == sent.Server && it.Entry == sent.Entry &&
+                 it.Asks.Rest && sent.At > it.At + Latency &&
+                 sent.At < it.At + *it.Asks.Rest;
+        });
+      }));
+}
+
+} // namespace
+
+// Four of twelve engines turned all new requests away and asked each entry for
+// three seconds of rest. One entry sent one of them five and six requests more
+// in that time: the time to come back was forgotten with the attempt. Since an
+// engine that turns all away is empty, its agent offered the shortest wait, and
+// more of the work went there from second to second.
+TEST_CASE("a server that asks for rest gets nothing until it is over",
+          "[server-rest]") {
+  for (const bool engines : {true, false})
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      AskingFleet it(fleetOf(seed, engines), {});
+      it.runFor(10s);
+      const int sentBefore = it.Sent;
+      const int answeredBefore = it.Answered;
+      for (std::uint32_t i = 2; i < 6; ++i)
+        it.Fleet.setAsks(i, {.Rest = 3s});
+      it.runFor(10s);
+      for (std::uint32_t i = 2; i < 6; ++i)
+        it.Fleet.setAsks(i, {});
+      const TimePoint over = it.Fleet.now();
+      it.runFor(10s);
+      INFO("seed " << seed << (engines ? ", engines" : ", plain servers"));
+      CHECK(sentIntoRest(it.Fleet) == 0);
+      // The others do the work, and the four are used again.
+      CHECK(it.Answered - answeredBefore >= (it.Sent - sentBefore) * 95 / 100);
+      std::size_t again = 0;
+      for (std::uint32_t i = 2; i < 6; ++i)
+        again += it.arrivalsAt(it.Fleet.serverName(i), over + 3s, over + 10s);
+      CHECK(again >= 10);
+    }
+}
+
+TEST_CASE("when all servers of a service rest, callers are told so at once",
+          "[server-rest]") {
+  for (const bool engines : {true, false}) {
+    ForwardFleetOptions options = fleetOf(1, engines);
+    options.Servers = 3;
+    AskingFleet it(options, {.Adapters = 8});
+    it.runFor(10s);
+    for (std::uint32_t i = 0; i < 3; ++i)
+      it.Fleet.setAsks(i, {.Rest = 10s});
+    it.runFor(5s);
+    CHECK(sentIntoRest(it.Fleet) == 0);
+    std::optional<CallerAnswer> answer;
+    const TimePoint sentAt = it.Fleet.now();
+    it.Fleet.call(it.Fleet.entry(0), "late",
+                  [&](const CallerAnswer &got) { answer = got; });
+    it.Fleet.runFor(1s);
+    REQUIRE(answer);
+    INFO((engines ? "engines" : "plain servers") << ", body " << answer->Body);
+    CHECK(answer->Status == 503);
+    CHECK(answer->EndedAt - sentAt < 20ms);
+    CHECK(answer->ComeBack >= 3s);
+  }
+}
+
 // To be run by hand; --rng-seed says where it begins.
 TEST_CASE("a limit is kept on many schedules", "[.limit-schedules]") {
   const std::uint64_t first = Catch::rngSeed();
