Send nothing to a server that has asked for rest until it is over

Callers were refused while servers stood free: engines that turned all away looked idle and got more of the work from second to second.

The end of a rest is kept with the server's process, the latest one of several. Until then it is no candidate, for the routing among agents or among plain servers, not even as the last one left, and a permit that arrives meanwhile goes back unused. When all servers of a service rest, the caller is told at once when the first one is back.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -69,10 +69,10 @@
 
 const char *forwardFailureName(ForwardFailure failure) {
   constexpr const char *Names[] = {
-      "not_ready",     "no_route",       "malformed",   "no_server",
-      "declined",      "timed_out",      "broke_off",   "caller_gone",
-      "quarantined",   "on_trial",       "no_leave",    "unknown_key",
-      "keys_outdated", "over_allotment", "no_allotment"};
+      "not_ready",     "no_route",       "malformed",    "no_server",
+      "declined",      "timed_out",      "broke_off",    "caller_gone",
+      "quarantined",   "on_trial",       "no_leave",     "unknown_key",
+      "keys_outdated", "over_allotment", "no_allotment", "servers_rest"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -179,6 +179,10 @@
 }
 
 void AttemptController::noneTakes(TimePoint now, ForwardRequest &request) {
+  if (const auto over = Board.Servers.restOver(now, request.Service)) {
+    request.ComeBack = std::max(request.ComeBack, *over - now);
+    return giveUp(now, request, ForwardFailure::ServersRest);
+  }
   const bool any = Board.Servers.serves(request.Service);
   const ForwardFailure why =
       any ? ForwardFailure::Declined : ForwardFailure::NoServer;
@@ -316,7 +320,11 @@
     return giveUp(now, *request, ForwardFailure::TimedOut);
   request->Attempt->Heard = true;
   Routing.learn(request->Adapter, agent, true);
-  if (ServerView *server = Board.Servers.beside(agent)) {
+  ServerView *server = Board.Servers.beside(agent);
+  const bool rests =
+      server &&
+      Board.Servers.feedbackOf(server->Record.process()).isResting(now);
+  if (server && !rests) {
     const std::string changes =
         Board.Servers.noteLimit(now, server->Record.process(), message.Limit);
     if (!changes.empty())
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -106,6 +106,8 @@
   OverAllotment,
   /// The leader of the replicas doesn't say whether the allotment has room.
   NoAllotment,
+  /// All servers of the service have asked for rest.
+  ServersRest,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -98,8 +98,10 @@
     const auto it = byPlace.find(
         {ipOf(agent.Record.Address), ServiceName(agent.Record.BaseModel)});
     agent.Drained = it == byPlace.end();
-    if (!agent.Drained)
-      Beside[host] = it->second->Record.Host;
+    if (agent.Drained)
+      continue;
+    Beside[host] = it->second->Record.Host;
+    agent.RestUntil = feedbackOf(it->second->Record.process()).restUntil();
   }
 }
 
@@ -180,6 +182,7 @@
                        const ServiceName &service,
                        const std::vector<ServerProcess> &without) const {
   return isOf(server.Record, service) && !server.Record.Leaving &&
+         !feedbackOf(server.Record.process()).isResting(now) &&
          std::ranges::find(without, server.Record.process()) == without.end() &&
          server.InFlight < connections(now, server).Open;
 }
@@ -294,7 +297,32 @@
   if (feedback == AnswerFeedback() && !Feedback.contains(server.Name))
     return {};
   ServerFeedback *it = keptFeedback(server);
-  return it ? it->apply(now, feedback, sentAt) : std::string();
+  if (!it)
+    return {};
+  std::string changes = it->apply(now, feedback, sentAt);
+  noteRest(server);
+  return changes;
+}
+
+void ServerSet::noteRest(const ServerProcess &server) {
+  const TimePoint until = feedbackOf(server).restUntil();
+  for (const auto &[agent, host] : Beside)
+    if (host == server.Name)
+      Agents.at(agent).RestUntil = until;
+}
+
+std::optional<TimePoint> ServerSet::restOver(TimePoint now,
+                                             const ServiceName &service) const {
+  std::optional<TimePoint> first;
+  for (const auto &[host, it] : Servers) {
+    if (!isOf(it.Record, service) || it.Record.Leaving)
+      continue;
+    const TimePoint until = feedbackOf(it.Record.process()).restUntil();
+    if (until <= now)
+      return std::nullopt;
+    first = std::min(first.value_or(until), until);
+  }
+  return first;
 }
 
 std::string ServerSet::noteLimit(TimePoint now, const ServerProcess &server,
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -131,6 +131,10 @@
   /// \returns what changed, for the log; empty if nothing did.
   std::string noteLimit(TimePoint now, const ServerProcess &server,
                         const RateLimit &limit);
+  /// \returns when the first of the service's servers that rest is to be used
+  /// again; nothing if none rests, or one is in use that doesn't.
+  std::optional<TimePoint> restOver(TimePoint now,
+                                    const ServiceName &service) const;
   /// \returns what this process asks for.
   ServerFeedback feedbackOf(const ServerProcess &server) const;
   void suspendAgent(TimePoint now, const HostName &agent);
@@ -138,6 +142,8 @@
   void noteProcessEnded(TimePoint now, const ServerProcess &server);
 
 private:
+  /// Has agents' hosts follow what their servers ask for.
+  void noteRest(const ServerProcess &server);
   /// \returns whether the server may get one more request but for its limit.
   bool isOpen(TimePoint now, const ServerView &server,
               const ServiceName &service,
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
@@ -43,7 +43,7 @@
   for (const auto &[host, member] : members) {
     const MemberRecord &record = member.Record;
     if (record.Leaving || record.Gone || member.Drained ||
-        !serves(member, query))
+        member.RestUntil > now || !serves(member, query))
       continue;
     (member.SuspendedUntil > now ? suspended : healthy).push_back(&member);
   }
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -21,6 +21,9 @@
   /// Set after failures: routed to only when nothing else is left.
   TimePoint SuspendedUntil;
   std::uint32_t Failures = 0;
+  /// Its server wants nothing from this entry until then: nothing is sent
+  /// there, whatever else is left.
+  TimePoint RestUntil;
   /// An operator has taken the host out of use.
   bool Drained = false;
   /// The leader of the replicas hasn't named it since the leader changed.
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -322,7 +322,10 @@
 
 void ForwardFleet::tellHead(const Server &server, const Run &run, int status,
                             HttpHeaders headers) {
-  const ServerAsks asks = server.Asks;
+  ServerAsks asks = server.Asks;
+  // Only who is turned away is asked for rest.
+  if (status != StatusUnavailable)
+    asks.Rest.reset();
   headers.push_back({"id", run.Id});
   if (asks.Limit)
     headers.push_back({"limit", std::to_string(*asks.Limit)});
--- a/test/ServerFeedbackTest.cpp
+++ b/test/ServerFeedbackTest.cpp
@@ -235,3 +235,40 @@
       std::get<RateLimitSeen>(it.only<SendToAgent>().Content).Limit;
   CHECK(ended == RateLimit{.Age = 1s});
 }
+
+TEST_CASE("a permit for an engine that has asked for rest isn't used",
+          "[feedback]") {
+  ForwardUnderTest it;
+  const auto ask = [&](std::uint64_t key, const std::string &id) {
+    it.Controller.onRequest(
+        Now, key,
+        {"POST", "/flow/q", {{"Host", "h"}, {"id", id}, {"time", "5000"}}}, "",
+        NoBody);
+    return it.only<SendToAgent>();
+  };
+  // A wait of one agent makes no difference to the other.
+  const auto first = ask(1, "r1");
+  auto second = ask(2, "r2");
+  if (second.Host != first.Host) {
+    const auto execute = std::get<ExecuteRequest>(second.Content);
+    it.Controller.attempts().onRefused(
+        Now, second.Host,
+        {.Attempt = execute.Attempt, .Reason = RefusalReason::QueueFull});
+    second = it.only<SendToAgent>();
+  }
+  REQUIRE(second.Host == first.Host);
+  const auto permit = [&](const SendToAgent &asked) {
+    const auto execute = std::get<ExecuteRequest>(asked.Content);
+    it.Controller.attempts().onPermit(Now, asked.Host, {execute.Attempt, {}});
+  };
+  permit(first);
+  it.head(it.only<SendUpstream>(), 503,
+          {{"id", "r1"}, {"not-run", "1"}, {"rest", "3"}});
+  it.take<SendToAgent>();
+  permit(second);
+  CHECK(it.take<SendUpstream>().empty());
+  const auto released = it.take<SendToAgent>();
+  REQUIRE(!released.empty());
+  CHECK(std::get<AttemptReleased>(released[0].Content).Kind ==
+        ReleaseKind::NotRun);
+}
