--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -91,7 +91,7 @@
   std::map<std::pair<std::string, ServiceName>, const ServerView *> byPlace;
   for (const auto &[host, it] : Servers)
     for (const ServiceName &service : it.Record.Services)
-      if (!it.Record.Leaving)
+      if (!isLeaving(it))
         byPlace[{ipOf(it.Record.Address), service}] = &it;
   Beside.clear();
   for (auto &[host, agent] : Agents) {
@@ -122,7 +122,7 @@
 
 bool ServerSet::serves(const ServiceName &service) const {
   return std::ranges::any_of(Servers, [&](const auto &it) {
-    return isOf(it.second.Record, service) && !it.second.Record.Leaving;
+    return isOf(it.second.Record, service) && !isLeaving(it.second);
   });
 }
 
@@ -178,10 +178,16 @@
     it->Connections.noteTurnedAway(now, Options.Connections);
 }
 
+bool ServerSet::isLeaving(const ServerView &server) const {
+  // By its registration or by an answer, whichever came first.
+  return server.Record.Leaving ||
+         feedbackOf(server.Record.process()).isLeaving();
+}
+
 bool ServerSet::isOpen(TimePoint now, const ServerView &server,
                        const ServiceName &service,
                        const std::vector<ServerProcess> &without) const {
-  return isOf(server.Record, service) && !server.Record.Leaving &&
+  return isOf(server.Record, service) && !isLeaving(server) &&
          !feedbackOf(server.Record.process()).isResting(now) &&
          std::ranges::find(without, server.Record.process()) == without.end() &&
          server.InFlight < connections(now, server).Open;
@@ -299,7 +305,10 @@
   ServerFeedback *it = keptFeedback(server);
   if (!it)
     return {};
+  const bool wasLeaving = it->isLeaving();
   std::string changes = it->apply(now, feedback, sentAt);
+  if (it->isLeaving() != wasLeaving)
+    joinAgents();
   noteRest(server);
   return changes;
 }
@@ -315,7 +324,7 @@
                                              const ServiceName &service) const {
   std::optional<TimePoint> first;
   for (const auto &[host, it] : Servers) {
-    if (!isOf(it.Record, service) || it.Record.Leaving)
+    if (!isOf(it.Record, service) || isLeaving(it))
       continue;
     const TimePoint until = feedbackOf(it.Record.process()).restUntil();
     if (until <= now)
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -144,6 +144,7 @@
 private:
   /// Has agents' hosts follow what their servers ask for.
   void noteRest(const ServerProcess &server);
+  bool isLeaving(const ServerView &server) const;
   /// \returns whether the server may get one more request but for its limit.
   bool isOpen(TimePoint now, const ServerView &server,
               const ServiceName &service,
--- a/test/ServerFeedbackFleetTest.cpp
+++ b/test/ServerFeedbackFleetTest.cpp
@@ -312,6 +312,19 @@
       }));
 }
 
+/// \returns the requests that reached servers from entries that had read that
+/// they leave.
+std::size_t sentToLeaving(const ForwardFleet &fleet) {
+  constexpr Duration Latency = 2ms;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(fleet.arrivals(), [&](const ServerArrival &sent) {
+        return std::ranges::any_of(fleet.told(), [&](const FeedbackTold &it) {
+          return it.Server == sent.Server && it.Entry == sent.Entry &&
+                 it.Asks.Leaving && sent.At > it.At + Latency;
+        });
+      }));
+}
+
 } // namespace
 
 // Four of twelve engines turned all new requests away and asked each entry for
@@ -369,6 +382,31 @@
   }
 }
 
+// A server may say that it leaves in its answers before its registration does,
+// or without it ever doing so. Found by reading, with the two above: the header
+// went on to the caller and nobody else.
+TEST_CASE("a server that says that it leaves gets no further requests",
+          "[server-leaving]") {
+  for (const bool engines : {true, false})
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      AskingFleet it(fleetOf(seed, engines), {});
+      it.runFor(10s);
+      for (std::uint32_t i = 2; i < 5; ++i)
+        it.Fleet.setAsks(i, {.Leaving = true});
+      it.runFor(10s);
+      // Its registrations still say otherwise; only another process is used.
+      for (std::uint32_t i = 2; i < 5; ++i)
+        it.Fleet.setAsks(i, {});
+      it.runFor(5s);
+      INFO("seed " << seed << (engines ? ", engines" : ", plain servers"));
+      CHECK(sentToLeaving(it.Fleet) == 0);
+      it.Fleet.crashServer(2);
+      it.runFor(15s);
+      CHECK(it.arrivalsAt(it.Fleet.serverName(2), it.Fleet.now() - 10s,
+                          it.Fleet.now()) > 0);
+    }
+}
+
 // To be run by hand; --rng-seed says where it begins.
 TEST_CASE("a limit is kept on many schedules", "[.limit-schedules]") {
   const std::uint64_t first = Catch::rngSeed();
