--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -324,7 +324,9 @@
   const bool rests =
       server &&
       Board.Servers.feedbackOf(server->Record.process()).isResting(now);
-  if (server && !rests) {
+  // Sends that were permitted over a while must not come all at once.
+  const bool lapsed = message.Limit.Named && request->Attempt->Slept;
+  if (server && !rests && !lapsed) {
     const std::string changes =
         Board.Servers.noteLimit(now, server->Record.process(), message.Limit);
     if (!changes.empty())
@@ -335,6 +337,11 @@
   notRun(now, *request, ServerOutcome::Declined, ReleaseKind::NotRun);
 }
 
+void AttemptController::onWake() {
+  for (const auto &[attempt, key] : Board.Attempts)
+    Board.Requests.at(key).Attempt->Slept = true;
+}
+
 void AttemptController::onRefused(TimePoint now, const HostName &agent,
                                   const AttemptRefused &message) {
   noteLoad(agent, message.Load);
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -122,6 +122,8 @@
   bool OnlyIfResident = false;
   /// The agent has said something.
   bool Heard = false;
+  /// The process has slept since the agent was asked.
+  bool Slept = false;
   ServerProcess Server;
   TimePoint StartedAt;
   bool Sent = false;
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -155,6 +155,7 @@
 void ForwardNode::noteTime(TimePoint now) {
   if (LastCall && now >= *LastCall + SleepGap) {
     Controller.quarantine().onWake(now);
+    Controller.attempts().onWake();
     Feed.askNow(now);
   }
   LastCall = now;
