--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -130,6 +130,13 @@
      "compare its revision with routing_in_force"},
     {"request_lost", "why=no_server",
      "refused: no backend server of its service was registered or reachable"},
+    {"request_lost", "why=declined, rate_limited",
+     "refused: the servers that could take it name limits that left no room "
+     "for "
+     "it in time; server_feedback lines say which limits"},
+    {"request_lost", "why=servers_rest",
+     "refused: all servers of its service had asked this entry for rest; "
+     "server_feedback lines say for how long"},
     {"request_lost", "why=declined",
      "refused: each server or agent that could take it declined; the reason "
      "stands behind the comma"},
--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -127,6 +127,18 @@
     gauges.EngineRunning = board.runningOnEngine();
     gauges.EngineWaiting = static_cast<double>(board.WaitingCount);
     gauges.BatchCapacity = board.Options.BatchCapacity;
+    constexpr double Thousand = 1000;
+    const RateLimit limit = board.Pacer.limit(now);
+    if (limit.Named)
+      gauges.EngineRateLimit =
+          static_cast<double>(limit.PerThousandSeconds) / Thousand;
+  }
+  if (Parts.Forward) {
+    const FeedbackCounts counts =
+        Parts.Forward->controller().board().Servers.countFeedback(now);
+    gauges.LimitedServers = counts.Limited;
+    gauges.RestingServers = counts.Resting;
+    gauges.LeavingServers = counts.Leaving;
   }
   if (Parts.Replica)
     gauges.Leads = Parts.Replica->log().holdsLease(now) ? 1 : 0;
--- a/packages/daemon/src/ApiHandler.h
+++ b/packages/daemon/src/ApiHandler.h
@@ -28,6 +28,7 @@
   EntryNode *Entry = nullptr;
   AgentNode *Agent = nullptr;
   ReplicaNode *Replica = nullptr;
+  const ForwardNode *Forward = nullptr;
 };
 
 /// \class ApiHandler
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -181,7 +181,7 @@
     createEntry(now);
   if (Options.IsForward)
     createForward(now);
-  Api->setParts({Entry.get(), Agent.get(), Replica.get()});
+  Api->setParts({Entry.get(), Agent.get(), Replica.get(), Forward.get()});
 }
 
 ExitCode Daemon::run() {
@@ -348,7 +348,7 @@
 /// anybody is missing there.
 void Daemon::closeReplica() {
   Control->setReplica(nullptr);
-  Api->setParts({Entry.get(), Agent.get(), nullptr});
+  Api->setParts({Entry.get(), Agent.get(), nullptr, Forward.get()});
   Replica.reset();
   Store.reset();
   Led = false;
@@ -370,7 +370,7 @@
     Log->write(LogLevel::Info, "store_opened_again", {});
     Network->setReplica(Stored.Id);
     createReplica(Loop.now());
-    Api->setParts({Entry.get(), Agent.get(), Replica.get()});
+    Api->setParts({Entry.get(), Agent.get(), Replica.get(), Forward.get()});
   });
 }
 
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -124,6 +124,10 @@
   put("engine_running", gauges.EngineRunning);
   put("engine_waiting", gauges.EngineWaiting);
   put("batch_capacity", gauges.BatchCapacity);
+  put("engine_rate_limit", gauges.EngineRateLimit);
+  put("limited_servers", gauges.LimitedServers);
+  put("resting_servers", gauges.RestingServers);
+  put("leaving_servers", gauges.LeavingServers);
   put("leads", gauges.Leads);
   put("peer_bytes_sent", gauges.PeerBytesSent);
   put("peer_bytes_received", gauges.PeerBytesReceived);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -17,6 +17,12 @@
   double EngineRunning = 0;
   double EngineWaiting = 0;
   double BatchCapacity = 0;
+  /// Requests a second that the engine takes from all entries; 0 is no limit.
+  double EngineRateLimit = 0;
+  /// Backend servers that ask for this, as far as the entry knows.
+  double LimitedServers = 0;
+  double RestingServers = 0;
+  double LeavingServers = 0;
   double Leads = 0;
   double PeerBytesSent = 0;
   double PeerBytesReceived = 0;
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -320,6 +320,17 @@
       Agents.at(agent).RestUntil = until;
 }
 
+FeedbackCounts ServerSet::countFeedback(TimePoint now) const {
+  FeedbackCounts counts;
+  for (const auto &[host, it] : Servers) {
+    const ServerFeedback feedback = feedbackOf(it.Record.process());
+    counts.Limited += feedback.isLimited() ? 1 : 0;
+    counts.Resting += feedback.isResting(now) ? 1 : 0;
+    counts.Leaving += feedback.isLeaving() ? 1 : 0;
+  }
+  return counts;
+}
+
 std::optional<TimePoint> ServerSet::restOver(TimePoint now,
                                              const ServiceName &service) const {
   std::optional<TimePoint> first;
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -40,6 +40,17 @@
   Unreachable,
 };
 
+/// \class FeedbackCounts
+/// \ingroup Forward
+/// \brief How many registered servers ask for something.
+struct FeedbackCounts {
+  std::uint32_t Limited = 0;
+  std::uint32_t Resting = 0;
+  std::uint32_t Leaving = 0;
+  friend auto operator<=>(const FeedbackCounts &,
+                          const FeedbackCounts &) = default;
+};
+
 /// \class ServerSetOptions
 /// \ingroup Forward
 struct ServerSetOptions {
@@ -137,6 +148,7 @@
                                     const ServiceName &service) const;
   /// \returns what this process asks for.
   ServerFeedback feedbackOf(const ServerProcess &server) const;
+  FeedbackCounts countFeedback(TimePoint now) const;
   void suspendAgent(TimePoint now, const HostName &agent);
   /// The process has ended; another one of the server isn't there yet.
   void noteProcessEnded(TimePoint now, const ServerProcess &server);
--- a/test/platform/FakePlatformMain.cpp
+++ b/test/platform/FakePlatformMain.cpp
@@ -35,6 +35,12 @@
 /// Engines are in use a little after they have registered.
 constexpr std::string_view FirstOfEngines = "/flow/stream";
 constexpr const char *DeadlyPath = "/safe/crash";
+/// Asked for again and again while both plain servers name a limit.
+constexpr const char *LimitedPath = "/safe/ok";
+constexpr double LimitPerSecond = 2;
+constexpr Duration LimitedTime = std::chrono::seconds(3);
+/// Has both plain servers ask for rest.
+constexpr const char *RestPath = "/safe/rest";
 /// Stands for the request's own id in an expected body.
 constexpr const char *OwnId = "<id>";
 
@@ -90,14 +96,16 @@
 
   HeadVerdict onHead(const AttemptId &, ResponseHead head) override {
     Status = head.Status;
+    const std::string *comeBack = findHeader(head.Headers, "Retry-After");
+    ComeBack = comeBack ? std::stod(*comeBack) : 0;
     return HeadVerdict::Take;
   }
   void onBody(const AttemptId &, std::string_view bytes) override {
     Body += bytes;
   }
   void onEnd(const AttemptId &, UpstreamEnding ending) override {
-    if (Next == expectations().size())
-      return judgeDeadly();
+    if (Present != Phase::Expectations)
+      return onPhaseAnswer();
     // Until the servers are known and the document is in force everywhere.
     const bool first =
         Next == 0 ||
@@ -108,13 +116,55 @@
       return;
     }
     judge(ending);
-    if (++Next <= expectations().size())
-      Retry = Loop.after(Duration::zero(), [this] { ask(); });
+    if (++Next == expectations().size())
+      enter(Phase::Deadly);
     else
-      Loop.stop();
+      askAfter(Duration::zero());
   }
 
 private:
+  enum class Phase { Expectations, Deadly, Limited, Rest, AfterRest };
+
+  void enter(Phase phase) {
+    Present = phase;
+    PhaseBegan = Loop.now();
+    askAfter(Duration::zero());
+  }
+
+  void askAfter(Duration pause) {
+    Retry = Loop.after(pause, [this] { ask(); });
+  }
+
+  void onPhaseAnswer() {
+    switch (Present) {
+    case Phase::Expectations:
+      return;
+    case Phase::Deadly:
+      return judgeDeadly();
+    case Phase::Limited:
+      return judgeLimited();
+    case Phase::Rest:
+      return enter(Phase::AfterRest);
+    case Phase::AfterRest:
+      return judgeRest();
+    }
+  }
+
+  const char *path() const {
+    switch (Present) {
+    case Phase::Expectations:
+      return expectations()[Next].Path;
+    case Phase::Deadly:
+      return DeadlyPath;
+    case Phase::Rest:
+      return RestPath;
+    case Phase::Limited:
+    case Phase::AfterRest:
+      return LimitedPath;
+    }
+    return "";
+  }
+
   static HostPort nextPort(const std::string &address) {
     HostPort result = *HostPort::parse(address);
     ++result.Port;
@@ -178,16 +228,14 @@
   }
 
   void ask() {
-    const char *path =
-        Next < expectations().size() ? expectations()[Next].Path : DeadlyPath;
     Id = "r" + std::to_string(++Asked);
     Status = 0;
     Body.clear();
     RequestHead head{"POST",
-                     path,
+                     path(),
                      {{"Host", "test.example"},
                       {"Pimentofront-Attempt-Id", Id},
-                      {"Pimentofront-Credential", keyFor(path)},
+                      {"Pimentofront-Credential", keyFor(path())},
                       {"Pimentofront-Tenant", "not-mine"},
                       {"Pimentofront-Model", "m0/a1"},
                       {"Pimentofront-Token-Usage", "100,10"},
@@ -204,16 +252,50 @@
   void judgeDeadly() {
     Held += Body == "quarantined\n" ? 1 : 0;
     constexpr int HeldTimes = 5;
-    if (Held < HeldTimes) {
-      Retry = Loop.after(std::chrono::milliseconds(50), [this] { ask(); });
-      return;
-    }
+    if (Held < HeldTimes)
+      return askAfter(std::chrono::milliseconds(50));
     constexpr std::uint64_t MostCrashes = 5;
     const std::uint64_t crashes = Plain1.crashes() + Plain2.crashes();
     const bool good = crashes <= MostCrashes && Status == 502;
     std::printf("%s: %s ended %llu servers\n", good ? "ok" : "FAILED",
                 DeadlyPath, static_cast<unsigned long long>(crashes));
     Failures += good ? 0 : 1;
+    Plain1.nameLimit(LimitPerSecond);
+    Plain2.nameLimit(LimitPerSecond);
+    enter(Phase::Limited);
+  }
+
+  /// Both plain servers name a limit: the entry learns it with the first answer
+  /// of each, and asks the leader before each further send.
+  void judgeLimited() {
+    const TimePoint now = Loop.now();
+    if (now < PhaseBegan + LimitedTime)
+      return askAfter(std::chrono::milliseconds(20));
+    constexpr double Burst = 2;
+    // The first answers told it.
+    const auto most = static_cast<std::size_t>(
+        LimitPerSecond * toSeconds(now - PhaseBegan) + Burst + 1);
+    const std::size_t n1 = Plain1.arrivals(PhaseBegan);
+    const std::size_t n2 = Plain2.arrivals(PhaseBegan);
+    const bool good = n1 <= most && n2 <= most && n1 + n2 >= 4;
+    std::printf("%s: limited servers got %zu and %zu requests, at most %zu\n",
+                good ? "ok" : "FAILED", n1, n2, most);
+    Failures += good ? 0 : 1;
+    enter(Phase::Rest);
+  }
+
+  /// Each server is asked once: it wants rest, and the next caller is told when
+  /// the first one is back.
+  void judgeRest() {
+    constexpr double LeastComeBack = 0.1;
+    const bool rests = Status == 503 && Body == "servers_rest\n";
+    // A server that had no permit left to be asked with isn't known to rest.
+    if (!rests && Loop.now() < PhaseBegan + std::chrono::seconds(2))
+      return enter(Phase::Rest);
+    const bool good = rests && ComeBack >= LeastComeBack;
+    std::printf("%s: all servers rest, come back in %.1f s\n",
+                good ? "ok" : "FAILED", ComeBack);
+    Failures += good ? 0 : 1;
     Loop.stop();
   }
 
@@ -250,6 +332,10 @@
   std::uint64_t Sent = 0;
   std::uint64_t Asked = 0;
   bool Accepted = false;
+  Phase Present = Phase::Expectations;
+  TimePoint PhaseBegan;
+  /// Of the last refusal, in seconds.
+  double ComeBack = 0;
   std::size_t Next = 0;
   std::string Id;
   int Status = 0;
--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -153,7 +153,10 @@
   if (head.Target == "/-/order")
     return channel.write(whole(takeOrder(channel.body()), "", ""));
   const std::string id = headerOf(head, "Pimentofront-Attempt-Id");
-  const std::string echo = "Pimentofront-Attempt-Id: " + id + "\r\n";
+  Arrivals.push_back(Loop.now());
+  std::string echo = "Pimentofront-Attempt-Id: " + id + "\r\n";
+  if (Limit)
+    echo += "Server-Limit: " + std::to_string(*Limit) + "\r\n";
   const std::string stamps = echo + "Pimentofront-Response-Stamp: s\r\n";
   if (headerOf(head, "Pimentofront-Expect-Instance") != Instance)
     return channel.write(whole("421 Misdirected Request", echo, ""));
@@ -165,6 +168,10 @@
   if (how == "shed")
     return channel.write(whole("503 Service Unavailable",
                                echo + "Pimentofront-Not-Executed: 1\r\n", ""));
+  if (how == "rest")
+    return channel.write(whole(
+        "503 Service Unavailable",
+        echo + "Pimentofront-Not-Executed: 1\r\nRetry-After: 2.5\r\n", ""));
   const int runs = ++Runs[id];
   if (how == "crash")
     return crash();
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -3,6 +3,8 @@
 
 #include "pimentofront/Http.h"
 
+#include <algorithm>
+#include <optional>
 #include <set>
 
 struct bufferevent;
@@ -27,6 +29,13 @@
   /// \returns the events of a whole stream.
   static std::string events();
   const std::string &instance() const { return Instance; }
+  /// Names a limit in each answer from now on, in requests a second.
+  void nameLimit(double perSecond) { Limit = perSecond; }
+  /// \returns the requests that reached it since \p since.
+  std::size_t arrivals(TimePoint since) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Arrivals, [&](TimePoint it) { return it >= since; }));
+  }
   /// \returns whether its process runs: a request that ends it has it refuse
   /// connections for a while, after which another process is there.
   bool up() const { return Listener != nullptr; }
@@ -54,6 +63,8 @@
   std::vector<std::unique_ptr<Channel>> Channels;
   std::map<std::string, int> &Runs;
   std::set<std::string> Adapters;
+  std::optional<double> Limit;
+  std::vector<TimePoint> Arrivals;
   std::uint64_t Orders = 0;
   std::uint64_t StartedAt = 0;
   std::uint64_t Crashes = 0;
