--- a/packages/forward/pimentofront/src/Forward/ServerFeedback.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerFeedback.cpp
@@ -1,5 +1,7 @@
 #include "pimentofront/Forward.h"
 
+#include <cmath>
+
 namespace pimentofront {
 namespace {
 
@@ -24,7 +26,7 @@
     return pimentofront::RateLimit{
         .Named = true,
         .PerThousandSeconds =
-            static_cast<std::uint64_t>(perSecond * Thousand + 0.5)};
+            static_cast<std::uint64_t>(std::llround(perSecond * Thousand))};
   }
   if (!Unreadable.empty())
     return std::nullopt;
--- a/test/ServerFeedbackFleetTest.cpp
+++ b/test/ServerFeedbackFleetTest.cpp
@@ -412,3 +412,44 @@
   const std::uint64_t first = Catch::rngSeed();
   checkSchedules(first, first + 1249);
 }
+
+TEST_CASE("figures of limits and rests", "[.figures]") {
+  for (const bool engines : {true, false})
+    for (const std::uint32_t entries : {4U, 28U})
+      for (const char *what : {"nothing", "limits", "rests"})
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+          ForwardFleetOptions options = fleetOf(seed, engines);
+          options.Entries = entries;
+          AskingFleet it(options, {});
+          it.runFor(10s);
+          const int sent = it.Sent;
+          const int answered = it.Answered;
+          const TimePoint since = it.Fleet.now();
+          const std::string_view kind(what);
+          for (std::uint32_t i = 2; i < 6; ++i) {
+            if (kind == "limits")
+              it.Fleet.setAsks(i, {.Limit = 1.0});
+            if (kind == "rests")
+              it.Fleet.setAsks(i, {.Rest = 3s});
+          }
+          it.runFor(15s);
+          const TimePoint until = it.Fleet.now();
+          std::size_t most = 0;
+          std::size_t arrived = 0;
+          std::set<std::pair<HostName, EntryProcess>> know;
+          for (std::uint32_t i = 2; i < 6; ++i) {
+            const HostName server = it.Fleet.serverName(i);
+            arrived += it.arrivalsAt(server, since, until);
+            most = std::max(most, it.mostInWindow(server, since, until));
+            for (const FeedbackTold &told : it.Fleet.told())
+              if (told.Server == server)
+                know.emplace(server, told.Entry);
+          }
+          std::printf(
+              "%s, %u entries, %s, seed %d: %zu reached the four, most "
+              "in 4 s %zu, told %zu of %u, answered %.3f\n",
+              engines ? "engines" : "plain", entries, what,
+              static_cast<int>(seed), arrived, most, know.size(), 4 * entries,
+              static_cast<double>(it.Answered - answered) / (it.Sent - sent));
+        }
+}
