Soak: a process that is told to stop before it can take signals ends by that

The run's report and the entry's log show that the soak sent SIGTERM in the turn in which it had started the process, which hadn't run its program yet; no program can handle that. The check was wrong; it takes an end by SIGTERM for told only of a process that had written nothing when it was told to stop, and is as strict as before for all others.

--- a/test/platform/soak/Child.h
+++ b/test/platform/soak/Child.h
@@ -30,6 +30,9 @@
   /// \returns how the process ended, once, as waitpid() tells it.
   std::optional<int> reap();
   bool runs() const { return Id > 0; }
+  /// \returns whether the process was told to stop before it had written
+  /// anything: it may not have taken over the handling of signals yet.
+  bool stoppedEarly() const { return StoppedEarly; }
   /// Starts so far: names an incarnation.
   std::uint32_t starts() const { return Starts; }
 
@@ -38,6 +41,9 @@
   std::string Log;
   pid_t Id = 0;
   std::uint32_t Starts = 0;
+  /// Of the log, when the process started.
+  std::uintmax_t LogSizeBefore = 0;
+  bool StoppedEarly = false;
 };
 
 } // namespace pimentofront::soak
