--- a/test/ServerFeedbackFleetTest.cpp
+++ b/test/ServerFeedbackFleetTest.cpp
@@ -407,6 +407,14 @@
     }
 }
 
+// An entry that stands still for less than a second isn't noticed to have
+// slept, and uses at once what it was permitted meanwhile.
+TEST_CASE("a limit is kept when an entry stands still for under a second",
+          "[limit-short-stops]") {
+  for (const std::uint64_t seed : {8039U, 10537U})
+    checkSchedules(seed, seed);
+}
+
 // To be run by hand; --rng-seed says where it begins.
 TEST_CASE("a limit is kept on many schedules", "[.limit-schedules]") {
   const std::uint64_t first = Catch::rngSeed();
