One place for the newest word on a server's limit, and its rate in one unit

Read again, behaviour unchanged: the rule that the newest word on a limit holds stood in ServerFeedback and in RequestPacer (KnownRateLimit now; both take a word that is older than the host's own start alike), requests a second were reckoned in three places (RateLimit::perSecond), and the pacer kept a rate that follows from the limit. It counts nothing while no limit is named. An answer without a rest doesn't go through all agents any more. AnswerFeedback's field no longer has the name of a type.

--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -127,11 +127,7 @@
     gauges.EngineRunning = board.runningOnEngine();
     gauges.EngineWaiting = static_cast<double>(board.WaitingCount);
     gauges.BatchCapacity = board.Options.BatchCapacity;
-    constexpr double Thousand = 1000;
-    const RateLimit limit = board.Pacer.limit(now);
-    if (limit.Named)
-      gauges.EngineRateLimit =
-          static_cast<double>(limit.PerThousandSeconds) / Thousand;
+    gauges.EngineRateLimit = board.Pacer.limit(now).perSecond();
   }
   if (Parts.Forward) {
     const FeedbackCounts counts =
--- a/packages/forward/pimentofront/src/Forward/ServerFeedback.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerFeedback.cpp
@@ -5,14 +5,10 @@
 namespace pimentofront {
 namespace {
 
-constexpr double Thousand = 1000;
-
-std::string describe(const RateLimit &limit) {
-  if (!limit.Named)
+std::string describe(const KnownRateLimit &limit) {
+  if (!limit.isNamed())
     return "none";
-  const double perSecond =
-      static_cast<double>(limit.PerThousandSeconds) / Thousand;
-  return std::to_string(perSecond) + " requests/s";
+  return std::to_string(limit.perSecond()) + " requests/s";
 }
 
 } // namespace
@@ -21,35 +17,23 @@
                                                    TimePoint sentAt) const {
   // Above this it is as good as none.
   constexpr double MostPerSecond = 1e9;
-  if (RateLimit) {
-    const double perSecond = std::min(*RateLimit, MostPerSecond);
-    return pimentofront::RateLimit{
-        .Named = true,
-        .PerThousandSeconds =
-            static_cast<std::uint64_t>(std::llround(perSecond * Thousand))};
+  constexpr double Thousand = 1000;
+  if (LimitPerSecond) {
+    const double perSecond = std::min(*LimitPerSecond, MostPerSecond);
+    return RateLimit{.Named = true,
+                     .PerThousandSeconds = static_cast<std::uint64_t>(
+                         std::llround(perSecond * Thousand))};
   }
   if (!Unreadable.empty())
     return std::nullopt;
-  return pimentofront::RateLimit{.Age = now - sentAt};
+  return RateLimit{.Age = now - sentAt};
 }
 
 std::string ServerFeedback::learnLimit(TimePoint now, const RateLimit &limit) {
-  const TimePoint saidAt = now - std::max(limit.Age, Duration::zero());
-  if (saidAt < LimitSaidAt)
-    return {};
-  LimitSaidAt = saidAt;
-  RateLimit next = limit;
-  next.Age = Duration::zero();
-  const RateLimit before = std::exchange(Limit, next);
-  if (before == next)
+  const KnownRateLimit before = Limit;
+  if (!Limit.apply(now, limit))
     return {};
-  return "limit " + describe(next) + ", before " + describe(before);
-}
-
-RateLimit ServerFeedback::limit(TimePoint now) const {
-  RateLimit result = Limit;
-  result.Age = now - LimitSaidAt;
-  return result;
+  return "limit " + describe(Limit) + ", before " + describe(before);
 }
 
 std::string ServerFeedback::apply(TimePoint now, const AnswerFeedback &answer,
--- a/packages/forward/pimentofront/src/Forward/ServerFeedback.h
+++ b/packages/forward/pimentofront/src/Forward/ServerFeedback.h
@@ -2,7 +2,7 @@
 #define PIMENTOFRONT_FORWARD_SERVER_FEEDBACK_H
 
 #include "HttpMessage.h"
-#include "pimentofront/Wire.h"
+#include "pimentofront/Serving.h"
 
 #include <algorithm>
 #include <optional>
@@ -14,7 +14,7 @@
 /// \brief What a backend server asks for with one answer.
 struct AnswerFeedback {
   /// Requests a second that it takes from all entries together.
-  std::optional<double> RateLimit;
+  std::optional<double> LimitPerSecond;
   /// It wants nothing from this entry for so long.
   std::optional<Duration> Rest;
   /// It takes no new work from anybody.
@@ -26,8 +26,7 @@
 
   /// \returns its word on the limit, of an answer that came at \p now to a
   /// request that was sent at \p sentAt; nothing if it can't be told.
-  std::optional<pimentofront::RateLimit> limitWord(TimePoint now,
-                                                   TimePoint sentAt) const;
+  std::optional<RateLimit> limitWord(TimePoint now, TimePoint sentAt) const;
 };
 
 /// \class ServerFeedback
@@ -54,9 +53,9 @@
   /// \returns what changed, for the log; empty if nothing did.
   std::string learnLimit(TimePoint now, const RateLimit &limit);
 
-  bool isLimited() const { return Limit.Named; }
+  bool isLimited() const { return Limit.isNamed(); }
   /// \returns what to tell others of the limit.
-  RateLimit limit(TimePoint now) const;
+  RateLimit limit(TimePoint now) const { return Limit.at(now); }
   bool isResting(TimePoint now) const { return now < RestUntil; }
   TimePoint restUntil() const { return RestUntil; }
   bool isLeaving() const { return Leaving; }
@@ -64,9 +63,7 @@
                           const ServerFeedback &) = default;
 
 private:
-  RateLimit Limit;
-  /// When the limit, or its end, was said; its age counts from here.
-  TimePoint LimitSaidAt;
+  KnownRateLimit Limit;
   TimePoint RestUntil;
   bool Leaving = false;
 };
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -309,7 +309,8 @@
   std::string changes = it->apply(now, feedback, sentAt);
   if (it->isLeaving() != wasLeaving)
     joinAgents();
-  noteRest(server);
+  if (feedback.Rest)
+    noteRest(server);
   return changes;
 }
 
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -20,6 +20,7 @@
 #include "src/Serving/UnansweredOrders.h"
 #include "src/Serving/PrefillModel.h"
 #include "src/Serving/LoadTimeModel.h"
+#include "src/Serving/KnownRateLimit.h"
 #include "src/Serving/RequestPacer.h"
 #include "src/Serving/SendPermitLedger.h"
 #include "src/Serving/EvictionPolicy.h"
--- a/packages/serving/pimentofront/src/Serving/RequestPacer.h
+++ b/packages/serving/pimentofront/src/Serving/RequestPacer.h
@@ -1,9 +1,9 @@
 #ifndef PIMENTOFRONT_SERVING_REQUEST_PACER_H
 #define PIMENTOFRONT_SERVING_REQUEST_PACER_H
 
-#include "pimentofront/Wire.h"
+#include "KnownRateLimit.h"
 
-#include <optional>
+#include <algorithm>
 
 namespace pimentofront {
 
@@ -13,8 +13,7 @@
 /// server which names a limit: a token bucket that starts empty.
 ///
 /// There is one for each server: at the agent beside an engine, at the leader
-/// of the replicas for a server without one. Several words on the limit arrive
-/// in any order; the newest holds.
+/// of the replicas for a server without one.
 class RequestPacer {
 public:
   /// \param burst requests that may be saved up: more of them would come all at
@@ -29,12 +28,12 @@
   bool apply(TimePoint now, const RateLimit &limit);
   /// Another process of the server runs now.
   void reset() { *this = RequestPacer(Burst); }
-  bool isLimited() const { return Rate.has_value(); }
+  bool isLimited() const { return Known.isNamed(); }
   /// \returns how long one request's share of the limit takes.
   /// \pre the server is limited.
-  Duration interval() const { return fromSeconds(1 / *Rate); }
+  Duration interval() const { return fromSeconds(1 / rate()); }
   /// \returns what to tell others of the limit.
-  RateLimit limit(TimePoint now) const;
+  RateLimit limit(TimePoint now) const { return Known.at(now); }
   /// \returns how long it takes until a request may be sent that has \p ahead
   /// others before it.
   Duration wait(TimePoint now, std::size_t ahead) const;
@@ -47,19 +46,17 @@
   std::optional<Duration> reserve(TimePoint now, Duration ahead);
 
 private:
+  /// \returns the requests a second that are let through.
+  /// \pre the server is limited.
+  double rate() const { return std::max(Known.perSecond(), ProbeRate); }
   void fill(TimePoint now);
   double levelAt(TimePoint now) const;
 
   double Burst;
-  /// As it was named.
-  std::uint64_t PerThousandSeconds = 0;
-  /// Requests a second; nothing without a limit.
-  std::optional<double> Rate;
+  KnownRateLimit Known;
   /// Below 0 while requests are reserved.
   double Level = 0;
   TimePoint FilledAt;
-  /// When the limit in force, or its end, was said.
-  std::optional<TimePoint> SaidAt;
 };
 
 } // namespace pimentofront
--- a/packages/testkit/pimentofront/src/Testkit/PlainHeaders.h
+++ b/packages/testkit/pimentofront/src/Testkit/PlainHeaders.h
@@ -33,7 +33,7 @@
   AnswerTraits decodeAnswer(const ResponseHead &head) const override {
     const std::string *id = findHeader(head.Headers, "id");
     AnswerFeedback feedback{
-        .RateLimit = readDecimalHeader(head.Headers, "limit").Value,
+        .LimitPerSecond = readDecimalHeader(head.Headers, "limit").Value,
         .Leaving = findHeader(head.Headers, "leaving") != nullptr};
     if (const auto rest = readDecimalHeader(head.Headers, "rest").Value)
       feedback.Rest = ServerFeedback::boundedRest(*rest);
--- a/packages/wire/pimentofront/src/Wire/RateLimit.h
+++ b/packages/wire/pimentofront/src/Wire/RateLimit.h
@@ -17,6 +17,10 @@
   /// How old that is: since the answer that named the limit came, or since the
   /// request was sent whose answer named none.
   Duration Age = Duration::zero();
+  double perSecond() const {
+    constexpr double Thousand = 1000;
+    return static_cast<double>(PerThousandSeconds) / Thousand;
+  }
   PIMENTOFRONT_FIELDS(RateLimit, Named, PerThousandSeconds, Age)
 };
 
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -175,8 +175,10 @@
   };
   const Case cases[] = {
       {"nothing", {200, {}}, {}},
-      {"a limit", {200, {{"Server-Limit", "1.2"}}}, {.RateLimit = 1.2}},
-      {"a limit of nothing", {200, {{"server-limit", "0"}}}, {.RateLimit = 0}},
+      {"a limit", {200, {{"Server-Limit", "1.2"}}}, {.LimitPerSecond = 1.2}},
+      {"a limit of nothing",
+       {200, {{"server-limit", "0"}}},
+       {.LimitPerSecond = 0}},
       {"a limit below nothing",
        {200, {{"Server-Limit", "-1"}}},
        {.Unreadable = "Server-Limit"}},
--- a/test/ServerFeedbackFleetTest.cpp
+++ b/test/ServerFeedbackFleetTest.cpp
@@ -123,10 +123,6 @@
 /// \returns the most requests that may come within a window.
 double bound(double limit) { return limit * toSeconds(Window) + Burst; }
 
-} // namespace
-
-namespace {
-
 ForwardFleetOptions fleetOf(std::uint64_t seed, bool engines) {
   return {.World = {.Seed = seed, .Store = {.LoadsPerSecond = 40}},
           .Engines = engines};
@@ -297,32 +293,32 @@
 
 namespace {
 
-/// \returns the requests that reached servers from entries that they had asked
-/// for rest, after these had read it and before it was over.
-std::size_t sentIntoRest(const ForwardFleet &fleet) {
+/// \returns the requests that reached servers from entries that had read a word
+/// which \p forbids them at that time.
+std::size_t sentAgainst(const ForwardFleet &fleet,
+                        bool (*forbids)(const FeedbackTold &word,
+                                        TimePoint at)) {
   // On the way to the server when the answer was read.
   constexpr Duration Latency = 2ms;
   return static_cast<std::size_t>(
       std::ranges::count_if(fleet.arrivals(), [&](const ServerArrival &sent) {
         return std::ranges::any_of(fleet.told(), [&](const FeedbackTold &it) {
           return it.Server == sent.Server && it.Entry == sent.Entry &&
-                 it.Asks.Rest && sent.At > it.At + Latency &&
-                 sent.At < it.At + *it.Asks.Rest;
+                 sent.At > it.At + Latency && forbids(it, sent.At);
         });
       }));
 }
 
-/// \returns the requests that reached servers from entries that had read that
-/// they leave.
+std::size_t sentIntoRest(const ForwardFleet &fleet) {
+  return sentAgainst(fleet, [](const FeedbackTold &word, TimePoint at) {
+    return word.Asks.Rest && at < word.At + *word.Asks.Rest;
+  });
+}
+
 std::size_t sentToLeaving(const ForwardFleet &fleet) {
-  constexpr Duration Latency = 2ms;
-  return static_cast<std::size_t>(
-      std::ranges::count_if(fleet.arrivals(), [&](const ServerArrival &sent) {
-        return std::ranges::any_of(fleet.told(), [&](const FeedbackTold &it) {
-          return it.Server == sent.Server && it.Entry == sent.Entry &&
-                 it.Asks.Leaving && sent.At > it.At + Latency;
-        });
-      }));
+  return sentAgainst(fleet, [](const FeedbackTold &word, TimePoint) {
+    return word.Asks.Leaving;
+  });
 }
 
 } // namespace
--- a/test/ServerFeedbackTest.cpp
+++ b/test/ServerFeedbackTest.cpp
@@ -47,9 +47,9 @@
           "[feedback]") {
   constexpr RateLimit Named{.Named = true, .PerThousandSeconds = 1500};
   ServerFeedback it;
-  CHECK(!it.apply(Now, {.RateLimit = 1.5}, Now - 1s).empty());
+  CHECK(!it.apply(Now, {.LimitPerSecond = 1.5}, Now - 1s).empty());
   CHECK(it.limit(Now) == Named);
-  CHECK(it.apply(Now + 1s, {.RateLimit = 1.5}, Now).empty());
+  CHECK(it.apply(Now + 1s, {.LimitPerSecond = 1.5}, Now).empty());
   // Sent before the limit was named last: no word on what holds now.
   CHECK(it.apply(Now + 2s, {}, Now + 900ms).empty());
   CHECK(it.limit(Now + 1s) == Named);
@@ -84,7 +84,7 @@
   const ServerProcess first{HostName("p1"), 7};
   const ServerProcess second{HostName("p1"), 8};
   announce(7);
-  set.noteFeedback(Now, first, {.RateLimit = 2, .Leaving = true}, Now);
+  set.noteFeedback(Now, first, {.LimitPerSecond = 2, .Leaving = true}, Now);
   // A registration that lapses and comes back is of the same process.
   announce(7, /*gone=*/true);
   announce(7);
@@ -92,7 +92,7 @@
   announce(8);
   CHECK(set.feedbackOf(second) == ServerFeedback());
   // The last words of the former process say nothing of this one.
-  set.noteFeedback(Now, first, {.RateLimit = 2}, Now);
+  set.noteFeedback(Now, first, {.LimitPerSecond = 2}, Now);
   CHECK(set.feedbackOf(second) == ServerFeedback());
 }
 
