A replica whose disk can't be opened at its start sends callers elsewhere

Seen: a backend server's PUT /-/instances/ID was answered 405 once, by a replica. Cause, by reading: that a process serves the control calls was noted when its replica was created. Where the disk takes no writes at the start there is none, so the calls went on to the product's own interface, which knows no PUT. It is a setting now, and such a process answers 503 until its disk takes writes. Ruled out: entries and agents, whose addresses servers aren't told.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -61,7 +61,10 @@
   Api = std::make_unique<ApiHandler>(Loop, Options, *Log, Counters, *Network);
   const HostPort http = *HostPort::parse(Options.HttpAddress);
   Control = std::make_unique<platform::ControlApi>(
-      Loop, platform::ControlApiOptions{.Port = http.Port}, Documents, *Api);
+      Loop,
+      platform::ControlApiOptions{.Port = http.Port,
+                                  .ServesControl = Options.IsReplica},
+      Documents, *Api);
   Control->setObserver([this](const char *event, std::string detail) {
     Log->write(LogLevel::Info, event, {{"detail", detail}});
   });
