An entry that stood still for under a second returns what it was permitted meanwhile

Cause (traced before): permits came over 0.8 s while the entry stood still, and it used all of them when it woke; only stops of a second and more were noticed. A permit now names how long one request's share of the limit takes, and one that was held up for longer is void. A stop shorter than that holds up one request at most, however low the limit.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -324,8 +324,8 @@
   const bool rests =
       server &&
       Board.Servers.feedbackOf(server->Record.process()).isResting(now);
-  // Sends that were permitted over a while must not come all at once.
-  const bool lapsed = message.Limit.Named && request->Attempt->Slept;
+  const bool lapsed = message.Pace > Duration::zero() &&
+                      request->Attempt->LongestStop > message.Pace;
   if (server && !rests && !lapsed) {
     const std::string changes =
         Board.Servers.noteLimit(now, server->Record.process(), message.Limit);
@@ -337,9 +337,11 @@
   notRun(now, *request, ServerOutcome::Declined, ReleaseKind::NotRun);
 }
 
-void AttemptController::onWake() {
-  for (const auto &[attempt, key] : Board.Attempts)
-    Board.Requests.at(key).Attempt->Slept = true;
+void AttemptController::onStop(Duration gap) {
+  for (const auto &[attempt, key] : Board.Attempts) {
+    Duration &longest = Board.Requests.at(key).Attempt->LongestStop;
+    longest = std::max(longest, gap);
+  }
 }
 
 void AttemptController::onRefused(TimePoint now, const HostName &agent,
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -35,8 +35,8 @@
   /// Other processes have registered under the names of some servers: what was
   /// sent to the former ones may be lost.
   void suspectFormerProcesses(TimePoint now);
-  /// The process has slept: permits may have come long ago.
-  void onWake();
+  /// The process has stood still for \p gap: permits may have come long ago.
+  void onStop(Duration gap);
   /// The agent of an attempt has said nothing in time.
   void passBySilentAgent(TimePoint now, ForwardRequest &request);
 
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -122,8 +122,8 @@
   bool OnlyIfResident = false;
   /// The agent has said something.
   bool Heard = false;
-  /// The process has slept since the agent was asked.
-  bool Slept = false;
+  /// The longest that the process has stood still since the agent was asked.
+  Duration LongestStop = Duration::zero();
   ServerProcess Server;
   TimePoint StartedAt;
   bool Sent = false;
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -9,6 +9,8 @@
 /// A process that wasn't called for so long has slept: it is called every some
 /// ten milliseconds, and busy hosts let one wait for some hundred.
 constexpr Duration SleepGap = std::chrono::seconds(1);
+/// Shorter pauses between calls are usual.
+constexpr Duration StopGap = std::chrono::milliseconds(50);
 
 /// The ledger answers each report, and there is one a second while accounts are
 /// used; a link on which nothing came for so long is of no use.
@@ -153,9 +155,10 @@
 }
 
 void ForwardNode::noteTime(TimePoint now) {
+  if (LastCall && now >= *LastCall + StopGap)
+    Controller.attempts().onStop(now - *LastCall);
   if (LastCall && now >= *LastCall + SleepGap) {
     Controller.quarantine().onWake(now);
-    Controller.attempts().onWake();
     Feed.askNow(now);
   }
   LastCall = now;
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -40,6 +40,10 @@
   void onReleased(TimePoint now, const AttemptReleased &message);
   /// \returns the engine's limit, for those who haven't learned of it.
   RateLimit rateLimit(TimePoint now) const { return Board.Pacer.limit(now); }
+  /// \returns how long one request's share of the limit takes; zero without one.
+  Duration pace() const {
+    return Board.Pacer.isLimited() ? Board.Pacer.interval() : Duration::zero();
+  }
   /// The entries name another process of the engine.
   void onProcessChanged() { Board.Pacer.reset(); }
   /// An entry has learned what its answer said of the engine's limit.
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -149,7 +149,11 @@
   LoadFigures Load;
   /// The engine's limit, which other entries may have learned.
   RateLimit Limit;
-  PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load, Limit)
+  /// How long one request's share of the limit takes; zero without one. A permit
+  /// that was held up for longer is void: sends that were permitted over a while
+  /// must not come all at once.
+  Duration Pace = Duration::zero();
+  PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load, Limit, Pace)
 };
 
 /// What became of an attempt that had a permit.
