--- a/packages/account/pimentofront/src/Account/ClientAccount.h
+++ b/packages/account/pimentofront/src/Account/ClientAccount.h
@@ -44,6 +44,8 @@
   /// Goes before the priority of a route; 0 is the most urgent.
   std::optional<std::uint32_t> Priority;
   Allotment Limit;
+  /// Its requests may be served in these regions only; none: everywhere.
+  std::vector<RegionName> Regions;
   friend auto operator<=>(const ClientAccount &,
                           const ClientAccount &) = default;
 };
--- a/packages/base/pimentofront/src/Base/Identifier.h
+++ b/packages/base/pimentofront/src/Base/Identifier.h
@@ -31,6 +31,7 @@
 using KindName = Identifier<struct KindNameTag>;
 using HostName = Identifier<struct HostNameTag>;
 using ZoneName = Identifier<struct ZoneNameTag>;
+using RegionName = Identifier<struct RegionNameTag>;
 using CallerName = Identifier<struct CallerNameTag>;
 using RequestId = Identifier<struct RequestIdTag>;
 using CommandId = Identifier<struct CommandIdTag>;
--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -137,6 +137,12 @@
     {"request_lost", "why=servers_rest",
      "refused: all servers of its service had asked this entry for rest; "
      "server_feedback lines say for how long"},
+    {"request_lost", "why=zones_outdated",
+     "refused: this entry had no word of the replicas for so long that a zone "
+     "may have been evacuated since; look for replica_state and peer_lost"},
+    {"request_lost", "why=no_region",
+     "refused: no server of its service is in a region that its route and its "
+     "client account allow"},
     {"request_lost", "why=declined",
      "refused: each server or agent that could take it declined; the reason "
      "stands behind the comma"},
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -25,6 +25,7 @@
     "  set-kind NAME                     with --weight, --window-ms, --limit,\n"
     "                                    --caller-limit\n"
     "  drain HOST, undrain HOST          take a backend server out, or back\n"
+    "  evacuate ZONE, restore ZONE       take a zone's servers out, or back\n"
     "  release CONTENT                   clear a request under which servers "
     "ended\n"
     "  bootstrap                         make this replica the group, once\n"
@@ -165,6 +166,15 @@
   return exitOf(client.call(method, request));
 }
 
+int evacuate(Client &client, const Arguments &arguments, const char *method) {
+  if (arguments.Words.size() != 2)
+    return usage();
+  v1::EvacuateZoneRequest request;
+  fill(*request.mutable_change(), arguments);
+  request.set_zone(arguments.Words[1]);
+  return exitOf(client.call(method, request));
+}
+
 int release(Client &client, const Arguments &arguments) {
   if (arguments.Words.size() != 2)
     return usage();
@@ -287,6 +297,10 @@
     return drain(client, arguments, "Operator/Drain");
   if (command == "undrain")
     return drain(client, arguments, "Operator/Undrain");
+  if (command == "evacuate")
+    return evacuate(client, arguments, "Operator/EvacuateZone");
+  if (command == "restore")
+    return evacuate(client, arguments, "Operator/RestoreZone");
   if (command == "release")
     return release(client, arguments);
   if (command == "generate")
--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -130,11 +130,14 @@
     gauges.EngineRateLimit = board.Pacer.limit(now).perSecond();
   }
   if (Parts.Forward) {
-    const FeedbackCounts counts =
-        Parts.Forward->controller().board().Servers.countFeedback(now);
+    const ServerSet &servers = Parts.Forward->controller().board().Servers;
+    const FeedbackCounts counts = servers.countFeedback(now);
     gauges.LimitedServers = counts.Limited;
     gauges.RestingServers = counts.Resting;
     gauges.LeavingServers = counts.Leaving;
+    gauges.ColdServers = counts.Cold;
+    gauges.EvacuatedZones =
+        static_cast<double>(servers.evacuatedZones().size());
   }
   if (Parts.Replica)
     gauges.Leads = Parts.Replica->log().holdsLease(now) ? 1 : 0;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -63,7 +63,8 @@
   Control = std::make_unique<platform::ControlApi>(
       Loop,
       platform::ControlApiOptions{.Port = http.Port,
-                                  .ServesControl = Options.IsReplica},
+                                  .ServesControl = Options.IsReplica,
+                                  .Zones = Options.Zones},
       Documents, *Api);
   Control->setObserver([this](const char *event, std::string detail) {
     Log->write(LogLevel::Info, event, {{"detail", detail}});
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -128,6 +128,8 @@
   put("limited_servers", gauges.LimitedServers);
   put("resting_servers", gauges.RestingServers);
   put("leaving_servers", gauges.LeavingServers);
+  put("cold_servers", gauges.ColdServers);
+  put("evacuated_zones", gauges.EvacuatedZones);
   put("leads", gauges.Leads);
   put("peer_bytes_sent", gauges.PeerBytesSent);
   put("peer_bytes_received", gauges.PeerBytesReceived);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -23,6 +23,9 @@
   double LimitedServers = 0;
   double RestingServers = 0;
   double LeavingServers = 0;
+  double ColdServers = 0;
+  /// Zones that operators have had evacuated, as far as the entry knows.
+  double EvacuatedZones = 0;
   double Leads = 0;
   double PeerBytesSent = 0;
   double PeerBytesReceived = 0;
--- a/packages/daemon/src/OperatorApi.cpp
+++ b/packages/daemon/src/OperatorApi.cpp
@@ -127,6 +127,7 @@
   void addMembers(const ReplicaStatus &status);
   void addQuarantine(const ReplicaStatus &status);
   void addAccounts(const ReplicaStatus &status);
+  void addZones();
   void finish();
 };
 
@@ -208,6 +209,20 @@
     finish();
 }
 
+/// A process that hasn't a zone's last change in force may still send there.
+void StatusCollector::addZones() {
+  for (const auto &[name, it] : Copy->records().zones()) {
+    v1::Zone *zone = Response.add_zones();
+    zone->set_name(name.str());
+    zone->set_evacuated(it.Evacuated);
+    zone->set_changed_at(it.ChangedAt);
+    zone->set_changed_by(it.ChangedBy.str());
+    for (const v1::InForce &process : Response.in_force())
+      if (process.revision() < it.ChangedAt)
+        zone->add_not_in_force(process.host());
+  }
+}
+
 void StatusCollector::finish() {
   if (AccountsOnly) {
     v1::StatusResponse accounts;
@@ -217,6 +232,7 @@
   for (const v1::InForce &it : Response.in_force())
     if (it.revision() < Response.revision())
       Response.add_lagging(it.host());
+  addZones();
   Call.succeed(Response);
 }
 
@@ -268,6 +284,20 @@
             SetDrained{HostName(message.host()), drained});
 }
 
+void evacuate(const ApiParts &parts, const Settings &settings, TimePoint now,
+              const ApiCall &call, bool evacuated) {
+  v1::EvacuateZoneRequest message;
+  if (!readOrFail(call, message))
+    return;
+  const ZoneName zone(message.zone());
+  if (!settings.Zones.empty() && !settings.Zones.contains(zone))
+    return call.fail({.Code = ConnectCode::NotFound,
+                      .Message = "no such availability zone",
+                      .NotRun = true,
+                      .Reason = "refused"});
+  propose(parts, now, call, message.change(), EvacuateZone{zone, evacuated});
+}
+
 void releaseRequest(const ApiParts &parts, TimePoint now, const ApiCall &call) {
   v1::ReleaseRequestRequest message;
   if (!readOrFail(call, message))
@@ -281,8 +311,8 @@
   propose(parts, now, call, message.change(), ReleaseQuarantine{content});
 }
 
-bool serveChange(const ApiParts &parts, TimePoint now, std::string_view method,
-                 const ApiCall &call) {
+bool serveChange(const ApiParts &parts, const Settings &settings, TimePoint now,
+                 std::string_view method, const ApiCall &call) {
   if (method == "CreateAdapter") {
     v1::CreateAdapterRequest message;
     if (readOrFail(call, message))
@@ -309,6 +339,8 @@
               SetKind{toRecord(message.kind())});
   } else if (method == "Drain" || method == "Undrain") {
     setDrained(parts, now, call, method == "Drain");
+  } else if (method == "EvacuateZone" || method == "RestoreZone") {
+    evacuate(parts, settings, now, call, method == "EvacuateZone");
   } else if (method == "ReleaseRequest") {
     releaseRequest(parts, now, call);
   } else {
@@ -337,7 +369,7 @@
   else if (method == "RemoveReplica")
     removeReplica(parts, now, call);
   else
-    return serveChange(parts, now, method, call);
+    return serveChange(parts, settings, now, method, call);
   return true;
 }
 
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -35,6 +35,9 @@
       reader.milliseconds("permit_timeout_ms", forward.PermitTimeout);
   forward.RevocationBound =
       reader.milliseconds("revocation_ms", forward.RevocationBound);
+  if (reader.has("evacuation_ms"))
+    forward.EvacuationBound =
+        reader.milliseconds("evacuation_ms", forward.EvacuationBound);
   forward.RetryShare = reader.real("retry_share", forward.RetryShare, 0, 1);
   forward.RetryReserve =
       reader.real("retry_reserve", forward.RetryReserve, 0, 100000);
@@ -128,6 +131,11 @@
       reader.milliseconds("heartbeat_ms", replica.Log.HeartbeatPeriod);
   replica.Log.ElectionTimeout =
       reader.milliseconds("election_timeout_ms", replica.Log.ElectionTimeout);
+  // The last of them may take a call's time on its way.
+  constexpr Duration CallTime = std::chrono::seconds(1);
+  replica.OrdersResentFor =
+      CallTime + reader.milliseconds("orders_resent_ms",
+                                     replica.OrdersResentFor - CallTime);
   AllotmentRules &allotments = replica.Allotments;
   constexpr double LongestWindow = 3600;
   allotments.Window = fromSeconds(reader.real(
@@ -147,6 +155,14 @@
   reader.finish();
 }
 
+void readZones(SettingsReader &reader, Settings &settings) {
+  for (const auto &[zone, region] : reader.texts("zones"))
+    settings.Zones[ZoneName(zone)] = RegionName(region);
+  settings.Forward.Forward.Regions = settings.Zones;
+  if (!settings.Zones.empty() && !settings.Zones.contains(settings.Zone))
+    reader.fault("zones", "expected the host's own zone among them");
+}
+
 /// The addresses name the replicas' hosts by another port of theirs.
 void usePort(std::uint16_t port, std::vector<std::string> &addresses) {
   for (std::string &it : addresses)
@@ -220,6 +236,8 @@
   if (replicaPort != 0)
     usePort(replicaPort, settings.Replicas);
   readTimes(reader, settings);
+  if (reader.has("zones"))
+    readZones(reader, settings);
   if (SettingsReader log = reader.object("log"); reader.has("log"))
     readLog(log, settings);
   if (SettingsReader entry = reader.object("entry"); settings.IsEntry)
--- a/packages/daemon/src/Settings.h
+++ b/packages/daemon/src/Settings.h
@@ -16,6 +16,8 @@
 struct Settings {
   HostName Host;
   ZoneName Zone;
+  /// All availability zones with their regions; none: they aren't known.
+  ZoneRegions Zones;
   std::string HttpAddress;
   std::string PeerAddress;
   /// Where the process listens, when others reach it by another address: behind
--- a/packages/daemon/src/SettingsReader.cpp
+++ b/packages/daemon/src/SettingsReader.cpp
@@ -263,6 +263,25 @@
   return result;
 }
 
+std::map<std::string, std::string>
+SettingsReader::texts(const std::string &key) {
+  std::map<std::string, std::string> result;
+  const Json *it = find(key);
+  if (!it)
+    return result;
+  if (!it->is_object()) {
+    fault(key, "expected an object of texts");
+    return result;
+  }
+  for (const auto &[name, value] : it->items()) {
+    if (value.is_string())
+      result[name] = value.get<std::string>();
+    else
+      fault(key, "expected texts only");
+  }
+  return result;
+}
+
 std::vector<SettingsReader> SettingsReader::objects(const std::string &key) {
   std::vector<SettingsReader> result;
   const Json *it = find(key);
--- a/packages/daemon/src/SettingsReader.h
+++ b/packages/daemon/src/SettingsReader.h
@@ -35,6 +35,8 @@
   bool has(const std::string &key) const;
   std::string text(const std::string &key, const std::string &fallback);
   std::string requiredText(const std::string &key);
+  /// \returns all pairs of an object that holds texts only.
+  std::map<std::string, std::string> texts(const std::string &key);
   /// "ip:port".
   std::string address(const std::string &key, bool required);
   std::uint64_t integer(const std::string &key, std::uint64_t fallback,
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -5,6 +5,8 @@
 namespace pimentofront {
 namespace {
 
+/// Clocks of hosts run apart by less than this share: NTP slews by half of it.
+constexpr double MostClockDrift = 0.001;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusUnauthorized = 401;
 constexpr int StatusNotFound = 404;
@@ -69,10 +71,11 @@
 
 const char *forwardFailureName(ForwardFailure failure) {
   constexpr const char *Names[] = {
-      "not_ready",     "no_route",       "malformed",    "no_server",
-      "declined",      "timed_out",      "broke_off",    "caller_gone",
-      "quarantined",   "on_trial",       "no_leave",     "unknown_key",
-      "keys_outdated", "over_allotment", "no_allotment", "servers_rest"};
+      "not_ready",      "no_route",       "malformed",    "no_server",
+      "declined",       "timed_out",      "broke_off",    "caller_gone",
+      "quarantined",    "on_trial",       "no_leave",     "unknown_key",
+      "keys_outdated",  "over_allotment", "no_allotment", "servers_rest",
+      "zones_outdated", "no_region"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -118,7 +121,17 @@
   }
 }
 
+bool AttemptController::mayMissEvacuation(TimePoint now) const {
+  const Duration bound = Board.Options.EvacuationBound;
+  if (bound == Duration::zero())
+    return false;
+  const std::optional<Duration> age = Board.Configuration.confirmedAge(now);
+  return !age || toSeconds(*age) >= toSeconds(bound) * (1 - MostClockDrift);
+}
+
 void AttemptController::choose(TimePoint now, ForwardRequest &request) {
+  if (mayMissEvacuation(now))
+    return giveUp(now, request, ForwardFailure::ZonesOutdated);
   if (request.ToEngine)
     chooseEngine(now, request);
   else
@@ -126,38 +139,39 @@
 }
 
 void AttemptController::choosePlain(TimePoint now, ForwardRequest &request) {
-  const auto limited =
-      Board.Servers.limitedServers(now, request.Service, request.Avoid);
-  ServerView *server =
-      Board.Servers.choose(now, request.Service, request.Avoid, Board.Permits);
+  const auto paced = Board.Servers.pacedServers(now, request.Service,
+                                                request.Avoid, request.Zones);
+  ServerView *server = Board.Servers.choose(now, request.Service, request.Avoid,
+                                            Board.Permits, request.Zones);
   if (server) {
     const ServerProcess process = server->Record.process();
     if (Board.Permits.has(now, process))
       Board.Permits.use(process);
   }
-  for (const ServerProcess &it : limited)
-    Board.Permits.want(now, it, Board.Servers.feedbackOf(it).limit(now));
+  for (const ServerProcess &it : paced)
+    Board.Permits.want(now, it, Board.Servers.feedbackOf(it).limit(now),
+                       Board.Servers.coldStartOf(now, it));
   if (server)
     return send(now, request, *server);
-  if (limited.empty())
+  if (paced.empty())
     return noneTakes(now, request);
-  awaitPermit(now, request, limited);
+  awaitPermit(now, request, paced);
 }
 
 void AttemptController::awaitPermit(TimePoint now, ForwardRequest &request,
-                                    const std::vector<ServerProcess> &limited) {
+                                    const std::vector<ServerProcess> &paced) {
   const auto chanceOf = [&](const ServerProcess &it) {
     return Board.Permits.nextChance(now, it);
   };
   const TimePoint chance =
-      chanceOf(*std::ranges::min_element(limited, {}, chanceOf));
+      chanceOf(*std::ranges::min_element(paced, {}, chanceOf));
   request.LastRefusal = RefusalReason::RateLimited;
   // Each server gives one permit at a time.
   const auto waiting = std::ranges::count_if(Board.Held, [&](const auto key) {
     return Board.Requests.at(key).Service == request.Service;
   });
   if (chance < Holds.limitOf(request) &&
-      static_cast<std::size_t>(waiting) < limited.size()) {
+      static_cast<std::size_t>(waiting) < paced.size()) {
     holdOrGiveUp(now, request, ForwardFailure::Declined);
     return Holds.wakeAt(request.Key, chance);
   }
@@ -170,7 +184,8 @@
                          .BaseModel = request.Service.str(),
                          .Tried = request.Tried,
                          .Prefix = prefixOf(request.Traits.Parts),
-                         .Target = firstEventDue(now, request)};
+                         .Target = firstEventDue(now, request),
+                         .Zones = request.Zones};
   const std::optional<Route> route =
       Routing.choose(now, query, Board.Servers.agents());
   if (route)
@@ -179,11 +194,15 @@
 }
 
 void AttemptController::noneTakes(TimePoint now, ForwardRequest &request) {
-  if (const auto over = Board.Servers.restOver(now, request.Service)) {
+  if (const auto over =
+          Board.Servers.restOver(now, request.Service, request.Zones)) {
     request.ComeBack = std::max(request.ComeBack, *over - now);
     return giveUp(now, request, ForwardFailure::ServersRest);
   }
-  const bool any = Board.Servers.serves(request.Service);
+  const bool any = Board.Servers.serves(request.Service, request.Zones);
+  if (!any && request.Zones.isRestricted() &&
+      Board.Servers.serves(request.Service))
+    return giveUp(now, request, ForwardFailure::NoRegion);
   const ForwardFailure why =
       any ? ForwardFailure::Declined : ForwardFailure::NoServer;
   const bool mayPass = any ? isOutage(request) : !Board.Servers.isComplete();
@@ -238,7 +257,8 @@
                      .FirstEventDue = firstEventDue(now, request),
                      .Server = server.Name,
                      .ServerStartedAt = server.StartedAt,
-                     .Limit = Board.Servers.feedbackOf(server).limit(now)}});
+                     .Limit = Board.Servers.feedbackOf(server).limit(now),
+                     .Cold = Board.Servers.coldStartOf(now, server)}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
@@ -326,7 +346,7 @@
       Board.Servers.feedbackOf(server->Record.process()).isResting(now);
   const bool lapsed = message.Pace > Duration::zero() &&
                       request->Attempt->LongestStop > message.Pace;
-  if (server && !rests && !lapsed) {
+  if (server && !rests && !lapsed && !mayMissEvacuation(now)) {
     const std::string changes =
         Board.Servers.noteLimit(now, server->Record.process(), message.Limit);
     if (!changes.empty())
@@ -344,6 +364,23 @@
   }
 }
 
+void AttemptController::onZonesChanged(TimePoint now) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto &[attempt, key] : Board.Attempts) {
+    const ForwardAttempt &it = *Board.Requests.at(key).Attempt;
+    const auto agent = Board.Servers.agents().find(it.Agent);
+    if (!it.Sent && agent != Board.Servers.agents().end() &&
+        Board.Servers.isEvacuated(agent->second.Record.Zone))
+      waiting.push_back(key);
+  }
+  for (const std::uint64_t key : waiting) {
+    ForwardRequest &request = Board.Requests.at(key);
+    note(now, "zone_left", request, request.Attempt->Agent.str());
+    cancel(now, request);
+    next(now, request);
+  }
+}
+
 void AttemptController::onRefused(TimePoint now, const HostName &agent,
                                   const AttemptRefused &message) {
   noteLoad(agent, message.Load);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -37,6 +37,9 @@
   void suspectFormerProcesses(TimePoint now);
   /// The process has stood still for \p gap: permits may have come long ago.
   void onStop(Duration gap);
+  /// Other zones are evacuated now: requests that wait at agents there go
+  /// elsewhere.
+  void onZonesChanged(TimePoint now);
   /// The agent of an attempt has said nothing in time.
   void passBySilentAgent(TimePoint now, ForwardRequest &request);
 
@@ -85,7 +88,10 @@
   /// Only servers take it to which this entry has no permit to send: the
   /// request waits for one, or is refused.
   void awaitPermit(TimePoint now, ForwardRequest &request,
-                   const std::vector<ServerProcess> &limited);
+                   const std::vector<ServerProcess> &paced);
+  /// \returns whether a zone may have been evacuated of which this entry hasn't
+  /// heard.
+  bool mayMissEvacuation(TimePoint now) const;
   /// The host of an agent may be gone, and the engine with it.
   void suspect(TimePoint now, const HostName &agent);
   void askAgent(TimePoint now, ForwardRequest &request, const Route &route);
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -31,6 +31,10 @@
   /// acknowledgement of the configuration that did: by entries that are cut
   /// off, frozen or suspended, too.
   Duration RevocationBound = std::chrono::seconds(5);
+  /// An entry that has had no word of the replicas for so long sends nothing: a
+  /// zone may have been evacuated since. Zero: it serves on by what it knows.
+  Duration EvacuationBound = Duration::zero();
+  ZoneRegions Regions;
   /// Kept back of a caller's time, for the way of the final answer.
   Duration AnswerReserve = std::chrono::milliseconds(30);
   /// Sends to a second server for each request. All entries together stay
@@ -108,6 +112,11 @@
   NoAllotment,
   /// All servers of the service have asked for rest.
   ServersRest,
+  /// The copy of the configuration is too old to tell which zones are
+  /// evacuated.
+  ZonesOutdated,
+  /// No server is in a region that its route and its client account allow.
+  NoRegion,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
@@ -172,6 +181,8 @@
   ServiceName Service;
   bool ToEngine = false;
   AdapterKey Adapter;
+  /// Where it may be served, by its route and its client account.
+  AllowedZones Zones;
   TimePoint ArrivedAt;
   TimePoint Deadline;
   std::optional<ForwardAttempt> Attempt;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -56,10 +56,37 @@
 }
 
 void ForwardController::onMembers(TimePoint now, const MemberUpdate &update) {
-  Board.Servers.apply(update);
+  Board.Servers.apply(now, update);
   Attempts.suspectFormerProcesses(now);
 }
 
+void ForwardController::onEvacuatedZones(TimePoint now,
+                                         std::set<ZoneName> zones) {
+  const std::set<ZoneName> before = Board.Servers.evacuatedZones();
+  if (zones == before)
+    return;
+  const auto tell = [&](const char *name, const ZoneName &zone) {
+    Board.Events.push_back({.Name = name, .Detail = zone.str()});
+  };
+  for (const ZoneName &it : zones)
+    if (!before.contains(it))
+      tell("zone_evacuated", it);
+  for (const ZoneName &it : before)
+    if (!zones.contains(it))
+      tell("zone_restored", it);
+  Board.Servers.setEvacuated(now, std::move(zones));
+  Attempts.onZonesChanged(now);
+}
+
+bool ForwardController::knowsZones(TimePoint now) const {
+  // Callers are turned away before they have to be refused.
+  constexpr double ReadyShare = 0.6;
+  const Duration bound = Board.Options.EvacuationBound;
+  const std::optional<Duration> age = Board.Configuration.confirmedAge(now);
+  return bound == Duration::zero() ||
+         (age && toSeconds(*age) < toSeconds(bound) * ReadyShare);
+}
+
 void ForwardController::onEntries(TimePoint now, std::uint32_t entries) {
   Board.Servers.onEntries(now, entries);
   Board.Budget.setReserve(Board.Options.RetryReserve / std::max(entries, 1U));
@@ -117,6 +144,9 @@
   case KeyVerdict::Known:
     break;
   }
+  request.Zones = AllowedZones(Board.Options.Regions, request.Route->Regions,
+                               request.Account ? request.Account->Regions
+                                               : std::vector<RegionName>());
   request.Content = contentOf(Hasher, request);
   const Duration timeLeft =
       request.Traits.TimeLeft.value_or(request.Route->Timeout);
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -19,6 +19,8 @@
   /// A new routing document is in force.
   void setTable(std::shared_ptr<const RoutingTable> table);
   void onMembers(TimePoint now, const MemberUpdate &update);
+  /// These zones are evacuated, by the configuration in force.
+  void onEvacuatedZones(TimePoint now, std::set<ZoneName> zones);
   /// So many entries share the budget of further sends, and the connections
   /// to each backend server.
   void onEntries(TimePoint now, std::uint32_t entries);
@@ -30,6 +32,9 @@
   /// The caller has closed its connection.
   void onCallerGone(TimePoint now, std::uint64_t key);
 
+  /// \returns whether it is known which zones are evacuated, and will be for a
+  /// while yet.
+  bool knowsZones(TimePoint now) const;
   QuarantineController &quarantine() { return Quarantine; }
   AccountController &accounts() { return Accounts; }
   /// The newest routing document can't be read here.
--- a/packages/forward/pimentofront/src/Forward/RoutingDocument.cpp
+++ b/packages/forward/pimentofront/src/Forward/RoutingDocument.cpp
@@ -1,5 +1,6 @@
 #include "pimentofront/Forward.h"
 
+#include <algorithm>
 #include <set>
 
 namespace pimentofront {
@@ -37,6 +38,16 @@
 
 } // namespace
 
+ColdStart ServiceSpec::coldFor(Duration left) const {
+  constexpr double Thousand = 1000;
+  constexpr double MostPerSecond = 1e9;
+  if (ColdPerSecond <= 0)
+    return {};
+  return {.PerThousandSeconds = static_cast<std::uint64_t>(
+              std::min(ColdPerSecond, MostPerSecond) * Thousand),
+          .Left = left};
+}
+
 void RoutingDocument::check(Findings &findings) const {
   ServiceNames services;
   for (std::size_t i = 0; i < Services.size(); ++i)
--- a/packages/forward/pimentofront/src/Forward/RoutingDocument.h
+++ b/packages/forward/pimentofront/src/Forward/RoutingDocument.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_FORWARD_ROUTING_DOCUMENT_H
 
 #include "pimentofront/Account.h"
+#include "pimentofront/Wire.h"
 
 #include <optional>
 #include <vector>
@@ -51,6 +52,8 @@
   bool Resumable = false;
   /// Takes requests of anybody, without a key.
   bool Public = false;
+  /// Its requests may be served in these regions only; none: everywhere.
+  std::vector<RegionName> Regions;
   friend auto operator<=>(const RouteSpec &, const RouteSpec &) = default;
 
   /// \returns whether a request may run at a second backend server.
@@ -93,9 +96,17 @@
   std::string HealthPath;
   /// Connections that one backend server accepts, from all hosts together.
   std::uint32_t MaxConnections = 0;
+  /// A server that has started, or come back, takes so many requests a second
+  /// from all entries together for this time; 0 sets no limit.
+  double ColdPerSecond = 0;
+  Duration ColdTime = Duration::zero();
   /// Set where the backend servers run models.
   std::optional<EngineSpec> Engine;
   friend auto operator<=>(const ServiceSpec &, const ServiceSpec &) = default;
+
+  /// \returns that a server of it is cold for \p left; that it isn't, if cold
+  /// servers take as much as others.
+  ColdStart coldFor(Duration left) const;
 };
 
 /// \class CallerLimits
--- a/packages/forward/pimentofront/src/Forward/SendPermits.cpp
+++ b/packages/forward/pimentofront/src/Forward/SendPermits.cpp
@@ -30,7 +30,7 @@
 }
 
 void SendPermits::want(TimePoint now, const ServerProcess &server,
-                       const RateLimit &limit) {
+                       const RateLimit &limit, const ColdStart &cold) {
   if (Servers.size() >= MostKept)
     forgetUnused(now);
   Known &it = Servers[server];
@@ -38,7 +38,8 @@
     return;
   it.Nonce = ++LastNonce;
   it.AskedAt = now;
-  Queries.push_back({.Nonce = it.Nonce, .Server = server, .Limit = limit});
+  Queries.push_back(
+      {.Nonce = it.Nonce, .Server = server, .Limit = limit, .Cold = cold});
 }
 
 void SendPermits::forgetUnused(TimePoint now) {
--- a/packages/forward/pimentofront/src/Forward/SendPermits.h
+++ b/packages/forward/pimentofront/src/Forward/SendPermits.h
@@ -11,8 +11,8 @@
 
 /// \class SendPermits
 /// \ingroup Forward
-/// \brief One entry's permits to send to limited backend servers without an
-/// agent; the leader of the replicas gives them, one at a time.
+/// \brief One entry's permits to send to limited or cold backend servers
+/// without an agent; the leader of the replicas gives them, one at a time.
 ///
 /// It asks when there is something to send, and not before the leader's time to
 /// come back. A permit is good for one send and lapses soon.
@@ -25,7 +25,8 @@
   void use(const ServerProcess &server);
   /// There is work for \p server: asks for a permit, unless there is one, it
   /// has been asked for, or it is too early.
-  void want(TimePoint now, const ServerProcess &server, const RateLimit &limit);
+  void want(TimePoint now, const ServerProcess &server, const RateLimit &limit,
+            const ColdStart &cold = {});
   /// \returns when a permit for \p server may come.
   TimePoint nextChance(TimePoint now, const ServerProcess &server) const;
 
--- a/packages/forward/pimentofront/src/Forward/ServerFeedback.h
+++ b/packages/forward/pimentofront/src/Forward/ServerFeedback.h
@@ -19,6 +19,8 @@
   std::optional<Duration> Rest;
   /// It takes no new work from anybody.
   bool Leaving = false;
+  /// It is cold for so long yet.
+  std::optional<Duration> ColdFor;
   /// A header that couldn't be read; empty if all could.
   std::string Unreadable;
   friend auto operator<=>(const AnswerFeedback &,
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -30,7 +30,7 @@
   return std::ranges::find(server.Services, service) != server.Services.end();
 }
 
-void ServerSet::apply(const MemberUpdate &update) {
+void ServerSet::apply(TimePoint now, const MemberUpdate &update) {
   // A new leader knows only who has spoken to it: until it has led for a whole
   // lease, those that it doesn't name may well be there.
   if (update.Full) {
@@ -39,7 +39,7 @@
     markUnconfirmed(Agents);
   }
   for (const MemberRecord &it : update.Members)
-    put(it);
+    put(now, it);
   if (update.Complete) {
     Complete = true;
     dropUnconfirmed(Servers);
@@ -48,7 +48,7 @@
   joinAgents();
 }
 
-void ServerSet::put(const MemberRecord &record) {
+void ServerSet::put(TimePoint now, const MemberRecord &record) {
   if (!record.Registered) {
     if (record.Gone) {
       Agents.erase(record.Host);
@@ -73,6 +73,7 @@
   if (isNew)
     view = ServerView();
   view.Record = record;
+  view.ColdUntil = std::max(view.ColdUntil, now + record.ColdFor);
   view.Unconfirmed = false;
   if (isNew)
     dropOthersAt(record);
@@ -91,7 +92,7 @@
   std::map<std::pair<std::string, ServiceName>, const ServerView *> byPlace;
   for (const auto &[host, it] : Servers)
     for (const ServiceName &service : it.Record.Services)
-      if (!isLeaving(it))
+      if (isInUse(it))
         byPlace[{ipOf(it.Record.Address), service}] = &it;
   Beside.clear();
   for (auto &[host, agent] : Agents) {
@@ -120,9 +121,11 @@
   return it == Beside.end() ? nullptr : find(it->second);
 }
 
-bool ServerSet::serves(const ServiceName &service) const {
+bool ServerSet::serves(const ServiceName &service,
+                       const AllowedZones &zones) const {
   return std::ranges::any_of(Servers, [&](const auto &it) {
-    return isOf(it.second.Record, service) && !isLeaving(it.second);
+    return isOf(it.second.Record, service) && isInUse(it.second) &&
+           zones.contains(it.second.Record.Zone);
   });
 }
 
@@ -153,9 +156,45 @@
 }
 
 void ServerSet::useDocument(const RoutingDocument &document) {
-  ConnectionCaps.clear();
+  Services.clear();
   for (const ServiceSpec &it : document.Services)
-    ConnectionCaps[it.Name] = it.MaxConnections;
+    Services[it.Name] = it;
+}
+
+void ServerSet::setEvacuated(TimePoint now, std::set<ZoneName> zones) {
+  const std::set<ZoneName> before = std::exchange(Evacuated, std::move(zones));
+  for (auto &[host, it] : Servers) {
+    const ZoneName &zone = it.Record.Zone;
+    if (!before.contains(zone) || isEvacuated(zone))
+      continue;
+    for (const ServiceName &service : it.Record.Services)
+      if (const auto known = Services.find(service); known != Services.end())
+        it.ColdUntil = std::max(it.ColdUntil, now + known->second.ColdTime);
+  }
+  joinAgents();
+}
+
+ColdStart ServerSet::coldStartOf(TimePoint now,
+                                 const ServerView &server) const {
+  if (now >= server.ColdUntil)
+    return {};
+  for (const ServiceName &it : server.Record.Services)
+    if (const auto known = Services.find(it); known != Services.end())
+      return known->second.coldFor(server.ColdUntil - now);
+  return {};
+}
+
+ColdStart ServerSet::coldStartOf(TimePoint now,
+                                 const ServerProcess &server) const {
+  const auto it = Servers.find(server.Name);
+  const bool known =
+      it != Servers.end() && maybeSame(it->second.Record.process(), server);
+  return known ? coldStartOf(now, it->second) : ColdStart();
+}
+
+bool ServerSet::isPaced(TimePoint now, const ServerView &server) const {
+  return coldStartOf(now, server).isCold() ||
+         feedbackOf(server.Record.process()).isLimited();
 }
 
 void ServerSet::onEntries(TimePoint now, std::uint32_t entries) {
@@ -166,9 +205,8 @@
                                       const ServerView &server) const {
   std::uint32_t cap = 0;
   for (const ServiceName &it : server.Record.Services)
-    if (const auto known = ConnectionCaps.find(it);
-        known != ConnectionCaps.end())
-      cap = std::max(cap, known->second);
+    if (const auto known = Services.find(it); known != Services.end())
+      cap = std::max(cap, known->second.MaxConnections);
   return server.Connections.part(now, cap, Entries.value(),
                                  Options.Connections);
 }
@@ -186,38 +224,38 @@
 
 bool ServerSet::isOpen(TimePoint now, const ServerView &server,
                        const ServiceName &service,
-                       const std::vector<ServerProcess> &without) const {
-  return isOf(server.Record, service) && !isLeaving(server) &&
+                       const std::vector<ServerProcess> &without,
+                       const AllowedZones &zones) const {
+  return isOf(server.Record, service) && isInUse(server) &&
+         zones.contains(server.Record.Zone) &&
          !feedbackOf(server.Record.process()).isResting(now) &&
          std::ranges::find(without, server.Record.process()) == without.end() &&
          server.InFlight < connections(now, server).Open;
 }
 
 std::vector<ServerProcess>
-ServerSet::limitedServers(TimePoint now, const ServiceName &service,
-                          const std::vector<ServerProcess> &without) const {
+ServerSet::pacedServers(TimePoint now, const ServiceName &service,
+                        const std::vector<ServerProcess> &without,
+                        const AllowedZones &zones) const {
   std::vector<ServerProcess> result;
-  // Mostly no server asks for anything.
-  if (Feedback.empty())
-    return result;
   for (const auto &[host, it] : Servers)
-    if (isOpen(now, it, service, without) &&
-        feedbackOf(it.Record.process()).isLimited())
+    if (isOf(it.Record, service) && isPaced(now, it) &&
+        isOpen(now, it, service, without, zones))
       result.push_back(it.Record.process());
   return result;
 }
 
 ServerView *ServerSet::choose(TimePoint now, const ServiceName &service,
                               const std::vector<ServerProcess> &without,
-                              const SendPermits &permits) {
+                              const SendPermits &permits,
+                              const AllowedZones &zones) {
   const double failures = meanFailureShare(service);
   ServerView *best = nullptr;
   std::pair<bool, double> least;
   for (auto &[host, it] : Servers) {
-    if (!isOpen(now, it, service, without))
+    if (!isOpen(now, it, service, without, zones))
       continue;
-    const ServerProcess process = it.Record.process();
-    if (feedbackOf(process).isLimited() && !permits.has(now, process))
+    if (isPaced(now, it) && !permits.has(now, it.Record.process()))
       continue;
     const std::pair<bool, double> rank{now < it.SuspendedUntil,
                                        scoreOf(now, it, failures)};
@@ -302,6 +340,8 @@
                                     TimePoint sentAt) {
   if (feedback == AnswerFeedback() && !Feedback.contains(server.Name))
     return {};
+  if (ServerView *view = find(server); view && feedback.ColdFor)
+    view->ColdUntil = std::max(view->ColdUntil, now + *feedback.ColdFor);
   ServerFeedback *it = keptFeedback(server);
   if (!it)
     return {};
@@ -328,15 +368,18 @@
     counts.Limited += feedback.isLimited() ? 1 : 0;
     counts.Resting += feedback.isResting(now) ? 1 : 0;
     counts.Leaving += feedback.isLeaving() ? 1 : 0;
+    counts.Cold += coldStartOf(now, it).isCold() ? 1 : 0;
   }
   return counts;
 }
 
 std::optional<TimePoint> ServerSet::restOver(TimePoint now,
-                                             const ServiceName &service) const {
+                                             const ServiceName &service,
+                                             const AllowedZones &zones) const {
   std::optional<TimePoint> first;
   for (const auto &[host, it] : Servers) {
-    if (!isOf(it.Record, service) || isLeaving(it))
+    if (!isOf(it.Record, service) || !isInUse(it) ||
+        !zones.contains(it.Record.Zone))
       continue;
     const TimePoint until = feedbackOf(it.Record.process()).restUntil();
     if (until <= now)
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -22,6 +22,8 @@
   TimePoint LoadAt;
   /// Set after connections failed: used only when nothing else is left.
   TimePoint SuspendedUntil;
+  /// It is cold until then.
+  TimePoint ColdUntil;
   std::uint32_t Failures = 0;
   /// Share of its last answers that were failures, decayed by answer.
   double FailureShare = 0;
@@ -42,11 +44,12 @@
 
 /// \class FeedbackCounts
 /// \ingroup Forward
-/// \brief How many registered servers ask for something.
+/// \brief How many registered servers ask for something, or are cold.
 struct FeedbackCounts {
   std::uint32_t Limited = 0;
   std::uint32_t Resting = 0;
   std::uint32_t Leaving = 0;
+  std::uint32_t Cold = 0;
   friend auto operator<=>(const FeedbackCounts &,
                           const FeedbackCounts &) = default;
 };
@@ -90,7 +93,14 @@
   explicit ServerSet(const ServerSetOptions &options)
       : Options(options), Entries(options.PresumedEntries) {}
 
-  void apply(const MemberUpdate &update);
+  void apply(TimePoint now, const MemberUpdate &update);
+  /// The servers in these zones get nothing. Those in zones that are taken back
+  /// count as cold: they may have become so while nobody sent them anything.
+  void setEvacuated(TimePoint now, std::set<ZoneName> zones);
+  const std::set<ZoneName> &evacuatedZones() const { return Evacuated; }
+  bool isEvacuated(const ZoneName &zone) const {
+    return Evacuated.contains(zone);
+  }
   ServerView *find(const HostName &server);
   /// \returns what is known of this process, or null when another one has its
   /// name, or none.
@@ -102,22 +112,24 @@
   /// So many entries share the connections of each server.
   void onEntries(TimePoint now, std::uint32_t entries);
   /// \returns the best server of \p service for one more request, but for
-  /// those in \p without, those to which this entry has as many connections as
-  /// it may, and limited ones without one of \p permits; null when there is
-  /// none.
+  /// those in \p without or outside \p zones, those to which this entry has as
+  /// many connections as it may, and paced ones without one of \p permits; null
+  /// when there is none.
   ServerView *choose(TimePoint now, const ServiceName &service,
                      const std::vector<ServerProcess> &without,
-                     const SendPermits &permits);
-  /// \returns the servers of \p service that would take one more request with
-  /// a permit.
+                     const SendPermits &permits,
+                     const AllowedZones &zones = {});
+  /// \returns the servers of \p service, limited or cold, that would take one
+  /// more request with a permit.
   std::vector<ServerProcess>
-  limitedServers(TimePoint now, const ServiceName &service,
-                 const std::vector<ServerProcess> &without) const;
+  pacedServers(TimePoint now, const ServiceName &service,
+               const std::vector<ServerProcess> &without,
+               const AllowedZones &zones = {}) const;
   /// \returns whether all servers are known that there are: whoever isn't
   /// named by then doesn't exist.
   bool isComplete() const { return Complete; }
-  /// \returns whether any server of \p service is in use.
-  bool serves(const ServiceName &service) const;
+  /// \returns whether any server of \p service in \p zones is in use.
+  bool serves(const ServiceName &service, const AllowedZones &zones = {}) const;
   /// Agents with what they said of their engines; one whose engine isn't
   /// registered counts as taken out of use.
   MemberViews &agents() { return Agents; }
@@ -142,12 +154,15 @@
   /// \returns what changed, for the log; empty if nothing did.
   std::string noteLimit(TimePoint now, const ServerProcess &server,
                         const RateLimit &limit);
-  /// \returns when the first of the service's servers that rest is to be used
-  /// again; nothing if none rests, or one is in use that doesn't.
-  std::optional<TimePoint> restOver(TimePoint now,
-                                    const ServiceName &service) const;
+  /// \returns when the first of the service's servers in \p zones that rest is
+  /// to be used again; nothing if none rests, or one is in use that doesn't.
+  std::optional<TimePoint> restOver(TimePoint now, const ServiceName &service,
+                                    const AllowedZones &zones = {}) const;
   /// \returns what this process asks for.
   ServerFeedback feedbackOf(const ServerProcess &server) const;
+  /// \returns whether this process is cold, and how many requests it takes
+  /// then.
+  ColdStart coldStartOf(TimePoint now, const ServerProcess &server) const;
   FeedbackCounts countFeedback(TimePoint now) const;
   void suspendAgent(TimePoint now, const HostName &agent);
   /// The process has ended; another one of the server isn't there yet.
@@ -157,11 +172,19 @@
   /// Has agents' hosts follow what their servers ask for.
   void noteRest(const ServerProcess &server);
   bool isLeaving(const ServerView &server) const;
-  /// \returns whether the server may get one more request but for its limit.
+  /// \returns whether the server may get requests at all.
+  bool isInUse(const ServerView &server) const {
+    return !isLeaving(server) && !isEvacuated(server.Record.Zone);
+  }
+  /// \returns whether the server may get one more request but for its pace.
   bool isOpen(TimePoint now, const ServerView &server,
               const ServiceName &service,
-              const std::vector<ServerProcess> &without) const;
-  void put(const MemberRecord &record);
+              const std::vector<ServerProcess> &without,
+              const AllowedZones &zones) const;
+  ColdStart coldStartOf(TimePoint now, const ServerView &server) const;
+  /// \returns whether sends to the server are counted.
+  bool isPaced(TimePoint now, const ServerView &server) const;
+  void put(TimePoint now, const MemberRecord &record);
   void dropOthersAt(const MemberRecord &record);
   void joinAgents();
   double scoreOf(TimePoint now, const ServerView &server,
@@ -172,8 +195,9 @@
 
   ServerSetOptions Options;
   EntryCount Entries;
-  /// Connections that each server of a service accepts.
-  std::map<ServiceName, std::uint32_t> ConnectionCaps;
+  /// What the document says of each service.
+  std::map<ServiceName, ServiceSpec> Services;
+  std::set<ZoneName> Evacuated;
   std::map<HostName, ServerView> Servers;
   MemberViews Agents;
   /// \returns the place to keep what the process asks for; null if another one
--- a/packages/net/pimentofront/Net.h
+++ b/packages/net/pimentofront/Net.h
@@ -15,6 +15,7 @@
 // The parts, in the order of their dependencies.
 // clang-format off
 #include "src/Net/EventLoop.h"
+#include "src/Net/CallOnce.h"
 #include "src/Net/Socket.h"
 #include "src/Net/HttpServer.h"
 #include "src/Net/HttpClient.h"
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -153,7 +153,7 @@
     return Driver.generate(request);
   Network.send(it->second,
                AttemptPermit{request.Attempt, Controller.figures(now),
-                             Controller.rateLimit(now), Controller.pace()});
+                             Controller.rateLimit(now), Controller.pace(now)});
 }
 
 void AgentNode::cancelWork(TimePoint now, const AttemptId &attempt) {
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -96,6 +96,8 @@
     Controller.onMembers(now, *news.Members);
     dropLinks(now, Agents.staleLinks(Controller.board().Servers.agents()));
   }
+  if (news.Drains)
+    Controller.onEvacuatedZones(now, evacuatedZones());
   if (news.Subscribers)
     Controller.onEntries(now, *news.Subscribers);
   if (std::holds_alternative<ReplicaAddresses>(message)) {
@@ -105,6 +107,14 @@
   useDocument(now);
 }
 
+std::set<ZoneName> ForwardNode::evacuatedZones() const {
+  std::set<ZoneName> zones;
+  for (const auto &[zone, it] : Feed.configuration().records().zones())
+    if (it.Evacuated)
+      zones.insert(zone);
+  return zones;
+}
+
 void ForwardNode::onLeaderMessage(TimePoint now, const Message &message) {
   Leader.onHeard(now);
   if (const auto *decided = std::get_if<ProposeReply>(&message))
@@ -226,12 +236,14 @@
   if (!service || !service->Engine || service->Engine->Models.empty())
     return;
   const EngineSpec &engine = *service->Engine;
-  Agents.send(now, {host, address,
-                    EngineProfile{.At = board.Table->revision(),
-                                  .BaseModel = engine.Models.front().Name,
-                                  .AdapterSlots = engine.AdapterSlots,
-                                  .BatchCapacity = engine.BatchCapacity,
-                                  .CacheTokens = engine.CacheTokens}});
+  Agents.send(now,
+              {host, address,
+               EngineProfile{.At = board.Table->revision(),
+                             .BaseModel = engine.Models.front().Name,
+                             .AdapterSlots = engine.AdapterSlots,
+                             .BatchCapacity = engine.BatchCapacity,
+                             .CacheTokens = engine.CacheTokens,
+                             .Cold = service->coldFor(service->ColdTime)}});
 }
 
 void ForwardNode::sendToAgent(TimePoint now, const SendToAgent &message) {
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -65,7 +65,7 @@
   /// \returns whether requests can be served, for a while yet.
   bool ready(TimePoint now) {
     return Controller.board().Table != nullptr &&
-           Controller.accounts().ready(now);
+           Controller.accounts().ready(now) && Controller.knowsZones(now);
   }
   bool idle() const { return Controller.idle(); }
   const ForwardController &controller() const { return Controller; }
@@ -75,6 +75,7 @@
 
 private:
   void useDocument(TimePoint now);
+  std::set<ZoneName> evacuatedZones() const;
   void onAgentMessage(TimePoint now, const HostName &host,
                       const Message &message);
   void sendToAgent(TimePoint now, const SendToAgent &message);
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -32,9 +32,9 @@
                          Transport &transport, const WallClock &wall)
     : Options(options), Store(store), Network(transport), Wall(wall),
       Log(now, options.Log, stored), State(options.Claims),
-      Review(options.Quarantine), Members(options.Members),
-      Loads(options.Loads), Allotments(options.Allotments, options.Documents),
-      Listeners(transport),
+      Review(options.Quarantine), Evacuations(options.OrdersResentFor),
+      Members(options.Members), Loads(options.Loads),
+      Allotments(options.Allotments, options.Documents), Listeners(transport),
       Watch(SilentElectionTimeouts * options.Log.ElectionTimeout) {
   flush(now);
 }
@@ -254,6 +254,31 @@
   return true;
 }
 
+bool ReplicaNode::orderEvacuation(TimePoint now, const EvacuateZone &order,
+                                  DecisionCallback done) {
+  const Configuration *current = currentConfiguration(now);
+  if (!current || !acceptsCommands())
+    return false;
+  noteTerm(now);
+  if (!isProperName(order.Zone.str())) {
+    done(CommandOutcome{.Result = CommandResult::Invalid});
+    return true;
+  }
+  switch (Evacuations.judge(now, *current, order.Zone, order.Evacuated)) {
+  case EvacuationVerdict::InForce:
+    Evacuations.noteTaken(now, order.Zone, order.Evacuated);
+    done(CommandOutcome{.At = current->revision()});
+    return true;
+  case EvacuationVerdict::MaybeLate:
+    done(std::nullopt);
+    return true;
+  case EvacuationVerdict::New:
+    break;
+  }
+  Evacuations.noteProposed(order.Zone);
+  return propose(now, Command{.Body = order}, std::move(done));
+}
+
 const Configuration *ReplicaNode::currentConfiguration(TimePoint now) const {
   const auto index = Log.readIndex(now);
   return index && *index <= AppliedIndex ? &State.configuration() : nullptr;
@@ -424,6 +449,7 @@
   LedTerm = Log.term();
   FencesGiven = 0;
   Members.beginTerm(now, LedTerm);
+  Evacuations.lead(now, LedTerm);
   Loads = LoadScheduler(Options.Loads);
   Review.reset();
 }
@@ -493,12 +519,15 @@
                 encodeCommand(Command{.Body = std::move(review)}));
 }
 
-void ReplicaNode::applyEntry(const LogEntry &entry) {
+void ReplicaNode::applyEntry(TimePoint now, const LogEntry &entry) {
   BytesSinceSnapshot += entry.Data.size();
   const auto command = decodeCommand(entry.Data);
   CommandOutcome outcome{.Result = CommandResult::Invalid};
   if (command)
     outcome = State.apply(entry.WallMilliseconds, *command);
+  if (outcome.Result == CommandResult::Accepted)
+    if (const auto *it = std::get_if<EvacuateZone>(&command->Body))
+      Evacuations.noteTaken(now, it->Zone, it->Evacuated);
   const auto it = Proposals.find(entry.Index);
   if (it == Proposals.end())
     return;
@@ -543,7 +572,7 @@
       AppliedIndex = actions.Restore->LastIndex;
     }
     for (const LogEntry &it : actions.Committed)
-      applyEntry(it);
+      applyEntry(now, it);
     AppliedIndex = std::max(AppliedIndex, Log.commitIndex());
   }
   answerProbes();
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -19,6 +19,9 @@
   LoadSchedulerOptions Loads;
   ClaimLedgerOptions Claims;
   QuarantineReviewOptions Quarantine;
+  /// An operator's order without a command id is sent again for so long at
+  /// most.
+  Duration OrdersResentFor = std::chrono::seconds(6);
   AllotmentRules Allotments;
   /// Reads the accounts of the documents in force; may be null.
   const DocumentCodec *Documents = nullptr;
@@ -64,6 +67,12 @@
   using DecisionCallback =
       std::function<void(const std::optional<CommandOutcome> &)>;
   bool propose(TimePoint now, const Command &command, DecisionCallback done);
+  /// Has the group decide on an operator's order, sent without a command id, to
+  /// evacuate a zone or to take that back. One that may be an earlier order
+  /// which comes late gets no outcome: its sender is to ask again.
+  /// \returns false when this replica can't accept it now.
+  bool orderEvacuation(TimePoint now, const EvacuateZone &order,
+                       DecisionCallback done);
   /// \returns the configuration as of now, or null when a newer one may be in
   /// force elsewhere.
   const Configuration *currentConfiguration(TimePoint now) const;
@@ -126,7 +135,7 @@
   void askLeader(TimePoint now);
   void followLeader(TimePoint now);
   void noteTerm(TimePoint now);
-  void applyEntry(const LogEntry &entry);
+  void applyEntry(TimePoint now, const LogEntry &entry);
   void compactIfDue();
   void giveTickets(TimePoint now);
   void reviewQuarantine(TimePoint now);
@@ -144,6 +153,7 @@
   ReplicatedLog Log;
   StateMachine State;
   QuarantineReview Review;
+  EvacuationOrders Evacuations;
   MemberTable Members;
   LoadScheduler Loads;
   LedgerKeeper Allotments;
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -15,6 +15,7 @@
 
 // The parts, in the order of their dependencies.
 // clang-format off
+#include "src/Serving/AllowedZones.h"
 #include "src/Serving/Popularity.h"
 #include "src/Serving/SlotTable.h"
 #include "src/Serving/UnansweredOrders.h"
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -35,7 +35,7 @@
 }
 
 void AdmissionController::refuseBeyondRateLimit(TimePoint now) {
-  if (!Board.Pacer.isLimited())
+  if (!Board.Pacer.paces(now))
     return;
   std::vector<const WaitingAttempt *> waiting;
   for (const auto &[key, queue] : Board.Waiting)
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -185,8 +185,12 @@
   /// Last word of the load scheduler on its queue, and when it came.
   Duration LoadBacklog = Duration::zero();
   TimePoint LoadBacklogAt;
-  /// Of the engine's process, while it names a limit.
+  /// Of the engine's process, while it names a limit or is cold.
   RequestPacer Pacer;
+  /// How engines of its service are cold from their start on.
+  ColdStart Cold;
+  /// When the engine was found that started beside this agent.
+  std::optional<TimePoint> EngineStartedAt;
 
   /// Takes no new work.
   bool Leaving = false;
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -21,6 +21,7 @@
                                 const ExecuteRequest &request) {
   if (request.Limit.Named)
     applyRateLimit(now, request.Limit);
+  applyColdStart(now, request.Cold);
   Admission.onExecute(now, entry, request);
   decide(now);
 }
@@ -116,6 +117,19 @@
     Admission.refuseHopeless(now);
 }
 
+void AgentController::applyColdStart(TimePoint now, const ColdStart &cold) {
+  if (Board.Pacer.applyCold(now, cold))
+    Admission.refuseHopeless(now);
+}
+
+void AgentController::presumeCold(TimePoint now) {
+  if (!Board.EngineStartedAt)
+    return;
+  ColdStart cold = Board.Cold;
+  cold.Left -= now - *Board.EngineStartedAt;
+  applyColdStart(now, cold);
+}
+
 void AgentController::onReleased(TimePoint now,
                                  const AttemptReleased &message) {
   const auto it = Board.Running.find(message.Attempt);
@@ -141,6 +155,8 @@
   Board.Slots.resize(profile.AdapterSlots);
   Board.BatchCapacity = std::max(profile.BatchCapacity, 1U);
   Board.Prefill.setCacheTokens(profile.CacheTokens);
+  Board.Cold = profile.Cold;
+  presumeCold(now);
   decide(now);
 }
 
@@ -196,6 +212,10 @@
   Board.Slots.adopt(now, resident);
   for (const AdapterKey &it : resident)
     Board.LoadTimes.onHeld(it);
+  if (Board.EngineIsOurs) {
+    Board.EngineStartedAt = now;
+    presumeCold(now);
+  }
   Board.EngineReady = true;
   Board.EngineIsOurs = true;
   Gate.onEngineReady(now);
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -40,10 +40,9 @@
   void onReleased(TimePoint now, const AttemptReleased &message);
   /// \returns the engine's limit, for those who haven't learned of it.
   RateLimit rateLimit(TimePoint now) const { return Board.Pacer.limit(now); }
-  /// \returns how long one request's share of the limit takes; zero without one.
-  Duration pace() const {
-    return Board.Pacer.isLimited() ? Board.Pacer.interval() : Duration::zero();
-  }
+  /// \returns how long one request's share of the engine's pace takes; zero
+  /// while it is neither limited nor cold.
+  Duration pace(TimePoint now) const { return Board.Pacer.interval(now); }
   /// The entries name another process of the engine.
   void onProcessChanged() { Board.Pacer.reset(); }
   /// An entry has learned what its answer said of the engine's limit.
@@ -82,6 +81,10 @@
 
 private:
   void applyRateLimit(TimePoint now, const RateLimit &limit);
+  void applyColdStart(TimePoint now, const ColdStart &cold);
+  /// The engine has started beside this agent, and nobody may have said yet
+  /// that it is cold.
+  void presumeCold(TimePoint now);
   /// Gives up the slots of delegated requests that must have ended by now.
   void releaseOverdue(TimePoint now);
   void decide(TimePoint now);
--- a/packages/serving/pimentofront/src/Serving/EntryBoard.h
+++ b/packages/serving/pimentofront/src/Serving/EntryBoard.h
@@ -105,6 +105,8 @@
   findAdapter(const AdapterName &name) const = 0;
   virtual const KindRecord *findKind(const KindName &name) const = 0;
   virtual bool isDrained(const HostName &host) const = 0;
+  /// \returns whether an operator has had the zone evacuated.
+  virtual bool isEvacuated(const ZoneName &zone) const = 0;
   /// \returns whether it is certain that nothing newer has been in force for
   /// longer than the confirmation lease.
   virtual bool isConfirmed(TimePoint now) const = 0;
--- a/packages/serving/pimentofront/src/Serving/EntryController.cpp
+++ b/packages/serving/pimentofront/src/Serving/EntryController.cpp
@@ -449,7 +449,7 @@
     member.Record = it;
     member.Unconfirmed = false;
     member.NameHash = stableHash(it.Host.str());
-    member.Drained = Board.Configuration.isDrained(it.Host);
+    member.Drained = isOutOfUse(it);
   }
   if (update.Complete)
     for (auto &[host, member] : Board.Members)
@@ -462,9 +462,14 @@
   });
 }
 
+bool EntryController::isOutOfUse(const MemberRecord &member) const {
+  return Board.Configuration.isDrained(member.Host) ||
+         Board.Configuration.isEvacuated(member.Zone);
+}
+
 void EntryController::onDrains() {
   for (auto &[host, member] : Board.Members)
-    member.Drained = Board.Configuration.isDrained(host);
+    member.Drained = isOutOfUse(member.Record);
 }
 
 //===----------------------------------------------------------------------===//
--- a/packages/serving/pimentofront/src/Serving/EntryController.h
+++ b/packages/serving/pimentofront/src/Serving/EntryController.h
@@ -50,6 +50,8 @@
   const EntryBoard &board() const { return Board; }
 
 private:
+  /// \returns whether an operator has taken the host or its zone out of use.
+  bool isOutOfUse(const MemberRecord &member) const;
   RefusalReason resolve(EntryRequest &request, std::string &detail) const;
   void refuseNew(const CallerRequest &request, RefusalReason reason,
                  Duration comeBack, std::string detail);
--- a/packages/serving/pimentofront/src/Serving/RequestPacer.cpp
+++ b/packages/serving/pimentofront/src/Serving/RequestPacer.cpp
@@ -1,39 +1,85 @@
 #include "pimentofront/Serving.h"
 
 namespace pimentofront {
+namespace {
+
+/// No server is cold for longer; a mistaken word must not slow it for good.
+constexpr Duration LongestCold = std::chrono::minutes(5);
+
+} // namespace
 
 bool RequestPacer::apply(TimePoint now, const RateLimit &limit) {
   // What was saved up so far came at the former rate.
   fill(now);
-  const bool wasLimited = isLimited();
+  const bool wasPaced = paces(now);
   const bool changed = Known.apply(now, limit);
-  if (!wasLimited)
+  if (!wasPaced)
     Level = 0;
   return changed;
 }
 
+bool RequestPacer::applyCold(TimePoint now, const ColdStart &cold) {
+  const TimePoint until = now + std::min(cold.Left, LongestCold);
+  if (!cold.isCold() || until <= ColdUntil)
+    return false;
+  fill(now);
+  if (!paces(now))
+    Level = 0;
+  ColdPerSecond = cold.perSecond();
+  ColdUntil = until;
+  return true;
+}
+
+void RequestPacer::reset() {
+  Known = KnownRateLimit();
+  Level = std::min(Level, 0.0);
+}
+
+double RequestPacer::coldRate() const {
+  const double rate = std::max(ColdPerSecond, ProbeRate);
+  return isLimited() ? std::min(rate, limitRate()) : rate;
+}
+
+Duration RequestPacer::interval(TimePoint now) const {
+  if (!paces(now))
+    return Duration::zero();
+  return fromSeconds(1 / (isCold(now) ? coldRate() : limitRate()));
+}
+
 double RequestPacer::levelAt(TimePoint now) const {
-  return std::min(Level + rate() * toSeconds(now - FilledAt), Burst);
+  const TimePoint coldEnd = std::clamp(ColdUntil, FilledAt, now);
+  double level = Level + coldRate() * toSeconds(coldEnd - FilledAt);
+  if (isLimited())
+    level += limitRate() * toSeconds(now - coldEnd);
+  return std::min(level, Burst);
 }
 
 void RequestPacer::fill(TimePoint now) {
-  if (isLimited())
-    Level = levelAt(now);
+  now = std::max(now, FilledAt);
+  Level = levelAt(now);
   FilledAt = now;
 }
 
 Duration RequestPacer::wait(TimePoint now, std::size_t ahead) const {
-  if (!isLimited())
+  if (!paces(now))
     return Duration::zero();
-  const double missing = static_cast<double>(ahead) + 1 - levelAt(now);
+  const double missing =
+      static_cast<double>(ahead) + 1 - levelAt(std::max(now, FilledAt));
   if (missing <= 0)
     return Duration::zero();
+  const Duration cold = std::max(ColdUntil - now, Duration::zero());
+  const double whileCold = coldRate() * toSeconds(cold);
   // Rounded up: whoever comes back then must not be early.
-  return fromSeconds(missing / rate()) + Duration(1);
+  constexpr Duration RoundUp(1);
+  if (missing <= whileCold)
+    return fromSeconds(missing / coldRate()) + RoundUp;
+  if (!isLimited())
+    return cold;
+  return cold + fromSeconds((missing - whileCold) / limitRate()) + RoundUp;
 }
 
 std::optional<Duration> RequestPacer::reserve(TimePoint now, Duration ahead) {
-  if (!isLimited())
+  if (!paces(now))
     return Duration::zero();
   const Duration delay = wait(now, 0);
   if (delay > ahead)
--- a/packages/serving/pimentofront/src/Serving/RequestPacer.h
+++ b/packages/serving/pimentofront/src/Serving/RequestPacer.h
@@ -10,10 +10,12 @@
 /// \class RequestPacer
 /// \ingroup Serving
 /// \brief Paces the requests that all entries together send to one backend
-/// server which names a limit: a token bucket that starts empty.
+/// server which names a limit, or is cold: a token bucket that starts empty.
 ///
 /// There is one for each server: at the agent beside an engine, at the leader
-/// of the replicas for a server without one.
+/// of the replicas for a server without one. Of a limit and a cold start the
+/// lower one holds. A cold start ends by its time; words on it only make that
+/// longer, since an entry may not have heard the newest one.
 class RequestPacer {
 public:
   /// \param burst requests that may be saved up: more of them would come all at
@@ -26,12 +28,20 @@
 
   /// \returns whether another limit is in force now, or none any more.
   bool apply(TimePoint now, const RateLimit &limit);
-  /// Another process of the server runs now.
-  void reset() { *this = RequestPacer(Burst); }
+  /// \returns whether the server is cold for longer than was known.
+  bool applyCold(TimePoint now, const ColdStart &cold);
+  /// Another process of the server runs now, and names no limit so far. A cold
+  /// start holds on: an entry that hasn't heard of that process yet may still
+  /// name the former one.
+  void reset();
+  /// \returns whether the server names a limit.
   bool isLimited() const { return Known.isNamed(); }
-  /// \returns how long one request's share of the limit takes.
-  /// \pre the server is limited.
-  Duration interval() const { return fromSeconds(1 / rate()); }
+  bool isCold(TimePoint now) const { return now < ColdUntil; }
+  /// \returns whether requests are counted now.
+  bool paces(TimePoint now) const { return isLimited() || isCold(now); }
+  /// \returns how long one request's share of the pace takes; zero if requests
+  /// aren't counted now.
+  Duration interval(TimePoint now) const;
   /// \returns what to tell others of the limit.
   RateLimit limit(TimePoint now) const { return Known.at(now); }
   /// \returns how long it takes until a request may be sent that has \p ahead
@@ -46,14 +56,18 @@
   std::optional<Duration> reserve(TimePoint now, Duration ahead);
 
 private:
-  /// \returns the requests a second that are let through.
+  /// \returns the requests a second that the limit lets through.
   /// \pre the server is limited.
-  double rate() const { return std::max(Known.perSecond(), ProbeRate); }
+  double limitRate() const { return std::max(Known.perSecond(), ProbeRate); }
+  /// \returns the requests a second that are let through while it is cold.
+  double coldRate() const;
   void fill(TimePoint now);
   double levelAt(TimePoint now) const;
 
   double Burst;
   KnownRateLimit Known;
+  double ColdPerSecond = 0;
+  TimePoint ColdUntil;
   /// Below 0 while requests are reserved.
   double Level = 0;
   TimePoint FilledAt;
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_SERVING_ROUTING_POLICY_H
 #define PIMENTOFRONT_SERVING_ROUTING_POLICY_H
 
+#include "AllowedZones.h"
 #include "pimentofront/Wire.h"
 
 #include <map>
@@ -58,6 +59,8 @@
   std::uint64_t Prefix = 0;
   /// Time until the first event has to come; not positive when it is late.
   Duration Target = NoTarget;
+  /// Where it may be served.
+  AllowedZones Zones;
 };
 
 /// \class Route
@@ -146,8 +149,8 @@
 namespace detail {
 
 /// \returns hosts that may get the request now: not leaving, drained or
-/// suspended, with the base model or service. Suspended ones only when there
-/// is no other.
+/// suspended, in an allowed zone, with the base model or service. Suspended
+/// ones only when there is no other.
 std::vector<const MemberView *> eligibleHosts(TimePoint now,
                                               const RouteQuery &query,
                                               const MemberViews &members);
--- a/packages/serving/pimentofront/src/Serving/SendPermitLedger.cpp
+++ b/packages/serving/pimentofront/src/Serving/SendPermitLedger.cpp
@@ -41,9 +41,10 @@
   forgetUnused(now);
   PacedServer &server = Servers[query.Server];
   server.Pacer.apply(now, query.Limit);
+  server.Pacer.applyCold(now, query.Cold);
   SendPermitReply reply{.Nonce = query.Nonce};
-  if (server.Pacer.isLimited()) {
-    const Duration interval = server.Pacer.interval();
+  if (server.Pacer.paces(now)) {
+    const Duration interval = server.Pacer.interval(now);
     reply.Lifetime = std::clamp(interval, LeastLifetime, MostLifetime);
     // Those whose time has come are there, or don't come.
     const double due = toSeconds(now - server.AskedAt) / toSeconds(interval);
--- a/packages/serving/pimentofront/src/Serving/SendPermitLedger.h
+++ b/packages/serving/pimentofront/src/Serving/SendPermitLedger.h
@@ -9,8 +9,8 @@
 
 /// \class SendPermitLedger
 /// \ingroup Serving
-/// \brief Paces the sends of all entries to limited backend servers that have
-/// no agent beside them.
+/// \brief Paces the sends of all entries to limited or cold backend servers
+/// that have no agent beside them.
 ///
 /// Only the leader of the replicas keeps one, under its lease, so there is one
 /// at any time. It is soft state: entries name the limit with each query, and a
--- a/packages/state/pimentofront/State.h
+++ b/packages/state/pimentofront/State.h
@@ -16,6 +16,7 @@
 // clang-format off
 #include "src/State/AdapterStore.h"
 #include "src/State/Configuration.h"
+#include "src/State/EvacuationOrders.h"
 #include "src/State/ClaimLedger.h"
 #include "src/State/QuarantineLedger.h"
 #include "src/State/QuarantineReview.h"
--- a/packages/state/pimentofront/src/State/Configuration.cpp
+++ b/packages/state/pimentofront/src/State/Configuration.cpp
@@ -18,6 +18,11 @@
   return it == Drains.end() ? nullptr : &it->second;
 }
 
+const ZoneRecord *Configuration::findZone(const ZoneName &zone) const {
+  const auto it = Zones.find(zone);
+  return it == Zones.end() ? nullptr : &it->second;
+}
+
 void Configuration::put(const ConfigurationRecord &record) {
   if (const auto *adapter = std::get_if<AdapterRecord>(&record))
     Adapters.put(*adapter);
@@ -25,6 +30,8 @@
     Kinds[kind->Name] = *kind;
   if (const auto *drain = std::get_if<DrainRecord>(&record))
     Drains[drain->Host] = *drain;
+  if (const auto *zone = std::get_if<ZoneRecord>(&record))
+    Zones[zone->Zone] = *zone;
   if (const auto *document = std::get_if<DocumentRecord>(&record))
     Document = *document;
 }
@@ -44,6 +51,9 @@
   for (const auto &[host, it] : Drains)
     if (it.ChangedAt > since)
       few.emplace_back(it);
+  for (const auto &[zone, it] : Zones)
+    if (it.ChangedAt > since)
+      few.emplace_back(it);
   if (Document && Document->ChangedAt > since)
     few.emplace_back(*Document);
   std::ranges::sort(few, {}, changedAt);
--- a/packages/state/pimentofront/src/State/Configuration.h
+++ b/packages/state/pimentofront/src/State/Configuration.h
@@ -19,6 +19,8 @@
   }
   const KindRecord *findKind(const KindName &name) const;
   const DrainRecord *findDrain(const HostName &host) const;
+  const ZoneRecord *findZone(const ZoneName &zone) const;
+  const std::map<ZoneName, ZoneRecord> &zones() const { return Zones; }
   /// \returns the routing document, or null before the first one.
   const DocumentRecord *document() const {
     return Document ? &*Document : nullptr;
@@ -42,6 +44,7 @@
   AdapterStore Adapters;
   std::map<KindName, KindRecord> Kinds;
   std::map<HostName, DrainRecord> Drains;
+  std::map<ZoneName, ZoneRecord> Zones;
   std::optional<DocumentRecord> Document;
 };
 
--- a/packages/state/pimentofront/src/State/ConfigurationCopy.cpp
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.cpp
@@ -44,7 +44,8 @@
     if (changedAt(it) <= Records.revision())
       continue;
     Records.put(it);
-    drains = drains || std::holds_alternative<DrainRecord>(it);
+    drains = drains || std::holds_alternative<DrainRecord>(it) ||
+             std::holds_alternative<ZoneRecord>(it);
   }
   // A part alone is no state that ever was: a record that changed twice comes
   // only with its last change.
@@ -71,6 +72,11 @@
   return drain && drain->Drained;
 }
 
+bool ConfigurationCopy::isEvacuated(const ZoneName &zone) const {
+  const ZoneRecord *record = Records.findZone(zone);
+  return record && record->Evacuated;
+}
+
 bool ConfigurationCopy::isConfirmed(TimePoint now) const {
   return leaseLeft(now) > Duration::zero();
 }
--- a/packages/state/pimentofront/src/State/ConfigurationCopy.h
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.h
@@ -34,7 +34,7 @@
   std::uint64_t beginProbe(TimePoint now);
   void onProbeReply(const ProbeReply &reply);
   /// Records apply in order; those that would go back are ignored.
-  /// \returns whether a drain changed.
+  /// \returns whether hosts or zones were taken out of use, or back.
   bool apply(const ConfigurationUpdate &update);
 
   Revision revision() const { return Records.revision(); }
@@ -50,6 +50,7 @@
     return Records.findKind(name);
   }
   bool isDrained(const HostName &host) const override;
+  bool isEvacuated(const ZoneName &zone) const override;
   const DocumentRecord *document() const { return Records.document(); }
   bool isConfirmed(TimePoint now) const override;
   std::optional<Duration> confirmedAge(TimePoint now) const override;
--- /dev/null
+++ b/packages/state/pimentofront/src/State/EvacuationOrders.cpp
@@ -0,0 +1,40 @@
+#include "pimentofront/State.h"
+
+namespace pimentofront {
+
+void EvacuationOrders::lead(TimePoint now, std::uint64_t term) {
+  if (term == Term)
+    return;
+  Term = term;
+  TermBegan = now;
+  Zones.clear();
+}
+
+EvacuationVerdict EvacuationOrders::judge(TimePoint now,
+                                          const Configuration &current,
+                                          const ZoneName &zone,
+                                          bool evacuated) const {
+  const auto it = Zones.find(zone);
+  const Zone known = it == Zones.end() ? Zone() : it->second;
+  if (known.Undecided)
+    return EvacuationVerdict::MaybeLate;
+  const ZoneRecord *present = current.findZone(zone);
+  if ((present && present->Evacuated) == evacuated)
+    return EvacuationVerdict::InForce;
+  // Without a record none was ever accepted.
+  if (!present)
+    return EvacuationVerdict::New;
+  const auto &last = evacuated ? known.EvacuatedAt : known.RestoredAt;
+  return now < last.value_or(TermBegan) + ResentFor
+             ? EvacuationVerdict::MaybeLate
+             : EvacuationVerdict::New;
+}
+
+void EvacuationOrders::noteTaken(TimePoint now, const ZoneName &zone,
+                                 bool evacuated) {
+  Zone &it = Zones[zone];
+  (evacuated ? it.EvacuatedAt : it.RestoredAt) = now;
+  it.Undecided = false;
+}
+
+} // namespace pimentofront
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -17,7 +17,12 @@
   return stableHash(encodeCommand(command));
 }
 
-bool isProperName(const std::string &name) {
+constexpr const char *NameRule =
+    "a name has 1 to 128 of the characters a-z A-Z 0-9 - _ . /";
+
+} // namespace
+
+bool isProperName(std::string_view name) {
   const auto isAllowed = [](unsigned char c) {
     return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '/';
   };
@@ -25,11 +30,6 @@
          std::ranges::all_of(name, isAllowed);
 }
 
-constexpr const char *NameRule =
-    "a name has 1 to 128 of the characters a-z A-Z 0-9 - _ . /";
-
-} // namespace
-
 CommandOutcome StateMachine::refuse(CommandResult result,
                                     std::string detail) const {
   return {
@@ -100,6 +100,8 @@
     return putDocument(command, *it);
   if (const auto *it = std::get_if<NameVersion>(&body))
     return nameVersion(command, *it);
+  if (const auto *it = std::get_if<EvacuateZone>(&body))
+    return evacuate(command, *it);
   return setDrained(command, std::get<SetDrained>(body));
 }
 
@@ -193,6 +195,21 @@
                 DrainRecord{.Host = body.Host, .Drained = body.Drained});
 }
 
+CommandOutcome StateMachine::evacuate(const Command &command,
+                                      const EvacuateZone &body) {
+  if (!isProperName(body.Zone.str()))
+    return refuse(CommandResult::Invalid, NameRule);
+  const ZoneRecord *present = Records.findZone(body.Zone);
+  if (command.BuildsOn != 0 && present &&
+      command.BuildsOn != present->ChangedAt)
+    return conflict(present->ChangedBy, "the zone was changed meanwhile");
+  const bool evacuated = present && present->Evacuated;
+  if (evacuated == body.Evacuated)
+    return {.Result = CommandResult::Accepted, .At = Records.revision()};
+  return accept(command,
+                ZoneRecord{.Zone = body.Zone, .Evacuated = body.Evacuated});
+}
+
 CommandOutcome StateMachine::putDocument(const Command &command,
                                          const PutDocument &body) {
   const DocumentRecord *present = Records.document();
@@ -265,6 +282,8 @@
     Records.put(*kind);
   else if (const auto *drain = std::get_if<DrainRecord>(&item))
     Records.put(*drain);
+  else if (const auto *zone = std::get_if<ZoneRecord>(&item))
+    Records.put(*zone);
   else if (const auto *document = std::get_if<DocumentRecord>(&item))
     Records.put(*document);
   else if (const auto *ledger = std::get_if<QuarantineHeader>(&item))
--- a/packages/state/pimentofront/src/State/StateMachine.h
+++ b/packages/state/pimentofront/src/State/StateMachine.h
@@ -9,6 +9,10 @@
 
 namespace pimentofront {
 
+/// \returns whether adapters, hosts, zones and the like may be named so: 1 to
+/// 128 of the characters a-z A-Z 0-9 - _ . /
+bool isProperName(std::string_view name);
+
 /// \class StateMachine
 /// \ingroup State
 /// \brief What the log's commands do. Deterministic: the same commands in the
@@ -37,6 +41,7 @@
   CommandOutcome declare(const Command &command, const DeclareLive &body);
   CommandOutcome setKind(const Command &command, const SetKind &body);
   CommandOutcome setDrained(const Command &command, const SetDrained &body);
+  CommandOutcome evacuate(const Command &command, const EvacuateZone &body);
   CommandOutcome putDocument(const Command &command, const PutDocument &body);
   CommandOutcome nameVersion(const Command &command, const NameVersion &body);
   /// Puts a changed record in force as the next revision.
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -33,8 +33,10 @@
 /// One route of resumable streams to one service.
 class ForwardFleet::FixedDocument : public DocumentCodec {
 public:
-  explicit FixedDocument(std::optional<EngineSpec> engine)
-      : Engine(std::move(engine)) {}
+  FixedDocument(std::optional<EngineSpec> engine,
+                const ForwardFleetOptions &options)
+      : Engine(std::move(engine)), ColdPerSecond(options.ColdPerSecond),
+        ColdTime(options.ColdTime) {}
 
   RoutingDocument decode(std::string_view, Findings &) const override {
     return {.Routes = {{.Name = "flow",
@@ -46,11 +48,16 @@
                         .LatencyTarget = std::chrono::seconds(1),
                         .MaxServers = 2,
                         .Resumable = true}},
-            .Services = {{.Name = ServiceName(Service), .Engine = Engine}}};
+            .Services = {{.Name = ServiceName(Service),
+                          .ColdPerSecond = ColdPerSecond,
+                          .ColdTime = ColdTime,
+                          .Engine = Engine}}};
   }
 
 private:
   std::optional<EngineSpec> Engine;
+  double ColdPerSecond;
+  Duration ColdTime;
 };
 
 /// Carries out what one entry decides.
@@ -113,7 +120,7 @@
     engine = EngineSpec{.BatchCapacity = Slots,
                         .AdapterSlots = options.AdapterSlots,
                         .Models = {{.Name = Service}}};
-  Document = std::make_unique<FixedDocument>(std::move(engine));
+  Document = std::make_unique<FixedDocument>(std::move(engine), options);
   addReplicas();
   addEntries();
   addServers();
@@ -147,6 +154,7 @@
     Fronts[host] = std::make_unique<Front>(*this, host);
     ProcessSpec spec{.Host = host, .IsForward = true};
     spec.Forward.Feed = {.Host = host, .Replicas = Addresses};
+    spec.Forward.Forward.EvacuationBound = Options.EvacuationBound;
     spec.MakeRouting = [] {
       return std::make_unique<PrefixRouting>(PrefixRoutingOptions{});
     };
@@ -181,6 +189,7 @@
                           .Slots = Options.AdapterSlots,
                           .BatchCapacity = Slots,
                           .CompanyShare = 0},
+                .Zone = zoneOf(i),
                 .Address = host.str(),
                 .Replicas = Addresses};
   spec.MakeEviction = [] { return std::make_unique<LeastPopular>(); };
@@ -192,6 +201,14 @@
   return Place.process(agentName(i));
 }
 
+ZoneName ForwardFleet::zoneOf(std::uint32_t server) const {
+  return ZoneName("zone-" + std::to_string(server % Options.Zones));
+}
+
+void ForwardFleet::chillServer(std::uint32_t i) {
+  Servers[i].ColdUntil = Place.now() + Options.ColdTime;
+}
+
 void ForwardFleet::setAsks(std::uint32_t i, const ServerAsks &asks) {
   Servers[i].Asks = asks;
 }
@@ -214,15 +231,21 @@
     leader->Replica->propose(
         Place.now(), Command{.Body = PutDocument{1, packText("document")}},
         [this](const auto &outcome) { Proposed = outcome.has_value(); });
-  for (const Server &it : Servers)
-    if (it.Up)
-      leader->Replica->announce(Place.now(),
-                                {.Host = it.Name,
-                                 .Address = it.Address,
-                                 .Services = {ServiceName(Service)},
-                                 .Slots = Slots,
-                                 .Registered = true},
-                                Beats);
+  for (std::uint32_t i = 0; i < Servers.size(); ++i) {
+    const Server &it = Servers[i];
+    if (!it.Up)
+      continue;
+    const Duration cold = it.ColdUntil - Place.now();
+    leader->Replica->announce(Place.now(),
+                              {.Host = it.Name,
+                               .Zone = zoneOf(i),
+                               .Address = it.Address,
+                               .Services = {ServiceName(Service)},
+                               .Slots = Slots,
+                               .Registered = true,
+                               .ColdFor = std::max(cold, Duration::zero())},
+                              Beats);
+  }
 }
 
 //===----------------------------------------------------------------------===//
@@ -304,7 +327,12 @@
       it.upstreamHead(Place.now(), run.Attempt,
                       {StatusMisdirected, {{"id", run.Id}, {"not-run", "1"}}});
     });
-  Arrivals.push_back({Place.now(), run.Content, server.Name, run.Entry});
+  Arrivals.push_back({.At = Place.now(),
+                      .Content = run.Content,
+                      .Server = server.Name,
+                      .Entry = run.Entry,
+                      .Zone = zoneOf(static_cast<std::uint32_t>(i)),
+                      .Cold = Place.now() < server.ColdUntil});
   if (server.Asks.Rest)
     return turnAway(server, run);
   const std::uint64_t id = ++LastRun;
@@ -410,6 +438,8 @@
                        std::to_string(++it.Starts));
     it.Up = true;
     it.Dark = false;
+    if (Options.ColdPerSecond > 0)
+      chillServer(i);
   });
 }
 
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -26,6 +26,15 @@
   bool Engines = false;
   /// Adapters that an engine holds.
   std::uint32_t AdapterSlots = 8;
+  /// Availability zones over which the servers are spread in turn.
+  std::uint32_t Zones = 1;
+  /// A server that has started takes so many requests a second for this time,
+  /// from all entries together; 0 sets no limit.
+  double ColdPerSecond = 0;
+  Duration ColdTime = std::chrono::seconds(3);
+  /// Within so long an evacuation is in force at all entries; zero: an entry
+  /// that is out of touch serves on.
+  Duration EvacuationBound = Duration::zero();
   /// How often servers register.
   Duration Heartbeat = std::chrono::seconds(1);
   /// Between an entry and a server, one way.
@@ -75,6 +84,9 @@
   std::string Content;
   HostName Server;
   EntryProcess Entry;
+  ZoneName Zone;
+  /// The server was cold then.
+  bool Cold = false;
 };
 
 /// The end of a server's process.
@@ -116,6 +128,9 @@
   /// From now on server \p i asks for this with each answer.
   void setAsks(std::uint32_t i, const ServerAsks &asks);
   HostName serverName(std::uint32_t i) const { return Servers[i].Name; }
+  ZoneName zoneOf(std::uint32_t server) const;
+  /// Server \p i is cold from now on, as if it had just started.
+  void chillServer(std::uint32_t i);
   /// \pre the servers are engines.
   WorldProcess &agent(std::uint32_t i);
   /// Ends server \p i without a request's doing, for `BackAfter`.
@@ -143,6 +158,7 @@
     bool Up = true;
     bool Dark = false;
     std::uint64_t Starts = 0;
+    TimePoint ColdUntil;
     ServerAsks Asks;
     std::map<std::uint64_t, Run> Runs;
   };
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -133,13 +133,15 @@
   /// What the entry knows of that process's limit: the agent may have started
   /// since it was named.
   RateLimit Limit;
+  /// The same for whether that process is cold.
+  ColdStart Cold;
   /// \returns that process.
   ServerProcess server() const { return {Server, ServerStartedAt}; }
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, Resumed,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
                       Delegated, Parts, FirstEventWithin, FirstEventDue, Server,
-                      ServerStartedAt, Limit)
+                      ServerStartedAt, Limit, Cold)
 };
 
 /// Agent to entry: a place at the engine is yours, send the request now. The
@@ -149,9 +151,9 @@
   LoadFigures Load;
   /// The engine's limit, which other entries may have learned.
   RateLimit Limit;
-  /// How long one request's share of the limit takes; zero without one. A permit
-  /// that was held up for longer is void: sends that were permitted over a while
-  /// must not come all at once.
+  /// How long one request's share of the engine's pace takes; zero while it is
+  /// neither limited nor cold. A permit that was held up for longer is void:
+  /// sends that were permitted over a while must not come all at once.
   Duration Pace = Duration::zero();
   PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load, Limit, Pace)
 };
@@ -197,8 +199,10 @@
   std::uint32_t BatchCapacity = 0;
   /// Tokens of prompts and answers that it keeps.
   std::uint64_t CacheTokens = 0;
+  /// How it is cold from its start on.
+  ColdStart Cold;
   PIMENTOFRONT_FIELDS(EngineProfile, At, BaseModel, AdapterSlots, BatchCapacity,
-                      CacheTokens)
+                      CacheTokens, Cold)
 };
 
 /// Entry to agent: nobody wants this answer any more.
--- a/packages/wire/pimentofront/src/Wire/Commands.h
+++ b/packages/wire/pimentofront/src/Wire/Commands.h
@@ -41,6 +41,13 @@
   PIMENTOFRONT_FIELDS(SetDrained, Host, Drained)
 };
 
+/// Has an availability zone evacuated, or takes that back.
+struct EvacuateZone {
+  ZoneName Zone;
+  bool Evacuated = false;
+  PIMENTOFRONT_FIELDS(EvacuateZone, Zone, Evacuated)
+};
+
 /// \class ClaimRequest
 /// \ingroup Wire
 /// \brief Takes the right to run a non-idempotent request. Granted once for
@@ -161,7 +168,7 @@
     std::variant<CreateAdapter, CreateVersion, DeclareLive, SetKind, SetDrained,
                  ClaimRequest, RecordEnding, PutDocument, NameVersion,
                  ReportServerEnd, ClaimTrial, EndTrial, ReviewQuarantine,
-                 ReleaseQuarantine>;
+                 ReleaseQuarantine, EvacuateZone>;
 
 /// \class Command
 /// \ingroup Wire
--- a/packages/wire/pimentofront/src/Wire/RateLimit.h
+++ b/packages/wire/pimentofront/src/Wire/RateLimit.h
@@ -24,6 +24,23 @@
   PIMENTOFRONT_FIELDS(RateLimit, Named, PerThousandSeconds, Age)
 };
 
+/// \class ColdStart
+/// \ingroup Wire
+/// \brief That a backend server is cold: it has started or come back just now,
+/// and takes only so many requests from all entries together for a while.
+struct ColdStart {
+  /// Requests in 1,000 seconds.
+  std::uint64_t PerThousandSeconds = 0;
+  /// How long yet; zero of one that isn't cold.
+  Duration Left = Duration::zero();
+  bool isCold() const { return Left > Duration::zero(); }
+  double perSecond() const {
+    constexpr double Thousand = 1000;
+    return static_cast<double>(PerThousandSeconds) / Thousand;
+  }
+  PIMENTOFRONT_FIELDS(ColdStart, PerThousandSeconds, Left)
+};
+
 /// Entry to agent: what the answer to an attempt said of the engine's limit.
 /// Sent while the engine is known to be limited, and when that ends.
 struct RateLimitSeen {
@@ -32,13 +49,14 @@
   PIMENTOFRONT_FIELDS(RateLimitSeen, Attempt, Limit)
 };
 
-/// Entry to leader: asks for sends to a limited backend server without an
-/// agent.
+/// Entry to leader: asks for sends to a limited or cold backend server without
+/// an agent.
 struct SendPermitQuery {
   std::uint64_t Nonce = 0;
   ServerProcess Server;
   RateLimit Limit;
-  PIMENTOFRONT_FIELDS(SendPermitQuery, Nonce, Server, Limit)
+  ColdStart Cold;
+  PIMENTOFRONT_FIELDS(SendPermitQuery, Nonce, Server, Limit, Cold)
 };
 
 /// Leader to entry, in answer to a query.
--- a/packages/wire/pimentofront/src/Wire/Records.h
+++ b/packages/wire/pimentofront/src/Wire/Records.h
@@ -69,6 +69,18 @@
   PIMENTOFRONT_FIELDS(DrainRecord, Host, Drained, ChangedAt, ChangedBy)
 };
 
+/// \class ZoneRecord
+/// \ingroup Wire
+/// \brief Whether an operator has had an availability zone evacuated: its
+/// backend servers get no new requests.
+struct ZoneRecord {
+  ZoneName Zone;
+  bool Evacuated = false;
+  Revision ChangedAt = 0;
+  OperatorName ChangedBy;
+  PIMENTOFRONT_FIELDS(ZoneRecord, Zone, Evacuated, ChangedAt, ChangedBy)
+};
+
 /// \class DocumentRecord
 /// \ingroup Wire
 /// \brief The routing document in force, as an operator wrote it. The
@@ -85,8 +97,8 @@
 
 /// Any record of the configuration. Records are never deleted, so the
 /// difference between two revisions is the records that changed since.
-using ConfigurationRecord =
-    std::variant<AdapterRecord, KindRecord, DrainRecord, DocumentRecord>;
+using ConfigurationRecord = std::variant<AdapterRecord, KindRecord, DrainRecord,
+                                         DocumentRecord, ZoneRecord>;
 
 /// \class MemberRecord
 /// \ingroup Wire
@@ -113,10 +125,14 @@
   /// the name of its process, `Address` its HTTP address, `Slots` the requests
   /// that it runs at one time.
   bool Registered = false;
+  /// Of a registered server: how long it is cold yet, by its last word. A cold
+  /// server takes fewer requests than usual.
+  Duration ColdFor = Duration::zero();
   /// \returns the process of a registered server.
   ServerProcess process() const { return {Host, Incarnation}; }
   PIMENTOFRONT_FIELDS(MemberRecord, Host, Incarnation, Zone, Address, BaseModel,
-                      Services, Slots, BatchCapacity, Leaving, Gone, Registered)
+                      Services, Slots, BatchCapacity, Leaving, Gone, Registered,
+                      ColdFor)
 };
 
 /// \class MemberVersion
--- a/test/ConnectionTest.cpp
+++ b/test/ConnectionTest.cpp
@@ -30,10 +30,10 @@
 ServerSet serversAmong(std::uint32_t entries) {
   ServerSet set({.Zone = ZoneName("z1")});
   set.useDocument({.Services = {{.Name = Book, .MaxConnections = Cap}}});
-  set.apply({.Full = true,
-             .Complete = true,
-             .Members = {server("near", "z1", "1.0.0.1:80"),
-                         server("far", "z2", "1.0.0.2:80")}});
+  set.apply(Now, {.Full = true,
+                  .Complete = true,
+                  .Members = {server("near", "z1", "1.0.0.1:80"),
+                              server("far", "z2", "1.0.0.2:80")}});
   set.onEntries(Now, entries);
   return set;
 }
--- a/test/ControlApiTest.cpp
+++ b/test/ControlApiTest.cpp
@@ -75,3 +75,11 @@
           "[control-api]") {
   CHECK(statusOf({}, "PUT", "/-/instances/i-1") == 405);
 }
+
+TEST_CASE("orders on zones that don't exist are refused", "[control-api]") {
+  const platform::ControlApiOptions replica{
+      .ServesControl = true, .Zones = {{ZoneName("z"), RegionName("r")}}};
+  // Without a replica nobody can say.
+  CHECK(statusOf(replica, "POST", "/-/evacuation/z") == 503);
+  CHECK(statusOf(replica, "DELETE", "/-/evacuation/z") == 503);
+}
--- a/test/EntryTest.cpp
+++ b/test/EntryTest.cpp
@@ -25,10 +25,14 @@
     return name == Kind.Name ? &Kind : nullptr;
   }
   bool isDrained(const HostName &) const override { return false; }
+  bool isEvacuated(const ZoneName &zone) const override {
+    return Evacuated.contains(zone);
+  }
   bool isConfirmed(TimePoint) const override { return Confirmed; }
   std::optional<Duration> confirmedAge(TimePoint) const override { return Age; }
 
   KindRecord Kind{.Name = KindName("usual"), .Window = 30s, .CallerLimit = 3};
+  std::set<ZoneName> Evacuated;
   bool Confirmed = true;
   std::optional<Duration> Age = Duration::zero();
 };
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -23,9 +23,13 @@
     return nullptr;
   }
   bool isDrained(const HostName &) const override { return false; }
+  bool isEvacuated(const ZoneName &zone) const override {
+    return Evacuated.contains(zone);
+  }
   bool isConfirmed(TimePoint) const override { return Confirmed; }
   std::optional<Duration> confirmedAge(TimePoint) const override { return Age; }
   VersionNumber Named = 0;
+  std::set<ZoneName> Evacuated;
   bool Confirmed = true;
   std::optional<Duration> Age = Duration::zero();
 };
--- a/test/ServerFeedbackTest.cpp
+++ b/test/ServerFeedbackTest.cpp
@@ -79,7 +79,7 @@
     MemberRecord record = server("p1", "plain", "1.0.0.1:80");
     record.Incarnation = startedAt;
     record.Gone = gone;
-    set.apply({.Members = {record}});
+    set.apply(Now, {.Members = {record}});
   };
   const ServerProcess first{HostName("p1"), 7};
   const ServerProcess second{HostName("p1"), 8};
