A server's lease follows the period in which it announces itself

The whole fleet's servers announce themselves each 3 s, every other deployment's each 1.2 s, and the settings' own period was read by nobody: the lease of 4 s let one lost or late announcement take a sound server out of use. The table is complete after the longer of both leases. The test failed before (it had no such lease).

--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -178,6 +178,15 @@
       reader.milliseconds("probe_period_ms", copy.Lease / ProbesInLease);
   settings.Replica.Members.Lease =
       reader.milliseconds("member_lease_ms", settings.Replica.Members.Lease);
+  if (reader.has("server_heartbeat_ms")) {
+    // Two in sequence may get lost, and the next one may come late.
+    constexpr double HeartbeatsInLease = 10.0 / 3;
+    const Duration period =
+        reader.milliseconds("server_heartbeat_ms", Duration::zero());
+    settings.Replica.Members.ServerLease =
+        std::max(settings.Replica.Members.Lease,
+                 fromSeconds(toSeconds(period) * HeartbeatsInLease));
+  }
   settings.Agent.RenewPeriod =
       reader.milliseconds("renew_period_ms", settings.Agent.RenewPeriod);
   settings.StopNotice =
--- a/packages/state/pimentofront/src/State/MemberTable.cpp
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -153,10 +153,15 @@
   return true;
 }
 
+Duration MemberTable::leaseOf(const MemberRecord &member) const {
+  const bool own = member.Registered && Options.ServerLease > Duration::zero();
+  return own ? Options.ServerLease : Options.Lease;
+}
+
 std::vector<HostName> MemberTable::expire(TimePoint now) {
   std::vector<HostName> gone;
   for (const auto &[host, heard] : HeardAt)
-    if (heard + Options.Lease < now)
+    if (heard + leaseOf(Members.at(host)) < now)
       gone.push_back(host);
   for (const HostName &it : gone) {
     HeardAt.erase(it);
@@ -173,7 +178,8 @@
   std::erase_if(Counts, [&](const auto &it) {
     return !heardOf(it.first) && !DisplacedMembers.contains(it.first);
   });
-  if (!Complete && now >= TermBegan + Options.Lease) {
+  const Duration longest = std::max(Options.Lease, Options.ServerLease);
+  if (!Complete && now >= TermBegan + longest) {
     Complete = true;
     ++Version.Sequence; // Tells everybody, without a record.
     Changes.clear();
--- a/packages/state/pimentofront/src/State/MemberTable.h
+++ b/packages/state/pimentofront/src/State/MemberTable.h
@@ -15,6 +15,9 @@
 struct MemberTableOptions {
   /// A host that isn't heard of for so long is gone.
   Duration Lease = std::chrono::seconds(6);
+  /// The same for a backend server that registers itself, which announces
+  /// itself in a time of its own; zero: the same as for hosts.
+  Duration ServerLease = Duration::zero();
   /// Changes kept for those who missed a few.
   std::size_t ChangesKept = 1024;
   /// How long a goodbye is remembered, against announcements that come late.
@@ -92,6 +95,7 @@
     /// Its first announcement since then.
     std::optional<TimePoint> CalledAt;
   };
+  Duration leaseOf(const MemberRecord &member) const;
   void change(const MemberRecord &member);
   /// A host, or a process of it, says that it leaves.
   void leave(TimePoint now, const MemberRecord &member);
--- a/test/StateTest.cpp
+++ b/test/StateTest.cpp
@@ -232,6 +232,25 @@
   CHECK(table.members().empty());
 }
 
+// Servers that announced themselves each 3 s fell out of use when one
+// announcement was lost: the lease of 4 s fitted a period of 1.2 s.
+TEST_CASE("a server's lease follows the period in which it announces itself") {
+  MemberTable table({.Lease = 4s, .ServerLease = 10s});
+  const TimePoint now{100s};
+  table.beginTerm(now, 1);
+  table.announce(now, {.Host = HostName("agent"), .Incarnation = 1});
+  table.announce(now, {.Host = HostName("server"),
+                       .Incarnation = 1,
+                       .Address = "1.0.0.1:80",
+                       .Registered = true});
+  CHECK(table.expire(now + 7s) == std::vector{HostName("agent")});
+  // Whoever hasn't announced itself yet may still be there.
+  CHECK_FALSE(table.complete());
+  CHECK(table.expire(now + 10s).empty());
+  CHECK(table.complete());
+  CHECK(table.expire(now + 11s) == std::vector{HostName("server")});
+}
+
 namespace {
 
 MemberRecord registered(const char *process) {
