--- a/test/platform/FakePlatformMain.cpp
+++ b/test/platform/FakePlatformMain.cpp
@@ -41,6 +41,11 @@
 constexpr Duration LimitedTime = std::chrono::seconds(3);
 /// Has both plain servers ask for rest.
 constexpr const char *RestPath = "/safe/rest";
+/// Zone of all backend servers.
+constexpr const char *EvacuationPath = "/-/evacuation/z";
+constexpr const char *UnknownZonePath = "/-/evacuation/nowhere";
+/// Refusals in a row that show that an evacuation is in force.
+constexpr int EvacuatedTimes = 5;
 /// Stands for the request's own id in an expected body.
 constexpr const char *OwnId = "<id>";
 
@@ -117,13 +122,21 @@
     }
     judge(ending);
     if (++Next == expectations().size())
-      enter(Phase::Deadly);
+      evacuate();
     else
       askAfter(Duration::zero());
   }
 
 private:
-  enum class Phase { Expectations, Deadly, Limited, Rest, AfterRest };
+  enum class Phase {
+    Expectations,
+    Evacuated,
+    Restored,
+    Deadly,
+    Limited,
+    Rest,
+    AfterRest
+  };
 
   void enter(Phase phase) {
     Present = phase;
@@ -139,6 +152,10 @@
     switch (Present) {
     case Phase::Expectations:
       return;
+    case Phase::Evacuated:
+      return judgeEvacuated();
+    case Phase::Restored:
+      return judgeRestored();
     case Phase::Deadly:
       return judgeDeadly();
     case Phase::Limited:
@@ -158,6 +175,8 @@
       return DeadlyPath;
     case Phase::Rest:
       return RestPath;
+    case Phase::Evacuated:
+    case Phase::Restored:
     case Phase::Limited:
     case Phase::AfterRest:
       return LimitedPath;
@@ -182,7 +201,7 @@
     put(Engine1, "engines", *HostPort::parse(Options.Engine));
     put(Engine2, "engines", *HostPort::parse(Options.Engine2));
     if (!Accepted)
-      send("/-/config", testDocument(1), 0, [this](int status) {
+      send("PUT", "/-/config", testDocument(1), 0, [this](int status) {
         if (status != 200 || Accepted)
           return;
         Accepted = true;
@@ -195,7 +214,7 @@
            const HostPort &address) {
     if (!server.up())
       return;
-    send("/-/instances/" + server.instance(),
+    send("PUT", "/-/instances/" + server.instance(),
          {{"backend", service},
           {"address", text(address)},
           {"zone", "z"},
@@ -207,12 +226,13 @@
   }
 
   /// Asks one replica after another until one takes the call itself.
-  void send(const std::string &path, const nlohmann::json &body, std::size_t at,
+  void send(const std::string &method, const std::string &path,
+            const nlohmann::json &body, std::size_t at,
             const std::function<void(int)> &done) {
     if (at >= Options.Control.size())
       return done(0);
     Control.start({.Address = *HostPort::parse(Options.Control[at]),
-                   .Method = "PUT",
+                   .Method = method,
                    .Path = path,
                    .Headers = {{"Content-Type", "application/json"}},
                    .Body = body.dump(),
@@ -223,7 +243,7 @@
                                        answer.Status < Redirect;
                      if (good)
                        return done(answer.Status);
-                     send(path, body, at + 1, done);
+                     send(method, path, body, at + 1, done);
                    }});
   }
 
@@ -247,6 +267,49 @@
                   .Body = std::make_shared<const std::string>(1000, 'x')});
   }
 
+  /// Sends an operator's order until it is acknowledged.
+  void order(const std::string &method, const std::function<void()> &done) {
+    send(method, EvacuationPath, "", 0, [=, this](int status) {
+      constexpr Duration Pause = std::chrono::milliseconds(200);
+      if (status == 200)
+        return done();
+      OrderRetry = Loop.after(Pause, [=, this] { order(method, done); });
+    });
+  }
+
+  void evacuate() {
+    send("POST", UnknownZonePath, "", 0, [this](int status) {
+      const bool good = status != 200;
+      std::printf("%s: an unknown zone isn't evacuated\n",
+                  good ? "ok" : "FAILED");
+      Failures += good ? 0 : 1;
+      order("POST", [this] { enter(Phase::Evacuated); });
+    });
+  }
+
+  /// The zone of all servers is evacuated: callers are refused at once, and no
+  /// server gets anything.
+  void judgeEvacuated() {
+    const bool refused = Status == 503 && Body == "no_server\n";
+    if (refused && ++RefusedInZone == 1)
+      InForceSince = Loop.now();
+    if (RefusedInZone < EvacuatedTimes)
+      return askAfter(std::chrono::milliseconds(50));
+    const std::size_t n =
+        Plain1.arrivals(InForceSince) + Plain2.arrivals(InForceSince);
+    std::printf("%s: servers of an evacuated zone got %zu requests\n",
+                n == 0 ? "ok" : "FAILED", n);
+    Failures += n == 0 ? 0 : 1;
+    order("DELETE", [this] { enter(Phase::Restored); });
+  }
+
+  void judgeRestored() {
+    if (Status != 200)
+      return askAfter(std::chrono::milliseconds(50));
+    std::puts("ok: the zone is used again");
+    enter(Phase::Deadly);
+  }
+
   /// A request that ends the servers that run it comes again and again, until
   /// it is in quarantine, and then some times more.
   void judgeDeadly() {
@@ -328,12 +391,16 @@
   FakeServer Engine2;
   std::unique_ptr<Timer> Beats;
   std::unique_ptr<Timer> Retry;
+  std::unique_ptr<Timer> OrderRetry;
   std::uint64_t Sequence = 0;
   std::uint64_t Sent = 0;
   std::uint64_t Asked = 0;
   bool Accepted = false;
   Phase Present = Phase::Expectations;
   TimePoint PhaseBegan;
+  /// Refusals while the zone is evacuated, and since when they came.
+  int RefusedInZone = 0;
+  TimePoint InForceSince;
   /// Of the last refusal, in seconds.
   double ComeBack = 0;
   std::size_t Next = 0;
--- a/test/platform/run.sh
+++ b/test/platform/run.sh
@@ -17,12 +17,12 @@
   pids="$! $pids"
 }
 common() { # name http peers
-  echo "\"host\": \"$1\", \"zone\": \"z\", \"http\": \"127.0.0.1:$((base + $2))\", \"peers\": \"127.0.0.1:$((base + $3))\",
+  echo "\"host\": \"$1\", \"zone\": \"z\", \"zones\": {\"z\": \"r\"}, \"http\": \"127.0.0.1:$((base + $2))\", \"peers\": \"127.0.0.1:$((base + $3))\",
  \"replicas\": [\"127.0.0.1:$((base + 11))\", \"127.0.0.1:$((base + 12))\", \"127.0.0.1:$((base + 13))\"],
  \"member_lease_ms\": 3000, \"renew_period_ms\": 1000, \"stop_notice_ms\": 50"
 }
 for i in 1 2 3; do
-  echo "{$(common "n$i" $i $((10 + i))), \"replica\": {\"folder\": \"$work/data$i\", \"bootstrap\": true, \"tolerated_losses\": 1}}" >"$work/n$i.json"
+  echo "{$(common "n$i" $i $((10 + i))), \"replica\": {\"folder\": \"$work/data$i\", \"bootstrap\": true, \"tolerated_losses\": 1, \"orders_resent_ms\": 500}}" >"$work/n$i.json"
   daemon "n$i"
 done
 echo "{$(common e1 4 14), \"forward\": {\"listen\": \"127.0.0.1:$((base + 5))\"}}" >"$work/e1.json"
--- a/test/processes.sh
+++ b/test/processes.sh
@@ -97,6 +97,15 @@
 set -e
 echo "ok: a damaged log isn't taken"
 
+# An evacuated zone gets nothing, until that is taken back.
+zone=$(sed -n 's/.*"zone": "\([^"]*\)".*/\1/p' "$work/w1.json")
+ctl 1 evacuate "$zone" >/dev/null
+refused() { ctl 1 generate a hello --kind counter 2>&1 | grep -q '"notRun":true'; }
+until_ok "an evacuated zone's servers get nothing" refused
+ctl 1 status | grep -q '"evacuated":true' || { echo "the status doesn't show the evacuation"; exit 1; }
+ctl 1 restore "$zone" >/dev/null
+until_ok "the zone is used again" answers_with 1 a@2
+
 # A graceful stop cuts off nothing that runs.
 until_ok "the new version through the first entry" answers_with 1 a@2
 n2_answer="$work/answer"
