A zone whose order couldn't be proposed takes further ones

By reading: an order was noted as undecided before it was proposed, and stayed so until the next term if the log didn't take it; every further order on that zone got no answer. The unit test fails without noteNotProposed.

--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -275,8 +275,12 @@
   case EvacuationVerdict::New:
     break;
   }
+  // Before it is proposed: a replica alone applies it at once.
   Evacuations.noteProposed(order.Zone);
-  return propose(now, Command{.Body = order}, std::move(done));
+  const bool proposed = propose(now, Command{.Body = order}, std::move(done));
+  if (!proposed)
+    Evacuations.noteNotProposed(order.Zone);
+  return proposed;
 }
 
 const Configuration *ReplicaNode::currentConfiguration(TimePoint now) const {
--- a/packages/state/pimentofront/src/State/EvacuationOrders.h
+++ b/packages/state/pimentofront/src/State/EvacuationOrders.h
@@ -43,8 +43,10 @@
   /// \param current all that was accepted so far.
   EvacuationVerdict judge(TimePoint now, const Configuration &current,
                           const ZoneName &zone, bool evacuated) const;
-  /// A new order was proposed; it is decided by noteTaken().
+  /// A new order is being proposed; it is decided by noteTaken().
   void noteProposed(const ZoneName &zone) { Zones[zone].Undecided = true; }
+  /// It couldn't be proposed after all.
+  void noteNotProposed(const ZoneName &zone) { Zones[zone].Undecided = false; }
   /// An order was applied, or acknowledged again.
   void noteTaken(TimePoint now, const ZoneName &zone, bool evacuated);
 
--- a/test/EvacuationTest.cpp
+++ b/test/EvacuationTest.cpp
@@ -36,6 +36,10 @@
   orders.noteProposed(Zone);
   CHECK(orders.judge(Now, none, Zone, true) == EvacuationVerdict::MaybeLate);
   CHECK(orders.judge(Now, none, Zone, false) == EvacuationVerdict::MaybeLate);
+  // Without this a zone whose order couldn't be proposed took no further ones.
+  orders.noteNotProposed(Zone);
+  CHECK(orders.judge(Now, none, Zone, true) == EvacuationVerdict::New);
+  orders.noteProposed(Zone);
   orders.noteTaken(Now, Zone, true);
   const Configuration away = withZone(true);
   CHECK(orders.judge(Now, away, Zone, true) == EvacuationVerdict::InForce);
