One place says how old the copy of the configuration may be

Three places compared its age with a bound less the drift of clocks: keys, their readiness, and evacuations, which had copied the constants. ForwardBoard does it for all.

--- a/packages/forward/pimentofront/src/Forward/AccountController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AccountController.cpp
@@ -1,30 +1,21 @@
 #include "pimentofront/Forward.h"
 
 namespace pimentofront {
-namespace {
-
-/// Clocks of hosts run apart by less than this share: NTP slews by half of it.
-constexpr double MostClockDrift = 0.001;
-/// A process that has had no word of the replicas for this share of the
-/// revocation bound turns callers away before it has to refuse them.
-constexpr double ReadyShare = 0.6;
-
-} // namespace
-
-bool AccountController::holdsFor(TimePoint now, double share) const {
-  const std::optional<Duration> age = Board.Configuration.confirmedAge(now);
-  const double bound =
-      toSeconds(Board.Options.RevocationBound) * share * (1 - MostClockDrift);
-  return age && !Board.TableOutdated && toSeconds(*age) < bound;
-}
 
 bool AccountController::knowsNewest(TimePoint now) const {
   return Board.Configuration.isConfirmed(now) && !Board.TableOutdated;
 }
 
+bool AccountController::mayHold(TimePoint now) const {
+  return !Board.TableOutdated &&
+         Board.confirmedWithin(now, Board.Options.RevocationBound);
+}
+
 bool AccountController::ready(TimePoint now) const {
   const bool required = Board.Table && Board.Table->accounts().required();
-  return !required || holdsFor(now, ReadyShare);
+  return !required ||
+         (!Board.TableOutdated &&
+          Board.confirmedWellWithin(now, Board.Options.RevocationBound));
 }
 
 KeyVerdict AccountController::identify(TimePoint now, ForwardRequest &request) {
@@ -34,7 +25,7 @@
   const auto &key = request.Traits.Key;
   request.Account = key ? accounts.findByKey(*key) : nullptr;
   if (request.Account)
-    return holdsFor(now, 1) ? KeyVerdict::Known : KeyVerdict::Outdated;
+    return mayHold(now) ? KeyVerdict::Known : KeyVerdict::Outdated;
   return knowsNewest(now) ? KeyVerdict::Unknown : KeyVerdict::Undecided;
 }
 
--- a/packages/forward/pimentofront/src/Forward/AccountController.h
+++ b/packages/forward/pimentofront/src/Forward/AccountController.h
@@ -56,9 +56,9 @@
   bool ready(TimePoint now) const;
 
 private:
-  /// \returns whether a configuration of which nothing newer is known may be
-  /// relied on, \p share of the revocation bound being over.
-  bool holdsFor(TimePoint now, double share) const;
+  /// \returns whether a key that the copy of the configuration holds may still
+  /// be served.
+  bool mayHold(TimePoint now) const;
   double unitsOf(const ForwardRequest &request) const;
 
   ForwardBoard &Board;
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -5,8 +5,6 @@
 namespace pimentofront {
 namespace {
 
-/// Clocks of hosts run apart by less than this share: NTP slews by half of it.
-constexpr double MostClockDrift = 0.001;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusUnauthorized = 401;
 constexpr int StatusNotFound = 404;
@@ -123,10 +121,7 @@
 
 bool AttemptController::mayMissEvacuation(TimePoint now) const {
   const Duration bound = Board.Options.EvacuationBound;
-  if (bound == Duration::zero())
-    return false;
-  const std::optional<Duration> age = Board.Configuration.confirmedAge(now);
-  return !age || toSeconds(*age) >= toSeconds(bound) * (1 - MostClockDrift);
+  return bound > Duration::zero() && !Board.confirmedWithin(now, bound);
 }
 
 void AttemptController::choose(TimePoint now, ForwardRequest &request) {
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -345,6 +345,21 @@
   std::vector<ForwardCommand> Commands;
   std::vector<ForwardEvent> Events;
 
+  /// \returns whether the copy of the configuration was confirmed less than
+  /// \p bound ago.
+  bool confirmedWithin(TimePoint now, Duration bound) const {
+    // Clocks of hosts run apart by less than this share: NTP slews by half of
+    // it.
+    constexpr double MostClockDrift = 0.001;
+    const std::optional<Duration> age = Configuration.confirmedAge(now);
+    return age && toSeconds(*age) < toSeconds(bound) * (1 - MostClockDrift);
+  }
+  /// \returns whether that will hold for a while yet: callers are turned away
+  /// before they have to be refused.
+  bool confirmedWellWithin(TimePoint now, Duration bound) const {
+    constexpr double ReadyShare = 0.6;
+    return confirmedWithin(now, fromSeconds(toSeconds(bound) * ReadyShare));
+  }
   ForwardRequest *find(const AttemptId &attempt) {
     const auto it = Attempts.find(attempt);
     return it == Attempts.end() ? nullptr : &Requests.at(it->second);
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -79,12 +79,8 @@
 }
 
 bool ForwardController::knowsZones(TimePoint now) const {
-  // Callers are turned away before they have to be refused.
-  constexpr double ReadyShare = 0.6;
   const Duration bound = Board.Options.EvacuationBound;
-  const std::optional<Duration> age = Board.Configuration.confirmedAge(now);
-  return bound == Duration::zero() ||
-         (age && toSeconds(*age) < toSeconds(bound) * ReadyShare);
+  return bound == Duration::zero() || Board.confirmedWellWithin(now, bound);
 }
 
 void ForwardController::onEntries(TimePoint now, std::uint32_t entries) {
