Look for paced servers only while one may ask for less or be cold

Each request to a plain service went through all servers once more than before evacuations came; the early end for a fleet that asks for nothing was lost with cold servers. AllWarmAt brings it back. The look-up of a server's service and the latest end of a cold start stood three times each and stand once now. A server that registers itself belongs to one service, so the first name is taken. By reading; not measured.

--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -73,7 +73,7 @@
   if (isNew)
     view = ServerView();
   view.Record = record;
-  view.ColdUntil = std::max(view.ColdUntil, now + record.ColdFor);
+  noteCold(view, now + record.ColdFor);
   view.Unconfirmed = false;
   if (isNew)
     dropOthersAt(record);
@@ -165,23 +165,31 @@
   const std::set<ZoneName> before = std::exchange(Evacuated, std::move(zones));
   for (auto &[host, it] : Servers) {
     const ZoneName &zone = it.Record.Zone;
-    if (!before.contains(zone) || isEvacuated(zone))
-      continue;
-    for (const ServiceName &service : it.Record.Services)
-      if (const auto known = Services.find(service); known != Services.end())
-        it.ColdUntil = std::max(it.ColdUntil, now + known->second.ColdTime);
+    const ServiceSpec *spec = specOf(it);
+    if (spec && before.contains(zone) && !isEvacuated(zone))
+      noteCold(it, now + spec->ColdTime);
   }
   joinAgents();
 }
 
+const ServiceSpec *ServerSet::specOf(const ServerView &server) const {
+  // A registered server belongs to one service.
+  const auto &names = server.Record.Services;
+  const auto it = names.empty() ? Services.end() : Services.find(names.front());
+  return it == Services.end() ? nullptr : &it->second;
+}
+
+void ServerSet::noteCold(ServerView &server, TimePoint until) {
+  server.ColdUntil = std::max(server.ColdUntil, until);
+  AllWarmAt = std::max(AllWarmAt, until);
+}
+
 ColdStart ServerSet::coldStartOf(TimePoint now,
                                  const ServerView &server) const {
-  if (now >= server.ColdUntil)
+  const ServiceSpec *spec = specOf(server);
+  if (!spec || now >= server.ColdUntil)
     return {};
-  for (const ServiceName &it : server.Record.Services)
-    if (const auto known = Services.find(it); known != Services.end())
-      return known->second.coldFor(server.ColdUntil - now);
-  return {};
+  return spec->coldFor(server.ColdUntil - now);
 }
 
 ColdStart ServerSet::coldStartOf(TimePoint now,
@@ -203,10 +211,8 @@
 
 ConnectionPart ServerSet::connections(TimePoint now,
                                       const ServerView &server) const {
-  std::uint32_t cap = 0;
-  for (const ServiceName &it : server.Record.Services)
-    if (const auto known = Services.find(it); known != Services.end())
-      cap = std::max(cap, known->second.MaxConnections);
+  const ServiceSpec *spec = specOf(server);
+  const std::uint32_t cap = spec ? spec->MaxConnections : 0;
   return server.Connections.part(now, cap, Entries.value(),
                                  Options.Connections);
 }
@@ -238,9 +244,11 @@
                         const std::vector<ServerProcess> &without,
                         const AllowedZones &zones) const {
   std::vector<ServerProcess> result;
+  // Mostly no server asks for anything, and none is cold.
+  if (Feedback.empty() && now >= AllWarmAt)
+    return result;
   for (const auto &[host, it] : Servers)
-    if (isOf(it.Record, service) && isPaced(now, it) &&
-        isOpen(now, it, service, without, zones))
+    if (isPaced(now, it) && isOpen(now, it, service, without, zones))
       result.push_back(it.Record.process());
   return result;
 }
@@ -341,7 +349,7 @@
   if (feedback == AnswerFeedback() && !Feedback.contains(server.Name))
     return {};
   if (ServerView *view = find(server); view && feedback.ColdFor)
-    view->ColdUntil = std::max(view->ColdUntil, now + *feedback.ColdFor);
+    noteCold(*view, now + *feedback.ColdFor);
   ServerFeedback *it = keptFeedback(server);
   if (!it)
     return {};
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -181,6 +181,10 @@
               const ServiceName &service,
               const std::vector<ServerProcess> &without,
               const AllowedZones &zones) const;
+  /// \returns what the document says of the server's service; null if nothing.
+  const ServiceSpec *specOf(const ServerView &server) const;
+  /// The server is cold until \p until at least.
+  void noteCold(ServerView &server, TimePoint until);
   ColdStart coldStartOf(TimePoint now, const ServerView &server) const;
   /// \returns whether sends to the server are counted.
   bool isPaced(TimePoint now, const ServerView &server) const;
@@ -198,6 +202,8 @@
   /// What the document says of each service.
   std::map<ServiceName, ServiceSpec> Services;
   std::set<ZoneName> Evacuated;
+  /// From then on no server is cold.
+  TimePoint AllWarmAt;
   std::map<HostName, ServerView> Servers;
   MemberViews Agents;
   /// \returns the place to keep what the process asks for; null if another one
