One conversion of rates to what is sent

Limits were rounded and cold starts cut off, each with a bound of its own of the same size. Both are rounded now: a cold rate may be a thousandth of a request in a second higher.

--- a/packages/forward/pimentofront/src/Forward/RoutingDocument.cpp
+++ b/packages/forward/pimentofront/src/Forward/RoutingDocument.cpp
@@ -1,6 +1,5 @@
 #include "pimentofront/Forward.h"
 
-#include <algorithm>
 #include <set>
 
 namespace pimentofront {
@@ -39,12 +38,9 @@
 } // namespace
 
 ColdStart ServiceSpec::coldFor(Duration left) const {
-  constexpr double Thousand = 1000;
-  constexpr double MostPerSecond = 1e9;
   if (ColdPerSecond <= 0)
     return {};
-  return {.PerThousandSeconds = static_cast<std::uint64_t>(
-              std::min(ColdPerSecond, MostPerSecond) * Thousand),
+  return {.PerThousandSeconds = toPerThousandSeconds(ColdPerSecond),
           .Left = left};
 }
 
--- a/packages/forward/pimentofront/src/Forward/ServerFeedback.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerFeedback.cpp
@@ -1,7 +1,5 @@
 #include "pimentofront/Forward.h"
 
-#include <cmath>
-
 namespace pimentofront {
 namespace {
 
@@ -15,15 +13,10 @@
 
 std::optional<RateLimit> AnswerFeedback::limitWord(TimePoint now,
                                                    TimePoint sentAt) const {
-  // Above this it is as good as none.
-  constexpr double MostPerSecond = 1e9;
-  constexpr double Thousand = 1000;
-  if (LimitPerSecond) {
-    const double perSecond = std::min(*LimitPerSecond, MostPerSecond);
+  if (LimitPerSecond)
     return RateLimit{.Named = true,
-                     .PerThousandSeconds = static_cast<std::uint64_t>(
-                         std::llround(perSecond * Thousand))};
-  }
+                     .PerThousandSeconds =
+                         toPerThousandSeconds(*LimitPerSecond)};
   if (!Unreadable.empty())
     return std::nullopt;
   return RateLimit{.Age = now - sentAt};
--- a/packages/wire/pimentofront/src/Wire/RateLimit.h
+++ b/packages/wire/pimentofront/src/Wire/RateLimit.h
@@ -4,8 +4,25 @@
 #include "Fields.h"
 #include "pimentofront/Base.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace pimentofront {
 
+namespace detail {
+/// Rates are sent as whole numbers of requests in 1,000 seconds.
+constexpr double RateSeconds = 1000;
+} // namespace detail
+
+/// \ingroup Wire
+/// \returns a rate as it is sent.
+inline std::uint64_t toPerThousandSeconds(double perSecond) {
+  // Above this it is as good as no limit.
+  constexpr double MostPerSecond = 1e9;
+  return static_cast<std::uint64_t>(
+      std::llround(std::min(perSecond, MostPerSecond) * detail::RateSeconds));
+}
+
 /// \class RateLimit
 /// \ingroup Wire
 /// \brief What a process knows of the limit that a backend server names for the
@@ -18,8 +35,7 @@
   /// request was sent whose answer named none.
   Duration Age = Duration::zero();
   double perSecond() const {
-    constexpr double Thousand = 1000;
-    return static_cast<double>(PerThousandSeconds) / Thousand;
+    return static_cast<double>(PerThousandSeconds) / detail::RateSeconds;
   }
   PIMENTOFRONT_FIELDS(RateLimit, Named, PerThousandSeconds, Age)
 };
@@ -35,8 +51,7 @@
   Duration Left = Duration::zero();
   bool isCold() const { return Left > Duration::zero(); }
   double perSecond() const {
-    constexpr double Thousand = 1000;
-    return static_cast<double>(PerThousandSeconds) / Thousand;
+    return static_cast<double>(PerThousandSeconds) / detail::RateSeconds;
   }
   PIMENTOFRONT_FIELDS(ColdStart, PerThousandSeconds, Left)
 };
