One check of a zone's name, and settings that need no second question

Three settings were asked for twice, since their reader gives the fallback itself, and AllowedZones went through all regions for requests that name none.

--- a/packages/daemon/src/OperatorApi.cpp
+++ b/packages/daemon/src/OperatorApi.cpp
@@ -290,7 +290,7 @@
   if (!readOrFail(call, message))
     return;
   const ZoneName zone(message.zone());
-  if (!settings.Zones.empty() && !settings.Zones.contains(zone))
+  if (!mayExist(settings.Zones, zone))
     return call.fail({.Code = ConnectCode::NotFound,
                       .Message = "no such availability zone",
                       .NotRun = true,
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -35,9 +35,8 @@
       reader.milliseconds("permit_timeout_ms", forward.PermitTimeout);
   forward.RevocationBound =
       reader.milliseconds("revocation_ms", forward.RevocationBound);
-  if (reader.has("evacuation_ms"))
-    forward.EvacuationBound =
-        reader.milliseconds("evacuation_ms", forward.EvacuationBound);
+  forward.EvacuationBound =
+      reader.milliseconds("evacuation_ms", forward.EvacuationBound);
   forward.RetryShare = reader.real("retry_share", forward.RetryShare, 0, 1);
   forward.RetryReserve =
       reader.real("retry_reserve", forward.RetryReserve, 0, 100000);
@@ -159,7 +158,7 @@
   for (const auto &[zone, region] : reader.texts("zones"))
     settings.Zones[ZoneName(zone)] = RegionName(region);
   settings.Forward.Forward.Regions = settings.Zones;
-  if (!settings.Zones.empty() && !settings.Zones.contains(settings.Zone))
+  if (!mayExist(settings.Zones, settings.Zone))
     reader.fault("zones", "expected the host's own zone among them");
 }
 
@@ -178,15 +177,13 @@
       reader.milliseconds("probe_period_ms", copy.Lease / ProbesInLease);
   settings.Replica.Members.Lease =
       reader.milliseconds("member_lease_ms", settings.Replica.Members.Lease);
-  if (reader.has("server_heartbeat_ms")) {
-    // Two in sequence may get lost, and the next one may come late.
-    constexpr double HeartbeatsInLease = 10.0 / 3;
-    const Duration period =
-        reader.milliseconds("server_heartbeat_ms", Duration::zero());
-    settings.Replica.Members.ServerLease =
-        std::max(settings.Replica.Members.Lease,
-                 fromSeconds(toSeconds(period) * HeartbeatsInLease));
-  }
+  // Two in sequence may get lost, and the next one may come late.
+  constexpr double HeartbeatsInLease = 10.0 / 3;
+  const Duration heartbeat =
+      reader.milliseconds("server_heartbeat_ms", Duration::zero());
+  settings.Replica.Members.ServerLease =
+      std::max(settings.Replica.Members.Lease,
+               fromSeconds(toSeconds(heartbeat) * HeartbeatsInLease));
   settings.Agent.RenewPeriod =
       reader.milliseconds("renew_period_ms", settings.Agent.RenewPeriod);
   settings.StopNotice =
@@ -245,8 +242,7 @@
   if (replicaPort != 0)
     usePort(replicaPort, settings.Replicas);
   readTimes(reader, settings);
-  if (reader.has("zones"))
-    readZones(reader, settings);
+  readZones(reader, settings);
   if (SettingsReader log = reader.object("log"); reader.has("log"))
     readLog(log, settings);
   if (SettingsReader entry = reader.object("entry"); settings.IsEntry)
--- a/packages/serving/pimentofront/src/Serving/AllowedZones.cpp
+++ b/packages/serving/pimentofront/src/Serving/AllowedZones.cpp
@@ -15,8 +15,10 @@
                            const std::vector<RegionName> &route,
                            const std::vector<RegionName> &account)
     : Restricted(!route.empty() || !account.empty()) {
+  if (!Restricted)
+    return;
   for (const auto &[zone, region] : regions)
-    if (Restricted && allows(route, region) && allows(account, region))
+    if (allows(route, region) && allows(account, region))
       Zones.insert(zone);
 }
 
--- a/packages/serving/pimentofront/src/Serving/AllowedZones.h
+++ b/packages/serving/pimentofront/src/Serving/AllowedZones.h
@@ -12,6 +12,13 @@
 /// Region of each availability zone, as the deployment's settings name them.
 using ZoneRegions = std::map<ZoneName, RegionName>;
 
+/// \ingroup Serving
+/// \returns whether the deployment has that zone; where its zones aren't known,
+/// any may be there.
+inline bool mayExist(const ZoneRegions &zones, const ZoneName &zone) {
+  return zones.empty() || zones.contains(zone);
+}
+
 /// \class AllowedZones
 /// \ingroup Serving
 /// \brief The availability zones in which a request may be served.
