--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -157,31 +157,26 @@
   return exitOf(client.call("Operator/SetKind", request));
 }
 
-int drain(Client &client, const Arguments &arguments, const char *method) {
+/// Calls an operator's method on one thing, which \p setName puts in.
+template <class Request>
+int changeOne(Client &client, const Arguments &arguments, const char *method,
+              void (*setName)(Request &, const std::string &)) {
   if (arguments.Words.size() != 2)
     return usage();
-  v1::DrainRequest request;
+  Request request;
   fill(*request.mutable_change(), arguments);
-  request.set_host(arguments.Words[1]);
+  setName(request, arguments.Words[1]);
   return exitOf(client.call(method, request));
 }
 
-int evacuate(Client &client, const Arguments &arguments, const char *method) {
-  if (arguments.Words.size() != 2)
-    return usage();
-  v1::EvacuateZoneRequest request;
-  fill(*request.mutable_change(), arguments);
-  request.set_zone(arguments.Words[1]);
-  return exitOf(client.call(method, request));
+void setHost(v1::DrainRequest &request, const std::string &name) {
+  request.set_host(name);
 }
-
-int release(Client &client, const Arguments &arguments) {
-  if (arguments.Words.size() != 2)
-    return usage();
-  v1::ReleaseRequestRequest request;
-  fill(*request.mutable_change(), arguments);
-  request.set_content(arguments.Words[1]);
-  return exitOf(client.call("Operator/ReleaseRequest", request));
+void setZone(v1::EvacuateZoneRequest &request, const std::string &name) {
+  request.set_zone(name);
+}
+void setContent(v1::ReleaseRequestRequest &request, const std::string &name) {
+  request.set_content(name);
 }
 
 int generate(Client &client, const Arguments &arguments) {
@@ -294,15 +289,15 @@
   if (command == "set-kind")
     return setKind(client, arguments);
   if (command == "drain")
-    return drain(client, arguments, "Operator/Drain");
+    return changeOne(client, arguments, "Operator/Drain", setHost);
   if (command == "undrain")
-    return drain(client, arguments, "Operator/Undrain");
+    return changeOne(client, arguments, "Operator/Undrain", setHost);
   if (command == "evacuate")
-    return evacuate(client, arguments, "Operator/EvacuateZone");
+    return changeOne(client, arguments, "Operator/EvacuateZone", setZone);
   if (command == "restore")
-    return evacuate(client, arguments, "Operator/RestoreZone");
+    return changeOne(client, arguments, "Operator/RestoreZone", setZone);
   if (command == "release")
-    return release(client, arguments);
+    return changeOne(client, arguments, "Operator/ReleaseRequest", setContent);
   if (command == "generate")
     return generate(client, arguments);
   if (command == "call")
