Tell by metrics and logs how a service and its added routes are served

What callers saw in the incident (a service that refuses, routes added later hardly served) could not be read off a fleet: lost requests were counted by reason alone. Forwarded requests are now counted by service, outcome and whether their route was added after the entry's first table; declines by the room that the server reported; retries that weren't made by reason. A refusal's log line has the service and why no further server was tried.

--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -62,6 +62,7 @@
   Log.write(event.Lost ? LogLevel::Warn : LogLevel::Info, event.Name,
             {{"request", event.Request},
              {"route", event.Route},
+             {"service", event.Service.str()},
              {"account", event.Account.str()},
              {"server", event.Server.str()},
              {"content", event.Content.empty() ? "" : event.Content.str()},
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -63,6 +63,25 @@
           .Help("Forwarded requests without an answer of a backend server, by "
                 "reason")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &ForwardRequests =
+      prometheus::BuildCounter()
+          .Name("pimentofront_forward_requests_total")
+          .Help("Forwarded requests that have ended, by service, by outcome, "
+                "and by whether their route was added after this process "
+                "received its first routing table")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Declines =
+      prometheus::BuildCounter()
+          .Name("pimentofront_forward_declines_total")
+          .Help("Requests that a server declined, by service and by the room "
+                "that the server reported")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &DeniedRetries =
+      prometheus::BuildCounter()
+          .Name("pimentofront_forward_retries_denied_total")
+          .Help("Requests that ended because they weren't sent to another "
+                "server, by service and reason")
+          .Register(Registry);
   prometheus::Family<prometheus::Histogram> &ForwardTimes =
       prometheus::BuildHistogram()
           .Name("pimentofront_forward_seconds")
@@ -103,6 +122,22 @@
   State->Forwarded.Add({{"event", event.Name}}).Increment();
   if (event.Lost)
     State->Lost.Add({{"reason", event.Reason}}).Increment();
+  const std::string &service = event.Service.str();
+  if (event.Outcome)
+    State->ForwardRequests
+        .Add({{"service", service},
+              {"route", event.RouteAdded ? "added" : "first"},
+              {"outcome", requestOutcomeName(*event.Outcome)}})
+        .Increment();
+  if (event.RoomAtDecline)
+    State->Declines
+        .Add({{"service", service},
+              {"reported", reportedRoomName(*event.RoomAtDecline)}})
+        .Increment();
+  if (event.Denial != RetryDenial::None)
+    State->DeniedRetries
+        .Add({{"service", service}, {"reason", retryDenialName(event.Denial)}})
+        .Increment();
   if (event.Status != 0 && !event.Lost)
     State->ForwardTimes
         .Add({{"event", event.Name}, {"route", event.Route}}, StallBuckets)
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -126,6 +126,9 @@
       request.Route->Kind == Repeatability::Stream)
     return brokeOff(now, request, /*serverMayHaveExited=*/false);
   Attempts.recordEvent(now, "request_answered", request, {}, status);
+  const bool failed = status >= StatusServerError;
+  Board.Events.back().Outcome =
+      failed ? RequestOutcome::Failed : RequestOutcome::Answered;
   Quarantine.onSurvived(request);
   if (stream)
     request.Attempt->BufferedBody = request.Events.partial();
@@ -141,7 +144,6 @@
         ReplyComplete{request.Key, std::move(head),
                       std::move(request.Attempt->BufferedBody)});
   }
-  const bool failed = status >= StatusServerError;
   Attempts.endAttempt(now, request,
                       failed ? ServerOutcome::Failed : ServerOutcome::Answered,
                       failed ? ReleaseKind::BrokeOff : ReleaseKind::Answered);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -41,7 +41,9 @@
          ", agents that declined " + std::to_string(request.Tried.size()) +
          ", unreachable " + std::to_string(request.Unreachable) + ", " +
          std::to_string(left) + " ms left, table of revision " +
-         std::to_string(request.Table->revision()) + request.RefusalDetail;
+         std::to_string(request.Table->revision()) +
+         ", further server: " + retryDenialName(request.Denial) +
+         request.RefusalDetail;
 }
 
 /// \returns the HTTP status for a request without an answer. 503 guarantees
@@ -78,6 +80,18 @@
   return Names[static_cast<std::size_t>(failure)];
 }
 
+const char *requestOutcomeName(RequestOutcome outcome) {
+  constexpr const char *Names[] = {"answered", "failed", "refused",
+                                   "abandoned"};
+  return Names[static_cast<std::size_t>(outcome)];
+}
+
+const char *retryDenialName(RetryDenial denial) {
+  constexpr const char *Names[] = {"none", "route_limit", "budget",
+                                   "no_server"};
+  return Names[static_cast<std::size_t>(denial)];
+}
+
 void AttemptController::recordEvent(TimePoint now, const char *name,
                                     const ForwardRequest &request,
                                     std::string detail, int status, bool lost) {
@@ -85,6 +99,8 @@
       {.Name = name,
        .Request = request.Traits.Id,
        .Route = request.Route ? request.Route->Name : std::string(),
+       .RouteAdded = request.Route && request.Table->isAdded(*request.Route),
+       .Service = request.Service,
        .Account = request.Account ? request.Account->Name : AccountName(),
        .Server = request.Attempt ? request.Attempt->Server.Name : HostName(),
        .Content = request.Content,
@@ -193,6 +209,8 @@
 }
 
 void AttemptController::handleNoServer(TimePoint now, ForwardRequest &request) {
+  if (request.Sends > 0)
+    request.Denial = RetryDenial::NoServer;
   if (const auto backoffEnd = Board.Servers.earliestBackoffEnd(
           now, request.Service, request.Zones)) {
     request.RetryAfter = std::max(request.RetryAfter, *backoffEnd - now);
@@ -523,11 +541,23 @@
   return request.Sends < request.Route->MaxServers;
 }
 
+void AttemptController::recordNotRun(TimePoint now,
+                                     const ForwardRequest &request,
+                                     ServerOutcome outcome) {
+  if (outcome == ServerOutcome::Unreachable)
+    return recordEvent(now, "attempt_not_run", request, "unreachable");
+  const ReportedRoom room =
+      Board.Servers.reportedRoom(now, request.Attempt->Server);
+  recordEvent(now, "attempt_not_run", request,
+              std::string("declined, its slots by its last report: ") +
+                  reportedRoomName(room));
+  if (request.Attempt->Sent)
+    Board.Events.back().RoomAtDecline = room;
+}
+
 void AttemptController::onNotRun(TimePoint now, ForwardRequest &request,
                                  ServerOutcome outcome, ReleaseKind kind) {
-  recordEvent(now, "attempt_not_run", request,
-              outcome == ServerOutcome::Unreachable ? "unreachable"
-                                                    : "declined");
+  recordNotRun(now, request, outcome);
   const HostName agent = request.Attempt->Agent;
   const bool reached =
       request.Attempt->Sent && outcome != ServerOutcome::Unreachable;
@@ -544,11 +574,20 @@
   endAttempt(now, request, outcome, kind);
   if (!reached && ++request.Unreachable > Board.Options.MaxUnreachable)
     return giveUp(now, request, ForwardFailure::NoServer);
-  if (reached && !(hasServersLeft(request) && Board.Budget.take()))
+  if (reached && !takeRetry(request, hasServersLeft(request)))
     return giveUp(now, request, ForwardFailure::Declined);
   next(now, request);
 }
 
+bool AttemptController::takeRetry(ForwardRequest &request, bool allowed) {
+  request.Denial = RetryDenial::None;
+  if (!allowed)
+    request.Denial = RetryDenial::RouteLimit;
+  else if (!Board.Budget.take())
+    request.Denial = RetryDenial::Budget;
+  return request.Denial == RetryDenial::None;
+}
+
 bool AttemptController::mayRepeat(TimePoint now,
                                   const ForwardRequest &request) const {
   const bool stream = request.Route->Kind == Repeatability::Stream;
@@ -557,7 +596,7 @@
 }
 
 void AttemptController::retryOrGiveUp(TimePoint now, ForwardRequest &request) {
-  if (!mayRepeat(now, request) || !Board.Budget.take())
+  if (!takeRetry(request, mayRepeat(now, request)))
     return giveUp(now, request, ForwardFailure::BrokeOff);
   recordEvent(now, "request_sent_again", request);
   next(now, request);
@@ -600,7 +639,12 @@
     detail += std::string(", ") + refusalReasonName(request.LastRefusal);
   detail += describeState(now, request);
   recordEvent(now, "request_lost", request, detail, status, /*lost=*/true);
-  Board.Events.back().Reason = forwardFailureName(why);
+  ForwardEvent &event = Board.Events.back();
+  event.Reason = forwardFailureName(why);
+  event.Denial = request.Denial;
+  if (request.Route)
+    event.Outcome =
+        mayHaveRun ? RequestOutcome::Failed : RequestOutcome::Refused;
   cancel(now, request);
   if (request.Answering) {
     Board.Commands.push_back(ReplyAbort{request.Key});
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -135,6 +135,33 @@
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
 
+/// How a caller's request ended.
+enum class RequestOutcome : std::uint8_t {
+  /// A backend server's answer other than a server error reached the caller.
+  Answered,
+  /// It ended with an error, and a server may have run it.
+  Failed,
+  /// The caller got an error of the entry's own, and no server has run it.
+  Refused,
+  /// The caller left before the answer.
+  Abandoned,
+};
+/// \returns the name of \p outcome in metrics.
+const char *requestOutcomeName(RequestOutcome outcome);
+
+/// Why a request that a server declined or failed isn't sent to another one.
+enum class RetryDenial : std::uint8_t {
+  None,
+  /// Its route allows no further server, or no second run.
+  RouteLimit,
+  /// The entry's retry budget is used up.
+  Budget,
+  /// No other server of the service may get it.
+  NoServer,
+};
+/// \returns the name of \p denial in logs and metrics.
+const char *retryDenialName(RetryDenial denial);
+
 /// \class ForwardAttempt
 /// \ingroup Forward
 /// \brief One attempt at one backend server.
@@ -228,6 +255,8 @@
   /// Longest retry-after time that a refusal named.
   Duration RetryAfter = Duration::zero();
   RefusalReason LastRefusal = RefusalReason::None;
+  /// Why it wasn't sent to another server after the last attempt.
+  RetryDenial Denial = RetryDenial::None;
   /// Detail of the refusal, for the log.
   std::string RefusalDetail;
   /// When a deferred request is tried again.
@@ -319,6 +348,9 @@
   const char *Name = "";
   std::string Request;
   std::string Route;
+  /// The route was added after this process received its first routing table.
+  bool RouteAdded = false;
+  ServiceName Service;
   AccountName Account;
   HostName Server;
   /// Identifies the request independently of the id of this attempt.
@@ -331,6 +363,11 @@
   int Status = 0;
   /// The request has no answer from a backend server.
   bool Lost = false;
+  /// Set by the last event of a request that has a route.
+  std::optional<RequestOutcome> Outcome;
+  RetryDenial Denial = RetryDenial::None;
+  /// Set if a server declined the request: the room that it reported.
+  std::optional<ReportedRoom> RoomAtDecline;
 };
 
 /// \class ForwardBoard
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -231,6 +231,8 @@
   if (it == Board.Requests.end())
     return;
   Attempts.recordEvent(now, "caller_gone", it->second);
+  if (it->second.Route)
+    Board.Events.back().Outcome = RequestOutcome::Abandoned;
   Attempts.cancel(now, it->second);
   Attempts.finish(now, it->second);
 }
--- a/packages/forward/pimentofront/src/Forward/RoutingTable.cpp
+++ b/packages/forward/pimentofront/src/Forward/RoutingTable.cpp
@@ -1,5 +1,7 @@
 #include "pimentofront/Forward.h"
 
+#include <cassert>
+
 namespace pimentofront {
 namespace {
 
@@ -16,17 +18,31 @@
 
 } // namespace
 
-RoutingTable::RoutingTable(Revision at, RoutingDocument document)
+RoutingTable::RoutingTable(Revision at, RoutingDocument document,
+                           const RoutingTable *previous)
     : At(at), Document(std::move(document)),
       Accounts(std::move(Document.Accounts)) {
   for (std::size_t i = 0; i < Document.Routes.size(); ++i) {
     const RouteSpec &it = Document.Routes[i];
-    Routes.emplace(hostKey(it.Host) + it.PathPrefix, i);
+    const std::string key = hostKey(it.Host) + it.PathPrefix;
+    Routes.emplace(key, i);
+    Added.push_back(previous && previous->isAbsentOrAdded(key));
   }
   for (std::size_t i = 0; i < Document.Services.size(); ++i)
     Services.emplace(Document.Services[i].Name, i);
 }
 
+bool RoutingTable::isAbsentOrAdded(const std::string &key) const {
+  const auto it = Routes.find(key);
+  return it == Routes.end() || Added[it->second];
+}
+
+bool RoutingTable::isAdded(const RouteSpec &route) const {
+  const auto i = static_cast<std::size_t>(&route - Document.Routes.data());
+  assert(i < Added.size() && "the route belongs to another table");
+  return Added[i];
+}
+
 const RouteSpec *RoutingTable::findRoute(std::string_view host,
                                          std::string_view path) const {
   path = path.substr(0, path.find('?'));
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+const char *reportedRoomName(ReportedRoom room) {
+  constexpr const char *Names[] = {"unknown", "free", "full"};
+  return Names[static_cast<std::size_t>(room)];
+}
+
 bool belongsTo(const MemberRecord &server, const ServiceName &service) {
   return std::ranges::find(server.Services, service) != server.Services.end();
 }
@@ -148,7 +153,7 @@
                           double meanFailures) const {
   const double slots = std::max(server.Record.Slots, 1U);
   std::uint32_t busy = server.InFlight;
-  if (now < server.LoadReportedAt + Options.LoadLifetime)
+  if (hasLoadReport(now, server))
     busy = std::max(busy, server.Load.Running + server.Load.Waiting);
   double score = busy / slots;
   if (server.Record.Zone != Options.Zone)
@@ -331,6 +336,19 @@
   }
 }
 
+ReportedRoom ServerSet::reportedRoom(TimePoint now,
+                                     const ServerProcess &server) const {
+  const auto it = Servers.find(server.Name);
+  if (it == Servers.end() ||
+      !mayBeSameProcess(it->second.Record.process(), server) ||
+      !hasLoadReport(now, it->second))
+    return ReportedRoom::Unknown;
+  const ServerLoad &load = it->second.Load;
+  const bool hasFreeSlots =
+      load.Waiting == 0 && load.Running < it->second.Record.Slots;
+  return hasFreeSlots ? ReportedRoom::FreeSlots : ReportedRoom::Full;
+}
+
 ServerFeedback *ServerSet::findOrAddFeedback(const ServerProcess &server) {
   constexpr std::size_t MaxFeedbackEntries = 4096;
   // Late feedback of a former process doesn't apply to the registered one.
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -47,6 +47,17 @@
   Unreachable,
 };
 
+/// Whether a server can take a request at once, by its last load report.
+enum class ReportedRoom : std::uint8_t {
+  /// It sends no load reports, or the last one has expired.
+  Unknown,
+  FreeSlots,
+  /// All its slots are in use, or requests wait for them.
+  Full,
+};
+/// \returns the name of \p room in logs and metrics.
+const char *reportedRoomName(ReportedRoom room);
+
 /// \class FeedbackCounts
 /// \ingroup Forward
 /// \brief Numbers of registered servers that have a rate limit, are backing
@@ -150,6 +161,8 @@
   const MemberViews &agents() const { return Agents; }
   const std::map<HostName, ServerView> &servers() const { return Servers; }
 
+  /// \returns the room by the last load report of this process.
+  ReportedRoom reportedRoom(TimePoint now, const ServerProcess &server) const;
   /// \returns how many connections this entry may have to \p server.
   ConnectionLimits connections(TimePoint now, const ServerView &server) const;
   void recordSent(const ServerProcess &server);
@@ -185,6 +198,9 @@
   void recordProcessExit(TimePoint now, const ServerProcess &server);
 
 private:
+  bool hasLoadReport(TimePoint now, const ServerView &server) const {
+    return now < server.LoadReportedAt + Options.LoadLifetime;
+  }
   /// Copies the end of the server's backoff to the agent on its host.
   void updateAgentBackoff(const ServerProcess &server);
   bool isLeaving(const ServerView &server) const;
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -219,8 +219,8 @@
                          .Detail = findings.toText(),
                          .Lost = true});
   }
-  const auto table = std::make_shared<const RoutingTable>(DocumentRevision,
-                                                          std::move(document));
+  const auto table = std::make_shared<const RoutingTable>(
+      DocumentRevision, std::move(document), Controller.board().Table.get());
   Controller.setTable(table);
   Sink.onTable(*table);
   for (const auto &[host, it] : Controller.board().Servers.agents())
--- a/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
+++ b/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
@@ -11,8 +11,9 @@
 /// (until its deadline, in milliseconds), "adapter", "tokens" and "key". A
 /// request that is forwarded to a server gets "server", "account", "priority"
 /// and "last" (the last event that the caller has). An answer has "id",
-/// "stamp", "not-run", "limit" (requests a second), "rest" (a backoff in
-/// seconds) and "leaving". A refusal has "come-back" (retry-after, in
+/// "stamp", "not-run", "load" (running and waiting requests, separated by a
+/// comma), "limit" (requests a second), "rest" (a backoff in seconds) and
+/// "leaving". A refusal has "come-back" (retry-after, in
 /// microseconds).
 class TestHeaderCodec : public HeaderCodec {
 public:
@@ -40,9 +41,13 @@
         .Leaving = findHeader(head.Headers, "leaving") != nullptr};
     if (const auto rest = readDecimalHeader(head.Headers, "rest").Value)
       feedback.Backoff = ServerFeedback::boundedBackoff(*rest);
+    std::optional<ServerLoad> load;
+    if (const std::string *it = findHeader(head.Headers, "load"))
+      load = decodeLoad(*it);
     return {.Id = id ? *id : "",
             .Stamped = findHeader(head.Headers, "stamp") != nullptr,
             .NotRun = findHeader(head.Headers, "not-run") != nullptr,
+            .Load = load,
             .Feedback = feedback};
   }
   RequestHead encodeRequest(const RequestHead &head,
@@ -66,6 +71,14 @@
       return {};
     return {{"come-back", std::to_string(retryAfter->count())}};
   }
+
+private:
+  static ServerLoad decodeLoad(const std::string &text) {
+    const std::size_t comma = text.find(',');
+    return {.Running = static_cast<std::uint32_t>(std::stoul(text)),
+            .Waiting =
+                static_cast<std::uint32_t>(std::stoul(text.substr(comma + 1)))};
+  }
 };
 
 } // namespace pimentofront::testkit
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -198,6 +198,35 @@
   CHECK(again <= Requests * 15 / 100 + 4);
 }
 
+// An operator who looks at refused requests has to tell a service without room
+// from a server that declines while it has free slots, and both from an entry
+// that has no retry left.
+TEST_CASE("events tell where a request went, what its server reported, and why "
+          "no other server got it") {
+  ForwardUnderTest it;
+  it.request("once");
+  it.head(it.only<SendUpstream>(), 503,
+          {{"id", "r1"}, {"not-run", "1"}, {"load", "0,0"}});
+  std::vector<ForwardEvent> events = it.Controller.takeEvents();
+  REQUIRE(events.size() == 2);
+  CHECK(events[0].RoomAtDecline == ReportedRoom::FreeSlots);
+  CHECK(events[1].Service == ServiceName("plain"));
+  CHECK(events[1].Denial == RetryDenial::RouteLimit);
+  CHECK(events[1].Outcome == RequestOutcome::Refused);
+  CHECK_FALSE(events[1].RouteAdded);
+  it.take<ReplyComplete>();
+
+  it.request("safe");
+  it.head(it.only<SendUpstream>(), 503,
+          {{"id", "r1"}, {"not-run", "1"}, {"load", "4,1"}});
+  CHECK(it.Controller.takeEvents()[0].RoomAtDecline == ReportedRoom::Full);
+  const auto second = it.only<SendUpstream>();
+  it.head(second, 200);
+  it.end(second, Completed);
+  events = it.Controller.takeEvents();
+  CHECK(events.back().Outcome == RequestOutcome::Answered);
+}
+
 TEST_CASE("the entries share the reserve of the retry budget") {
   RetryBudget budget(0, 4);
   const auto left = [&] {
--- /dev/null
+++ b/test/MetricsTest.cpp
@@ -0,0 +1,34 @@
+#include "Metrics.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+
+// Guards against a fleet on which nobody can see that one service, or the
+// routes that were added to it, are served less than the others.
+TEST_CASE("metrics count forwarded requests by service, outcome and age of "
+          "their route") {
+  Metrics metrics;
+  const ForwardEvent refused{.Name = "request_lost",
+                             .RouteAdded = true,
+                             .Service = ServiceName("plain"),
+                             .Reason = "declined",
+                             .Lost = true,
+                             .Outcome = RequestOutcome::Refused,
+                             .Denial = RetryDenial::Budget};
+  metrics.recordForwardEvent(refused);
+  metrics.recordForwardEvent(refused);
+  metrics.recordForwardEvent({.Name = "attempt_not_run",
+                              .Service = ServiceName("plain"),
+                              .RoomAtDecline = ReportedRoom::FreeSlots});
+  const std::string text = metrics.text();
+  const auto contains = [&](const char *line) {
+    return text.find(line) != std::string::npos;
+  };
+  CHECK(contains("pimentofront_forward_requests_total{outcome=\"refused\","
+                 "route=\"added\",service=\"plain\"} 2"));
+  CHECK(contains("pimentofront_forward_declines_total{reported=\"free\","
+                 "service=\"plain\"} 1"));
+  CHECK(contains("pimentofront_forward_retries_denied_total{reason=\"budget\","
+                 "service=\"plain\"} 2"));
+}
--- a/test/RoutingTest.cpp
+++ b/test/RoutingTest.cpp
@@ -114,3 +114,30 @@
   CHECK(unpackText("").empty());
   CHECK(unpackText(std::string(16, '\xff')).empty());
 }
+
+TEST_CASE(
+    "a route counts as added if the first table of the process lacks it") {
+  RoutingDocument first = document();
+  RoutingDocument second = first;
+  RouteSpec route = first.Routes.front();
+  route.PathPrefix = "/added-later/";
+  second.Routes.push_back(route);
+  RoutingDocument third = second;
+  std::erase(third.Routes, first.Routes.front());
+  RoutingDocument fourth = third;
+  fourth.Routes.push_back(first.Routes.front());
+
+  const RoutingTable a(1, first);
+  const RoutingTable b(2, second, &a);
+  const RoutingTable c(3, third, &b);
+  const RoutingTable d(4, fourth, &c);
+  const auto isAdded = [](const RoutingTable &table, std::size_t i) {
+    return table.isAdded(table.document().Routes[i]);
+  };
+  CHECK_FALSE(isAdded(a, 0));
+  CHECK_FALSE(isAdded(b, 0));
+  CHECK(isAdded(b, second.Routes.size() - 1));
+  CHECK(isAdded(c, third.Routes.size() - 1));
+  // One that was removed and returns is a new route.
+  CHECK(isAdded(d, fourth.Routes.size() - 1));
+}
