Reproduce: a declining server draws requests, and one service uses up another's retries

The test kit's fleet gets servers that decline, load reports, and the number of servers that its route allows.

--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -36,7 +36,7 @@
   FixedDocument(std::optional<EngineSpec> engine,
                 const ForwardFleetOptions &options)
       : Engine(std::move(engine)), ColdPerSecond(options.ColdPerSecond),
-        ColdTime(options.ColdTime) {}
+        ColdTime(options.ColdTime), MaxServers(options.MaxServers) {}
 
   RoutingDocument decode(std::string_view, Findings &) const override {
     return {.Routes = {{.Name = "flow",
@@ -46,7 +46,7 @@
                         .Split = {{ServiceName(Service), 1}},
                         .Timeout = std::chrono::seconds(10),
                         .LatencyTarget = std::chrono::seconds(1),
-                        .MaxServers = 2,
+                        .MaxServers = MaxServers,
                         .Resumable = true}},
             .Services = {{.Name = ServiceName(Service),
                           .ColdPerSecond = ColdPerSecond,
@@ -58,6 +58,7 @@
   std::optional<EngineSpec> Engine;
   double ColdPerSecond;
   Duration ColdTime;
+  std::uint32_t MaxServers;
 };
 
 /// Executes the commands of one entry.
@@ -343,7 +344,7 @@
                       .Entry = run.Entry,
                       .Zone = zoneOf(static_cast<std::uint32_t>(i)),
                       .Cold = Sim.now() < server.ColdUntil});
-  if (server.Feedback.Backoff)
+  if (server.Feedback.Backoff || server.Feedback.Declining)
     return reject(server, run);
   const std::uint64_t id = ++LastRun;
   server.Runs.emplace(id, run);
@@ -353,9 +354,11 @@
 }
 
 void ForwardFleet::reject(const Server &server, const Run &run) {
-  const double seconds = toSeconds(*server.Feedback.Backoff);
-  sendHead(server, run, StatusUnavailable,
-           {{"not-run", "1"}, {"rest", std::to_string(seconds)}});
+  HttpHeaders headers{{"not-run", "1"}};
+  if (server.Feedback.Backoff)
+    headers.push_back(
+        {"rest", std::to_string(toSeconds(*server.Feedback.Backoff))});
+  sendHead(server, run, StatusUnavailable, std::move(headers));
 }
 
 void ForwardFleet::sendHead(const Server &server, const Run &run, int status,
@@ -369,6 +372,8 @@
     headers.push_back({"limit", std::to_string(*feedback.Limit)});
   if (feedback.Leaving)
     headers.push_back({"leaving", "1"});
+  if (Options.LoadReports)
+    headers.push_back({"load", std::to_string(server.Runs.size()) + ",0"});
   callEntry(run, [this, run, status, headers, feedback,
                   name = server.Name](ForwardNode &node) {
     if (feedback.Limit || feedback.Backoff || feedback.Leaving)
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -35,6 +35,11 @@
   /// Maximum time until an evacuation is in force at all entries. With zero, an
   /// entry that has lost contact with the replicas keeps serving.
   Duration EvacuationBound = Duration::zero();
+  /// Maximum number of servers to which the fleet's route allows one request.
+  std::uint32_t MaxServers = 2;
+  /// Servers report their numbers of running and waiting requests with each
+  /// answer.
+  bool LoadReports = false;
   /// Interval at which servers register.
   Duration Heartbeat = std::chrono::seconds(1);
   /// One-way latency between an entry and a server.
@@ -62,6 +67,8 @@
   /// The server rejects all new requests and asks for none during this time.
   std::optional<Duration> Backoff;
   bool Leaving = false;
+  /// The server declines all new requests, although it has room for them.
+  bool Declining = false;
 };
 
 /// One incarnation of an entry's process.
--- /dev/null
+++ b/test/DecliningServerTest.cpp
@@ -0,0 +1,126 @@
+// A server may decline every request although it reports free slots: it is
+// broken, or another limit than its slots is reached. Guards against entries
+// that keep choosing it because nothing is in flight there: requests that may
+// be sent to one server only are then refused while other servers have room,
+// and the others use up the retries. It was seen as a small service whose
+// routes, the ones added later above all, were hardly served.
+
+#include "pimentofront/Testkit.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentofront;
+using namespace pimentofront::testkit;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t Entries = 4;
+constexpr std::uint32_t Servers = 3;
+constexpr double PerSecond = 60;
+
+/// A small service under a load that two of its three servers can take.
+struct SmallService {
+  SmallService(std::uint64_t seed, std::uint32_t maxServers)
+      : Fleet({.Simulation = {.Seed = seed},
+               .Entries = Entries,
+               .Servers = Servers,
+               .Events = 2,
+               .MaxServers = maxServers,
+               .LoadReports = true}),
+        Rng(seed + 1) {
+    Fleet.runFor(5s);
+  }
+
+  /// Callers don't retry.
+  void runFor(Duration time) {
+    const TimePoint end = Fleet.now() + time;
+    while (Fleet.now() < end) {
+      const auto entry = static_cast<std::uint32_t>(Rng.uniform() * Entries);
+      Fleet.call(Fleet.entry(entry), "request-" + std::to_string(++Sent),
+                 [this](const CallerAnswer &it) {
+                   Answered += it.IsComplete && it.Stamped ? 1 : 0;
+                 });
+      Fleet.runFor(Rng.jitter(fromSeconds(1 / PerSecond)));
+    }
+  }
+  /// \returns the share of the requests of the next \p time that are answered.
+  double answeredShare(Duration time) {
+    const int sentBefore = Sent;
+    const int answeredBefore = Answered;
+    runFor(time);
+    const int sent = Sent - sentBefore;
+    Fleet.runFor(1s);
+    return static_cast<double>(Answered - answeredBefore) / sent;
+  }
+  /// \returns the share of the arrivals since \p since at \p server.
+  double arrivalShare(std::uint32_t server, TimePoint since) const {
+    double all = 0;
+    double there = 0;
+    for (const ServerArrival &it : Fleet.arrivals()) {
+      all += it.At >= since ? 1 : 0;
+      there += it.At >= since && it.Server == Fleet.serverName(server) ? 1 : 0;
+    }
+    return there / all;
+  }
+
+  ForwardFleet Fleet;
+  Random Rng;
+  int Sent = 0;
+  int Answered = 0;
+};
+
+} // namespace
+
+TEST_CASE("a server that declines everything gets less than the others, and "
+          "callers are served by these",
+          "[declining-server]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    for (const std::uint32_t maxServers : {1U, 2U}) {
+      SmallService it(seed, maxServers);
+      it.runFor(5s);
+      it.Fleet.setFeedback(0, {.Declining = true});
+      const TimePoint since = it.Fleet.now();
+      const double answered = it.answeredShare(20s);
+      const double arrivals = it.arrivalShare(0, since);
+      INFO("seed " << seed << ", servers for a request " << maxServers
+                   << ", answered " << answered << ", arrivals there "
+                   << arrivals);
+      // Two servers have room for all: only the requests by which the entries
+      // learn of the decline, again and again, may be refused.
+      CHECK(answered >= 0.95);
+      CHECK(arrivals <= 0.1);
+    }
+}
+
+TEST_CASE("a server that stops declining is used again", "[declining-server]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    for (const std::uint32_t maxServers : {1U, 2U}) {
+      SmallService it(seed, maxServers);
+      it.Fleet.setFeedback(0, {.Declining = true});
+      it.runFor(20s);
+      it.Fleet.setFeedback(0, {});
+      it.runFor(10s);
+      const TimePoint since = it.Fleet.now();
+      const double answered = it.answeredShare(10s);
+      const double arrivals = it.arrivalShare(0, since);
+      INFO("seed " << seed << ", servers for a request " << maxServers
+                   << ", answered " << answered << ", arrivals there "
+                   << arrivals);
+      CHECK(answered >= 0.99);
+      CHECK(arrivals >= 0.25);
+    }
+}
+
+TEST_CASE("if all servers decline, requests are refused at once",
+          "[declining-server]") {
+  SmallService it(1, 2);
+  for (std::uint32_t i = 0; i < Servers; ++i)
+    it.Fleet.setFeedback(i, {.Declining = true});
+  CHECK(it.answeredShare(5s) == 0);
+  Duration longest = Duration::zero();
+  for (const ForwardEvent &event : it.Fleet.events())
+    if (event.Lost)
+      longest = std::max(longest, event.Took);
+  CHECK(longest < 100ms);
+}
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -227,6 +227,46 @@
   CHECK(events.back().Outcome == RequestOutcome::Answered);
 }
 
+// Guards against a service whose requests aren't sent to another server because
+// another service, usually a larger one, has used up the entry's retries.
+TEST_CASE("the retries of one service leave those of another one",
+          "[service-retries]") {
+  ForwardUnderTest it;
+  constexpr std::uint64_t Requests = 100;
+  for (std::uint64_t key = 2; key < 2 + Requests; ++key) {
+    it.Controller.onRequest(
+        Now, key,
+        {"POST",
+         "/flow/q",
+         {{"Host", "h"}, {"id", "r" + std::to_string(key)}, {"time", "5000"}}},
+        "", NoBody);
+    for (auto asked = it.take<SendToAgent>(); !asked.empty();
+         asked = it.take<SendToAgent>())
+      for (const SendToAgent &question : asked)
+        if (const auto *execute =
+                std::get_if<ExecuteRequest>(&question.Content)) {
+          it.Controller.attempts().onPermit(Now, question.Host,
+                                            {execute->Attempt, {}});
+          const auto sent = it.only<SendUpstream>();
+          it.head(sent, 503,
+                  {{"id", "r" + std::to_string(key)}, {"not-run", "1"}});
+        }
+  }
+  CHECK(it.take<ReplyComplete>().size() == Requests);
+
+  constexpr int Safe = 4;
+  for (int i = 0; i < Safe; ++i) {
+    it.request("safe");
+    const HttpHeaders declined{{"id", "r1"}, {"not-run", "1"}};
+    it.head(it.only<SendUpstream>(), 503, declined);
+    const auto second = it.take<SendUpstream>();
+    CHECK(second.size() == 1);
+    if (!second.empty())
+      it.head(second.front(), 503, declined);
+    CHECK(it.take<ReplyComplete>().size() == 1);
+  }
+}
+
 TEST_CASE("the entries share the reserve of the retry budget") {
   RetryBudget budget(0, 4);
   const auto left = [&] {
