Send less to a server that declines requests although it reports free slots

Cause: a decline left no trace in ServerSet. The request was no longer in flight, the load reports were those of an idle server, and the share of failures doesn't count declines, so the server that turned everything away had the best score for each next request. A server whose queue is full was never the problem: its reports raise its score.

A decline that the server's reports don't explain now adds to its score for a while, doubling with each further one in a row, and one request that it takes ends that. A request that may go to another server finds out whether it takes requests again; one that may not keeps away for twice as long. If all servers decline, the best score still gets the request, so no server is left unused.

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -44,6 +44,7 @@
   if (!traits.Id.empty())
     Attempts.recordFeedback(now, *request, traits.Feedback);
   if (declined) {
+    Board.Servers.recordDecline(now, request->Attempt->Server);
     Board.Commands.push_back(IgnoreUpstream{attempt});
     const bool misdirected = head.Status == StatusMisdirected;
     Attempts.onNotRun(now, *request, ServerOutcome::Declined,
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -153,8 +153,11 @@
 void AttemptController::choosePlain(TimePoint now, ForwardRequest &request) {
   const auto paced = Board.Servers.pacedServers(now, request.Service,
                                                 request.Avoid, request.Zones);
-  ServerView *server = Board.Servers.choose(now, request.Service, request.Avoid,
-                                            Board.Permits, request.Zones);
+  const bool canRetry =
+      request.Sends + 1 < request.Route->MaxServers && Board.Budget.canRetry();
+  ServerView *server =
+      Board.Servers.choose(now, request.Service, request.Avoid, Board.Permits,
+                           request.Zones, canRetry);
   if (server) {
     const ServerProcess process = server->Record.process();
     if (Board.Permits.has(now, process))
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -9,10 +9,15 @@
   return address.substr(0, address.rfind(':'));
 }
 
-/// \returns \p first, doubled with each failure up to 16 times.
-Duration backoffDelay(Duration first, std::uint32_t failures) {
+/// \returns the factor of an exponential backoff: 1, doubled with each failure
+/// up to 16.
+std::uint32_t backoffFactor(std::uint32_t failures) {
   constexpr std::uint32_t MaxDoublings = 4;
-  return first * (1U << std::min(failures, MaxDoublings));
+  return 1U << std::min(failures, MaxDoublings);
+}
+
+Duration backoffDelay(Duration first, std::uint32_t failures) {
+  return first * backoffFactor(failures);
 }
 
 template <class Views> void markUnconfirmed(Views &views) {
@@ -149,8 +154,22 @@
   return n == 0 ? 0 : sum / static_cast<double>(n);
 }
 
+double ServerSet::declinePenalty(TimePoint now, const ServerView &server,
+                                 bool canRetry) const {
+  if (server.UnexplainedDeclines == 0)
+    return 0;
+  // A request that may go to another server finds out whether this one takes
+  // requests again. One that may not stays away for twice as long.
+  constexpr int LastSendFactor = 2;
+  const std::uint32_t factor = backoffFactor(server.UnexplainedDeclines - 1);
+  const Duration time =
+      Options.DeclinePenaltyTime * factor * (canRetry ? 1 : LastSendFactor);
+  return now < server.LastDeclineAt + time ? Options.DeclinePenalty * factor
+                                           : 0;
+}
+
 double ServerSet::scoreOf(TimePoint now, const ServerView &server,
-                          double meanFailures) const {
+                          double meanFailures, bool canRetry) const {
   const double slots = std::max(server.Record.Slots, 1U);
   std::uint32_t busy = server.InFlight;
   if (hasLoadReport(now, server))
@@ -160,7 +179,7 @@
     score += Options.ZonePreference;
   score += Options.FailurePenalty *
            std::max(server.FailureShare - meanFailures, 0.0);
-  return score;
+  return score + declinePenalty(now, server, canRetry);
 }
 
 void ServerSet::useDocument(const RoutingDocument &document) {
@@ -265,7 +284,7 @@
 ServerView *ServerSet::choose(TimePoint now, const ServiceName &service,
                               const std::vector<ServerProcess> &excluded,
                               const SendPermits &permits,
-                              const AllowedZones &zones) {
+                              const AllowedZones &zones, bool canRetry) {
   const double failures = meanFailureShare(service);
   ServerView *best = nullptr;
   std::pair<bool, double> bestRank;
@@ -275,7 +294,7 @@
     if (isPaced(now, it) && !permits.has(now, it.Record.process()))
       continue;
     const std::pair<bool, double> rank{now < it.EjectedUntil,
-                                       scoreOf(now, it, failures)};
+                                       scoreOf(now, it, failures, canRetry)};
     if (best && rank >= bestRank)
       continue;
     best = &it;
@@ -304,11 +323,20 @@
     ++it->Failures;
   } else {
     it->Failures = 0;
+    it->UnexplainedDeclines = 0;
   }
   if (failed)
     ejectIfFailing(now, *it);
 }
 
+void ServerSet::recordDecline(TimePoint now, const ServerProcess &server) {
+  ServerView *it = find(server);
+  if (!it || reportedRoom(now, server) == ReportedRoom::Full)
+    return;
+  ++it->UnexplainedDeclines;
+  it->LastDeclineAt = now;
+}
+
 void ServerSet::ejectIfFailing(TimePoint now, ServerView &server) {
   const auto agent = std::ranges::find_if(ServerByAgent, [&](const auto &it) {
     return it.second == server.Record.Host;
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -27,6 +27,10 @@
   /// The server counts as cold until then.
   TimePoint ColdUntil;
   std::uint32_t Failures = 0;
+  /// Requests in a row that it declined although its reports show free slots,
+  /// or that it sends no reports.
+  std::uint32_t UnexplainedDeclines = 0;
+  TimePoint LastDeclineAt;
   /// Exponentially weighted share of failures among its answers, updated with
   /// each answer.
   double FailureShare = 0;
@@ -100,6 +104,12 @@
   /// its share of failures exceeds the mean of its service. At 3, a server
   /// whose share is higher by a third scores like one with all slots in use.
   double FailurePenalty = 3;
+  /// After an unexplained decline a server scores as if all its slots were in
+  /// use this many times, for DeclinePenaltyTime. Both double with each further
+  /// decline in a row, up to 16 times. A server whose queue is full declines,
+  /// too, but its reports explain that and raise its score.
+  double DeclinePenalty = 1;
+  Duration DeclinePenaltyTime = std::chrono::milliseconds(250);
   ConnectionShareOptions Connections;
   /// Number of entries to assume until it is known. The connections to a server
   /// and the budget of sends to a second server are divided among them.
@@ -139,11 +149,12 @@
   /// request, or null if there is none. Skips servers in \p excluded or outside
   /// \p zones, servers to which this entry has reached its limit of
   /// connections, and paced servers (rate limited or cold) for which \p permits
-  /// holds no permit.
+  /// holds no permit. \p canRetry tells whether the request may be sent to
+  /// another server if the chosen one declines it.
   ServerView *choose(TimePoint now, const ServiceName &service,
                      const std::vector<ServerProcess> &excluded,
-                     const SendPermits &permits,
-                     const AllowedZones &zones = {});
+                     const SendPermits &permits, const AllowedZones &zones = {},
+                     bool canRetry = true);
   /// \returns the servers of \p service that are rate limited or cold and would
   /// take one more request, given a permit.
   std::vector<ServerProcess>
@@ -170,6 +181,9 @@
   void recordRejection(TimePoint now, const ServerProcess &server);
   void recordOutcome(TimePoint now, const ServerProcess &server,
                      ServerOutcome outcome);
+  /// Records that the server declined a request, after recordLoad() with the
+  /// load that came with it.
+  void recordDecline(TimePoint now, const ServerProcess &server);
   void recordLoad(TimePoint now, const ServerProcess &server,
                   const ServerLoad &load);
   /// Records the feedback in an answer to a request that was sent at \p sentAt.
@@ -226,8 +240,11 @@
   void removeOthersAtAddress(const MemberRecord &record);
   void matchAgentsToServers();
   /// \param meanFailures mean share of failures of the server's service.
-  double scoreOf(TimePoint now, const ServerView &server,
-                 double meanFailures) const;
+  double scoreOf(TimePoint now, const ServerView &server, double meanFailures,
+                 bool canRetry) const;
+  /// \returns what unexplained declines add to the server's score.
+  double declinePenalty(TimePoint now, const ServerView &server,
+                        bool canRetry) const;
   double meanFailureShare(const ServiceName &service) const;
   /// Ejects an engine that fails more often than the others of its service.
   void ejectIfFailing(TimePoint now, ServerView &server);
--- a/test/DecliningServerTest.cpp
+++ b/test/DecliningServerTest.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t Entries = 4;
 constexpr std::uint32_t Servers = 3;
 constexpr double PerSecond = 60;
+/// In this time all requests in progress end.
+constexpr Duration DrainTime = 2s;
 
 /// A small service under a load that two of its three servers can take.
 struct SmallService {
@@ -46,11 +48,12 @@
   }
   /// \returns the share of the requests of the next \p time that are answered.
   double answeredShare(Duration time) {
+    Fleet.runFor(DrainTime);
     const int sentBefore = Sent;
     const int answeredBefore = Answered;
     runFor(time);
     const int sent = Sent - sentBefore;
-    Fleet.runFor(1s);
+    Fleet.runFor(DrainTime);
     return static_cast<double>(Answered - answeredBefore) / sent;
   }
   /// \returns the share of the arrivals since \p since at \p server.
