Give each service a retry budget of its own

Cause: an entry had one budget for all services. What engines declined or failed used up the retries of the small service. The other way round a small service that fails could get the retries that the requests for the engines earn (0.15 of all requests, over half of that service's own), more than its servers have to bear.

Each service now has its own share and reserve, which is how the bound on further sends is stated (0.2 of the requests for the service and a reserve). A service that is configured later starts with a full reserve like the others.

Test [service-retries]: after 100 declined requests at engines 4 of 4 requests of the plain service get their second server (1 of 4 before: it failed).

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -65,7 +65,8 @@
     return HeadDecision::Take;
   // The server ran the request and failed; another one may succeed.
   Quarantine.onSurvived(*request);
-  if (!Attempts.mayRepeat(now, *request) || !Board.Budget.canRetry())
+  if (!Attempts.mayRepeat(now, *request) ||
+      !Board.Budgets.canRetry(request->Service))
     return HeadDecision::Take;
   Board.Commands.push_back(IgnoreUpstream{attempt});
   Attempts.endFailedAttempt(now, *request);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -153,8 +153,8 @@
 void AttemptController::choosePlain(TimePoint now, ForwardRequest &request) {
   const auto paced = Board.Servers.pacedServers(now, request.Service,
                                                 request.Avoid, request.Zones);
-  const bool canRetry =
-      request.Sends + 1 < request.Route->MaxServers && Board.Budget.canRetry();
+  const bool canRetry = request.Sends + 1 < request.Route->MaxServers &&
+                        Board.Budgets.canRetry(request.Service);
   ServerView *server =
       Board.Servers.choose(now, request.Service, request.Avoid, Board.Permits,
                            request.Zones, canRetry);
@@ -586,7 +586,7 @@
   request.Denial = RetryDenial::None;
   if (!allowed)
     request.Denial = RetryDenial::RouteLimit;
-  else if (!Board.Budget.take())
+  else if (!Board.Budgets.take(request.Service))
     request.Denial = RetryDenial::Budget;
   return request.Denial == RetryDenial::None;
 }
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -3,6 +3,7 @@
 
 #include "EventStream.h"
 #include "QuarantineSet.h"
+#include "RetryBudgets.h"
 #include "RoutingTable.h"
 #include "ServerSet.h"
 
@@ -40,11 +41,11 @@
   /// Subtracted from a caller's deadline to leave time for delivering the final
   /// answer.
   Duration AnswerReserve = std::chrono::milliseconds(30);
-  /// Retries on a second server, as a share of the requests. Keeps the share
-  /// over all entries below 0.2, the extra load that backend servers are sized
-  /// for.
+  /// Retries on a second server, as a share of the requests for the service.
+  /// Keeps the share over all entries below 0.2, the extra load that backend
+  /// servers are sized for.
   double RetryShare = 0.15;
-  /// Unused retries that all entries together may accumulate.
+  /// Unused retries that all entries together may accumulate for a service.
   double RetryReserve = 40;
   /// Failed connections to servers that a request tolerates; one more and it is
   /// given up.
@@ -154,7 +155,7 @@
   None,
   /// Its route allows no further server, or no second run.
   RouteLimit,
-  /// The entry's retry budget is used up.
+  /// The entry's retry budget for the service is used up.
   Budget,
   /// No other server of the service may get it.
   NoServer,
@@ -379,8 +380,8 @@
       : Options(options), Configuration(configuration), Codec(codec),
         Servers(options.Servers), Jitter(options.Incarnation),
         Leases({.Host = options.Host, .Incarnation = options.Incarnation}),
-        Budget(options.RetryShare,
-               options.RetryReserve / options.Servers.PresumedEntries) {}
+        Budgets(options.RetryShare,
+                options.RetryReserve / options.Servers.PresumedEntries) {}
 
   const ForwardOptions Options;
   const ConfigurationView &Configuration;
@@ -392,7 +393,7 @@
   ServerSet Servers;
   Random Jitter;
   AllotmentLeases Leases;
-  RetryBudget Budget;
+  RetryBudgets Budgets;
   SendPermits Permits;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -52,8 +52,10 @@
 void ForwardController::setTable(std::shared_ptr<const RoutingTable> table) {
   Board.Table = std::move(table);
   Board.TableOutdated = false;
-  if (Board.Table)
-    Board.Servers.useDocument(Board.Table->document());
+  if (!Board.Table)
+    return;
+  Board.Servers.useDocument(Board.Table->document());
+  Board.Budgets.useDocument(Board.Table->document());
 }
 
 void ForwardController::onMembers(TimePoint now, const MemberUpdate &update) {
@@ -86,7 +88,7 @@
 
 void ForwardController::onEntryCount(TimePoint now, std::uint32_t entries) {
   Board.Servers.onEntryCount(now, entries);
-  Board.Budget.setReserve(Board.Options.RetryReserve / std::max(entries, 1U));
+  Board.Budgets.setReserve(Board.Options.RetryReserve / std::max(entries, 1U));
 }
 
 void ForwardController::onRequest(TimePoint now, std::uint64_t key,
@@ -159,7 +161,7 @@
                            request.Traits.Adapter);
     request.Adapter = {name, liveVersion(Board.Configuration, name)};
   }
-  Board.Budget.recordRequest();
+  Board.Budgets.recordRequest(request.Service);
   if (Accounts.charge(now, request))
     Attempts.next(now, request);
 }
