Reproduce: an engine that declines everything goes on being sent requests

The same cause at engines, found by looking for it: their agents see an idle engine and give permits, and an entry learns nothing from declines.

--- a/test/DecliningServerTest.cpp
+++ b/test/DecliningServerTest.cpp
@@ -18,19 +18,24 @@
 constexpr std::uint32_t Entries = 4;
 constexpr std::uint32_t Servers = 3;
 constexpr double PerSecond = 60;
+/// Adapters with low numbers are the most popular.
+constexpr int Adapters = 40;
 /// In this time all requests in progress end.
 constexpr Duration DrainTime = 2s;
 
-/// A small service under a load that two of its three servers can take.
-struct SmallService {
-  SmallService(std::uint64_t seed, std::uint32_t maxServers)
-      : Fleet({.Simulation = {.Seed = seed},
-               .Entries = Entries,
-               .Servers = Servers,
-               .Events = 2,
-               .MaxServers = maxServers,
-               .LoadReports = true}),
-        Rng(seed + 1) {
+ForwardFleetOptions fleetOptions(std::uint64_t seed, std::uint32_t maxServers) {
+  return {.Simulation = {.Seed = seed, .Store = {.LoadsPerSecond = 40}},
+          .Entries = Entries,
+          .Servers = Servers,
+          .Events = 2,
+          .MaxServers = maxServers,
+          .LoadReports = true};
+}
+
+/// A service under a load that it can take without one of its servers.
+struct LoadedService {
+  explicit LoadedService(const ForwardFleetOptions &options)
+      : Fleet(options), Rng(options.Simulation.Seed + 1) {
     Fleet.runFor(5s);
   }
 
@@ -39,10 +44,13 @@
     const TimePoint end = Fleet.now() + time;
     while (Fleet.now() < end) {
       const auto entry = static_cast<std::uint32_t>(Rng.uniform() * Entries);
-      Fleet.call(Fleet.entry(entry), "request-" + std::to_string(++Sent),
-                 [this](const CallerAnswer &it) {
-                   Answered += it.IsComplete && it.Stamped ? 1 : 0;
-                 });
+      const double x = Rng.uniform();
+      Fleet.call(
+          Fleet.entry(entry), "request-" + std::to_string(++Sent),
+          [this](const CallerAnswer &it) {
+            Answered += it.IsComplete && it.Stamped ? 1 : 0;
+          },
+          "a" + std::to_string(static_cast<int>(x * x * Adapters)));
       Fleet.runFor(Rng.jitter(fromSeconds(1 / PerSecond)));
     }
   }
@@ -80,7 +88,7 @@
           "[declining-server]") {
   for (std::uint64_t seed = 1; seed <= 5; ++seed)
     for (const std::uint32_t maxServers : {1U, 2U}) {
-      SmallService it(seed, maxServers);
+      LoadedService it(fleetOptions(seed, maxServers));
       it.runFor(5s);
       it.Fleet.setFeedback(0, {.Declining = true});
       const TimePoint since = it.Fleet.now();
@@ -99,7 +107,7 @@
 TEST_CASE("a server that stops declining is used again", "[declining-server]") {
   for (std::uint64_t seed = 1; seed <= 5; ++seed)
     for (const std::uint32_t maxServers : {1U, 2U}) {
-      SmallService it(seed, maxServers);
+      LoadedService it(fleetOptions(seed, maxServers));
       it.Fleet.setFeedback(0, {.Declining = true});
       it.runFor(20s);
       it.Fleet.setFeedback(0, {});
@@ -117,7 +125,7 @@
 
 TEST_CASE("if all servers decline, requests are refused at once",
           "[declining-server]") {
-  SmallService it(1, 2);
+  LoadedService it(fleetOptions(1, 2));
   for (std::uint32_t i = 0; i < Servers; ++i)
     it.Fleet.setFeedback(i, {.Declining = true});
   CHECK(it.answeredShare(5s) == 0);
@@ -127,3 +135,36 @@
       longest = std::max(longest, event.Took);
   CHECK(longest < 100ms);
 }
+
+// An engine's agent sees an idle engine and keeps offering it. Guards against
+// entries that go on sending to it.
+TEST_CASE("an engine that declines everything gets less than the others",
+          "[declining-engine]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    for (const std::uint32_t maxServers : {1U, 2U}) {
+      constexpr std::uint32_t Engines = 8;
+      ForwardFleetOptions options = fleetOptions(seed, maxServers);
+      options.Servers = Engines;
+      options.Engines = true;
+      LoadedService it(options);
+      it.runFor(5s);
+      const TimePoint begin = it.Fleet.now();
+      it.runFor(10s);
+      const double before = it.arrivalShare(0, begin);
+      it.Fleet.setFeedback(0, {.Declining = true});
+      const TimePoint since = it.Fleet.now();
+      const double answered = it.answeredShare(20s);
+      const double arrivals = it.arrivalShare(0, since);
+      INFO("seed " << seed << ", engines for a request " << maxServers
+                   << ", answered " << answered << ", arrivals there "
+                   << arrivals);
+      CHECK(answered >= 0.95);
+      CHECK(arrivals <= before / 2);
+
+      it.Fleet.setFeedback(0, {});
+      it.runFor(10s);
+      const TimePoint recovered = it.Fleet.now();
+      it.runFor(10s);
+      CHECK(it.arrivalShare(0, recovered) >= before / 2);
+    }
+}
