Eject an engine that declines requests although it reports free slots

Callers whose route allows one engine were refused in the share of the engine that declines everything, for as long as it does. Cause: declines left no trace at entries, so the engine was never ejected as a failing one is, and its agent sees an idle engine and keeps giving permits. After three unexplained declines in a row it is now ejected for two seconds, for up to eight after further ones; an answer ends the row. One or two may concern an adapter that it is just loading. The share of engines that may be ejected at a time is bounded as before.

--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -335,25 +335,41 @@
     return;
   ++it->UnexplainedDeclines;
   it->LastDeclineAt = now;
+  if (it->UnexplainedDeclines < Options.EjectDeclines)
+    return;
+  // Longer ejections would keep a recovered engine idle.
+  constexpr std::uint32_t MaxFactor = 4;
+  const std::uint32_t factor =
+      backoffFactor(it->UnexplainedDeclines - Options.EjectDeclines);
+  ejectEngine(now, *it,
+              Options.OutlierEjectionTime * std::min(factor, MaxFactor));
 }
 
-void ServerSet::ejectIfFailing(TimePoint now, ServerView &server) {
+bool ServerSet::ejectEngine(TimePoint now, const ServerView &server,
+                            Duration time) {
   const auto agent = std::ranges::find_if(ServerByAgent, [&](const auto &it) {
     return it.second == server.Record.Host;
   });
-  if (agent == ServerByAgent.end() || server.Record.Services.empty())
-    return;
-  const double mean = meanFailureShare(server.Record.Services.front());
-  if (server.FailureShare < mean + Options.EjectThreshold)
-    return;
+  if (agent == ServerByAgent.end())
+    return false;
   const auto ejectedCount = std::ranges::count_if(
       Agents, [&](const auto &it) { return it.second.EjectedUntil > now; });
   if (static_cast<double>(ejectedCount) >=
       Options.MaxEjectedShare * static_cast<double>(Agents.size()))
+    return false;
+  Agents[agent->first].EjectedUntil = now + time;
+  return true;
+}
+
+void ServerSet::ejectIfFailing(TimePoint now, ServerView &server) {
+  if (server.Record.Services.empty())
+    return;
+  const double mean = meanFailureShare(server.Record.Services.front());
+  if (server.FailureShare < mean + Options.EjectThreshold)
     return;
-  Agents[agent->first].EjectedUntil = now + Options.OutlierEjectionTime;
   // Otherwise its first failure after the ejection would eject it again.
-  server.FailureShare = mean;
+  if (ejectEngine(now, server, Options.OutlierEjectionTime))
+    server.FailureShare = mean;
 }
 
 void ServerSet::recordLoad(TimePoint now, const ServerProcess &server,
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -98,6 +98,10 @@
   /// suffice.
   double EjectThreshold = 0.3;
   Duration OutlierEjectionTime = std::chrono::seconds(2);
+  /// An engine is ejected for OutlierEjectionTime after this many unexplained
+  /// declines in a row, and for longer after further ones. Fewer may concern an
+  /// adapter that it is just loading.
+  std::uint32_t EjectDeclines = 3;
   /// Maximum fraction of the engines that may be ejected at the same time.
   double MaxEjectedShare = 0.34;
   /// Added to a server's score, as a fraction of its slots, per unit by which
@@ -246,6 +250,10 @@
   double declinePenalty(TimePoint now, const ServerView &server,
                         bool canRetry) const;
   double meanFailureShare(const ServiceName &service) const;
+  /// Ejects the agent on the server's host, unless there is none or too many
+  /// are ejected already.
+  /// \returns whether it was ejected.
+  bool ejectEngine(TimePoint now, const ServerView &server, Duration time);
   /// Ejects an engine that fails more often than the others of its service.
   void ejectIfFailing(TimePoint now, ServerView &server);
 
