An entry of a large fleet may retry for the requests that it takes

With more entries than the reserve has retries (40 by default; 410 entries in two years) each entry's part is below one, and its bucket could never hold a whole retry: no request was ever sent to a second server, whatever its route allows. The bucket now holds one retry at least, collected at the usual share of the requests; the start is not raised.

Test: 410 entries, 200 requests of one entry: 0 retries before, 20 to 30 now.

--- a/packages/serving/pimentofront/src/Serving/RetryBudget.h
+++ b/packages/serving/pimentofront/src/Serving/RetryBudget.h
@@ -15,11 +15,15 @@
 class RetryBudget {
 public:
   /// \param share tokens that each request adds.
-  /// \param reserve maximum number of tokens; a retry takes one.
+  /// \param reserve number of tokens at the start, and their maximum unless it
+  /// is below one; a retry takes one. A process whose part of a shared reserve
+  /// is below one may still collect the tokens of one retry.
   explicit RetryBudget(double share = 0.2, double reserve = 10)
       : Share(share), Reserve(reserve), Tokens(reserve) {}
 
-  void recordRequest() { Tokens = std::min(Tokens + Share, Reserve); }
+  void recordRequest() {
+    Tokens = std::min(Tokens + Share, std::max(Reserve, 1.0));
+  }
   /// \returns whether a retry is allowed.
   bool canRetry() const { return Tokens >= 1; }
   /// \returns whether a retry is allowed, and takes it from the budget.
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -267,6 +267,25 @@
   }
 }
 
+// Guards against a large fleet in which no entry ever retries, because its part
+// of the shared reserve is less than one retry.
+TEST_CASE("an entry with less than one retry in reserve may retry for the "
+          "requests that it takes") {
+  constexpr double Share = 0.15;
+  constexpr double Reserve = 40;
+  constexpr double Entries = 410;
+  RetryBudget budget(Share, Reserve / Entries);
+  CHECK_FALSE(budget.canRetry());
+  int retries = 0;
+  constexpr int Requests = 200;
+  for (int i = 0; i < Requests; ++i) {
+    budget.recordRequest();
+    retries += budget.take() ? 1 : 0;
+  }
+  CHECK(retries >= Requests / 10);
+  CHECK(retries <= Requests * Share);
+}
+
 TEST_CASE("the entries share the reserve of the retry budget") {
   RetryBudget budget(0, 4);
   const auto left = [&] {
