Put back a comment that had lost its function

Found when the diff was read as a newcomer: the comment on hasServersLeft() stood above another declaration, and backoffDelay() had lost its own.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -111,13 +111,13 @@
                                        ForwardFailure why);
   void recordLoad(const HostName &agent, const AgentLoad &load);
   ForwardRequest *find(const AttemptId &attempt, const HostName &agent);
-  /// \returns whether its route's limit of servers allows another one.
   void recordNotRun(TimePoint now, const ForwardRequest &request,
                     ServerOutcome outcome);
-  /// Takes a retry from the budget if \p allowed.
+  /// Takes a retry from the budget of the request's service if \p allowed.
   /// \returns whether the request may be sent to another server. If not, its
   /// Denial holds the reason.
   bool takeRetry(ForwardRequest &request, bool allowed);
+  /// \returns whether its route's limit of servers allows another one.
   static bool hasServersLeft(const ForwardRequest &request);
   /// \returns whether the request is for an engine and every agent that has
   /// refused it is out of service (down or leaving). Overload and the other
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -16,6 +16,7 @@
   return 1U << std::min(failures, MaxDoublings);
 }
 
+/// \returns \p first, doubled with each failure up to 16 times.
 Duration backoffDelay(Duration first, std::uint32_t failures) {
   return first * backoffFactor(failures);
 }
