--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -27,8 +27,8 @@
   /// The server counts as cold until then.
   TimePoint ColdUntil;
   std::uint32_t Failures = 0;
-  /// Requests in a row that it declined although its reports show free slots,
-  /// or that it sends no reports.
+  /// Requests in a row that it declined while its load reports showed free
+  /// slots or while it sent none.
   std::uint32_t UnexplainedDeclines = 0;
   TimePoint LastDeclineAt;
   /// Exponentially weighted share of failures among its answers, updated with
--- a/test/DecliningServerTest.cpp
+++ b/test/DecliningServerTest.cpp
@@ -2,8 +2,7 @@
 // broken, or another limit than its slots is reached. Guards against entries
 // that keep choosing it because nothing is in flight there: requests that may
 // be sent to one server only are then refused while other servers have room,
-// and the others use up the retries. It was seen as a small service whose
-// routes, the ones added later above all, were hardly served.
+// and the others use up the retries.
 
 #include "pimentofront/Testkit.h"
 
