--- a/packages/serving/pimentofront/src/Serving/RetryBudget.h
+++ b/packages/serving/pimentofront/src/Serving/RetryBudget.h
@@ -37,7 +37,8 @@
   /// Changes the reserve when the number of processes that share it has
   /// changed.
   void setReserve(double reserve) {
-    Tokens = std::min(Tokens + std::max(reserve - Reserve, 0.0), reserve);
+    const double limit = std::max(reserve, 1.0);
+    Tokens = std::min(Tokens + std::max(reserve - Reserve, 0.0), limit);
     Reserve = reserve;
   }
 
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -280,6 +280,8 @@
   constexpr int Requests = 200;
   for (int i = 0; i < Requests; ++i) {
     budget.recordRequest();
+    // Each message of the replicas names the number of entries again.
+    budget.setReserve(Reserve / Entries);
     retries += budget.take() ? 1 : 0;
   }
   CHECK(retries >= Requests / 10);
