One type for the demand of a request, told to the agents

Cause: urgency, client account, sizes, expected answer and allowed pause of a request were read by no decision: agents got the route's name and the parts of the prompt only, and the document's pause, a caller's estimate of its answer and a server's statement of its slowness were dropped when they were decoded.

Change: RequestDemand holds them; demandOf() builds it at the entry, and it travels in ExecuteRequest behind the fields of before, so that processes of either version read each other's messages. A pause that isn't positive makes a document invalid. The engine's report moves from platform/ to the serving package, since it names concepts of the product.

Result: no decision uses it yet.

--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -29,6 +29,7 @@
 #include "src/Forward/RetryBudgets.h"
 #include "src/Forward/QuarantineSet.h"
 #include "src/Forward/ForwardBoard.h"
+#include "src/Forward/DemandOf.h"
 #include "src/Forward/AccountController.h"
 #include "src/Forward/DeferController.h"
 #include "src/Forward/QuarantineController.h"
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -279,7 +279,8 @@
                      .Server = server.Name,
                      .ServerStartedAt = server.StartedAt,
                      .Limit = Board.Servers.feedbackOf(server).limit(now),
-                     .Cold = Board.Servers.coldStartOf(now, server)}});
+                     .Cold = Board.Servers.coldStartOf(now, server),
+                     .Demand = demandOf(request)}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
--- a/packages/forward/pimentofront/src/Forward/HeaderCodec.h
+++ b/packages/forward/pimentofront/src/Forward/HeaderCodec.h
@@ -25,6 +25,9 @@
   std::uint32_t MaxOutputTokens = 0;
   /// The request states PromptTokens and MaxOutputTokens.
   bool HasTokenCounts = false;
+  /// The caller's estimate of the tokens that will be generated; 0 if it states
+  /// none.
+  std::uint32_t ExpectedOutputTokens = 0;
   std::vector<PromptPart> Parts;
   /// Id of the last event that the caller has of an earlier stream.
   std::optional<std::uint64_t> LastEventId;
@@ -54,6 +57,9 @@
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
   std::uint32_t Slots = 0;
+  /// How long work takes on the server's host at the moment, in percent of the
+  /// usual time; 0 if the server doesn't state it.
+  std::uint32_t Slowness = 0;
   friend auto operator<=>(const ServerLoad &, const ServerLoad &) = default;
 };
 
--- a/packages/forward/pimentofront/src/Forward/RoutingDocument.cpp
+++ b/packages/forward/pimentofront/src/Forward/RoutingDocument.cpp
@@ -33,6 +33,9 @@
                  "expected a path that begins and ends with a slash");
   if (route.Timeout <= Duration::zero())
     findings.add(locationOf("routes", i, "timeout"), "expected more than 0");
+  if (route.Kind == Repeatability::Stream && route.PauseTarget &&
+      *route.PauseTarget <= Duration::zero())
+    findings.add(locationOf("routes", i, "pause"), "expected more than 0");
 }
 
 } // namespace
--- a/packages/forward/pimentofront/src/Forward/RoutingDocument.h
+++ b/packages/forward/pimentofront/src/Forward/RoutingDocument.h
@@ -45,6 +45,9 @@
   Duration Timeout = Duration::zero();
   /// An answer within this time has the highest utility.
   Duration LatencyTarget = Duration::zero();
+  /// Longest time between two events of a stream for which the answer counts as
+  /// on time; nothing if the route sets none.
+  std::optional<Duration> PauseTarget;
   /// 0 is the most urgent.
   std::uint32_t Priority = 0;
   /// Maximum number of backend servers to which one request may be sent.
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -19,6 +19,7 @@
 #include "src/Serving/Popularity.h"
 #include "src/Serving/SlotTable.h"
 #include "src/Serving/UnansweredOrders.h"
+#include "src/Serving/EngineReport.h"
 #include "src/Serving/PrefillModel.h"
 #include "src/Serving/LoadTimeModel.h"
 #include "src/Serving/KnownRateLimit.h"
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_WIRE_ATTEMPT_MESSAGES_H
 
 #include "RateLimit.h"
+#include "RequestDemand.h"
 #include "pimentofront/Base.h"
 
 #include <string>
@@ -45,8 +46,10 @@
   /// The backend server has named a limit for the requests of all entries,
   /// which does not admit this one in time.
   RateLimited,
+  /// A more urgent request took its place in the queue.
+  Displaced,
 };
-constexpr unsigned RefusalReasonCount = 17;
+constexpr unsigned RefusalReasonCount = 18;
 
 /// \returns whether the host refused only because of a condition of the attempt
 /// (the adapter is resident, the first event comes in time). The host could run
@@ -137,13 +140,14 @@
   RateLimit Limit;
   /// The cold start of that process, likewise.
   ColdStart Cold;
+  RequestDemand Demand;
   /// \returns that process.
   ServerProcess server() const { return {Server, ServerStartedAt}; }
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, ResumeText,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
                       Delegated, Parts, FirstEventWithin, FirstEventDue, Server,
-                      ServerStartedAt, Limit, Cold)
+                      ServerStartedAt, Limit, Cold, Demand)
 };
 
 /// Agent to entry: the engine has a place for the request, send it now. The
--- a/packages/wire/pimentofront/src/Wire/Codec.cpp
+++ b/packages/wire/pimentofront/src/Wire/Codec.cpp
@@ -278,11 +278,11 @@
 
 const char *refusalReasonName(RefusalReason reason) {
   static constexpr const char *Names[RefusalReasonCount] = {
-      "none",        "leaving",      "queue_full",      "load_backlog",
-      "load_failed", "backend_down", "no_such_backend", "isolated",
-      "kind_limit",  "caller_limit", "no_backend",      "stopping",
-      "invalid",     "no_claim",     "not_resident",    "busy",
-      "rate_limited"};
+      "none",         "leaving",      "queue_full",      "load_backlog",
+      "load_failed",  "backend_down", "no_such_backend", "isolated",
+      "kind_limit",   "caller_limit", "no_backend",      "stopping",
+      "invalid",      "no_claim",     "not_resident",    "busy",
+      "rate_limited", "displaced"};
   const auto i = static_cast<unsigned>(reason);
   return i < RefusalReasonCount ? Names[i] : "unknown";
 }
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -17,7 +17,8 @@
   "routes": [
     {"name": "r1", "hostname": "h.example", "pathPrefix": "/a/",
      "routeType": "streaming", "timeoutMs": 10000, "targetLatencyMs": 1000,
-     "priority": 1, "backend": "engines", "attempts": 2, "resumable": true},
+     "priority": 1, "backend": "engines", "attempts": 2, "resumable": true,
+     "gapTargetMs": 400},
     {"name": "r2", "hostname": "h.example", "pathPrefix": "/b/",
      "routeType": "non_idempotent", "timeoutMs": 1200.5,
      "targetLatencyMs": 150, "priority": 2, "attempts": 1,
@@ -60,6 +61,8 @@
   CHECK(it.Routes[0].Kind == Repeatability::Stream);
   CHECK(it.Routes[0].mayRepeat());
   CHECK(it.Routes[0].MaxServers == 2);
+  CHECK(it.Routes[0].PauseTarget == 400ms);
+  CHECK_FALSE(it.Routes[1].PauseTarget);
   CHECK(it.Routes[1].Timeout == 1200500us);
   CHECK(it.Routes[1].Split.size() == 2);
   CHECK(it.Routes[1].Split[1] == WeightedService{ServiceName("plain"), 10});
@@ -81,6 +84,9 @@
   CHECK_FALSE(
       faultsOf(replaced(replaced(text, "90", "0"), "10}", "0}")).empty());
   CHECK_FALSE(faultsOf(replaced(text, "10000", "0")).empty());
+  CHECK_FALSE(faultsOf(replaced(text, "400}", "0}")).empty());
+  CHECK_FALSE(faultsOf(replaced(text, "400}", "-1}")).empty());
+  CHECK_FALSE(faultsOf(replaced(text, "400}", "\"400 ms\"}")).empty());
   const Findings two =
       faultsOf(replaced(replaced(text, "\"attempts\": 2", "\"attempts\": -1"),
                         "non_idempotent", "whatever"));
@@ -98,6 +104,7 @@
         {"Pimentofront-Model", "m/a3"},
         {"Pimentofront-Token-Usage", "1460,80"},
         {"Pimentofront-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+        {"Pimentofront-Length-Hint", "48"},
         {"Pimentofront-Deadline-Ms", "6000"}}});
   CHECK(it.Id == "9c41");
   CHECK(it.LastEventId == 12U);
@@ -105,6 +112,7 @@
   CHECK(it.Adapter == "a3");
   CHECK(it.PromptTokens == 1460);
   CHECK(it.MaxOutputTokens == 80);
+  CHECK(it.ExpectedOutputTokens == 48);
   CHECK(it.Parts ==
         std::vector<PromptPart>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}});
   CHECK(it.TimeLeft == 6s);
@@ -116,9 +124,11 @@
                              "/",
                              {{"Pimentofront-Token-Usage", "x,y"},
                               {"Pimentofront-Prompt-Prefix", "zz:1,,:"},
+                              {"Pimentofront-Length-Hint", "-7"},
                               {"Pimentofront-Deadline-Ms", "soon"}}});
   CHECK(it.Id.empty());
   CHECK(it.PromptTokens == 0);
+  CHECK(it.ExpectedOutputTokens == 0);
   CHECK(it.Parts.empty());
   CHECK_FALSE(it.TimeLeft);
 }
@@ -165,6 +175,9 @@
   CHECK(it.NotRun);
   CHECK_FALSE(it.Stamped);
   CHECK(it.Load == ServerLoad{3, 0, 8});
+  const AnswerTraits slow =
+      Headers.decodeAnswer({200, {{"Pimentofront-Server-Load", "3,1,8,250"}}});
+  CHECK(slow.Load == ServerLoad{3, 1, 8, 250});
 }
 
 TEST_CASE("feedback in a backend server's response is decoded") {
