Fetch shared prompt parts from the engine that refused

Change: agents tell how many prompt tokens their engine has cached when they refuse, and how many are left to read when they permit. On by the setting fetch_prompt_parts.

--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -40,6 +40,8 @@
   forward.RetryShare = reader.real("retry_share", forward.RetryShare, 0, 1);
   forward.RetryReserve =
       reader.real("retry_reserve", forward.RetryReserve, 0, 100000);
+  forward.Fetch.Enabled =
+      reader.flag("fetch_prompt_parts", forward.Fetch.Enabled);
   PrefixRoutingOptions &prefix = settings.Prefix;
   prefix.OwnShare = reader.real("own_share", prefix.OwnShare, 0, 100);
   prefix.SpillShare = reader.real("spill_share", prefix.SpillShare, 0, 100);
--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -26,6 +26,7 @@
 #include "src/Forward/ConnectionShare.h"
 #include "src/Forward/SendPermits.h"
 #include "src/Forward/ServerSet.h"
+#include "src/Forward/PromptFetch.h"
 #include "src/Forward/RetryBudgets.h"
 #include "src/Forward/QuarantineSet.h"
 #include "src/Forward/ForwardBoard.h"
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -283,6 +283,30 @@
                      .Demand = demandOf(request)}});
 }
 
+std::string AttemptController::fetchSource(TimePoint now,
+                                           const ForwardRequest &request) {
+  const std::uint32_t cachedTokens = totalTokens(request.Traits.Parts) -
+                                     std::min(totalTokens(request.Traits.Parts),
+                                              request.Attempt->UncachedTokens);
+  const TriedHost *source = PromptFetch(Board.Options.Fetch)
+                                .chooseSource(request.Tried, cachedTokens);
+  if (!source)
+    return {};
+  // The engine may have gone, or its zone may have been evacuated, since its
+  // agent refused the request.
+  const auto agent = Board.Servers.agents().find(source->Host);
+  const ServerView *engine = Board.Servers.serverOfAgent(source->Host);
+  if (!engine || agent == Board.Servers.agents().end() ||
+      now < agent->second.EjectedUntil ||
+      !request.Zones.contains(engine->Record.Zone))
+    return {};
+  recordEvent(now, "prompt_parts_fetched", request,
+              std::to_string(source->CachedTokens) + " tokens at " +
+                  engine->Record.Host.str() + ", " +
+                  std::to_string(cachedTokens) + " at the chosen engine");
+  return engine->Record.Address;
+}
+
 void AttemptController::send(TimePoint now, ForwardRequest &request,
                              ServerView &server) {
   if (!request.Attempt) {
@@ -306,6 +330,7 @@
       .Priority =
           request.ToEngine ? std::optional(request.priority()) : std::nullopt,
       .LastEventId = request.Events.lastId(),
+      .FetchFrom = request.ToEngine ? fetchSource(now, request) : std::string(),
       .Account = request.Account ? request.Account->Name : AccountName()};
   Board.Commands.push_back(
       SendUpstream{.Attempt = attempt.Id,
@@ -361,6 +386,7 @@
   if (now >= request->Deadline)
     return giveUp(now, *request, ForwardFailure::TimedOut);
   request->Attempt->AgentAnswered = true;
+  request->Attempt->UncachedTokens = message.UncachedTokens;
   Routing.learn(request->Adapter, agent, true);
   ServerView *server = Board.Servers.serverOfAgent(agent);
   const bool backingOff =
@@ -413,9 +439,9 @@
     Routing.learn(request->Adapter, agent, false);
   if (message.Reason == RefusalReason::BackendDown)
     Board.Servers.ejectAgent(now, agent);
-  request->Tried.push_back({agent, message.Reason, message.Load,
-                            request->Attempt->OnlyIfResident,
-                            message.RetryAfter, message.HoldsAdapter});
+  request->Tried.push_back(
+      {agent, message.Reason, message.Load, request->Attempt->OnlyIfResident,
+       message.RetryAfter, message.HoldsAdapter, message.CachedTokens});
   request->LastRefusal = message.Reason;
   if (!isConditionalRefusal(message.Reason))
     request->RetryAfter = std::max(request->RetryAfter, message.RetryAfter);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -101,6 +101,9 @@
   void markSuspected(TimePoint now, const HostName &agent);
   void askAgent(TimePoint now, ForwardRequest &request, const Route &route);
   void send(TimePoint now, ForwardRequest &request, ServerView &server);
+  /// \returns the address of the engine from which the request's engine fetches
+  /// cached prompt parts; empty for none.
+  std::string fetchSource(TimePoint now, const ForwardRequest &request);
   /// Sends the message if the agent is known. Plain services have no agent, and
   /// an agent that has gone needs no message.
   void notifyAgent(const HostName &agent, Message message);
--- a/packages/forward/pimentofront/src/Forward/DemandOf.cpp
+++ b/packages/forward/pimentofront/src/Forward/DemandOf.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <numeric>
 
 namespace pimentofront {
 namespace {
@@ -17,9 +16,7 @@
 std::uint32_t promptTokensOf(const RequestTraits &traits) {
   if (traits.HasTokenCounts)
     return traits.PromptTokens;
-  return std::accumulate(
-      traits.Parts.begin(), traits.Parts.end(), std::uint32_t(0),
-      [](std::uint32_t sum, const PromptPart &it) { return sum + it.Tokens; });
+  return totalTokens(traits.Parts);
 }
 
 } // namespace
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
 
 #include "EventStream.h"
+#include "PromptFetch.h"
 #include "QuarantineSet.h"
 #include "RetryBudgets.h"
 #include "RoutingTable.h"
@@ -20,6 +21,7 @@
   std::uint64_t Incarnation = 0;
   HostName Host;
   ServerSetOptions Servers;
+  PromptFetchOptions Fetch;
   /// An agent that hasn't answered within this time is skipped. Covers several
   /// round trips between zones and the agent's wait for its CPU.
   Duration PermitTimeout = std::chrono::milliseconds(250);
@@ -171,6 +173,8 @@
   /// Agent that was asked for a permit; empty for a plain service.
   HostName Agent;
   bool OnlyIfResident = false;
+  /// Prompt tokens that the engine has to read, by its agent's permit.
+  std::uint32_t UncachedTokens = 0;
   /// The agent has answered.
   bool AgentAnswered = false;
   /// Longest time for which this process was stalled since it asked the agent.
--- a/packages/forward/pimentofront/src/Forward/HeaderCodec.h
+++ b/packages/forward/pimentofront/src/Forward/HeaderCodec.h
@@ -46,6 +46,9 @@
   VersionNumber Version = 0;
   std::optional<std::uint32_t> Priority;
   std::optional<std::uint64_t> LastEventId;
+  /// Address of the engine from which the backend server fetches the prompt
+  /// parts that it doesn't have cached; empty for none.
+  std::string FetchFrom;
   /// Client account that sent the request; empty if no key is needed.
   AccountName Account;
 };
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -149,14 +149,16 @@
 }
 
 /// An entry that sends an attempt to the engine itself only needs the permit.
-void AgentNode::start(TimePoint now, const ExecuteRequest &request) {
+void AgentNode::start(TimePoint now, const StartGeneration &command) {
+  const ExecuteRequest &request = command.Request;
   const auto it = Delegated.find(request.Attempt);
   if (it == Delegated.end())
     return Driver.generate(request);
   Network.send(it->second,
                AttemptPermit{request.Attempt, Controller.currentLoad(now),
                              Controller.rateLimit(now),
-                             Controller.requestInterval(now)});
+                             Controller.requestInterval(now),
+                             command.UncachedTokens});
 }
 
 void AgentNode::cancelWork(TimePoint now, const AttemptId &attempt) {
@@ -214,7 +216,7 @@
   else if (const auto *message = std::get_if<SendToScheduler>(&command))
     sendToScheduler(now, message->Content);
   else if (const auto *begin = std::get_if<StartGeneration>(&command))
-    start(now, begin->Request);
+    start(now, *begin);
   else if (const auto *call = std::get_if<StartServiceCall>(&command))
     Driver.callService(call->Request);
   else if (const auto *cancel = std::get_if<CancelWork>(&command))
--- a/packages/node/pimentofront/src/Node/AgentNode.h
+++ b/packages/node/pimentofront/src/Node/AgentNode.h
@@ -93,7 +93,7 @@
   bool hasExited(TimePoint now, const ServerProcess &process) const;
   void onReleased(TimePoint now, const AttemptReleased &message);
   void applyProfile(TimePoint now, const EngineProfile &profile);
-  void start(TimePoint now, const ExecuteRequest &request);
+  void start(TimePoint now, const StartGeneration &command);
   void execute(TimePoint now, const AgentCommand &command);
   void cancelWork(TimePoint now, const AttemptId &attempt);
 
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -234,13 +234,17 @@
                              .RetryAfter = retryAfter,
                              .Load = agentLoad,
                              .HoldsAdapter = decision.HoldsAdapter,
+                             .CachedTokens = decision.CachedTokens,
                          }});
 }
 
 void AdmissionController::onExecute(TimePoint now, EntryLink entry,
                                     const ExecuteRequest &request) {
-  const Decision decision = evaluate(now, request);
+  Decision decision = evaluate(now, request);
   const bool toEngine = request.Service.empty();
+  if (toEngine && Board.EngineReady)
+    decision.CachedTokens =
+        Board.Prefill.cachedTokens(request.Key, request.Parts);
   // After a conditional refusal (`Busy` or `NotResident`) another host may
   // serve the request, so it is not yet demand for this host.
   if (toEngine && !isConditionalRefusal(decision.Reason))
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -38,6 +38,7 @@
     Duration RetryAfter = Duration::zero();
     /// The engine holds the adapter: it is resident or being loaded.
     bool HoldsAdapter = false;
+    std::uint32_t CachedTokens = 0;
   };
   Decision evaluate(TimePoint now, const ExecuteRequest &request) const;
   Decision evaluateService(const ExecuteRequest &request) const;
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -142,6 +142,8 @@
 /// Starts a request on the engine.
 struct StartGeneration {
   ExecuteRequest Request;
+  /// Prompt tokens that the engine has to read.
+  std::uint32_t UncachedTokens = 0;
 };
 /// Calls a plain service. The call isn't repeated.
 struct StartServiceCall {
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -91,7 +91,7 @@
   CurrentPass = candidate.Pass;
   const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
   Passes[attempt.Request.Kind] = candidate.Pass + 1.0 / weight;
-  Board.Commands.push_back(StartGeneration{attempt.Request});
+  Board.Commands.push_back(StartGeneration{attempt.Request, tokens});
 }
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
@@ -32,6 +32,12 @@
   return tokens;
 }
 
+std::uint32_t
+PrefillModel::cachedTokens(const AdapterKey &key,
+                           const std::vector<PromptPart> &parts) const {
+  return totalTokens(parts) - uncachedTokens(key, parts);
+}
+
 std::uint32_t PrefillModel::begin(TimePoint now, const AdapterKey &key,
                                   const std::vector<PromptPart> &parts) {
   const std::uint32_t tokens = uncachedTokens(key, parts);
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.h
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.h
@@ -40,6 +40,9 @@
   /// \returns the number of tokens in \p parts that aren't cached for \p key.
   std::uint32_t uncachedTokens(const AdapterKey &key,
                                const std::vector<PromptPart> &parts) const;
+  /// \returns the number of tokens in \p parts that are cached for \p key.
+  std::uint32_t cachedTokens(const AdapterKey &key,
+                             const std::vector<PromptPart> &parts) const;
   /// \returns the prefill time of \p parts for \p key.
   Duration prefillTime(const AdapterKey &key,
                        const std::vector<PromptPart> &parts) const {
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -46,6 +46,8 @@
   Duration Wait = Duration::zero();
   /// The host has the adapter, or is loading it.
   bool HoldsAdapter = false;
+  /// Prompt tokens that its engine has cached for this request.
+  std::uint32_t CachedTokens = 0;
 };
 
 /// \class RouteQuery
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -90,6 +90,14 @@
   PIMENTOFRONT_FIELDS(PromptPart, Id, Tokens)
 };
 
+/// \returns the number of tokens in all of \p parts.
+constexpr std::uint32_t totalTokens(const std::vector<PromptPart> &parts) {
+  std::uint32_t sum = 0;
+  for (const PromptPart &it : parts)
+    sum += it.Tokens;
+  return sum;
+}
+
 /// Remaining time to the first event of a request that has no target for it.
 constexpr Duration NoTarget = Duration::max();
 
@@ -162,7 +170,11 @@
   /// is void: requests that were permitted over a period must not be sent all
   /// at once.
   Duration SendInterval = Duration::zero();
-  PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load, Limit, SendInterval)
+  /// Prompt tokens that the engine has to read, since it doesn't have them
+  /// cached.
+  std::uint32_t UncachedTokens = 0;
+  PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load, Limit, SendInterval,
+                      UncachedTokens)
 };
 
 /// The outcome of an attempt that had a permit.
@@ -237,8 +249,10 @@
   AgentLoad Load;
   /// The adapter is loaded or being loaded.
   bool HoldsAdapter = false;
+  /// Prompt tokens that the engine has cached for this request.
+  std::uint32_t CachedTokens = 0;
   PIMENTOFRONT_FIELDS(AttemptRefused, Attempt, Reason, RetryAfter, Load,
-                      HoldsAdapter)
+                      HoldsAdapter, CachedTokens)
 };
 
 /// Agent to entry: a part of the answer.
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -153,7 +153,8 @@
                              .Server = HostName("i-1"),
                              .Version = 4,
                              .Priority = 12,
-                             .LastEventId = 3});
+                             .LastEventId = 3,
+                             .FetchFrom = "10.0.0.4:80"});
   CHECK(sent.Target == "/a/x?y");
   CHECK(sent.Headers == HttpHeaders{{"Host", "h"},
                                     {"Pimentofront-Attempt-Id", "1"},
@@ -162,6 +163,7 @@
                                     {"Pimentofront-Expect-Instance", "i-1"},
                                     {"Pimentofront-Expect-Version", "4"},
                                     {"Pimentofront-Request-Priority", "9"},
+                                    {"Kv-Fetch", "10.0.0.4:80"},
                                     {"Last-Event-Id", "3"}});
 }
 
