Read no long prompt beside streams while an engine's host is slow

Cause: pauses over the allowed ones come in stretches of some 0.6 s in which an engine's steps take 2.5 times as long, whatever number of prompts is unread. Engines state it in the heads of their answers, which nothing read.

Change: EngineSlowness keeps the statement and how long slow periods last; ReadingPause holds back, or sends elsewhere, a prompt whose reading would take longer than the shortest pause that a running stream allows. The agent asks the health path each 0.2 s while requests run at an engine that states it.

--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -127,6 +127,7 @@
     gauges.EngineRunning = board.runningOnEngine();
     gauges.EngineWaiting = static_cast<double>(board.WaitingCount);
     gauges.BatchCapacity = board.Options.BatchCapacity;
+    gauges.EngineSlowness = board.Slowness.factor(now);
     gauges.EngineRateLimit = board.Pacer.limit(now).perSecond();
   }
   if (Nodes.Forward) {
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -142,10 +142,14 @@
   }
   Agent = std::make_unique<AgentNode>(now, agent, Eviction, *Gate, *driver,
                                       *Network);
-  if (Orders)
+  if (Orders) {
     Orders->setNode(*Agent);
-  else
+    Slowness = std::make_unique<SlownessProbe>(
+        Loop, *Client, Headers, *HostPort::parse(Options.EngineAddress),
+        *Agent);
+  } else {
     Driver->setNode(*Agent);
+  }
 }
 
 void Daemon::createEntry(TimePoint now) {
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -8,6 +8,7 @@
 #include "ForwardIo.h"
 #include "ManifestReader.h"
 #include "RequestHeaders.h"
+#include "SlownessProbe.h"
 
 namespace pimentofront {
 
@@ -99,6 +100,7 @@
   std::unique_ptr<EntryNode> Entry;
   std::unique_ptr<ForwardNode> Forward;
   std::unique_ptr<AgentNode> Agent;
+  std::unique_ptr<SlownessProbe> Slowness;
   std::unique_ptr<ReplicaNode> Replica;
 
   std::vector<std::unique_ptr<Timer>> Timers;
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -161,6 +161,7 @@
   put("engine_running", gauges.EngineRunning);
   put("engine_waiting", gauges.EngineWaiting);
   put("batch_capacity", gauges.BatchCapacity);
+  put("engine_slowness", gauges.EngineSlowness);
   put("engine_rate_limit", gauges.EngineRateLimit);
   put("limited_servers", gauges.LimitedServers);
   put("resting_servers", gauges.BackingOffServers);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -17,6 +17,8 @@
   double EngineRunning = 0;
   double EngineWaiting = 0;
   double BatchCapacity = 0;
+  /// Factor on the time that the engine's work takes, as its host states it.
+  double EngineSlowness = 1;
   /// Requests per second that the engine accepts from all entries together; 0
   /// if it is not limited.
   double EngineRateLimit = 0;
--- /dev/null
+++ b/packages/daemon/src/SlownessProbe.cpp
@@ -0,0 +1,42 @@
+#include "SlownessProbe.h"
+
+namespace pimentofront {
+namespace {
+
+/// Slow periods last some hundred milliseconds.
+constexpr Duration Period = std::chrono::milliseconds(200);
+constexpr Duration ConnectionTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+SlownessProbe::SlownessProbe(EventLoop &loop, HttpClient &client,
+                             const HeaderCodec &codec, const HostPort &engine,
+                             AgentNode &node)
+    : Loop(loop), Client(client), Codec(codec), Engine(engine), Node(node),
+      Ticker(loop.every(Period, [this] { ask(); })) {}
+
+void SlownessProbe::ask() {
+  const AgentController &agent = Node.controller();
+  const std::string &path = Node.profile().HealthPath;
+  if (InProgress || path.empty() || agent.idle() ||
+      !agent.board().Slowness.isStated())
+    return;
+  InProgress = true;
+  Client.start({.Address = Engine,
+                .Method = "GET",
+                .Path = path,
+                .Timeout = ConnectionTimeout,
+                .OnEnd = [this](const HttpResponse &answer) {
+                  InProgress = false;
+                  if (answer.Ending != HttpEnding::Complete)
+                    return;
+                  const AnswerTraits traits = Codec.decodeAnswer(
+                      {.Status = answer.Status, .Headers = answer.Headers});
+                  if (traits.Load)
+                    Node.controller().onSlowness(Loop.now(),
+                                                 traits.Load->Slowness);
+                  Node.flush(Loop.now());
+                }});
+}
+
+} // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -39,8 +39,10 @@
   const bool declined = traits.NotRun || head.Status == StatusMisdirected;
   if (!traits.Id.empty() && traits.Id != request->Traits.Id)
     return HeadDecision::Skip;
-  if (traits.Load)
+  if (traits.Load) {
     Board.Servers.recordLoad(now, request->Attempt->Server, *traits.Load);
+    request->Attempt->Slowness = traits.Load->Slowness;
+  }
   if (!traits.Id.empty())
     Attempts.recordFeedback(now, *request, traits.Feedback);
   if (declined) {
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -539,7 +539,8 @@
 void AttemptController::notifyBegan(const ForwardRequest &request) {
   const ForwardAttempt &attempt = *request.Attempt;
   notifyAgent(attempt.Agent,
-              AttemptBegan{attempt.Id, *attempt.FirstEventAt - attempt.SentAt});
+              AttemptBegan{attempt.Id, *attempt.FirstEventAt - attempt.SentAt,
+                           attempt.Slowness});
 }
 
 void AttemptController::endAttempt(TimePoint now, ForwardRequest &request,
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -184,6 +184,9 @@
   bool Sent = false;
   TimePoint SentAt;
   std::optional<TimePoint> FirstEventAt;
+  /// How long work takes on the server's host, in percent of the usual time, as
+  /// the head of the answer states it; 0 if it doesn't.
+  std::uint32_t Slowness = 0;
   /// When the server last sent a part of the answer's body.
   TimePoint LastReceivedAt;
   /// When its host was suspected to be gone: its agent exited or stopped
--- a/packages/net/pimentofront/src/Net/HttpClient.cpp
+++ b/packages/net/pimentofront/src/Net/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 #include <map>
 #include <unordered_map>
 
@@ -135,9 +136,18 @@
     }
     HttpResponse answer{.Ending = HttpEnding::Complete, .Status = status};
     answer.Body = std::move(call->ErrorBody) + takeBody(req);
+    answer.Headers = headersOf(req);
     self.finish(call->Id, answer, !closesConnection(req));
   }
 
+  static HttpHeaders headersOf(evhttp_request *req) {
+    HttpHeaders result;
+    const evkeyvalq *headers = evhttp_request_get_input_headers(req);
+    for (const evkeyval *it = headers->tqh_first; it; it = it->next.tqe_next)
+      result.push_back({it->key, it->value});
+    return result;
+  }
+
   static std::string takeBody(evhttp_request *req) {
     evbuffer *buf = evhttp_request_get_input_buffer(req);
     std::string bytes(evbuffer_get_length(buf), '\0');
--- a/packages/net/pimentofront/src/Net/HttpClient.h
+++ b/packages/net/pimentofront/src/Net/HttpClient.h
@@ -25,6 +25,7 @@
   int Status = 0;
   /// Without the parts that were passed to HttpCall::OnPiece.
   std::string Body;
+  std::vector<HttpHeader> Headers;
 };
 
 /// \class HttpCall
--- a/packages/node/pimentofront/src/Node/AgentNode.h
+++ b/packages/node/pimentofront/src/Node/AgentNode.h
@@ -65,6 +65,8 @@
   /// Deregisters this process from the leader, because it exits.
   void sendLeaveMessage(TimePoint now);
   /// Sets the callback for a new engine profile from the routing document.
+  /// \returns what the routing document specifies for the engine.
+  const EngineProfile &profile() const { return Profile; }
   using ProfileCallback = std::function<void(const EngineProfile &)>;
   void onProfile(ProfileCallback action) { ProfileAction = std::move(action); }
   /// \returns the fencing token for orders; 0 before the leader has issued one.
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -239,14 +239,15 @@
   if (!service || !service->Engine || service->Engine->Models.empty())
     return;
   const EngineSpec &engine = *service->Engine;
-  Agents.send(
-      now, {host, address,
-            EngineProfile{.At = board.Table->revision(),
-                          .BaseModel = engine.Models.front().Name,
-                          .AdapterSlots = engine.AdapterSlots,
-                          .BatchCapacity = engine.BatchCapacity,
-                          .CacheTokens = engine.CacheTokens,
-                          .Cold = service->coldStartFor(service->ColdTime)}});
+  Agents.send(now,
+              {host, address,
+               EngineProfile{.At = board.Table->revision(),
+                             .BaseModel = engine.Models.front().Name,
+                             .AdapterSlots = engine.AdapterSlots,
+                             .BatchCapacity = engine.BatchCapacity,
+                             .CacheTokens = engine.CacheTokens,
+                             .Cold = service->coldStartFor(service->ColdTime),
+                             .HealthPath = service->HealthPath}});
 }
 
 void ForwardNode::sendToAgent(TimePoint now, const SendToAgent &message) {
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -71,6 +71,7 @@
           .LoadWait = loadBacklog(now),
           .VictimValue = static_cast<std::uint32_t>(victim * Thousand),
           .PrefillWait = Board.Prefill.wait(now) + engineDelay(now) +
+                         Board.Slowness.expectedRest(now) +
                          Board.Pacer.wait(now, Board.WaitingCount)};
 }
 
@@ -173,10 +174,13 @@
   const Duration releaseWait = ready || loading
                                    ? queueWait(now)
                                    : std::max(queueWait(now), slotWait(key));
+  const Duration reading =
+      Board.Prefill.wait(now) + Board.Prefill.prefillTime(key, request.Parts);
   return releaseWait +
          (ready ? Duration::zero() : Board.LoadTimes.expected(key)) +
-         Board.Prefill.wait(now) +
-         Board.Prefill.prefillTime(key, request.Parts) + engineDelay(now);
+         ReadingPause(Board).expectedWait(now, request) +
+         fromSeconds(toSeconds(reading) * Board.Slowness.factor(now)) +
+         engineDelay(now);
 }
 
 Duration AdmissionController::engineDelay(TimePoint now) const {
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_SERVING_AGENT_BOARD_H
 #define PIMENTOFRONT_SERVING_AGENT_BOARD_H
 
+#include "EngineSlowness.h"
 #include "EvictionPolicy.h"
 #include "LoadTimeModel.h"
 #include "PrefillModel.h"
@@ -119,6 +120,9 @@
   std::uint32_t PromptTokens = 0;
   /// The engine had no other prompt to process when this attempt started.
   bool PrefilledAlone = false;
+  /// Longest time between two events for which the stream is on time; zero if
+  /// it has no such limit.
+  Duration PauseTarget = Duration::zero();
 };
 
 /// \class LoadBackoff
@@ -181,6 +185,7 @@
   std::uint32_t BatchCapacity;
   PopularityTable Popularity;
   PrefillModel Prefill;
+  EngineSlowness Slowness;
   Random Jitter;
 
   /// Admitted attempts that are not running, by adapter, in order of arrival.
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -100,6 +100,7 @@
   if (it == Board.Running.end() || it->second.BegunAt)
     return;
   it->second.BegunAt = now;
+  onSlowness(now, message.Slowness);
   if (it->second.PrefilledAlone)
     Board.Prefill.learn(it->second.PromptTokens, message.FirstEvent);
 }
@@ -147,6 +148,13 @@
   decide(now);
 }
 
+void AgentController::onSlowness(TimePoint now, std::uint32_t percent) {
+  const bool wasSlow = Board.Slowness.isSlow(now);
+  Board.Slowness.record(now, percent);
+  if (wasSlow && !Board.Slowness.isSlow(now))
+    decide(now);
+}
+
 void AgentController::recordServiceTime(Duration took) {
   constexpr int SmoothingShare = 16;
   Board.ServiceTime += (took - Board.ServiceTime) / SmoothingShare;
@@ -243,6 +251,7 @@
   Board.EngineReady = false;
   Board.Pacer.reset();
   Board.Prefill.clear(now);
+  Board.Slowness.clear();
   Board.LoadTimes.clear();
   abortRunning(now, /*services=*/false);
   for (const Slot &it : std::vector<Slot>(Board.Slots.all()))
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -54,6 +54,9 @@
   void onProcessChanged() { Board.Pacer.reset(); }
   /// An entry reports the engine's rate limit as an answer named it.
   void onRateLimitReport(TimePoint now, const RateLimitReport &message);
+  /// The engine states that work takes \p percent of the usual time; 0 if it
+  /// doesn't state it.
+  void onSlowness(TimePoint now, std::uint32_t percent);
   /// The configuration names the engine's number of adapter slots, its batch
   /// capacity, its cache size and its cold start.
   void onProfile(TimePoint now, const EngineProfile &profile);
--- a/packages/serving/pimentofront/src/Serving/DispatchController.h
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.h
@@ -24,7 +24,7 @@
     const WaitingAttempt *Attempt = nullptr;
     double Pass = 0;
   };
-  std::optional<Candidate> choose() const;
+  std::optional<Candidate> choose(TimePoint now) const;
   /// \returns whether an idle engine should wait for more requests to batch.
   bool waitsForBatch(TimePoint now) const;
   bool precedes(const Candidate &a, const Candidate &b) const;
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -205,7 +205,10 @@
   AttemptId Attempt;
   /// From sending the request to the first event.
   Duration FirstEvent = Duration::zero();
-  PIMENTOFRONT_FIELDS(AttemptBegan, Attempt, FirstEvent)
+  /// How long work takes on the engine's host, in percent of the usual time, as
+  /// the answer states it; 0 if it doesn't.
+  std::uint32_t Slowness = 0;
+  PIMENTOFRONT_FIELDS(AttemptBegan, Attempt, FirstEvent, Slowness)
 };
 
 /// \class EngineProfile
@@ -222,8 +225,10 @@
   std::uint64_t CacheTokens = 0;
   /// Cold start that applies from the start of the engine on.
   ColdStart Cold;
+  /// Path at which the engine answers health checks at once.
+  std::string HealthPath;
   PIMENTOFRONT_FIELDS(EngineProfile, At, BaseModel, AdapterSlots, BatchCapacity,
-                      CacheTokens, Cold)
+                      CacheTokens, Cold, HealthPath)
 };
 
 /// Entry to agent: the answer is no longer needed.
