--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -2,8 +2,10 @@
 #define PIMENTOFRONT_SERVING_AGENT_BOARD_H
 
 #include "EvictionPolicy.h"
+#include "FirstEventModel.h"
 #include "LoadTimeModel.h"
 #include "PrefillModel.h"
+#include "ReadingGate.h"
 #include "RequestPacer.h"
 
 #include <deque>
@@ -88,6 +90,8 @@
   /// Time that it waited for its adapter; set when the adapter is loaded.
   Duration LoadStall = Duration::zero();
   bool NeededLoad = false;
+  /// Prompt tokens that the engine would have had to read when it arrived.
+  std::uint32_t UnreadTokens = 0;
 };
 
 /// \returns the time until which \p attempt may wait for its adapter, which is
@@ -115,10 +119,6 @@
   std::optional<TimePoint> BegunAt;
   std::uint64_t Tokens = 0;
   Duration LoadStall = Duration::zero();
-  /// Prompt tokens that the engine had to process because they were not cached.
-  std::uint32_t PromptTokens = 0;
-  /// The engine had no other prompt to process when this attempt started.
-  bool PrefilledAlone = false;
 };
 
 /// \class LoadBackoff
@@ -179,6 +179,8 @@
   std::uint32_t BatchCapacity;
   PopularityTable Popularity;
   PrefillModel Prefill;
+  FirstEventModel FirstEvents;
+  ReadingGate Reading;
   Random Jitter;
 
   /// Admitted attempts that are not running, by adapter, in order of arrival.
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -71,6 +71,7 @@
     --Board.RunningServices;
   else
     Board.Slots.unpin(now, running.Key);
+  Board.FirstEvents.onEnded(now, attempt);
   Board.Running.erase(attempt);
 }
 
@@ -100,8 +101,8 @@
   if (it == Board.Running.end() || it->second.BegunAt)
     return;
   it->second.BegunAt = now;
-  if (it->second.PrefilledAlone)
-    Board.Prefill.learn(it->second.PromptTokens, message.FirstEvent);
+  Board.FirstEvents.onBegan(now, message.Attempt, message.FirstEvent);
+  decide(now);
 }
 
 void AgentController::onRateLimitReport(TimePoint now,
@@ -141,8 +142,8 @@
   const RunningAttempt running = it->second;
   if (message.Kind == ReleaseKind::Answered)
     recordServiceTime(now - running.StartedAt);
-  if (running.PrefilledAlone && !running.BegunAt)
-    Board.Prefill.learn(running.PromptTokens, message.FirstEvent);
+  if (!running.BegunAt && message.FirstEvent > Duration::zero())
+    Board.FirstEvents.onBegan(now, message.Attempt, message.FirstEvent);
   endAttempt(now, message.Attempt, running);
   decide(now);
 }
@@ -242,7 +243,8 @@
     return;
   Board.EngineReady = false;
   Board.Pacer.reset();
-  Board.Prefill.clear(now);
+  Board.Prefill.clear();
+  Board.FirstEvents.clear(now);
   Board.LoadTimes.clear();
   abortRunning(now, /*services=*/false);
   for (const Slot &it : std::vector<Slot>(Board.Slots.all()))
