--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -223,6 +223,18 @@
 
   std::vector<AgentCommand> Commands;
 
+  /// \returns the number of requests that would be handed to the engine now if
+  /// it had fewer prompts to read.
+  std::size_t heldByReading(TimePoint now) const {
+    std::size_t held = 0;
+    for (const auto &[key, queue] : Waiting)
+      for (const WaitingAttempt &it : queue)
+        if (Slots.isReady(key) &&
+            !Reading.isOpen(now, FirstEvents, it.Request.Demand.Urgency))
+          ++held;
+    return held;
+  }
+
   std::uint32_t runningOnEngine() const {
     return static_cast<std::uint32_t>(Running.size()) - RunningServices;
   }
