--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -311,7 +311,9 @@
     const RefusalReason reason =
         ready ? RefusalReason::QueueFull : RefusalReason::LoadBacklog;
     std::erase_if(queue, [&](const WaitingAttempt &attempt) {
-      if (now + load <= attempt.Deadline)
+      const Duration reading = Board.FirstEvents.expected(
+          now, attempt.Request.Demand.Urgency, attempt.UnreadTokens);
+      if (now + load + reading <= attempt.Deadline)
         return false;
       if (!reportedLoad)
         reportedLoad = currentLoad(now);
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -14,6 +14,7 @@
 std::optional<DispatchController::Candidate>
 DispatchController::choose(TimePoint now) const {
   std::optional<Candidate> best;
+  bool bestLate = false;
   for (const auto &[key, queue] : Board.Waiting) {
     if (!Board.Slots.isReady(key))
       continue;
@@ -28,8 +29,16 @@
                          .Pass = pass == Passes.end()
                                      ? CurrentPass
                                      : std::max(pass->second, CurrentPass)};
-      if (!best || precedes(it, *best))
+      const auto &due = queue[i].OnTimeUntil;
+      const bool late = due && now + Board.FirstEvents.expected(
+                                         now, queue[i].Request.Demand.Urgency,
+                                         queue[i].UnreadTokens) >
+                                   *due;
+      if (!best || late < bestLate ||
+          (late == bestLate && precedes(it, *best))) {
         best = it;
+        bestLate = late;
+      }
     }
   }
   return best;
