--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -128,11 +128,6 @@
     gauges.EngineWaiting = static_cast<double>(board.WaitingCount);
     gauges.BatchCapacity = board.Options.BatchCapacity;
     gauges.EngineRateLimit = board.Pacer.limit(now).perSecond();
-    gauges.EngineUnreadTokens =
-        static_cast<double>(board.FirstEvents.unreadTokens(now));
-    gauges.EngineHeldPrompts = static_cast<double>(board.heldByReading(now));
-    gauges.FirstEventErrorSeconds = toSeconds(board.FirstEvents.meanError());
-    gauges.EngineReadTokensPerSecond = board.FirstEvents.tokensPerSecond();
   }
   if (Nodes.Forward) {
     const ServerSet &servers = Nodes.Forward->controller().board().Servers;
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -162,10 +162,6 @@
   put("engine_waiting", gauges.EngineWaiting);
   put("batch_capacity", gauges.BatchCapacity);
   put("engine_rate_limit", gauges.EngineRateLimit);
-  put("engine_unread_tokens", gauges.EngineUnreadTokens);
-  put("engine_held_prompts", gauges.EngineHeldPrompts);
-  put("first_event_error_seconds", gauges.FirstEventErrorSeconds);
-  put("engine_read_tokens_per_second", gauges.EngineReadTokensPerSecond);
   put("limited_servers", gauges.LimitedServers);
   put("resting_servers", gauges.BackingOffServers);
   put("leaving_servers", gauges.LeavingServers);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -20,13 +20,6 @@
   /// Requests per second that the engine accepts from all entries together; 0
   /// if it is not limited.
   double EngineRateLimit = 0;
-  /// Prompt tokens that the engine has been sent and hasn't read yet.
-  double EngineUnreadTokens = 0;
-  /// Requests that wait for nothing but the reading of these.
-  double EngineHeldPrompts = 0;
-  /// Mean difference between expected and observed time to the first event.
-  double FirstEventErrorSeconds = 0;
-  double EngineReadTokensPerSecond = 0;
   /// Numbers of backend servers that limit their request rate, are backing off,
   /// are leaving or are cold, by the last reports that this entry received.
   double LimitedServers = 0;
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -21,8 +21,6 @@
 #include "src/Serving/UnansweredOrders.h"
 #include "src/Serving/EngineReport.h"
 #include "src/Serving/PrefillModel.h"
-#include "src/Serving/FirstEventModel.h"
-#include "src/Serving/ReadingGate.h"
 #include "src/Serving/LoadTimeModel.h"
 #include "src/Serving/KnownRateLimit.h"
 #include "src/Serving/RequestPacer.h"
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -8,8 +8,6 @@
 /// Reported eviction cost when there is no slot to evict.
 constexpr double MaxVictimValue = 1e6;
 
-constexpr std::uint32_t AnyUrgency = std::numeric_limits<std::uint32_t>::max();
-
 /// Adds jitter to a retry-after, so that refused callers do not return at the
 /// same time.
 Duration withJitter(Random &random, Duration d) {
@@ -72,7 +70,7 @@
           .BatchCapacity = Board.BatchCapacity,
           .LoadWait = loadBacklog(now),
           .VictimValue = static_cast<std::uint32_t>(victim * Thousand),
-          .PrefillWait = unreadWait(now) + engineDelay(now) +
+          .PrefillWait = Board.Prefill.wait(now) + engineDelay(now) +
                          Board.Pacer.wait(now, Board.WaitingCount)};
 }
 
@@ -175,30 +173,10 @@
   const Duration releaseWait = ready || loading
                                    ? queueWait(now)
                                    : std::max(queueWait(now), slotWait(key));
-  // A more urgent prompt is read before others, but then each token of its
-  // answer takes a step in which a piece of them is read.
   return releaseWait +
          (ready ? Duration::zero() : Board.LoadTimes.expected(key)) +
-         Board.FirstEvents.expected(
-             now, AnyUrgency, Board.Prefill.uncachedTokens(key, request.Parts),
-             waitingTokens(/*onlyReady=*/ready)) +
-         engineDelay(now);
-}
-
-std::uint64_t AdmissionController::waitingTokens(bool onlyReady) const {
-  std::uint64_t tokens = 0;
-  for (const auto &[key, queue] : Board.Waiting) {
-    if (onlyReady && !Board.Slots.isReady(key))
-      continue;
-    for (const WaitingAttempt &it : queue)
-      tokens += it.UnreadTokens;
-  }
-  return tokens;
-}
-
-Duration AdmissionController::unreadWait(TimePoint now) const {
-  return Board.FirstEvents.readingTime(Board.FirstEvents.unreadTokens(now) +
-                                       waitingTokens(/*onlyReady=*/false));
+         Board.Prefill.wait(now) +
+         Board.Prefill.prefillTime(key, request.Parts) + engineDelay(now);
 }
 
 Duration AdmissionController::engineDelay(TimePoint now) const {
@@ -276,9 +254,7 @@
                            .Entry = entry,
                            .ArrivedAt = now,
                            .Deadline = deadline,
-                           .NeededLoad = !ready,
-                           .UnreadTokens = Board.Prefill.uncachedTokens(
-                               request.Key, request.Parts)};
+                           .NeededLoad = !ready};
     if (request.FirstEventDue != NoTarget)
       attempt.OnTimeUntil = now + request.FirstEventDue;
     Board.Waiting[request.Key].push_back(std::move(attempt));
@@ -311,9 +287,7 @@
     const RefusalReason reason =
         ready ? RefusalReason::QueueFull : RefusalReason::LoadBacklog;
     std::erase_if(queue, [&](const WaitingAttempt &attempt) {
-      const Duration reading = Board.FirstEvents.expected(
-          now, attempt.Request.Demand.Urgency, attempt.UnreadTokens);
-      if (now + load + reading <= attempt.Deadline)
+      if (now + load <= attempt.Deadline)
         return false;
       if (!reportedLoad)
         reportedLoad = currentLoad(now);
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -62,11 +62,6 @@
   /// prompt.
   Duration expectedFirstEvent(TimePoint now,
                               const ExecuteRequest &request) const;
-  /// \returns the prompt tokens of waiting requests.
-  /// \param onlyReady of those whose adapter is resident only.
-  std::uint64_t waitingTokens(bool onlyReady) const;
-  /// \returns the time to read all prompts that were sent or wait.
-  Duration unreadWait(TimePoint now) const;
   /// \returns the delay of the engine, the maximum over all delegated requests
   /// whose first event hasn't been reported: the time by which that event is
   /// overdue. The time after the last message of a request's entry isn't
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -2,10 +2,8 @@
 #define PIMENTOFRONT_SERVING_AGENT_BOARD_H
 
 #include "EvictionPolicy.h"
-#include "FirstEventModel.h"
 #include "LoadTimeModel.h"
 #include "PrefillModel.h"
-#include "ReadingGate.h"
 #include "RequestPacer.h"
 
 #include <deque>
@@ -90,8 +88,6 @@
   /// Time that it waited for its adapter; set when the adapter is loaded.
   Duration LoadStall = Duration::zero();
   bool NeededLoad = false;
-  /// Prompt tokens that the engine would have had to read when it arrived.
-  std::uint32_t UnreadTokens = 0;
 };
 
 /// \returns the time until which \p attempt may wait for its adapter, which is
@@ -119,6 +115,10 @@
   std::optional<TimePoint> BegunAt;
   std::uint64_t Tokens = 0;
   Duration LoadStall = Duration::zero();
+  /// Prompt tokens that the engine had to process because they were not cached.
+  std::uint32_t PromptTokens = 0;
+  /// The engine had no other prompt to process when this attempt started.
+  bool PrefilledAlone = false;
 };
 
 /// \class LoadBackoff
@@ -179,8 +179,6 @@
   std::uint32_t BatchCapacity;
   PopularityTable Popularity;
   PrefillModel Prefill;
-  FirstEventModel FirstEvents;
-  ReadingGate Reading;
   Random Jitter;
 
   /// Admitted attempts that are not running, by adapter, in order of arrival.
@@ -223,18 +221,6 @@
 
   std::vector<AgentCommand> Commands;
 
-  /// \returns the number of requests that would be handed to the engine now if
-  /// it had fewer prompts to read.
-  std::size_t heldByReading(TimePoint now) const {
-    std::size_t held = 0;
-    for (const auto &[key, queue] : Waiting)
-      for (const WaitingAttempt &it : queue)
-        if (Slots.isReady(key) &&
-            !Reading.isOpen(now, FirstEvents, it.Request.Demand.Urgency))
-          ++held;
-    return held;
-  }
-
   std::uint32_t runningOnEngine() const {
     return static_cast<std::uint32_t>(Running.size()) - RunningServices;
   }
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -71,7 +71,6 @@
     --Board.RunningServices;
   else
     Board.Slots.unpin(now, running.Key);
-  Board.FirstEvents.onEnded(now, attempt);
   Board.Running.erase(attempt);
 }
 
@@ -101,8 +100,8 @@
   if (it == Board.Running.end() || it->second.BegunAt)
     return;
   it->second.BegunAt = now;
-  Board.FirstEvents.onBegan(now, message.Attempt, message.FirstEvent);
-  decide(now);
+  if (it->second.PrefilledAlone)
+    Board.Prefill.learn(it->second.PromptTokens, message.FirstEvent);
 }
 
 void AgentController::onRateLimitReport(TimePoint now,
@@ -142,8 +141,8 @@
   const RunningAttempt running = it->second;
   if (message.Kind == ReleaseKind::Answered)
     recordServiceTime(now - running.StartedAt);
-  if (!running.BegunAt && message.FirstEvent > Duration::zero())
-    Board.FirstEvents.onBegan(now, message.Attempt, message.FirstEvent);
+  if (running.PrefilledAlone && !running.BegunAt)
+    Board.Prefill.learn(running.PromptTokens, message.FirstEvent);
   endAttempt(now, message.Attempt, running);
   decide(now);
 }
@@ -243,8 +242,7 @@
     return;
   Board.EngineReady = false;
   Board.Pacer.reset();
-  Board.Prefill.clear();
-  Board.FirstEvents.clear(now);
+  Board.Prefill.clear(now);
   Board.LoadTimes.clear();
   abortRunning(now, /*services=*/false);
   for (const Slot &it : std::vector<Slot>(Board.Slots.all()))
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -12,16 +12,12 @@
 }
 
 std::optional<DispatchController::Candidate>
-DispatchController::choose(TimePoint now) const {
+DispatchController::choose() const {
   std::optional<Candidate> best;
-  bool bestLate = false;
   for (const auto &[key, queue] : Board.Waiting) {
     if (!Board.Slots.isReady(key))
       continue;
     for (std::size_t i = 0; i < queue.size(); ++i) {
-      if (!Board.Reading.isOpen(now, Board.FirstEvents,
-                                queue[i].Request.Demand.Urgency))
-        continue;
       const auto pass = Passes.find(queue[i].Request.Kind);
       const Candidate it{.Key = key,
                          .Position = i,
@@ -29,16 +25,8 @@
                          .Pass = pass == Passes.end()
                                      ? CurrentPass
                                      : std::max(pass->second, CurrentPass)};
-      const auto &due = queue[i].OnTimeUntil;
-      const bool late = due && now + Board.FirstEvents.expected(
-                                         now, queue[i].Request.Demand.Urgency,
-                                         queue[i].UnreadTokens) >
-                                   *due;
-      if (!best || late < bestLate ||
-          (late == bestLate && precedes(it, *best))) {
+      if (!best || precedes(it, *best))
         best = it;
-        bestLate = late;
-      }
     }
   }
   return best;
@@ -67,7 +55,7 @@
   if (!Board.EngineReady || waitsForBatch(now))
     return;
   while (Board.runningOnEngine() < Board.BatchCapacity) {
-    const std::optional<Candidate> next = choose(now);
+    const std::optional<Candidate> next = choose();
     if (!next || !Board.Pacer.take(now))
       return;
     start(now, *next);
@@ -84,19 +72,22 @@
     Board.Waiting.erase(candidate.Key);
   --Board.WaitingCount;
   Board.Slots.pin(now, candidate.Key);
+  const bool alone = Board.Prefill.wait(now) == Duration::zero();
+  const Duration prefillTime =
+      Board.Prefill.wait(now) +
+      Board.Prefill.prefillTime(candidate.Key, attempt.Request.Parts);
   const std::uint32_t tokens =
-      Board.Prefill.begin(candidate.Key, attempt.Request.Parts);
-  const std::uint32_t urgency = attempt.Request.Demand.Urgency;
-  const Duration firstEvent = Board.FirstEvents.expected(now, urgency, tokens);
-  Board.FirstEvents.onSent(now, attempt.Request.Attempt, urgency, tokens);
+      Board.Prefill.begin(now, candidate.Key, attempt.Request.Parts);
   Board.Running.emplace(attempt.Request.Attempt,
                         RunningAttempt{.Entry = attempt.Entry,
                                        .Key = candidate.Key,
                                        .Delegated = attempt.Request.Delegated,
                                        .StartedAt = now,
                                        .Deadline = attempt.Deadline,
-                                       .ExpectedAt = now + firstEvent,
-                                       .LoadStall = attempt.LoadStall});
+                                       .ExpectedAt = now + prefillTime,
+                                       .LoadStall = attempt.LoadStall,
+                                       .PromptTokens = tokens,
+                                       .PrefilledAlone = alone});
   CurrentPass = candidate.Pass;
   const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
   Passes[attempt.Request.Kind] = candidate.Pass + 1.0 / weight;
--- a/packages/serving/pimentofront/src/Serving/DispatchController.h
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.h
@@ -24,9 +24,7 @@
     const WaitingAttempt *Attempt = nullptr;
     double Pass = 0;
   };
-  /// \returns the request to start next, of those that the reading gate lets
-  /// pass.
-  std::optional<Candidate> choose(TimePoint now) const;
+  std::optional<Candidate> choose() const;
   /// \returns whether an idle engine should wait for more requests to batch.
   bool waitsForBatch(TimePoint now) const;
   bool precedes(const Candidate &a, const Candidate &b) const;
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
@@ -32,9 +32,10 @@
   return tokens;
 }
 
-std::uint32_t PrefillModel::begin(const AdapterKey &key,
+std::uint32_t PrefillModel::begin(TimePoint now, const AdapterKey &key,
                                   const std::vector<PromptPart> &parts) {
   const std::uint32_t tokens = uncachedTokens(key, parts);
+  BusyUntil = std::max(BusyUntil, now) + fromSeconds(tokens / Rate);
   std::uint64_t chain = initialChainHash(key);
   for (const PromptPart &it : parts) {
     chain = chainHash(chain, it);
@@ -59,13 +60,25 @@
   }
 }
 
+void PrefillModel::learn(std::uint32_t tokens, Duration took) {
+  if (tokens < Options.MinMeasuredTokens || took <= Duration::zero())
+    return;
+  // Bounds the influence of one measurement, which other work of the engine may
+  // distort.
+  constexpr double MaxChange = 4;
+  const double measured =
+      std::clamp(tokens / toSeconds(took), Rate / MaxChange, Rate * MaxChange);
+  Rate += Options.LearningRate * (measured - Rate);
+}
+
 void PrefillModel::setCacheTokens(std::uint64_t tokens) {
   if (tokens > 0)
     Options.CacheTokens = tokens;
   shrink();
 }
 
-void PrefillModel::clear() {
+void PrefillModel::clear(TimePoint now) {
+  BusyUntil = now;
   Cached.clear();
   ByChain.clear();
   CachedTokens = 0;
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.h
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.h
@@ -13,12 +13,19 @@
 struct PrefillOptions {
   /// Prompt tokens that the engine caches, until its profile is known.
   std::uint64_t CacheTokens = 200'000;
+  /// Prefill speed in prompt tokens per second, until it has been measured.
+  double TokensPerSecond = 40'000;
+  /// Weight of the newest measurement in the moving average.
+  double LearningRate = 0.1;
+  /// Minimum number of prompt tokens for a measurement: the time of shorter
+  /// prompts is mostly other work.
+  std::uint32_t MinMeasuredTokens = 1000;
 };
 
 /// \class PrefillModel
 /// \ingroup Serving
-/// \brief Estimates which prompt parts an engine has cached, from what the
-/// agent beside it knows.
+/// \brief Estimates which prompt parts an engine has cached and how long its
+/// prefill queue is, from what the agent beside it knows.
 ///
 /// Prefill is the largest part of a request's work. A part needs none if it is
 /// cached for the same adapter together with all parts before it. The model
@@ -28,18 +35,31 @@
 class PrefillModel {
 public:
   explicit PrefillModel(const PrefillOptions &options = {})
-      : Options(options) {}
+      : Options(options), Rate(options.TokensPerSecond) {}
 
   /// \returns the number of tokens in \p parts that aren't cached for \p key.
   std::uint32_t uncachedTokens(const AdapterKey &key,
                                const std::vector<PromptPart> &parts) const;
+  /// \returns the prefill time of \p parts for \p key.
+  Duration prefillTime(const AdapterKey &key,
+                       const std::vector<PromptPart> &parts) const {
+    return fromSeconds(uncachedTokens(key, parts) / Rate);
+  }
+  /// \returns the time until the engine has prefilled all prompts sent to it.
+  Duration wait(TimePoint now) const {
+    return std::max(BusyUntil - now, Duration::zero());
+  }
   /// Records that a prompt was sent to the engine.
   /// \returns the number of tokens that the engine has to prefill.
-  std::uint32_t begin(const AdapterKey &key,
+  std::uint32_t begin(TimePoint now, const AdapterKey &key,
                       const std::vector<PromptPart> &parts);
+  /// Updates the prefill speed: \p tokens took \p took on an engine without
+  /// other prompts.
+  void learn(std::uint32_t tokens, Duration took);
   void setCacheTokens(std::uint64_t tokens);
   /// Empties the cache model after a restart of the engine.
-  void clear();
+  void clear(TimePoint now);
+  double tokensPerSecond() const { return Rate; }
 
 private:
   struct Part {
@@ -49,6 +69,8 @@
   void shrink();
 
   PrefillOptions Options;
+  double Rate;
+  TimePoint BusyUntil;
   /// Most recently used first.
   std::list<Part> Cached;
   std::unordered_map<std::uint64_t, std::list<Part>::iterator> ByChain;
