Subscribe again when a follower's copy of the members stays behind

Cause: a follower subscribes to the leader's members on one link. Two replicas may have two links, since each opens one. When one of them falls silent, the side that waits for a reply on it closes it; a leader then drops the subscription with the link, while the follower, which sent its requests on the other link, keeps it open and believes itself subscribed.

Ruled out: that a leader that begins again in its term uses sequence numbers twice. ReplicaNode begins a term once, and a test shows that members and sequence stay.

Change: the leader names the version of its table with each read index. A follower whose copy hasn't reached such a version after 0.8 s subscribes again, on the link that carries the log now.

--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -14,6 +14,10 @@
 /// within this time.
 constexpr Duration ReadTimeout = std::chrono::milliseconds(500);
 
+/// Time within which a change of the leader's members reaches its followers: a
+/// few push periods and the delay of a slow link.
+constexpr Duration MemberDelay = std::chrono::milliseconds(800);
+
 /// Number of election timeouts after which a link between replicas is closed if
 /// nothing has arrived on it since a request. Two replicas that kept such a
 /// dead link could not elect a leader while it lasted.
@@ -136,7 +140,7 @@
   else if (const auto *read = std::get_if<ReadIndexRequest>(&message))
     onReadIndex(now, link, *read);
   else if (const auto *reply = std::get_if<ReadIndexReply>(&message))
-    onReadIndexReply(*reply);
+    onReadIndexReply(now, *reply);
   else if (const auto *update = std::get_if<MemberUpdate>(&message)) {
     const auto sender = ReplicaOfLink.find(link);
     const bool current = sender != ReplicaOfLink.end() &&
@@ -419,9 +423,23 @@
   return sum;
 }
 
-void ReplicaNode::onReadIndexReply(const ReadIndexReply &message) {
+/// The leader drops a subscription when it closes the link, and this follower
+/// may not see the link close, while messages of the log arrive on another one.
+void ReplicaNode::checkMembers(TimePoint now, const MemberVersion &leaders) {
+  if (Members.version() >= AwaitedMembers) {
+    AwaitedMembers = leaders;
+    AwaitedSince = now;
+  } else if (now >= AwaitedSince + MemberDelay) {
+    SubscribedLeader = 0;
+    AwaitedSince = now;
+  }
+}
+
+void ReplicaNode::onReadIndexReply(TimePoint now,
+                                   const ReadIndexReply &message) {
   if (message.Nonce == ReadRound)
     ReadInFlight = false;
+  checkMembers(now, message.Members);
   Reads.push_back(
       {message.Nonce, message.Index, message.Members, message.Subscribers});
   answerProbes();
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -132,7 +132,10 @@
   void onPropose(TimePoint now, LinkId link, const Propose &message);
   void onProbe(TimePoint now, LinkId link, const ProbeRevision &message);
   void onReadIndex(TimePoint now, LinkId link, const ReadIndexRequest &message);
-  void onReadIndexReply(const ReadIndexReply &message);
+  void onReadIndexReply(TimePoint now, const ReadIndexReply &message);
+  /// Subscribes to the leader again if its updates don't arrive: \p leaders is
+  /// the version of its table.
+  void checkMembers(TimePoint now, const MemberVersion &leaders);
   void onAdmin(TimePoint now, LinkId link, const AdminRequest &message);
   void answerLease(TimePoint now, LinkId link, const HostName &host,
                    bool known);
@@ -197,6 +200,10 @@
   /// term in which it subscribed.
   ReplicaId SubscribedLeader = 0;
   Term SubscribedTerm = 0;
+  /// A version that the leader's table had at AwaitedSince. This follower's
+  /// copy reaches it soon if its subscription works.
+  MemberVersion AwaitedMembers;
+  TimePoint AwaitedSince;
   Term LedTerm = 0;
   /// Number of fencing tokens issued in this term.
   std::uint64_t FencesIssued = 0;
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -176,3 +176,152 @@
     node.tick(now += 10ms);
   CHECK(transport.Opened.back() == "2");
 }
+
+namespace {
+
+/// Records the links on which the node subscribes to members.
+class SubscriptionTransport : public RecordingTransport {
+public:
+  void send(LinkId link, const Message &message) override {
+    if (std::holds_alternative<Subscribe>(message))
+      SubscribedOn.push_back(link);
+  }
+  std::vector<LinkId> SubscribedOn;
+};
+
+/// A follower with two links to its leader that subscribed on the first one.
+struct FollowerUnderTest {
+  FollowerUnderTest() {
+    Node.onLinkOpen(Now, First, {.Protocol = ProtocolVersion, .Replica = 2});
+    hearLeader(First);
+    Node.onLinkOpen(Now, Second, {.Protocol = ProtocolVersion, .Replica = 2});
+  }
+  void hearLeader(LinkId link) {
+    Node.onMessage(Now, link,
+                   AppendRequest{.From = 2,
+                                 .LeaderTerm = 2,
+                                 .PreviousIndex = 1,
+                                 .PreviousTerm = 1,
+                                 .Committed = 1});
+    Node.tick(Now);
+  }
+  /// The leader answers on the second link that its table has this sequence.
+  void hearVersion(std::uint64_t sequence) {
+    Node.onMessage(Now, Second,
+                   ReadIndexReply{.Index = 1, .Members = {2, sequence}});
+    hearLeader(Second);
+  }
+  void receiveMembers(LinkId link, std::uint64_t sequence) {
+    MemberUpdate update{.Full = true, .To = {2, sequence}};
+    update.Members.push_back({.Host = HostName("agent"), .Incarnation = 1});
+    Node.onMessage(Now, link, update);
+  }
+
+  static constexpr LinkId First = 1;
+  static constexpr LinkId Second = 2;
+  MemoryLogStore Store = storeOfThree();
+  SubscriptionTransport Network;
+  NoClock Clock;
+  TimePoint Now{100s};
+  ReplicaNode Node{Now, {}, Store.Stored, Store, Network, Clock};
+};
+
+} // namespace
+
+// Soak seed 4815: a link between the leader and a follower fell silent in both
+// directions, and only the leader, which had sent a request on it, closed it.
+// The follower's subscription hung on this link. The follower was served by a
+// second link and noticed nothing, and its copy of the members stayed as it
+// was: an entry that started and subscribed there knew no agent for 28 s.
+TEST_CASE("a follower subscribes again if the leader dropped its subscription "
+          "with a silent link") {
+  FollowerUnderTest follower;
+  REQUIRE(follower.Network.SubscribedOn ==
+          std::vector<LinkId>{FollowerUnderTest::First});
+  for (int i = 0; i < 3; ++i) {
+    follower.hearVersion(5);
+    follower.Now += 500ms;
+  }
+  CHECK(
+      follower.Network.SubscribedOn ==
+      std::vector<LinkId>{FollowerUnderTest::First, FollowerUnderTest::Second});
+  follower.receiveMembers(FollowerUnderTest::Second, 5);
+  CHECK(follower.Node.members().members().contains(HostName("agent")));
+}
+
+TEST_CASE("a follower that receives its updates doesn't subscribe again") {
+  FollowerUnderTest follower;
+  // Each update arrives 50 ms after the answer that tells its version.
+  for (std::uint64_t sequence = 1; sequence < 40; ++sequence) {
+    follower.hearVersion(sequence);
+    follower.Now += 50ms;
+    follower.receiveMembers(FollowerUnderTest::First, sequence);
+    follower.Now += 200ms;
+  }
+  CHECK(follower.Network.SubscribedOn.size() == 1);
+}
+
+namespace {
+
+/// Replica 1 as a candidate or leader whose voter 2 answers, at once or later.
+class LeaderUnderTest : public RecordingTransport {
+public:
+  LeaderUnderTest() {
+    Node.onLinkOpen(Now, 1, {.Protocol = ProtocolVersion, .Replica = 2});
+  }
+  void send(LinkId, const Message &message) override {
+    if (const auto *vote = std::get_if<VoteRequest>(&message))
+      Replies.push_back(VoteReply{.From = 2,
+                                  .CandidateTerm = vote->CandidateTerm,
+                                  .Granted = true,
+                                  .PreVote = vote->PreVote});
+    if (const auto *append = std::get_if<AppendRequest>(&message))
+      Replies.push_back(
+          AppendReply{.From = 2,
+                      .FollowerTerm = append->LeaderTerm,
+                      .Matched = true,
+                      .Index = append->PreviousIndex + append->Entries.size(),
+                      .Round = append->Round});
+  }
+  /// Lets time pass until this replica leads, or doesn't.
+  void awaitLead(bool leads, bool answers) {
+    for (int i = 0; i < 1000 && Node.leads(Now) != leads; ++i) {
+      Node.tick(Now += 10ms);
+      if (answers)
+        deliver();
+    }
+    REQUIRE(Node.leads(Now) == leads);
+  }
+  void deliver() {
+    for (const Message &it : std::exchange(Replies, {}))
+      Node.onMessage(Now, 1, it);
+  }
+  void announce(const char *host) {
+    Node.announce(Now, {.Host = HostName(host), .Incarnation = 1}, 0);
+  }
+
+  std::vector<Message> Replies;
+  MemoryLogStore Store = storeOfThree();
+  NoClock Clock;
+  TimePoint Now{100s};
+  ReplicaNode Node{Now, {}, Store.Stored, Store, *this, Clock};
+};
+
+} // namespace
+
+// Replies that come late let the lease end, and begin again in the same term.
+TEST_CASE("a leader whose lease ends and begins again in its term keeps its "
+          "members and their sequence") {
+  LeaderUnderTest leader;
+  leader.awaitLead(true, /*answers=*/true);
+  leader.announce("a");
+  const MemberVersion before = leader.Node.members().version();
+  leader.awaitLead(false, /*answers=*/false);
+  leader.deliver();
+  leader.awaitLead(true, /*answers=*/true);
+  leader.announce("b");
+  const MemberVersion after = leader.Node.members().version();
+  CHECK(after.Term == before.Term);
+  CHECK(after.Sequence > before.Sequence);
+  CHECK(leader.Node.members().members().size() == 2);
+}
