--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -130,7 +130,12 @@
     gauges.EngineRateLimit = board.Pacer.limit(now).perSecond();
   }
   if (Nodes.Forward) {
-    const ServerSet &servers = Nodes.Forward->controller().board().Servers;
+    const ForwardBoard &board = Nodes.Forward->controller().board();
+    const ServerSet &servers = board.Servers;
+    gauges.RequestBytes = static_cast<double>(board.Bytes.requestBytes());
+    gauges.ConnectionBytes = static_cast<double>(board.Bytes.connectionBytes());
+    gauges.ServerBytes = static_cast<double>(board.BytesAtServers.total());
+    gauges.PausedStreams = static_cast<double>(board.pausedStreams());
     const FeedbackCounts counts = servers.countFeedback(now);
     gauges.LimitedServers = counts.Limited;
     gauges.BackingOffServers = counts.BackingOff;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(20);
+/// Part of the bytes that an entry may hold that unfinished requests may take:
+/// one in this many.
+constexpr std::size_t ReceivingPart = 4;
 
 std::uint64_t randomNumber() {
   std::random_device device;
@@ -79,7 +82,8 @@
   Client = std::make_unique<HttpClient>(Loop);
   if (Options.IsForward)
     ForwardConnections = std::make_unique<ForwardIo>(
-        Loop, *HostPort::parse(Options.ForwardAddress), *Log, Counters);
+        Loop, *HostPort::parse(Options.ForwardAddress),
+        Options.Forward.Forward.Bytes.Limit / ReceivingPart, *Log, Counters);
 }
 
 void Daemon::createReplica(TimePoint now) {
--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -2,11 +2,12 @@
 
 namespace pimentofront {
 
-ForwardIo::ForwardIo(EventLoop &loop, const HostPort &listen, EventLog &log,
-                     Metrics &metrics)
+ForwardIo::ForwardIo(EventLoop &loop, const HostPort &listen,
+                     std::size_t receiveLimit, EventLog &log, Metrics &metrics)
     : Loop(loop), Log(log), Counters(metrics),
-      Callers(loop, {.Address = listen}, *this), Servers(loop, {}, *this),
-      Probe(loop) {}
+      Callers(loop, {.Address = listen, .MaxReceivingBytes = receiveLimit},
+              *this),
+      Servers(loop, {}, *this), Probe(loop) {}
 
 void ForwardIo::onRequest(CallerKey key, RequestHead head, std::string body,
                           const ContentHash &bodyHash) {
@@ -17,6 +18,14 @@
   Node->callerDisconnected(Loop.now(), key);
 }
 
+void ForwardIo::onUnsent(CallerKey key, std::size_t bytes) {
+  Node->callerUnsent(Loop.now(), key, bytes);
+}
+
+void ForwardIo::onConnectionBytes(std::size_t bytes) {
+  Node->connectionBytes(bytes);
+}
+
 HeadDecision ForwardIo::onHead(const AttemptId &attempt, ResponseHead head) {
   return Node->upstreamHead(Loop.now(), attempt, std::move(head));
 }
@@ -46,6 +55,8 @@
     Servers.cancel(cancel->Attempt);
   else if (const auto *ignored = std::get_if<IgnoreUpstream>(&command))
     Servers.ignore(ignored->Attempt);
+  else if (const auto *pause = std::get_if<PauseUpstream>(&command))
+    Servers.pause(pause->Attempt, pause->Paused);
   else if (const auto *check = std::get_if<CheckServer>(&command))
     checkServer(*check);
 }
--- a/packages/daemon/src/ForwardIo.h
+++ b/packages/daemon/src/ForwardIo.h
@@ -16,8 +16,10 @@
                   public ForwardSink {
 public:
   /// \throws std::runtime_error if \p listen can't be bound.
-  ForwardIo(EventLoop &loop, const HostPort &listen, EventLog &log,
-            Metrics &metrics);
+  /// \param receiveLimit bound on the bytes of unfinished requests; 0 sets
+  /// none.
+  ForwardIo(EventLoop &loop, const HostPort &listen, std::size_t receiveLimit,
+            EventLog &log, Metrics &metrics);
 
   /// Sets the node that gets the events; must be called before the loop runs.
   void setNode(ForwardNode &node) { Node = &node; }
@@ -32,6 +34,8 @@
   void onRequest(CallerKey key, RequestHead head, std::string body,
                  const ContentHash &bodyHash) override;
   void onCallerDisconnected(CallerKey key) override;
+  void onUnsent(CallerKey key, std::size_t bytes) override;
+  void onConnectionBytes(std::size_t bytes) override;
 
   HeadDecision onHead(const AttemptId &attempt, ResponseHead head) override;
   void onBody(const AttemptId &attempt, std::string_view bytes) override;
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -167,6 +167,10 @@
   put("leaving_servers", gauges.LeavingServers);
   put("cold_servers", gauges.ColdServers);
   put("evacuated_zones", gauges.EvacuatedZones);
+  put("held_request_bytes", gauges.RequestBytes);
+  put("held_connection_bytes", gauges.ConnectionBytes);
+  put("bytes_at_servers", gauges.ServerBytes);
+  put("paused_streams", gauges.PausedStreams);
   put("leads", gauges.Leads);
   put("peer_bytes_sent", gauges.PeerBytesSent);
   put("peer_bytes_received", gauges.PeerBytesReceived);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -28,6 +28,14 @@
   double ColdServers = 0;
   /// Zones evacuated by operators, by the configuration that this entry has.
   double EvacuatedZones = 0;
+  /// Bytes that this entry holds: of requests that wait or run, and on callers'
+  /// connections (unfinished requests and unread answers).
+  double RequestBytes = 0;
+  double ConnectionBytes = 0;
+  /// Bytes of requests under way to all backend servers.
+  double ServerBytes = 0;
+  /// Answers whose servers aren't read, because their callers read too slowly.
+  double PausedStreams = 0;
   double Leads = 0;
   double PeerBytesSent = 0;
   double PeerBytesReceived = 0;
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -1,6 +1,9 @@
 #include "Settings.h"
 
 #include "SettingsReader.h"
+#include "Terms.h"
+
+#include <algorithm>
 
 namespace pimentofront {
 namespace {
@@ -28,6 +31,33 @@
   reader.reportUnreadKeys();
 }
 
+/// Bounds on the bytes that an entry holds and has under way to one server.
+void readBounds(SettingsReader &reader, ForwardOptions &forward) {
+  constexpr std::uint64_t Mebibyte = 1 << 20;
+  constexpr std::uint64_t MaxMebibytes = 1 << 20;
+  constexpr std::uint64_t MinHeldMebibytes = 16;
+  constexpr std::uint64_t DefaultServerMebibytes = 64;
+  // The part of a process's memory that may hold bytes of callers and servers.
+  constexpr double HeldShare = 0.4;
+  const std::uint64_t memory = reader.integer("memory_mb", 0, 0, MaxMebibytes);
+  const bool needed = platform::hasSlowReaders(reader.strings("terms"));
+  const auto share =
+      static_cast<std::uint64_t>(HeldShare * static_cast<double>(memory));
+  const std::uint64_t held = reader.integer(
+      "held_bytes_mb",
+      needed && memory > 0 ? std::max(share, MinHeldMebibytes) : 0, 0,
+      MaxMebibytes);
+  const std::uint64_t server =
+      reader.integer("server_bytes_mb", held > 0 ? DefaultServerMebibytes : 0,
+                     0, MaxMebibytes);
+  if (held > 0 && held < MinHeldMebibytes)
+    reader.addFault("held_bytes_mb", "expected 0 or at least 16");
+  forward.Bytes.Limit = held * Mebibyte;
+  // An answer is buffered up to this size before its caller gets any of it.
+  forward.Bytes.AnswerReserve = forward.AnswerBufferLimit;
+  forward.ServerBytes = server * Mebibyte;
+}
+
 void readForward(SettingsReader reader, Settings &settings) {
   ForwardOptions &forward = settings.Forward.Forward;
   settings.ForwardAddress = reader.address("listen", true);
@@ -54,6 +84,7 @@
   forward.RetryReserve *= SafetyFactor;
   forward.Servers.ZonePreference =
       reader.real("zone_preference", forward.Servers.ZonePreference, 0, 1000);
+  readBounds(reader, forward);
   reader.reportUnreadKeys();
 }
 
--- a/packages/daemon/src/SettingsReader.cpp
+++ b/packages/daemon/src/SettingsReader.cpp
@@ -2,6 +2,8 @@
 
 #include "pimentofront/Net.h"
 
+#include <algorithm>
+
 namespace pimentofront {
 namespace {
 
@@ -263,6 +265,17 @@
   return result;
 }
 
+std::vector<std::string> SettingsReader::strings(const std::string &key) {
+  const Json *it = find(key);
+  const auto isText = [](const Json &element) { return element.is_string(); };
+  if (!it)
+    return {};
+  if (it->is_array() && std::ranges::all_of(*it, isText))
+    return it->get<std::vector<std::string>>();
+  addFault(key, "expected an array of texts");
+  return {};
+}
+
 std::map<std::string, std::string>
 SettingsReader::texts(const std::string &key) {
   std::map<std::string, std::string> result;
--- a/packages/daemon/src/SettingsReader.h
+++ b/packages/daemon/src/SettingsReader.h
@@ -48,6 +48,8 @@
                         Duration max = std::chrono::hours(1));
   bool flag(const std::string &key, bool fallback);
   std::vector<std::string> addresses(const std::string &key);
+  /// \returns the texts of a list.
+  std::vector<std::string> strings(const std::string &key);
   /// \returns a reader for each object in a list.
   std::vector<SettingsReader> objects(const std::string &key);
   SettingsReader object(const std::string &key);
--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -27,6 +27,8 @@
 #include "src/Forward/SendPermits.h"
 #include "src/Forward/ServerSet.h"
 #include "src/Forward/RetryBudgets.h"
+#include "src/Forward/ByteBudget.h"
+#include "src/Forward/ServerBytes.h"
 #include "src/Forward/QuarantineSet.h"
 #include "src/Forward/ForwardBoard.h"
 #include "src/Forward/DemandOf.h"
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -76,7 +76,7 @@
       "declined",       "timed_out",      "broke_off",    "caller_gone",
       "quarantined",    "on_trial",       "no_leave",     "unknown_key",
       "keys_outdated",  "over_allotment", "no_allotment", "servers_rest",
-      "zones_outdated", "no_region"};
+      "zones_outdated", "no_region",      "no_room"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -155,9 +155,10 @@
                                                 request.Avoid, request.Zones);
   const bool canRetry = request.Sends + 1 < request.Route->MaxServers &&
                         Board.Budgets.canRetry(request.Service);
-  ServerView *server =
-      Board.Servers.choose(now, request.Service, request.Avoid, Board.Permits,
-                           request.Zones, canRetry);
+  std::vector<ServerProcess> avoid = request.Avoid;
+  const std::size_t full = avoidFullServers(request, avoid);
+  ServerView *server = Board.Servers.choose(
+      now, request.Service, avoid, Board.Permits, request.Zones, canRetry);
   if (server) {
     const ServerProcess process = server->Record.process();
     if (Board.Permits.has(now, process))
@@ -169,11 +170,42 @@
                                 Board.Servers.coldStartOf(now, it));
   if (server)
     return send(now, request, *server);
+  if (full > 0) {
+    request.RefusalDetail = "; servers without room for its " +
+                            std::to_string(request.Body->size()) +
+                            " bytes: " + std::to_string(full);
+    return giveUp(now, request, ForwardFailure::NoRoom);
+  }
   if (paced.empty())
     return handleNoServer(now, request);
   awaitPermit(now, request, paced);
 }
 
+std::size_t
+AttemptController::avoidFullServers(const ForwardRequest &request,
+                                    std::vector<ServerProcess> &avoid) const {
+  std::size_t full = 0;
+  if (!Board.BytesAtServers.bounded())
+    return full;
+  for (const auto &[name, it] : Board.Servers.servers()) {
+    const ServerProcess process = it.Record.process();
+    if (std::ranges::find(it.Record.Services, request.Service) ==
+            it.Record.Services.end() ||
+        std::ranges::find(avoid, process) != avoid.end() ||
+        hasRoom(process, request))
+      continue;
+    avoid.push_back(process);
+    ++full;
+  }
+  return full;
+}
+
+bool AttemptController::hasRoom(const ServerProcess &server,
+                                const ForwardRequest &request) const {
+  return Board.BytesAtServers.hasRoom(server, request.Body->size(),
+                                      Board.Servers.entries());
+}
+
 void AttemptController::awaitPermit(TimePoint now, ForwardRequest &request,
                                     const std::vector<ServerProcess> &paced) {
   const auto nextChanceOf = [&](const ServerProcess &it) {
@@ -298,6 +330,8 @@
   ++request.Sends;
   request.Avoid.push_back(attempt.Server);
   Board.Servers.recordSent(attempt.Server);
+  Board.Bytes.recordSent(request.Key);
+  Board.BytesAtServers.recordSent(attempt.Server, request.Body->size());
   Accounts.onSend(now, request);
   const ForwardTraits traits{
       .TimeLeft = request.Deadline - now,
@@ -368,7 +402,8 @@
       Board.Servers.feedbackOf(server->Record.process()).isBackingOff(now);
   const bool expired = message.SendInterval > Duration::zero() &&
                        request->Attempt->LongestStall > message.SendInterval;
-  if (server && !backingOff && !expired && !mayMissEvacuation(now)) {
+  const bool room = server && hasRoom(server->Record.process(), *request);
+  if (room && !backingOff && !expired && !mayMissEvacuation(now)) {
     const std::string changes =
         Board.Servers.recordLimit(now, server->Record.process(), message.Limit);
     if (!changes.empty())
@@ -519,8 +554,10 @@
 void AttemptController::endAttempt(TimePoint now, ForwardRequest &request,
                                    ServerOutcome outcome, ReleaseKind kind) {
   const ForwardAttempt &attempt = *request.Attempt;
-  if (attempt.Sent)
+  if (attempt.Sent) {
     Board.Servers.recordOutcome(now, attempt.Server, outcome);
+    Board.BytesAtServers.recordEnded(attempt.Server, request.Body->size());
+  }
   release(attempt, kind);
   Board.Attempts.erase(attempt.Id);
   request.Attempt.reset();
@@ -669,6 +706,7 @@
   Accounts.onFinished(now, request);
   if (request.Attempt)
     Board.Attempts.erase(request.Attempt->Id);
+  Board.Bytes.release(now, request.Key);
   Board.Deferred.erase(request.Key);
   Board.Requests.erase(request.Key);
 }
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -89,6 +89,13 @@
   void chooseEngine(TimePoint now, ForwardRequest &request);
   /// No server takes the request now: defers or refuses it.
   void handleNoServer(TimePoint now, ForwardRequest &request);
+  /// Adds to \p avoid the servers of the request's service that may not get
+  /// its bytes from this entry now.
+  /// \returns how many were added.
+  std::size_t avoidFullServers(const ForwardRequest &request,
+                               std::vector<ServerProcess> &avoid) const;
+  bool hasRoom(const ServerProcess &server,
+               const ForwardRequest &request) const;
   /// The only servers that take the request are rate-limited or cold ones for
   /// which this entry has no permit: defers the request until one may come, or
   /// refuses it.
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -1,12 +1,15 @@
 #ifndef PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
 #define PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
 
+#include "ByteBudget.h"
 #include "EventStream.h"
 #include "QuarantineSet.h"
 #include "RetryBudgets.h"
 #include "RoutingTable.h"
+#include "ServerBytes.h"
 #include "ServerSet.h"
 
+#include <algorithm>
 #include <memory>
 #include <set>
 
@@ -91,6 +94,11 @@
   /// that were all killed need this long to elect a leader and to receive its
   /// messages.
   Duration UnreadyRetryAfter = std::chrono::milliseconds(800);
+  /// Bound on the bytes that this entry holds for callers and servers.
+  ByteBudgetOptions Bytes;
+  /// Bytes of requests that all entries together may have under way to one
+  /// server; 0 sets no bound.
+  std::size_t ServerBytes = 0;
 };
 
 /// Why a request has no answer from a backend server.
@@ -132,6 +140,9 @@
   ZonesOutdated,
   /// No server is in a region that both its route and its client account allow.
   NoRegion,
+  /// This entry, or each server as far as this entry may use it, holds as many
+  /// bytes as it may.
+  NoRoom,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
@@ -189,6 +200,8 @@
   std::optional<ResponseHead> Head;
   /// Body of the answer as long as it is buffered.
   std::string BufferedBody;
+  /// The server isn't read, because the caller doesn't read what it has.
+  bool Paused = false;
 };
 
 /// Whether a watched request may be tried.
@@ -295,6 +308,11 @@
 struct IgnoreUpstream {
   AttemptId Attempt;
 };
+/// Stops reading the answer of a server, or goes on reading it.
+struct PauseUpstream {
+  AttemptId Attempt;
+  bool Paused = false;
+};
 /// Checks whether the process of a server still runs.
 struct CheckServer {
   ServerProcess Server;
@@ -339,7 +357,7 @@
 using ForwardCommand =
     std::variant<SendToAgent, SendUpstream, CancelUpstream, IgnoreUpstream,
                  ReplyComplete, ReplyHead, ReplyPiece, ReplyEnd, ReplyAbort,
-                 CheckServer, ProposeToReplicas>;
+                 PauseUpstream, CheckServer, ProposeToReplicas>;
 
 /// \class ForwardEvent
 /// \ingroup Forward
@@ -381,7 +399,8 @@
         Servers(options.Servers), Jitter(options.Incarnation),
         Leases({.Host = options.Host, .Incarnation = options.Incarnation}),
         Budgets(options.RetryShare,
-                options.RetryReserve / options.Servers.PresumedEntries) {}
+                options.RetryReserve / options.Servers.PresumedEntries),
+        Bytes(options.Bytes), BytesAtServers(options.ServerBytes) {}
 
   const ForwardOptions Options;
   const ConfigurationView &Configuration;
@@ -394,6 +413,8 @@
   Random Jitter;
   AllotmentLeases Leases;
   RetryBudgets Budgets;
+  ByteBudget Bytes;
+  ServerBytes BytesAtServers;
   SendPermits Permits;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
@@ -422,6 +443,13 @@
     constexpr double ReadyShare = 0.6;
     return confirmedWithin(now, fromSeconds(toSeconds(bound) * ReadyShare));
   }
+  /// \returns how many answers aren't read from their servers.
+  std::size_t pausedStreams() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Attempts, [this](const auto &it) {
+          return Requests.at(it.second).Attempt->Paused;
+        }));
+  }
   ForwardRequest *find(const AttemptId &attempt) {
     const auto it = Attempts.find(attempt);
     return it == Attempts.end() ? nullptr : &Requests.at(it->second);
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -161,11 +161,55 @@
                            request.Traits.Adapter);
     request.Adapter = {name, liveVersion(Board.Configuration, name)};
   }
+  if (!makeRoom(now, request))
+    return;
   Board.Budgets.recordRequest(request.Service);
   if (Accounts.charge(now, request))
     Attempts.next(now, request);
 }
 
+bool ForwardController::makeRoom(TimePoint now, ForwardRequest &request) {
+  const auto urgencyOf = [](const ForwardRequest &it) {
+    return it.Route ? it.priority() : ByteBudget::LeastUrgent;
+  };
+  const auto refuse = [&](ForwardRequest &it, const std::string &why) {
+    it.RetryAfter = Board.Bytes.timeUntilRoom(now, it.Body->size());
+    it.RefusalDetail = "; " + why + ", has " + std::to_string(it.Body->size()) +
+                       " bytes, held " + std::to_string(Board.Bytes.held()) +
+                       " of " + std::to_string(Board.Bytes.limit()) +
+                       ", urgency " + std::to_string(urgencyOf(it));
+    Attempts.giveUp(now, it, ForwardFailure::NoRoom);
+  };
+  const ByteBudget::Admission admission = Board.Bytes.admit(
+      now, request.Key, urgencyOf(request), request.Body->size());
+  for (const ByteBudget::Key it : admission.Displaced)
+    refuse(Board.Requests.at(it), "displaced by a more urgent one");
+  if (!admission.Admitted)
+    refuse(request, "no room on its arrival");
+  return admission.Admitted;
+}
+
+bool ForwardController::onUnsent(TimePoint now, std::uint64_t key,
+                                 std::size_t unsent) {
+  const auto it = Board.Requests.find(key);
+  if (it == Board.Requests.end() || !it->second.Attempt)
+    return false;
+  ForwardAttempt &attempt = *it->second.Attempt;
+  const bool paused = Board.Bytes.pauses(unsent, attempt.Paused);
+  if (!attempt.Sent || paused == attempt.Paused)
+    return false;
+  attempt.Paused = paused;
+  // The server's silence while it isn't read tells nothing about it.
+  attempt.LastReceivedAt = now;
+  Board.Commands.push_back(PauseUpstream{attempt.Id, paused});
+  Attempts.recordEvent(
+      now, paused ? "stream_paused" : "stream_resumed", it->second,
+      "unread bytes " + std::to_string(unsent) + ", held in all " +
+          std::to_string(Board.Bytes.held()) + ", allowed " +
+          std::to_string(Board.Bytes.limit()));
+  return true;
+}
+
 void ForwardController::onAllotmentGrants(TimePoint now,
                                           const AllotmentGrants &grants) {
   for (const AllotmentDecision &it : Accounts.onGrants(now, grants)) {
@@ -205,6 +249,8 @@
                                         ForwardRequest &request) {
   request.Deadline =
       request.ArrivedAt + request.Traits.TimeLeft.value_or(Duration::zero());
+  if (!makeRoom(now, request))
+    return;
   Attempts.deferOrGiveUp(now, request, ForwardFailure::NotReady);
 }
 
@@ -287,7 +333,8 @@
 
 bool ForwardController::isServerLost(TimePoint now,
                                      const ForwardRequest &request) const {
-  if (!request.Attempt || !request.Attempt->Sent || !request.Route->mayRepeat())
+  if (!request.Attempt || !request.Attempt->Sent || request.Attempt->Paused ||
+      !request.Route->mayRepeat())
     return false;
   const ForwardAttempt &attempt = *request.Attempt;
   const TimePoint lastReceivedAt =
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -75,6 +75,15 @@
   /// A server whose answer had broken off has been checked.
   void onServerChecked(TimePoint now, const ServerProcess &server,
                        ServerCheckResult checkResult);
+  /// The caller of request \p key has \p unsent bytes of its answer to read
+  /// yet. Stops reading the server while these are too many.
+  /// \returns whether that has changed.
+  bool onUnsent(TimePoint now, std::uint64_t key, std::size_t unsent);
+  /// The callers' connections hold \p bytes in all: unfinished requests and
+  /// unread answers.
+  void onConnectionBytes(std::size_t bytes) {
+    Board.Bytes.recordConnections(bytes);
+  }
 
   AttemptController &attempts() { return Attempts; }
   AnswerController &answers() { return Answers; }
@@ -90,6 +99,10 @@
   void resolve(TimePoint now, ForwardRequest &request);
   /// Admits the request by its key and its account's allotment, and sends it.
   void admit(TimePoint now, ForwardRequest &request);
+  /// Reserves room for the bytes of the request, in place of less urgent ones
+  /// if needed, or refuses it. Does nothing for one that has its room.
+  /// \returns whether it has the room.
+  bool makeRoom(TimePoint now, ForwardRequest &request);
   /// \returns whether the request has waited for its units for too long.
   bool isChargeOverdue(TimePoint now, const ForwardRequest &request) const;
   /// Defers a request whose route or client account can't be determined yet: no
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -147,6 +147,7 @@
   /// Takes the limits of each service (connections, cold start) from
   /// \p document.
   void useDocument(const RoutingDocument &document);
+  std::uint32_t entries() const { return Entries.value(); }
   /// Sets the number of entries that share the connections of each server.
   void onEntryCount(TimePoint now, std::uint32_t entries);
   /// \returns the server of \p service with the best score for one more
--- a/packages/http/pimentofront/Http.h
+++ b/packages/http/pimentofront/Http.h
@@ -17,6 +17,7 @@
 // clang-format off
 #include "src/Http/HttpParser.h"
 #include "src/Http/HttpWriter.h"
+#include "src/Http/ReceiveGate.h"
 #include "src/Http/CallerListener.h"
 #include "src/Http/UpstreamPool.h"
 #include "src/Http/ConnectProbe.h"
--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -9,9 +9,13 @@
 
 constexpr int StatusBadRequest = 400;
 constexpr int StatusRequestTimeout = 408;
+constexpr int StatusUnavailable = 503;
 constexpr int StatusBodyTooLarge = 413;
 constexpr int StatusHeadTooLarge = 431;
 
+/// Bytes that are read ahead while a request waits for its response.
+constexpr std::size_t MaxPipelinedBytes = std::size_t(16) << 10;
+
 int statusOf(HttpFault fault) {
   switch (fault) {
   case HttpFault::HeadTooLarge:
@@ -34,12 +38,20 @@
                              bufferevent *bev)
     : Owner(owner), Id(id), Bev(bev),
       Parser(HttpMessageKind::Requests, limitsOf(owner.Options.Limits), *this),
-      StateSince(owner.Loop.now()) {
+      StateSince(owner.Loop.now()), ReadAt(StateSince) {
   bufferevent_setcb(Bev, onReadable, onWritten, onEvent, this);
+  if (owner.bounded()) {
+    bufferevent_setwatermark(Bev, EV_READ, 0, MaxPipelinedBytes);
+    evbuffer_add_cb(bufferevent_get_output(Bev), onOutput, this);
+  }
   bufferevent_enable(Bev, EV_READ | EV_WRITE);
 }
 
-CallerChannel::~CallerChannel() { bufferevent_free(Bev); }
+CallerChannel::~CallerChannel() {
+  if (Owner.bounded())
+    evbuffer_remove_cb(bufferevent_get_output(Bev), onOutput, this);
+  bufferevent_free(Bev);
+}
 
 void CallerChannel::setLimits() {
   Parser.setLimits(limitsOf(Owner.Options.Limits));
@@ -71,6 +83,23 @@
     if (used == 0)
       break;
   }
+  if (Receiving && !Ended)
+    recordReceiving();
+}
+
+void CallerChannel::recordReceiving() {
+  const std::size_t held =
+      Body.size() + evbuffer_get_length(bufferevent_get_input(Bev));
+  if (Owner.recordReceiving(Id, held))
+    return;
+  Stopped = true;
+  bufferevent_disable(Bev, EV_READ);
+}
+
+void CallerChannel::resumeReading() {
+  Stopped = false;
+  if (!Ended && !Closing)
+    bufferevent_enable(Bev, EV_READ);
 }
 
 bool CallerChannel::onRequestHead(RequestHead head) {
@@ -92,6 +121,7 @@
 
 void CallerChannel::onMessageEnd() {
   Receiving = false;
+  Owner.endReceiving(Id);
   HeadOnly = Head.Method == "HEAD";
   LastRequest = !Parser.keepsConnection();
   Framing = Parser.isHttp11() ? HttpFraming::Chunked : HttpFraming::Close;
@@ -101,14 +131,24 @@
 }
 
 void CallerChannel::refuse(int status) {
-  const ResponseHead head{.Status = status};
+  ResponseHead head{.Status = status};
+  // The request waited for its turn in vain; nothing of it was passed on.
+  if (status == StatusUnavailable)
+    head.Headers.push_back({"Retry-After", "1"});
   const std::string text =
       writeResponseHead(head, HttpFraming::Length, 0, false);
   bufferevent_write(Bev, text.data(), text.size());
   closeWhenWritten();
 }
 
+bool CallerChannel::isReaderGone(TimePoint now) const {
+  return Owner.bounded() && Unsent > 0 &&
+         now >= ReadAt + Owner.Options.Limits.IdleTimeout;
+}
+
 void CallerChannel::checkTime(TimePoint now) {
+  if (isReaderGone(now))
+    return end();
   if (Key != 0 || Closing)
     return;
   const CallerLimits &limits = Owner.Options.Limits;
@@ -118,7 +158,7 @@
     const Duration limit =
         Parser.headDone() ? limits.IdleTimeout : limits.HeadTimeout;
     if (now >= StateSince + limit)
-      refuse(StatusRequestTimeout);
+      refuse(Stopped ? StatusUnavailable : StatusRequestTimeout);
     return;
   }
   // Callers reuse a connection until the timeout. Closing it a little later
@@ -195,6 +235,18 @@
     end();
 }
 
+void CallerChannel::onOutput(evbuffer *output, const evbuffer_cb_info *info,
+                             void *arg) {
+  auto *self = static_cast<CallerChannel *>(arg);
+  const std::size_t before = self->Unsent;
+  self->Unsent = evbuffer_get_length(output);
+  if (before == 0 || info->n_deleted > 0)
+    self->ReadAt = self->Owner.Loop.now();
+  self->Owner.recordUnsent(before, self->Unsent);
+  if (self->Key != 0)
+    self->Owner.Handler.onUnsent(self->Key, self->Unsent);
+}
+
 void CallerChannel::onWritten(bufferevent *, void *arg) {
   auto *self = static_cast<CallerChannel *>(arg);
   if (self->Closing)
@@ -225,6 +277,10 @@
     return;
   Ended = true;
   bufferevent_disable(Bev, EV_READ | EV_WRITE);
+  if (Owner.bounded()) {
+    evbuffer_remove_cb(bufferevent_get_output(Bev), onOutput, this);
+    Owner.recordUnsent(std::exchange(Unsent, 0), 0);
+  }
   const CallerKey key = std::exchange(Key, 0);
   if (key != 0) {
     Owner.dropKey(key);
--- a/packages/http/pimentofront/src/Http/CallerListener.cpp
+++ b/packages/http/pimentofront/src/Http/CallerListener.cpp
@@ -17,7 +17,8 @@
 CallerListener::CallerListener(EventLoop &loop,
                                const CallerListenerOptions &options,
                                CallerHandler &handler)
-    : Loop(loop), Options(options), Handler(handler) {
+    : Loop(loop), Options(options), Handler(handler),
+      Receiving(options.MaxReceivingBytes) {
   constexpr int Backlog = 1024;
   const sockaddr_in address = toSocketAddress(options.Address);
   Listener = evconnlistener_new_bind(
@@ -114,10 +115,38 @@
     return;
   ClosedChannels.push_back(std::move(it->second));
   Channels.erase(it);
+  endReceiving(id);
   if (!FreeTimer)
     FreeTimer = Loop.after(Duration::zero(), [this] { freeClosed(); });
 }
 
+bool CallerListener::recordReceiving(ChannelId id, std::size_t bytes) {
+  if (!bounded())
+    return true;
+  const bool mayRead = Receiving.record(id, bytes);
+  reportBytes();
+  return mayRead;
+}
+
+void CallerListener::endReceiving(ChannelId id) {
+  if (!bounded())
+    return;
+  Receiving.remove(id);
+  for (const ChannelId it : Receiving.takeResumed())
+    if (const auto channel = Channels.find(it); channel != Channels.end())
+      channel->second->resumeReading();
+  reportBytes();
+}
+
+void CallerListener::recordUnsent(std::size_t before, std::size_t after) {
+  Unsent = Unsent - before + after;
+  reportBytes();
+}
+
+void CallerListener::reportBytes() {
+  Handler.onConnectionBytes(Unsent + Receiving.total());
+}
+
 void CallerListener::freeClosed() {
   const auto closed = std::exchange(ClosedChannels, {});
   FreeTimer.reset();
--- a/packages/http/pimentofront/src/Http/CallerListener.h
+++ b/packages/http/pimentofront/src/Http/CallerListener.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_HTTP_CALLER_LISTENER_H
 
 #include "HttpWriter.h"
+#include "ReceiveGate.h"
 
 #include <map>
 #include <unordered_map>
@@ -25,6 +26,12 @@
                          const ContentHash &bodyHash) = 0;
   /// The caller disconnected before its response was complete.
   virtual void onCallerDisconnected(CallerKey key) = 0;
+  /// The caller of \p key has \p bytes of its response to read yet. Called only
+  /// if the listener's bytes are bounded.
+  virtual void onUnsent(CallerKey, std::size_t /*bytes*/) {}
+  /// All connections together hold \p bytes: unfinished requests and unread
+  /// responses. Called only if the listener's bytes are bounded.
+  virtual void onConnectionBytes(std::size_t /*bytes*/) {}
 };
 
 /// \class CallerListenerOptions
@@ -35,6 +42,11 @@
   /// A connection with more unsent response bytes than this is closed, since
   /// its caller doesn't read.
   std::size_t MaxUnsentBytes = std::size_t(4) << 20;
+  /// Bytes of unfinished requests above which the newest of them aren't read
+  /// any further. With such a bound, a caller that reads nothing of its
+  /// response for the idle timeout is disconnected, and the handler is told
+  /// what the connections hold. 0 sets no bound.
+  std::size_t MaxReceivingBytes = 0;
 };
 
 namespace detail {
@@ -70,6 +82,8 @@
   /// progress.
   void stopListening();
   std::size_t channels() const { return Channels.size(); }
+  /// \returns how many connections aren't read because of MaxReceivingBytes.
+  std::size_t stoppedChannels() const { return Receiving.stopped(); }
 
 private:
   friend class detail::CallerChannel;
@@ -84,6 +98,14 @@
   void removeChannel(ChannelId id);
   void freeClosed();
   void sweep();
+  bool bounded() const { return Options.MaxReceivingBytes > 0; }
+  /// \returns whether the channel may be read further.
+  bool recordReceiving(ChannelId id, std::size_t bytes);
+  /// The channel \p id holds no unfinished request any more.
+  void endReceiving(ChannelId id);
+  /// The unread bytes of a channel's responses have changed.
+  void recordUnsent(std::size_t before, std::size_t after);
+  void reportBytes();
 
   EventLoop &Loop;
   CallerListenerOptions Options;
@@ -95,6 +117,9 @@
   std::unordered_map<ChannelId, std::unique_ptr<detail::CallerChannel>>
       Channels;
   std::unordered_map<CallerKey, ChannelId> Keys;
+  ReceiveGate Receiving;
+  /// Unread bytes of the responses of all channels.
+  std::size_t Unsent = 0;
   std::vector<std::unique_ptr<detail::CallerChannel>> ClosedChannels;
   std::unique_ptr<Timer> FreeTimer;
   std::unique_ptr<Timer> SweepTimer;
--- a/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -22,6 +22,20 @@
   return read.ec == std::errc() ? std::optional(seconds) : std::nullopt;
 }
 
+/// Adds a body without copying it.
+void addBody(evbuffer *output, const std::shared_ptr<const std::string> &body) {
+  if (body->empty())
+    return;
+  using Holder = std::shared_ptr<const std::string>;
+  auto holder = std::make_unique<Holder>(body);
+  const auto release = [](const void *, std::size_t, void *arg) {
+    const std::unique_ptr<Holder> owner(static_cast<Holder *>(arg));
+  };
+  if (evbuffer_add_reference(output, body->data(), body->size(), release,
+                             holder.get()) == 0)
+    static_cast<void>(holder.release());
+}
+
 } // namespace
 
 UpstreamChannel::UpstreamChannel(UpstreamPool &owner, std::uint64_t id,
@@ -54,7 +68,21 @@
   const std::string head = writeRequestHead(request.Head, request.Body->size());
   evbuffer *output = bufferevent_get_output(Bev);
   evbuffer_add(output, head.data(), head.size());
-  evbuffer_add(output, request.Body->data(), request.Body->size());
+  addBody(output, request.Body);
+}
+
+void UpstreamChannel::ignore() {
+  Ignored = true;
+  pause(false);
+}
+
+void UpstreamChannel::pause(bool paused) {
+  if (Ended)
+    return;
+  if (paused)
+    bufferevent_disable(Bev, EV_READ);
+  else
+    bufferevent_enable(Bev, EV_READ);
 }
 
 void UpstreamChannel::onReadable(bufferevent *, void *arg) {
@@ -116,6 +144,7 @@
                      evbuffer_get_length(bufferevent_get_input(Bev)) == 0 &&
                      evbuffer_get_length(bufferevent_get_output(Bev)) == 0;
   if (clean) {
+    pause(false);
     IdleSince = Owner.Loop.now();
     ReusableUntil = IdleSince + KeepAlive;
     Owner.returnToPool(*this);
--- a/packages/http/pimentofront/src/Http/UpstreamPool.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.cpp
@@ -91,6 +91,14 @@
     channel->second->ignore();
 }
 
+void UpstreamPool::pause(const AttemptId &attempt, bool paused) {
+  const auto it = Busy.find(attempt);
+  if (it == Busy.end())
+    return;
+  if (const auto channel = Channels.find(it->second); channel != Channels.end())
+    channel->second->pause(paused);
+}
+
 void UpstreamPool::returnToPool(detail::UpstreamChannel &channel) {
   Peer &peer = Peers.at(channel.address());
   if (!mayBeSameProcess(channel.server(), peer.Server))
--- a/packages/http/pimentofront/src/Http/UpstreamPool.h
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.h
@@ -69,6 +69,9 @@
   /// Reads the response to its end without reporting it, so that the connection
   /// can be reused.
   void ignore(const AttemptId &attempt);
+  /// Stops reading the response, or goes on reading it. A connection that isn't
+  /// read doesn't show that its server has closed it.
+  void pause(const AttemptId &attempt, bool paused);
   std::uint64_t connectionsOpened() const { return Opened; }
 
 private:
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -4,6 +4,8 @@
 #include "pimentofront/Http.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace pimentofront::detail {
 
@@ -27,6 +29,8 @@
   /// Enforces the time limits on a caller that sends slowly or not at all.
   void checkTime(TimePoint now);
   void setLimits();
+  /// Goes on reading a request that was stopped by the listener's bound.
+  void resumeReading();
   /// \returns whether no request is in progress. The last response may still be
   /// unwritten.
   bool isIdle() const { return Key == 0 && !Parser.inMessage(); }
@@ -38,11 +42,18 @@
   static void onReadable(bufferevent *, void *arg);
   static void onWritten(bufferevent *, void *arg);
   static void onEvent(bufferevent *, short what, void *arg);
+  static void onOutput(evbuffer *output, const evbuffer_cb_info *info,
+                       void *arg);
   void parse();
   void refuse(int status);
   void finishResponse();
   /// Closes the connection. Nothing more is read from it.
   void end();
+  /// Stops reading if the listener's bound on unfinished requests says so.
+  void recordReceiving();
+  /// \returns whether the caller has read nothing of a response for the idle
+  /// timeout. Only callers of a listener with bounded bytes are timed out.
+  bool isReaderGone(TimePoint now) const;
   bool keepsConnection() const;
 
   CallerListener &Owner;
@@ -64,6 +75,11 @@
   /// received.
   TimePoint StateSince;
   bool Receiving = false;
+  /// Reading is stopped by the listener's bound on unfinished requests.
+  bool Stopped = false;
+  /// Unread bytes of responses, and when there were fewer of them last or none.
+  std::size_t Unsent = 0;
+  TimePoint ReadAt;
 };
 
 } // namespace pimentofront::detail
--- a/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
@@ -17,7 +17,8 @@
 
   /// \pre no request is in progress.
   void send(const SendUpstream &request);
-  void ignore() { Ignored = true; }
+  void ignore();
+  void pause(bool paused);
   void checkTime(TimePoint now);
   /// \returns whether the connection can be reused and has been idle for at
   /// most \p idle.
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -271,6 +271,12 @@
   flush(now);
 }
 
+void ForwardNode::callerUnsent(TimePoint now, std::uint64_t key,
+                               std::size_t bytes) {
+  if (Controller.onUnsent(now, key, bytes))
+    flush(now);
+}
+
 HeadDecision ForwardNode::upstreamHead(TimePoint now, const AttemptId &attempt,
                                        ResponseHead head) {
   detectPause(now);
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -52,6 +52,12 @@
   void request(TimePoint now, std::uint64_t key, RequestHead head,
                std::string body, const ContentHash &bodyHash);
   void callerDisconnected(TimePoint now, std::uint64_t key);
+  /// \p bytes of the answer to request \p key wait for its caller to read.
+  void callerUnsent(TimePoint now, std::uint64_t key, std::size_t bytes);
+  /// The callers' connections hold \p bytes in all.
+  void connectionBytes(std::size_t bytes) {
+    Controller.onConnectionBytes(bytes);
+  }
   HeadDecision upstreamHead(TimePoint now, const AttemptId &attempt,
                             ResponseHead head);
   void upstreamBody(TimePoint now, const AttemptId &attempt,
--- a/scripts/check-platform-words.sh
+++ b/scripts/check-platform-words.sh
@@ -3,7 +3,7 @@
 # of the product must not depend on them. Also limits the size of platform/.
 set -eu
 cd "$(dirname "$0")/.."
-words='Pimentofront-[A-Z]|/-/|pathPrefix|routeType|adapterSlots|heartbeatUrl|targetLatencyMs|kvCapacity|hostname"'
+words='Pimentofront-[A-Z]|/-/|pathPrefix|routeType|adapterSlots|heartbeatUrl|targetLatencyMs|kvCapacity|hostname"|"pressure"'
 if git grep -nE "$words" -- packages bench; then
   echo "names of the platform's interface appear outside platform/"
   exit 1
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -76,9 +76,9 @@
 
 /// An entry in front of two plain servers and two engines with their agents.
 struct ForwardUnderTest {
-  explicit ForwardUnderTest(bool withTable = true)
-      : Controller({.Incarnation = 5, .Servers = {.Zone = ZoneName("z")}},
-                   Configuration, Headers, Routing) {
+  explicit ForwardUnderTest(bool withTable = true, ForwardOptions options = {})
+      : Controller(withIdentity(std::move(options)), Configuration, Headers,
+                   Routing) {
     if (withTable)
       setTable();
     Controller.onMembers(
@@ -91,7 +91,13 @@
                           agent("a1", "1.0.0.3:9"), agent("a2", "1.0.0.4:9")}});
   }
 
-  void setTable() {
+  static ForwardOptions withIdentity(ForwardOptions options) {
+    options.Incarnation = 5;
+    options.Servers.Zone = ZoneName("z");
+    return options;
+  }
+  /// \param urgencies of some routes, by name; 0 for the others.
+  void setTable(const std::map<std::string, std::uint32_t> &urgencies = {}) {
     RoutingDocument document{
         .Routes = {route("safe", Repeatability::Idempotent, "plain", 2),
                    route("once", Repeatability::NonIdempotent, "plain", 1),
@@ -100,6 +106,10 @@
         .Services = {{.Name = ServiceName("plain")},
                      {.Name = ServiceName("engines"),
                       .Engine = EngineSpec{.AdapterSlots = 2}}}};
+    for (RouteSpec &it : document.Routes)
+      if (const auto urgency = urgencies.find(it.Name);
+          urgency != urgencies.end())
+        it.Priority = urgency->second;
     Controller.setTable(
         std::make_shared<const RoutingTable>(1, std::move(document)));
   }
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -76,3 +76,49 @@
                           "\"zone\": \"suva\", \"zone\": \"nadi\""))
             .find("stands twice") != std::string::npos);
 }
+
+namespace {
+
+/// \returns the findings for an entry with these settings of bytes.
+std::string findingsOfBounds(const std::string &bounds, Settings &settings) {
+  Findings faults;
+  settings = Settings::parse(
+      "f.json",
+      R"({"host": "n1", "zone": "suva", "http": "127.0.0.1:8080",
+          "peers": "127.0.0.1:9080", "replicas": ["127.0.0.1:9080"],
+          "forward": {"listen": "127.0.0.1:8081", )" +
+          bounds + "}}",
+      faults);
+  return faults.toText();
+}
+
+} // namespace
+
+TEST_CASE("bytes are bounded only where the settings call for it",
+          "[held-bytes]") {
+  constexpr std::size_t Mebibyte = std::size_t(1) << 20;
+  Settings settings;
+  const ForwardOptions &forward = settings.Forward.Forward;
+  const auto good = [&](const char *bounds) {
+    CHECK(findingsOfBounds(bounds, settings).empty());
+  };
+  good(R"("memory_mb": 160, "terms": ["base", "unheard of"])");
+  CHECK(forward.Bytes.Limit == 0);
+  CHECK(forward.ServerBytes == 0);
+  good(R"("memory_mb": 160, "terms": ["base", "pressure"])");
+  CHECK(forward.Bytes.Limit == 64 * Mebibyte);
+  CHECK(forward.ServerBytes == 64 * Mebibyte);
+  good(R"("terms": ["pressure"])"); // The memory isn't known.
+  CHECK(forward.Bytes.Limit == 0);
+  good(R"("held_bytes_mb": 24, "server_bytes_mb": 0)");
+  CHECK(forward.Bytes.Limit == 24 * Mebibyte);
+  CHECK(forward.ServerBytes == 0);
+  const auto bad = [&](const char *bounds) {
+    CHECK_FALSE(findingsOfBounds(bounds, settings).empty());
+  };
+  bad(R"("held_bytes_mb": 3)");
+  bad(R"("held_bytes_mb": -1)");
+  bad(R"("memory_mb": 99999999999)");
+  bad(R"("terms": "pressure")");
+  bad(R"("terms": [7])");
+}
--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -15,6 +15,10 @@
 constexpr const char *Model = "m0";
 /// Number of events of a complete stream.
 constexpr int Events = 5;
+/// The same for a large stream, which doesn't fit into the kernel's buffers,
+/// and the size of the text of each of its events.
+constexpr int LargeEvents = 40;
+constexpr std::size_t LargeEventBytes = std::size_t(256) << 10;
 
 std::string headerOf(const RequestHead &head, const char *name) {
   const std::string *value = findHeader(head.Headers, name);
@@ -27,9 +31,16 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string event(int id) {
+std::string event(int id, bool large = false) {
   return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) +
-         "\n\n";
+         std::string(large ? LargeEventBytes : 0, 'x') + "\n\n";
+}
+
+std::string allEvents(bool large) {
+  std::string text;
+  for (int i = 1; i <= (large ? LargeEvents : Events); ++i)
+    text += event(i, large);
+  return text;
 }
 
 std::string chunk(const std::string &bytes) {
@@ -205,34 +216,34 @@
     channel.writeAndClose("HTTP/1.1 200 OK\r\n" + stampedHeaders + "\r\n" + id);
   } else if (behaviour == "hang")
     return;
-  else if (behaviour == "stream" || behaviour == "stream-cut")
+  else if (behaviour.starts_with("stream"))
     answerStream(channel, head, stampedHeaders,
-                 behaviour == "stream-cut" && runs == 1);
+                 behaviour == "stream-cut" && runs == 1,
+                 behaviour == "stream-large");
   else
     channel.write(makeResponse("200 OK", stampedHeaders, id));
 }
 
 void FakeServer::answerStream(Channel &channel, const RequestHead &head,
-                              const std::string &stampedHeaders, bool cut) {
+                              const std::string &stampedHeaders, bool cut,
+                              bool large) {
   const std::string last = headerOf(head, "Last-Event-Id");
   int next = last.empty() ? 1 : std::stoi(last) + 1;
   std::string out = "HTTP/1.1 200 OK\r\n" + stampedHeaders +
                     "Content-Type: text/event-stream\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n";
   constexpr int CutAfter = 2;
-  for (; next <= (cut ? CutAfter : Events); ++next)
-    out += chunk(event(next));
+  const int all = large ? LargeEvents : Events;
+  for (; next <= (cut ? CutAfter : all); ++next)
+    out += chunk(event(next, large));
   if (cut)
     return channel.writeAndClose(out + chunk("id: 3\nda"));
   channel.write(out + "0\r\n\r\n");
 }
 
-std::string FakeServer::events() {
-  std::string text;
-  for (int i = 1; i <= Events; ++i)
-    text += event(i);
-  return text;
-}
+std::string FakeServer::events() { return allEvents(/*large=*/false); }
+
+std::string FakeServer::largeEvents() { return allEvents(/*large=*/true); }
 
 std::string FakeServer::report() const {
   nlohmann::json adapters = nlohmann::json::array();
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -29,6 +29,8 @@
 
   /// \returns all events of a complete stream.
   static std::string events();
+  /// \returns the same for a stream that is larger than the kernel's buffers.
+  static std::string largeEvents();
   const std::string &instance() const { return Instance; }
   /// Reports a limit, in requests per second, in each answer from now on.
   void reportLimit(double perSecond) { Limit = perSecond; }
@@ -53,7 +55,7 @@
   void crash();
   void answer(Channel &channel, const RequestHead &head);
   void answerStream(Channel &channel, const RequestHead &head,
-                    const std::string &stampedHeaders, bool cut);
+                    const std::string &stampedHeaders, bool cut, bool large);
   std::string report() const;
   std::string handleOrder(const std::string &body);
 
--- a/test/platform/soak/Callers.cpp
+++ b/test/platform/soak/Callers.cpp
@@ -14,6 +14,12 @@
 constexpr int StatusUnavailable = 503;
 constexpr Duration SendPeriod = milliseconds(15);
 constexpr Duration MarkerPeriod = milliseconds(250);
+constexpr Duration SlowPeriod = milliseconds(600);
+/// A slow caller reads nothing for up to this long. Its time to wait for the
+/// answer isn't over then.
+constexpr Duration MaxReadingPause = milliseconds(1000);
+constexpr Duration PauseCheckPeriod = milliseconds(20);
+constexpr std::size_t LargePromptBytes = std::size_t(512) << 10;
 /// Timeout that each caller sends with its request.
 constexpr Duration CallerTimeout = milliseconds(1500);
 /// Additional time after CallerTimeout by which an answer must have arrived in
@@ -46,10 +52,12 @@
 Callers::Callers(EventLoop &loop, Deployment &deployment, FaultPlan &faults,
                  Operator &changes, std::uint64_t seed, Report &report)
     : Loop(loop), System(deployment), Faults(faults), DocumentOperator(changes),
-      Rng(seed), Results(report), Pool(loop, {}, *this), StartedAt(loop.now()),
-      Entries(deployment.entryListeners().size()),
+      Rng(seed), SlowRng(seed + 1), Results(report), Pool(loop, {}, *this),
+      StartedAt(loop.now()), Entries(deployment.entryListeners().size()),
       Sender(loop.every(SendPeriod, [this] { sendOne(); })),
-      MarkerSender(loop.every(MarkerPeriod, [this] { sendMarker(); })) {}
+      MarkerSender(loop.every(MarkerPeriod, [this] { sendMarker(); })),
+      SlowSender(loop.every(SlowPeriod, [this] { sendSlow(); })),
+      PauseTimer(loop.every(PauseCheckPeriod, [this] { endPauses(); })) {}
 
 int Callers::maxRuns(const std::string &path) {
   const bool once = path.starts_with("/once/") || path.starts_with("/brook/");
@@ -83,6 +91,25 @@
   send(std::move(request));
 }
 
+void Callers::sendSlow() {
+  Request request;
+  request.Path = "/flow/stream-large";
+  request.Entry = SlowRng.next() % Entries.size();
+  request.ReadingPause = fromSeconds(
+      std::max(SlowRng.uniform() * toSeconds(MaxReadingPause), 0.001));
+  send(std::move(request));
+}
+
+void Callers::endPauses() {
+  const TimePoint now = Loop.now();
+  std::erase_if(Paused, [&](const auto &it) {
+    if (now < it.second)
+      return false;
+    Pool.pause(it.first, /*paused=*/false);
+    return true;
+  });
+}
+
 void Callers::send(Request request) {
   const TimePoint now = Loop.now();
   const auto &[address, daemon] = System.entryListeners()[request.Entry];
@@ -104,12 +131,14 @@
        {"Pimentofront-Deadline-Ms",
         std::to_string(CallerTimeout / milliseconds(1))}}};
   const AttemptId attempt{1, LastId};
+  const bool slow = request.ReadingPause > Duration::zero();
   InFlight.emplace(attempt, std::move(request));
   ++Results.Counts["requests"];
   Pool.send({.Attempt = attempt,
              .Address = address.Ip + ":" + std::to_string(address.Port),
              .Head = std::move(head),
-             .Body = std::make_shared<const std::string>("body")});
+             .Body = std::make_shared<const std::string>(
+                 slow ? std::string(LargePromptBytes, 'p') : "body")});
 }
 
 //===----------------------------------------------------------------------===//
@@ -117,7 +146,12 @@
 //===----------------------------------------------------------------------===//
 
 HeadDecision Callers::onHead(const AttemptId &attempt, ResponseHead head) {
-  InFlight.at(attempt).Status = head.Status;
+  Request &request = InFlight.at(attempt);
+  request.Status = head.Status;
+  if (request.ReadingPause > Duration::zero()) {
+    Pool.pause(attempt, /*paused=*/true);
+    Paused[attempt] = Loop.now() + request.ReadingPause;
+  }
   return HeadDecision::Take;
 }
 
@@ -128,10 +162,16 @@
 void Callers::onEnd(const AttemptId &attempt, UpstreamEnding ending) {
   const auto node = InFlight.extract(attempt);
   const Request &request = node.mapped();
-  checkDuration(request);
+  const bool slow = request.ReadingPause > Duration::zero();
+  Paused.erase(attempt);
+  if (slow)
+    ++Results.Counts["answers read late"];
+  else
+    checkDuration(request);
   if (ending != UpstreamEnding::Complete) {
     ++Results.Counts["answers that were incomplete"];
-    Entries[request.Entry].ConsecutiveGood = 0;
+    if (!slow)
+      Entries[request.Entry].ConsecutiveGood = 0;
     return;
   }
   ++Results.Counts["answers with " + std::to_string(request.Status)];
@@ -168,11 +208,14 @@
     return;
   const bool stream = request.Path.find("/stream") != std::string::npos;
   const std::string expected =
-      stream ? testkit::FakeServer::events() : request.Id;
+      request.ReadingPause > Duration::zero()
+          ? testkit::FakeServer::largeEvents()
+          : (stream ? testkit::FakeServer::events() : request.Id);
+  constexpr std::size_t MaxShown = 1000;
   if (request.Body != expected)
-    addViolation(request,
-                 std::string("body differs from the one that the server sent: ")
-                     .append(request.Body));
+    addViolation(request, "body differs from the one that the server sent: " +
+                              std::to_string(request.Body.size()) + " B, " +
+                              request.Body.substr(0, MaxShown));
 }
 
 void Callers::checkMarker(const Request &request) {
--- a/test/platform/soak/Callers.h
+++ b/test/platform/soak/Callers.h
@@ -18,6 +18,7 @@
   void stopSending() {
     Sender.reset();
     MarkerSender.reset();
+    SlowSender.reset();
   }
   /// \returns whether the last requests through each entry were all answered
   /// well.
@@ -40,6 +41,9 @@
     std::uint32_t EntryStart = 0;
     /// Document version whose own route the request uses; 0 for other requests.
     std::uint64_t Marker = 0;
+    /// Time for which its caller reads nothing once the answer has begun; zero
+    /// for most callers.
+    Duration ReadingPause = Duration::zero();
     TimePoint SentAt;
     /// Whether there was no fault for CalmTime before it was sent.
     bool SentInCalmPeriod = false;
@@ -58,6 +62,10 @@
 
   void sendOne();
   void sendMarker();
+  /// Sends a large prompt whose caller reads its large answer late.
+  void sendSlow();
+  /// Lets the callers read again whose pauses are over.
+  void endPauses();
   void send(Request request);
   bool isCalm(TimePoint now, Duration time) const;
   void checkAnswer(const Request &request);
@@ -73,11 +81,16 @@
   FaultPlan &Faults;
   Operator &DocumentOperator;
   Random Rng;
+  /// For slow readers only, so that the others' requests are the same with and
+  /// without them.
+  Random SlowRng;
   Report &Results;
   UpstreamPool Pool;
   TimePoint StartedAt;
   std::uint64_t LastId = 0;
   std::map<AttemptId, Request> InFlight;
+  /// Callers that don't read now, with the end of their pauses.
+  std::map<AttemptId, TimePoint> Paused;
   std::vector<EntryView> Entries;
   /// Paths of all requests by id, and the ids of the requests that were refused
   /// and thus must not have run.
@@ -85,6 +98,8 @@
   std::vector<std::string> Refused;
   std::unique_ptr<Timer> Sender;
   std::unique_ptr<Timer> MarkerSender;
+  std::unique_ptr<Timer> SlowSender;
+  std::unique_ptr<Timer> PauseTimer;
 };
 
 } // namespace pimentofront::soak
--- a/test/platform/soak/Deployment.cpp
+++ b/test/platform/soak/Deployment.cpp
@@ -100,9 +100,9 @@
 void Deployment::addEntries() {
   for (int i = 0; i < Options.Entries; ++i) {
     const HostPort listen = addressOf(entryIp(i), EntryListen);
-    Daemon &it =
-        addDaemon("entry-" + std::to_string(i), entryIp(i),
-                  "\"forward\": {\"listen\": " + quoted(text(listen)) + "}");
+    Daemon &it = addDaemon("entry-" + std::to_string(i), entryIp(i),
+                           "\"forward\": {\"held_bytes_mb\": 16, \"listen\": " +
+                               quoted(text(listen)) + "}");
     EntryListeners.emplace_back(listen, &it);
   }
 }
