A test that fails: a new voter refuses its vote until its own log names it

Not mended here, since the rule concerns the replacement of silent voters, too, whose schedules and models have to run with a change.

--- a/test/ConsensusTest.cpp
+++ b/test/ConsensusTest.cpp
@@ -317,3 +317,31 @@
     CHECK_FALSE(sent<VoteReply>(log).at(0).Granted);
   }
 }
+
+// First start on a busy machine: the leader of a group of one made replica 2 a
+// voter, lost its quorum by that, and stepped down before it had sent the
+// entry. It needed the vote of replica 2, which refused for good, since it was
+// a learner by its own log.
+TEST_CASE(
+    "a replica votes for a candidate whose log makes it a voter, before its "
+    "own does",
+    "[vote-before-promotion]") {
+  StoredLog stored{.Id = 2, .Vote = {.Current = 1}};
+  stored.Snapshot = {.LastIndex = 4, .LastTerm = 1};
+  for (ReplicaId id = 1; id <= 3; ++id)
+    stored.Snapshot.Group.Replicas.push_back(
+        {.Id = id,
+         .Host = HostName("n" + std::to_string(id)),
+         .Address = "a",
+         .Learner = id != 1});
+  ReplicatedLog log(Start, {}, stored);
+  log.onMessage(Start + 700ms, 0,
+                VoteRequest{.From = 1,
+                            .CandidateTerm = 2,
+                            .LastIndex = 5,
+                            .LastTerm = 1,
+                            .PreVote = true});
+  const auto replies = sent<VoteReply>(log);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].Granted);
+}
