--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -28,6 +28,8 @@
 #include "src/Forward/ServerSet.h"
 #include "src/Forward/PromptFetch.h"
 #include "src/Forward/RetryBudgets.h"
+#include "src/Forward/ByteBudget.h"
+#include "src/Forward/ServerBytes.h"
 #include "src/Forward/QuarantineSet.h"
 #include "src/Forward/ForwardBoard.h"
 #include "src/Forward/DemandOf.h"
