Split the choice of plain servers from attempts and from the set of servers

AttemptController and ServerSet had several jobs. The choice of a plain server is now PlainController's, which returns a decision that AttemptController carries out; the score of a server is a function in ServerScore, the view of a server has a file. A key that was read after its request might have been refused is now read before.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -151,50 +151,22 @@
 }
 
 void AttemptController::choosePlain(TimePoint now, ForwardRequest &request) {
-  const auto paced = Board.Servers.pacedServers(now, request.Service,
-                                                request.Avoid, request.Zones);
-  const bool canRetry = request.Sends + 1 < request.Route->MaxServers &&
-                        Board.Budgets.canRetry(request.Service);
-  ServerView *server =
-      Board.Servers.choose(now, request.Service, request.Avoid, Board.Permits,
-                           request.Zones, canRetry);
-  if (server) {
-    const ServerProcess process = server->Record.process();
-    if (Board.Permits.has(now, process))
-      Board.Permits.use(process);
-  }
-  for (const ServerProcess &it : paced)
-    Board.Permits.requestPermit(now, it,
-                                Board.Servers.feedbackOf(it).limit(now),
-                                Board.Servers.coldStartOf(now, it));
-  if (server)
-    return send(now, request, *server);
-  if (paced.empty())
+  const PlainDecision decision = Plain.decide(now, request);
+  const std::uint64_t key = request.Key;
+  switch (decision.Choice) {
+  case PlainChoice::Send:
+    return send(now, request, *decision.Server);
+  case PlainChoice::NoServer:
     return handleNoServer(now, request);
-  awaitPermit(now, request, paced);
-}
-
-void AttemptController::awaitPermit(TimePoint now, ForwardRequest &request,
-                                    const std::vector<ServerProcess> &paced) {
-  const auto nextChanceOf = [&](const ServerProcess &it) {
-    return Board.Permits.earliestSendTime(now, it);
-  };
-  const TimePoint earliest =
-      nextChanceOf(*std::ranges::min_element(paced, {}, nextChanceOf));
-  request.LastRefusal = RefusalReason::RateLimited;
-  // The leader grants this entry one permit at a time for each server, so no
-  // more requests than servers are deferred for permits.
-  const auto deferred =
-      std::ranges::count_if(Board.Deferred, [&](const auto key) {
-        return Board.Requests.at(key).Service == request.Service;
-      });
-  if (earliest < Deferrals.deferLimit(request) &&
-      static_cast<std::size_t>(deferred) < paced.size()) {
+  case PlainChoice::AwaitPermit:
+    request.LastRefusal = RefusalReason::RateLimited;
     deferOrGiveUp(now, request, ForwardFailure::Declined);
-    return Deferrals.retryAt(request.Key, earliest);
+    return Deferrals.retryAt(key, decision.At);
+  case PlainChoice::NoPermit:
+    request.LastRefusal = RefusalReason::RateLimited;
+    request.RetryAfter = std::max(request.RetryAfter, decision.At - now);
+    return giveUp(now, request, ForwardFailure::Declined);
   }
-  request.RetryAfter = std::max(request.RetryAfter, earliest - now);
-  giveUp(now, request, ForwardFailure::Declined);
 }
 
 void AttemptController::chooseEngine(TimePoint now, ForwardRequest &request) {
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -3,6 +3,7 @@
 
 #include "AccountController.h"
 #include "DeferController.h"
+#include "PlainController.h"
 #include "QuarantineController.h"
 
 namespace pimentofront {
@@ -18,7 +19,7 @@
                     DeferController &deferrals,
                     QuarantineController &quarantine, RoutingPolicy &routing)
       : Board(board), Accounts(accounts), Deferrals(deferrals),
-        Quarantine(quarantine), Routing(routing) {}
+        Quarantine(quarantine), Routing(routing), Plain(board, deferrals) {}
 
   /// Starts the next attempt at the request, or gives the request up.
   void next(TimePoint now, ForwardRequest &request);
@@ -89,11 +90,6 @@
   void chooseEngine(TimePoint now, ForwardRequest &request);
   /// No server takes the request now: defers or refuses it.
   void handleNoServer(TimePoint now, ForwardRequest &request);
-  /// The only servers that take the request are rate-limited or cold ones for
-  /// which this entry has no permit: defers the request until one may come, or
-  /// refuses it.
-  void awaitPermit(TimePoint now, ForwardRequest &request,
-                   const std::vector<ServerProcess> &paced);
   /// \returns whether a zone may have been evacuated without this entry
   /// knowing.
   bool mayMissEvacuation(TimePoint now) const;
@@ -129,6 +125,7 @@
   DeferController &Deferrals;
   QuarantineController &Quarantine;
   RoutingPolicy &Routing;
+  PlainController Plain;
 };
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -9,13 +9,6 @@
   return address.substr(0, address.rfind(':'));
 }
 
-/// \returns the factor of an exponential backoff: 1, doubled with each failure
-/// up to 16.
-std::uint32_t backoffFactor(std::uint32_t failures) {
-  constexpr std::uint32_t MaxDoublings = 4;
-  return 1U << std::min(failures, MaxDoublings);
-}
-
 /// \returns \p first, doubled with each failure up to 16 times.
 Duration backoffDelay(Duration first, std::uint32_t failures) {
   return first * backoffFactor(failures);
@@ -32,11 +25,6 @@
 
 } // namespace
 
-const char *reportedRoomName(ReportedRoom room) {
-  constexpr const char *Names[] = {"unknown", "free", "full"};
-  return Names[static_cast<std::size_t>(room)];
-}
-
 bool belongsTo(const MemberRecord &server, const ServiceName &service) {
   return std::ranges::find(server.Services, service) != server.Services.end();
 }
@@ -155,34 +143,6 @@
   return n == 0 ? 0 : sum / static_cast<double>(n);
 }
 
-double ServerSet::declinePenalty(TimePoint now, const ServerView &server,
-                                 bool canRetry) const {
-  if (server.UnexplainedDeclines == 0)
-    return 0;
-  // A request that may go to another server finds out whether this one takes
-  // requests again. One that may not stays away for twice as long.
-  constexpr int LastSendFactor = 2;
-  const std::uint32_t factor = backoffFactor(server.UnexplainedDeclines - 1);
-  const Duration time =
-      Options.DeclinePenaltyTime * factor * (canRetry ? 1 : LastSendFactor);
-  return now < server.LastDeclineAt + time ? Options.DeclinePenalty * factor
-                                           : 0;
-}
-
-double ServerSet::scoreOf(TimePoint now, const ServerView &server,
-                          double meanFailures, bool canRetry) const {
-  const double slots = std::max(server.Record.Slots, 1U);
-  std::uint32_t busy = server.InFlight;
-  if (hasLoadReport(now, server))
-    busy = std::max(busy, server.Load.Running + server.Load.Waiting);
-  double score = busy / slots;
-  if (server.Record.Zone != Options.Zone)
-    score += Options.ZonePreference;
-  score += Options.FailurePenalty *
-           std::max(server.FailureShare - meanFailures, 0.0);
-  return score + declinePenalty(now, server, canRetry);
-}
-
 void ServerSet::useDocument(const RoutingDocument &document) {
   Services.clear();
   for (const ServiceSpec &it : document.Services)
@@ -286,7 +246,8 @@
                               const std::vector<ServerProcess> &excluded,
                               const SendPermits &permits,
                               const AllowedZones &zones, bool canRetry) {
-  const double failures = meanFailureShare(service);
+  const ScoreContext context{.MeanFailures = meanFailureShare(service),
+                             .CanRetry = canRetry};
   ServerView *best = nullptr;
   std::pair<bool, double> bestRank;
   for (auto &[host, it] : Servers) {
@@ -295,7 +256,7 @@
     if (isPaced(now, it) && !permits.has(now, it.Record.process()))
       continue;
     const std::pair<bool, double> rank{now < it.EjectedUntil,
-                                       scoreOf(now, it, failures, canRetry)};
+                                       scoreOf(now, Options, it, context)};
     if (best && rank >= bestRank)
       continue;
     best = &it;
@@ -386,7 +347,7 @@
   const auto it = Servers.find(server.Name);
   if (it == Servers.end() ||
       !mayBeSameProcess(it->second.Record.process(), server) ||
-      !hasLoadReport(now, it->second))
+      !hasLoadReport(now, Options, it->second))
     return ReportedRoom::Unknown;
   const ServerLoad &load = it->second.Load;
   const bool hasFreeSlots =
