Queue and refuse at the entry for a plain service that is full; choose servers by pace

A plain service with less room than its callers ask for was sent everything: its servers' queues made each answer late, and what was declined had used its only send. Servers were chosen by slots alone, however slow their hosts were just then.

ServerPace keeps the expected time of each plain server, by the times of its answers and the slowness that it states; scoreOf() compares servers by it from 1.5 times the fastest on (1.2 if stated), and by slots as before below that. PlainRoom reckons from the reports in what time the servers would answer one more request. PlainQueue decides while all report to be full: sent while the answer can be expected by its latency target, kept at the entry for at most a quarter of the target in order of urgency, return, account and due time, or refused at once. Retry-After grows with the length of the overload. Metrics, log lines with the inputs, explain.

--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -150,6 +150,14 @@
     {"request_lost", "why=declined",
      "refused: each server or agent that could take it declined; the reason "
      "is given after the comma"},
+    {"request_lost", "why=no_room",
+     "refused, and sent to no server that ran it: all servers of its plain "
+     "service reported to be full, and its answer could not be expected by its "
+     "latency target; the line tells the expected time, the time allowed for "
+     "its urgency and account, and the slots"},
+    {"request_queued", "",
+     "it waits at the entry: all servers of its plain service reported to be "
+     "full, and more urgent requests, or accounts below their share, go first"},
     {"request_lost", "why=timed_out",
      "its time ran out; if no server is named it was waiting for its adapter, "
      "otherwise for the server's answer"},
--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -5,6 +5,29 @@
 namespace pimentofront {
 namespace {
 
+/// Sets the gauges of the plain services, the only ones whose servers have a
+/// pace.
+void setPlainGauges(TimePoint now, const ForwardBoard &board, Gauges &gauges) {
+  const ServerSetOptions &options = board.Options.Servers;
+  for (const auto &[service, queue] : board.PlainQueues)
+    gauges.PlainWaiting += static_cast<double>(queue.size());
+  for (const auto &[host, it] : board.Servers.servers()) {
+    const double pace = toSeconds(it.Pace.expected(now, options.Pace));
+    if (pace <= 0)
+      continue;
+    gauges.SlowestServerSeconds = std::max(gauges.SlowestServerSeconds, pace);
+    gauges.FastestServerSeconds =
+        gauges.FastestServerSeconds > 0
+            ? std::min(gauges.FastestServerSeconds, pace)
+            : pace;
+    if (!hasLoadReport(now, options, it))
+      continue;
+    const PlainRoom room = plainRoomOf(now, options, {&it});
+    gauges.PlainSlots += room.Slots;
+    gauges.PlainSlotsFree += room.FreeSlots;
+  }
+}
+
 constexpr std::string_view AssistantPath = "/pimentofront.v1.Assistant/";
 constexpr std::string_view OperatorPath = "/pimentofront.v1.Operator/";
 constexpr std::size_t MaxNameBytes = 128;
@@ -133,6 +156,7 @@
     const ServerSet &servers = Nodes.Forward->controller().board().Servers;
     const FeedbackCounts counts = servers.countFeedback(now);
     gauges.LimitedServers = counts.Limited;
+    setPlainGauges(now, Nodes.Forward->controller().board(), gauges);
     gauges.BackingOffServers = counts.BackingOff;
     gauges.LeavingServers = counts.Leaving;
     gauges.ColdServers = counts.Cold;
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -1,5 +1,7 @@
 #include "Metrics.h"
 
+#include <set>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -87,6 +89,20 @@
           .Name("pimentofront_forward_seconds")
           .Help("Time from a request's arrival to an event, by event and route")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &RoomRefusals =
+      prometheus::BuildCounter()
+          .Name("pimentofront_plain_refusals_total")
+          .Help("Requests refused because the answer of a full plain service "
+                "wouldn't have been in time, by service, urgency and account")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &RoomWaits =
+      prometheus::BuildHistogram()
+          .Name("pimentofront_plain_wait_seconds")
+          .Help("Time that requests for a full plain service waited at this "
+                "entry before they were sent")
+          .Register(Registry);
+  /// Accounts that are labels of metrics.
+  std::set<std::string> LabelledAccounts;
   prometheus::Family<prometheus::Gauge> &State =
       prometheus::BuildGauge()
           .Name("pimentofront_state")
@@ -94,6 +110,26 @@
           .Register(Registry);
 };
 
+namespace {
+
+/// \returns the value of the account label; the first accounts keep theirs.
+std::string accountLabel(std::set<std::string> &known,
+                         const std::string &account) {
+  constexpr std::size_t MaxAccounts = 32;
+  if (account.empty())
+    return "-";
+  if (known.size() < MaxAccounts)
+    known.insert(account);
+  return known.contains(account) ? account : "other";
+}
+
+std::string urgencyLabel(std::uint32_t urgency) {
+  constexpr std::uint32_t MaxUrgency = 7;
+  return urgency > MaxUrgency ? "lower" : std::to_string(urgency);
+}
+
+} // namespace
+
 Metrics::Metrics() : State(new Impl) {}
 Metrics::~Metrics() = default;
 
@@ -134,6 +170,16 @@
         .Add({{"service", service},
               {"reported", reportedRoomName(*event.RoomAtDecline)}})
         .Increment();
+  if (event.RefusedUrgency)
+    State->RoomRefusals
+        .Add({{"service", service},
+              {"urgency", urgencyLabel(*event.RefusedUrgency)},
+              {"account",
+               accountLabel(State->LabelledAccounts, event.Account.str())}})
+        .Increment();
+  if (std::string_view(event.Name) == "request_unqueued")
+    State->RoomWaits.Add({{"service", service}}, StallBuckets)
+        .Observe(toSeconds(event.Took));
   if (event.Denial != RetryDenial::None)
     State->DeniedRetries
         .Add({{"service", service}, {"reason", retryDenialName(event.Denial)}})
@@ -166,6 +212,11 @@
   put("resting_servers", gauges.BackingOffServers);
   put("leaving_servers", gauges.LeavingServers);
   put("cold_servers", gauges.ColdServers);
+  put("plain_waiting", gauges.PlainWaiting);
+  put("plain_slots", gauges.PlainSlots);
+  put("plain_slots_free", gauges.PlainSlotsFree);
+  put("plain_slowest_server_seconds", gauges.SlowestServerSeconds);
+  put("plain_fastest_server_seconds", gauges.FastestServerSeconds);
   put("evacuated_zones", gauges.EvacuatedZones);
   put("leads", gauges.Leads);
   put("peer_bytes_sent", gauges.PeerBytesSent);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -26,6 +26,15 @@
   double BackingOffServers = 0;
   double LeavingServers = 0;
   double ColdServers = 0;
+  /// Requests that wait at this entry for room at a plain service, and the
+  /// slots of the plain services whose servers report their load.
+  double PlainWaiting = 0;
+  double PlainSlots = 0;
+  double PlainSlotsFree = 0;
+  /// Expected times of the slowest and the fastest plain server for a request;
+  /// 0 if none has answered.
+  double SlowestServerSeconds = 0;
+  double FastestServerSeconds = 0;
   /// Zones evacuated by operators, by the configuration that this entry has.
   double EvacuatedZones = 0;
   double Leads = 0;
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -59,6 +59,9 @@
     brokeOff(now, *request, /*serverMayHaveExited=*/false);
     return HeadDecision::Take;
   }
+  if (!request->ToEngine)
+    Board.Servers.recordAnswerTime(now, request->Attempt->Server,
+                                   now - request->Attempt->SentAt);
   request->Attempt->Head = std::move(head);
   Attempts.recordMayHaveRun(*request);
   if (request->Attempt->Head->Status < StatusServerError)
@@ -149,7 +152,10 @@
   Attempts.endAttempt(now, request,
                       failed ? ServerOutcome::Failed : ServerOutcome::Answered,
                       failed ? ReleaseKind::BrokeOff : ReleaseKind::Answered);
+  const bool plain = !request.ToEngine;
   Attempts.finish(now, request);
+  if (plain)
+    Attempts.serveWaiting(now);
 }
 
 void AnswerController::brokeOff(TimePoint now, ForwardRequest &request,
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -46,6 +46,19 @@
          request.RefusalDetail;
 }
 
+/// \returns the inputs of a decision to queue or refuse a request, for the log.
+std::string describeRoom(const PlainDecision &decision) {
+  const auto milliseconds = [](Duration it) {
+    return std::to_string(it.count() / 1000) + " ms";
+  };
+  const PlainRoom &room = decision.Room;
+  return "answer expected in " + milliseconds(decision.Outcome.AnswersIn) +
+         ", allowed " + milliseconds(decision.Outcome.Allowed) + ", slots " +
+         std::to_string(room.Slots) + ", free " +
+         std::to_string(room.FreeSlots) + ", wait at servers " +
+         milliseconds(room.StartsIn);
+}
+
 /// \returns the HTTP status for a request without an answer. 503 guarantees
 /// that the request has not run and never will.
 int statusOf(ForwardFailure why, bool mayHaveRun) {
@@ -76,7 +89,7 @@
       "declined",       "timed_out",      "broke_off",    "caller_gone",
       "quarantined",    "on_trial",       "no_leave",     "unknown_key",
       "keys_outdated",  "over_allotment", "no_allotment", "servers_rest",
-      "zones_outdated", "no_region"};
+      "zones_outdated", "no_region",      "no_room"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -158,6 +171,10 @@
     return send(now, request, *decision.Server);
   case PlainChoice::NoServer:
     return handleNoServer(now, request);
+  case PlainChoice::Wait:
+    return recordEvent(now, "request_queued", request, describeRoom(decision));
+  case PlainChoice::Refuse:
+    return refuseForRoom(now, request, decision);
   case PlainChoice::AwaitPermit:
     request.LastRefusal = RefusalReason::RateLimited;
     deferOrGiveUp(now, request, ForwardFailure::Declined);
@@ -169,6 +186,27 @@
   }
 }
 
+void AttemptController::refuseForRoom(TimePoint now, ForwardRequest &request,
+                                      const PlainDecision &decision) {
+  request.RefusalDetail = "; urgency " + std::to_string(request.priority()) +
+                          ", " + describeRoom(decision);
+  request.RetryAfter =
+      std::max(request.RetryAfter, decision.Outcome.RetryAfter);
+  giveUp(now, request, ForwardFailure::NoRoom);
+}
+
+void AttemptController::serveWaiting(TimePoint now) {
+  for (const std::uint64_t key : Plain.takeExpired(now)) {
+    ForwardRequest &request = Board.Requests.at(key);
+    refuseForRoom(now, request, Plain.refuse(now, request));
+  }
+  for (const std::uint64_t key : Plain.takeReady(now)) {
+    ForwardRequest &request = Board.Requests.at(key);
+    recordEvent(now, "request_unqueued", request);
+    next(now, request);
+  }
+}
+
 void AttemptController::chooseEngine(TimePoint now, ForwardRequest &request) {
   const RouteQuery query{.Key = request.Adapter,
                          .BaseModel = request.Service.str(),
@@ -618,6 +656,8 @@
   ForwardEvent &event = Board.Events.back();
   event.Reason = forwardFailureName(why);
   event.Denial = request.Denial;
+  if (why == ForwardFailure::NoRoom)
+    event.RefusedUrgency = request.priority();
   if (request.Route)
     event.Outcome =
         mayHaveRun ? RequestOutcome::Failed : RequestOutcome::Refused;
@@ -642,6 +682,9 @@
   if (request.Attempt)
     Board.Attempts.erase(request.Attempt->Id);
   Board.Deferred.erase(request.Key);
+  if (const auto it = Board.PlainQueues.find(request.Service);
+      it != Board.PlainQueues.end())
+    it->second.remove(request.Key);
   Board.Requests.erase(request.Key);
 }
 
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -56,6 +56,9 @@
   /// \returns whether its route and its state allow the request to be sent to
   /// another server.
   bool mayRepeat(TimePoint now, const ForwardRequest &request) const;
+  /// Sends the requests for plain services that wait at this entry and have
+  /// room now, and refuses those that have waited long enough.
+  void serveWaiting(TimePoint now);
   /// The first event has arrived: notifies the agent.
   void notifyBegan(const ForwardRequest &request);
   /// Ends the current attempt; notifies the agent and updates the server's
@@ -88,6 +91,8 @@
   void choose(TimePoint now, ForwardRequest &request);
   void choosePlain(TimePoint now, ForwardRequest &request);
   void chooseEngine(TimePoint now, ForwardRequest &request);
+  void refuseForRoom(TimePoint now, ForwardRequest &request,
+                     const PlainDecision &decision);
   /// No server takes the request now: defers or refuses it.
   void handleNoServer(TimePoint now, ForwardRequest &request);
   /// \returns whether a zone may have been evacuated without this entry
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
 
 #include "EventStream.h"
+#include "PlainQueue.h"
 #include "QuarantineSet.h"
 #include "RetryBudgets.h"
 #include "RoutingTable.h"
@@ -132,6 +133,9 @@
   ZonesOutdated,
   /// No server is in a region that both its route and its client account allow.
   NoRegion,
+  /// All servers of the plain service are full, and the answer wouldn't be in
+  /// time.
+  NoRoom,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
@@ -367,6 +371,8 @@
   /// Set by the last event of a request that has a route.
   std::optional<RequestOutcome> Outcome;
   RetryDenial Denial = RetryDenial::None;
+  /// Set if the request was refused for want of room: its urgency.
+  std::optional<std::uint32_t> RefusedUrgency;
   /// Set if a server declined the request: the room that it reported.
   std::optional<ReportedRoom> RoomAtDecline;
 };
@@ -395,6 +401,8 @@
   AllotmentLeases Leases;
   RetryBudgets Budgets;
   SendPermits Permits;
+  /// By plain service.
+  std::map<ServiceName, PlainQueue> PlainQueues;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -274,6 +274,7 @@
     Attempts.giveUp(now, Board.Requests.at(key),
                     ForwardFailure::AllotmentUndecided);
   retryDeferred(now);
+  Attempts.serveWaiting(now);
   for (const std::uint64_t key : Quarantine.takeSettled(now))
     Attempts.next(now, Board.Requests.at(key));
 }
--- a/packages/forward/pimentofront/src/Forward/PlainController.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainController.cpp
@@ -3,9 +3,43 @@
 #include <algorithm>
 
 namespace pimentofront {
+namespace {
+
+PlainDemand plainDemandOf(const ForwardRequest &request) {
+  const RequestDemand demand = demandOf(request);
+  return {.Key = request.Key,
+          .Content = request.Content,
+          .Urgency = demand.Urgency,
+          .Account = demand.Account,
+          .AccountShare = demand.AccountShare,
+          .ArrivedAt = request.ArrivedAt,
+          .Target = request.Route->LatencyTarget,
+          .Deadline = request.Deadline,
+          .MayWait = request.Sends == 0};
+}
+
+} // namespace
 
 PlainDecision PlainController::decide(TimePoint now,
                                       const ForwardRequest &request) {
+  const PlainDemand demand = plainDemandOf(request);
+  PlainQueue &queue = Board.PlainQueues[request.Service];
+  // A request that may have run can't be refused as one that hasn't.
+  const PlainRoom room = roomFor(now, request);
+  if (!request.MayHaveRun) {
+    const PlainOutcome outcome = queue.offer(now, demand, room);
+    if (outcome.Verdict == PlainVerdict::Wait)
+      return {.Choice = PlainChoice::Wait, .Outcome = outcome, .Room = room};
+    if (outcome.Verdict == PlainVerdict::Refuse) {
+      queue.recordRefusal(now, demand);
+      return {.Choice = PlainChoice::Refuse, .Outcome = outcome, .Room = room};
+    }
+  }
+  if (room.ReportedFull) {
+    queue.recordSent(now, demand);
+    return {.Choice = PlainChoice::Send,
+            .Server = Board.Servers.find(room.Best)};
+  }
   const auto paced = Board.Servers.pacedServers(now, request.Service,
                                                 request.Avoid, request.Zones);
   const bool canRetry = request.Sends + 1 < request.Route->MaxServers &&
@@ -22,13 +56,47 @@
     Board.Permits.requestPermit(now, it,
                                 Board.Servers.feedbackOf(it).limit(now),
                                 Board.Servers.coldStartOf(now, it));
-  if (server)
+  if (server) {
+    queue.recordSent(now, demand);
     return {.Choice = PlainChoice::Send, .Server = server};
+  }
   if (paced.empty())
     return {.Choice = PlainChoice::NoServer};
   return decideOnPermit(now, request, paced);
 }
 
+std::vector<std::uint64_t> PlainController::takeReady(TimePoint now) {
+  std::vector<std::uint64_t> ready;
+  for (auto &[service, queue] : Board.PlainQueues) {
+    if (queue.empty())
+      continue;
+    const PlainRoom room = Board.Servers.plainRoom(now, service, {});
+    std::ranges::copy(queue.takeReady(now, room), std::back_inserter(ready));
+  }
+  return ready;
+}
+
+std::vector<std::uint64_t> PlainController::takeExpired(TimePoint now) {
+  std::vector<std::uint64_t> expired;
+  for (auto &[service, queue] : Board.PlainQueues)
+    std::ranges::copy(queue.takeExpired(now), std::back_inserter(expired));
+  return expired;
+}
+
+PlainDecision PlainController::refuse(TimePoint now,
+                                      const ForwardRequest &request) {
+  const PlainDemand demand = plainDemandOf(request);
+  PlainQueue &queue = Board.PlainQueues[request.Service];
+  const PlainRoom room = roomFor(now, request);
+  const Duration retryAfter = queue.retryAfter(now, demand, room);
+  queue.recordRefusal(now, demand);
+  return {.Choice = PlainChoice::Refuse,
+          .Outcome = {.Verdict = PlainVerdict::Refuse,
+                      .RetryAfter = retryAfter,
+                      .AnswersIn = room.answersIn()},
+          .Room = room};
+}
+
 PlainDecision
 PlainController::decideOnPermit(TimePoint now, const ForwardRequest &request,
                                 const std::vector<ServerProcess> &paced) const {
--- a/packages/forward/pimentofront/src/Forward/ServerScore.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerScore.cpp
@@ -20,6 +20,20 @@
                                            : 0;
 }
 
+/// \returns how many times as long as the fastest server this one takes; 1 if
+/// the difference isn't noticeable.
+double slownessOf(TimePoint now, const ServerSetOptions &options,
+                  const ServerView &server, Duration fastest) {
+  const Duration pace = server.Pace.expected(now, options.Pace);
+  if (fastest <= Duration::zero() || pace <= fastest)
+    return 1;
+  const double ratio = toSeconds(pace) / toSeconds(fastest);
+  const double noticeable = server.Pace.isStated()
+                                ? options.NoticeableStatedSlowness
+                                : options.NoticeableSlowness;
+  return ratio < noticeable ? 1 : ratio;
+}
+
 } // namespace
 
 double scoreOf(TimePoint now, const ServerSetOptions &options,
@@ -28,7 +42,8 @@
   std::uint32_t busy = server.InFlight;
   if (hasLoadReport(now, options, server))
     busy = std::max(busy, server.Load.Running + server.Load.Waiting);
-  double score = busy / slots;
+  const double slowness = slownessOf(now, options, server, context.FastestPace);
+  double score = (1 + busy / slots) * slowness - 1;
   if (server.Record.Zone != options.Zone)
     score += options.ZonePreference;
   score += options.FailurePenalty *
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -143,6 +143,35 @@
   return n == 0 ? 0 : sum / static_cast<double>(n);
 }
 
+Duration ServerSet::fastestPace(TimePoint now,
+                                const ServiceName &service) const {
+  Duration fastest = Duration::zero();
+  for (const auto &[host, it] : Servers) {
+    const Duration pace = it.Pace.expected(now, Options.Pace);
+    if (belongsTo(it.Record, service) && isInUse(it) &&
+        pace > Duration::zero() &&
+        (fastest == Duration::zero() || pace < fastest))
+      fastest = pace;
+  }
+  return fastest;
+}
+
+PlainRoom ServerSet::plainRoom(TimePoint now, const ServiceName &service,
+                               const std::vector<ServerProcess> &excluded,
+                               const AllowedZones &zones) const {
+  std::vector<const ServerView *> open;
+  for (const auto &[host, it] : Servers) {
+    if (!isOpen(now, it, service, excluded, zones) || now < it.EjectedUntil)
+      continue;
+    if (isPaced(now, it))
+      return {};
+    open.push_back(&it);
+  }
+  PlainRoom room = plainRoomOf(now, Options, open);
+  room.Entries = Entries.value();
+  return room;
+}
+
 void ServerSet::useDocument(const RoutingDocument &document) {
   Services.clear();
   for (const ServiceSpec &it : document.Services)
@@ -247,6 +276,7 @@
                               const SendPermits &permits,
                               const AllowedZones &zones, bool canRetry) {
   const ScoreContext context{.MeanFailures = meanFailureShare(service),
+                             .FastestPace = fastestPace(now, service),
                              .CanRetry = canRetry};
   ServerView *best = nullptr;
   std::pair<bool, double> bestRank;
@@ -266,8 +296,25 @@
 }
 
 void ServerSet::recordSent(const ServerProcess &server) {
-  if (ServerView *it = find(server))
-    ++it->InFlight;
+  ServerView *it = find(server);
+  if (!it)
+    return;
+  ++it->InFlight;
+  ++it->SentSinceReport;
+}
+
+void ServerSet::recordAnswerTime(TimePoint now, const ServerProcess &server,
+                                 Duration took) {
+  ServerView *it = find(server);
+  if (!it)
+    return;
+  // About as many requests waited before this one as wait behind it now.
+  const double slots = std::max(it->Record.Slots, 1U);
+  const double waiting =
+      hasLoadReport(now, Options, *it) ? it->Load.Waiting : 0;
+  it->Pace.recordAnswer(
+      now, fromSeconds(toSeconds(took) * slots / (slots + waiting)),
+      Options.Pace);
 }
 
 void ServerSet::recordOutcome(TimePoint now, const ServerProcess &server,
@@ -293,8 +340,13 @@
 
 void ServerSet::recordDecline(TimePoint now, const ServerProcess &server) {
   ServerView *it = find(server);
-  if (!it || reportedRoom(now, server) == ReportedRoom::Full)
+  if (!it)
     return;
+  if (reportedRoom(now, server) == ReportedRoom::Full) {
+    it->LoadAtFullDecline = it->Load.Running + it->Load.Waiting;
+    it->LastFullDeclineAt = now;
+    return;
+  }
   ++it->UnexplainedDeclines;
   it->LastDeclineAt = now;
   if (it->UnexplainedDeclines < Options.EjectDeclines)
@@ -339,6 +391,8 @@
   if (ServerView *it = find(server)) {
     it->Load = load;
     it->LoadReportedAt = now;
+    it->SentSinceReport = 0;
+    it->Pace.recordStatement(now, load.Slowness);
   }
 }
 
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_FORWARD_SERVER_SET_H
 
 #include "HeaderCodec.h"
+#include "PlainRoom.h"
 #include "RoutingDocument.h"
 #include "SendPermits.h"
 #include "ServerView.h"
@@ -80,9 +81,18 @@
 
   /// \returns the room by the last load report of this process.
   ReportedRoom reportedRoom(TimePoint now, const ServerProcess &server) const;
+  /// \returns how soon the servers of \p service that may get one more request
+  /// can take it. Not full if one of them needs a permit.
+  PlainRoom plainRoom(TimePoint now, const ServiceName &service,
+                      const std::vector<ServerProcess> &excluded,
+                      const AllowedZones &zones = {}) const;
   /// \returns how many connections this entry may have to \p server.
   ConnectionLimits connections(TimePoint now, const ServerView &server) const;
   void recordSent(const ServerProcess &server);
+  /// Records that the head of an answer came \p took after the request was
+  /// sent, after recordLoad() with the load that came with it.
+  void recordAnswerTime(TimePoint now, const ServerProcess &server,
+                        Duration took);
   /// Records that the server closed a new connection without any answer.
   void recordRejection(TimePoint now, const ServerProcess &server);
   void recordOutcome(TimePoint now, const ServerProcess &server,
@@ -143,6 +153,9 @@
   void removeOthersAtAddress(const MemberRecord &record);
   void matchAgentsToServers();
   double meanFailureShare(const ServiceName &service) const;
+  /// \returns the shortest expected time of the servers in use; zero if none
+  /// has answered.
+  Duration fastestPace(TimePoint now, const ServiceName &service) const;
   /// Ejects the agent on the server's host, unless there is none or too many
   /// are ejected already.
   /// \returns whether it was ejected.
--- a/packages/forward/pimentofront/src/Forward/ServerView.h
+++ b/packages/forward/pimentofront/src/Forward/ServerView.h
@@ -3,6 +3,7 @@
 
 #include "ConnectionShare.h"
 #include "HeaderCodec.h"
+#include "ServerPace.h"
 #include "pimentofront/State.h"
 
 namespace pimentofront {
@@ -19,6 +20,13 @@
   /// The load that the server reported last, and when the report arrived.
   ServerLoad Load;
   TimePoint LoadReportedAt;
+  /// Requests of this entry sent since the last load report.
+  std::uint32_t SentSinceReport = 0;
+  /// The requests running and waiting at a server that declined another one
+  /// because it was full, and when it last did.
+  std::uint32_t LoadAtFullDecline = 0;
+  TimePoint LastFullDeclineAt;
+  ServerPace Pace;
   /// Set after connections failed. Until then the server is chosen only if no
   /// other server is available.
   TimePoint EjectedUntil;
@@ -99,6 +107,13 @@
   /// too, but its reports explain that and raise its score.
   double DeclinePenalty = 1;
   Duration DeclinePenaltyTime = std::chrono::milliseconds(250);
+  ServerPaceOptions Pace;
+  /// How many times as long as the fastest server of its service a plain server
+  /// must take for its pace to count, by the times of its answers or by a
+  /// slowness that it states. Differences below go unnoticed by callers or are
+  /// spread of service times.
+  double NoticeableSlowness = 1.5;
+  double NoticeableStatedSlowness = 1.2;
   ConnectionShareOptions Connections;
   /// Number of entries to assume until it is known. The connections to a server
   /// and the budget of sends to a second server are divided among them.
