--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -46,6 +46,19 @@
          request.RefusalDetail;
 }
 
+/// \returns the inputs of a decision to queue or refuse a request, for the log.
+std::string describeRoom(const PlainDecision &decision) {
+  const auto milliseconds = [](Duration it) {
+    return std::to_string(it.count() / 1000) + " ms";
+  };
+  const PlainRoom &room = decision.Room;
+  return "answer expected in " + milliseconds(decision.Outcome.AnswersIn) +
+         ", allowed " + milliseconds(decision.Outcome.Allowed) + ", slots " +
+         std::to_string(room.Slots) + ", free " +
+         std::to_string(room.FreeSlots) + ", wait at servers " +
+         milliseconds(room.StartsIn);
+}
+
 /// \returns the HTTP status for a request without an answer. 503 guarantees
 /// that the request has not run and never will.
 int statusOf(ForwardFailure why, bool mayHaveRun) {
@@ -76,7 +89,7 @@
       "declined",       "timed_out",      "broke_off",    "caller_gone",
       "quarantined",    "on_trial",       "no_leave",     "unknown_key",
       "keys_outdated",  "over_allotment", "no_allotment", "servers_rest",
-      "zones_outdated", "no_region",      "no_room"};
+      "zones_outdated", "no_region",      "no_room",      "service_full"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -151,34 +164,38 @@
 }
 
 void AttemptController::choosePlain(TimePoint now, ForwardRequest &request) {
-  const auto paced = Board.Servers.pacedServers(now, request.Service,
-                                                request.Avoid, request.Zones);
-  const bool canRetry = request.Sends + 1 < request.Route->MaxServers &&
-                        Board.Budgets.canRetry(request.Service);
   std::vector<ServerProcess> avoid = request.Avoid;
   const std::size_t full = avoidFullServers(request, avoid);
-  ServerView *server = Board.Servers.choose(
-      now, request.Service, avoid, Board.Permits, request.Zones, canRetry);
-  if (server) {
-    const ServerProcess process = server->Record.process();
-    if (Board.Permits.has(now, process))
-      Board.Permits.use(process);
-  }
-  for (const ServerProcess &it : paced)
-    Board.Permits.requestPermit(now, it,
-                                Board.Servers.feedbackOf(it).limit(now),
-                                Board.Servers.coldStartOf(now, it));
-  if (server)
-    return send(now, request, *server);
-  if (full > 0) {
-    request.RefusalDetail = "; servers without room for its " +
-                            std::to_string(request.Body->size()) +
-                            " bytes: " + std::to_string(full);
-    return giveUp(now, request, ForwardFailure::NoRoom);
-  }
-  if (paced.empty())
+  const PlainDecision decision = Plain.decide(now, request, avoid);
+  const std::uint64_t key = request.Key;
+  switch (decision.Choice) {
+  case PlainChoice::Send:
+    return send(now, request, *decision.Server);
+  case PlainChoice::NoServer:
+    if (full > 0)
+      return refuseForBytes(now, request, full);
     return handleNoServer(now, request);
-  awaitPermit(now, request, paced);
+  case PlainChoice::Wait:
+    return recordEvent(now, "request_queued", request, describeRoom(decision));
+  case PlainChoice::Refuse:
+    return refuseForRoom(now, request, decision);
+  case PlainChoice::AwaitPermit:
+    request.LastRefusal = RefusalReason::RateLimited;
+    deferOrGiveUp(now, request, ForwardFailure::Declined);
+    return Deferrals.retryAt(key, decision.At);
+  case PlainChoice::NoPermit:
+    request.LastRefusal = RefusalReason::RateLimited;
+    request.RetryAfter = std::max(request.RetryAfter, decision.At - now);
+    return giveUp(now, request, ForwardFailure::Declined);
+  }
+}
+
+void AttemptController::refuseForBytes(TimePoint now, ForwardRequest &request,
+                                       std::size_t full) {
+  request.RefusalDetail = "; servers without room for its " +
+                          std::to_string(request.Body->size()) +
+                          " bytes: " + std::to_string(full);
+  giveUp(now, request, ForwardFailure::NoRoom);
 }
 
 std::size_t
@@ -206,27 +223,25 @@
                                       Board.Servers.entries());
 }
 
-void AttemptController::awaitPermit(TimePoint now, ForwardRequest &request,
-                                    const std::vector<ServerProcess> &paced) {
-  const auto nextChanceOf = [&](const ServerProcess &it) {
-    return Board.Permits.earliestSendTime(now, it);
-  };
-  const TimePoint earliest =
-      nextChanceOf(*std::ranges::min_element(paced, {}, nextChanceOf));
-  request.LastRefusal = RefusalReason::RateLimited;
-  // The leader grants this entry one permit at a time for each server, so no
-  // more requests than servers are deferred for permits.
-  const auto deferred =
-      std::ranges::count_if(Board.Deferred, [&](const auto key) {
-        return Board.Requests.at(key).Service == request.Service;
-      });
-  if (earliest < Deferrals.deferLimit(request) &&
-      static_cast<std::size_t>(deferred) < paced.size()) {
-    deferOrGiveUp(now, request, ForwardFailure::Declined);
-    return Deferrals.retryAt(request.Key, earliest);
+void AttemptController::refuseForRoom(TimePoint now, ForwardRequest &request,
+                                      const PlainDecision &decision) {
+  request.RefusalDetail = "; urgency " + std::to_string(request.priority()) +
+                          ", " + describeRoom(decision);
+  request.RetryAfter =
+      std::max(request.RetryAfter, decision.Outcome.RetryAfter);
+  giveUp(now, request, ForwardFailure::ServiceFull);
+}
+
+void AttemptController::serveWaiting(TimePoint now) {
+  for (const std::uint64_t key : Plain.takeExpired(now)) {
+    ForwardRequest &request = Board.Requests.at(key);
+    refuseForRoom(now, request, Plain.refuse(now, request));
+  }
+  for (const std::uint64_t key : Plain.takeReady(now)) {
+    ForwardRequest &request = Board.Requests.at(key);
+    recordEvent(now, "request_unqueued", request);
+    next(now, request);
   }
-  request.RetryAfter = std::max(request.RetryAfter, earliest - now);
-  giveUp(now, request, ForwardFailure::Declined);
 }
 
 void AttemptController::chooseEngine(TimePoint now, ForwardRequest &request) {
@@ -710,6 +725,8 @@
   ForwardEvent &event = Board.Events.back();
   event.Reason = forwardFailureName(why);
   event.Denial = request.Denial;
+  if (why == ForwardFailure::NoRoom)
+    event.RefusedUrgency = request.priority();
   if (request.Route)
     event.Outcome =
         mayHaveRun ? RequestOutcome::Failed : RequestOutcome::Refused;
@@ -735,6 +752,9 @@
     Board.Attempts.erase(request.Attempt->Id);
   Board.Bytes.release(now, request.Key);
   Board.Deferred.erase(request.Key);
+  if (const auto it = Board.PlainQueues.find(request.Service);
+      it != Board.PlainQueues.end())
+    it->second.remove(request.Key);
   Board.Requests.erase(request.Key);
 }
 
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -3,6 +3,7 @@
 
 #include "AccountController.h"
 #include "DeferController.h"
+#include "PlainController.h"
 #include "QuarantineController.h"
 
 namespace pimentofront {
@@ -18,7 +19,7 @@
                     DeferController &deferrals,
                     QuarantineController &quarantine, RoutingPolicy &routing)
       : Board(board), Accounts(accounts), Deferrals(deferrals),
-        Quarantine(quarantine), Routing(routing) {}
+        Quarantine(quarantine), Routing(routing), Plain(board, deferrals) {}
 
   /// Starts the next attempt at the request, or gives the request up.
   void next(TimePoint now, ForwardRequest &request);
@@ -55,6 +56,9 @@
   /// \returns whether its route and its state allow the request to be sent to
   /// another server.
   bool mayRepeat(TimePoint now, const ForwardRequest &request) const;
+  /// Sends the requests for plain services that wait at this entry and have
+  /// room now, and refuses those that have waited long enough.
+  void serveWaiting(TimePoint now);
   /// The first event has arrived: notifies the agent.
   void notifyBegan(const ForwardRequest &request);
   /// Ends the current attempt; notifies the agent and updates the server's
@@ -87,6 +91,8 @@
   void choose(TimePoint now, ForwardRequest &request);
   void choosePlain(TimePoint now, ForwardRequest &request);
   void chooseEngine(TimePoint now, ForwardRequest &request);
+  void refuseForRoom(TimePoint now, ForwardRequest &request,
+                     const PlainDecision &decision);
   /// No server takes the request now: defers or refuses it.
   void handleNoServer(TimePoint now, ForwardRequest &request);
   /// Adds to \p avoid the servers of the request's service that may not get
@@ -96,11 +102,7 @@
                                std::vector<ServerProcess> &avoid) const;
   bool hasRoom(const ServerProcess &server,
                const ForwardRequest &request) const;
-  /// The only servers that take the request are rate-limited or cold ones for
-  /// which this entry has no permit: defers the request until one may come, or
-  /// refuses it.
-  void awaitPermit(TimePoint now, ForwardRequest &request,
-                   const std::vector<ServerProcess> &paced);
+  void refuseForBytes(TimePoint now, ForwardRequest &request, std::size_t full);
   /// \returns whether a zone may have been evacuated without this entry
   /// knowing.
   bool mayMissEvacuation(TimePoint now) const;
@@ -139,6 +141,7 @@
   DeferController &Deferrals;
   QuarantineController &Quarantine;
   RoutingPolicy &Routing;
+  PlainController Plain;
 };
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -3,6 +3,7 @@
 
 #include "ByteBudget.h"
 #include "EventStream.h"
+#include "PlainQueue.h"
 #include "PromptFetch.h"
 #include "QuarantineSet.h"
 #include "RetryBudgets.h"
@@ -145,6 +146,9 @@
   /// This entry, or each server as far as this entry may use it, holds as many
   /// bytes as it may.
   NoRoom,
+  /// All servers of the plain service are full, and the answer wouldn't be in
+  /// time.
+  ServiceFull,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
@@ -392,6 +396,8 @@
   /// Set by the last event of a request that has a route.
   std::optional<RequestOutcome> Outcome;
   RetryDenial Denial = RetryDenial::None;
+  /// Set if the request was refused for want of room: its urgency.
+  std::optional<std::uint32_t> RefusedUrgency;
   /// Set if a server declined the request: the room that it reported.
   std::optional<ReportedRoom> RoomAtDecline;
 };
@@ -423,6 +429,8 @@
   ByteBudget Bytes;
   ServerBytes BytesAtServers;
   SendPermits Permits;
+  /// By plain service.
+  std::map<ServiceName, PlainQueue> PlainQueues;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
