--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -147,6 +147,15 @@
     {"request_lost", "why=no_region",
      "refused: no server of its service is in a region that its route and its "
      "client account allow"},
+    {"request_lost", "why=declined, displaced",
+     "refused without having run: more urgent requests, or those of accounts "
+     "that had received less than their share, took its place at an engine "
+     "(attempt_displaced, and queue_displaced of the agent with its inputs), "
+     "and no other engine took it"},
+    {"request_lost", "why=declined, queue_full",
+     "refused without having run: it could not be served before its deadline, "
+     "or the engine's queue was full (queue_refused of the agent has the "
+     "inputs)"},
     {"request_lost", "why=declined",
      "refused: each server or agent that could take it declined; the reason "
      "is given after the comma"},
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -142,12 +142,31 @@
   }
   Agent = std::make_unique<AgentNode>(now, agent, Eviction, *Gate, *driver,
                                       *Network);
+  Agent->onEvent([this](const AgentEvent &it) { reportAgentEvent(it); });
   if (Orders)
     Orders->setNode(*Agent);
   else
     Driver->setNode(*Agent);
 }
 
+/// Starts and conditional refusals are counted only: they are the usual course.
+void Daemon::reportAgentEvent(const AgentEvent &event) {
+  Counters.recordAgentEvent(event);
+  if (event.Result == AgentEvent::Outcome::Started ||
+      isConditionalRefusal(event.Reason))
+    return;
+  const bool displaced = event.Result == AgentEvent::Outcome::Displaced;
+  Log->write(LogLevel::Info, displaced ? "queue_displaced" : "queue_refused",
+             {{"request", event.Request.str()},
+              {"route", event.Kind.str()},
+              {"urgency", static_cast<std::uint64_t>(event.Urgency)},
+              {"account", event.Account.str()},
+              {"reason", refusalReasonName(event.Reason)},
+              {"why", event.Detail},
+              {"waited_ms", toSeconds(event.Waited) * 1000},
+              {"room_in_ms", toSeconds(event.RetryAfter) * 1000}});
+}
+
 void Daemon::createEntry(TimePoint now) {
   EntryNodeOptions entry = Options.Entry;
   entry.Host = Options.Host;
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -60,6 +60,7 @@
   void createNodes();
   void createReplica(TimePoint now);
   void createAgent(TimePoint now);
+  void reportAgentEvent(const AgentEvent &event);
   void createEntry(TimePoint now);
   void createForward(TimePoint now);
   void bootstrapIfFirst(TimePoint now);
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -6,12 +6,41 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <set>
+
 namespace pimentofront {
 namespace {
 
 const prometheus::Histogram::BucketBoundaries StallBuckets = {
     0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32};
 
+/// \class LabelLimiter
+/// \brief Bounds the number of values of a label: what comes after the first
+/// MaxValues is counted as "other".
+class LabelLimiter {
+public:
+  static constexpr std::size_t MaxValues = 32;
+
+  std::string limit(const std::string &value) {
+    if (value.empty())
+      return "-";
+    if (Known.contains(value))
+      return value;
+    if (Known.size() >= MaxValues)
+      return "other";
+    return *Known.insert(value).first;
+  }
+
+private:
+  std::set<std::string> Known;
+};
+
+/// Label of an urgency; document and callers may name any number.
+std::string urgencyLabel(std::uint32_t urgency) {
+  constexpr std::uint32_t MaxUrgency = 7;
+  return urgency <= MaxUrgency ? std::to_string(urgency) : "other";
+}
+
 } // namespace
 
 const char *finalKindName(FinalKind kind) {
@@ -87,6 +116,18 @@
           .Name("pimentofront_forward_seconds")
           .Help("Time from a request's arrival to an event, by event and route")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &QueueOutcomes =
+      prometheus::BuildCounter()
+          .Name("pimentofront_queue_outcomes_total")
+          .Help("Requests that left an engine's queue or were not let in, by "
+                "outcome, reason, urgency and client account")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &QueueWaits =
+      prometheus::BuildHistogram()
+          .Name("pimentofront_queue_wait_seconds")
+          .Help("Time in an engine's queue, by outcome and urgency")
+          .Register(Registry);
+  LabelLimiter Accounts;
   prometheus::Family<prometheus::Gauge> &State =
       prometheus::BuildGauge()
           .Name("pimentofront_state")
@@ -144,6 +185,22 @@
         .Observe(toSeconds(event.Took));
 }
 
+void Metrics::recordAgentEvent(const AgentEvent &event) {
+  const std::string urgency = urgencyLabel(event.Urgency);
+  State->QueueOutcomes
+      .Add({{"outcome", agentOutcomeName(event.Result)},
+            {"reason", refusalReasonName(event.Reason)},
+            {"urgency", urgency},
+            {"account", State->Accounts.limit(event.Account.str())}})
+      .Increment();
+  if (isConditionalRefusal(event.Reason))
+    return;
+  State->QueueWaits
+      .Add({{"outcome", agentOutcomeName(event.Result)}, {"urgency", urgency}},
+           StallBuckets)
+      .Observe(toSeconds(event.Waited));
+}
+
 void Metrics::recordLoad(bool succeeded, Duration took) {
   const char *result = succeeded ? "loaded" : "failed";
   State->Loads.Add({{"result", result}}).Increment();
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -48,6 +48,8 @@
   void recordLoad(bool succeeded, Duration took);
   /// Records a decision of the forwarding node on a request.
   void recordForwardEvent(const ForwardEvent &event);
+  /// Records a decision of the agent on a request.
+  void recordAgentEvent(const AgentEvent &event);
   void set(const Gauges &gauges);
   /// \returns all metrics in the Prometheus text format.
   std::string text() const;
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -67,6 +67,17 @@
   }
 }
 
+OrderPolicy readOrder(SettingsReader &reader) {
+  const std::string order = reader.text("request_order", "urgency");
+  if (order == "tokens")
+    return OrderPolicy::Tokens;
+  if (order == "kind")
+    return OrderPolicy::Kind;
+  if (order != "urgency")
+    reader.addFault("request_order", "expected urgency, tokens or kind");
+  return OrderPolicy::Urgency;
+}
+
 void readAgent(SettingsReader reader, Settings &settings) {
   AgentOptions &agent = settings.Agent.Agent;
   settings.EngineAddress = reader.address("engine", false);
@@ -77,6 +88,7 @@
       reader.integer("batch_capacity", agent.BatchCapacity, 1, 4096));
   agent.QueueLimit = static_cast<std::uint32_t>(
       reader.integer("queue_limit", agent.QueueLimit, 1, MaxCount));
+  agent.Order = readOrder(reader);
   agent.ServiceLimit = static_cast<std::uint32_t>(
       reader.integer("service_limit", agent.ServiceLimit, 1, MaxCount));
   PopularityOptions &popularity = agent.Popularity;
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -32,6 +32,11 @@
   return target - (now - request.ArrivedAt);
 }
 
+bool wasDisplaced(const ForwardRequest &request) {
+  return std::ranges::find(request.Tried, RefusalReason::Displaced,
+                           &TriedHost::Reason) != request.Tried.end();
+}
+
 /// \returns the data behind a request's refusal or failure, for the log.
 std::string describeState(TimePoint now, const ForwardRequest &request) {
   if (!request.Route)
@@ -280,7 +285,8 @@
                      .ServerStartedAt = server.StartedAt,
                      .Limit = Board.Servers.feedbackOf(server).limit(now),
                      .Cold = Board.Servers.coldStartOf(now, server),
-                     .Demand = demandOf(request)}});
+                     .Demand = demandOf(request),
+                     .WasDisplaced = wasDisplaced(request)}});
 }
 
 void AttemptController::send(TimePoint now, ForwardRequest &request,
@@ -403,6 +409,25 @@
   }
 }
 
+/// Nothing was sent to the engine, so that trying another one takes nothing
+/// from the retry budget.
+void AttemptController::recordDisplaced(TimePoint now,
+                                        const ForwardRequest &request,
+                                        const AttemptRefused &message) {
+  const auto millis = [](Duration d) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+  };
+  recordEvent(now, "attempt_displaced", request,
+              "by agent " + request.Attempt->Agent.str() + ", urgency " +
+                  std::to_string(request.priority()) + ", it has " +
+                  std::to_string(message.Load.Queued) + " waiting and " +
+                  std::to_string(message.Load.Running) +
+                  " running requests, room expected in " +
+                  millis(message.RetryAfter) + " ms, " +
+                  millis(request.Deadline - now) + " ms left");
+}
+
 void AttemptController::onRefused(TimePoint now, const HostName &agent,
                                   const AttemptRefused &message) {
   recordLoad(agent, message.Load);
@@ -417,6 +442,8 @@
                             request->Attempt->OnlyIfResident,
                             message.RetryAfter, message.HoldsAdapter});
   request->LastRefusal = message.Reason;
+  if (message.Reason == RefusalReason::Displaced)
+    recordDisplaced(now, *request, message);
   if (!isConditionalRefusal(message.Reason))
     request->RetryAfter = std::max(request->RetryAfter, message.RetryAfter);
   Board.Attempts.erase(message.Attempt);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -103,6 +103,8 @@
   void send(TimePoint now, ForwardRequest &request, ServerView &server);
   /// Sends the message if the agent is known. Plain services have no agent, and
   /// an agent that has gone needs no message.
+  void recordDisplaced(TimePoint now, const ForwardRequest &request,
+                       const AttemptRefused &message);
   void notifyAgent(const HostName &agent, Message message);
   void release(const ForwardAttempt &attempt, ReleaseKind kind);
   /// \returns the retry-after time for a refused caller; nothing if a retry is
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -206,6 +206,15 @@
        commands = Controller.takeCommands())
     for (const AgentCommand &command : commands)
       execute(now, command);
+  reportEvents();
+}
+
+void AgentNode::reportEvents() {
+  const std::vector<AgentEvent> events = Controller.takeEvents();
+  if (!EventAction)
+    return;
+  for (const AgentEvent &it : events)
+    EventAction(it);
 }
 
 void AgentNode::execute(TimePoint now, const AgentCommand &command) {
--- a/packages/node/pimentofront/src/Node/AgentNode.h
+++ b/packages/node/pimentofront/src/Node/AgentNode.h
@@ -67,6 +67,9 @@
   /// Sets the callback for a new engine profile from the routing document.
   using ProfileCallback = std::function<void(const EngineProfile &)>;
   void onProfile(ProfileCallback action) { ProfileAction = std::move(action); }
+  /// Sets the callback for decisions on requests, for logs and metrics.
+  using EventCallback = std::function<void(const AgentEvent &)>;
+  void onEvent(EventCallback action) { EventAction = std::move(action); }
   /// \returns the fencing token for orders; 0 before the leader has issued one.
   std::uint64_t fence() const { return Fence; }
   /// \returns the engine's process as entries named it last; empty if none has
@@ -95,6 +98,7 @@
   void applyProfile(TimePoint now, const EngineProfile &profile);
   void start(TimePoint now, const ExecuteRequest &request);
   void execute(TimePoint now, const AgentCommand &command);
+  void reportEvents();
   void cancelWork(TimePoint now, const AttemptId &attempt);
 
   AgentNodeOptions Options;
@@ -121,6 +125,7 @@
   std::map<ServerProcess, TimePoint> FormerProcesses;
   EngineProfile Profile;
   ProfileCallback ProfileAction;
+  EventCallback EventAction;
 };
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -42,20 +42,25 @@
     for (const WaitingAttempt &it : queue)
       waiting.push_back(&it);
   std::ranges::sort(waiting, {}, &WaitingAttempt::ArrivedAt);
-  std::vector<std::pair<EntryLink, AttemptId>> refused;
+  std::vector<const WaitingAttempt *> refused;
   std::size_t ahead = 0;
   for (const WaitingAttempt *it : waiting) {
     if (exceedsRateLimit(now, ahead, it->Deadline - now))
-      refused.emplace_back(it->Entry, it->Request.Attempt);
+      refused.push_back(it);
     else
       ++ahead;
   }
-  for (const auto &[entry, attempt] : refused) {
-    removeWaiting(attempt);
-    refuse(entry, attempt,
-           {RefusalReason::RateLimited, Board.Pacer.wait(now, ahead)},
-           currentLoad(now));
+  if (refused.empty())
+    return;
+  const AgentLoad load = currentLoad(now);
+  std::vector<AttemptId> attempts;
+  for (const WaitingAttempt *it : refused) {
+    refuse(now, *it, {RefusalReason::RateLimited, Board.Pacer.wait(now, ahead)},
+           load);
+    attempts.push_back(it->Request.Attempt);
   }
+  for (const AttemptId &it : attempts)
+    removeWaiting(it);
 }
 
 AgentLoad AdmissionController::currentLoad(TimePoint now) const {
@@ -132,8 +137,7 @@
     if (ready <= stallLimit(attempt, Board.Options.StallShare) &&
         ready + Board.ServiceTime <= attempt.Deadline)
       return false;
-    refuse(attempt.Entry, attempt.Request.Attempt,
-           {RefusalReason::LoadBacklog, wait}, currentLoad(now));
+    refuse(now, attempt, {RefusalReason::LoadBacklog, wait}, currentLoad(now));
     --Board.WaitingCount;
     return true;
   });
@@ -194,8 +198,8 @@
 }
 
 AdmissionController::Decision
-AdmissionController::evaluate(TimePoint now,
-                              const ExecuteRequest &request) const {
+AdmissionController::evaluate(TimePoint now, const ExecuteRequest &request,
+                              bool hasRoom) const {
   if (Board.Leaving)
     return {RefusalReason::Leaving};
   if (!request.Service.empty())
@@ -204,7 +208,7 @@
     return {RefusalReason::BackendDown, Board.LoadTimes.fromStore()};
   if (request.BaseModel != Board.Options.BaseModel)
     return {RefusalReason::NoSuchBackend};
-  if (Board.WaitingCount >= Board.Options.QueueLimit)
+  if (!hasRoom && Board.WaitingCount >= Board.Options.QueueLimit)
     return {RefusalReason::QueueFull, queueWait(now)};
   const Duration wait = expectedFirstEvent(now, request);
   const bool holds =
@@ -219,9 +223,9 @@
                : evaluateMissing(now, request, wait);
 }
 
-void AdmissionController::refuse(EntryLink entry, const AttemptId &attempt,
-                                 Decision decision,
-                                 const AgentLoad &agentLoad) {
+void AdmissionController::sendRefusal(EntryLink entry, const AttemptId &attempt,
+                                      Decision decision,
+                                      const AgentLoad &agentLoad) {
   // An entry compares these waits between hosts, so they get no jitter.
   const Duration retryAfter =
       isConditionalRefusal(decision.Reason)
@@ -237,45 +241,146 @@
                          }});
 }
 
+std::string
+AdmissionController::describeQueue(TimePoint now,
+                                   const WaitingAttempt &attempt) const {
+  const auto millis = [](Duration d) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+  };
+  return "waiting " + std::to_string(Board.WaitingCount) + " of " +
+         std::to_string(Board.Options.QueueLimit) + ", running " +
+         std::to_string(Board.runningOnEngine()) + ", prompt wait " +
+         millis(Board.Prefill.wait(now)) + " ms, own prompt " +
+         millis(Board.readingTime(attempt)) + " ms, " +
+         millis(attempt.Deadline - now) + " ms left, account served " +
+         std::to_string(static_cast<std::uint64_t>(
+             Board.Accounts.served(attempt.Account.id()))) +
+         " tokens per share";
+}
+
+void AdmissionController::refuse(TimePoint now, const WaitingAttempt &attempt,
+                                 Decision decision,
+                                 const AgentLoad &agentLoad) {
+  const bool displaced = decision.Reason == RefusalReason::Displaced;
+  Board.record(now, attempt,
+               {.Result = displaced ? AgentEvent::Outcome::Displaced
+                                    : AgentEvent::Outcome::Refused,
+                .Reason = decision.Reason,
+                .RetryAfter = decision.RetryAfter,
+                .Detail = isConditionalRefusal(decision.Reason)
+                              ? std::string()
+                              : describeQueue(now, attempt)});
+  sendRefusal(attempt.Entry, attempt.Request.Attempt, decision, agentLoad);
+}
+
+WaitingAttempt
+AdmissionController::waitingAttempt(TimePoint now, EntryLink entry,
+                                    const ExecuteRequest &request) {
+  const RequestDemand &demand = request.Demand;
+  WaitingAttempt attempt{
+      .Request = request,
+      .Entry = entry,
+      .ArrivedAt = now,
+      .Deadline = now + request.Remaining,
+      .NeededLoad = !Board.Slots.isReady(request.Key),
+      .ReadingTokens = request.Parts.empty() ? demand.PromptTokens
+                                             : Board.Prefill.uncachedTokens(
+                                                   request.Key, request.Parts),
+      .Account = Board.Accounts.enter(demand.Account, demand.AccountShare)};
+  if (request.FirstEventDue != NoTarget)
+    attempt.OnTimeUntil = now + request.FirstEventDue;
+  return attempt;
+}
+
+DisplacementPolicy::Decision
+AdmissionController::decideRoom(TimePoint now,
+                                const WaitingAttempt &arrival) const {
+  QueueState queue{.Limit = Board.Options.QueueLimit,
+                   .EngineWait = Board.Prefill.wait(now),
+                   .TokensPerSecond = Board.Prefill.tokensPerSecond()};
+  queue.Waiting.reserve(Board.WaitingCount);
+  for (const auto &[key, attempts] : Board.Waiting)
+    for (const WaitingAttempt &it : attempts)
+      queue.Waiting.push_back(&it);
+  return Displacement.decide(now, arrival, queue);
+}
+
+void AdmissionController::displace(TimePoint now,
+                                   const DisplacementPolicy::Decision &room) {
+  if (room.Displaced.empty())
+    return;
+  const AgentLoad load = currentLoad(now);
+  std::vector<AttemptId> attempts;
+  for (const WaitingAttempt *it : room.Displaced) {
+    refuse(now, *it, {RefusalReason::Displaced, room.Wait}, load);
+    attempts.push_back(it->Request.Attempt);
+  }
+  for (const AttemptId &it : attempts)
+    removeWaiting(it);
+}
+
 void AdmissionController::onExecute(TimePoint now, EntryLink entry,
                                     const ExecuteRequest &request) {
-  const Decision decision = evaluate(now, request);
-  const bool toEngine = request.Service.empty();
+  if (request.Service.empty())
+    enqueue(now, entry, request);
+  else
+    startService(now, entry, request);
+}
+
+void AdmissionController::startService(TimePoint now, EntryLink entry,
+                                       const ExecuteRequest &request) {
+  const Decision decision = evaluate(now, request, /*hasRoom=*/false);
+  if (decision.Reason != RefusalReason::None)
+    return sendRefusal(entry, request.Attempt, decision, currentLoad(now));
+  Board.Running.emplace(request.Attempt,
+                        RunningAttempt{.Entry = entry,
+                                       .IsService = true,
+                                       .StartedAt = now,
+                                       .Deadline = now + request.Remaining});
+  ++Board.RunningServices;
+  Board.Commands.push_back(
+      SendToEntry{entry, AttemptAdmitted{.Attempt = request.Attempt,
+                                         .Load = currentLoad(now)}});
+  Board.Commands.push_back(StartServiceCall{request});
+}
+
+void AdmissionController::enqueue(TimePoint now, EntryLink entry,
+                                  const ExecuteRequest &request) {
+  WaitingAttempt arrival = waitingAttempt(now, entry, request);
+  const DisplacementPolicy::Decision room = decideRoom(now, arrival);
+  Decision decision = evaluate(now, request, !room.Displaced.empty());
+  if (decision.Reason == RefusalReason::None && !room.Admits)
+    decision = {RefusalReason::QueueFull, room.Wait};
   // After a conditional refusal (`Busy` or `NotResident`) another host may
   // serve the request, so it is not yet demand for this host.
-  if (toEngine && !isConditionalRefusal(decision.Reason))
+  if (!isConditionalRefusal(decision.Reason))
     Board.Popularity.recordRequest(now, request.Key);
   if (decision.Reason != RefusalReason::None)
-    return refuse(entry, request.Attempt, decision, currentLoad(now));
-  const TimePoint deadline = now + request.Remaining;
-  if (toEngine) {
-    const bool ready = Board.Slots.isReady(request.Key);
-    WaitingAttempt attempt{.Request = request,
-                           .Entry = entry,
-                           .ArrivedAt = now,
-                           .Deadline = deadline,
-                           .NeededLoad = !ready};
-    if (request.FirstEventDue != NoTarget)
-      attempt.OnTimeUntil = now + request.FirstEventDue;
-    Board.Waiting[request.Key].push_back(std::move(attempt));
-    ++Board.WaitingCount;
-  } else {
-    Board.Running.emplace(request.Attempt,
-                          RunningAttempt{.Entry = entry,
-                                         .IsService = true,
-                                         .StartedAt = now,
-                                         .Deadline = deadline});
-    ++Board.RunningServices;
-  }
+    return refuse(now, arrival, decision, currentLoad(now));
+  displace(now, room);
+  Board.Waiting[request.Key].push_back(std::move(arrival));
+  ++Board.WaitingCount;
   Board.Commands.push_back(
       SendToEntry{entry, AttemptAdmitted{.Attempt = request.Attempt,
                                          .Load = currentLoad(now)}});
-  if (!toEngine)
-    Board.Commands.push_back(StartServiceCall{request});
+}
+
+bool AdmissionController::ordersByDemand() const {
+  const WaitingAttempt *first = nullptr;
+  for (const auto &[key, attempts] : Board.Waiting)
+    for (const WaitingAttempt &it : attempts) {
+      if (!first)
+        first = &it;
+      if (differInDemand(it, *first))
+        return true;
+    }
+  return false;
 }
 
 void AdmissionController::refuseInfeasible(TimePoint now) {
   refuseBeyondRateLimit(now);
+  const bool byDemand = ordersByDemand();
   std::optional<AgentLoad> reportedLoad;
   for (auto it = Board.Waiting.begin(); it != Board.Waiting.end();) {
     auto &[key, queue] = *it;
@@ -287,13 +392,14 @@
     const RefusalReason reason =
         ready ? RefusalReason::QueueFull : RefusalReason::LoadBacklog;
     std::erase_if(queue, [&](const WaitingAttempt &attempt) {
-      if (now + load <= attempt.Deadline)
+      const Duration reading =
+          byDemand ? Board.readingTime(attempt) : Duration::zero();
+      if (now + load + reading <= attempt.Deadline)
         return false;
       if (!reportedLoad)
         reportedLoad = currentLoad(now);
       const Duration wait = ready ? queueWait(now) : loadBacklog(now);
-      refuse(attempt.Entry, attempt.Request.Attempt, {reason, wait},
-             *reportedLoad);
+      refuse(now, attempt, {reason, wait}, *reportedLoad);
       --Board.WaitingCount;
       return true;
     });
@@ -301,22 +407,23 @@
   }
 }
 
-void AdmissionController::refuseWaiting(const AdapterKey &key,
+void AdmissionController::refuseWaiting(TimePoint now, const AdapterKey &key,
                                         RefusalReason reason,
                                         Duration retryAfter) {
   const auto it = Board.Waiting.find(key);
   if (it == Board.Waiting.end())
     return;
   for (const WaitingAttempt &attempt : it->second)
-    refuse(attempt.Entry, attempt.Request.Attempt, {reason, retryAfter}, {});
+    refuse(now, attempt, {reason, retryAfter}, {});
   Board.WaitingCount -= it->second.size();
   Board.Waiting.erase(it);
 }
 
-void AdmissionController::refuseAllWaiting(RefusalReason reason,
+void AdmissionController::refuseAllWaiting(TimePoint now, RefusalReason reason,
                                            Duration retryAfter) {
   while (!Board.Waiting.empty())
-    refuseWaiting(AdapterKey(Board.Waiting.begin()->first), reason, retryAfter);
+    refuseWaiting(now, AdapterKey(Board.Waiting.begin()->first), reason,
+                  retryAfter);
 }
 
 bool AdmissionController::removeWaiting(const AttemptId &attempt) {
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -1,7 +1,7 @@
 #ifndef PIMENTOFRONT_SERVING_ADMISSION_CONTROLLER_H
 #define PIMENTOFRONT_SERVING_ADMISSION_CONTROLLER_H
 
-#include "AgentBoard.h"
+#include "DisplacementPolicy.h"
 
 namespace pimentofront {
 
@@ -11,7 +11,8 @@
 /// estimate of the wait. Admitted requests are queued on the board.
 class AdmissionController {
 public:
-  explicit AdmissionController(AgentBoard &board) : Board(board) {}
+  explicit AdmissionController(AgentBoard &board)
+      : Board(board), Displacement(board.Accounts) {}
 
   void onExecute(TimePoint now, EntryLink entry, const ExecuteRequest &request);
   /// Refuses waiting requests whose answer can no longer come in time.
@@ -21,10 +22,11 @@
   /// engine itself: it decides how long they may take.
   void onLoadWait(TimePoint now, const AdapterKey &key, Duration wait);
   /// Refuses all requests that wait for \p key.
-  void refuseWaiting(const AdapterKey &key, RefusalReason reason,
+  void refuseWaiting(TimePoint now, const AdapterKey &key, RefusalReason reason,
                      Duration retryAfter);
   /// Refuses all waiting requests.
-  void refuseAllWaiting(RefusalReason reason, Duration retryAfter);
+  void refuseAllWaiting(TimePoint now, RefusalReason reason,
+                        Duration retryAfter);
   /// Removes a waiting attempt that was cancelled or whose entry is gone.
   /// \returns whether it was waiting.
   bool removeWaiting(const AttemptId &attempt);
@@ -39,7 +41,20 @@
     /// The engine holds the adapter: it is resident or being loaded.
     bool HoldsAdapter = false;
   };
-  Decision evaluate(TimePoint now, const ExecuteRequest &request) const;
+  /// \param hasRoom the queue takes the request although it is full, since
+  /// others yield to it.
+  Decision evaluate(TimePoint now, const ExecuteRequest &request,
+                    bool hasRoom) const;
+  void startService(TimePoint now, EntryLink entry,
+                    const ExecuteRequest &request);
+  void enqueue(TimePoint now, EntryLink entry, const ExecuteRequest &request);
+  WaitingAttempt waitingAttempt(TimePoint now, EntryLink entry,
+                                const ExecuteRequest &request);
+  DisplacementPolicy::Decision decideRoom(TimePoint now,
+                                          const WaitingAttempt &arrival) const;
+  void displace(TimePoint now, const DisplacementPolicy::Decision &room);
+  /// \returns whether waiting requests compete by urgency or account.
+  bool ordersByDemand() const;
   Decision evaluateService(const ExecuteRequest &request) const;
   Decision evaluateResident(TimePoint now, const ExecuteRequest &request) const;
   /// Decides on a request whose adapter is neither resident nor being loaded.
@@ -70,10 +85,15 @@
   Duration engineDelay(TimePoint now) const;
   /// \returns the estimated wait of a new load.
   Duration loadBacklog(TimePoint now) const;
-  void refuse(EntryLink entry, const AttemptId &attempt, Decision decision,
+  void refuse(TimePoint now, const WaitingAttempt &attempt, Decision decision,
               const AgentLoad &agentLoad);
+  void sendRefusal(EntryLink entry, const AttemptId &attempt, Decision decision,
+                   const AgentLoad &agentLoad);
+  /// \returns the inputs of a decision on \p attempt, for the log.
+  std::string describeQueue(TimePoint now, const WaitingAttempt &attempt) const;
 
   AgentBoard &Board;
+  DisplacementPolicy Displacement;
 };
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -1,6 +1,8 @@
 #ifndef PIMENTOFRONT_SERVING_AGENT_BOARD_H
 #define PIMENTOFRONT_SERVING_AGENT_BOARD_H
 
+#include "AccountShares.h"
+#include "AgentEvent.h"
 #include "EvictionPolicy.h"
 #include "LoadTimeModel.h"
 #include "PrefillModel.h"
@@ -16,6 +18,17 @@
 /// assigns the numbers.
 using EntryLink = std::uint64_t;
 
+/// How an engine's waiting requests are ordered while they differ in urgency or
+/// belong to accounts.
+enum class OrderPolicy : std::uint8_t {
+  /// StrideOrder: urgency and account count for nothing.
+  Kind,
+  /// UrgencyOrder.
+  Urgency,
+  /// TokenOrder.
+  Tokens,
+};
+
 /// \class AgentOptions
 /// \ingroup Serving
 /// \brief Options of an agent; docs/OPERATORS.md describes each of them.
@@ -30,6 +43,7 @@
   std::uint32_t BatchCapacity = 16;
   /// Maximum number of waiting requests, over all adapters.
   std::uint32_t QueueLimit = 256;
+  OrderPolicy Order = OrderPolicy::Urgency;
   /// Maximum number of concurrent calls of plain services.
   std::uint32_t ServiceLimit = 64;
   PopularityOptions Popularity;
@@ -88,6 +102,9 @@
   /// Time that it waited for its adapter; set when the adapter is loaded.
   Duration LoadStall = Duration::zero();
   bool NeededLoad = false;
+  /// Prompt tokens that the engine had to process when the attempt arrived.
+  std::uint32_t ReadingTokens = 0;
+  AccountShares::Activity Account;
 };
 
 /// \returns the time until which \p attempt may wait for its adapter, which is
@@ -180,6 +197,9 @@
   PopularityTable Popularity;
   PrefillModel Prefill;
   Random Jitter;
+  /// Service that the engine has given to each client account. Outlives the
+  /// waiting attempts, which refer to it.
+  AccountShares Accounts;
 
   /// Admitted attempts that are not running, by adapter, in order of arrival.
   std::map<AdapterKey, std::deque<WaitingAttempt>> Waiting;
@@ -220,10 +240,25 @@
   std::uint32_t LoadsInFlight = 0;
 
   std::vector<AgentCommand> Commands;
+  std::vector<AgentEvent> Events;
 
   std::uint32_t runningOnEngine() const {
     return static_cast<std::uint32_t>(Running.size()) - RunningServices;
   }
+  /// \returns the time that the engine needs for the attempt's prompt.
+  Duration readingTime(const WaitingAttempt &attempt) const {
+    return fromSeconds(attempt.ReadingTokens / Prefill.tokensPerSecond());
+  }
+  /// Records a decision on \p attempt; completes \p event from it.
+  void record(TimePoint now, const WaitingAttempt &attempt, AgentEvent event) {
+    const ExecuteRequest &request = attempt.Request;
+    event.Request = request.Request;
+    event.Kind = request.Kind;
+    event.Urgency = request.Demand.Urgency;
+    event.Account = request.Demand.Account;
+    event.Waited = now - attempt.ArrivedAt;
+    Events.push_back(std::move(event));
+  }
 };
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -249,7 +249,7 @@
     if (it.State == SlotState::Loading)
       Gate.onLoadEnded(now, Board, it.Key, Duration::zero());
   Board.Slots.clear();
-  Admission.refuseAllWaiting(RefusalReason::BackendDown,
+  Admission.refuseAllWaiting(now, RefusalReason::BackendDown,
                              Board.LoadTimes.fromStore());
   decide(now);
 }
@@ -275,7 +275,7 @@
 
 void AgentController::leave(TimePoint now) {
   Board.Leaving = true;
-  Admission.refuseAllWaiting(RefusalReason::Leaving, Duration::zero());
+  Admission.refuseAllWaiting(now, RefusalReason::Leaving, Duration::zero());
   decide(now);
 }
 
@@ -298,6 +298,10 @@
   decide(now);
 }
 
+std::vector<AgentEvent> AgentController::takeEvents() {
+  return std::exchange(Board.Events, {});
+}
+
 std::vector<AgentCommand> AgentController::takeCommands() {
   return std::exchange(Board.Commands, {});
 }
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -88,6 +88,8 @@
   void tick(TimePoint now);
 
   std::vector<AgentCommand> takeCommands();
+  /// \returns the decisions since the last call, for logs and metrics.
+  std::vector<AgentEvent> takeEvents();
   const AgentBoard &board() const { return Board; }
 
 private:
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -4,32 +4,59 @@
 
 namespace pimentofront {
 
-bool DispatchController::precedes(const Candidate &a,
-                                  const Candidate &b) const {
-  if (a.Pass != b.Pass)
-    return a.Pass < b.Pass;
-  return a.Attempt->Deadline < b.Attempt->Deadline;
+namespace {
+
+std::unique_ptr<RequestOrder> makeOrder(OrderPolicy policy,
+                                        const AccountShares &accounts) {
+  switch (policy) {
+  case OrderPolicy::Kind:
+    return std::make_unique<StrideOrder>();
+  case OrderPolicy::Tokens:
+    return std::make_unique<TokenOrder>(accounts);
+  case OrderPolicy::Urgency:
+    break;
+  }
+  return std::make_unique<UrgencyOrder>(accounts);
 }
 
-std::optional<DispatchController::Candidate>
-DispatchController::choose() const {
-  std::optional<Candidate> best;
+} // namespace
+
+DispatchController::DispatchController(AgentBoard &board)
+    : Board(board), ByDemand(makeOrder(board.Options.Order, board.Accounts)) {}
+
+std::vector<OrderCandidate>
+DispatchController::candidates(TimePoint now) const {
+  std::vector<const AdapterKey *> ready;
   for (const auto &[key, queue] : Board.Waiting) {
-    if (!Board.Slots.isReady(key))
+    if (!key.Adapter.empty())
+      break;
+    ready.push_back(&key);
+  }
+  for (const Slot &it : Board.Slots.all())
+    if (it.State == SlotState::Ready)
+      ready.push_back(&it.Key);
+  std::ranges::sort(ready,
+                    [](const auto *a, const auto *b) { return *a < *b; });
+  const TimePoint engineFree = now + Board.Prefill.wait(now);
+  std::vector<OrderCandidate> result;
+  for (const AdapterKey *key : ready) {
+    const auto queue = Board.Waiting.find(*key);
+    if (queue == Board.Waiting.end())
       continue;
-    for (std::size_t i = 0; i < queue.size(); ++i) {
-      const auto pass = Passes.find(queue[i].Request.Kind);
-      const Candidate it{.Key = key,
-                         .Position = i,
-                         .Attempt = &queue[i],
-                         .Pass = pass == Passes.end()
-                                     ? CurrentPass
-                                     : std::max(pass->second, CurrentPass)};
-      if (!best || precedes(it, *best))
-        best = it;
-    }
+    for (const WaitingAttempt &it : queue->second)
+      result.push_back(
+          {.Attempt = &it, .FirstEventAt = engineFree + Board.readingTime(it)});
   }
-  return best;
+  return result;
+}
+
+RequestOrder &
+DispatchController::orderFor(std::span<const OrderCandidate> candidates) {
+  const bool differ =
+      std::ranges::any_of(candidates, [&](const OrderCandidate &it) {
+        return differInDemand(*it.Attempt, *candidates.front().Attempt);
+      });
+  return differ ? *ByDemand : ByKind;
 }
 
 bool DispatchController::waitsForBatch(TimePoint now) const {
@@ -55,32 +82,47 @@
   if (!Board.EngineReady || waitsForBatch(now))
     return;
   while (Board.runningOnEngine() < Board.BatchCapacity) {
-    const std::optional<Candidate> next = choose();
-    if (!next || !Board.Pacer.take(now))
+    const std::vector<OrderCandidate> waiting = candidates(now);
+    if (waiting.empty())
       return;
-    start(now, *next);
+    const RequestOrder::Choice choice = orderFor(waiting).choose(waiting);
+    const OrderCandidate &next = waiting[choice.Position];
+    if (!Board.Pacer.take(now))
+      return;
+    ByKind.onStarted(next, choice.Reason);
+    ByDemand->onStarted(next, choice.Reason);
+    start(now, *next.Attempt);
   }
 }
 
-void DispatchController::start(TimePoint now, const Candidate &candidate) {
-  auto &queue = Board.Waiting.at(candidate.Key);
-  const auto at =
-      queue.begin() + static_cast<std::ptrdiff_t>(candidate.Position);
-  const WaitingAttempt attempt = std::move(*at);
+WaitingAttempt DispatchController::extract(const WaitingAttempt &chosen) {
+  const auto it = Board.Waiting.find(chosen.Request.Key);
+  auto &queue = it->second;
+  const auto at = std::ranges::find_if(
+      queue, [&](const WaitingAttempt &other) { return &other == &chosen; });
+  WaitingAttempt attempt = std::move(*at);
   queue.erase(at);
   if (queue.empty())
-    Board.Waiting.erase(candidate.Key);
+    Board.Waiting.erase(it);
   --Board.WaitingCount;
-  Board.Slots.pin(now, candidate.Key);
+  return attempt;
+}
+
+void DispatchController::start(TimePoint now, const WaitingAttempt &chosen) {
+  const WaitingAttempt attempt = extract(chosen);
+  const AdapterKey &key = attempt.Request.Key;
+  Board.Accounts.charge(attempt.Account.id(), workOf(attempt));
+  Board.record(now, attempt, {.Result = AgentEvent::Outcome::Started});
+  Board.Slots.pin(now, key);
   const bool alone = Board.Prefill.wait(now) == Duration::zero();
   const Duration prefillTime =
       Board.Prefill.wait(now) +
-      Board.Prefill.prefillTime(candidate.Key, attempt.Request.Parts);
+      Board.Prefill.prefillTime(key, attempt.Request.Parts);
   const std::uint32_t tokens =
-      Board.Prefill.begin(now, candidate.Key, attempt.Request.Parts);
+      Board.Prefill.begin(now, key, attempt.Request.Parts);
   Board.Running.emplace(attempt.Request.Attempt,
                         RunningAttempt{.Entry = attempt.Entry,
-                                       .Key = candidate.Key,
+                                       .Key = key,
                                        .Delegated = attempt.Request.Delegated,
                                        .StartedAt = now,
                                        .Deadline = attempt.Deadline,
@@ -88,9 +130,6 @@
                                        .LoadStall = attempt.LoadStall,
                                        .PromptTokens = tokens,
                                        .PrefilledAlone = alone});
-  CurrentPass = candidate.Pass;
-  const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
-  Passes[attempt.Request.Kind] = candidate.Pass + 1.0 / weight;
   Board.Commands.push_back(StartGeneration{attempt.Request});
 }
 
--- a/packages/serving/pimentofront/src/Serving/DispatchController.h
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.h
@@ -1,41 +1,36 @@
 #ifndef PIMENTOFRONT_SERVING_DISPATCH_CONTROLLER_H
 #define PIMENTOFRONT_SERVING_DISPATCH_CONTROLLER_H
 
-#include "AgentBoard.h"
+#include "StrideOrder.h"
+
+#include <memory>
 
 namespace pimentofront {
 
 /// \class DispatchController
 /// \ingroup Serving
-/// \brief Starts waiting requests while the engine has capacity. Kinds share it
-/// by weight (stride scheduling, Waldspurger and Weihl, 1995); within a kind
-/// the earliest deadline goes first. No kind starves, since each start advances
-/// the pass of its kind.
+/// \brief Starts waiting requests while the engine has capacity, in the order
+/// of a RequestOrder: by kind while they are equally urgent and belong to no
+/// account, otherwise by the order that the options name.
 class DispatchController {
 public:
-  explicit DispatchController(AgentBoard &board) : Board(board) {}
+  explicit DispatchController(AgentBoard &board);
 
   void run(TimePoint now);
 
 private:
-  struct Candidate {
-    AdapterKey Key;
-    std::size_t Position = 0;
-    const WaitingAttempt *Attempt = nullptr;
-    double Pass = 0;
-  };
-  std::optional<Candidate> choose() const;
+  /// \returns the waiting requests whose adapter is ready, by adapter and in
+  /// order of arrival.
+  std::vector<OrderCandidate> candidates(TimePoint now) const;
+  RequestOrder &orderFor(std::span<const OrderCandidate> candidates);
   /// \returns whether an idle engine should wait for more requests to batch.
   bool waitsForBatch(TimePoint now) const;
-  bool precedes(const Candidate &a, const Candidate &b) const;
-  void start(TimePoint now, const Candidate &candidate);
+  void start(TimePoint now, const WaitingAttempt &chosen);
+  WaitingAttempt extract(const WaitingAttempt &chosen);
 
   AgentBoard &Board;
-  /// Virtual time (pass) of each kind: its starts divided by its weight.
-  std::map<KindName, double> Passes;
-  /// Pass of the kind that was served last, at which a kind without waiting
-  /// requests resumes.
-  double CurrentPass = 0;
+  StrideOrder ByKind;
+  std::unique_ptr<RequestOrder> ByDemand;
 };
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -117,7 +117,8 @@
     delay = std::min(2 * delay, Board.Options.MaxLoadBackoff);
   ++backoff.ConsecutiveFailures;
   backoff.Until = now + Board.Jitter.jitter(delay);
-  Admission.refuseWaiting(key, RefusalReason::LoadFailed, backoff.Until - now);
+  Admission.refuseWaiting(now, key, RefusalReason::LoadFailed,
+                          backoff.Until - now);
 }
 
 } // namespace pimentofront
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -141,13 +141,15 @@
   /// The cold start of that process, likewise.
   ColdStart Cold;
   RequestDemand Demand;
+  /// Another agent displaced the request before; it isn't displaced again.
+  bool WasDisplaced = false;
   /// \returns that process.
   ServerProcess server() const { return {Server, ServerStartedAt}; }
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, ResumeText,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
                       Delegated, Parts, FirstEventWithin, FirstEventDue, Server,
-                      ServerStartedAt, Limit, Cold, Demand)
+                      ServerStartedAt, Limit, Cold, Demand, WasDisplaced)
 };
 
 /// Agent to entry: the engine has a place for the request, send it now. The
--- a/test/MetricsTest.cpp
+++ b/test/MetricsTest.cpp
@@ -32,3 +32,19 @@
   CHECK(contains("pimentofront_forward_retries_denied_total{reason=\"budget\","
                  "service=\"plain\"} 2"));
 }
+
+TEST_CASE("metrics tell who was displaced, in a bounded number of accounts") {
+  Metrics metrics;
+  for (int i = 0; i < 1000; ++i)
+    metrics.recordAgentEvent(
+        {.Result = AgentEvent::Outcome::Displaced,
+         .Urgency = 2,
+         .Account = AccountName("account" + std::to_string(i)),
+         .Reason = RefusalReason::Displaced});
+  const std::string text = metrics.text();
+  CHECK(text.find("pimentofront_queue_outcomes_total{account=\"account0\","
+                  "outcome=\"displaced\",reason=\"displaced\",urgency=\"2\"} "
+                  "1") != std::string::npos);
+  CHECK(text.find("{account=\"other\",") != std::string::npos);
+  CHECK(text.find("account999") == std::string::npos);
+}
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -44,6 +44,8 @@
         "f.json:6: /agent/slots: expected an integer from 1 to 4096\n");
   CHECK(findings(replaced("\"slots\"", "\"slotz\"")) ==
         "f.json:6: /agent/slotz: unknown key\n");
+  CHECK(findings(replaced("\"slots\": 5", "\"request_order\": \"late\"")) ==
+        "f.json:6: /agent/request_order: expected urgency, tokens or kind\n");
   CHECK(findings(replaced("\"n1\"", "7")) ==
         "f.json:2: /host: expected a text\n");
   CHECK(findings(replaced("127.0.0.1:1\"", "somewhere\"")) ==
--- a/test/TimeLineTest.cpp
+++ b/test/TimeLineTest.cpp
@@ -61,5 +61,12 @@
       findings);
   CHECK(timeLine.explain("r3").find("=> its time ran out") !=
         std::string::npos);
+  timeLine.addLog(
+      "displaced",
+      R"({"hlc":6,"host":"e","event":"request_lost","request":"r4",)"
+      R"("why":"declined, displaced; servers sent to 0"})",
+      findings);
+  CHECK(timeLine.explain("r4").find("took its place at an engine") !=
+        std::string::npos);
   CHECK(findings.items().size() == 1);
 }
