Remove an unused template; say what the order by urgency does

Cause: the choice within an urgency moved to chooseWithinUrgency(), and its former version stayed in the header.

--- a/packages/serving/pimentofront/src/Serving/RequestOrder.h
+++ b/packages/serving/pimentofront/src/Serving/RequestOrder.h
@@ -64,44 +64,6 @@
 /// not, an order by kind and deadline serves them.
 bool differInDemand(const WaitingAttempt &a, const WaitingAttempt &b);
 
-namespace detail {
-
-/// Chooses among the candidates of one class, for which \p belongs returns
-/// true: those of the accounts with the least service relative to their share,
-/// and of these the one that is due first; of two due at the same time the
-/// larger, whose answer is worth more to its caller.
-template <class Predicate>
-std::size_t chooseWithinClass(std::span<const OrderCandidate> candidates,
-                              const AccountShares &accounts,
-                              Predicate belongs) {
-  constexpr double Unset = -1;
-  double lowest = Unset;
-  double largest = 0;
-  for (const OrderCandidate &it : candidates) {
-    if (!belongs(it))
-      continue;
-    const double served = accounts.served(it.Attempt->Account.id());
-    if (lowest == Unset || served < lowest)
-      lowest = served;
-    largest = std::max(largest, static_cast<double>(workOf(*it.Attempt)) /
-                                    accounts.share(it.Attempt->Account.id()));
-  }
-  // Requests aren't interrupted, so no order keeps the counters closer together
-  // than the largest request.
-  const double limit = lowest + largest;
-  const OrderCandidate *best = nullptr;
-  for (const OrderCandidate &it : candidates) {
-    if (!belongs(it) || accounts.served(it.Attempt->Account.id()) > limit)
-      continue;
-    if (!best || it.due() < best->due() ||
-        (it.due() == best->due() &&
-         workOf(*it.Attempt) > workOf(*best->Attempt)))
-      best = &it;
-  }
-  return static_cast<std::size_t>(best - candidates.data());
-}
-
-} // namespace detail
 } // namespace pimentofront
 
 #endif
--- a/packages/serving/pimentofront/src/Serving/UrgencyOrder.h
+++ b/packages/serving/pimentofront/src/Serving/UrgencyOrder.h
@@ -9,12 +9,12 @@
 /// \ingroup Serving
 /// \brief Starts the most urgent requests first, with a floor for the others.
 ///
-/// Requests that can still be on time form one class for each urgency, those
-/// that are late another, behind all that can be on time: a late answer is
-/// worth as much a little later. While a class precedes others, the others
-/// together are owed FloorShare of all tokens, and the longest waiting of them
-/// is started as soon as they are owed its tokens. So each request is started
-/// after a bounded amount of work.
+/// Within an urgency the accounts with the least service relative to their
+/// share go first, then what can be on time, then what is due first. What
+/// doesn't come first, since it is less urgent or late, is owed FloorShare of
+/// all tokens: the longest waiting of it is started as soon as its tokens are
+/// owed, unless its account has received more than its share. So each request
+/// is started after a bounded amount of work.
 class UrgencyOrder : public RequestOrder {
 public:
   /// Share of the engine's work that goes to the classes which don't come
