Send a request that has waited its time, if its answer can still be in time

A request that has waited a quarter of its target now yields no longer, and room is kept only for a kind that asked twice within a second.

All 354 test cases pass.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -198,7 +198,11 @@
 void AttemptController::serveWaiting(TimePoint now) {
   for (const std::uint64_t key : Plain.takeExpired(now)) {
     ForwardRequest &request = Board.Requests.at(key);
-    refuseForRoom(now, request, Plain.refuse(now, request));
+    const PlainDecision decision = Plain.refuse(now, request);
+    if (decision.Choice == PlainChoice::Send)
+      next(now, request);
+    else
+      refuseForRoom(now, request, decision);
   }
   for (const std::uint64_t key : Plain.takeReady(now)) {
     ForwardRequest &request = Board.Requests.at(key);
--- a/packages/forward/pimentofront/src/Forward/PlainController.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainController.cpp
@@ -88,13 +88,12 @@
   const PlainDemand demand = plainDemandOf(request);
   PlainQueue &queue = Board.PlainQueues[request.Service];
   const PlainRoom room = roomFor(now, request);
-  const Duration retryAfter = queue.retryAfter(now, demand, room);
+  const PlainOutcome outcome = queue.offer(now, demand, room);
+  if (outcome.Verdict == PlainVerdict::Send)
+    return {.Choice = PlainChoice::Send, .Outcome = outcome, .Room = room};
+  queue.remove(demand.Key);
   queue.recordRefusal(now, demand);
-  return {.Choice = PlainChoice::Refuse,
-          .Outcome = {.Verdict = PlainVerdict::Refuse,
-                      .RetryAfter = retryAfter,
-                      .AnswersIn = room.answersIn()},
-          .Room = room};
+  return {.Choice = PlainChoice::Refuse, .Outcome = outcome, .Room = room};
 }
 
 PlainDecision
--- a/packages/forward/pimentofront/src/Forward/PlainQueue.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainQueue.cpp
@@ -21,18 +21,21 @@
 
 Duration PlainQueue::allowed(TimePoint now, const PlainDemand &demand) const {
   const Duration own = inTime(now, demand);
-  const bool returned = hasReturned(now, demand);
+  // Neither a request that has returned nor one that has waited as long as it
+  // may yields to others any longer.
+  const bool yields = mayWaitLonger(now, demand) && !hasReturned(now, demand);
   const double share =
-      !returned && isOverShare(now, demand) ? Options.ReserveShare : 1;
+      yields && isOverShare(now, demand) ? Options.ReserveShare : 1;
   Duration result = scaled(own, share);
   for (const auto &[urgency, it] : Urgencies) {
     if (urgency >= demand.Urgency)
       break;
-    if (now >= it.SeenAt + Options.UrgencyMemory)
+    if (now >= it.SeenAt + Options.UrgencyMemory ||
+        it.Target == Duration::zero())
       continue;
     const Duration theirs = scaled(it.Target, Options.InTimeShare);
     result = std::min(result, scaled(std::min(theirs, own),
-                                     returned ? 1 : Options.ReserveShare));
+                                     yields ? Options.ReserveShare : 1));
   }
   return result;
 }
@@ -85,9 +88,14 @@
 
 void PlainQueue::recordUrgency(TimePoint now, const PlainDemand &demand) {
   UrgencyState &it = Urgencies[demand.Urgency];
+  // No room is kept for a kind whose requests come singly: its target stays
+  // unknown until the next one.
   const bool expired = now >= it.SeenAt + Options.UrgencyMemory;
   it.SeenAt = now;
-  it.Target = expired ? demand.Target : std::min(it.Target, demand.Target);
+  if (expired)
+    it.Target = Duration::zero();
+  else if (it.Target == Duration::zero() || demand.Target < it.Target)
+    it.Target = demand.Target;
   // The urgency is arbitrary; the map must stay small.
   if (Urgencies.size() > Options.MaxAccounts)
     std::erase_if(Urgencies, [&](const auto &known) {
@@ -109,7 +117,8 @@
                        .Allowed = allowed(now, demand)};
   const bool isFirst = std::ranges::none_of(
       Waiting, [&](const auto &it) { return precedes(now, it, demand); });
-  if (isSendable(now, demand, room) && (isFirst || !room.Full))
+  const bool mayPass = isFirst || !room.Full || !mayWaitLonger(now, demand);
+  if (mayPass && isSendable(now, demand, room))
     return outcome;
   const bool canBeInTime = room.answersIn() <= inTime(now, demand);
   if (canBeInTime && mayWaitLonger(now, demand)) {
--- a/test/PlainQueueTest.cpp
+++ b/test/PlainQueueTest.cpp
@@ -89,6 +89,9 @@
 TEST_CASE("less urgent requests leave room for urgent ones, and wait",
           "[plain-queue]") {
   PlainQueue queue;
+  // A single urgent request announces no others.
+  CHECK(verdict(queue, demand(1, 0), fullRoom(120ms)) == Send);
+  CHECK(verdict(queue, demand(7, 2), fullRoom(120ms)) == Send);
   CHECK(verdict(queue, demand(1, 0), fullRoom(120ms)) == Send);
   CHECK(verdict(queue, demand(2, 2), fullRoom(120ms)) == Wait);
   CHECK(verdict(queue, demand(3, 1), fullRoom(120ms)) == Wait);
@@ -99,6 +102,9 @@
         std::vector<std::uint64_t>{3});
   CHECK(queue.takeReady(Now + 10ms, freeRoom(4)) ==
         std::vector<std::uint64_t>{2});
+  // One that has waited as long as it may yields no longer.
+  CHECK(verdict(queue, demand(6, 2), fullRoom(80ms), Now + 50ms) == Send);
+  CHECK(verdict(queue, demand(6, 2), fullRoom(130ms), Now + 50ms) == Refuse);
   // Without urgent requests all room is theirs.
   PlainDemand later = demand(5, 2);
   later.ArrivedAt = Now + 5s;
