--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -59,16 +59,20 @@
 
 void ForwardIo::onEvent(const ForwardEvent &event) {
   Counters.recordForwardEvent(event);
-  Log.write(event.Lost ? LogLevel::Warn : LogLevel::Info, event.Name,
-            {{"request", event.Request},
-             {"route", event.Route},
-             {"service", event.Service.str()},
-             {"account", event.Account.str()},
-             {"server", event.Server.str()},
-             {"content", event.Content.empty() ? "" : event.Content.str()},
-             {"why", event.Detail},
-             {"status", static_cast<std::uint64_t>(event.Status)},
-             {"took_ms", toSeconds(event.Took) * 1000}});
+  Log.write(
+      event.Lost ? LogLevel::Warn : LogLevel::Info, event.Name,
+      {{"request", event.Request},
+       {"route", event.Route},
+       {"service", event.Service.str()},
+       {"account", event.Account.str()},
+       {"server", event.Server.str()},
+       {"content", event.Content.empty() ? "" : event.Content.str()},
+       {"why", event.Detail},
+       {"status", static_cast<std::uint64_t>(event.Status)},
+       {"engine_choice", event.Choice ? routeReasonName(*event.Choice) : ""},
+       {"shape_engines", static_cast<std::uint64_t>(event.ShapeEngines)},
+       {"longest_pause_ms", toSeconds(event.LongestPause) * 1000},
+       {"took_ms", toSeconds(event.Took) * 1000}});
 }
 
 void ForwardIo::onTable(const RoutingTable &table) {
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -76,6 +76,25 @@
           .Help("Requests that a server declined, by service and by the room "
                 "that the server reported")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &EngineChoices =
+      prometheus::BuildCounter()
+          .Name("pimentofront_engine_choices_total")
+          .Help("Requests whose first event has arrived, by service and by why "
+                "their engine was chosen")
+          .Register(Registry);
+  prometheus::Family<prometheus::Gauge> &ShapeEngines =
+      prometheus::BuildGauge()
+          .Name("pimentofront_shape_engines")
+          .Help(
+              "Engines that the requests of a route prefer, by their shape; 0 "
+              "if requests aren't placed by shape")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &OverPause =
+      prometheus::BuildCounter()
+          .Name("pimentofront_streams_over_pause_total")
+          .Help("Ended streams with a pause over what their route allows, by "
+                "route")
+          .Register(Registry);
   prometheus::Family<prometheus::Counter> &DeniedRetries =
       prometheus::BuildCounter()
           .Name("pimentofront_forward_retries_denied_total")
@@ -134,6 +153,14 @@
         .Add({{"service", service},
               {"reported", reportedRoomName(*event.RoomAtDecline)}})
         .Increment();
+  if (event.Choice) {
+    State->EngineChoices
+        .Add({{"service", service}, {"why", routeReasonName(*event.Choice)}})
+        .Increment();
+    State->ShapeEngines.Add({{"route", event.Route}}).Set(event.ShapeEngines);
+  }
+  if (event.OverPause)
+    State->OverPause.Add({{"route", event.Route}}).Increment();
   if (event.Denial != RetryDenial::None)
     State->DeniedRetries
         .Add({{"service", service}, {"reason", retryDenialName(event.Denial)}})
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -1,5 +1,7 @@
 #include "pimentofront/Forward.h"
 
+#include <algorithm>
+
 namespace pimentofront {
 namespace {
 
@@ -82,6 +84,10 @@
   removeConnectionHeaders(head.Headers);
   Attempts.recordEvent(now, "answer_began", request, describeTimes(request),
                        head.Status);
+  if (request.ToEngine) {
+    Board.Events.back().Choice = request.Attempt->Choice;
+    Board.Events.back().ShapeEngines = request.Attempt->ShapeEngines;
+  }
   Board.Commands.push_back(ReplyHead{request.Key, std::move(head)});
 }
 
@@ -93,7 +99,11 @@
   if (!request.Attempt->FirstEventAt) {
     request.Attempt->FirstEventAt = now;
     Attempts.notifyBegan(request);
+  } else {
+    request.Attempt->LongestPause = std::max(
+        request.Attempt->LongestPause, now - request.Attempt->LastEventAt);
   }
+  request.Attempt->LastEventAt = now;
   beginAnswer(now, request);
   Board.Commands.push_back(ReplyPiece{request.Key, std::move(events)});
 }
@@ -121,6 +131,20 @@
       ReplyPiece{request->Key, std::exchange(buffered, std::string())});
 }
 
+void AnswerController::recordStream(TimePoint now,
+                                    const ForwardRequest &request) {
+  const ForwardAttempt &attempt = *request.Attempt;
+  const EndedStream stream{
+      .Service = request.Service,
+      .Route = request.Route->Name,
+      .Took = now - attempt.SentAt,
+      .LongestPause = attempt.LongestPause,
+      .PauseTarget = request.Route->PauseTarget.value_or(Duration::zero())};
+  Board.Pauses.recordStream(now, stream);
+  Board.Events.back().OverPause = stream.isOverPause();
+  Board.Events.back().LongestPause = stream.LongestPause;
+}
+
 void AnswerController::complete(TimePoint now, ForwardRequest &request) {
   const int status = request.Attempt->Head->Status;
   const bool stream = isStream(request);
@@ -132,6 +156,8 @@
   Board.Events.back().Outcome =
       failed ? RequestOutcome::Failed : RequestOutcome::Answered;
   Quarantine.onSurvived(request);
+  if (stream)
+    recordStream(now, request);
   if (stream)
     request.Attempt->BufferedBody = request.Events.partial();
   if (request.Answering) {
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -49,6 +49,8 @@
   void onStreamBytes(TimePoint now, ForwardRequest &request,
                      std::string_view bytes);
   void beginAnswer(TimePoint now, ForwardRequest &request);
+  /// Records the pauses of a stream that has ended.
+  void recordStream(TimePoint now, const ForwardRequest &request);
   void complete(TimePoint now, ForwardRequest &request);
   /// The answer is incomplete or invalid. \p serverMayHaveExited: the
   /// connection ended, so the server's process may have exited.
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -198,12 +198,17 @@
 }
 
 void AttemptController::chooseEngine(TimePoint now, ForwardRequest &request) {
-  const RouteQuery query{.Key = request.Adapter,
-                         .BaseModel = request.Service.str(),
-                         .Tried = request.Tried,
-                         .Prefix = hashPrefix(request.Traits.Parts),
-                         .Target = firstEventDue(now, request),
-                         .Zones = request.Zones};
+  const RouteQuery query{
+      .Key = request.Adapter,
+      .BaseModel = request.Service.str(),
+      .Tried = request.Tried,
+      .Prefix = hashPrefix(request.Traits.Parts),
+      .Target = firstEventDue(now, request),
+      .Zones = request.Zones,
+      .Kind = request.Route->Name,
+      .Demand = demandOf(request),
+      .StreamTime = Board.Pauses.meanDuration(request.Route->Name),
+      .Disturbed = Board.Pauses.isDisturbed(now, request.Service)};
   const std::optional<Route> route =
       Routing.choose(now, query, Board.Servers.agents());
   if (route)
@@ -260,6 +265,8 @@
   request.Attempt = ForwardAttempt{.Id = id,
                                    .Agent = route.Host,
                                    .OnlyIfResident = route.OnlyIfResident,
+                                   .Choice = route.Reason,
+                                   .ShapeEngines = route.ShapeEngines,
                                    .StartedAt = now};
   Board.Attempts.emplace(id, request.Key);
   Board.Commands.push_back(SendToAgent{
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -171,6 +171,11 @@
   /// Agent that was asked for a permit; empty for a plain service.
   HostName Agent;
   bool OnlyIfResident = false;
+  /// Why the engine was chosen.
+  RouteReason Choice = RouteReason::Other;
+  /// Number of engines that requests of its shape prefer; zero if requests
+  /// aren't placed by shape.
+  std::uint32_t ShapeEngines = 0;
   /// The agent has answered.
   bool AgentAnswered = false;
   /// Longest time for which this process was stalled since it asked the agent.
@@ -180,6 +185,9 @@
   bool Sent = false;
   TimePoint SentAt;
   std::optional<TimePoint> FirstEventAt;
+  TimePoint LastEventAt;
+  /// Longest time between two events.
+  Duration LongestPause = Duration::zero();
   /// When the server last sent a part of the answer's body.
   TimePoint LastReceivedAt;
   /// When its host was suspected to be gone: its agent exited or stopped
@@ -367,6 +375,14 @@
   /// Set by the last event of a request that has a route.
   std::optional<RequestOutcome> Outcome;
   RetryDenial Denial = RetryDenial::None;
+  /// Set by the first event of an engine's answer: why the engine was chosen,
+  /// and the number of engines that requests of its shape prefer.
+  std::optional<RouteReason> Choice;
+  std::uint32_t ShapeEngines = 0;
+  /// Set by the end of a stream: its longest time between two events, and
+  /// whether that exceeds the pause that its route allows.
+  Duration LongestPause = Duration::zero();
+  bool OverPause = false;
   /// Set if a server declined the request: the room that it reported.
   std::optional<ReportedRoom> RoomAtDecline;
 };
@@ -395,6 +411,8 @@
   AllotmentLeases Leases;
   RetryBudgets Budgets;
   SendPermits Permits;
+  /// The streams that this process has passed on, by service.
+  PauseMeter Pauses;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -71,7 +71,8 @@
           .LoadWait = loadBacklog(now),
           .VictimValue = static_cast<std::uint32_t>(victim * Thousand),
           .PrefillWait = Board.Prefill.wait(now) + engineDelay(now) +
-                         Board.Pacer.wait(now, Board.WaitingCount)};
+                         Board.Pacer.wait(now, Board.WaitingCount),
+          .PromptRate = Board.Prefill.measuredRate()};
 }
 
 AdmissionController::Decision
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
@@ -63,6 +63,7 @@
 void PrefillModel::learn(std::uint32_t tokens, Duration took) {
   if (tokens < Options.MinMeasuredTokens || took <= Duration::zero())
     return;
+  ++Measurements;
   // Bounds the influence of one measurement, which other work of the engine may
   // distort.
   constexpr double MaxChange = 4;
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.h
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.h
@@ -20,6 +20,8 @@
   /// Minimum number of prompt tokens for a measurement: the time of shorter
   /// prompts is mostly other work.
   std::uint32_t MinMeasuredTokens = 1000;
+  /// Measurements before the speed is told to others.
+  std::uint32_t MinMeasurements = 10;
 };
 
 /// \class PrefillModel
@@ -60,6 +62,13 @@
   /// Empties the cache model after a restart of the engine.
   void clear(TimePoint now);
   double tokensPerSecond() const { return Rate; }
+  /// \returns the prefill speed in prompt tokens per second; 0 until enough
+  /// measurements outweigh the presumed one.
+  std::uint32_t measuredRate() const {
+    return Measurements < Options.MinMeasurements
+               ? 0
+               : static_cast<std::uint32_t>(Rate);
+  }
 
 private:
   struct Part {
@@ -70,6 +79,7 @@
 
   PrefillOptions Options;
   double Rate;
+  std::uint32_t Measurements = 0;
   TimePoint BusyUntil;
   /// Most recently used first.
   std::list<Part> Cached;
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -83,14 +83,22 @@
 std::optional<Route> PrefixRouting::choose(TimePoint now,
                                            const RouteQuery &query,
                                            const MemberViews &members) {
-  if (query.Tried.empty())
+  if (query.Tried.empty()) {
     recordRequest(now, query.Key);
+    Shapes.recordRequest(now, query);
+  }
   Hosts hosts = detail::eligibleHosts(now, query, members);
   if (hosts.empty())
     return std::nullopt;
-  const std::size_t own = enginesFor(now, query.Key, hosts.size());
-  const std::size_t asked = std::min(own + Options.SpillChoices, hosts.size());
-  detail::orderByRendezvous(query.Key, asked, hosts);
+  const std::size_t preferred = Shapes.arrange(now, query, hosts);
+  Hosts others(hosts.begin() + static_cast<std::ptrdiff_t>(preferred),
+               hosts.end());
+  hosts.resize(preferred);
+  const auto shapeEngines =
+      others.empty() ? 0 : static_cast<std::uint32_t>(preferred);
+  const std::size_t own = enginesFor(now, query.Key, preferred);
+  const std::size_t asked = std::min(own + Options.SpillChoices, preferred);
+  Balance.order(query.Key, asked, hosts);
   orderByPrefix(query.Prefix, own, hosts);
   const bool hasTarget =
       query.Target != NoTarget && query.Target > Duration::zero();
@@ -103,9 +111,27 @@
     const double share = isOwn ? Options.OwnShare : Options.SpillShare;
     return Route{.Host = it.Record.Host,
                  .OnlyIfResident = !isOwn,
-                 .FirstEventWithin = fromSeconds(toSeconds(target) * share)};
+                 .FirstEventWithin = fromSeconds(toSeconds(target) * share),
+                 .Reason = isOwn ? RouteReason::Own : RouteReason::Spill,
+                 .ShapeEngines = shapeEngines};
+  }
+  if (!others.empty()) {
+    Balance.order(query.Key, 1, others);
+    const MemberView &it = *others.front();
+    if (!findTried(query, it))
+      return Route{.Host = it.Record.Host,
+                   .FirstEventWithin =
+                       fromSeconds(toSeconds(target) * Options.SpillShare),
+                   .Reason = RouteReason::OtherShape,
+                   .ShapeEngines = shapeEngines};
+    hosts.push_back(&it);
+  }
+  std::optional<Route> route = chooseByEstimate(query, target, own, hosts);
+  if (route) {
+    route->Reason = RouteReason::Estimate;
+    route->ShapeEngines = shapeEngines;
   }
-  return chooseByEstimate(query, target, own, hosts);
+  return route;
 }
 
 std::optional<Route> PrefixRouting::chooseByEstimate(
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.h
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.h
@@ -1,7 +1,8 @@
 #ifndef PIMENTOFRONT_SERVING_PREFIX_ROUTING_H
 #define PIMENTOFRONT_SERVING_PREFIX_ROUTING_H
 
-#include "RoutingPolicy.h"
+#include "EngineBalance.h"
+#include "ShapePlacement.h"
 
 namespace pimentofront {
 
@@ -36,6 +37,8 @@
   double PriorRequests = 100;
   /// Maximum number of adapters whose popularity is tracked.
   std::size_t Capacity = 4096;
+  ShapePlacementOptions Shapes;
+  EngineBalanceOptions Balance;
 };
 
 /// \class PrefixRouting
@@ -53,11 +56,12 @@
 class PrefixRouting : public RoutingPolicy {
 public:
   explicit PrefixRouting(const PrefixRoutingOptions &options)
-      : Options(options) {}
+      : Options(options), Shapes(options.Shapes), Balance(options.Balance) {}
   std::optional<Route> choose(TimePoint now, const RouteQuery &query,
                               const MemberViews &members) override;
 
 private:
+  using Hosts = std::vector<const MemberView *>;
   struct Count {
     double Value = 0;
     TimePoint At;
@@ -77,6 +81,8 @@
                    const std::vector<const MemberView *> &hosts) const;
 
   PrefixRoutingOptions Options;
+  ShapePlacement Shapes;
+  EngineBalance Balance;
   std::unordered_map<AdapterKey, Count> Counts;
   Count Total;
 };
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
@@ -52,6 +52,10 @@
   return healthy.empty() ? ejected : healthy;
 }
 
+std::uint64_t rendezvousHash(const AdapterKey &key, const MemberView &host) {
+  return mix(stableHash(key.Adapter.str(), key.Version) ^ host.NameHash);
+}
+
 void orderByRendezvous(const AdapterKey &key, std::size_t n,
                        std::vector<const MemberView *> &hosts) {
   const std::uint64_t keyHash = stableHash(key.Adapter.str(), key.Version);
@@ -66,6 +70,12 @@
 
 } // namespace detail
 
+const char *routeReasonName(RouteReason reason) {
+  constexpr const char *Names[] = {"own", "spill", "other_shape", "estimate",
+                                   "other"};
+  return Names[static_cast<std::size_t>(reason)];
+}
+
 std::optional<Route> LeastLoaded::choose(TimePoint now, const RouteQuery &query,
                                          const MemberViews &members) {
   auto hosts = detail::eligibleHosts(now, query, members);
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -62,8 +62,32 @@
   Duration Target = NoTarget;
   /// Zones in which the request may be served.
   AllowedZones Zones;
+  /// Name of its route.
+  std::string Kind;
+  /// What it asks of an engine.
+  RequestDemand Demand;
+  /// Mean time that the streams of its route take; zero if unknown.
+  Duration StreamTime = Duration::zero();
+  /// Streams of the service exceed the pauses that their routes allow.
+  bool Disturbed = false;
 };
 
+/// Why a host was chosen, for logs and metrics.
+enum class RouteReason : std::uint8_t {
+  /// It is one of the adapter's own engines.
+  Own,
+  /// It comes after these, and may have the adapter.
+  Spill,
+  /// It is beyond the part of the engines that requests of this shape prefer.
+  OtherShape,
+  /// All that were asked with a limit have refused; its wait is the shortest.
+  Estimate,
+  /// The policy gives no reason.
+  Other,
+};
+/// \returns the name of \p reason in logs and metrics.
+const char *routeReasonName(RouteReason reason);
+
 /// \class Route
 /// \ingroup Serving
 struct Route {
@@ -73,6 +97,10 @@
   /// The host refuses the request if its first event would take longer; zero
   /// sets no limit.
   Duration FirstEventWithin = Duration::zero();
+  RouteReason Reason = RouteReason::Other;
+  /// Number of engines that requests of this shape prefer; zero if requests
+  /// aren't placed by shape.
+  std::uint32_t ShapeEngines = 0;
 };
 
 /// \class RoutingPolicy
@@ -157,6 +185,9 @@
 std::vector<const MemberView *> eligibleHosts(TimePoint now,
                                               const RouteQuery &query,
                                               const MemberViews &members);
+/// \returns the rank of the host in the rendezvous order of \p key; the highest
+/// one comes first.
+std::uint64_t rendezvousHash(const AdapterKey &key, const MemberView &host);
 /// Moves the first \p n hosts in the rendezvous order of \p key to the front of
 /// \p hosts, in that order.
 void orderByRendezvous(const AdapterKey &key, std::size_t n,
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -76,8 +76,11 @@
   std::uint32_t VictimValue = 0;
   /// How long the engine needs for the prompts that it has accepted.
   Duration PrefillWait = Duration::zero();
+  /// Prompt tokens that the engine processes in a second, as measured; 0 until
+  /// it has been measured.
+  std::uint32_t PromptRate = 0;
   PIMENTOFRONT_FIELDS(AgentLoad, Running, Queued, BatchCapacity, LoadWait,
-                      VictimValue, PrefillWait)
+                      VictimValue, PrefillWait, PromptRate)
 };
 
 /// \class PromptPart
