Place requests by shape and adapters by pace, both behind settings

Cause: long prompts with short answers and short prompts with long answers share engines; while an engine reads a prompt, each token of its running streams takes several times as long.

--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -47,6 +47,8 @@
       reader.real("spread", prefix.EnginesPerShare, 0.01, 100);
   prefix.SpillChoices = static_cast<std::uint32_t>(
       reader.integer("spill_choices", prefix.SpillChoices, 0, 64));
+  prefix.Shapes.Enabled = reader.flag("shape_placement", prefix.Shapes.Enabled);
+  prefix.Balance.Enabled = reader.flag("pace_weights", prefix.Balance.Enabled);
   // Each entry takes its part of the reserve by the number of entries, which is
   // a few seconds out of date after an entry starts or stops. The margin keeps
   // the sum of the parts within the configured reserve meanwhile.
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -72,7 +72,8 @@
           .VictimValue = static_cast<std::uint32_t>(victim * Thousand),
           .PrefillWait = Board.Prefill.wait(now) + engineDelay(now) +
                          Board.Pacer.wait(now, Board.WaitingCount),
-          .PromptRate = Board.Prefill.measuredRate()};
+          .PromptRate = Board.Prefill.measuredRate(),
+          .AdapterSlots = static_cast<std::uint32_t>(Board.Slots.all().size())};
 }
 
 AdmissionController::Decision
--- a/packages/serving/pimentofront/src/Serving/EngineBalance.cpp
+++ b/packages/serving/pimentofront/src/Serving/EngineBalance.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 
 namespace pimentofront {
-constexpr bool TrialOff = true;
 namespace {
 
 using Hosts = std::vector<const MemberView *>;
@@ -33,7 +32,7 @@
 } // namespace
 
 double EngineBalance::weightOf(std::uint32_t pace, std::uint32_t median) const {
-  if (TrialOff || pace == 0 || pace >= Options.SlowShare * median)
+  if (!Options.Enabled || pace == 0 || pace >= Options.SlowShare * median)
     return 1;
   const double steps = std::round(pace / (Options.WeightStep * median));
   return std::clamp(steps * Options.WeightStep, Options.MinWeight, 1.0);
--- a/packages/serving/pimentofront/src/Serving/EngineBalance.h
+++ b/packages/serving/pimentofront/src/Serving/EngineBalance.h
@@ -8,6 +8,8 @@
 /// \class EngineBalanceOptions
 /// \ingroup Serving
 struct EngineBalanceOptions {
+  /// Engines get adapters by their pace; otherwise all get equal shares.
+  bool Enabled = false;
   /// An engine whose pace is below this share of the median pace gets fewer
   /// adapters. Smaller differences are within what one measurement may be off.
   double SlowShare = 0.85;
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -90,7 +90,8 @@
   Hosts hosts = detail::eligibleHosts(now, query, members);
   if (hosts.empty())
     return std::nullopt;
-  const std::size_t preferred = Shapes.arrange(now, query, hosts);
+  const ShapeOrder shape = Shapes.arrange(now, query, hosts);
+  const std::size_t preferred = shape.Preferred;
   Hosts others(hosts.begin() + static_cast<std::ptrdiff_t>(preferred),
                hosts.end());
   hosts.resize(preferred);
@@ -115,7 +116,7 @@
                  .Reason = isOwn ? RouteReason::Own : RouteReason::Spill,
                  .ShapeEngines = shapeEngines};
   }
-  if (!others.empty()) {
+  if (shape.MaySpill && !others.empty()) {
     Balance.order(query.Key, 1, others);
     const MemberView &it = *others.front();
     if (!findTried(query, it))
@@ -127,6 +128,8 @@
     hosts.push_back(&it);
   }
   std::optional<Route> route = chooseByEstimate(query, target, own, hosts);
+  if (!route)
+    route = chooseByEstimate(query, target, 0, others);
   if (route) {
     route->Reason = RouteReason::Estimate;
     route->ShapeEngines = shapeEngines;
--- a/packages/serving/pimentofront/src/Serving/ShapePlacement.cpp
+++ b/packages/serving/pimentofront/src/Serving/ShapePlacement.cpp
@@ -4,7 +4,19 @@
 #include <cmath>
 
 namespace pimentofront {
-constexpr double TrialSlotsPerStream = 0.2;
+namespace {
+
+/// \returns the adapter slots of an engine, by the first that has reported
+/// them.
+std::uint32_t slotsOf(const std::vector<const MemberView *> &hosts) {
+  constexpr std::uint32_t UnknownSlots = 8;
+  const auto it = std::ranges::find_if(hosts, [](const MemberView *host) {
+    return host->Load.AdapterSlots > 0;
+  });
+  return it == hosts.end() ? UnknownSlots : (*it)->Load.AdapterSlots;
+}
+
+} // namespace
 
 void ShapePlacement::Demand::add(const Demand &other, double factor) {
   Requests += other.Requests * factor;
@@ -63,23 +75,24 @@
                                      double tokensPerSecond,
                                      std::uint32_t slots) const {
   const double reading = demand.PromptTokens / tokensPerSecond;
-  const double holding =
-      demand.StreamSeconds * TrialSlotsPerStream / std::max<double>(slots, 1);
+  const double holding = demand.StreamSeconds * Options.SlotsPerStream /
+                         std::max<double>(slots, 1);
   return std::max(reading, holding);
 }
 
-std::size_t
+ShapeOrder
 ShapePlacement::arrange(TimePoint now, const RouteQuery &query,
                         std::vector<const MemberView *> &hosts) const {
   const auto route = Routes.find(query.Kind);
-  if (!query.Disturbed || hosts.size() < 2 || route == Routes.end())
-    return hosts.size();
+  if (!Options.Enabled || !query.Disturbed || hosts.size() < 2 ||
+      route == Routes.end())
+    return {.Preferred = hosts.size()};
   const auto division = divide(now, query.BaseModel);
   if (!division)
-    return hosts.size();
+    return {.Preferred = hosts.size()};
   const double threshold =
       std::sqrt(division->Generating.contrast() * division->Reading.contrast());
-  const std::uint32_t slots = hosts.front()->Record.Slots;
+  const std::uint32_t slots = slotsOf(hosts);
   const double generating =
       enginesNeeded(division->Generating, Options.TokensPerSecond, slots);
   const double reading =
@@ -89,9 +102,10 @@
   const auto split = static_cast<std::ptrdiff_t>(std::clamp(part, 1.0, n - 1));
   std::ranges::sort(hosts, {}, &MemberView::NameHash);
   if (route->second.Total.contrast() <= threshold)
-    return static_cast<std::size_t>(split);
+    return {.Preferred = static_cast<std::size_t>(split)};
   std::ranges::rotate(hosts, hosts.begin() + split);
-  return hosts.size() - static_cast<std::size_t>(split);
+  return {.Preferred = hosts.size() - static_cast<std::size_t>(split),
+          .MaySpill = false};
 }
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/ShapePlacement.h
+++ b/packages/serving/pimentofront/src/Serving/ShapePlacement.h
@@ -8,8 +8,11 @@
 /// \class ShapePlacementOptions
 /// \ingroup Serving
 struct ShapePlacementOptions {
-  /// Half-life of the observed demand.
-  Duration HalfLife = std::chrono::seconds(10);
+  /// Requests are placed by shape where it is called for.
+  bool Enabled = false;
+  /// Half-life of the observed demand. An entry sees few requests in a second,
+  /// and entries must come to similar shares.
+  Duration HalfLife = std::chrono::seconds(60);
   /// Least factor between the prompt tokens per generated token of two groups
   /// of routes for which they are placed apart. Routes that differ by less
   /// disturb each other as much as their own requests do.
@@ -21,11 +24,24 @@
   double TokensPerSecond = 40'000;
   /// Adapter slots that a running stream needs: streams for one adapter share
   /// its slot.
-  double SlotsPerStream = 0.5;
+  double SlotsPerStream = 0.1;
   /// Maximum number of routes whose demand is tracked.
   std::size_t Capacity = 256;
 };
 
+/// \class ShapeOrder
+/// \ingroup Serving
+/// \brief Which engines a request prefers by its shape.
+struct ShapeOrder {
+  /// Number of engines, from the first, that the request prefers; all of them
+  /// if the requests of the service aren't placed apart.
+  std::size_t Preferred = 0;
+  /// The other engines may get it when the preferred ones would be late. Not
+  /// for long prompts: each would delay all streams of an engine that is there
+  /// for long answers.
+  bool MaySpill = true;
+};
+
 /// \class ShapePlacement
 /// \ingroup Serving
 /// \brief Divides the engines of a service between requests that mostly read
@@ -54,10 +70,8 @@
 
   void recordRequest(TimePoint now, const RouteQuery &query);
   /// Moves the engines of the query's group to the front of \p hosts.
-  /// \returns how many these are: all of them if the requests of the service
-  /// aren't placed apart.
-  std::size_t arrange(TimePoint now, const RouteQuery &query,
-                      std::vector<const MemberView *> &hosts) const;
+  ShapeOrder arrange(TimePoint now, const RouteQuery &query,
+                     std::vector<const MemberView *> &hosts) const;
 
 private:
   /// Demand of one route, or of a group of them.
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -79,8 +79,10 @@
   /// Prompt tokens that the engine processes in a second, as measured; 0 until
   /// it has been measured.
   std::uint32_t PromptRate = 0;
+  /// Adapters that the engine can have loaded at a time; 0 if unknown.
+  std::uint32_t AdapterSlots = 0;
   PIMENTOFRONT_FIELDS(AgentLoad, Running, Queued, BatchCapacity, LoadWait,
-                      VictimValue, PrefillWait, PromptRate)
+                      VictimValue, PrefillWait, PromptRate, AdapterSlots)
 };
 
 /// \class PromptPart
--- a/test/EngineBalanceTest.cpp
+++ b/test/EngineBalanceTest.cpp
@@ -30,7 +30,7 @@
   Hosts hosts;
   for (const auto &[name, it] : members)
     hosts.push_back(&it);
-  EngineBalance().order(key, 1, hosts);
+  EngineBalance({.Enabled = true}).order(key, 1, hosts);
   return hosts.front()->Record.Host;
 }
 
--- a/test/ShapePlacementTest.cpp
+++ b/test/ShapePlacementTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace pimentofront;
@@ -24,7 +25,7 @@
 /// An entry with two routes: long prompts with short answers, and short prompts
 /// with long answers.
 struct UnlikeShapes {
-  PrefixRouting Routing{PrefixRoutingOptions{}};
+  PrefixRouting Routing{PrefixRoutingOptions{.Shapes = {.Enabled = true}}};
   MemberViews Members = engines(48);
   std::vector<TriedHost> Tried;
   TimePoint Now = Start;
@@ -57,10 +58,14 @@
   std::uint32_t enginesOf(const std::string &kind) {
     return choose(kind, 0)->ShapeEngines;
   }
+  /// \returns the engines that get the requests for 200 adapters. Further tries
+  /// are no further demand.
   std::set<HostName> hostsOf(const std::string &kind) {
     std::set<HostName> hosts;
+    Tried.push_back({HostName("gone"), RefusalReason::BackendDown});
     for (int adapter = 0; adapter < 200; ++adapter)
       hosts.insert(choose(kind, adapter)->Host);
+    Tried.pop_back();
     return hosts;
   }
 };
@@ -86,7 +91,6 @@
   UnlikeShapes load;
   load.Disturbed = false;
   load.demand(90, 110);
-  PrefixRouting fresh{PrefixRoutingOptions{}};
   for (int adapter = 100; adapter < 200; ++adapter) {
     const auto route = load.choose("long", adapter);
     CHECK(route->ShapeEngines == 0);
@@ -94,6 +98,15 @@
   }
 }
 
+TEST_CASE("without the setting requests of all shapes share all engines",
+          "[shape-placement]") {
+  UnlikeShapes load;
+  load.Routing = PrefixRouting(PrefixRoutingOptions{});
+  load.demand(90, 110);
+  CHECK(load.enginesOf("long") == 0);
+  CHECK(load.enginesOf("short") == 0);
+}
+
 TEST_CASE("routes that are alike share all engines", "[shape-placement]") {
   UnlikeShapes load;
   load.Long = {.PromptTokens = 1600, .OutputTokens = 200};
@@ -106,12 +119,12 @@
   UnlikeShapes load;
   load.demand(100, 100);
   const std::uint32_t before = load.enginesOf("long");
-  for (int i = 0; i < 6; ++i)
+  for (int i = 0; i < 18; ++i)
     load.demand(50, 150);
   const std::uint32_t after = load.enginesOf("long");
   CHECK(after < before);
   CHECK(after > 0);
-  for (int i = 0; i < 6; ++i)
+  for (int i = 0; i < 36; ++i)
     load.demand(100, 100);
   CHECK(load.enginesOf("long") == before);
 }
@@ -168,3 +181,26 @@
   load.Members = engines(1);
   CHECK(load.choose("long", 1)->ShapeEngines == 0);
 }
+
+// Each engine of the part for long prompts has refused for good: the request
+// must not be lost while other engines have room.
+TEST_CASE("long prompts go to the other part when their own has failed",
+          "[shape-placement]") {
+  UnlikeShapes load;
+  load.demand(90, 110);
+  for (int i = 0; i < 48; ++i) {
+    const auto route = load.choose("long", 300);
+    REQUIRE(route);
+    load.Tried.push_back({route->Host, RefusalReason::BackendDown});
+  }
+  CHECK_FALSE(load.choose("long", 300));
+}
+
+TEST_CASE("requests that state no sizes are placed as before",
+          "[shape-placement]") {
+  UnlikeShapes load;
+  load.Long = {};
+  load.demand(90, 110);
+  CHECK(load.enginesOf("long") == 0);
+  CHECK(load.enginesOf("short") == 0);
+}
