--- a/packages/serving/pimentofront/src/Serving/ShapePlacement.cpp
+++ b/packages/serving/pimentofront/src/Serving/ShapePlacement.cpp
@@ -103,7 +103,7 @@
   std::ranges::sort(hosts, {}, &MemberView::NameHash);
   if (route->second.Total.contrast() <= threshold)
     return {.Preferred = static_cast<std::size_t>(split)};
-  std::ranges::rotate(hosts, hosts.begin() + split);
+  std::rotate(hosts.begin(), hosts.begin() + split, hosts.end());
   return {.Preferred = hosts.size() - static_cast<std::size_t>(split),
           .MaySpill = false};
 }
