--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -104,28 +104,24 @@
   const bool hasTarget =
       query.Target != NoTarget && query.Target > Duration::zero();
   const Duration target = hasTarget ? query.Target : Options.DefaultTarget;
-  for (std::size_t i = 0; i < asked; ++i) {
-    const MemberView &it = *hosts[i];
-    if (findTried(query, it))
-      continue;
-    const bool isOwn = i < own;
-    const double share = isOwn ? Options.OwnShare : Options.SpillShare;
+  const auto ask = [&](const MemberView &it, double share, RouteReason reason) {
     return Route{.Host = it.Record.Host,
-                 .OnlyIfResident = !isOwn,
+                 .OnlyIfResident = reason == RouteReason::Spill,
                  .FirstEventWithin = fromSeconds(toSeconds(target) * share),
-                 .Reason = isOwn ? RouteReason::Own : RouteReason::Spill,
+                 .Reason = reason,
                  .ShapeEngines = shapeEngines};
+  };
+  for (std::size_t i = 0; i < asked; ++i) {
+    if (findTried(query, *hosts[i]))
+      continue;
+    return i < own ? ask(*hosts[i], Options.OwnShare, RouteReason::Own)
+                   : ask(*hosts[i], Options.SpillShare, RouteReason::Spill);
   }
   if (shape.MaySpill && !others.empty()) {
     Balance.order(query.Key, 1, others);
-    const MemberView &it = *others.front();
-    if (!findTried(query, it))
-      return Route{.Host = it.Record.Host,
-                   .FirstEventWithin =
-                       fromSeconds(toSeconds(target) * Options.SpillShare),
-                   .Reason = RouteReason::OtherShape,
-                   .ShapeEngines = shapeEngines};
-    hosts.push_back(&it);
+    if (!findTried(query, *others.front()))
+      return ask(*others.front(), Options.SpillShare, RouteReason::OtherShape);
+    hosts.push_back(others.front());
   }
   std::optional<Route> route = chooseByEstimate(query, target, own, hosts);
   if (!route)
--- a/test/MetricsTest.cpp
+++ b/test/MetricsTest.cpp
@@ -32,3 +32,27 @@
   CHECK(contains("pimentofront_forward_retries_denied_total{reason=\"budget\","
                  "service=\"plain\"} 2"));
 }
+
+// Guards against pauses and choices of engines that nobody can see.
+TEST_CASE("metrics count why engines were chosen and which streams paused too "
+          "long") {
+  Metrics metrics;
+  metrics.recordForwardEvent({.Name = "answer_began",
+                              .Route = "chat",
+                              .Service = ServiceName("drafts"),
+                              .Choice = RouteReason::OtherShape,
+                              .ShapeEngines = 12});
+  metrics.recordForwardEvent({.Name = "request_answered",
+                              .Route = "chat",
+                              .Service = ServiceName("drafts"),
+                              .LongestPause = std::chrono::milliseconds(500),
+                              .OverPause = true});
+  const std::string text = metrics.text();
+  const auto contains = [&](const char *line) {
+    return text.find(line) != std::string::npos;
+  };
+  CHECK(contains("pimentofront_engine_choices_total{service=\"drafts\","
+                 "why=\"other_shape\"} 1"));
+  CHECK(contains("pimentofront_shape_engines{route=\"chat\"} 12"));
+  CHECK(contains("pimentofront_streams_over_pause_total{route=\"chat\"} 1"));
+}
