--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -190,6 +190,11 @@
   bool OnlyIfResident = false;
   /// Prompt tokens that the engine has to read, by its agent's permit.
   std::uint32_t UncachedTokens = 0;
+  /// Why the engine was chosen.
+  RouteReason Choice = RouteReason::Other;
+  /// Number of engines that requests of its shape prefer; zero if requests
+  /// aren't placed by shape.
+  std::uint32_t ShapeEngines = 0;
   /// The agent has answered.
   bool AgentAnswered = false;
   /// Longest time for which this process was stalled since it asked the agent.
@@ -202,6 +207,9 @@
   /// How long work takes on the server's host, in percent of the usual time, as
   /// the head of the answer states it; 0 if it doesn't.
   std::uint32_t Slowness = 0;
+  TimePoint LastEventAt;
+  /// Longest time between two events.
+  Duration LongestPause = Duration::zero();
   /// When the server last sent a part of the answer's body.
   TimePoint LastReceivedAt;
   /// When its host was suspected to be gone: its agent exited or stopped
@@ -398,6 +406,14 @@
   RetryDenial Denial = RetryDenial::None;
   /// Set if the request was refused for want of room: its urgency.
   std::optional<std::uint32_t> RefusedUrgency;
+  /// Set by the first event of an engine's answer: why the engine was chosen,
+  /// and the number of engines that requests of its shape prefer.
+  std::optional<RouteReason> Choice;
+  std::uint32_t ShapeEngines = 0;
+  /// Set by the end of a stream: its longest time between two events, and
+  /// whether that exceeds the pause that its route allows.
+  Duration LongestPause = Duration::zero();
+  bool OverPause = false;
   /// Set if a server declined the request: the room that it reported.
   std::optional<ReportedRoom> RoomAtDecline;
 };
@@ -431,6 +447,8 @@
   SendPermits Permits;
   /// By plain service.
   std::map<ServiceName, PlainQueue> PlainQueues;
+  /// The streams that this process has passed on, by service.
+  PauseMeter Pauses;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -77,7 +77,9 @@
           .VictimValue = static_cast<std::uint32_t>(victim * Thousand),
           .PrefillWait = Board.Prefill.wait(now) + engineDelay(now) +
                          Board.Slowness.expectedRest(now) +
-                         Board.Pacer.wait(now, Board.WaitingCount)};
+                         Board.Pacer.wait(now, Board.WaitingCount),
+          .PromptRate = Board.Prefill.measuredRate(),
+          .AdapterSlots = static_cast<std::uint32_t>(Board.Slots.all().size())};
 }
 
 AdmissionController::Decision
--- a/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefixRouting.cpp
@@ -83,29 +83,54 @@
 std::optional<Route> PrefixRouting::choose(TimePoint now,
                                            const RouteQuery &query,
                                            const MemberViews &members) {
-  if (query.Tried.empty())
+  if (query.Tried.empty()) {
     recordRequest(now, query.Key);
+    Shapes.recordRequest(now, query);
+  }
   Hosts hosts = detail::eligibleHosts(now, query, members);
   if (hosts.empty())
     return std::nullopt;
-  const std::size_t own = enginesFor(now, query.Key, hosts.size());
-  const std::size_t asked = std::min(own + Options.SpillChoices, hosts.size());
-  detail::orderByRendezvous(query.Key, asked, hosts);
+  const ShapeOrder shape = Shapes.arrange(now, query, hosts);
+  const std::size_t preferred = shape.Preferred;
+  Hosts others(hosts.begin() + static_cast<std::ptrdiff_t>(preferred),
+               hosts.end());
+  hosts.resize(preferred);
+  const auto shapeEngines =
+      others.empty() ? 0 : static_cast<std::uint32_t>(preferred);
+  const std::size_t own = enginesFor(now, query.Key, preferred);
+  const std::size_t asked = std::min(own + Options.SpillChoices, preferred);
+  Balance.order(query.Key, asked, hosts);
   orderByPrefix(query.Prefix, own, hosts);
   const bool hasTarget =
       query.Target != NoTarget && query.Target > Duration::zero();
   const Duration target = hasTarget ? query.Target : Options.DefaultTarget;
+  const auto ask = [&](const MemberView &it, double share, RouteReason reason) {
+    return Route{.Host = it.Record.Host,
+                 .OnlyIfResident = reason == RouteReason::Spill,
+                 .FirstEventWithin = fromSeconds(toSeconds(target) * share),
+                 .Reason = reason,
+                 .ShapeEngines = shapeEngines};
+  };
   for (std::size_t i = 0; i < asked; ++i) {
-    const MemberView &it = *hosts[i];
-    if (findTried(query, it))
+    if (findTried(query, *hosts[i]))
       continue;
-    const bool isOwn = i < own;
-    const double share = isOwn ? Options.OwnShare : Options.SpillShare;
-    return Route{.Host = it.Record.Host,
-                 .OnlyIfResident = !isOwn,
-                 .FirstEventWithin = fromSeconds(toSeconds(target) * share)};
+    return i < own ? ask(*hosts[i], Options.OwnShare, RouteReason::Own)
+                   : ask(*hosts[i], Options.SpillShare, RouteReason::Spill);
+  }
+  if (shape.MaySpill && !others.empty()) {
+    Balance.order(query.Key, 1, others);
+    if (!findTried(query, *others.front()))
+      return ask(*others.front(), Options.SpillShare, RouteReason::OtherShape);
+    hosts.push_back(others.front());
+  }
+  std::optional<Route> route = chooseByEstimate(query, target, own, hosts);
+  if (!route)
+    route = chooseByEstimate(query, target, 0, others);
+  if (route) {
+    route->Reason = RouteReason::Estimate;
+    route->ShapeEngines = shapeEngines;
   }
-  return chooseByEstimate(query, target, own, hosts);
+  return route;
 }
 
 std::optional<Route> PrefixRouting::chooseByEstimate(
