--- a/packages/forward/pimentofront/src/Forward/PlainController.h
+++ b/packages/forward/pimentofront/src/Forward/PlainController.h
@@ -47,11 +47,11 @@
   PlainDecision decide(TimePoint now, const ForwardRequest &request);
   /// \returns the waiting requests that can be sent now; they no longer wait.
   std::vector<std::uint64_t> takeReady(TimePoint now);
-  /// \returns the requests that may wait no longer, or that were displaced; they
-  /// no longer wait.
+  /// \returns the requests that may wait no longer, or that were displaced;
+  /// they no longer wait.
   std::vector<std::uint64_t> takeExpired(TimePoint now);
-  /// \returns the last decision on a request of takeExpired(): Send if its answer
-  /// can still be in time, else Refuse.
+  /// \returns the last decision on a request of takeExpired(): Send if its
+  /// answer can still be in time, else Refuse.
   PlainDecision refuse(TimePoint now, const ForwardRequest &request);
 
 private:
