--- a/bench/DecisionsMain.cpp
+++ b/bench/DecisionsMain.cpp
@@ -138,6 +138,7 @@
       continue;
     }
     std::vector<OrderCandidate> candidates;
+    candidates.reserve(queue.size());
     for (const WaitingAttempt &it : queue)
       candidates.push_back(
           {&it, now + fromSeconds(it.ReadingTokens / TokensPerSecond)});
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -70,6 +70,7 @@
   forward.RetryShare = reader.real("retry_share", forward.RetryShare, 0, 1);
   forward.RetryReserve =
       reader.real("retry_reserve", forward.RetryReserve, 0, 100000);
+  forward.QueuesPlain = reader.flag("plain_queue", forward.QueuesPlain);
   forward.Fetch.Enabled =
       reader.flag("fetch_prompt_parts", forward.Fetch.Enabled);
   PrefixRoutingOptions &prefix = settings.Prefix;
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -26,6 +26,10 @@
   HostName Host;
   ServerSetOptions Servers;
   PromptFetchOptions Fetch;
+  /// Requests for plain services whose servers all report themselves full wait
+  /// at the entry, or are refused if their answers can't be in time. Without
+  /// it they are sent, and the servers queue or decline them.
+  bool QueuesPlain = false;
   /// An agent that hasn't answered within this time is skipped. Covers several
   /// round trips between zones and the agent's wait for its CPU.
   Duration PermitTimeout = std::chrono::milliseconds(250);
--- a/packages/forward/pimentofront/src/Forward/PlainController.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainController.cpp
@@ -26,8 +26,9 @@
   const PlainDemand demand = plainDemandOf(request);
   PlainQueue &queue = Board.PlainQueues[request.Service];
   // A request that may have run can't be refused as one that hasn't.
-  const PlainRoom room = roomFor(now, request, avoid);
-  if (!request.MayHaveRun) {
+  const PlainRoom room =
+      Board.Options.QueuesPlain ? roomFor(now, request, avoid) : PlainRoom();
+  if (Board.Options.QueuesPlain && !request.MayHaveRun) {
     const PlainOutcome outcome = queue.offer(now, demand, room);
     if (outcome.Verdict == PlainVerdict::Wait)
       return {.Choice = PlainChoice::Wait, .Outcome = outcome, .Room = room};
