--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -150,8 +150,11 @@
   if (Orders) {
     Orders->setNode(*Agent);
     Slowness = std::make_unique<SlownessProbe>(
-        Loop, *Client, Headers, *HostPort::parse(Options.EngineAddress),
-        *Agent);
+        Loop, *Client, Headers, *HostPort::parse(Options.EngineAddress), *Agent,
+        [this] {
+          Log->write(LogLevel::Warn, "slowness_unknown",
+                     {{"engine", Options.EngineAddress}});
+        });
   } else {
     Driver->setNode(*Agent);
   }
--- a/packages/daemon/src/SlownessProbe.cpp
+++ b/packages/daemon/src/SlownessProbe.cpp
@@ -11,8 +11,9 @@
 
 SlownessProbe::SlownessProbe(EventLoop &loop, HttpClient &client,
                              const HeaderCodec &codec, const HostPort &engine,
-                             AgentNode &node)
+                             AgentNode &node, FailureCallback onFailure)
     : Loop(loop), Client(client), Codec(codec), Engine(engine), Node(node),
+      OnFailure(std::move(onFailure)),
       Ticker(loop.every(Period, [this] { ask(); })) {}
 
 void SlownessProbe::ask() {
@@ -26,17 +27,23 @@
                 .Method = "GET",
                 .Path = path,
                 .Timeout = ConnectionTimeout,
-                .OnEnd = [this](const HttpResponse &answer) {
-                  InProgress = false;
-                  if (answer.Ending != HttpEnding::Complete)
-                    return;
-                  const AnswerTraits traits = Codec.decodeAnswer(
-                      {.Status = answer.Status, .Headers = answer.Headers});
-                  if (traits.Load)
-                    Node.controller().onSlowness(Loop.now(),
-                                                 traits.Load->Slowness);
-                  Node.flush(Loop.now());
-                }});
+                .OnEnd = [this](const HttpResponse &it) { onAnswer(it); }});
+}
+
+void SlownessProbe::onAnswer(const HttpResponse &answer) {
+  InProgress = false;
+  const bool failed = answer.Ending != HttpEnding::Complete;
+  if (failed && !Failing)
+    OnFailure();
+  Failing = failed;
+  // Without an answer the last statement expires.
+  if (failed)
+    return;
+  const AnswerTraits traits =
+      Codec.decodeAnswer({.Status = answer.Status, .Headers = answer.Headers});
+  if (traits.Load)
+    Node.controller().onSlowness(Loop.now(), traits.Load->Slowness);
+  Node.flush(Loop.now());
 }
 
 } // namespace pimentofront
--- a/packages/daemon/src/SlownessProbe.h
+++ b/packages/daemon/src/SlownessProbe.h
@@ -13,19 +13,25 @@
 /// answers at once whatever the engine does.
 class SlownessProbe {
 public:
+  /// Called when a check fails after one that didn't.
+  using FailureCallback = std::function<void()>;
   /// All parameters must outlive the probe.
   SlownessProbe(EventLoop &loop, HttpClient &client, const HeaderCodec &codec,
-                const HostPort &engine, AgentNode &node);
+                const HostPort &engine, AgentNode &node,
+                FailureCallback onFailure);
 
 private:
   void ask();
+  void onAnswer(const HttpResponse &answer);
 
   EventLoop &Loop;
   HttpClient &Client;
   const HeaderCodec &Codec;
   HostPort Engine;
   AgentNode &Node;
+  FailureCallback OnFailure;
   bool InProgress = false;
+  bool Failing = false;
   std::unique_ptr<Timer> Ticker;
 };
 
