Log the versions of the weights that engines have loaded

Nothing told under which weights an engine has cached a prompt: of its report the agent read the base model's name only, and logged for adapters the version that was ordered, which is 0 where none was named.

The report's model version is decoded (base_model_loaded), adapter_loaded has the reported version, and a permit and a refusal carry the weights with which the engine would run the request; prompt_parts_fetched names them for both engines. No decision depends on them yet. The choice of the keys of resident adapters moves from platform/ into EngineReport, unchanged.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -365,9 +365,11 @@
       !request.Zones.contains(engine->Record.Zone))
     return {};
   recordEvent(now, "prompt_parts_fetched", request,
-              std::to_string(source->CachedTokens) + " tokens at " +
+              std::to_string(source->CachedTokens) + " tokens of " +
+                  describe(source->Weights) + " at " +
                   engine->Record.Host.str() + ", " +
-                  std::to_string(cachedTokens) + " at the chosen engine");
+                  std::to_string(cachedTokens) + " of " +
+                  describe(request.Attempt->Weights) + " at the chosen engine");
   return engine->Record.Address;
 }
 
@@ -453,6 +455,7 @@
     return giveUp(now, *request, ForwardFailure::TimedOut);
   request->Attempt->AgentAnswered = true;
   request->Attempt->UncachedTokens = message.UncachedTokens;
+  request->Attempt->Weights = message.Weights;
   Routing.learn(request->Adapter, agent, true);
   ServerView *server = Board.Servers.serverOfAgent(agent);
   const bool backingOff =
@@ -525,9 +528,10 @@
     Routing.learn(request->Adapter, agent, false);
   if (message.Reason == RefusalReason::BackendDown)
     Board.Servers.ejectAgent(now, agent);
-  request->Tried.push_back(
-      {agent, message.Reason, message.Load, request->Attempt->OnlyIfResident,
-       message.RetryAfter, message.HoldsAdapter, message.CachedTokens});
+  request->Tried.push_back({agent, message.Reason, message.Load,
+                            request->Attempt->OnlyIfResident,
+                            message.RetryAfter, message.HoldsAdapter,
+                            message.CachedTokens, message.Weights});
   request->LastRefusal = message.Reason;
   if (message.Reason == RefusalReason::Displaced)
     recordDisplaced(now, *request, message);
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -194,6 +194,8 @@
   bool OnlyIfResident = false;
   /// Prompt tokens that the engine has to read, by its agent's permit.
   std::uint32_t UncachedTokens = 0;
+  /// The weights that the engine has loaded for the request, by that permit.
+  WeightsVersion Weights;
   /// Why the engine was chosen.
   RouteReason Choice = RouteReason::Other;
   /// Number of engines that requests of its shape prefer; zero if requests
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -154,11 +154,11 @@
   const auto it = Delegated.find(request.Attempt);
   if (it == Delegated.end())
     return Driver.generate(request);
-  Network.send(it->second,
-               AttemptPermit{request.Attempt, Controller.currentLoad(now),
-                             Controller.rateLimit(now),
-                             Controller.requestInterval(now),
-                             command.UncachedTokens});
+  Network.send(
+      it->second,
+      AttemptPermit{request.Attempt, Controller.currentLoad(now),
+                    Controller.rateLimit(now), Controller.requestInterval(now),
+                    command.UncachedTokens, Controller.weightsOf(request.Key)});
 }
 
 void AgentNode::cancelWork(TimePoint now, const AttemptId &attempt) {
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -245,6 +245,7 @@
                              .Load = agentLoad,
                              .HoldsAdapter = decision.HoldsAdapter,
                              .CachedTokens = decision.CachedTokens,
+                             .Weights = decision.Weights,
                          }});
 }
 
@@ -364,9 +365,11 @@
   if (!isConditionalRefusal(decision.Reason))
     Board.Popularity.recordRequest(now, request.Key);
   if (decision.Reason != RefusalReason::None) {
-    if (Board.EngineReady)
+    if (Board.EngineReady) {
       decision.CachedTokens =
           Board.Prefill.cachedTokens(request.Key, request.Parts);
+      decision.Weights = Board.weightsOf(request.Key);
+    }
     return refuse(now, arrival, decision, currentLoad(now));
   }
   displace(now, room);
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.h
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.h
@@ -41,6 +41,7 @@
     /// The engine holds the adapter: it is resident or being loaded.
     bool HoldsAdapter = false;
     std::uint32_t CachedTokens = 0;
+    WeightsVersion Weights;
   };
   /// \param hasRoom the queue takes the request although it is full, since
   /// others yield to it.
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -3,6 +3,7 @@
 
 #include "AccountShares.h"
 #include "AgentEvent.h"
+#include "EngineReport.h"
 #include "EngineSlowness.h"
 #include "EvictionPolicy.h"
 #include "LoadTimeModel.h"
@@ -233,6 +234,9 @@
   /// When an engine process was found ready that started while this agent ran.
   std::optional<TimePoint> EngineStartedAt;
 
+  /// The engine's base model and its last report; empty if it sends none.
+  std::string BaseModel;
+  EngineReport Report;
   /// The agent is shutting down and admits no new work.
   bool Leaving = false;
   /// The engine answers and its resident adapters are known.
@@ -252,6 +256,11 @@
   std::uint32_t runningOnEngine() const {
     return static_cast<std::uint32_t>(Running.size()) - RunningServices;
   }
+  /// \returns the weights with which the engine would run a request for
+  /// \p key now; unknown if it doesn't have the adapter.
+  WeightsVersion weightsOf(const AdapterKey &key) const {
+    return Report.weightsOf(BaseModel, key.Adapter);
+  }
   /// \returns the time that the engine needs for the attempt's prompt.
   Duration readingTime(const WaitingAttempt &attempt) const {
     return fromSeconds(attempt.ReadingTokens / Prefill.tokensPerSecond());
--- a/packages/serving/pimentofront/src/Serving/AgentController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AgentController.cpp
@@ -177,6 +177,11 @@
   decide(now);
 }
 
+void AgentController::onWeights(std::string model, const EngineReport &report) {
+  Board.BaseModel = std::move(model);
+  Board.Report = report;
+}
+
 void AgentController::onWorkNotStarted(TimePoint now,
                                        const AttemptId &attempt) {
   const auto it = Board.Running.find(attempt);
@@ -249,6 +254,7 @@
   if (!Board.EngineReady)
     return;
   Board.EngineReady = false;
+  Board.Report = EngineReport();
   Board.Pacer.reset();
   Board.Prefill.clear(now);
   Board.Slowness.clear();
--- a/packages/serving/pimentofront/src/Serving/AgentController.h
+++ b/packages/serving/pimentofront/src/Serving/AgentController.h
@@ -62,6 +62,14 @@
   void onProfile(TimePoint now, const EngineProfile &profile);
   /// Updates the resident adapters while the engine is in use.
   void onResident(TimePoint now, const std::vector<AdapterKey> &resident);
+  /// Updates the weights that the engine has loaded for its base model
+  /// \p model and the adapters.
+  void onWeights(std::string model, const EngineReport &report);
+  /// \returns the weights with which the engine would run a request for
+  /// \p key now; unknown if it doesn't have the adapter.
+  WeightsVersion weightsOf(const AdapterKey &key) const {
+    return Board.weightsOf(key);
+  }
   /// \returns the current load, which is sent to entries.
   AgentLoad currentLoad(TimePoint now) const {
     return Admission.currentLoad(now);
--- a/packages/serving/pimentofront/src/Serving/EngineReport.cpp
+++ b/packages/serving/pimentofront/src/Serving/EngineReport.cpp
@@ -3,9 +3,20 @@
 #include <algorithm>
 
 namespace pimentofront {
+namespace {
+
+/// Version of an adapter for which none was named yet.
+constexpr VersionNumber FirstVersion = 1;
+
+} // namespace
 
 bool EngineReport::hasModel(std::string_view name) const {
-  return std::ranges::find(Models, name) != Models.end();
+  return std::ranges::find(Models, name, &LoadedModel::Name) != Models.end();
+}
+
+VersionNumber EngineReport::modelVersion(std::string_view name) const {
+  const auto it = std::ranges::find(Models, name, &LoadedModel::Name);
+  return it == Models.end() ? 0 : it->Version;
 }
 
 std::optional<VersionNumber>
@@ -19,4 +30,32 @@
          Pending.end();
 }
 
+WeightsVersion EngineReport::weightsOf(std::string_view model,
+                                       const AdapterName &adapter) const {
+  const VersionNumber modelNumber = modelVersion(model);
+  if (adapter.empty())
+    return {.Model = modelNumber};
+  const auto adapterNumber = versionOf(adapter);
+  if (!adapterNumber)
+    return {};
+  return {.Model = modelNumber, .Adapter = *adapterNumber};
+}
+
+std::vector<AdapterKey>
+EngineReport::resident(const std::map<AdapterName, AdapterKey> &ordered) const {
+  std::vector<AdapterKey> result;
+  for (const AdapterKey &it : Adapters) {
+    const auto order = ordered.find(it.Adapter);
+    const bool asOrdered =
+        order != ordered.end() &&
+        (order->second.Version == 0 || order->second.Version == it.Version);
+    if (asOrdered)
+      result.push_back(order->second);
+    else
+      result.push_back(
+          {it.Adapter, it.Version == FirstVersion ? 0 : it.Version});
+  }
+  return result;
+}
+
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -48,6 +48,8 @@
   bool HoldsAdapter = false;
   /// Prompt tokens that its engine has cached for this request.
   std::uint32_t CachedTokens = 0;
+  /// The weights that its engine has loaded for this request.
+  WeightsVersion Weights;
 };
 
 /// \class RouteQuery
--- a/packages/wire/pimentofront/Wire.h
+++ b/packages/wire/pimentofront/Wire.h
@@ -22,6 +22,7 @@
 #include "src/Wire/ConsensusMessages.h"
 #include "src/Wire/RateLimit.h"
 #include "src/Wire/RequestDemand.h"
+#include "src/Wire/WeightsVersion.h"
 #include "src/Wire/AttemptMessages.h"
 #include "src/Wire/ControlMessages.h"
 #include "src/Wire/Message.h"
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -3,6 +3,7 @@
 
 #include "RateLimit.h"
 #include "RequestDemand.h"
+#include "WeightsVersion.h"
 #include "pimentofront/Base.h"
 
 #include <string>
@@ -180,8 +181,10 @@
   /// Prompt tokens that the engine has to read, since it doesn't have them
   /// cached.
   std::uint32_t UncachedTokens = 0;
+  /// The weights that the engine has loaded for the request.
+  WeightsVersion Weights;
   PIMENTOFRONT_FIELDS(AttemptPermit, Attempt, Load, Limit, SendInterval,
-                      UncachedTokens)
+                      UncachedTokens, Weights)
 };
 
 /// The outcome of an attempt that had a permit.
@@ -263,8 +266,11 @@
   bool HoldsAdapter = false;
   /// Prompt tokens that the engine has cached for this request.
   std::uint32_t CachedTokens = 0;
+  /// The weights that the engine has loaded for the request; unknown if it
+  /// doesn't have the adapter.
+  WeightsVersion Weights;
   PIMENTOFRONT_FIELDS(AttemptRefused, Attempt, Reason, RetryAfter, Load,
-                      HoldsAdapter, CachedTokens)
+                      HoldsAdapter, CachedTokens, Weights)
 };
 
 /// Agent to entry: a part of the answer.
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -230,6 +230,10 @@
   CHECK(it->versionOf(AdapterName("m/a7")) == 12U);
   CHECK_FALSE(it->versionOf(AdapterName("m/a9")));
   CHECK(it->isPending(AdapterName("m/a9")));
+  CHECK(it->weightsOf("m", AdapterName("m/a7")) == WeightsVersion{1, 12});
+  CHECK(it->weightsOf("m", AdapterName()) == WeightsVersion{1, 0});
+  CHECK_FALSE(it->weightsOf("m", AdapterName("m/a9")).isKnown());
+  CHECK_FALSE(it->weightsOf("n", AdapterName()).isKnown());
   CHECK(it->Busy);
   CHECK(it->OrdersAccepted == 2);
   CHECK_FALSE(platform::readEngineReport("{\"models\":3}"));
@@ -241,6 +245,7 @@
                            R"("busy":false,"seq":2,"born":1700000000000})";
   REQUIRE(platform::readEngineReport(good));
   CHECK(platform::readEngineReport(good)->StartedAt == 1700000000000);
+  CHECK(platform::readEngineReport(good)->modelVersion("m") == 0);
   const std::pair<const char *, const char *> cases[] = {
       {"\"seq\":2", "\"seq\":1e300"},
       {"\"seq\":2", "\"seq\":1.5"},
