Failing test: prompt parts cached with other weights

Callers got answers that were generated from prompt parts which another engine had read with version 1 of the weights, on an engine that runs version 4.

The test shows both ways: an entry tells an engine to fetch parts from one with another base model, another version of the adapter, or unknown weights; and an agent counts parts as cached that its engine read with weights that it has replaced since under the same key. 5 of 6 cases fail on the present code; the sixth (same weights: parts are fetched) passes and must go on passing.

--- a/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
+++ b/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
@@ -9,8 +9,8 @@
 /// \ingroup Testkit
 /// \brief A codec for a test platform's headers. A request has "id", "time"
 /// (until its deadline, in milliseconds), "adapter", "tokens" and "key". A
-/// request that is forwarded to a server gets "server", "account", "priority"
-/// and "last" (the last event that the caller has). An answer has "id",
+/// request that is forwarded to a server gets "server", "account", "priority",
+/// "fetch" and "last" (the last event that the caller has). An answer has "id",
 /// "stamp", "not-run", "load" (running and waiting requests, separated by a
 /// comma), "limit" (requests a second), "rest" (a backoff in seconds) and
 /// "leaving". A refusal has "come-back" (retry-after, in
@@ -56,6 +56,8 @@
     removeHeader(result.Headers, "key");
     removeHeader(result.Headers, "account");
     result.Headers.push_back({"server", traits.Server.str()});
+    if (!traits.FetchFrom.empty())
+      result.Headers.push_back({"fetch", traits.FetchFrom});
     if (!traits.Account.empty())
       result.Headers.push_back({"account", traits.Account.str()});
     if (traits.Priority)
--- /dev/null
+++ b/test/PromptWeightsTest.cpp
@@ -0,0 +1,163 @@
+#include "ForwardUnderTest.h"
+
+using namespace pimentofront;
+using namespace pimentofront::testing;
+
+namespace {
+
+constexpr WeightsVersion OldModel{.Model = 1, .Adapter = 1};
+constexpr WeightsVersion NewModel{.Model = 4, .Adapter = 1};
+constexpr WeightsVersion NewAdapter{.Model = 1, .Adapter = 4};
+constexpr WeightsVersion Unknown;
+constexpr std::uint32_t PromptTokens = 6300;
+
+/// \returns the address from which the chosen engine is told to fetch, after
+/// the engine of another agent, which has \p cached, was too busy; empty for
+/// none.
+std::string fetchedFrom(const WeightsVersion &cached,
+                        const WeightsVersion &chosen) {
+  ForwardUnderTest it(true, {.Fetch = {.Enabled = true}});
+  it.request("flow");
+  const auto asked = it.only<SendToAgent>();
+  const AttemptId first = std::get<ExecuteRequest>(asked.Content).Attempt;
+  it.Controller.attempts().onRefused(Now, asked.Host,
+                                     {.Attempt = first,
+                                      .Reason = RefusalReason::Busy,
+                                      .CachedTokens = PromptTokens,
+                                      .Weights = cached});
+  const auto next = it.only<SendToAgent>();
+  const AttemptId second = std::get<ExecuteRequest>(next.Content).Attempt;
+  it.Controller.attempts().onPermit(Now, next.Host,
+                                    {.Attempt = second, .Weights = chosen});
+  const auto sent = it.only<SendUpstream>();
+  const std::string *fetch = findHeader(sent.Head.Headers, "fetch");
+  return fetch ? *fetch : std::string();
+}
+
+/// An agent whose engine holds adapter "a", ordered without a version.
+struct AgentWithEngine {
+  AgentWithEngine()
+      : Controller({.Host = HostName("w"),
+                    .Incarnation = 1,
+                    .BaseModel = "engines",
+                    .Slots = 2,
+                    .BatchCapacity = 1,
+                    .BatchingShare = 0},
+                   Eviction, Gate) {
+    Controller.onEngineFound(Now - 10s, {key()}, true);
+    Controller.onEngineFound(Now - 5s, {key()}, true);
+  }
+
+  static AdapterKey key() { return {AdapterName("m/a"), 0}; }
+
+  /// The engine reports what it has loaded.
+  void report(VersionNumber model, std::optional<VersionNumber> adapter) {
+    EngineReport report{.Models = {{"m", model}}};
+    if (adapter)
+      report.Adapters = {{key().Adapter, *adapter}};
+    Controller.onWeights("m", report);
+  }
+  ExecuteRequest request(std::uint64_t n) const {
+    return {.Attempt = {1, n},
+            .Request = RequestId(std::to_string(n)),
+            .Kind = KindName("k"),
+            .Remaining = 30s,
+            .Key = key(),
+            .BaseModel = "engines",
+            .Parts = {{.Id = 1, .Tokens = PromptTokens}}};
+  }
+  /// Serves a request.
+  /// \returns how many prompt tokens the engine had to read for it.
+  std::uint32_t serve(std::uint64_t n) {
+    Controller.onExecute(Now, 7, request(n));
+    std::optional<std::uint32_t> read;
+    for (const AgentCommand &it : Controller.takeCommands())
+      if (const auto *start = std::get_if<StartGeneration>(&it))
+        read = start->UncachedTokens;
+    REQUIRE(read);
+    Controller.onWorkEnded(Now, {1, n}, AttemptEnding::Answered, "");
+    return *read;
+  }
+  /// \returns the refusal of a request for which the agent is too busy.
+  AttemptRefused refuse(std::uint64_t n) {
+    ExecuteRequest it = request(n);
+    it.FirstEventWithin = 1us;
+    Controller.onExecute(Now, 7, it);
+    for (const AgentCommand &command : Controller.takeCommands())
+      if (const auto *to = std::get_if<SendToEntry>(&command))
+        if (const auto *refused = std::get_if<AttemptRefused>(&to->Content))
+          return *refused;
+    FAIL("the request wasn't refused");
+    return {};
+  }
+
+  LeastPopular Eviction;
+  UncoordinatedLoads Gate;
+  AgentController Controller;
+};
+
+} // namespace
+
+// Guards against answers from prompt parts that were cached with other weights:
+// an engine that started later has a newer base model than the one it fetches
+// from.
+TEST_CASE("prompt parts aren't fetched from an engine with another base model",
+          "[prompt-weights]") {
+  CHECK(fetchedFrom(OldModel, NewModel).empty());
+  CHECK(fetchedFrom(NewModel, OldModel).empty());
+}
+
+// The same with two versions of an adapter for which the configuration names
+// none, so that both engines have it under one key.
+TEST_CASE("prompt parts aren't fetched from an engine with another version of "
+          "the adapter",
+          "[prompt-weights]") {
+  CHECK(fetchedFrom(OldModel, NewAdapter).empty());
+  CHECK(fetchedFrom(NewAdapter, OldModel).empty());
+}
+
+// The same with a process of an earlier release, which doesn't state weights.
+TEST_CASE("prompt parts aren't fetched unless both engines' weights are known",
+          "[prompt-weights]") {
+  CHECK(fetchedFrom(Unknown, Unknown).empty());
+  CHECK(fetchedFrom(Unknown, OldModel).empty());
+  CHECK(fetchedFrom(OldModel, Unknown).empty());
+}
+
+TEST_CASE("prompt parts are fetched from an engine with the same weights",
+          "[prompt-weights]") {
+  CHECK_FALSE(fetchedFrom(OldModel, OldModel).empty());
+  CHECK_FALSE(fetchedFrom(NewAdapter, NewAdapter).empty());
+}
+
+// Guards against an estimate that counts parts which the engine cached with
+// weights that it has replaced since, under the same key.
+TEST_CASE("what an engine cached with other weights doesn't count as cached",
+          "[prompt-weights]") {
+  AgentWithEngine agent;
+  agent.report(1, 1);
+  REQUIRE(agent.serve(1) == PromptTokens);
+  REQUIRE(agent.refuse(2).CachedTokens == PromptTokens);
+  const auto [model, adapter] =
+      GENERATE(std::pair<VersionNumber, VersionNumber>{4, 1},
+               std::pair<VersionNumber, VersionNumber>{1, 4});
+  agent.report(model, adapter);
+  const AttemptRefused refused = agent.refuse(3);
+  CHECK(refused.CachedTokens == 0);
+  CHECK(refused.Weights == WeightsVersion{model, adapter});
+  CHECK(agent.serve(4) == PromptTokens);
+  CHECK(agent.serve(5) == 0);
+}
+
+// Guards against a fetch from an engine that dropped the parts together with
+// the adapter, or loads another version of it next.
+TEST_CASE("an engine without the adapter has nothing cached for it",
+          "[prompt-weights]") {
+  AgentWithEngine agent;
+  agent.report(1, 1);
+  REQUIRE(agent.serve(1) == PromptTokens);
+  agent.report(1, std::nullopt);
+  const AttemptRefused refused = agent.refuse(2);
+  CHECK(refused.CachedTokens == 0);
+  CHECK_FALSE(refused.Weights.isKnown());
+}
