Fetch prompt parts only from an engine with the same weights

Callers got answers for which an engine that runs version 4 of the weights used prompt parts that another engine had read with version 1.

Cause: engines that start load the newest base model, and the newest version of an adapter for which the configuration names none, while others keep theirs. What an engine caches of a prompt is valid for its weights only, but neither the agent's estimate nor the entry's choice of a source knew them: both compared the adapter key, whose version is the one that the request names, or 0. Engines don't compare weights when they fetch, and keep what they fetched, so that later requests there use it without a fetch.

Now the estimate is kept for the weights that the engine reports (an engine without the adapter has nothing cached for it), and a source is chosen only among agents that have stated the same weights as the chosen engine's permit. Where one of them isn't known, as with a process of an earlier release, nothing is fetched.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -352,8 +352,9 @@
   const std::uint32_t cachedTokens = totalTokens(request.Traits.Parts) -
                                      std::min(totalTokens(request.Traits.Parts),
                                               request.Attempt->UncachedTokens);
-  const TriedHost *source = PromptFetch(Board.Options.Fetch)
-                                .chooseSource(request.Tried, cachedTokens);
+  const TriedHost *source =
+      PromptFetch(Board.Options.Fetch)
+          .chooseSource(request.Tried, cachedTokens, request.Attempt->Weights);
   if (!source)
     return {};
   // The engine may have gone, or its zone may have been evacuated, since its
--- a/packages/forward/pimentofront/src/Forward/PromptFetch.cpp
+++ b/packages/forward/pimentofront/src/Forward/PromptFetch.cpp
@@ -1,17 +1,20 @@
 #include "pimentofront/Forward.h"
 
-#include <algorithm>
-
 namespace pimentofront {
 
-const TriedHost *PromptFetch::chooseSource(const std::vector<TriedHost> &tried,
-                                           std::uint32_t cachedTokens) const {
-  if (!Options.Enabled || tried.empty())
+const TriedHost *
+PromptFetch::chooseSource(const std::vector<TriedHost> &tried,
+                          std::uint32_t cachedTokens,
+                          const WeightsVersion &weights) const {
+  if (!Options.Enabled || !weights.isKnown())
     return nullptr;
-  const auto best =
-      std::ranges::max_element(tried, {}, &TriedHost::CachedTokens);
-  const bool enough = best->CachedTokens >= cachedTokens + Options.MinTokens;
-  return enough ? &*best : nullptr;
+  const TriedHost *best = nullptr;
+  for (const TriedHost &it : tried)
+    if (it.Weights == weights &&
+        it.CachedTokens >= cachedTokens + Options.MinTokens &&
+        (!best || it.CachedTokens > best->CachedTokens))
+      best = &it;
+  return best;
 }
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/PromptFetch.h
+++ b/packages/forward/pimentofront/src/Forward/PromptFetch.h
@@ -27,16 +27,21 @@
 /// It isn't for requests that no agent with cached parts has refused: no state
 /// is kept about which engine has which part, only what agents say about this
 /// request.
+///
+/// Invariant: source and chosen engine have loaded the same weights, and both
+/// have said so. The engines themselves don't compare them.
 class PromptFetch {
 public:
   explicit PromptFetch(const PromptFetchOptions &options) : Options(options) {}
 
   /// \param tried the hosts that refused the request.
   /// \param cachedTokens prompt tokens that the chosen engine has cached.
+  /// \param weights the weights that the chosen engine has loaded.
   /// \returns the host with the most cached tokens beyond those, or null if
-  /// none has enough.
+  /// none with the same weights has enough.
   const TriedHost *chooseSource(const std::vector<TriedHost> &tried,
-                                std::uint32_t cachedTokens) const;
+                                std::uint32_t cachedTokens,
+                                const WeightsVersion &weights) const;
 
 private:
   PromptFetchOptions Options;
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -181,7 +181,8 @@
                                    ? queueWait(now)
                                    : std::max(queueWait(now), slotWait(key));
   const Duration reading =
-      Board.Prefill.wait(now) + Board.Prefill.prefillTime(key, request.Parts);
+      Board.Prefill.wait(now) +
+      Board.Prefill.prefillTime(Board.promptOwner(key), request.Parts);
   return releaseWait +
          (ready ? Duration::zero() : Board.LoadTimes.expected(key)) +
          ReadingPause(Board).expectedWait(now, request) +
@@ -292,9 +293,10 @@
       .ArrivedAt = now,
       .Deadline = now + request.Remaining,
       .NeededLoad = !Board.Slots.isReady(request.Key),
-      .ReadingTokens = request.Parts.empty() ? demand.PromptTokens
-                                             : Board.Prefill.uncachedTokens(
-                                                   request.Key, request.Parts),
+      .ReadingTokens = request.Parts.empty()
+                           ? demand.PromptTokens
+                           : Board.Prefill.uncachedTokens(
+                                 Board.promptOwner(request.Key), request.Parts),
       .Account = Board.Accounts.enter(demand.Account, demand.AccountShare)};
   if (request.FirstEventDue != NoTarget)
     attempt.OnTimeUntil = now + request.FirstEventDue;
@@ -366,8 +368,8 @@
     Board.Popularity.recordRequest(now, request.Key);
   if (decision.Reason != RefusalReason::None) {
     if (Board.EngineReady) {
-      decision.CachedTokens =
-          Board.Prefill.cachedTokens(request.Key, request.Parts);
+      decision.CachedTokens = Board.Prefill.cachedTokens(
+          Board.promptOwner(request.Key), request.Parts);
       decision.Weights = Board.weightsOf(request.Key);
     }
     return refuse(now, arrival, decision, currentLoad(now));
--- a/packages/serving/pimentofront/src/Serving/AgentBoard.h
+++ b/packages/serving/pimentofront/src/Serving/AgentBoard.h
@@ -261,6 +261,10 @@
   WeightsVersion weightsOf(const AdapterKey &key) const {
     return Report.weightsOf(BaseModel, key.Adapter);
   }
+  /// \returns whose cached prompt parts a request for \p key can use now.
+  PromptOwner promptOwner(const AdapterKey &key) const {
+    return {.Key = key, .Weights = weightsOf(key)};
+  }
   /// \returns the time that the engine needs for the attempt's prompt.
   Duration readingTime(const WaitingAttempt &attempt) const {
     return fromSeconds(attempt.ReadingTokens / Prefill.tokensPerSecond());
--- a/packages/serving/pimentofront/src/Serving/DispatchController.cpp
+++ b/packages/serving/pimentofront/src/Serving/DispatchController.cpp
@@ -116,12 +116,13 @@
   Board.Accounts.charge(attempt.Account.id(), workOf(attempt));
   Board.record(now, attempt, {.Result = AgentEvent::Outcome::Started});
   Board.Slots.pin(now, key);
+  const PromptOwner owner = Board.promptOwner(key);
   const bool alone = Board.Prefill.wait(now) == Duration::zero();
   const Duration prefillTime =
       Board.Prefill.wait(now) +
-      Board.Prefill.prefillTime(key, attempt.Request.Parts);
+      Board.Prefill.prefillTime(owner, attempt.Request.Parts);
   const std::uint32_t tokens =
-      Board.Prefill.begin(now, key, attempt.Request.Parts);
+      Board.Prefill.begin(now, owner, attempt.Request.Parts);
   Board.Running.emplace(
       attempt.Request.Attempt,
       RunningAttempt{.Entry = attempt.Entry,
--- a/packages/serving/pimentofront/src/Serving/LoadController.cpp
+++ b/packages/serving/pimentofront/src/Serving/LoadController.cpp
@@ -25,8 +25,8 @@
 void LoadController::addToDemand(TimePoint now, const WaitingAttempt &attempt,
                                  Demand &demand) const {
   const std::uint32_t weight = std::max(attempt.Request.Weight, 1U);
-  const Duration prefillTime =
-      Board.Prefill.prefillTime(attempt.Request.Key, attempt.Request.Parts);
+  const Duration prefillTime = Board.Prefill.prefillTime(
+      Board.promptOwner(attempt.Request.Key), attempt.Request.Parts);
   const TimePoint firstEvent =
       now + Board.LoadTimes.expected(attempt.Request.Key) + prefillTime;
   const bool hasTarget = attempt.OnTimeUntil.has_value();
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.cpp
@@ -11,16 +11,22 @@
   return stableHash({reinterpret_cast<const char *>(pair), sizeof(pair)});
 }
 
-std::uint64_t initialChainHash(const AdapterKey &key) {
-  return stableHash(key.Adapter.str(), key.Version);
+std::uint64_t initialChainHash(const PromptOwner &owner) {
+  const WeightsVersion &weights = owner.Weights;
+  if (!weights.isKnown())
+    return stableHash(owner.Key.Adapter.str(), owner.Key.Version);
+  const VersionNumber versions[] = {weights.Model, weights.Adapter};
+  return stableHash(
+      {reinterpret_cast<const char *>(versions), sizeof(versions)},
+      stableHash(owner.Key.Adapter.str()));
 }
 
 } // namespace
 
 std::uint32_t
-PrefillModel::uncachedTokens(const AdapterKey &key,
+PrefillModel::uncachedTokens(const PromptOwner &owner,
                              const std::vector<PromptPart> &parts) const {
-  std::uint64_t chain = initialChainHash(key);
+  std::uint64_t chain = initialChainHash(owner);
   std::uint32_t tokens = 0;
   bool cached = true;
   for (const PromptPart &it : parts) {
@@ -33,16 +39,16 @@
 }
 
 std::uint32_t
-PrefillModel::cachedTokens(const AdapterKey &key,
+PrefillModel::cachedTokens(const PromptOwner &owner,
                            const std::vector<PromptPart> &parts) const {
-  return totalTokens(parts) - uncachedTokens(key, parts);
+  return totalTokens(parts) - uncachedTokens(owner, parts);
 }
 
-std::uint32_t PrefillModel::begin(TimePoint now, const AdapterKey &key,
+std::uint32_t PrefillModel::begin(TimePoint now, const PromptOwner &owner,
                                   const std::vector<PromptPart> &parts) {
-  const std::uint32_t tokens = uncachedTokens(key, parts);
+  const std::uint32_t tokens = uncachedTokens(owner, parts);
   BusyUntil = std::max(BusyUntil, now) + fromSeconds(tokens / Rate);
-  std::uint64_t chain = initialChainHash(key);
+  std::uint64_t chain = initialChainHash(owner);
   for (const PromptPart &it : parts) {
     chain = chainHash(chain, it);
     const auto known = ByChain.find(chain);
--- a/packages/serving/pimentofront/src/Serving/PrefillModel.h
+++ b/packages/serving/pimentofront/src/Serving/PrefillModel.h
@@ -24,13 +24,24 @@
   std::uint32_t MinMeasurements = 10;
 };
 
+/// \class PromptOwner
+/// \ingroup Serving
+/// \brief Whose prompts an engine can share what it has cached with.
+struct PromptOwner {
+  AdapterKey Key;
+  /// The weights that the engine has loaded for the key. If they are unknown,
+  /// the key's version stands for them.
+  WeightsVersion Weights;
+};
+
 /// \class PrefillModel
 /// \ingroup Serving
 /// \brief Estimates which prompt parts an engine has cached and how long its
 /// prefill queue is, from what the agent beside it knows.
 ///
 /// Prefill is the largest part of a request's work. A part needs none if it is
-/// cached for the same adapter together with all parts before it. The model
+/// cached for the same adapter together with all parts before it, with the
+/// weights that the engine has loaded now. The model
 /// keeps the chains of parts in LRU order and drops the least recently used
 /// ones, as engines do. If the engine drops a part for another reason, the
 /// estimate is too low for one request.
@@ -39,16 +50,17 @@
   explicit PrefillModel(const PrefillOptions &options = {})
       : Options(options), Rate(options.TokensPerSecond) {}
 
-  /// \returns the number of tokens in \p parts that aren't cached for \p key.
-  std::uint32_t uncachedTokens(const AdapterKey &key,
+  /// \returns the number of tokens in \p parts that aren't cached for
+  /// \p owner.
+  std::uint32_t uncachedTokens(const PromptOwner &owner,
                                const std::vector<PromptPart> &parts) const;
-  /// \returns the number of tokens in \p parts that are cached for \p key.
-  std::uint32_t cachedTokens(const AdapterKey &key,
+  /// \returns the number of tokens in \p parts that are cached for \p owner.
+  std::uint32_t cachedTokens(const PromptOwner &owner,
                              const std::vector<PromptPart> &parts) const;
-  /// \returns the prefill time of \p parts for \p key.
-  Duration prefillTime(const AdapterKey &key,
+  /// \returns the prefill time of \p parts for \p owner.
+  Duration prefillTime(const PromptOwner &owner,
                        const std::vector<PromptPart> &parts) const {
-    return fromSeconds(uncachedTokens(key, parts) / Rate);
+    return fromSeconds(uncachedTokens(owner, parts) / Rate);
   }
   /// \returns the time until the engine has prefilled all prompts sent to it.
   Duration wait(TimePoint now) const {
@@ -56,7 +68,7 @@
   }
   /// Records that a prompt was sent to the engine.
   /// \returns the number of tokens that the engine has to prefill.
-  std::uint32_t begin(TimePoint now, const AdapterKey &key,
+  std::uint32_t begin(TimePoint now, const PromptOwner &owner,
                       const std::vector<PromptPart> &parts);
   /// Updates the prefill speed: \p tokens took \p took on an engine without
   /// other prompts.
--- a/packages/serving/pimentofront/src/Serving/ReadingPause.cpp
+++ b/packages/serving/pimentofront/src/Serving/ReadingPause.cpp
@@ -18,8 +18,9 @@
   const std::optional<Duration> pause = shortestPause();
   if (!pause)
     return true;
-  const Duration usual = Board.Prefill.wait(now) +
-                         Board.Prefill.prefillTime(request.Key, request.Parts);
+  const Duration usual =
+      Board.Prefill.wait(now) +
+      Board.Prefill.prefillTime(Board.promptOwner(request.Key), request.Parts);
   return fromSeconds(toSeconds(usual) * Board.Slowness.factor(now)) <= *pause;
 }
 
