No fetch of prompt parts around a change of version or of the source's process

A source is used only if the request's version is still the live one, and if the engine's process is the one that the agent was asked about.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -321,6 +321,7 @@
   request.Attempt = ForwardAttempt{.Id = id,
                                    .Agent = route.Host,
                                    .OnlyIfResident = route.OnlyIfResident,
+                                   .Engine = server,
                                    .Choice = route.Reason,
                                    .ShapeEngines = route.ShapeEngines,
                                    .StartedAt = now};
@@ -357,11 +358,15 @@
           .chooseSource(request.Tried, cachedTokens, request.Attempt->Weights);
   if (!source)
     return {};
+  // Engines replace a superseded version, and then cache parts of the new one.
+  if (Board.liveVersion(request.Adapter.Adapter) != request.Adapter.Version)
+    return {};
   // The engine may have gone, or its zone may have been evacuated, since its
   // agent refused the request.
   const auto agent = Board.Servers.agents().find(source->Host);
   const ServerView *engine = Board.Servers.serverOfAgent(source->Host);
   if (!engine || agent == Board.Servers.agents().end() ||
+      !mayBeSameProcess(engine->Record.process(), source->Engine) ||
       now < agent->second.EjectedUntil ||
       !request.Zones.contains(engine->Record.Zone))
     return {};
@@ -529,10 +534,10 @@
     Routing.learn(request->Adapter, agent, false);
   if (message.Reason == RefusalReason::BackendDown)
     Board.Servers.ejectAgent(now, agent);
-  request->Tried.push_back({agent, message.Reason, message.Load,
-                            request->Attempt->OnlyIfResident,
-                            message.RetryAfter, message.HoldsAdapter,
-                            message.CachedTokens, message.Weights});
+  request->Tried.push_back(
+      {agent, message.Reason, message.Load, request->Attempt->OnlyIfResident,
+       message.RetryAfter, message.HoldsAdapter, message.CachedTokens,
+       message.Weights, request->Attempt->Engine});
   request->LastRefusal = message.Reason;
   if (message.Reason == RefusalReason::Displaced)
     recordDisplaced(now, *request, message);
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -192,6 +192,9 @@
   /// Agent that was asked for a permit; empty for a plain service.
   HostName Agent;
   bool OnlyIfResident = false;
+  /// The engine's process that the agent was asked about; empty if none was
+  /// registered.
+  ServerProcess Engine;
   /// Prompt tokens that the engine has to read, by its agent's permit.
   std::uint32_t UncachedTokens = 0;
   /// The weights that the engine has loaded for the request, by that permit.
@@ -465,6 +468,17 @@
   std::vector<ForwardCommand> Commands;
   std::vector<ForwardEvent> Events;
 
+  /// \returns the highest live version of an adapter; 0 if it has none.
+  VersionNumber liveVersion(const AdapterName &name) const {
+    const std::optional<AdapterRecord> adapter =
+        Configuration.findAdapter(name);
+    VersionNumber highest = 0;
+    if (adapter)
+      for (const VersionRecord &it : adapter->Versions)
+        if (it.Live)
+          highest = std::max(highest, it.Number);
+    return highest;
+  }
   /// \returns whether the copy of the configuration was confirmed less than
   /// \p bound ago.
   bool confirmedWithin(TimePoint now, Duration bound) const {
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -5,18 +5,6 @@
 namespace pimentofront {
 namespace {
 
-/// \returns the highest live version of an adapter; 0 if it has none.
-VersionNumber liveVersion(const ConfigurationView &configuration,
-                          const AdapterName &name) {
-  const std::optional<AdapterRecord> adapter = configuration.findAdapter(name);
-  VersionNumber highest = 0;
-  if (adapter)
-    for (const VersionRecord &it : adapter->Versions)
-      if (it.Live)
-        highest = std::max(highest, it.Number);
-  return highest;
-}
-
 /// \returns a number from [0, 1) that depends on the id only, so that a request
 /// sent again goes to the same service.
 double uniformFromId(const std::string &id) {
@@ -159,7 +147,7 @@
   if (request.ToEngine && !request.Traits.Adapter.empty()) {
     const AdapterName name(request.Traits.BaseModel + "/" +
                            request.Traits.Adapter);
-    request.Adapter = {name, liveVersion(Board.Configuration, name)};
+    request.Adapter = {name, Board.liveVersion(name)};
   }
   if (!makeRoom(now, request))
     return;
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -50,6 +50,8 @@
   std::uint32_t CachedTokens = 0;
   /// The weights that its engine has loaded for this request.
   WeightsVersion Weights;
+  /// The engine's process that the host was asked about.
+  ServerProcess Engine;
 };
 
 /// \class RouteQuery
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -150,14 +150,32 @@
     REQUIRE(all.size() == 1);
     return all.front();
   }
+  /// Refuses the request on behalf of \p asked, whose engine is too busy and
+  /// has \p cachedTokens of its prompt cached.
+  void refuseBusy(const SendToAgent &asked, std::uint32_t cachedTokens,
+                  const WeightsVersion &weights) {
+    const auto execute = std::get<ExecuteRequest>(asked.Content);
+    Controller.attempts().onRefused(Now, asked.Host,
+                                    {.Attempt = execute.Attempt,
+                                     .Reason = RefusalReason::Busy,
+                                     .CachedTokens = cachedTokens,
+                                     .Weights = weights});
+  }
   /// Grants the permit that the entry asks for.
   /// \returns the command that sends the request.
-  SendUpstream permit() {
+  SendUpstream permit(const WeightsVersion &weights = {}) {
     const auto asked = only<SendToAgent>();
     const auto execute = std::get<ExecuteRequest>(asked.Content);
-    Controller.attempts().onPermit(Now, asked.Host, {execute.Attempt, {}});
+    Controller.attempts().onPermit(
+        Now, asked.Host, {.Attempt = execute.Attempt, .Weights = weights});
     return only<SendUpstream>();
   }
+  /// \returns the address from which the engine is told to fetch prompt parts;
+  /// empty for none.
+  static std::string fetchOf(const SendUpstream &sent) {
+    const std::string *fetch = findHeader(sent.Head.Headers, "fetch");
+    return fetch ? *fetch : std::string();
+  }
   HeadDecision head(const SendUpstream &sent, int status,
                     HttpHeaders headers = {{"id", "r1"}, {"stamp", "s"}}) {
     return Controller.answers().onHead(Now, sent.Attempt,
--- a/test/PromptWeightsTest.cpp
+++ b/test/PromptWeightsTest.cpp
@@ -18,20 +18,8 @@
                         const WeightsVersion &chosen) {
   ForwardUnderTest it(true, {.Fetch = {.Enabled = true}});
   it.request("flow");
-  const auto asked = it.only<SendToAgent>();
-  const AttemptId first = std::get<ExecuteRequest>(asked.Content).Attempt;
-  it.Controller.attempts().onRefused(Now, asked.Host,
-                                     {.Attempt = first,
-                                      .Reason = RefusalReason::Busy,
-                                      .CachedTokens = PromptTokens,
-                                      .Weights = cached});
-  const auto next = it.only<SendToAgent>();
-  const AttemptId second = std::get<ExecuteRequest>(next.Content).Attempt;
-  it.Controller.attempts().onPermit(Now, next.Host,
-                                    {.Attempt = second, .Weights = chosen});
-  const auto sent = it.only<SendUpstream>();
-  const std::string *fetch = findHeader(sent.Head.Headers, "fetch");
-  return fetch ? *fetch : std::string();
+  it.refuseBusy(it.only<SendToAgent>(), PromptTokens, cached);
+  return it.fetchOf(it.permit(chosen));
 }
 
 /// An agent whose engine holds adapter "a", ordered without a version.
@@ -130,6 +118,39 @@
   CHECK_FALSE(fetchedFrom(NewAdapter, NewAdapter).empty());
 }
 
+// Guards against parts of a new version that the source reads between its
+// agent's answer and the fetch: its adapter is about to be replaced.
+TEST_CASE("prompt parts aren't fetched for a version that has been superseded",
+          "[prompt-weights]") {
+  ForwardUnderTest it(true, {.Fetch = {.Enabled = true}});
+  it.Configuration.Named = 3;
+  const WeightsVersion superseded{.Model = 1, .Adapter = 3};
+  it.request("flow");
+  const auto asked = it.only<SendToAgent>();
+  it.refuseBusy(asked, PromptTokens, superseded);
+  SECTION("since the request was resolved") {
+    it.Configuration.Named = 4;
+    CHECK(it.fetchOf(it.permit(superseded)).empty());
+  }
+  SECTION("not at all") {
+    CHECK_FALSE(it.fetchOf(it.permit(superseded)).empty());
+  }
+}
+
+// Guards against a fetch from another process than the one that has the parts.
+TEST_CASE("prompt parts aren't fetched from an engine that has restarted since",
+          "[prompt-weights]") {
+  ForwardUnderTest it(true, {.Fetch = {.Enabled = true}});
+  it.request("flow");
+  const auto asked = it.only<SendToAgent>();
+  it.refuseBusy(asked, PromptTokens, OldModel);
+  const bool first = asked.Host == HostName("a1");
+  MemberRecord restarted =
+      server("e3", "engines", first ? "1.0.0.3:80" : "1.0.0.4:80");
+  it.Controller.onMembers(Now, {.Members = {restarted}});
+  CHECK(it.fetchOf(it.permit(OldModel)).empty());
+}
+
 // Guards against an estimate that counts parts which the engine cached with
 // weights that it has replaced since, under the same key.
 TEST_CASE("what an engine cached with other weights doesn't count as cached",
