Tell the software version of servers, and which stream a request resumes

Cause: registrations state a server's software version and callers name in a header the attempt that began the stream that they resume; both were dropped where they are decoded, so no log line told whether a stream went on at another version, or why.

Change: MemberRecord::Software, appended (an older process leaves it out), and RequestTraits::Resumes. answer_began names the software of its server. A request that resumes a stream, within its answer or as its caller asks, writes resume_sent with the stream's first attempt, the last event and the software of the server that it goes to. No decision reads them.

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -10,15 +10,17 @@
 constexpr int StatusMisdirected = 421;
 constexpr int StatusServerError = 500;
 
-/// \returns how the time until the first event was spent, for the log.
-std::string describeTimes(const ForwardRequest &request) {
+/// \returns how the time until the first event was spent and what the server
+/// runs, for the log.
+std::string describeStart(const ForwardRequest &request) {
   const auto milliseconds = [&](TimePoint at) {
     return std::to_string((at - request.ArrivedAt).count() / 1000);
   };
   const ForwardAttempt &attempt = *request.Attempt;
   return "asked " + milliseconds(attempt.StartedAt) + ", sent " +
          milliseconds(attempt.SentAt) + " ms after arrival, agents asked " +
-         std::to_string(request.Tried.size() + 1);
+         std::to_string(request.Tried.size() + 1) + ", server software " +
+         softwareName(attempt.Software);
 }
 
 bool isSuccess(int status) {
@@ -87,7 +89,7 @@
   request.Answering = true;
   ResponseHead head = *request.Attempt->Head;
   removeConnectionHeaders(head.Headers);
-  Attempts.recordEvent(now, "answer_began", request, describeTimes(request),
+  Attempts.recordEvent(now, "answer_began", request, describeStart(request),
                        head.Status);
   if (request.ToEngine) {
     Board.Events.back().Choice = request.Attempt->Choice;
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -64,6 +64,17 @@
          milliseconds(room.StartsIn);
 }
 
+/// \returns which stream the request resumes, for the log.
+std::string describeResume(const ForwardRequest &request) {
+  const RequestTraits &traits = request.Traits;
+  std::string first = traits.Resumes;
+  if (first.empty() && !traits.LastEventId)
+    first = traits.Id;
+  const std::optional<std::uint64_t> last = request.Events.lastId();
+  return "stream of attempt " + (first.empty() ? "unknown" : first) +
+         ", after event " + (last ? std::to_string(*last) : "unknown");
+}
+
 /// \returns the HTTP status for a request without an answer. 503 guarantees
 /// that the request has not run and never will.
 int statusOf(ForwardFailure why, bool mayHaveRun) {
@@ -380,6 +391,7 @@
   }
   ForwardAttempt &attempt = *request.Attempt;
   attempt.Server = server.Record.process();
+  attempt.Software = server.Record.Software;
   attempt.Sent = true;
   request.SentOnTrial = request.Trial == TrialState::Granted;
   attempt.SentAt = now;
@@ -389,6 +401,10 @@
   Board.Bytes.recordSent(request.Key);
   Board.BytesAtServers.recordSent(attempt.Server, request.Body->size());
   Accounts.onSend(now, request);
+  if (request.resumesStream())
+    recordEvent(now, "resume_sent", request,
+                describeResume(request) + ", server software " +
+                    softwareName(attempt.Software));
   const ForwardTraits traits{
       .TimeLeft = request.Deadline - now,
       .Server = server.Record.Host,
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -204,6 +204,8 @@
   /// Longest time for which this process was stalled since it asked the agent.
   Duration LongestStall = Duration::zero();
   ServerProcess Server;
+  /// Software version of Server; empty if it states none.
+  std::string Software;
   TimePoint StartedAt;
   bool Sent = false;
   TimePoint SentAt;
@@ -238,6 +240,11 @@
   Granted,
 };
 
+/// \returns \p software, the software version of a server, for logs.
+inline std::string softwareName(const std::string &software) {
+  return software.empty() ? "unknown" : software;
+}
+
 /// \class ForwardRequest
 /// \ingroup Forward
 /// \brief A caller's request in progress.
@@ -299,6 +306,11 @@
   /// When a deferred request is tried again.
   TimePoint NextTryAt;
 
+  /// \returns whether its answer goes on after events that the caller has.
+  bool resumesStream() const {
+    return Route->Kind == Repeatability::Stream &&
+           (Answering || Traits.LastEventId);
+  }
   /// \returns its priority, 0 being the most urgent; the client account's takes
   /// precedence over the route's.
   std::uint32_t priority() const {
--- a/packages/forward/pimentofront/src/Forward/HeaderCodec.h
+++ b/packages/forward/pimentofront/src/Forward/HeaderCodec.h
@@ -31,6 +31,9 @@
   std::vector<PromptPart> Parts;
   /// Id of the last event that the caller has of an earlier stream.
   std::optional<std::uint64_t> LastEventId;
+  /// Id of the caller's attempt that brought the first event of that stream;
+  /// empty if the request doesn't say.
+  std::string Resumes;
 };
 
 /// \class ForwardTraits
--- a/packages/forward/pimentofront/src/Forward/HttpMessage.cpp
+++ b/packages/forward/pimentofront/src/Forward/HttpMessage.cpp
@@ -74,6 +74,12 @@
   return it == headers.end() ? nullptr : &it->Value;
 }
 
+std::string_view headerValue(const HttpHeaders &headers,
+                             std::string_view name) {
+  const std::string *value = findHeader(headers, name);
+  return value ? std::string_view(*value) : std::string_view();
+}
+
 DecimalHeader readDecimalHeader(const HttpHeaders &headers,
                                 std::string_view name) {
   const auto isNamed = [&](const HttpHeader &it) {
--- a/packages/forward/pimentofront/src/Forward/HttpMessage.h
+++ b/packages/forward/pimentofront/src/Forward/HttpMessage.h
@@ -47,6 +47,11 @@
 const std::string *findHeader(const HttpHeaders &headers,
                               std::string_view name);
 
+/// \ingroup Forward
+/// \returns the value of the first header with this name, empty without one. It
+/// refers to \p headers.
+std::string_view headerValue(const HttpHeaders &headers, std::string_view name);
+
 /// \class DecimalHeader
 /// \ingroup Forward
 /// \brief A header whose value is one number.
--- a/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
+++ b/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
@@ -8,13 +8,14 @@
 /// \class TestHeaderCodec
 /// \ingroup Testkit
 /// \brief A codec for a test platform's headers. A request has "id", "time"
-/// (until its deadline, in milliseconds), "adapter", "tokens" and "key". A
-/// request that is forwarded to a server gets "server", "account", "priority"
-/// and "last" (the last event that the caller has). An answer has "id",
-/// "stamp", "not-run", "load" (running and waiting requests, separated by a
-/// comma), "limit" (requests a second), "rest" (a backoff in seconds) and
-/// "leaving". A refusal has "come-back" (retry-after, in
-/// microseconds).
+/// (until its deadline, in milliseconds), "adapter", "tokens" and "key"; one
+/// that resumes a stream has "last-event" and "resumes", the id of the attempt
+/// that brought the stream's first event. A request that is forwarded to a
+/// server gets "server", "account", "priority" and "last" (the last event that
+/// the caller has). An answer has "id", "stamp", "not-run", "load" (running and
+/// waiting requests, separated by a comma), "limit" (requests a second), "rest"
+/// (a backoff in seconds) and "leaving". A refusal has "come-back"
+/// (retry-after, in microseconds).
 class TestHeaderCodec : public HeaderCodec {
 public:
   RequestTraits decodeRequest(const RequestHead &head) const override {
@@ -31,6 +32,9 @@
       traits.PromptTokens = static_cast<std::uint32_t>(std::stoul(*it));
       traits.HasTokenCounts = true;
     }
+    if (const std::string *it = findHeader(head.Headers, "last-event"))
+      traits.LastEventId = std::stoull(*it);
+    traits.Resumes = headerValue(head.Headers, "resumes");
     traits.BaseModel = "m";
     return traits;
   }
--- a/packages/wire/pimentofront/src/Wire/Records.h
+++ b/packages/wire/pimentofront/src/Wire/Records.h
@@ -132,11 +132,14 @@
   /// Of a registered server: remaining time of its cold start, as last
   /// reported. A cold server takes fewer requests than usual.
   Duration ColdFor = Duration::zero();
+  /// Of a registered server: the version of its software; empty if it states
+  /// none, or if an older process passed the record on.
+  std::string Software;
   /// \returns the process of a registered server.
   ServerProcess process() const { return {Host, Incarnation}; }
   PIMENTOFRONT_FIELDS(MemberRecord, Host, Incarnation, Zone, Address, BaseModel,
                       Services, Slots, BatchCapacity, Leaving, Gone, Registered,
-                      ColdFor)
+                      ColdFor, Software)
 };
 
 /// \class MemberVersion
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -358,6 +358,58 @@
   CHECK(it.take<ReplyHead>().empty());
 }
 
+TEST_CASE("events name the resumed stream and the server's software version") {
+  ForwardUnderTest it;
+  MemberRecord first = server("e2", "engines", "1.0.0.4:80");
+  first.Software = "v1";
+  MemberRecord second = server("e1", "engines", "1.0.0.3:80");
+  it.Controller.onMembers(Now, {.Members = {first, second}});
+  const auto details = [&](std::string_view name) {
+    std::string all;
+    for (const ForwardEvent &event : it.Controller.takeEvents())
+      if (event.Name == name)
+        all += event.Server.str() + ": " + event.Detail + "\n";
+    return all;
+  };
+  SECTION("another engine goes on within the answer") {
+    it.request("flow");
+    const auto sent = it.permit();
+    REQUIRE(sent.Server.Name == first.Host);
+    it.head(sent, 200);
+    it.body(sent, "id: 1\ndata: a\n\n");
+    CHECK(details("answer_began") ==
+          "e2: asked 0, sent 0 ms after arrival, agents asked 1, "
+          "server software v1\n");
+    it.take<SendToAgent>();
+    it.end(sent, BrokenOff);
+    const SendToAgent asked = it.take<SendToAgent>().back();
+    it.Controller.attempts().onPermit(
+        Now, asked.Host, {std::get<ExecuteRequest>(asked.Content).Attempt, {}});
+    CHECK(details("resume_sent") ==
+          "e1: stream of attempt r1, after event 1, server software unknown\n");
+  }
+  SECTION("a caller asks for the rest of a stream") {
+    it.Controller.onRequest(Now, 1,
+                            {"POST",
+                             "/flow/q",
+                             {{"Host", "h"},
+                              {"id", "r2"},
+                              {"time", "5000"},
+                              {"adapter", "x"},
+                              {"last-event", "4"},
+                              {"resumes", "r1"}}},
+                            "body", ContentHasher().add("body").finish());
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+    CHECK(details("resume_sent") ==
+          "e2: stream of attempt r1, after event 4, server software v1\n");
+  }
+  SECTION("a new stream resumes none") {
+    it.request("flow");
+    it.permit();
+    CHECK(details("resume_sent").empty());
+  }
+}
+
 TEST_CASE("a stream that breaks off and may not resume never looks complete") {
   ForwardUnderTest it;
   it.request("brook");
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -101,6 +101,7 @@
        "/a/x",
        {{"pimentofront-attempt-id", "9c41"},
         {"Last-Event-Id", "12"},
+        {"resumes", "9c40"},
         {"Pimentofront-Model", "m/a3"},
         {"Pimentofront-Token-Usage", "1460,80"},
         {"Pimentofront-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
@@ -108,6 +109,7 @@
         {"Pimentofront-Deadline-Ms", "6000"}}});
   CHECK(it.Id == "9c41");
   CHECK(it.LastEventId == 12U);
+  CHECK(it.Resumes == "9c40");
   CHECK(it.BaseModel == "m");
   CHECK(it.Adapter == "a3");
   CHECK(it.PromptTokens == 1460);
@@ -127,6 +129,7 @@
                               {"Pimentofront-Length-Hint", "-7"},
                               {"Pimentofront-Deadline-Ms", "soon"}}});
   CHECK(it.Id.empty());
+  CHECK(it.Resumes.empty());
   CHECK(it.PromptTokens == 0);
   CHECK(it.ExpectedOutputTokens == 0);
   CHECK(it.Parts.empty());
@@ -277,6 +280,7 @@
   CHECK(it.Member.process() == ServerProcess{HostName("i-1"), 1700000000123});
   CHECK(it.Member.Leaving);
   CHECK(it.Member.Slots == 64);
+  CHECK(it.Member.Software == "v1");
   CHECK(it.Sequence == 4);
   CHECK(platform::leavingProcessStart("") == 0);
   CHECK(platform::leavingProcessStart(R"({"born":7})") == 7);
@@ -293,6 +297,12 @@
     return findings;
   };
   REQUIRE(faults(good).empty());
+  const auto withVersion = [&](const std::string &value) {
+    return replaced(good, "\"seq\"", "\"version\":" + value + ",\"seq\"");
+  };
+  CHECK(faults(withVersion("\"" + std::string(64, 'v') + "\"")).empty());
+  CHECK_FALSE(faults(withVersion("\"" + std::string(65, 'v') + "\"")).empty());
+  CHECK_FALSE(faults(withVersion("1.5")).empty());
   const std::pair<const char *, const char *> cases[] = {
       {"\"s\"", "\"\""},
       {"\"s\"", "7"},
