Test: streams that go on at another software version

What callers see: a stream that an engine or an entry breaks off, or whose connection is reset, goes on with events of another software version of the back end, which don't fit those before.

Change: the fleet of the testkit runs servers of several software versions, added or restarted during a test; each event names its server's version, and callers resume streams (Resumes, Last-Event-Id) at other entries after their entry died or their connection was reset. Servers that state a version honour Last-Event-Id.

--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -24,8 +24,8 @@
   return HostName("10.0.0." + std::to_string(i) + ":9");
 }
 
-std::string eventText(std::uint32_t id) {
-  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+std::string eventText(std::uint32_t id, const std::string &software) {
+  return "id: " + std::to_string(id) + "\ndata: " + software + "\n\n";
 }
 
 } // namespace
@@ -171,16 +171,32 @@
 }
 
 void ForwardFleet::addServers() {
-  for (std::uint32_t i = 0; i < Options.Servers; ++i) {
-    const std::string name = "server-" + std::to_string(i);
-    Servers.push_back({.Name = HostName(name + ".0"),
-                       .Address = "10.0.0." + std::to_string(i) + ":80"});
-    if (Options.Engines)
-      addAgent(i);
-  }
+  for (std::uint32_t i = 0; i < Options.Servers; ++i)
+    addServer(Options.Software);
   registerServers();
 }
 
+void ForwardFleet::addServer(const std::string &software) {
+  const auto i = static_cast<std::uint32_t>(Servers.size());
+  Servers.push_back({.Name = HostName("server-" + std::to_string(i) + ".0"),
+                     .Address = "10.0.0." + std::to_string(i) + ":80",
+                     .Software = software,
+                     .StartedAt = startOf(software)});
+  if (Options.Engines)
+    addAgent(i);
+}
+
+std::uint64_t ForwardFleet::startOf(const std::string &software) const {
+  return software.empty() ? 0 : Sim.milliseconds();
+}
+
+std::size_t ForwardFleet::serversUp(const std::string &software) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Servers, [&](const Server &it) {
+        return it.Up && it.Software == software;
+      }));
+}
+
 void ForwardFleet::addAgent(std::uint32_t i) {
   const HostName host = agentName(i);
   ProcessSpec spec{.Host = host, .IsAgent = true};
@@ -241,45 +257,88 @@
     leader->Replica->propose(
         Sim.now(), Command{.Body = PutDocument{1, packText("document")}},
         [this](const auto &outcome) { DocumentDecided = outcome.has_value(); });
-  for (std::uint32_t i = 0; i < Servers.size(); ++i) {
-    const Server &it = Servers[i];
-    if (!it.Up)
-      continue;
-    const Duration cold = it.ColdUntil - Sim.now();
-    leader->Replica->announce(Sim.now(),
-                              {.Host = it.Name,
-                               .Zone = zoneOf(i),
-                               .Address = it.Address,
-                               .Services = {ServiceName(Service)},
-                               .Slots = Slots,
-                               .Registered = true,
-                               .ColdFor = std::max(cold, Duration::zero())},
-                              RegistrationRound);
-  }
+  for (const Server &it : Servers)
+    if (it.Up)
+      announce(it);
+}
+
+void ForwardFleet::announce(const Server &server) {
+  SimulatedProcess *leader = Sim.leader();
+  if (!leader || leader->Frozen)
+    return;
+  const auto i = static_cast<std::uint32_t>(&server - Servers.data());
+  const Duration cold = server.ColdUntil - Sim.now();
+  leader->Replica->announce(Sim.now(),
+                            {.Host = server.Name,
+                             .Incarnation = server.StartedAt,
+                             .Zone = zoneOf(i),
+                             .Address = server.Address,
+                             .Services = {ServiceName(Service)},
+                             .Slots = Slots,
+                             .Registered = true,
+                             .ColdFor = std::max(cold, Duration::zero()),
+                             .Software = server.Software},
+                            RegistrationRound);
 }
 
 //===----------------------------------------------------------------------===//
 // Callers
 //===----------------------------------------------------------------------===//
 
-void ForwardFleet::call(SimulatedProcess &entry, const std::string &content,
-                        std::function<void(const CallerAnswer &)> done,
-                        const std::string &adapter) {
+std::uint64_t ForwardFleet::call(SimulatedProcess &entry,
+                                 const std::string &content,
+                                 std::function<void(const CallerAnswer &)> done,
+                                 const std::string &adapter,
+                                 const ResumePoint &from) {
   const std::uint64_t key = ++LastKey;
-  Calls[key] = {.Answer = {.SentAt = Sim.now()}, .Done = std::move(done)};
-  if (!entry.Alive)
-    return endCall(key, /*complete=*/false);
-  const RequestHead head{
-      "POST",
-      Path + content,
-      {{"Host", "h"},
-       {"id", "r" + std::to_string(key)},
-       {"time", "6000"},
-       {"adapter", Options.Engines ? adapter : std::string()}}};
+  const std::string id = "r" + std::to_string(key);
+  Calls[key] = {.Entry = {entry.Spec.Host, entry.Incarnation},
+                .Answer = {.Id = id, .SentAt = Sim.now()},
+                .Done = std::move(done)};
+  if (!entry.Alive) {
+    endCall(key, /*complete=*/false);
+    return key;
+  }
+  RequestHead head{"POST",
+                   Path + content,
+                   {{"Host", "h"},
+                    {"id", id},
+                    {"time", "6000"},
+                    {"adapter", Options.Engines ? adapter : std::string()}}};
+  if (!from.Attempt.empty()) {
+    head.Headers.push_back({"resumes", from.Attempt});
+    head.Headers.push_back({"last-event", std::to_string(from.LastEvent)});
+  }
   Sim.atProcess(entry.Spec.Host, entry.Incarnation, [=](SimulatedProcess &it) {
     it.Forward->request(it.Owner.now(), key, head, content,
                         ContentHasher().add(content).finish());
   });
+  return key;
+}
+
+void ForwardFleet::resetCall(std::uint64_t key) {
+  const auto it = Calls.find(key);
+  if (it == Calls.end())
+    return;
+  const EntryProcess entry = it->second.Entry;
+  endCall(key, /*complete=*/false);
+  Sim.atProcess(entry.Host, entry.Incarnation, [=](SimulatedProcess &process) {
+    process.Forward->callerDisconnected(process.Owner.now(), key);
+  });
+}
+
+void ForwardFleet::killEntry(std::uint32_t i, Duration downtime) {
+  const EntryProcess process{entryName(i), entry(i).Incarnation};
+  Sim.killFor(entry(i), downtime);
+  for (Server &it : Servers)
+    std::erase_if(it.Runs,
+                  [&](const auto &run) { return run.second.Entry == process; });
+  std::vector<std::uint64_t> broken;
+  for (const auto &[key, call] : Calls)
+    if (call.Entry == process)
+      broken.push_back(key);
+  for (const std::uint64_t key : broken)
+    endCall(key, /*complete=*/false);
 }
 
 void ForwardFleet::endCall(std::uint64_t key, bool complete) {
@@ -319,6 +378,9 @@
           .Entry = {entry.Spec.Host, entry.Incarnation},
           .Id = *findHeader(send.Head.Headers, "id"),
           .Content = send.Head.Target.substr(std::string_view(Path).size())};
+  if (const std::string *it = findHeader(send.Head.Headers, "last");
+      it && !server->Software.empty())
+    run.After = static_cast<std::uint32_t>(std::stoul(*it));
   Sim.after(Options.Latency, [this, i, run, expectedName = send.Server.Name] {
     onArrival(i, expectedName, run);
   });
@@ -350,7 +412,7 @@
   server.Runs.emplace(id, run);
   const Duration wait =
       fromSeconds(toSeconds(Options.FirstEvent) * (0.5 + Sim.Rng.uniform()));
-  Sim.after(wait, [this, i, id] { onEvent(i, id, 1); });
+  Sim.after(wait, [=, this] { onEvent(i, id, run.After + 1); });
 }
 
 void ForwardFleet::reject(const Server &server, const Run &run) {
@@ -396,11 +458,13 @@
     });
     return;
   }
-  if (event == 1)
+  if (event == run.After + 1)
     sendHead(server, run, StatusOk, {{"stamp", "s"}});
-  callEntry(run, [this, run, event](ForwardNode &node) {
-    node.upstreamBody(Sim.now(), run.Attempt, eventText(event));
-  });
+  if (event <= Options.Events)
+    callEntry(run, [this, run, text = eventText(event, server.Software)](
+                       ForwardNode &node) {
+      node.upstreamBody(Sim.now(), run.Attempt, text);
+    });
   if (event < Options.Events) {
     Sim.after(Options.EventInterval,
               [this, i, id, event] { onEvent(i, id, event + 1); });
@@ -430,7 +494,8 @@
             });
 }
 
-void ForwardFleet::crash(Server &server, const std::string &content) {
+void ForwardFleet::crash(Server &server, const std::string &content,
+                         bool keepsName) {
   ServerCrash crash{.At = Sim.now(), .Server = server.Name, .Content = content};
   server.Up = false;
   server.Feedback = {};
@@ -445,17 +510,33 @@
   const auto i = static_cast<std::uint32_t>(&server - Servers.data());
   if (Options.Engines)
     agent(i).Engine->setDown(true);
-  Sim.after(Options.RestartDelay, [this, i] {
-    if (Options.Engines)
-      agent(i).Engine->setDown(false);
-    Server &it = Servers[i];
-    it.Name = HostName("server-" + std::to_string(i) + "." +
-                       std::to_string(++it.Starts));
-    it.Up = true;
-    it.PoweredOff = false;
-    if (Options.ColdPerSecond > 0)
-      makeServerCold(i);
-  });
+  Sim.after(Options.RestartDelay,
+            [this, i, keepsName] { restart(i, keepsName); });
+}
+
+void ForwardFleet::restart(std::uint32_t i, bool keepsName) {
+  if (Options.Engines)
+    agent(i).Engine->setDown(false);
+  Server &it = Servers[i];
+  ++it.Starts;
+  it.StartedAt = startOf(it.Software);
+  it.Up = true;
+  it.PoweredOff = false;
+  if (Options.ColdPerSecond > 0)
+    makeServerCold(i);
+  if (keepsName)
+    return announce(it);
+  it.Name =
+      HostName("server-" + std::to_string(i) + "." + std::to_string(it.Starts));
+}
+
+void ForwardFleet::replaceServer(std::uint32_t i, const std::string &software,
+                                 bool keepsName) {
+  Server &server = Servers[i];
+  if (!server.Up)
+    return;
+  crash(server, "", keepsName);
+  server.Software = software;
 }
 
 void ForwardFleet::crashServer(std::uint32_t i) {
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -40,19 +40,33 @@
   /// Servers report their numbers of running and waiting requests with each
   /// answer.
   bool LoadReports = false;
+  /// Software version of the servers that exist at the start. Servers without
+  /// one state neither a version nor when they started, and send each stream
+  /// from its first event on.
+  std::string Software;
   /// Interval at which servers register.
   Duration Heartbeat = std::chrono::seconds(1);
   /// One-way latency between an entry and a server.
   Duration Latency = std::chrono::microseconds(1400);
 };
 
+/// Where a caller resumes a stream.
+struct ResumePoint {
+  /// Id of the attempt that brought the first event; empty for a new stream.
+  std::string Attempt;
+  std::uint64_t LastEvent = 0;
+};
+
 /// The answer to an attempt of a caller.
 struct CallerAnswer {
+  /// Id of the attempt.
+  std::string Id;
   TimePoint SentAt;
   TimePoint EndedAt;
   int Status = 0;
   /// Retry-after of a refusal.
   Duration RetryAfter = Duration::zero();
+  /// The events of a stream, each with the software version of its server.
   std::string Body;
   /// The answer is complete.
   bool IsComplete = false;
@@ -112,7 +126,9 @@
 /// \brief Replicas, forwarding entries and the backend servers behind them:
 /// plain services, or engines with agents. Crashing requests crash each server
 /// process that begins to run them. Servers may send feedback: limits, backoffs
-/// and that they are leaving.
+/// and that they are leaving. Servers of several software versions may serve
+/// side by side; each event of a stream names the version of its server, and
+/// callers may resume streams.
 ///
 /// A request is identified by its content. It is a crashing request if its
 /// content was passed to addCrashingRequest(). Attempts with the same content
@@ -136,9 +152,16 @@
     CrashingContents.insert(content);
   }
   /// Sends an attempt with \p content to an entry. \p done gets the answer.
-  void call(SimulatedProcess &entry, const std::string &content,
-            std::function<void(const CallerAnswer &)> done = {},
-            const std::string &adapter = "a");
+  /// \returns the key of the call.
+  std::uint64_t call(SimulatedProcess &entry, const std::string &content,
+                     std::function<void(const CallerAnswer &)> done = {},
+                     const std::string &adapter = "a",
+                     const ResumePoint &from = {});
+  /// Resets the connection of a caller, which gets what has arrived.
+  void resetCall(std::uint64_t key);
+  /// Kills entry \p i, which breaks off its callers' answers, and starts it
+  /// again after \p downtime.
+  void killEntry(std::uint32_t i, Duration downtime);
   /// Sets the feedback that server \p i sends with each answer from now on.
   void setFeedback(std::uint32_t i, const ScriptedFeedback &feedback);
   HostName serverName(std::uint32_t i) const { return Servers[i].Name; }
@@ -150,6 +173,14 @@
   /// Crashes server \p i without a crashing request. Its next process starts
   /// after `RestartDelay`.
   void crashServer(std::uint32_t i);
+  /// Adds a server with this software.
+  void addServer(const std::string &software);
+  /// Crashes server \p i for `RestartDelay`. Its next process has the same
+  /// address, this software and, if \p keepsName, the same name.
+  void replaceServer(std::uint32_t i, const std::string &software,
+                     bool keepsName);
+  /// \returns the number of servers with this software that are up.
+  std::size_t serversUp(const std::string &software) const;
   /// Simulates a power loss of server \p i: connections aren't closed, requests
   /// and checks aren't answered.
   void powerOffServer(std::uint32_t i);
@@ -167,10 +198,15 @@
     EntryProcess Entry;
     std::string Id;
     std::string Content;
+    /// The last event that the caller has.
+    std::uint32_t After = 0;
   };
   struct Server {
     HostName Name;
     std::string Address;
+    std::string Software;
+    /// When its process started, in milliseconds; 0 if it doesn't say.
+    std::uint64_t StartedAt = 0;
     bool Up = true;
     bool PoweredOff = false;
     std::uint64_t Starts = 0;
@@ -179,6 +215,7 @@
     std::map<std::uint64_t, Run> Runs;
   };
   struct Call {
+    EntryProcess Entry;
     CallerAnswer Answer;
     std::function<void(const CallerAnswer &)> Done;
   };
@@ -186,6 +223,8 @@
   void addReplicas();
   void addEntries();
   void addServers();
+  std::uint64_t startOf(const std::string &software) const;
+  void announce(const Server &server);
   void addAgent(std::uint32_t i);
   void registerServers();
   Server *findServer(const std::string &address);
@@ -197,7 +236,10 @@
   void sendHead(const Server &server, const Run &run, int status,
                 HttpHeaders headers);
   void onEvent(std::size_t server, std::uint64_t run, std::uint32_t event);
-  void crash(Server &server, const std::string &content);
+  /// \param keepsName the next process has the same name.
+  void crash(Server &server, const std::string &content,
+             bool keepsName = false);
+  void restart(std::uint32_t i, bool keepsName);
   /// Calls \p action after `Latency` at the entry of \p run, if that
   /// incarnation is still alive.
   void callEntry(const Run &run, std::function<void(ForwardNode &)> action);
