Resume a stream only at the software version that began it

Cause: the version that servers register was dropped, so no choice of a server knew it; and what an entry knows of a stream ended with the entry. The class: promises that assume that all servers of a service are alike.

A request that resumes a stream now requires the version of its first event. What nobody knows, and what has no server left, is refused at once as not run; with one version nothing is sent or asked.

The test of log lines resumed a stream at an engine without a version after one with "v1", which is what must not happen now: it runs with both engines at one version, stated and not stated, and checks the same lines.

--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -40,6 +40,7 @@
 #include "src/Forward/DemandOf.h"
 #include "src/Forward/AccountController.h"
 #include "src/Forward/DeferController.h"
+#include "src/Forward/StreamOriginController.h"
 #include "src/Forward/QuarantineController.h"
 #include "src/Forward/PlainController.h"
 #include "src/Forward/AttemptController.h"
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -106,6 +106,7 @@
   if (!request.Attempt->FirstEventAt) {
     request.Attempt->FirstEventAt = now;
     Attempts.notifyBegan(request);
+    Attempts.recordFirstEvent(now, request);
   } else {
     request.Attempt->LongestPause = std::max(
         request.Attempt->LongestPause, now - request.Attempt->LastEventAt);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -101,11 +101,12 @@
 
 const char *forwardFailureName(ForwardFailure failure) {
   constexpr const char *Names[] = {
-      "not_ready",      "no_route",       "malformed",    "no_server",
-      "declined",       "timed_out",      "broke_off",    "caller_gone",
-      "quarantined",    "on_trial",       "no_leave",     "unknown_key",
-      "keys_outdated",  "over_allotment", "no_allotment", "servers_rest",
-      "zones_outdated", "no_region",      "no_room",      "service_full"};
+      "not_ready",      "no_route",        "malformed",    "no_server",
+      "declined",       "timed_out",       "broke_off",    "caller_gone",
+      "quarantined",    "on_trial",        "no_leave",     "unknown_key",
+      "keys_outdated",  "over_allotment",  "no_allotment", "servers_rest",
+      "zones_outdated", "no_region",       "no_room",      "service_full",
+      "origin_unknown", "no_such_software"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -146,7 +147,27 @@
 void AttemptController::next(TimePoint now, ForwardRequest &request) {
   if (now >= request.Deadline)
     return giveUp(now, request, ForwardFailure::TimedOut);
-  proceed(now, request, Quarantine.decideSend(now, request));
+  if (knowsOrigin(now, request))
+    proceed(now, request, Quarantine.decideSend(now, request));
+}
+
+bool AttemptController::knowsOrigin(TimePoint now, ForwardRequest &request) {
+  switch (Origins.decide(now, request)) {
+  case OriginDecision::Decided:
+    return true;
+  case OriginDecision::Asked:
+    return false;
+  case OriginDecision::Unknown:
+    break;
+  }
+  if (Board.Servers.isComplete()) {
+    giveUp(now, request, ForwardFailure::OriginUnknown);
+    return false;
+  }
+  // The missing servers and agents may tell.
+  request.Origin.reset();
+  deferOrGiveUp(now, request, ForwardFailure::OriginUnknown);
+  return false;
 }
 
 void AttemptController::proceed(TimePoint now, ForwardRequest &request,
@@ -181,6 +202,7 @@
 
 void AttemptController::choosePlain(TimePoint now, ForwardRequest &request) {
   std::vector<ServerProcess> avoid = request.Avoid;
+  avoidOtherSoftware(request, avoid);
   const std::size_t full = avoidFullServers(request, avoid);
   const PlainDecision decision = Plain.decide(now, request, avoid);
   const std::uint64_t key = request.Key;
@@ -233,6 +255,16 @@
   return full;
 }
 
+void AttemptController::avoidOtherSoftware(
+    const ForwardRequest &request, std::vector<ServerProcess> &avoid) const {
+  if (!request.RequiredSoftware)
+    return;
+  for (const auto &[name, it] : Board.Servers.servers())
+    if (belongsTo(it.Record, request.Service) &&
+        it.Record.Software != *request.RequiredSoftware)
+      avoid.push_back(it.Record.process());
+}
+
 bool AttemptController::hasRoom(const ServerProcess &server,
                                 const ForwardRequest &request) const {
   return Board.BytesAtServers.hasRoom(server, request.Body->size(),
@@ -272,6 +304,7 @@
       .Prefix = hashPrefix(request.Traits.Parts),
       .Target = firstEventDue(now, request),
       .Zones = request.Zones,
+      .Software = request.RequiredSoftware,
       .Kind = request.Route->Name,
       .Demand = demandOf(request),
       .StreamTime = Board.Pauses.meanDuration(request.Route->Name),
@@ -286,6 +319,10 @@
 void AttemptController::handleNoServer(TimePoint now, ForwardRequest &request) {
   if (request.Sends > 0)
     request.Denial = RetryDenial::NoServer;
+  if (request.RequiredSoftware && Board.Servers.isComplete() &&
+      !Board.Servers.serves(request.Service, request.Zones,
+                            *request.RequiredSoftware))
+    return giveUp(now, request, ForwardFailure::NoSuchSoftware);
   if (const auto backoffEnd = Board.Servers.earliestBackoffEnd(
           now, request.Service, request.Zones)) {
     request.RetryAfter = std::max(request.RetryAfter, *backoffEnd - now);
@@ -485,7 +522,10 @@
       Board.Servers.feedbackOf(server->Record.process()).isBackingOff(now);
   const bool expired = message.SendInterval > Duration::zero() &&
                        request->Attempt->LongestStall > message.SendInterval;
-  const bool room = server && hasRoom(server->Record.process(), *request);
+  const bool suits =
+      server && (!request->RequiredSoftware ||
+                 *request->RequiredSoftware == server->Record.Software);
+  const bool room = suits && hasRoom(server->Record.process(), *request);
   if (room && !backingOff && !expired && !mayMissEvacuation(now)) {
     const std::string changes =
         Board.Servers.recordLimit(now, server->Record.process(), message.Limit);
@@ -816,6 +856,7 @@
     Board.Attempts.erase(request.Attempt->Id);
   Board.Bytes.release(now, request.Key);
   Board.Deferred.erase(request.Key);
+  Board.OriginQueries.erase(request.Key);
   if (const auto it = Board.PlainQueues.find(request.Service);
       it != Board.PlainQueues.end())
     it->second.remove(request.Key);
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -5,6 +5,7 @@
 #include "DeferController.h"
 #include "PlainController.h"
 #include "QuarantineController.h"
+#include "StreamOriginController.h"
 
 namespace pimentofront {
 
@@ -17,9 +18,11 @@
   /// \param routing chooses among agents; outlives the controller.
   AttemptController(ForwardBoard &board, AccountController &accounts,
                     DeferController &deferrals,
-                    QuarantineController &quarantine, RoutingPolicy &routing)
+                    QuarantineController &quarantine,
+                    StreamOriginController &origins, RoutingPolicy &routing)
       : Board(board), Accounts(accounts), Deferrals(deferrals),
-        Quarantine(quarantine), Routing(routing), Plain(board, deferrals) {}
+        Quarantine(quarantine), Origins(origins), Routing(routing),
+        Plain(board, deferrals) {}
 
   /// Starts the next attempt at the request, or gives the request up.
   void next(TimePoint now, ForwardRequest &request);
@@ -61,6 +64,11 @@
   void serveWaiting(TimePoint now);
   /// The first event has arrived: notifies the agent.
   void notifyBegan(const ForwardRequest &request);
+  /// The first event of the current attempt has arrived: records its server's
+  /// software version for those who may have to resume the stream.
+  void recordFirstEvent(TimePoint now, ForwardRequest &request) {
+    Origins.recordFirstEvent(now, request);
+  }
   /// Ends the current attempt; notifies the agent and updates the server's
   /// counters.
   void endAttempt(TimePoint now, ForwardRequest &request, ServerOutcome outcome,
@@ -87,6 +95,13 @@
   }
 
 private:
+  /// \returns whether the software version that may run the request is known,
+  /// or none is needed. If not, the request waits or is given up.
+  bool knowsOrigin(TimePoint now, ForwardRequest &request);
+  /// Adds to \p avoid the servers of the request's service whose software
+  /// version may not go on with its stream.
+  void avoidOtherSoftware(const ForwardRequest &request,
+                          std::vector<ServerProcess> &avoid) const;
   /// Asks an agent for a permit, or sends to a plain server.
   void choose(TimePoint now, ForwardRequest &request);
   void choosePlain(TimePoint now, ForwardRequest &request);
@@ -142,6 +157,7 @@
   AccountController &Accounts;
   DeferController &Deferrals;
   QuarantineController &Quarantine;
+  StreamOriginController &Origins;
   RoutingPolicy &Routing;
   PlainController Plain;
 };
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -153,6 +153,11 @@
   /// All servers of the plain service are full, and the answer wouldn't be in
   /// time.
   ServiceFull,
+  /// Servers of several software versions are registered, and nobody knows
+  /// which of them began the stream that the request resumes.
+  OriginUnknown,
+  /// No server runs the software version that began the stream.
+  NoSuchSoftware,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
@@ -250,6 +255,15 @@
   return software.empty() ? "unknown" : software;
 }
 
+/// \class OriginQuery
+/// \ingroup Forward
+/// \brief The question at which software version a stream began.
+struct OriginQuery {
+  /// Agents that haven't answered.
+  std::set<HostName> Asked;
+  TimePoint Until;
+};
+
 /// \class ForwardRequest
 /// \ingroup Forward
 /// \brief A caller's request in progress.
@@ -301,6 +315,11 @@
   /// Splits a streaming answer into events and stores the id of the last one,
   /// after which another server resumes the stream.
   EventStream Events;
+  /// Software version that has to go on with the stream; set by its first
+  /// event, or from what is known of the stream that the request resumes.
+  std::optional<std::string> RequiredSoftware;
+  /// Set once agents have been asked for that version.
+  std::optional<OriginQuery> Origin;
   /// Longest retry-after time that a refusal named.
   Duration RetryAfter = Duration::zero();
   RefusalReason LastRefusal = RefusalReason::None;
@@ -470,6 +489,13 @@
   std::map<ServiceName, PlainQueue> PlainQueues;
   /// The streams that this process has passed on, by service.
   PauseMeter Pauses;
+  /// Streams that this entry began or has asked for.
+  StreamOriginTable Origins;
+  /// Requests that wait for agents to say at which version a stream began.
+  std::set<std::uint64_t> OriginQueries;
+  /// Services that have had servers of several software versions, and when that
+  /// ended; nothing while it lasts.
+  std::map<ServiceName, std::optional<TimePoint>> MixedUntil;
   QuarantineSet Quarantine;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -33,8 +33,8 @@
                                      const HeaderCodec &codec,
                                      RoutingPolicy &routing)
     : Board(options, configuration, codec), Accounts(Board), Deferrals(Board),
-      Quarantine(Board),
-      Attempts(Board, Accounts, Deferrals, Quarantine, routing),
+      Quarantine(Board), Origins(Board),
+      Attempts(Board, Accounts, Deferrals, Quarantine, Origins, routing),
       Answers(Board, Attempts, Quarantine) {}
 
 void ForwardController::setTable(std::shared_ptr<const RoutingTable> table) {
@@ -49,6 +49,24 @@
 void ForwardController::onMembers(TimePoint now, const MemberUpdate &update) {
   Board.Servers.apply(now, update);
   Attempts.suspectFormerProcesses(now);
+  Origins.onServersChanged(now);
+}
+
+void ForwardController::onStreamOrigin(TimePoint now, const HostName &agent,
+                                       const StreamOriginReply &reply) {
+  resume(now, Origins.onReply(now, agent, reply));
+}
+
+void ForwardController::onAgentLost(TimePoint now, const HostName &agent) {
+  Attempts.onAgentLost(now, agent);
+  resume(now, Origins.onAgentLost(agent));
+}
+
+void ForwardController::resume(TimePoint now,
+                               const std::vector<std::uint64_t> &keys) {
+  for (const std::uint64_t key : keys)
+    if (const auto it = Board.Requests.find(key); it != Board.Requests.end())
+      Attempts.next(now, it->second);
 }
 
 void ForwardController::onEvacuatedZones(TimePoint now,
@@ -307,6 +325,7 @@
   for (const std::uint64_t key : unanswered)
     Attempts.giveUp(now, Board.Requests.at(key),
                     ForwardFailure::AllotmentUndecided);
+  resume(now, Origins.takeOverdue(now));
   retryDeferred(now);
   Attempts.serveWaiting(now);
   for (const std::uint64_t key : Quarantine.takeSettled(now))
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -69,6 +69,11 @@
     return Board.Leases.hasOverdueQuery(now) ||
            Board.Permits.hasOverdueQuery(now);
   }
+  /// An agent tells at which software version a stream began.
+  void onStreamOrigin(TimePoint now, const HostName &agent,
+                      const StreamOriginReply &reply);
+  /// The link to an agent is lost.
+  void onAgentLost(TimePoint now, const HostName &agent);
   /// The replicas have decided on a proposal, or haven't in time.
   void onDecision(TimePoint now, std::uint64_t nonce,
                   const std::optional<CommandOutcome> &outcome);
@@ -108,6 +113,9 @@
   /// Defers a request whose route or client account can't be determined yet: no
   /// configuration is known, or it isn't known to be the newest.
   void deferUnresolved(TimePoint now, ForwardRequest &request);
+  /// Goes on with requests for which it is decided at which software version
+  /// they may run.
+  void resume(TimePoint now, const std::vector<std::uint64_t> &keys);
   /// Tries the deferred requests again whose retry is due.
   void retryDeferred(TimePoint now);
   /// \returns whether the agent's answer is overdue.
@@ -121,6 +129,7 @@
   AccountController Accounts;
   DeferController Deferrals;
   QuarantineController Quarantine;
+  StreamOriginController Origins;
   ContentHasher Hasher;
   AttemptController Attempts;
   AnswerController Answers;
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -103,6 +103,7 @@
     if (agent.Drained)
       continue;
     ServerByAgent[host] = it->second->Record.Host;
+    agent.Software = it->second->Record.Software;
     agent.BackoffUntil =
         feedbackOf(it->second->Record.process()).backoffUntil();
   }
@@ -131,6 +132,24 @@
   });
 }
 
+bool ServerSet::serves(const ServiceName &service, const AllowedZones &zones,
+                       const std::string &software) const {
+  return std::ranges::any_of(Servers, [&](const auto &it) {
+    return belongsTo(it.second.Record, service) && isInUse(it.second) &&
+           zones.contains(it.second.Record.Zone) &&
+           it.second.Record.Software == software;
+  });
+}
+
+std::map<ServiceName, std::set<std::string>>
+ServerSet::softwareVersions() const {
+  std::map<ServiceName, std::set<std::string>> result;
+  for (const auto &[host, it] : Servers)
+    for (const ServiceName &service : it.Record.Services)
+      result[service].insert(it.Record.Software);
+  return result;
+}
+
 double ServerSet::meanFailureShare(const ServiceName &service) const {
   double sum = 0;
   std::size_t n = 0;
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -74,6 +74,13 @@
   bool isComplete() const { return Complete; }
   /// \returns whether any server of \p service in \p zones is in use.
   bool serves(const ServiceName &service, const AllowedZones &zones = {}) const;
+  /// \returns whether any server of \p service with the software version
+  /// \p software in \p zones is in use.
+  bool serves(const ServiceName &service, const AllowedZones &zones,
+              const std::string &software) const;
+  /// \returns the software versions of the registered servers by service,
+  /// also of those that are leaving.
+  std::map<ServiceName, std::set<std::string>> softwareVersions() const;
   /// Agents with the reports on their engines. An agent whose engine isn't
   /// registered counts as drained.
   MemberViews &agents() { return Agents; }
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -0,0 +1,210 @@
+#include "pimentofront/Forward.h"
+
+#include <algorithm>
+
+namespace pimentofront {
+namespace {
+
+/// Agents in the rendezvous order that are told of a stream, beside the one at
+/// its server: one of them may be lost together with the entry.
+constexpr std::size_t ToldAgents = 2;
+/// Agents in that order that are asked: agents that have joined or left since
+/// the stream began shift the order.
+constexpr std::size_t AskedAgents = 16;
+/// Longest wait for their answers. Covers a new link between zones; the caller
+/// hears of a refusal in time to come back.
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(250);
+/// How long a caller may come back after the time that it stated.
+constexpr Duration LifetimeSlack = std::chrono::seconds(1);
+/// A service counts as mixed for this long after the servers of all versions
+/// but one have gone: callers may come back long after their streams broke off.
+constexpr Duration MixedMemory = std::chrono::minutes(10);
+
+/// \returns the id of the caller's attempt that began the request's stream;
+/// empty if the request doesn't name it.
+RequestId streamOf(const ForwardRequest &request) {
+  const RequestTraits &traits = request.Traits;
+  return RequestId(traits.LastEventId ? traits.Resumes : traits.Id);
+}
+
+Duration lifetimeOf(TimePoint now, const ForwardRequest &request) {
+  const Duration stated =
+      request.Traits.TimeLeft.value_or(request.Route->Timeout);
+  return request.ArrivedAt + stated + LifetimeSlack - now;
+}
+
+} // namespace
+
+bool StreamOriginController::isMixed(TimePoint now,
+                                     const ServiceName &service) const {
+  if (!Board.Servers.isComplete())
+    return true;
+  const auto it = Board.MixedUntil.find(service);
+  return it != Board.MixedUntil.end() &&
+         (!it->second || now < *it->second + MixedMemory);
+}
+
+void StreamOriginController::onServersChanged(TimePoint now) {
+  const auto versions = Board.Servers.softwareVersions();
+  const auto isMixedNow = [&](const ServiceName &service) {
+    const auto it = versions.find(service);
+    return it != versions.end() && it->second.size() > 1;
+  };
+  for (auto &[service, until] : Board.MixedUntil)
+    if (!until && !isMixedNow(service))
+      until = now;
+  std::set<ServiceName> appeared;
+  for (const auto &[service, all] : versions) {
+    if (!isMixedNow(service))
+      continue;
+    if (!isMixed(now, service))
+      appeared.insert(service);
+    Board.MixedUntil[service] = std::nullopt;
+  }
+  for (const auto &[key, it] : Board.Requests)
+    if (it.Answering && it.RequiredSoftware && appeared.contains(it.Service))
+      publish(now, it);
+}
+
+OriginDecision StreamOriginController::decide(TimePoint now,
+                                              ForwardRequest &request) {
+  if (!request.resumesStream() || request.RequiredSoftware)
+    return OriginDecision::Decided;
+  request.RequiredSoftware = Board.Origins.find(now, streamOf(request));
+  if (request.RequiredSoftware)
+    return OriginDecision::Decided;
+  if (!isMixed(now, request.Service)) {
+    const auto versions = Board.Servers.softwareVersions();
+    const auto it = versions.find(request.Service);
+    if (it != versions.end())
+      request.RequiredSoftware = *it->second.begin();
+    return OriginDecision::Decided;
+  }
+  if (!request.Origin)
+    ask(now, request);
+  return request.Origin->Asked.empty() ? OriginDecision::Unknown
+                                       : OriginDecision::Asked;
+}
+
+void StreamOriginController::ask(TimePoint now, ForwardRequest &request) {
+  request.Origin = OriginQuery{.Until = now + AnswerTimeout};
+  const RequestId stream = streamOf(request);
+  if (stream.empty())
+    return;
+  for (const MemberView *it : holders(request, AskedAgents)) {
+    request.Origin->Asked.insert(it->Record.Host);
+    send(*it, StreamOriginQuery{stream});
+  }
+  Board.OriginQueries.insert(request.Key);
+}
+
+void StreamOriginController::recordFirstEvent(TimePoint now,
+                                              ForwardRequest &request) {
+  if (request.Route->Kind != Repeatability::Stream || !request.Route->Resumable)
+    return;
+  request.RequiredSoftware = request.Attempt->Software;
+  const RequestId stream = streamOf(request);
+  if (stream.empty())
+    return;
+  Board.Origins.record(now, {.Stream = stream,
+                             .Software = *request.RequiredSoftware,
+                             .Lifetime = lifetimeOf(now, request)});
+  if (isMixed(now, request.Service))
+    publish(now, request);
+}
+
+void StreamOriginController::publish(TimePoint now,
+                                     const ForwardRequest &request) {
+  const StreamOrigins message{{{.Stream = streamOf(request),
+                                .Software = *request.RequiredSoftware,
+                                .Lifetime = lifetimeOf(now, request)}}};
+  const auto &agents = Board.Servers.agents();
+  const auto beside =
+      request.Attempt ? agents.find(request.Attempt->Agent) : agents.end();
+  if (beside != agents.end())
+    send(beside->second, message);
+  std::size_t told = 0;
+  for (const MemberView *it : holders(request, AskedAgents)) {
+    if (told == ToldAgents)
+      return;
+    if (it->Record.Leaving || (beside != agents.end() && it == &beside->second))
+      continue;
+    send(*it, message);
+    ++told;
+  }
+}
+
+std::vector<const MemberView *>
+StreamOriginController::holders(const ForwardRequest &request,
+                                std::size_t n) const {
+  std::vector<const MemberView *> result;
+  for (const auto &[host, it] : Board.Servers.agents())
+    result.push_back(&it);
+  // Versions of the adapter may change while the stream lasts.
+  const AdapterKey key{request.Adapter.Adapter.empty()
+                           ? AdapterName(streamOf(request).str())
+                           : request.Adapter.Adapter,
+                       0};
+  detail::orderByRendezvous(key, n, result);
+  result.resize(std::min(n, result.size()));
+  return result;
+}
+
+void StreamOriginController::send(const MemberView &agent, Message message) {
+  Board.Commands.push_back(
+      SendToAgent{agent.Record.Host, agent.Record.Address, std::move(message)});
+}
+
+bool StreamOriginController::removeAsked(ForwardRequest &request,
+                                         const HostName &agent) {
+  return request.Origin->Asked.erase(agent) > 0 &&
+         request.Origin->Asked.empty();
+}
+
+std::vector<std::uint64_t>
+StreamOriginController::onReply(TimePoint now, const HostName &agent,
+                                const StreamOriginReply &reply) {
+  std::vector<std::uint64_t> decided;
+  for (const std::uint64_t key : Board.OriginQueries) {
+    ForwardRequest &request = Board.Requests.at(key);
+    if (streamOf(request) != reply.Stream)
+      continue;
+    if (reply.Known)
+      Board.Origins.record(now, {.Stream = reply.Stream,
+                                 .Software = reply.Software,
+                                 .Lifetime = lifetimeOf(now, request)});
+    if (reply.Known || removeAsked(request, agent))
+      decided.push_back(key);
+  }
+  for (const std::uint64_t it : decided)
+    Board.OriginQueries.erase(it);
+  return decided;
+}
+
+std::vector<std::uint64_t>
+StreamOriginController::onAgentLost(const HostName &agent) {
+  std::vector<std::uint64_t> decided;
+  for (const std::uint64_t key : Board.OriginQueries)
+    if (removeAsked(Board.Requests.at(key), agent))
+      decided.push_back(key);
+  for (const std::uint64_t it : decided)
+    Board.OriginQueries.erase(it);
+  return decided;
+}
+
+std::vector<std::uint64_t> StreamOriginController::takeOverdue(TimePoint now) {
+  Board.Origins.expire(now);
+  std::vector<std::uint64_t> overdue;
+  for (const std::uint64_t key : Board.OriginQueries) {
+    OriginQuery &query = *Board.Requests.at(key).Origin;
+    if (now < query.Until)
+      continue;
+    query.Asked.clear();
+    overdue.push_back(key);
+  }
+  for (const std::uint64_t it : overdue)
+    Board.OriginQueries.erase(it);
+  return overdue;
+}
+
+} // namespace pimentofront
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -0,0 +1,76 @@
+#ifndef PIMENTOFRONT_FORWARD_STREAM_ORIGIN_CONTROLLER_H
+#define PIMENTOFRONT_FORWARD_STREAM_ORIGIN_CONTROLLER_H
+
+#include "ForwardBoard.h"
+
+namespace pimentofront {
+
+/// What is known of the software version that has to go on with a stream.
+enum class OriginDecision : std::uint8_t {
+  /// Any server may run the request, or its RequiredSoftware is set.
+  Decided,
+  /// Agents have been asked.
+  Asked,
+  /// Nobody knows at which version the stream began.
+  Unknown,
+};
+
+/// \class StreamOriginController
+/// \ingroup Forward
+/// \brief Finds out at which software version of the backend servers a stream
+/// began, so that only this version goes on with it.
+///
+/// What two versions write doesn't fit together, and servers don't check it. An
+/// entry knows the streams that it began. While several versions are registered
+/// for a service, it also tells three agents of each stream: the one beside the
+/// server, which knows it anyway, and the first two in the rendezvous order of
+/// the stream's adapter, which all entries derive alike. An entry to which a
+/// caller comes back asks the first agents of that order, so that the entry
+/// that began the stream may be gone.
+///
+/// While only one version is registered nothing is sent and nobody is asked.
+/// When a second one appears, the entry tells the agents of its running
+/// streams; a server of the second version gets no stream from an entry that
+/// doesn't know it yet.
+///
+/// Invariant: a request that resumes a stream is sent only if its
+/// RequiredSoftware is set, or if only one version can have begun it.
+class StreamOriginController {
+public:
+  explicit StreamOriginController(ForwardBoard &board) : Board(board) {}
+
+  /// Decides at which version the request may run; asks agents if necessary.
+  OriginDecision decide(TimePoint now, ForwardRequest &request);
+  /// The first event of the request's attempt has arrived.
+  void recordFirstEvent(TimePoint now, ForwardRequest &request);
+  /// The registered servers have changed.
+  void onServersChanged(TimePoint now);
+  /// \returns the requests that can be decided now.
+  std::vector<std::uint64_t> onReply(TimePoint now, const HostName &agent,
+                                     const StreamOriginReply &reply);
+  /// The agent doesn't answer any more.
+  /// \returns the requests that can be decided now.
+  std::vector<std::uint64_t> onAgentLost(const HostName &agent);
+  /// \returns the requests whose agents haven't answered in time, which can be
+  /// decided now.
+  std::vector<std::uint64_t> takeOverdue(TimePoint now);
+  /// \returns whether several versions may have begun the service's streams.
+  bool isMixed(TimePoint now, const ServiceName &service) const;
+
+private:
+  /// \returns the first \p n agents for the request's stream.
+  std::vector<const MemberView *> holders(const ForwardRequest &request,
+                                          std::size_t n) const;
+  void ask(TimePoint now, ForwardRequest &request);
+  void publish(TimePoint now, const ForwardRequest &request);
+  void send(const MemberView &agent, Message message);
+  /// Notes that \p agent won't tell the origin of the request's stream.
+  /// \returns whether no other agent is left to answer.
+  bool removeAsked(ForwardRequest &request, const HostName &agent);
+
+  ForwardBoard &Board;
+};
+
+} // namespace pimentofront
+
+#endif
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -91,6 +91,13 @@
     Controller.onRateLimitReport(now, *limit);
   } else if (const auto *profile = std::get_if<EngineProfile>(&message)) {
     applyProfile(now, *profile);
+  } else if (const auto *origins = std::get_if<StreamOrigins>(&message)) {
+    for (const StreamOrigin &origin : origins->Origins)
+      Origins.record(now, origin);
+  } else if (const auto *query = std::get_if<StreamOriginQuery>(&message)) {
+    const auto software = Origins.find(now, query->Stream);
+    Network.send(link, StreamOriginReply{query->Stream, software.has_value(),
+                                         software.value_or("")});
   }
 }
 
@@ -194,6 +201,7 @@
   if (now >= NextRenewal)
     announce(now, /*gone=*/false);
   Controller.tick(now);
+  Origins.expire(now);
   flush(now);
 }
 
--- a/packages/node/pimentofront/src/Node/AgentNode.h
+++ b/packages/node/pimentofront/src/Node/AgentNode.h
@@ -125,6 +125,8 @@
   /// that names one of them doesn't know the next process yet, so its request
   /// is refused.
   std::map<ServerProcess, TimePoint> FormerProcesses;
+  /// Streams of which entries have told this agent.
+  StreamOriginTable Origins;
   EngineProfile Profile;
   ProfileCallback ProfileAction;
   EventCallback EventAction;
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -67,7 +67,7 @@
   if (!Agents.find(link))
     return;
   const AgentLink agent = Agents.onClosed(link);
-  Controller.attempts().onAgentLost(now, agent.Host);
+  Controller.onAgentLost(now, agent.Host);
   flush(now);
 }
 
@@ -187,6 +187,8 @@
     attempts.onRefused(now, host, *refused);
   else if (const auto *leaving = std::get_if<AgentLeaving>(&message))
     attempts.onAgentLeaving(*leaving);
+  else if (const auto *origin = std::get_if<StreamOriginReply>(&message))
+    Controller.onStreamOrigin(now, host, *origin);
 }
 
 void ForwardNode::dropLinks(TimePoint now, const std::vector<LinkId> &links) {
--- a/packages/serving/pimentofront/Serving.h
+++ b/packages/serving/pimentofront/Serving.h
@@ -22,6 +22,7 @@
 #include "src/Serving/EngineReport.h"
 #include "src/Serving/PrefillModel.h"
 #include "src/Serving/LoadTimeModel.h"
+#include "src/Serving/StreamOriginTable.h"
 #include "src/Serving/KnownRateLimit.h"
 #include "src/Serving/RequestPacer.h"
 #include "src/Serving/SendPermitLedger.h"
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.cpp
@@ -45,7 +45,8 @@
     const MemberRecord &record = member.Record;
     if (record.Leaving || record.Gone || member.Drained ||
         member.BackoffUntil > now || !serves(member, query) ||
-        !query.Zones.contains(record.Zone))
+        !query.Zones.contains(record.Zone) ||
+        (query.Software && member.Software != *query.Software))
       continue;
     (member.EjectedUntil > now ? ejected : healthy).push_back(&member);
   }
--- a/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
+++ b/packages/serving/pimentofront/src/Serving/RoutingPolicy.h
@@ -26,6 +26,9 @@
   /// The server has asked this entry to send no requests before this time. None
   /// is sent, even if there is no other host.
   TimePoint BackoffUntil;
+  /// Software version of the backend server on the host; empty if it states
+  /// none.
+  std::string Software;
   /// An operator has drained the host or evacuated its zone.
   bool Drained = false;
   /// The replicas' current leader hasn't listed the host since it took over.
@@ -68,6 +71,9 @@
   Duration Target = NoTarget;
   /// Zones in which the request may be served.
   AllowedZones Zones;
+  /// Software version of the backend server that has to run the request;
+  /// nothing if any may.
+  std::optional<std::string> Software;
   /// Name of its route.
   std::string Kind;
   /// What it asks of an engine.
--- a/packages/wire/pimentofront/Wire.h
+++ b/packages/wire/pimentofront/Wire.h
@@ -25,6 +25,7 @@
 #include "src/Wire/WeightsVersion.h"
 #include "src/Wire/AttemptMessages.h"
 #include "src/Wire/ControlMessages.h"
+#include "src/Wire/StreamOrigin.h"
 #include "src/Wire/Message.h"
 #include "src/Wire/Codec.h"
 #include "src/Wire/PackedText.h"
--- a/packages/wire/pimentofront/src/Wire/Message.h
+++ b/packages/wire/pimentofront/src/Wire/Message.h
@@ -5,6 +5,7 @@
 #include "AttemptMessages.h"
 #include "ConsensusMessages.h"
 #include "ControlMessages.h"
+#include "StreamOrigin.h"
 
 namespace pimentofront {
 
@@ -21,7 +22,7 @@
     JoinRequest, AdminRequest, AdminReply, AttemptPermit, AttemptReleased,
     EngineProfile, ReplicaAddresses, QuarantineUpdate, AllotmentReport,
     AllotmentGrants, AttemptBegan, RateLimitReport, SendPermitQuery,
-    SendPermitReply>;
+    SendPermitReply, StreamOrigins, StreamOriginQuery, StreamOriginReply>;
 
 /// Version of the protocol between processes. A process rejects a `Hello` with
 /// a higher one before it reads anything else.
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -360,9 +360,12 @@
 
 TEST_CASE("events name the resumed stream and the server's software version") {
   ForwardUnderTest it;
+  const std::string software = GENERATE("v1", "");
+  const std::string name = software.empty() ? "unknown" : software;
   MemberRecord first = server("e2", "engines", "1.0.0.4:80");
-  first.Software = "v1";
+  first.Software = software;
   MemberRecord second = server("e1", "engines", "1.0.0.3:80");
+  second.Software = software;
   it.Controller.onMembers(Now, {.Members = {first, second}});
   const auto details = [&](std::string_view name) {
     std::string all;
@@ -377,16 +380,17 @@
     REQUIRE(sent.Server.Name == first.Host);
     it.head(sent, 200);
     it.body(sent, "id: 1\ndata: a\n\n");
-    CHECK(details("answer_began") ==
-          "e2: asked 0, sent 0 ms after arrival, agents asked 1, "
-          "server software v1\n");
+    CHECK(details("answer_began") == "e2: asked 0, sent 0 ms after arrival, "
+                                     "agents asked 1, server software " +
+                                         name + "\n");
     it.take<SendToAgent>();
     it.end(sent, BrokenOff);
     const SendToAgent asked = it.take<SendToAgent>().back();
     it.Controller.attempts().onPermit(
         Now, asked.Host, {std::get<ExecuteRequest>(asked.Content).Attempt, {}});
     CHECK(details("resume_sent") ==
-          "e1: stream of attempt r1, after event 1, server software unknown\n");
+          "e1: stream of attempt r1, after event 1, server software " + name +
+              "\n");
   }
   SECTION("a caller asks for the rest of a stream") {
     it.Controller.onRequest(Now, 1,
@@ -401,7 +405,8 @@
                             "body", ContentHasher().add("body").finish());
     CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
     CHECK(details("resume_sent") ==
-          "e2: stream of attempt r1, after event 4, server software v1\n");
+          "e2: stream of attempt r1, after event 4, server software " + name +
+              "\n");
   }
   SECTION("a new stream resumes none") {
     it.request("flow");
--- /dev/null
+++ b/test/StreamOriginTest.cpp
@@ -0,0 +1,129 @@
+#include "ForwardUnderTest.h"
+
+using namespace pimentofront;
+using namespace pimentofront::testing;
+
+namespace {
+
+MemberRecord engine(const char *name, const char *address,
+                    const char *software) {
+  MemberRecord result = server(name, "engines", address);
+  result.Software = software;
+  return result;
+}
+
+/// An entry before one engine of each of two software versions.
+struct MixedServers : ForwardUnderTest {
+  MixedServers() {
+    Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
+                                           engine("e2", "1.0.0.4:80", "v2")}});
+  }
+  /// A caller resumes the stream that its attempt "r0" began.
+  void resume() {
+    Controller.onRequest(Now, 1,
+                         {"POST",
+                          "/flow/q",
+                          {{"Host", "h"},
+                           {"id", "r1"},
+                           {"time", "5000"},
+                           {"adapter", "x"},
+                           {"last-event", "4"},
+                           {"resumes", "r0"}}},
+                         "body", ContentHasher().add("body").finish());
+  }
+  void reply(const char *agent, const std::optional<std::string> &software) {
+    Controller.onStreamOrigin(Now, HostName(agent),
+                              {.Stream = RequestId("r0"),
+                               .Known = software.has_value(),
+                               .Software = software.value_or("")});
+  }
+};
+
+} // namespace
+
+TEST_CASE("a resumed stream goes on at the version that an agent names",
+          "[stream-origin]") {
+  MixedServers it;
+  it.resume();
+  REQUIRE(it.take<SendToAgent>().size() == 2);
+  const std::string software = GENERATE("v1", "v2");
+  it.reply("a1", std::nullopt);
+  CHECK(it.take<SendToAgent>().empty());
+  it.reply("a2", software);
+  CHECK(it.permit().Server.Name == HostName(software == "v1" ? "e1" : "e2"));
+}
+
+// Guards against a stream that goes on at a version by chance, and against a
+// caller that waits for an answer that nobody can give.
+TEST_CASE("a resumed stream that nobody knows is refused as not run",
+          "[stream-origin]") {
+  MixedServers it;
+  it.resume();
+  it.take<SendToAgent>();
+  it.reply("a1", std::nullopt);
+  SECTION("all agents have answered") { it.reply("a2", std::nullopt); }
+  SECTION("one has gone") { it.Controller.onAgentLost(Now, HostName("a2")); }
+  SECTION("one doesn't answer") { it.Controller.tick(Now + 250ms); }
+  CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  CHECK(it.Controller.idle());
+  it.reply("a2", "v1");
+  CHECK(it.take<SendToAgent>().empty());
+}
+
+TEST_CASE("agents are told of streams while versions are mixed only",
+          "[stream-origin]") {
+  ForwardUnderTest it;
+  const auto told = [&] {
+    std::vector<StreamOrigin> all;
+    for (const SendToAgent &command : it.take<SendToAgent>())
+      if (const auto *origins = std::get_if<StreamOrigins>(&command.Content))
+        all.insert(all.end(), origins->Origins.begin(), origins->Origins.end());
+    return all;
+  };
+  it.request("flow");
+  const auto sent = it.permit();
+  it.head(sent, 200);
+  it.body(sent, "id: 1\ndata: a\n\n");
+  CHECK(told().empty());
+  // A second version appears: the running stream is told to the agents.
+  it.Controller.onMembers(Now, {.Members = {engine("e3", "1.0.0.5:80", "v2")}});
+  const auto origins = told();
+  REQUIRE(origins.size() == 2);
+  CHECK(origins[0].Stream == RequestId("r1"));
+  CHECK(origins[0].Software.empty());
+  CHECK(origins[0].Lifetime == 6s);
+}
+
+TEST_CASE(
+    "a resumed stream goes on without a question while one version serves",
+    "[stream-origin]") {
+  ForwardUnderTest it;
+  it.Controller.onRequest(Now, 1,
+                          {"POST",
+                           "/flow/q",
+                           {{"Host", "h"},
+                            {"id", "r1"},
+                            {"time", "5000"},
+                            {"adapter", "x"},
+                            {"last-event", "4"}}},
+                          "body", ContentHasher().add("body").finish());
+  CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+}
+
+TEST_CASE("an origin is remembered for its lifetime, within the capacity",
+          "[stream-origin]") {
+  StreamOriginTable table({.Capacity = 2, .MaxLifetime = 10s});
+  table.record(Now, {RequestId("a"), "v1", 5s});
+  table.record(Now, {RequestId("b"), "v2", 1h});
+  CHECK(table.find(Now + 4s, RequestId("a")) == "v1");
+  CHECK_FALSE(table.find(Now + 5s, RequestId("a")));
+  CHECK(table.find(Now + 9s, RequestId("b")) == "v2");
+  table.expire(Now + 10s);
+  CHECK(table.size() == 0);
+  for (const char *it : {"a", "b", "c"})
+    table.record(Now, {RequestId(it), "v1", 5s});
+  CHECK(table.size() == 2);
+  CHECK_FALSE(table.find(Now, RequestId("a")));
+  table.record(Now, {RequestId("d"), "v1", -1s});
+  CHECK_FALSE(table.find(Now, RequestId("d")));
+}
