Consensus: a replica votes whatever its own log says of its role

Cause: a replica granted a vote only if it was a voter by its own log. The leader's log makes a learner a voter as soon as the entry is written, so from then on the majority needs that replica; if the leader ends before the replica has the entry, the replica refuses for good and the group stays without a leader. A learner counts as caught up while the log is short, so it may even have none of it.

Change: the voter's role is no longer asked; the candidate counts only votes of the voters in its own log, as Raft does. The comparison of logs, one vote a term, the refusal while a lease may hold and that after a start apply to all replicas alike. A replica with a term forms no group by itself, since a vote with an empty log would otherwise be forgotten.

--- a/packages/consensus/pimentofront/src/Consensus/Election.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Election.cpp
@@ -79,8 +79,10 @@
                   .VoterTerm = Vote.Current,
                   .CandidateTerm = request.CandidateTerm,
                   .PreVote = request.PreVote};
+  // The candidate's log decides whether this replica is a voter, since its own
+  // log may lack the entry that makes it one.
   const bool eligible =
-      isVoter() && request.CandidateTerm >= Vote.Current && isUpToDate(request);
+      request.CandidateTerm >= Vote.Current && isUpToDate(request);
   const bool mayGrant = eligible && !leaseMayHold;
   if (request.PreVote) {
     const bool newer = request.CandidateTerm > Vote.Current;
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
@@ -116,7 +116,7 @@
 }
 
 bool ReplicatedLog::bootstrap(TimePoint now, std::uint64_t wallMilliseconds) {
-  if (lastIndex() != 0 || !Group.Replicas.empty())
+  if (lastIndex() != 0 || !Group.Replicas.empty() || Vote.Current != 0)
     return false;
   const ReplicaGroup group{
       {{.Id = Id, .Host = Options.Host, .Address = Options.Address}}};
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -71,8 +71,11 @@
 /// isn't meant for bulk data, nor for groups of more than a handful of members.
 ///
 /// Invariants in addition to Raft's own:
-/// - A replica whose identity isn't in the group neither votes nor counts
-///   towards a quorum.
+/// - A replica counts towards a quorum if it is a voter of the group in the
+///   log of the candidate or leader that counts. It grants votes whatever its
+///   own log says of its role, since the entry that makes it a voter may not
+///   have arrived. Its term and vote belong to its identity, so an emptied disk
+///   never counts for the former one.
 /// - A replica that has just started grants no vote for an election timeout,
 ///   since it may have acknowledged a leader's lease before it restarted. The
 ///   exception is an election whose pre-vote has shown that all voters are in
@@ -88,7 +91,8 @@
                 const StoredLog &stored);
 
   /// Creates a group that consists of this replica alone.
-  /// \returns false, without effect, if the log isn't empty or has a group.
+  /// \returns false, without effect, if the log isn't empty or has a group, or
+  /// if this replica has a term: it may have voted in another group.
   bool bootstrap(TimePoint now, std::uint64_t wallMilliseconds);
   void onMessage(TimePoint now, std::uint64_t wallMilliseconds,
                  const Message &message);
--- a/test/ConsensusTest.cpp
+++ b/test/ConsensusTest.cpp
@@ -345,3 +345,38 @@
   REQUIRE(replies.size() == 1);
   CHECK(replies[0].Granted);
 }
+
+// A learner counts as caught up while the log is short, even if it has received
+// none of it, so a new voter may have an empty log and no group.
+TEST_CASE("a replica with an empty log votes, and then forms no group itself",
+          "[vote-before-promotion]") {
+  ReplicatedLog log(Start, {}, {.Id = 2});
+  log.onMessage(Start + 700ms, 0, VoteRequest{1, 2, 5, 1, false});
+  const LogActions actions = log.takeActions();
+  REQUIRE(actions.Messages.size() == 1);
+  CHECK(std::get<VoteReply>(actions.Messages[0].Content).Granted);
+  REQUIRE(actions.Write.Vote);
+  // After a restart, too: its own group would begin with a lower term.
+  ReplicatedLog restarted(Start + 1s, {},
+                          {.Id = 2, .Vote = *actions.Write.Vote});
+  CHECK_FALSE(log.bootstrap(Start + 1s, 0));
+  CHECK_FALSE(restarted.bootstrap(Start + 1s, 0));
+}
+
+TEST_CASE("a learner that acknowledged a leader grants no vote while the lease "
+          "may hold",
+          "[vote-before-promotion]") {
+  StoredLog stored = storedGroupOfThree(1);
+  stored.Snapshot.Group.Replicas[0].Learner = true;
+  ReplicatedLog log(Start, {}, stored);
+  const VoteRequest request{3, 2, 5, 1, false};
+  log.onMessage(Start + 100ms, 0, request);
+  CHECK_FALSE(sent<VoteReply>(log).at(0).Granted); // It has just started.
+  log.onMessage(Start + 1s, 0, AppendRequest{.From = 2, .LeaderTerm = 1});
+  sent<AppendReply>(log);
+  log.onMessage(Start + 1500ms, 0, request);
+  CHECK_FALSE(sent<VoteReply>(log).at(0).Granted);
+  CHECK(log.term() == 1);
+  log.onMessage(Start + 1700ms, 0, request);
+  CHECK(sent<VoteReply>(log).at(0).Granted);
+}
