Soak: close inherited files in the processes that it starts

Cause: fork() hands each process that the soak starts or restarts a copy of every socket of the soak. Change: the child closes everything above standard error before it executes the program.

--- a/test/platform/soak/Child.cpp
+++ b/test/platform/soak/Child.cpp
@@ -46,6 +46,10 @@
   if (id == 0) {
     // Ends the process with the soak test, also when that is killed.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // An inherited copy of a connection would keep it open after the soak test
+    // has closed it.
+    constexpr unsigned int FirstOtherFile = 3;
+    ::close_range(FirstOtherFile, ~0U, 0);
     const int fd = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(fd, STDOUT_FILENO);
     ::dup2(fd, STDERR_FILENO);
