Soak: streams that callers resume, over two software versions of their servers

What was missing: no run had servers of two software versions, and no caller of the soak came back to a stream that had broken off.

Change: servers of long streams register their software version and name it, with their id, in each event. During a run (Release) half as many servers of a second version join, a quarter of the first restart under their address with it, a quarter drain and leave; half stay. Callers (StreamCallers) come back to another entry on a new connection and as a new attempt, with Last-Event-Id and Resumes, within 10 s, and honour Retry-After. FaultSeries stops entries, agents and servers and changes the document in series that overlap; it keeps FaultPlan's calm periods, whose end now waits for the last consequence of a fault. FaultPlan draws from the same processes as before. Checks (StreamChecks, with tests of their own): order and end of each stream; at most two streams of two versions; of twelve or more resumptions with two servers of their version at least half as large a share goes on as of the new streams of the same time begin. The comparison is by time because an entry that starts while there is no leader knows no routes and can serve neither, and the rule binds only machines in touch.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,6 +3,8 @@
 # seed, then the seeds; without seeds it draws three random ones. Keeps the folder
 # with settings and logs of each seed that failed.
 #   scripts/soak.sh 30 1 2 3      scripts/soak.sh 60
+# SOAK_SIZE sets the size of the deployment, here to 83 processes at most:
+#   SOAK_SIZE="--entries 4 --engines 4 --writers 48" scripts/soak.sh 30 1
 set -eu
 cd "$(dirname "$0")/.."
 bin=${PIMENTOFRONT_BUILD:-$PWD/build}
--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -20,6 +20,10 @@
 constexpr int LargeEvents = 24;
 constexpr std::size_t LargeEventBytes = std::size_t(256) << 10;
 
+/// Pause between the events of a long stream.
+constexpr Duration EventPeriod = std::chrono::milliseconds(50);
+constexpr std::string_view LongStreamPrefix = "stream-long-";
+
 std::string headerOf(const RequestHead &head, const char *name) {
   const std::string *value = findHeader(head.Headers, name);
   return value ? *value : std::string();
@@ -78,10 +82,28 @@
     Closing = n == static_cast<ssize_t>(bytes.size());
   }
   const std::string &body() const { return Body; }
+  /// Writes the next event of a long stream each EventPeriod.
+  void beginEvents(std::uint64_t next, std::uint64_t events) {
+    NextEvent = next;
+    LastEvent = events;
+    Pacer = Owner.Loop.every(EventPeriod, [this] { writeNextEvent(); });
+  }
+  /// Closes the connection in the middle of an event, if a stream is in
+  /// progress.
+  void breakOff() {
+    if (Pacer && !Closing) {
+      const std::string half =
+          chunk("id: " + std::to_string(NextEvent) + "\nd");
+      // Directly to the socket, as in writeAndClose().
+      ::send(bufferevent_getfd(Bev), half.data(), half.size(), MSG_NOSIGNAL);
+    }
+    finish();
+  }
   /// Closes the connection.
   void finish() {
     const int fd = bufferevent_getfd(Bev);
     Closing = true;
+    Pacer.reset();
     if (fd < 0)
       return;
     bufferevent_disable(Bev, EV_READ | EV_WRITE);
@@ -110,17 +132,35 @@
       static_cast<Channel *>(arg)->finish();
   }
 
+  void writeNextEvent() {
+    if (NextEvent > LastEvent) {
+      EndedPacer = std::move(Pacer);
+      return write("0\r\n\r\n");
+    }
+    write(chunk("id: " + std::to_string(NextEvent) + "\ndata: " +
+                Owner.SoftwareVersion + " " + Owner.Instance + "\n\n"));
+    ++NextEvent;
+  }
+
   FakeServer &Owner;
   bufferevent *Bev;
   HttpParser Parser;
   RequestHead Head;
   std::string Body;
+  std::uint64_t NextEvent = 1;
+  std::uint64_t LastEvent = 0;
+  std::unique_ptr<Timer> Pacer;
+  /// The timer that has written the end of a stream; it isn't destroyed in its
+  /// own action.
+  std::unique_ptr<Timer> EndedPacer;
   bool Closing = false;
 };
 
 FakeServer::FakeServer(EventLoop &loop, const HostPort &listen,
-                       std::string instance, std::map<std::string, int> &runs)
-    : Loop(loop), Address(listen), Instance(std::move(instance)), Runs(runs) {
+                       std::string instance, std::map<std::string, int> &runs,
+                       std::string softwareVersion)
+    : Loop(loop), Address(listen), Instance(std::move(instance)),
+      SoftwareVersion(std::move(softwareVersion)), Runs(runs) {
   this->listen();
 }
 
@@ -141,14 +181,30 @@
     evconnlistener_free(Listener);
 }
 
-void FakeServer::crash() {
-  constexpr Duration RestartDelay = std::chrono::milliseconds(300);
-  ++Crashes;
-  evconnlistener_free(std::exchange(Listener, nullptr));
+void FakeServer::exit() {
+  Restart.reset();
+  if (Listener)
+    evconnlistener_free(std::exchange(Listener, nullptr));
   for (const auto &it : Channels)
-    it->finish();
+    it->breakOff();
   Adapters.clear();
   Orders = 0;
+}
+
+void FakeServer::crash() {
+  ++Crashes;
+  exit();
+  startLater();
+}
+
+void FakeServer::restart(std::string instance, std::string softwareVersion) {
+  crash();
+  Instance = std::move(instance);
+  SoftwareVersion = std::move(softwareVersion);
+}
+
+void FakeServer::startLater() {
+  constexpr Duration RestartDelay = std::chrono::milliseconds(300);
   Restart = Loop.after(RestartDelay, [this] { listen(); });
 }
 
@@ -232,6 +288,13 @@
   std::string out = "HTTP/1.1 200 OK\r\n" + stampedHeaders +
                     "Content-Type: text/event-stream\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string behaviour = head.Target.substr(head.Target.rfind('/') + 1);
+  if (behaviour.starts_with(LongStreamPrefix)) {
+    channel.write(out);
+    return channel.beginEvents(
+        static_cast<std::uint64_t>(next),
+        std::stoull(behaviour.substr(LongStreamPrefix.size())));
+  }
   constexpr int CutAfter = 2;
   const int all = large ? LargeEvents : Events;
   for (; next <= (cut ? CutAfter : all); ++next)
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -21,8 +21,11 @@
 public:
   /// \param runs counts the runs of each request on all servers, by its
   /// attempt id.
+  /// \param softwareVersion version of the server's own software, which it
+  /// names in each event of a long stream.
   FakeServer(EventLoop &loop, const HostPort &listen, std::string instance,
-             std::map<std::string, int> &runs);
+             std::map<std::string, int> &runs,
+             std::string softwareVersion = "v1");
   ~FakeServer();
   FakeServer(const FakeServer &) = delete;
   FakeServer &operator=(const FakeServer &) = delete;
@@ -32,6 +35,13 @@
   /// \returns the same for a stream that is larger than the kernel's buffers.
   static const std::string &largeEvents();
   const std::string &instance() const { return Instance; }
+  const std::string &softwareVersion() const { return SoftwareVersion; }
+  /// \returns the path's last segment for a stream of \p events events at
+  /// intervals. The data of each names the software version and the id of the
+  /// server that wrote it.
+  static std::string longStream(std::uint64_t events) {
+    return "stream-long-" + std::to_string(events);
+  }
   /// Reports a limit, in requests per second, in each answer from now on.
   void reportLimit(double perSecond) { Limit = perSecond; }
   /// \returns the number of requests that arrived at or after \p since.
@@ -42,6 +52,11 @@
   /// \returns whether the simulated process runs. After a request crashed it,
   /// the server refuses connections for 300 ms and then acts as a new process.
   bool isUp() const { return Listener != nullptr; }
+  /// Ends the simulated process, possibly in the middle of an event.
+  void exit();
+  /// Ends the simulated process and starts another one at the same address
+  /// after a short delay.
+  void restart(std::string instance, std::string softwareVersion);
   std::uint64_t crashes() const { return Crashes; }
   std::uint64_t orders() const { return Orders; }
   /// \returns when it started, in milliseconds since 1970 as servers report it.
@@ -53,6 +68,7 @@
                        void *arg);
   void listen();
   void crash();
+  void startLater();
   void answer(Channel &channel, const RequestHead &head);
   void answerStream(Channel &channel, const RequestHead &head,
                     const std::string &stampedHeaders, bool cut, bool large);
@@ -62,6 +78,7 @@
   EventLoop &Loop;
   HostPort Address;
   std::string Instance;
+  std::string SoftwareVersion;
   evconnlistener *Listener = nullptr;
   std::vector<std::unique_ptr<Channel>> Channels;
   std::map<std::string, int> &Runs;
--- a/test/platform/soak/Callers.cpp
+++ b/test/platform/soak/Callers.cpp
@@ -190,8 +190,9 @@
 
 void Callers::checkDuration(const Request &request) {
   const Duration took = Loop.now() - request.SentAt;
-  if (request.SentInCalmPeriod && isCalm(Loop.now(), CalmTime) &&
-      took > CallerTimeout + AnswerSlack)
+  const bool calm = request.SentInCalmPeriod && isCalm(Loop.now(), CalmTime);
+  Results.Counts["answers in calm periods"] += calm ? 1 : 0;
+  if (calm && took > CallerTimeout + AnswerSlack)
     addViolation(request,
                  "took " + std::to_string(took.count() / 1000) + " ms");
 }
--- a/test/platform/soak/Deployment.cpp
+++ b/test/platform/soak/Deployment.cpp
@@ -20,6 +20,7 @@
 std::string entryIp(int i) { return "127.0.2." + std::to_string(i + 1); }
 std::string engineIp(int i) { return "127.0.3." + std::to_string(i + 1); }
 std::string plainIp(int i) { return "127.0.4." + std::to_string(i + 1); }
+std::string writerIp(int i) { return "127.0.5." + std::to_string(i + 1); }
 
 std::string text(const HostPort &it) {
   return it.Ip + ":" + std::to_string(it.Port);
@@ -38,8 +39,11 @@
   addEntries();
   addEngines();
   addPlainServers();
+  CommonDaemons = Daemons.size();
+  addWriters();
   for (Daemon &it : Daemons)
-    it.Process.start();
+    if (it.InService)
+      it.Process.start();
 }
 
 HostPort Deployment::addressOf(const std::string &ip,
@@ -121,15 +125,52 @@
 void Deployment::addEngines() {
   for (int i = 0; i < Options.Engines; ++i) {
     addServer(engineIp(i), "engines");
-    addDaemon("agent-" + std::to_string(i), engineIp(i),
-              "\"agent\": {\"engine\": " +
-                  quoted(text(addressOf(engineIp(i), BackendListen))) +
-                  ", \"engine_interface\": \"orders\", \"engine_settle_ms\": "
-                  "0, \"engine_probe_ms\": 100, \"base_model\": \"engines\", "
-                  "\"company_share\": 0}");
+    addAgent("agent-" + std::to_string(i), engineIp(i), "engines");
   }
 }
 
+void Deployment::addAgent(const std::string &name, const std::string &ip,
+                          const std::string &service) {
+  addDaemon(
+      name, ip,
+      "\"agent\": {\"engine\": " + quoted(text(addressOf(ip, BackendListen))) +
+          ", \"engine_interface\": \"orders\", \"engine_settle_ms\": "
+          "0, \"engine_probe_ms\": 100, \"base_model\": " +
+          quoted(service) + ", \"company_share\": 0}");
+}
+
+void Deployment::addWriters() {
+  for (int i = 0; i < Options.Writers + Options.Writers / 2; ++i) {
+    addServer(writerIp(i), WriterService);
+    addAgent("writer-agent-" + std::to_string(i), writerIp(i), WriterService);
+    Server &it = Servers.back();
+    it.Agent = &Daemons.back();
+    if (i < Options.Writers)
+      continue;
+    it.Fake->exit();
+    it.State = ServerState::Absent;
+    it.Agent->InService = false;
+  }
+}
+
+std::vector<Server *> Deployment::writers() {
+  std::vector<Server *> result;
+  for (Server &it : Servers)
+    if (it.Service == WriterService)
+      result.push_back(&it);
+  return result;
+}
+
+std::vector<TcpProxy *> Deployment::commonProxies() {
+  std::vector<TcpProxy *> result;
+  for (Daemon &it : commonDaemons())
+    result.push_back(it.PeerProxy.get());
+  for (Server &it : Servers)
+    if (it.Service != WriterService)
+      result.push_back(it.RequestProxy.get());
+  return result;
+}
+
 void Deployment::addPlainServers() {
   for (int i = 0; i < Options.PlainServers; ++i)
     addServer(plainIp(i), "plain");
--- a/test/platform/soak/FaultPlan.cpp
+++ b/test/platform/soak/FaultPlan.cpp
@@ -16,6 +16,9 @@
 /// latter is long enough for the checks of calm periods to apply.
 constexpr Duration SeriesPause = milliseconds(500);
 constexpr Duration CalmPause = seconds(7);
+/// A calm period ends no sooner than this long after the last consequence of a
+/// fault, such as the end of a process that stops gracefully.
+constexpr Duration MinCalmTime = milliseconds(6500);
 /// On average one in this many faults is followed by a calm period.
 constexpr std::size_t FaultsPerCalmPeriod = 8;
 /// Time for which a replica with an empty disk counts as lost.
@@ -48,7 +51,11 @@
 
 void FaultPlan::recordFault(TimePoint now, const std::string &what) {
   LastFaultAt = now;
-  ++Results.Counts["fault: " + what.substr(0, what.find(','))];
+  recordEvent(now, "fault: " + what);
+}
+
+void FaultPlan::recordEvent(TimePoint now, const std::string &what) {
+  ++Results.Counts[what.substr(0, what.find(','))];
   std::printf("%8lld ms  %s\n",
               static_cast<long long>((now - StartedAt).count() / 1000),
               what.c_str());
@@ -58,6 +65,15 @@
   return ScheduledActions.empty() ? std::optional(LastFaultAt) : std::nullopt;
 }
 
+bool FaultPlan::isActive(TimePoint now) const {
+  return Active && !InCalmPeriod && NextFaultAt <= now + SeriesPause;
+}
+
+bool FaultPlan::isCalmPeriodOver(TimePoint now) const {
+  const auto since = calmSince();
+  return since && now >= *since + MinCalmTime;
+}
+
 void FaultPlan::tick() {
   reap();
   const TimePoint now = Loop.now();
@@ -72,8 +88,11 @@
     action();
     LastFaultAt = now;
   }
-  if (Active && now >= NextFaultAt)
-    inject(now);
+  if (!Active || now < NextFaultAt)
+    return;
+  if (InCalmPeriod && !isCalmPeriodOver(now))
+    return;
+  inject(now);
 }
 
 /// Restarts processes that have ended. Reports a violation unless the process
@@ -92,10 +111,14 @@
       Results.addViolation(StartedAt, Loop.now(),
                            it.Name + " exited unexpectedly, status " +
                                std::to_string(*status));
+    if (!it.InService)
+      continue;
     // As on the platform, a process that ends is restarted after a short delay.
     const TimePoint now = Loop.now();
-    schedule(now + randomDuration(milliseconds(100), seconds(1)),
-             [&it] { it.Process.start(); });
+    schedule(now + randomDuration(milliseconds(100), seconds(1)), [&it] {
+      if (it.InService)
+        it.Process.start();
+    });
   }
 }
 
@@ -109,46 +132,56 @@
     signalProcess(now);
   else
     loseDisk(now);
-  const bool calm = randomIndex(FaultsPerCalmPeriod) == 0;
+  InCalmPeriod = randomIndex(FaultsPerCalmPeriod) == 0;
   NextFaultAt =
-      now + (calm ? CalmPause : randomDuration(Duration::zero(), SeriesPause));
+      now + (InCalmPeriod ? CalmPause
+                          : randomDuration(Duration::zero(), SeriesPause));
 }
 
 void FaultPlan::disturbProxy(TimePoint now) {
-  const auto proxies = System.proxies();
+  const auto proxies = System.commonProxies();
   TcpProxy *proxy = proxies[randomIndex(proxies.size())];
   constexpr Disturbance Kinds[] = {Disturbance::Delay, Disturbance::Cut,
                                    Disturbance::CutOneWay, Disturbance::Silence,
                                    Disturbance::Reset};
   const Disturbance kind = Kinds[randomIndex(std::size(Kinds))];
   const Duration time = randomDuration(milliseconds(100), seconds(3));
-  proxy->disturb(kind, randomDuration(milliseconds(20), milliseconds(300)));
-  schedule(now + time, [proxy] { proxy->heal(); });
+  disturb(now, *proxy, kind, time,
+          randomDuration(milliseconds(20), milliseconds(300)));
+}
+
+void FaultPlan::disturb(TimePoint now, TcpProxy &proxy, Disturbance kind,
+                        Duration time, Duration delay) {
+  proxy.disturb(kind, delay);
+  schedule(now + time, [&proxy] { proxy.heal(); });
   recordFault(now, std::string(disturbanceName(kind)) + ", " +
                        std::to_string(time.count() / 1000) + " ms");
 }
 
 void FaultPlan::signalProcess(TimePoint now) {
-  auto &daemons = System.daemons();
+  const auto daemons = System.commonDaemons();
   Daemon &it = daemons[randomIndex(daemons.size())];
   constexpr int Kinds[] = {SIGKILL, SIGTERM, SIGSTOP};
   const int kind = Kinds[randomIndex(std::size(Kinds))];
   if (!it.Process.runs())
     return;
+  if (kind != SIGSTOP)
+    return stopProcess(now, it, kind);
   it.Process.signal(kind);
-  if (kind != SIGSTOP) {
-    // Counts as a fault until the process has ended; its restart counts from
-    // then on.
-    schedule(now + milliseconds(100), [] {});
-    return recordFault(now,
-                       std::string(kind == SIGKILL ? "kill" : "terminate") +
-                           ", " + it.Name);
-  }
   const Duration time = randomDuration(milliseconds(200), seconds(3));
   schedule(now + time, [&it] { it.Process.signal(SIGCONT); });
   recordFault(now, "freeze, " + it.Name);
 }
 
+void FaultPlan::stopProcess(TimePoint now, Daemon &daemon, int signal) {
+  daemon.Process.signal(signal);
+  // Counts as a fault until the process has ended; its restart counts from
+  // then on.
+  schedule(now + milliseconds(100), [] {});
+  recordFault(now, std::string(signal == SIGKILL ? "kill" : "terminate") +
+                       ", " + daemon.Name);
+}
+
 void FaultPlan::loseDisk(TimePoint now) {
   auto &daemons = System.daemons();
   const auto isUp = [](const Daemon &it) {
--- a/test/platform/soak/FaultPlan.h
+++ b/test/platform/soak/FaultPlan.h
@@ -25,12 +25,23 @@
   void heal();
   /// \returns the time since which there has been no fault; not set during one.
   std::optional<TimePoint> calmSince() const;
+  /// \returns whether other plans may inject faults: not before begin(), after
+  /// heal() and in calm periods.
+  bool isActive(TimePoint now) const;
+  /// Sends SIGTERM or SIGKILL to a process, which is restarted after its end.
+  void stopProcess(TimePoint now, Daemon &daemon, int signal);
+  void disturb(TimePoint now, TcpProxy &proxy, Disturbance kind, Duration time,
+               Duration delay);
+  void recordFault(TimePoint now, const std::string &what);
+  /// Counts and prints something that is planned and thus no fault.
+  void recordEvent(TimePoint now, const std::string &what);
 
 private:
   struct ScheduledAction {
     TimePoint At;
     std::function<void()> Action;
   };
+  bool isCalmPeriodOver(TimePoint now) const;
   void tick();
   void reap();
   void inject(TimePoint now);
@@ -38,7 +49,6 @@
   void signalProcess(TimePoint now);
   void loseDisk(TimePoint now);
   void schedule(TimePoint at, std::function<void()> action);
-  void recordFault(TimePoint now, const std::string &what);
   Duration randomDuration(Duration min, Duration max);
   std::size_t randomIndex(std::size_t n);
 
@@ -49,6 +59,7 @@
   TimePoint StartedAt;
   bool Active = false;
   TimePoint NextFaultAt;
+  bool InCalmPeriod = false;
   TimePoint LastFaultAt;
   TimePoint NextDiskLossAt;
   std::vector<ScheduledAction> ScheduledActions;
--- a/test/platform/soak/Operator.cpp
+++ b/test/platform/soak/Operator.cpp
@@ -15,9 +15,22 @@
 constexpr Duration CallTimeout = std::chrono::seconds(1);
 constexpr Duration RetryPause = milliseconds(150);
 
+/// Adds the service and the route of long streams.
+void addStreams(nlohmann::json &document) {
+  constexpr int TimeoutMs = 12000;
+  nlohmann::json service = document["services"].back();
+  service["name"] = WriterService;
+  document["services"].push_back(service);
+  nlohmann::json route =
+      testkit::testRoute("long", "streaming", WriterService, 2, true);
+  route["timeoutMs"] = TimeoutMs;
+  document["routes"].push_back(route);
+}
+
 /// \returns the document of a version, including the route of its own.
 nlohmann::json document(std::uint64_t version) {
   nlohmann::json result = testkit::testDocument(version);
+  addStreams(result);
   result["routes"].push_back(testkit::testRoute(
       "m" + std::to_string(version), "idempotent", "plain", 2, false));
   return result;
@@ -42,8 +55,19 @@
 void Operator::registerServers() {
   ++Sequence;
   for (const Server &it : System.servers())
-    registerServer(it, it.Fake->instance(),
-                   Rng.next() % System.controlAddresses().size());
+    if (it.State != ServerState::Absent && it.Fake->isUp())
+      registerServer(it, it.Fake->instance(),
+                     Rng.next() % System.controlAddresses().size());
+}
+
+void Operator::deregister(const Server &server) {
+  for (const HostPort &it : System.controlAddresses())
+    Client.start({.Address = it,
+                  .Method = "DELETE",
+                  .Path = "/-/instances/" + server.Fake->instance(),
+                  .Timeout = CallTimeout,
+                  .FreshConnection = true,
+                  .OnEnd = [](const HttpResponse &) {}});
 }
 
 void Operator::registerServer(const Server &server, const std::string &id,
@@ -53,8 +77,9 @@
       {"address", server.RegisteredAddress.Ip + ":" +
                       std::to_string(server.RegisteredAddress.Port)},
       {"zone", "z"},
+      {"version", server.Fake->softwareVersion()},
       {"slots", 8},
-      {"state", "ready"},
+      {"state", server.State == ServerState::Draining ? "draining" : "ready"},
       {"seq", Sequence}};
   // Failed calls are ignored: the next period registers the server again.
   for (std::size_t i = 0; i < 2; ++i)
--- a/test/platform/soak/Operator.h
+++ b/test/platform/soak/Operator.h
@@ -24,6 +24,10 @@
   /// Starts changing the document.
   void begin() { Changing = true; }
   void stopChanging() { Changing = false; }
+  /// Sends the next document now, unless the one before isn't acknowledged yet.
+  void change();
+  /// Says that \p server leaves for good.
+  void deregister(const Server &server);
   /// \returns the newest acknowledged version; acknowledgedAt() is the time of
   /// its acknowledgement.
   std::uint64_t acknowledged() const { return Acknowledged; }
@@ -36,7 +40,6 @@
 
 private:
   void registerServers();
-  void change();
   void sendChange(std::size_t attempt);
   void registerServer(const Server &server, const std::string &id,
                       std::size_t at);
--- a/test/platform/soak/SoakMain.cpp
+++ b/test/platform/soak/SoakMain.cpp
@@ -5,6 +5,8 @@
 // code is 1 if there was a violation.
 
 #include "Callers.h"
+#include "FaultSeries.h"
+#include "StreamCallers.h"
 
 #include <csignal>
 #include <cstdio>
@@ -26,7 +28,10 @@
 constexpr Duration StartBound = seconds(30);
 /// Time after the last request by which all requests in flight must have ended.
 constexpr Duration DrainTime = seconds(4);
+/// The same for long streams, whose callers have more time.
+constexpr Duration StreamDrainTime = seconds(12);
 constexpr Duration CheckPeriod = milliseconds(100);
+constexpr Duration LagPeriod = milliseconds(10);
 
 struct Arguments {
   DeploymentOptions Deployment;
@@ -43,12 +48,17 @@
         DocumentOperator(loop, System, arguments.Seed + 1, Results),
         Requests(loop, System, Faults, DocumentOperator, arguments.Seed + 2,
                  Results),
+        Versions(loop, System, Faults, DocumentOperator, arguments.Seed + 3),
+        Series(loop, System, Faults, DocumentOperator, arguments.Seed + 4),
+        Streams(loop, System, Versions, arguments.Seed + 5, Results),
         PhaseStart(loop.now()),
-        CheckTimer(loop.every(CheckPeriod, [this] { checkPhase(); })) {}
+        CheckTimer(loop.every(CheckPeriod, [this] { checkPhase(); })),
+        LagTimer(loop.every(LagPeriod, [this] { recordLag(); })) {}
 
   int execute() {
     Loop.run();
     Requests.checkRuns();
+    Streams.check(Options.Seed);
     for (const auto &[what, n] : Results.Counts)
       std::printf("%8llu  %s\n", static_cast<unsigned long long>(n),
                   what.c_str());
@@ -81,8 +91,9 @@
         return drain(now);
       return failAfter(RecoveryBound, since, "does not recover");
     case Phase::Draining:
-      if (since >= DrainTime)
-        Loop.stop();
+      if (since >= DrainTime && Streams.isIdle())
+        return Loop.stop();
+      return failAfter(StreamDrainTime, since, "doesn't end all streams");
     }
   }
 
@@ -94,6 +105,8 @@
     System.endBootstrap();
     Faults.begin(now);
     DocumentOperator.begin();
+    Versions.begin(Options.RunTime);
+    Streams.begin();
     enterPhase(Phase::Disturbed, now);
   }
   void heal(TimePoint now) {
@@ -105,8 +118,19 @@
     std::printf("served again after %lld ms\n",
                 static_cast<long long>((now - PhaseStart).count() / 1000));
     Requests.stopSending();
+    Streams.stopSending();
     enterPhase(Phase::Draining, now);
   }
+  /// All proxies and fake servers run on this one thread: what it is late by,
+  /// the processes see as a delay of their connections.
+  void recordLag() {
+    const TimePoint now = Loop.now();
+    const Duration late = now - LastLagCheckAt - LagPeriod;
+    LastLagCheckAt = now;
+    std::uint64_t &most = Results.Counts["ms that the soak itself was late"];
+    most = std::max(most, static_cast<std::uint64_t>(std::max<std::int64_t>(
+                              late / milliseconds(1), 0)));
+  }
   void failAfter(Duration bound, Duration since, const char *what) {
     if (since < bound)
       return;
@@ -123,9 +147,14 @@
   FaultPlan Faults;
   Operator DocumentOperator;
   Callers Requests;
+  Release Versions;
+  FaultSeries Series;
+  StreamCallers Streams;
   Phase CurrentPhase = Phase::Starting;
   TimePoint PhaseStart;
   std::unique_ptr<Timer> CheckTimer;
+  TimePoint LastLagCheckAt = Loop.now();
+  std::unique_ptr<Timer> LagTimer;
 };
 
 bool parse(int argc, char **argv, Arguments &arguments) {
@@ -136,6 +165,7 @@
                             {"seconds", required_argument, nullptr, 't'},
                             {"entries", required_argument, nullptr, 'e'},
                             {"engines", required_argument, nullptr, 'g'},
+                            {"writers", required_argument, nullptr, 'w'},
                             {nullptr, 0, nullptr, 0}};
   int c = 0;
   while ((c = getopt_long(argc, argv, "", options, nullptr)) != -1) {
@@ -162,6 +192,9 @@
     case 'g':
       arguments.Deployment.Engines = std::stoi(optarg);
       break;
+    case 'w':
+      arguments.Deployment.Writers = std::stoi(optarg);
+      break;
     default:
       return false;
     }
@@ -177,7 +210,8 @@
   Arguments arguments;
   if (!parse(argc, argv, arguments)) {
     std::fputs("usage: pimentofront-soak --daemon FILE --folder DIR --port N "
-               "[--seed N] [--seconds N] [--entries N] [--engines N]\n",
+               "[--seed N] [--seconds N] [--entries N] [--engines N] "
+               "[--writers N]\n",
                stderr);
     return 2;
   }
