Resumed streams: ask agents in any case, and don't disturb older ones

Agents are asked whenever this entry doesn't know the stream. If they don't either, it goes on at the only version, or is refused if there are several. Agents say in their announcement that they take the messages. Servers that state no version are left alone.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -166,6 +166,7 @@
   }
   // The missing servers and agents may tell.
   request.Origin.reset();
+  Board.OriginQueries.erase(request.Key);
   deferOrGiveUp(now, request, ForwardFailure::OriginUnknown);
   return false;
 }
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -14,6 +14,9 @@
 /// Longest wait for their answers. Covers a new link between zones; the caller
 /// hears of a refusal in time to come back.
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(250);
+/// The same while this entry knows one version only, and goes on with it if no
+/// agent names another one.
+constexpr Duration ShortAnswerTimeout = std::chrono::milliseconds(100);
 /// How long a caller may come back after the time that it stated.
 constexpr Duration LifetimeSlack = std::chrono::seconds(1);
 /// A service counts as mixed for this long after the servers of all versions
@@ -37,8 +40,6 @@
 
 bool StreamOriginController::isMixed(TimePoint now,
                                      const ServiceName &service) const {
-  if (!Board.Servers.isComplete())
-    return true;
   const auto it = Board.MixedUntil.find(service);
   return it != Board.MixedUntil.end() &&
          (!it->second || now < *it->second + MixedMemory);
@@ -70,24 +71,27 @@
                                               ForwardRequest &request) {
   if (!request.resumesStream() || request.RequiredSoftware)
     return OriginDecision::Decided;
+  const auto all = Board.Servers.softwareVersions();
+  const auto versions = all.find(request.Service);
+  if (versions == all.end() || versions->second == std::set<std::string>{""})
+    return OriginDecision::Decided;
   request.RequiredSoftware = Board.Origins.find(now, streamOf(request));
   if (request.RequiredSoftware)
     return OriginDecision::Decided;
-  if (!isMixed(now, request.Service)) {
-    const auto versions = Board.Servers.softwareVersions();
-    const auto it = versions.find(request.Service);
-    if (it != versions.end())
-      request.RequiredSoftware = *it->second.begin();
-    return OriginDecision::Decided;
-  }
   if (!request.Origin)
     ask(now, request);
-  return request.Origin->Asked.empty() ? OriginDecision::Unknown
-                                       : OriginDecision::Asked;
+  if (!request.Origin->Asked.empty())
+    return OriginDecision::Asked;
+  if (isMixed(now, request.Service))
+    return OriginDecision::Unknown;
+  request.RequiredSoftware = *versions->second.begin();
+  return OriginDecision::Decided;
 }
 
 void StreamOriginController::ask(TimePoint now, ForwardRequest &request) {
-  request.Origin = OriginQuery{.Until = now + AnswerTimeout};
+  const bool mixed = isMixed(now, request.Service);
+  request.Origin =
+      OriginQuery{.Until = now + (mixed ? AnswerTimeout : ShortAnswerTimeout)};
   const RequestId stream = streamOf(request);
   if (stream.empty())
     return;
@@ -95,12 +99,14 @@
     request.Origin->Asked.insert(it->Record.Host);
     send(*it, StreamOriginQuery{stream});
   }
-  Board.OriginQueries.insert(request.Key);
+  if (!request.Origin->Asked.empty())
+    Board.OriginQueries.insert(request.Key);
 }
 
 void StreamOriginController::recordFirstEvent(TimePoint now,
                                               ForwardRequest &request) {
-  if (request.Route->Kind != Repeatability::Stream || !request.Route->Resumable)
+  if (request.Route->Kind != Repeatability::Stream ||
+      !request.Route->Resumable || request.Attempt->Software.empty())
     return;
   request.RequiredSoftware = request.Attempt->Software;
   const RequestId stream = streamOf(request);
@@ -115,13 +121,16 @@
 
 void StreamOriginController::publish(TimePoint now,
                                      const ForwardRequest &request) {
-  const StreamOrigins message{{{.Stream = streamOf(request),
+  const RequestId stream = streamOf(request);
+  if (stream.empty())
+    return;
+  const StreamOrigins message{{{.Stream = stream,
                                 .Software = *request.RequiredSoftware,
                                 .Lifetime = lifetimeOf(now, request)}}};
   const auto &agents = Board.Servers.agents();
   const auto beside =
       request.Attempt ? agents.find(request.Attempt->Agent) : agents.end();
-  if (beside != agents.end())
+  if (beside != agents.end() && beside->second.Record.RemembersStreams)
     send(beside->second, message);
   std::size_t told = 0;
   for (const MemberView *it : holders(request, AskedAgents)) {
@@ -139,7 +148,8 @@
                                 std::size_t n) const {
   std::vector<const MemberView *> result;
   for (const auto &[host, it] : Board.Servers.agents())
-    result.push_back(&it);
+    if (it.Record.RemembersStreams)
+      result.push_back(&it);
   // Versions of the adapter may change while the stream lasts.
   const AdapterKey key{request.Adapter.Adapter.empty()
                            ? AdapterName(streamOf(request).str())
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.h
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -28,13 +28,15 @@
 /// caller comes back asks the first agents of that order, so that the entry
 /// that began the stream may be gone.
 ///
-/// While only one version is registered nothing is sent and nobody is asked.
-/// When a second one appears, the entry tells the agents of its running
-/// streams; a server of the second version gets no stream from an entry that
-/// doesn't know it yet.
+/// While only one version is registered nobody is told. When a second one
+/// appears, the entry tells the agents of its running streams; a server of the
+/// second version gets no stream from an entry that doesn't know it yet. Agents
+/// are asked in any case, since this entry may have missed a version, or have
+/// started after it had gone. If they know nothing either, the request goes on
+/// at the only version.
 ///
 /// Invariant: a request that resumes a stream is sent only if its
-/// RequiredSoftware is set, or if only one version can have begun it.
+/// RequiredSoftware is set, or if the servers state no version.
 class StreamOriginController {
 public:
   explicit StreamOriginController(ForwardBoard &board) : Board(board) {}
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -23,7 +23,8 @@
           .Slots = hasEngine ? agent.Slots : 0,
           .BatchCapacity = agent.BatchCapacity,
           .Leaving = Controller.board().Leaving,
-          .Gone = gone};
+          .Gone = gone,
+          .RemembersStreams = true};
 }
 
 void AgentNode::announce(TimePoint now, bool gone) {
--- a/packages/serving/pimentofront/src/Serving/StreamOriginTable.cpp
+++ b/packages/serving/pimentofront/src/Serving/StreamOriginTable.cpp
@@ -26,14 +26,6 @@
   return it->second.Software;
 }
 
-std::vector<StreamOrigin> StreamOriginTable::all(TimePoint now) const {
-  std::vector<StreamOrigin> result;
-  for (const auto &[stream, it] : Streams)
-    if (now < it.Until)
-      result.push_back({stream, it.Software, it.Until - now});
-  return result;
-}
-
 void StreamOriginTable::expire(TimePoint now) {
   // Lifetimes differ, so that a stream behind the first one may have expired
   // before it. It stays until the first one has expired.
--- a/packages/serving/pimentofront/src/Serving/StreamOriginTable.h
+++ b/packages/serving/pimentofront/src/Serving/StreamOriginTable.h
@@ -35,8 +35,6 @@
   void record(TimePoint now, const StreamOrigin &origin);
   /// \returns the software version at which the stream began, if it is known.
   std::optional<std::string> find(TimePoint now, const RequestId &stream) const;
-  /// \returns all streams that may still be resumed.
-  std::vector<StreamOrigin> all(TimePoint now) const;
   /// Drops the streams that can't be resumed any more.
   void expire(TimePoint now);
   std::size_t size() const { return Streams.size(); }
--- a/packages/wire/pimentofront/src/Wire/Records.h
+++ b/packages/wire/pimentofront/src/Wire/Records.h
@@ -135,11 +135,14 @@
   /// Of a registered server: the version of its software; empty if it states
   /// none, or if an older process passed the record on.
   std::string Software;
+  /// Of an agent: it takes StreamOrigins and StreamOriginQuery. A process of an
+  /// earlier release would close a link on which they arrive.
+  bool RemembersStreams = false;
   /// \returns the process of a registered server.
   ServerProcess process() const { return {Host, Incarnation}; }
   PIMENTOFRONT_FIELDS(MemberRecord, Host, Incarnation, Zone, Address, BaseModel,
                       Services, Slots, BatchCapacity, Leaving, Gone, Registered,
-                      ColdFor, Software)
+                      ColdFor, Software, RemembersStreams)
 };
 
 /// \class MemberVersion
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -403,6 +403,12 @@
                               {"last-event", "4"},
                               {"resumes", "r1"}}},
                             "body", ContentHasher().add("body").finish());
+    if (!software.empty()) {
+      it.take<SendToAgent>();
+      for (const char *agent : {"a1", "a2"})
+        it.Controller.onStreamOrigin(Now, HostName(agent),
+                                     {.Stream = RequestId("r1")});
+    }
     CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
     CHECK(details("resume_sent") ==
           "e2: stream of attempt r1, after event 4, server software " + name +
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -71,7 +71,8 @@
           .Address = address,
           .BaseModel = "engines",
           .Slots = 8,
-          .BatchCapacity = 8};
+          .BatchCapacity = 8,
+          .RemembersStreams = true};
 }
 
 /// An entry in front of two plain servers and two engines with their agents.
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -19,23 +19,28 @@
                                            engine("e2", "1.0.0.4:80", "v2")}});
   }
   /// A caller resumes the stream that its attempt "r0" began.
-  void resume() {
-    Controller.onRequest(Now, 1,
-                         {"POST",
-                          "/flow/q",
-                          {{"Host", "h"},
-                           {"id", "r1"},
-                           {"time", "5000"},
-                           {"adapter", "x"},
-                           {"last-event", "4"},
-                           {"resumes", "r0"}}},
-                         "body", ContentHasher().add("body").finish());
+  void resume() { resume(*this); }
+  static void resume(ForwardUnderTest &entry) {
+    entry.Controller.onRequest(Now, 1,
+                               {"POST",
+                                "/flow/q",
+                                {{"Host", "h"},
+                                 {"id", "r1"},
+                                 {"time", "5000"},
+                                 {"adapter", "x"},
+                                 {"last-event", "4"},
+                                 {"resumes", "r0"}}},
+                               "body", ContentHasher().add("body").finish());
   }
   void reply(const char *agent, const std::optional<std::string> &software) {
-    Controller.onStreamOrigin(Now, HostName(agent),
-                              {.Stream = RequestId("r0"),
-                               .Known = software.has_value(),
-                               .Software = software.value_or("")});
+    reply(*this, agent, software);
+  }
+  static void reply(ForwardUnderTest &entry, const char *agent,
+                    const std::optional<std::string> &software) {
+    entry.Controller.onStreamOrigin(Now, HostName(agent),
+                                    {.Stream = RequestId("r0"),
+                                     .Known = software.has_value(),
+                                     .Software = software.value_or("")});
   }
 };
 
@@ -73,6 +78,8 @@
 TEST_CASE("agents are told of streams while versions are mixed only",
           "[stream-origin]") {
   ForwardUnderTest it;
+  it.Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
+                                            engine("e2", "1.0.0.4:80", "v1")}});
   const auto told = [&] {
     std::vector<StreamOrigin> all;
     for (const SendToAgent &command : it.take<SendToAgent>())
@@ -90,24 +97,69 @@
   const auto origins = told();
   REQUIRE(origins.size() == 2);
   CHECK(origins[0].Stream == RequestId("r1"));
-  CHECK(origins[0].Software.empty());
+  CHECK(origins[0].Software == "v1");
   CHECK(origins[0].Lifetime == 6s);
 }
 
-TEST_CASE(
-    "a resumed stream goes on without a question while one version serves",
-    "[stream-origin]") {
+// Guards against an entry that has missed a version, or has started after it
+// had gone, and takes the only one that it knows for the one that began the
+// stream.
+TEST_CASE("agents are asked although the entry knows one version only",
+          "[stream-origin]") {
   ForwardUnderTest it;
-  it.Controller.onRequest(Now, 1,
-                          {"POST",
-                           "/flow/q",
-                           {{"Host", "h"},
-                            {"id", "r1"},
-                            {"time", "5000"},
-                            {"adapter", "x"},
-                            {"last-event", "4"}}},
-                          "body", ContentHasher().add("body").finish());
-  CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  it.Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
+                                            engine("e2", "1.0.0.4:80", "v1")}});
+  MixedServers::resume(it);
+  REQUIRE(it.take<SendToAgent>().size() == 2);
+  SECTION("one names another version") {
+    MixedServers::reply(it, "a1", "v0");
+    CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  }
+  SECTION("none knows the stream") {
+    MixedServers::reply(it, "a1", std::nullopt);
+    MixedServers::reply(it, "a2", std::nullopt);
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
+}
+
+// Guards against a request that waits for agents which it hasn't asked.
+TEST_CASE("a stream is resumed or refused where no agent can be asked",
+          "[stream-origin]") {
+  ForwardUnderTest it;
+  const bool complete = GENERATE(true, false);
+  MemberRecord former = agent("a1", "1.0.0.3:9");
+  former.RemembersStreams = false;
+  it.Controller.onMembers(
+      Now, {.Members = {former, {.Host = HostName("a2"), .Gone = true}}});
+  it.Controller.onMembers(
+      Now, {.Full = true,
+            .Complete = complete,
+            .Members = {engine("e1", "1.0.0.3:80", "v1"),
+                        engine("e2", "1.0.0.4:80", "v2"), former}});
+  MixedServers::resume(it);
+  for (int i = 0; i < 30; ++i)
+    it.Controller.tick(Now + i * 100ms);
+  CHECK(it.take<SendToAgent>().empty());
+  CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  CHECK(it.Controller.idle());
+}
+
+// Guards against streams that nobody is told of since the second version
+// appeared while the list of servers was incomplete.
+TEST_CASE("running streams are told when a second version appears while the "
+          "list of servers is incomplete",
+          "[stream-origin]") {
+  ForwardUnderTest it;
+  it.Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
+                                            engine("e2", "1.0.0.4:80", "v1")}});
+  it.request("flow");
+  const auto sent = it.permit();
+  it.head(sent, 200);
+  it.body(sent, "id: 1\ndata: a\n\n");
+  it.take<SendToAgent>();
+  it.Controller.onMembers(
+      Now, {.Full = true, .Members = {engine("e3", "1.0.0.5:80", "v2")}});
+  CHECK(it.take<SendToAgent>().size() == 2);
 }
 
 TEST_CASE("an origin is remembered for its lifetime, within the capacity",
