--- a/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
+++ b/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
@@ -12,10 +12,10 @@
 /// that resumes a stream has "last-event" and "resumes", the id of the attempt
 /// that brought the stream's first event. A request that is forwarded to a
 /// server gets "server", "account", "priority", "fetch" and "last" (the last
-/// event that the caller has). An answer has "id", "stamp", "not-run", "load" (running and
-/// waiting requests, separated by a comma), "limit" (requests a second), "rest"
-/// (a backoff in seconds) and "leaving". A refusal has "come-back"
-/// (retry-after, in microseconds).
+/// event that the caller has). An answer has "id", "stamp", "not-run", "load"
+/// (running and waiting requests, separated by a comma), "limit" (requests a
+/// second), "rest" (a backoff in seconds) and "leaving". A refusal has
+/// "come-back" (retry-after, in microseconds).
 class TestHeaderCodec : public HeaderCodec {
 public:
   RequestTraits decodeRequest(const RequestHead &head) const override {
