A fresh entry waits for its first complete list of servers to resume a stream

After all processes were killed, an entry hears of servers one by one, and took the version of the first one for the only one. It now counts as not knowing until its list has been complete once; the request is deferred as others are. Found by reading the change; the new test sees the stream sent to the first server without it.

--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -41,6 +41,7 @@
     put(now, it);
   if (update.Complete) {
     Complete = true;
+    HasBeenComplete = true;
     dropUnconfirmed(Servers);
     dropUnconfirmed(Agents);
   }
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -72,6 +72,9 @@
   /// \returns whether the list of servers is complete. A server that isn't
   /// listed then doesn't exist.
   bool isComplete() const { return Complete; }
+  /// \returns whether it has been complete since this process started. Servers
+  /// of a former list are kept until a new one is complete.
+  bool wasComplete() const { return HasBeenComplete; }
   /// \returns whether any server of \p service in \p zones is in use.
   bool serves(const ServiceName &service, const AllowedZones &zones = {}) const;
   /// \returns whether any server of \p service with the software version
@@ -185,6 +188,7 @@
   ServerFeedback *findOrAddFeedback(const ServerProcess &server);
 
   bool Complete = false;
+  bool HasBeenComplete = false;
   struct FeedbackEntry {
     ServerProcess Process;
     ServerFeedback Feedback;
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -82,7 +82,7 @@
     ask(now, request);
   if (!request.Origin->Asked.empty())
     return OriginDecision::Asked;
-  if (isMixed(now, request.Service))
+  if (isMixed(now, request.Service) || !Board.Servers.wasComplete())
     return OriginDecision::Unknown;
   request.RequiredSoftware = *versions->second.begin();
   return OriginDecision::Decided;
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -144,6 +144,41 @@
   CHECK(it.Controller.idle());
 }
 
+// Guards against an entry that takes the first server of which it hears, after
+// all processes were killed, for the only version.
+TEST_CASE("a stream that nobody knows waits for the first complete list",
+          "[stream-origin]") {
+  const ForwardOptions options = ForwardUnderTest::withIdentity({});
+  FakeConfiguration configuration;
+  TestHeaderCodec headers;
+  LeastLoaded routing;
+  ForwardController entry(options, configuration, headers, routing);
+  RoutingDocument document{
+      .Routes = {route("flow", Repeatability::Stream, "engines", 2, true)},
+      .Services = {{.Name = ServiceName("engines"),
+                    .Engine = EngineSpec{.AdapterSlots = 2}}}};
+  entry.setTable(std::make_shared<const RoutingTable>(1, std::move(document)));
+  entry.onMembers(
+      Now, {.Full = true, .Members = {engine("e1", "1.0.0.3:80", "v1")}});
+  entry.onRequest(Now, 1,
+                  {"POST",
+                   "/flow/q",
+                   {{"Host", "h"},
+                    {"id", "r1"},
+                    {"time", "5000"},
+                    {"adapter", "x"},
+                    {"last-event", "4"},
+                    {"resumes", "r0"}}},
+                  "body", ContentHasher().add("body").finish());
+  CHECK(entry.takeCommands().empty());
+  entry.onMembers(Now + 1s, {.Complete = true,
+                             .Members = {engine("e2", "1.0.0.4:80", "v2")}});
+  entry.tick(Now + 1s);
+  const auto commands = entry.takeCommands();
+  REQUIRE(commands.size() == 1);
+  CHECK(std::get<ReplyComplete>(commands[0]).Head.Status == 503);
+}
+
 // Guards against streams that nobody is told of since the second version
 // appeared while the list of servers was incomplete.
 TEST_CASE("running streams are told when a second version appears while the "
