--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -18,43 +18,47 @@
     Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
                                            engine("e2", "1.0.0.4:80", "v2")}});
   }
-  /// A caller resumes the stream that its attempt "r0" began.
-  void resume() { resume(*this); }
-  static void resume(ForwardUnderTest &entry) {
-    entry.Controller.onRequest(Now, 1,
-                               {"POST",
-                                "/flow/q",
-                                {{"Host", "h"},
-                                 {"id", "r1"},
-                                 {"time", "5000"},
-                                 {"adapter", "x"},
-                                 {"last-event", "4"},
-                                 {"resumes", "r0"}}},
-                               "body", ContentHasher().add("body").finish());
-  }
-  void reply(const char *agent, const std::optional<std::string> &software) {
-    reply(*this, agent, software);
-  }
-  static void reply(ForwardUnderTest &entry, const char *agent,
-                    const std::optional<std::string> &software) {
-    entry.Controller.onStreamOrigin(Now, HostName(agent),
-                                    {.Stream = RequestId("r0"),
-                                     .Known = software.has_value(),
-                                     .Software = software.value_or("")});
-  }
 };
 
+/// The head of a request that resumes the stream that attempt "r0" began.
+RequestHead resumingHead() {
+  return {"POST",
+          "/flow/q",
+          {{"Host", "h"},
+           {"id", "r1"},
+           {"time", "5000"},
+           {"adapter", "x"},
+           {"last-event", "4"},
+           {"resumes", "r0"}}};
+}
+
+void resume(ForwardController &entry) {
+  entry.onRequest(Now, 1, resumingHead(), "body",
+                  ContentHasher().add("body").finish());
+}
+
+/// An agent answers; without \p software it doesn't know the stream.
+void reply(ForwardController &entry, const char *agent,
+           const std::optional<std::string> &software) {
+  entry.onStreamOrigin(Now, HostName(agent),
+                       {.Stream = RequestId("r0"),
+                        .Known = software.has_value(),
+                        .Software = software.value_or("")});
+}
+
 } // namespace
 
+// Guards against a stream that goes on at another version than the one that
+// began it, although an agent knows that one.
 TEST_CASE("a resumed stream goes on at the version that an agent names",
           "[stream-origin]") {
   MixedServers it;
-  it.resume();
+  resume(it.Controller);
   REQUIRE(it.take<SendToAgent>().size() == 2);
   const std::string software = GENERATE("v1", "v2");
-  it.reply("a1", std::nullopt);
+  reply(it.Controller, "a1", std::nullopt);
   CHECK(it.take<SendToAgent>().empty());
-  it.reply("a2", software);
+  reply(it.Controller, "a2", software);
   CHECK(it.permit().Server.Name == HostName(software == "v1" ? "e1" : "e2"));
 }
 
@@ -63,19 +67,23 @@
 TEST_CASE("a resumed stream that nobody knows is refused as not run",
           "[stream-origin]") {
   MixedServers it;
-  it.resume();
+  resume(it.Controller);
   it.take<SendToAgent>();
-  it.reply("a1", std::nullopt);
-  SECTION("all agents have answered") { it.reply("a2", std::nullopt); }
+  reply(it.Controller, "a1", std::nullopt);
+  SECTION("all agents have answered") {
+    reply(it.Controller, "a2", std::nullopt);
+  }
   SECTION("one has gone") { it.Controller.onAgentLost(Now, HostName("a2")); }
   SECTION("one doesn't answer") { it.Controller.tick(Now + 250ms); }
   CHECK(it.only<ReplyComplete>().Head.Status == 503);
   CHECK(it.Controller.idle());
-  it.reply("a2", "v1");
+  reply(it.Controller, "a2", "v1");
   CHECK(it.take<SendToAgent>().empty());
 }
 
-TEST_CASE("agents are told of streams while versions are mixed only",
+// Guards against a stream that nobody knows after its entry has gone, since it
+// began before a second version appeared.
+TEST_CASE("agents are told of running streams when a second version appears",
           "[stream-origin]") {
   ForwardUnderTest it;
   it.Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
@@ -109,21 +117,22 @@
   ForwardUnderTest it;
   it.Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
                                             engine("e2", "1.0.0.4:80", "v1")}});
-  MixedServers::resume(it);
+  resume(it.Controller);
   REQUIRE(it.take<SendToAgent>().size() == 2);
   SECTION("one names another version") {
-    MixedServers::reply(it, "a1", "v0");
+    reply(it.Controller, "a1", "v0");
     CHECK(it.only<ReplyComplete>().Head.Status == 503);
   }
   SECTION("none knows the stream") {
-    MixedServers::reply(it, "a1", std::nullopt);
-    MixedServers::reply(it, "a2", std::nullopt);
+    reply(it.Controller, "a1", std::nullopt);
+    reply(it.Controller, "a2", std::nullopt);
     CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
   }
 }
 
-// Guards against a request that waits for agents which it hasn't asked.
-TEST_CASE("a stream is resumed or refused where no agent can be asked",
+// Guards against a request that is deferred and, at the same time, listed as
+// waiting for answers, which would send it twice.
+TEST_CASE("a stream that no agent can be asked about is refused once",
           "[stream-origin]") {
   ForwardUnderTest it;
   const bool complete = GENERATE(true, false);
@@ -136,7 +145,7 @@
             .Complete = complete,
             .Members = {engine("e1", "1.0.0.3:80", "v1"),
                         engine("e2", "1.0.0.4:80", "v2"), former}});
-  MixedServers::resume(it);
+  resume(it.Controller);
   for (int i = 0; i < 30; ++i)
     it.Controller.tick(Now + i * 100ms);
   CHECK(it.take<SendToAgent>().empty());
@@ -158,18 +167,11 @@
       .Services = {{.Name = ServiceName("engines"),
                     .Engine = EngineSpec{.AdapterSlots = 2}}}};
   entry.setTable(std::make_shared<const RoutingTable>(1, std::move(document)));
-  entry.onMembers(
-      Now, {.Full = true, .Members = {engine("e1", "1.0.0.3:80", "v1")}});
-  entry.onRequest(Now, 1,
-                  {"POST",
-                   "/flow/q",
-                   {{"Host", "h"},
-                    {"id", "r1"},
-                    {"time", "5000"},
-                    {"adapter", "x"},
-                    {"last-event", "4"},
-                    {"resumes", "r0"}}},
-                  "body", ContentHasher().add("body").finish());
+  MemberRecord former = agent("a1", "1.0.0.3:9");
+  former.RemembersStreams = false;
+  entry.onMembers(Now, {.Full = true,
+                        .Members = {engine("e1", "1.0.0.3:80", "v1"), former}});
+  resume(entry);
   CHECK(entry.takeCommands().empty());
   entry.onMembers(Now + 1s, {.Complete = true,
                              .Members = {engine("e2", "1.0.0.4:80", "v2")}});
@@ -197,6 +199,8 @@
   CHECK(it.take<SendToAgent>().size() == 2);
 }
 
+// Guards against a table that grows without bound, and against an origin that
+// outlives its stream.
 TEST_CASE("an origin is remembered for its lifetime, within the capacity",
           "[stream-origin]") {
   StreamOriginTable table({.Capacity = 2, .MaxLifetime = 10s});
