Stream origin tests: a request that was deferred is sent once

Trials with one guard taken out each: the test named after the double send did not notice it, since its request was refused in any case. The new one does (both places of the guard out: 1 of 9 cases fails). The others do: without the wait for the first complete list 2 fail, with an incomplete list counted as mixed 1, without asking while one version serves 3.

--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -20,6 +20,35 @@
   }
 };
 
+/// An agent of an earlier release, which doesn't remember streams.
+MemberRecord formerAgent() {
+  MemberRecord result = agent("a1", "1.0.0.3:9");
+  result.RemembersStreams = false;
+  return result;
+}
+
+/// An entry that has just started and has heard of one engine, whose agent
+/// can't be asked. Its list of servers isn't complete.
+struct FreshEntry {
+  FreshEntry() {
+    RoutingDocument document{
+        .Routes = {route("flow", Repeatability::Stream, "engines", 2, true)},
+        .Services = {{.Name = ServiceName("engines"),
+                      .Engine = EngineSpec{.AdapterSlots = 2}}}};
+    Entry.setTable(
+        std::make_shared<const RoutingTable>(1, std::move(document)));
+    Entry.onMembers(
+        Now, {.Full = true,
+              .Members = {engine("e1", "1.0.0.3:80", "v1"), formerAgent()}});
+  }
+
+  FakeConfiguration Configuration;
+  TestHeaderCodec Headers;
+  LeastLoaded Routing;
+  ForwardController Entry{ForwardUnderTest::withIdentity({}), Configuration,
+                          Headers, Routing};
+};
+
 /// The head of a request that resumes the stream that attempt "r0" began.
 RequestHead resumingHead() {
   return {"POST",
@@ -130,14 +159,12 @@
   }
 }
 
-// Guards against a request that is deferred and, at the same time, listed as
-// waiting for answers, which would send it twice.
+// Guards against a caller that waits for an answer that nobody can give.
 TEST_CASE("a stream that no agent can be asked about is refused once",
           "[stream-origin]") {
   ForwardUnderTest it;
   const bool complete = GENERATE(true, false);
-  MemberRecord former = agent("a1", "1.0.0.3:9");
-  former.RemembersStreams = false;
+  const MemberRecord former = formerAgent();
   it.Controller.onMembers(
       Now, {.Members = {former, {.Host = HostName("a2"), .Gone = true}}});
   it.Controller.onMembers(
@@ -157,30 +184,30 @@
 // all processes were killed, for the only version.
 TEST_CASE("a stream that nobody knows waits for the first complete list",
           "[stream-origin]") {
-  const ForwardOptions options = ForwardUnderTest::withIdentity({});
-  FakeConfiguration configuration;
-  TestHeaderCodec headers;
-  LeastLoaded routing;
-  ForwardController entry(options, configuration, headers, routing);
-  RoutingDocument document{
-      .Routes = {route("flow", Repeatability::Stream, "engines", 2, true)},
-      .Services = {{.Name = ServiceName("engines"),
-                    .Engine = EngineSpec{.AdapterSlots = 2}}}};
-  entry.setTable(std::make_shared<const RoutingTable>(1, std::move(document)));
-  MemberRecord former = agent("a1", "1.0.0.3:9");
-  former.RemembersStreams = false;
-  entry.onMembers(Now, {.Full = true,
-                        .Members = {engine("e1", "1.0.0.3:80", "v1"), former}});
-  resume(entry);
-  CHECK(entry.takeCommands().empty());
-  entry.onMembers(Now + 1s, {.Complete = true,
-                             .Members = {engine("e2", "1.0.0.4:80", "v2")}});
-  entry.tick(Now + 1s);
-  const auto commands = entry.takeCommands();
+  FreshEntry it;
+  resume(it.Entry);
+  CHECK(it.Entry.takeCommands().empty());
+  it.Entry.onMembers(Now + 1s, {.Complete = true,
+                                .Members = {engine("e2", "1.0.0.4:80", "v2")}});
+  it.Entry.tick(Now + 1s);
+  const auto commands = it.Entry.takeCommands();
   REQUIRE(commands.size() == 1);
   CHECK(std::get<ReplyComplete>(commands[0]).Head.Status == 503);
 }
 
+// Guards against a request that is deferred and, at the same time, listed as
+// waiting for answers, which would send it twice.
+TEST_CASE("a stream that waited for the first complete list is sent once",
+          "[stream-origin]") {
+  FreshEntry it;
+  resume(it.Entry);
+  it.Entry.onMembers(Now + 1s, {.Complete = true});
+  it.Entry.tick(Now + 1s);
+  const auto commands = it.Entry.takeCommands();
+  REQUIRE(commands.size() == 1);
+  CHECK(std::holds_alternative<SendToAgent>(commands[0]));
+}
+
 // Guards against streams that nobody is told of since the second version
 // appeared while the list of servers was incomplete.
 TEST_CASE("running streams are told when a second version appears while the "
