--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -411,11 +411,13 @@
   if (Board.liveVersion(request.Adapter.Adapter) != request.Adapter.Version)
     return {};
   // The engine may have gone, or its zone may have been evacuated, since its
-  // agent refused the request.
+  // agent refused the request. Engines of other software may lay out what they
+  // cache in another way.
   const auto agent = Board.Servers.agents().find(source->Host);
   const ServerView *engine = Board.Servers.serverOfAgent(source->Host);
   if (!engine || agent == Board.Servers.agents().end() ||
       !mayBeSameProcess(engine->Record.process(), source->Engine) ||
+      engine->Record.Software != request.Attempt->Software ||
       now < agent->second.EjectedUntil ||
       !request.Zones.contains(engine->Record.Zone))
     return {};
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -226,6 +226,22 @@
   CHECK(it.take<SendToAgent>().size() == 2);
 }
 
+// Guards against a server that continues from what another software version
+// has cached.
+TEST_CASE("prompt parts aren't fetched from an engine with other software",
+          "[stream-origin]") {
+  const std::string other = GENERATE("v1", "v2");
+  constexpr WeightsVersion Weights{.Model = 1, .Adapter = 1};
+  ForwardUnderTest it(true, {.Fetch = {.Enabled = true}});
+  it.Controller.onMembers(
+      Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
+                        engine("e2", "1.0.0.4:80", other.c_str())}});
+  it.request("flow");
+  it.refuseBusy(it.only<SendToAgent>(), 6300, Weights);
+  CHECK(ForwardUnderTest::fetchOf(it.permit(Weights)).empty() ==
+        (other == "v2"));
+}
+
 // Guards against a table that grows without bound, and against an origin that
 // outlives its stream.
 TEST_CASE("an origin is remembered for its lifetime, within the capacity",
