Logs: parts of the prompt and progress of a failed attempt, cleared suspicions

The hypotheses on the incident of prompt parts can't be told apart by the logs: no line names the parts of a prompt, attempt_broke_off doesn't say whether the answer had begun, and no line says that a suspicion was cleared. Now attempt_broke_off and request_lost carry parts, all but the last, which is the request's own; attempt_broke_off says whether the first event had come; suspicion_cleared names the server that survived.

--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -78,6 +78,7 @@
        {"account", event.Account.str()},
        {"server", event.Server.str()},
        {"content", event.Content.empty() ? "" : event.Content.str()},
+       {"parts", event.Parts},
        {"why", event.Detail},
        {"status", static_cast<std::uint64_t>(event.Status)},
        {"engine_choice", event.Choice ? routeReasonName(*event.Choice) : ""},
--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -22,6 +22,7 @@
 #include "src/Forward/RoutingTable.h"
 #include "src/Forward/ServerFeedback.h"
 #include "src/Forward/HeaderCodec.h"
+#include "src/Forward/SharedParts.h"
 #include "src/Forward/EventStream.h"
 #include "src/Forward/ConnectionShare.h"
 #include "src/Forward/SendPermits.h"
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -191,7 +191,11 @@
 
 void AnswerController::brokeOff(TimePoint now, ForwardRequest &request,
                                 bool serverMayHaveExited) {
-  Attempts.recordEvent(now, "attempt_broke_off", request);
+  const bool began = request.Attempt->FirstEventAt.has_value();
+  Attempts.recordEvent(now, "attempt_broke_off", request,
+                       began ? "after its first event"
+                             : "before its first event");
+  Board.Events.back().Parts = describeParts(sharedParts(request.Traits.Parts));
   const bool checked = serverMayHaveExited && Quarantine.checkServer(request);
   Attempts.endFailedAttempt(now, request);
   // A request that can't be sent again gets its final answer without waiting
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -831,6 +831,7 @@
   recordEvent(now, "request_lost", request, detail, status, /*lost=*/true);
   ForwardEvent &event = Board.Events.back();
   event.Reason = forwardFailureName(why);
+  event.Parts = describeParts(sharedParts(request.Traits.Parts));
   event.Denial = request.Denial;
   if (why == ForwardFailure::NoRoom)
     event.RefusedUrgency = request.priority();
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -433,6 +433,9 @@
   HostName Server;
   /// Identifies the request independently of the id of this attempt.
   ContentHash Content;
+  /// Ids of the parts of its prompt that other requests may have as well; set
+  /// where an attempt or the request failed.
+  std::string Parts;
   std::string Detail;
   /// Name of the ForwardFailure if Lost is set, otherwise empty.
   const char *Reason = "";
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -103,6 +103,14 @@
     return;
   request.Trial = TrialState::None;
   Board.Quarantine.put(request.Content, QuarantineState::Clear);
+  Board.Events.push_back(
+      {.Name = "suspicion_cleared",
+       .Request = request.Traits.Id,
+       .Route = request.Route->Name,
+       .Service = request.Service,
+       .Server = request.Attempt->Server.Name,
+       .Content = request.Content,
+       .Detail = "the server ran the request and still runs"});
   endTrial(request.Content, holderOf(Board, request), TrialEnding::Survived);
 }
 
--- /dev/null
+++ b/packages/forward/pimentofront/src/Forward/SharedParts.cpp
@@ -0,0 +1,24 @@
+#include "pimentofront/Forward.h"
+
+#include <charconv>
+
+namespace pimentofront {
+
+std::vector<PromptPart> sharedParts(std::vector<PromptPart> parts) {
+  if (!parts.empty())
+    parts.pop_back();
+  return parts;
+}
+
+std::string describeParts(const std::vector<PromptPart> &parts) {
+  constexpr int Hexadecimal = 16;
+  std::string text;
+  for (const PromptPart &it : parts) {
+    std::array<char, 2 * sizeof(it.Id)> buf{};
+    const auto end = std::to_chars(buf.begin(), buf.end(), it.Id, Hexadecimal);
+    text += (text.empty() ? "" : ",") + std::string(buf.data(), end.ptr);
+  }
+  return text;
+}
+
+} // namespace pimentofront
