--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -290,6 +290,28 @@
                                  std::function<void(const CallerAnswer &)> done,
                                  const std::string &adapter,
                                  const ResumePoint &from) {
+  HttpHeaders headers{{"adapter", Options.Engines ? adapter : std::string()}};
+  if (!from.Attempt.empty()) {
+    headers.push_back({"resumes", from.Attempt});
+    headers.push_back({"last-event", std::to_string(from.LastEvent)});
+  }
+  return startCall(entry, content, std::move(headers), std::move(done));
+}
+
+std::uint64_t
+ForwardFleet::callWithParts(SimulatedProcess &entry, const std::string &content,
+                            const std::vector<std::uint64_t> &parts,
+                            std::function<void(const CallerAnswer &)> done) {
+  std::string ids;
+  for (const std::uint64_t it : parts)
+    ids += (ids.empty() ? "" : ",") + std::to_string(it);
+  return startCall(entry, content, {{"parts", ids}}, std::move(done));
+}
+
+std::uint64_t
+ForwardFleet::startCall(SimulatedProcess &entry, const std::string &content,
+                        HttpHeaders headers,
+                        std::function<void(const CallerAnswer &)> done) {
   const std::uint64_t key = ++LastKey;
   const std::string id = "r" + std::to_string(key);
   Calls[key] = {.Entry = {entry.Spec.Host, entry.Incarnation},
@@ -299,16 +321,9 @@
     endCall(key, /*complete=*/false);
     return key;
   }
-  RequestHead head{"POST",
-                   Path + content,
-                   {{"Host", "h"},
-                    {"id", id},
-                    {"time", "6000"},
-                    {"adapter", Options.Engines ? adapter : std::string()}}};
-  if (!from.Attempt.empty()) {
-    head.Headers.push_back({"resumes", from.Attempt});
-    head.Headers.push_back({"last-event", std::to_string(from.LastEvent)});
-  }
+  RequestHead head{
+      "POST", Path + content, {{"Host", "h"}, {"id", id}, {"time", "6000"}}};
+  head.Headers.insert(head.Headers.end(), headers.begin(), headers.end());
   Sim.atProcess(entry.Spec.Host, entry.Incarnation, [=](SimulatedProcess &it) {
     it.Forward->request(it.Owner.now(), key, head, content,
                         ContentHasher().add(content).finish());
@@ -378,6 +393,9 @@
           .Entry = {entry.Spec.Host, entry.Incarnation},
           .Id = *findHeader(send.Head.Headers, "id"),
           .Content = send.Head.Target.substr(std::string_view(Path).size())};
+  if (const std::string *it = findHeader(send.Head.Headers, "parts"))
+    for (const PromptPart &part : TestHeaderCodec::decodeParts(*it))
+      run.Parts.push_back(part.Id);
   if (const std::string *it = findHeader(send.Head.Headers, "last");
       it && !server->Software.empty())
     run.After = static_cast<std::uint32_t>(std::stoul(*it));
@@ -402,6 +420,7 @@
     });
   Arrivals.push_back({.At = Sim.now(),
                       .Content = run.Content,
+                      .Parts = run.Parts,
                       .Server = server.Name,
                       .Entry = run.Entry,
                       .Zone = zoneOf(static_cast<std::uint32_t>(i)),
@@ -444,6 +463,13 @@
   });
 }
 
+bool ForwardFleet::crashesServers(const Run &run) const {
+  return CrashingContents.contains(run.Content) ||
+         std::ranges::any_of(run.Parts, [this](std::uint64_t it) {
+           return CrashingParts.contains(it);
+         });
+}
+
 void ForwardFleet::onEvent(std::size_t i, std::uint64_t id,
                            std::uint32_t event) {
   Server &server = Servers[i];
@@ -451,10 +477,10 @@
   if (it == server.Runs.end())
     return;
   const Run run = it->second;
-  if (CrashingContents.contains(run.Content)) {
+  if (crashesServers(run)) {
     Sim.after(Options.CrashDelay, [this, i, name = server.Name, run] {
       if (Servers[i].Up && Servers[i].Name == name)
-        crash(Servers[i], run.Content);
+        crash(Servers[i], &run);
     });
     return;
   }
@@ -494,9 +520,12 @@
             });
 }
 
-void ForwardFleet::crash(Server &server, const std::string &content,
-                         bool keepsName) {
-  ServerCrash crash{.At = Sim.now(), .Server = server.Name, .Content = content};
+void ForwardFleet::crash(Server &server, const Run *cause, bool keepsName) {
+  ServerCrash crash{.At = Sim.now(), .Server = server.Name};
+  if (cause) {
+    crash.Content = cause->Content;
+    crash.Parts = cause->Parts;
+  }
   server.Up = false;
   server.Feedback = {};
   for (const auto &it : std::exchange(server.Runs, {})) {
@@ -535,13 +564,13 @@
   Server &server = Servers[i];
   if (!server.Up)
     return;
-  crash(server, "", keepsName);
+  crash(server, nullptr, keepsName);
   server.Software = software;
 }
 
 void ForwardFleet::crashServer(std::uint32_t i) {
   if (Servers[i].Up)
-    crash(Servers[i], "");
+    crash(Servers[i], nullptr);
 }
 
 void ForwardFleet::powerOffServer(std::uint32_t i) {
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -104,6 +104,8 @@
 struct ServerArrival {
   TimePoint At;
   std::string Content;
+  /// Ids of the parts of its prompt.
+  std::vector<std::uint64_t> Parts;
   HostName Server;
   EntryProcess Entry;
   ZoneName Zone;
@@ -117,6 +119,8 @@
   HostName Server;
   /// Content of the crashing request; empty for a crash without one.
   std::string Content;
+  /// Ids of the parts of that request's prompt.
+  std::vector<std::uint64_t> Parts;
   /// Contents of all requests in flight at the server.
   std::vector<std::string> RequestsInFlight;
 };
@@ -151,6 +155,14 @@
   void addCrashingRequest(const std::string &content) {
     CrashingContents.insert(content);
   }
+  /// Crashes each server that begins to answer a request with this part.
+  void addCrashingPart(std::uint64_t part) { CrashingParts.insert(part); }
+  /// Sends a request whose prompt has these parts to an entry.
+  /// \returns the key of the call.
+  std::uint64_t
+  callWithParts(SimulatedProcess &entry, const std::string &content,
+                const std::vector<std::uint64_t> &parts,
+                std::function<void(const CallerAnswer &)> done = {});
   /// Sends an attempt with \p content to an entry. \p done gets the answer.
   /// \returns the key of the call.
   std::uint64_t call(SimulatedProcess &entry, const std::string &content,
@@ -198,6 +210,7 @@
     EntryProcess Entry;
     std::string Id;
     std::string Content;
+    std::vector<std::uint64_t> Parts;
     /// The last event that the caller has.
     std::uint32_t After = 0;
   };
@@ -220,6 +233,10 @@
     std::function<void(const CallerAnswer &)> Done;
   };
 
+  std::uint64_t startCall(SimulatedProcess &entry, const std::string &content,
+                          HttpHeaders headers,
+                          std::function<void(const CallerAnswer &)> done);
+  bool crashesServers(const Run &run) const;
   void addReplicas();
   void addEntries();
   void addServers();
@@ -236,9 +253,9 @@
   void sendHead(const Server &server, const Run &run, int status,
                 HttpHeaders headers);
   void onEvent(std::size_t server, std::uint64_t run, std::uint32_t event);
+  /// \param cause the crashing request, if any.
   /// \param keepsName the next process has the same name.
-  void crash(Server &server, const std::string &content,
-             bool keepsName = false);
+  void crash(Server &server, const Run *cause, bool keepsName = false);
   void restart(std::uint32_t i, bool keepsName);
   /// Calls \p action after `Latency` at the entry of \p run, if that
   /// incarnation is still alive.
@@ -254,6 +271,7 @@
   std::map<HostName, std::unique_ptr<EntrySink>> EntrySinks;
   std::map<std::uint64_t, Call> Calls;
   std::set<std::string> CrashingContents;
+  std::set<std::uint64_t> CrashingParts;
   std::uint64_t LastKey = 0;
   std::uint64_t LastRun = 0;
   std::uint64_t RegistrationRound = 0;
--- a/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
+++ b/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
@@ -3,19 +3,22 @@
 
 #include "pimentofront/Forward.h"
 
+#include <sstream>
+
 namespace pimentofront::testkit {
 
 /// \class TestHeaderCodec
 /// \ingroup Testkit
 /// \brief A codec for a test platform's headers. A request has "id", "time"
-/// (until its deadline, in milliseconds), "adapter", "tokens" and "key"; one
-/// that resumes a stream has "last-event" and "resumes", the id of the attempt
-/// that brought the stream's first event. A request that is forwarded to a
-/// server gets "server", "account", "priority", "fetch" and "last" (the last
-/// event that the caller has). An answer has "id", "stamp", "not-run", "load"
-/// (running and waiting requests, separated by a comma), "limit" (requests a
-/// second), "rest" (a backoff in seconds) and "leaving". A refusal has
-/// "come-back" (retry-after, in microseconds).
+/// (until its deadline, in milliseconds), "adapter", "tokens", "parts" (ids of
+/// the prompt's parts, separated by commas) and "key"; one that resumes a
+/// stream has "last-event" and "resumes", the id of the attempt that brought
+/// the stream's first event. A request that is forwarded to a server gets
+/// "server", "account", "priority", "fetch" and "last" (the last event that the
+/// caller has). An answer has "id", "stamp", "not-run", "load" (running and
+/// waiting requests, separated by a comma), "limit" (requests a second), "rest"
+/// (a backoff in seconds) and "leaving". A refusal has "come-back"
+/// (retry-after, in microseconds).
 class TestHeaderCodec : public HeaderCodec {
 public:
   RequestTraits decodeRequest(const RequestHead &head) const override {
@@ -32,6 +35,8 @@
       traits.PromptTokens = static_cast<std::uint32_t>(std::stoul(*it));
       traits.HasTokenCounts = true;
     }
+    if (const std::string *it = findHeader(head.Headers, "parts"))
+      traits.Parts = decodeParts(*it);
     if (const std::string *it = findHeader(head.Headers, "last-event"))
       traits.LastEventId = std::stoull(*it);
     traits.Resumes = headerValue(head.Headers, "resumes");
@@ -78,6 +83,15 @@
     return {{"come-back", std::to_string(retryAfter->count())}};
   }
 
+  /// \returns the parts whose ids \p text lists.
+  static std::vector<PromptPart> decodeParts(const std::string &text) {
+    std::vector<PromptPart> parts;
+    std::istringstream in(text);
+    for (std::string id; std::getline(in, id, ',');)
+      parts.push_back({.Id = std::stoull(id)});
+    return parts;
+  }
+
 private:
   static ServerLoad decodeLoad(const std::string &text) {
     const std::size_t comma = text.find(',');
--- a/test/QuarantineControllerTest.cpp
+++ b/test/QuarantineControllerTest.cpp
@@ -263,3 +263,23 @@
     CHECK(it.only<ReplyComplete>().Head.Status == 503);
   }
 }
+
+TEST_CASE(
+    "a failed attempt is logged with the prompt parts that other requests "
+    "may have") {
+  QuarantineEntry it;
+  it.Controller.onRequest(
+      Now, 1,
+      {"POST",
+       "/safe/q",
+       {{"Host", "h"}, {"id", "r1"}, {"time", "5000"}, {"parts", "10,171,3"}}},
+      "", NoBody);
+  it.Controller.answers().onEnd(Now, it.only<SendUpstream>().Attempt,
+                                BrokenOff);
+  const auto events = it.Controller.takeEvents();
+  const auto failed = std::ranges::find(
+      events, std::string("attempt_broke_off"), &ForwardEvent::Name);
+  REQUIRE(failed != events.end());
+  CHECK(failed->Parts == "a,ab");
+  CHECK(failed->Detail == "before its first event");
+}
