Quarantine of prompt parts that crash the servers that answer on them

Callers saw requests of one kind fail with 502 for half a minute, and with them a tenth and more of all other kinds of the engines: one engine after the other exited, 62 and 73 in two waves.

Cause: the quarantine knew a request by its whole content. The fault belonged to a part of the prompt, and no two requests with it were alike, so each began as an unsuspected one. In seven seconds of logs 126 contents broke off at 11 engines, 88 of them once; none reached three exits.

Now a report on a server's exit names the shared parts of the requests that waited there for their first event. PartLedger, in the replicated state, adds up exits and survivors of each part; the leader has the part that explains its exits best put in quarantine once all entries have reported. Entries refuse requests with it with 502, and give up those that are under way. What an entry has to say for a part is collected for 100 ms, and only while it is accused.

--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -37,6 +37,7 @@
 #include "src/Forward/ByteBudget.h"
 #include "src/Forward/ServerBytes.h"
 #include "src/Forward/QuarantineSet.h"
+#include "src/Forward/SuspectParts.h"
 #include "src/Forward/ForwardBoard.h"
 #include "src/Forward/DemandOf.h"
 #include "src/Forward/AccountController.h"
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -107,6 +107,7 @@
     request.Attempt->FirstEventAt = now;
     Attempts.notifyBegan(request);
     Attempts.recordFirstEvent(now, request);
+    Quarantine.onBegan(request);
   } else {
     request.Attempt->LongestPause = std::max(
         request.Attempt->LongestPause, now - request.Attempt->LastEventAt);
@@ -164,6 +165,8 @@
   Board.Events.back().Outcome =
       failed ? RequestOutcome::Failed : RequestOutcome::Answered;
   Quarantine.onSurvived(request);
+  if (!request.Attempt->FirstEventAt)
+    Quarantine.onBegan(request);
   if (stream)
     recordStream(now, request);
   if (stream)
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -88,7 +88,8 @@
   case ForwardFailure::Malformed:
     return StatusBadRequest;
   case ForwardFailure::Quarantined:
-    // It has run, under an earlier id.
+  case ForwardFailure::PartQuarantined:
+    // It has run, under an earlier id, or may not run while it has this part.
     return StatusBadGateway;
   case ForwardFailure::TimedOut:
     return mayHaveRun ? StatusGatewayTimeout : StatusUnavailable;
@@ -101,12 +102,12 @@
 
 const char *forwardFailureName(ForwardFailure failure) {
   constexpr const char *Names[] = {
-      "not_ready",      "no_route",        "malformed",    "no_server",
-      "declined",       "timed_out",       "broke_off",    "caller_gone",
-      "quarantined",    "on_trial",        "no_leave",     "unknown_key",
-      "keys_outdated",  "over_allotment",  "no_allotment", "servers_rest",
-      "zones_outdated", "no_region",       "no_room",      "service_full",
-      "origin_unknown", "no_such_software"};
+      "not_ready",      "no_route",         "malformed",       "no_server",
+      "declined",       "timed_out",        "broke_off",       "caller_gone",
+      "quarantined",    "on_trial",         "no_leave",        "unknown_key",
+      "keys_outdated",  "over_allotment",   "no_allotment",    "servers_rest",
+      "zones_outdated", "no_region",        "no_room",         "service_full",
+      "origin_unknown", "no_such_software", "part_quarantined"};
   return Names[static_cast<std::size_t>(failure)];
 }
 
@@ -182,6 +183,8 @@
     return deferOrGiveUp(now, request, ForwardFailure::TrialInProgress);
   case SendDecision::Quarantined:
     return giveUp(now, request, ForwardFailure::Quarantined);
+  case SendDecision::PartQuarantined:
+    return refuseForPart(now, request);
   case SendDecision::Granted:
     return choose(now, request);
   }
@@ -443,6 +446,7 @@
   attempt.Sent = true;
   request.SentOnTrial = request.Trial == TrialState::Granted;
   attempt.SentAt = now;
+  attempt.KnownQuarantine = Board.Parts.version();
   ++request.Sends;
   request.Avoid.push_back(attempt.Server);
   Board.Servers.recordSent(attempt.Server);
@@ -809,7 +813,10 @@
 std::optional<Duration>
 AttemptController::retryAfterOf(const ForwardRequest &request,
                                 ForwardFailure why) {
-  if (why == ForwardFailure::Quarantined || why == ForwardFailure::UnknownKey)
+  // Coming back is of no use.
+  if (why == ForwardFailure::Quarantined ||
+      why == ForwardFailure::PartQuarantined ||
+      why == ForwardFailure::UnknownKey)
     return std::nullopt;
   const Duration minDelay =
       std::max(request.RetryAfter, Board.Options.MinRetryAfter);
@@ -819,6 +826,12 @@
   return Board.Jitter.jitter(minDelay);
 }
 
+void AttemptController::refuseForPart(TimePoint now, ForwardRequest &request) {
+  if (const PartNotice *it = Board.Parts.refusalOf(request.Parts))
+    request.RefusalDetail = "; " + describePart(*it);
+  giveUp(now, request, ForwardFailure::PartQuarantined);
+}
+
 void AttemptController::giveUp(TimePoint now, ForwardRequest &request,
                                ForwardFailure why) {
   const bool mayHaveRun =
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -82,6 +82,8 @@
   /// Answers with a refusal that guarantees that the request did not run, or
   /// with a failure where it may have run, and removes the request.
   void giveUp(TimePoint now, ForwardRequest &request, ForwardFailure why);
+  /// Gives up a request because of a part of its prompt.
+  void refuseForPart(TimePoint now, ForwardRequest &request);
   void finish(TimePoint now, ForwardRequest &request);
   void recordEvent(TimePoint now, const char *name,
                    const ForwardRequest &request, std::string detail = {},
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -10,6 +10,7 @@
 #include "RoutingTable.h"
 #include "ServerBytes.h"
 #include "ServerSet.h"
+#include "SuspectParts.h"
 
 #include <algorithm>
 #include <memory>
@@ -97,6 +98,9 @@
   /// an update on what is in quarantine. An entry that can't reach the replicas
   /// then serves without it.
   Duration QuarantineUpdateTimeout = std::chrono::milliseconds(500);
+  /// Shortest time between two reports on requests that speak for accused
+  /// prompt parts.
+  Duration SurvivorReportInterval = std::chrono::milliseconds(100);
   /// Retry-after time named by a process without a routing document. Replicas
   /// that were all killed need this long to elect a leader and to receive its
   /// messages.
@@ -158,6 +162,8 @@
   OriginUnknown,
   /// No server runs the software version that began the stream.
   NoSuchSoftware,
+  /// Its prompt has a part that crashes the servers that begin to answer on it.
+  PartQuarantined,
 };
 /// \returns the name of \p failure in logs and metrics.
 const char *forwardFailureName(ForwardFailure failure);
@@ -214,6 +220,9 @@
   /// Longest time for which this process was stalled since it asked the agent.
   Duration LongestStall = Duration::zero();
   ServerProcess Server;
+  /// Version of the quarantine ledger that this entry knew when it sent the
+  /// request.
+  std::uint64_t KnownQuarantine = 0;
   /// Software version of Server; empty if it states none.
   std::string Software;
   TimePoint StartedAt;
@@ -277,6 +286,8 @@
   /// Hash of the method, host, target, client account and body: equal for all
   /// attempts at the same request, on whichever entry.
   ContentHash Content;
+  /// The parts of its prompt that other requests of its account may have.
+  std::vector<SharedPart> Parts;
   std::shared_ptr<const RoutingTable> Table;
   const RouteSpec *Route = nullptr;
   /// Client account that owns the request's key, stored in Table; null where no
@@ -304,6 +315,8 @@
   /// A server may have run it.
   bool MayHaveRun = false;
   TrialState Trial = TrialState::None;
+  /// What is on trial: the request itself, or a part of its prompt.
+  ContentHash TrialOf;
   /// End of the Settling state.
   TimePoint SettledAt;
   /// It was sent under its current trial grant.
@@ -500,6 +513,7 @@
   /// ended; nothing while it lasts.
   std::map<ServiceName, std::optional<TimePoint>> MixedUntil;
   QuarantineSet Quarantine;
+  SuspectParts Parts;
   std::shared_ptr<const RoutingTable> Table;
   std::unordered_map<std::uint64_t, ForwardRequest> Requests;
   std::unordered_map<AttemptId, std::uint64_t> Attempts;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -153,6 +153,9 @@
                                request.Account ? request.Account->Regions
                                                : std::vector<RegionName>());
   request.Content = contentOf(Hasher, request);
+  request.Parts = sharedParts(
+      Hasher, request.Account ? request.Account->Name : AccountName(),
+      request.Traits.Parts);
   const Duration timeLeft =
       request.Traits.TimeLeft.value_or(request.Route->Timeout);
   request.Deadline = request.ArrivedAt +
@@ -272,6 +275,14 @@
   Attempts.proceed(now, request, decision->Decision);
 }
 
+void ForwardController::onQuarantineUpdate(TimePoint now,
+                                           const QuarantineUpdate &update) {
+  Quarantine.onUpdate(update);
+  for (const std::uint64_t key : Quarantine.refusedForPart())
+    if (const auto it = Board.Requests.find(key); it != Board.Requests.end())
+      Attempts.refuseForPart(now, it->second);
+}
+
 void ForwardController::onServerChecked(TimePoint now,
                                         const ServerProcess &server,
                                         ServerCheckResult checkResult) {
@@ -330,6 +341,7 @@
   Attempts.serveWaiting(now);
   for (const std::uint64_t key : Quarantine.takeSettled(now))
     Attempts.next(now, Board.Requests.at(key));
+  Quarantine.reportSurvivors(now);
 }
 
 bool ForwardController::isAgentOverdue(TimePoint now,
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -75,6 +75,9 @@
   /// The link to an agent is lost.
   void onAgentLost(TimePoint now, const HostName &agent);
   /// The replicas have decided on a proposal, or haven't in time.
+  /// Refuses the unanswered requests, sent or not, with a part that is in
+  /// quarantine now.
+  void onQuarantineUpdate(TimePoint now, const QuarantineUpdate &update);
   void onDecision(TimePoint now, std::uint64_t nonce,
                   const std::optional<CommandOutcome> &outcome);
   /// A server whose answer had broken off has been checked.
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -27,10 +27,14 @@
 
 SendDecision QuarantineController::decideSend(TimePoint now,
                                               ForwardRequest &request) {
+  if (Board.Parts.refusalOf(request.Parts))
+    return SendDecision::PartQuarantined;
   if (request.Trial == TrialState::Granted)
     return SendDecision::Granted;
   if (request.Trial != TrialState::None)
     return SendDecision::Asked;
+  if (const PartNotice *it = Board.Parts.trialOf(request.Parts))
+    return claim(now, request, it->Part.Id);
   switch (Board.Quarantine.stateOf(request.Content)) {
   case QuarantineState::Quarantined:
     return SendDecision::Quarantined;
@@ -39,9 +43,15 @@
   case QuarantineState::Watched:
     break;
   }
+  return claim(now, request, request.Content);
+}
+
+SendDecision QuarantineController::claim(TimePoint now, ForwardRequest &request,
+                                         const ContentHash &suspect) {
   request.Trial = TrialState::Asked;
+  request.TrialOf = suspect;
   const std::uint64_t nonce =
-      ask(ClaimTrial{.Content = request.Content,
+      ask(ClaimTrial{.Content = suspect,
                      .Holder = holderOf(Board, request),
                      .MaxTrialDuration = request.Deadline - now},
           Board.Options.TrialDecisionTimeout);
@@ -65,6 +75,7 @@
   if (it == Board.Requests.end() || it->second.Trial != TrialState::Asked)
     return std::nullopt;
   ForwardRequest &request = it->second;
+  const bool ofPart = request.TrialOf != request.Content;
   request.Trial = TrialState::None;
   if (!outcome)
     return TrialDecision{request.Key, SendDecision::Undecided};
@@ -73,11 +84,14 @@
     request.Trial = TrialState::Granted;
     return TrialDecision{request.Key, SendDecision::Granted};
   case CommandResult::NotFound:
-    Board.Quarantine.put(request.Content, QuarantineState::Clear);
+    if (!ofPart)
+      Board.Quarantine.put(request.Content, QuarantineState::Clear);
     return TrialDecision{request.Key, SendDecision::Granted};
   case CommandResult::InProgress:
     return TrialDecision{request.Key, SendDecision::TrialInProgress};
   default:
+    if (ofPart)
+      return TrialDecision{request.Key, SendDecision::PartQuarantined};
     Board.Quarantine.put(request.Content, QuarantineState::Quarantined);
     return TrialDecision{request.Key, SendDecision::Quarantined};
   }
@@ -101,7 +115,13 @@
       Board.Quarantine.stateOf(request.Content) != QuarantineState::Clear;
   if (!watched && request.Trial == TrialState::None)
     return;
+  const bool ofPart =
+      request.Trial != TrialState::None && request.TrialOf != request.Content;
   request.Trial = TrialState::None;
+  if (ofPart)
+    endTrial(request.TrialOf, holderOf(Board, request), TrialEnding::Survived);
+  if (ofPart && !watched)
+    return;
   Board.Quarantine.put(request.Content, QuarantineState::Clear);
   Board.Events.push_back(
       {.Name = "suspicion_cleared",
@@ -118,10 +138,62 @@
   if (request.Trial != TrialState::Asked &&
       request.Trial != TrialState::Granted)
     return;
-  endTrial(request.Content, holderOf(Board, request),
+  endTrial(request.TrialOf, holderOf(Board, request),
            request.SentOnTrial ? TrialEnding::Unclear : TrialEnding::NotRun);
 }
 
+//===----------------------------------------------------------------------===//
+// Parts of prompts
+//===----------------------------------------------------------------------===//
+
+void QuarantineController::onUpdate(const QuarantineUpdate &update) {
+  Board.Quarantine.apply(update);
+  Board.Parts.apply(update);
+  for (const PartNotice &it : update.Parts) {
+    if (it.State == PartState::Accused)
+      continue;
+    const bool onTrial = it.State == PartState::OnTrial;
+    Board.Events.push_back(
+        {.Name = onTrial ? "part_on_trial" : "part_quarantined",
+         .Content = it.Part.Id,
+         .Detail = describePart(it)});
+  }
+}
+
+std::vector<std::uint64_t> QuarantineController::refusedForPart() const {
+  std::vector<std::uint64_t> keys;
+  if (Board.Parts.count(PartState::Quarantined) == 0)
+    return keys;
+  for (const auto &[key, it] : Board.Requests)
+    if (!it.Answering && Board.Parts.refusalOf(it.Parts))
+      keys.push_back(key);
+  return keys;
+}
+
+InFlightParts
+QuarantineController::inFlightParts(const ForwardRequest &request) const {
+  if (request.Parts.empty())
+    return {};
+  return {.Parts = request.Parts,
+          .Account = request.Account ? request.Account->Name : AccountName(),
+          .Service = request.Service,
+          .KnownVersion = request.Attempt->KnownQuarantine};
+}
+
+void QuarantineController::onBegan(const ForwardRequest &request) {
+  std::vector<ContentHash> parts = Board.Parts.suspectsAmong(request.Parts);
+  if (!parts.empty())
+    Survivors.push_back({request.Service, std::move(parts)});
+}
+
+void QuarantineController::reportSurvivors(TimePoint now) {
+  if (Survivors.empty() || now < NextSurvivorReport)
+    return;
+  NextSurvivorReport = now + Board.Options.SurvivorReportInterval;
+  ask(ReportSurvivors{std::exchange(Survivors, {})},
+      Board.Options.ReportTimeout);
+}
+
 //===----------------------------------------------------------------------===//
 // Server exits
 //===----------------------------------------------------------------------===//
@@ -139,10 +211,13 @@
   it->second.RequestsInFlight.push_back(
       {.Content = request.Content,
        .Answering = request.Attempt->FirstEventAt.has_value(),
-       .Holder = hasGrant ? holderOf(Board, request) : AttemptId()});
+       .Holder = hasGrant ? holderOf(Board, request) : AttemptId(),
+       .Shared = inFlightParts(request)});
   // The report releases the trial grant, too.
-  if (hasGrant)
+  if (hasGrant) {
+    it->second.Trials.push_back({request.TrialOf, holderOf(Board, request)});
     request.Trial = TrialState::None;
+  }
   request.CheckedServer = process;
   it->second.Waiting.push_back(request.Key);
   return true;
@@ -159,7 +234,7 @@
     startSettling(now, server, check.mapped());
     reportServerExit(now, server, inFlight);
   } else
-    endTrials(inFlight, checkResult);
+    endTrials(check.mapped().Trials, checkResult);
   std::vector<std::uint64_t> waiting;
   for (const std::uint64_t key : check.mapped().Waiting) {
     const auto it = Board.Requests.find(key);
@@ -195,16 +270,13 @@
   return settled;
 }
 
-void QuarantineController::endTrials(
-    const std::vector<InFlightRequest> &inFlight,
-    ServerCheckResult checkResult) {
+void QuarantineController::endTrials(const std::vector<HeldTrial> &trials,
+                                     ServerCheckResult checkResult) {
   const bool survived = checkResult == ServerCheckResult::StillRunning;
-  for (const InFlightRequest &it : inFlight) {
-    if (it.Holder == AttemptId())
-      continue;
+  for (const HeldTrial &it : trials) {
     if (survived)
-      Board.Quarantine.put(it.Content, QuarantineState::Clear);
-    endTrial(it.Content, it.Holder,
+      Board.Quarantine.put(it.Of, QuarantineState::Clear);
+    endTrial(it.Of, it.Holder,
              survived ? TrialEnding::Survived : TrialEnding::Unclear);
   }
 }
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.h
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.h
@@ -15,6 +15,8 @@
   /// Another attempt at the same request is in progress.
   TrialInProgress,
   Quarantined,
+  /// A part of its prompt is in quarantine.
+  PartQuarantined,
 };
 
 /// A request that waited for a decision, and the decision.
@@ -36,6 +38,11 @@
 /// to the replicas' ledger, which weighs them (QuarantineLedger), and none of
 /// them is sent again without a grant from the ledger. This costs a watched
 /// request one check of the server and one commit of the replicas.
+///
+/// Reports also name the parts of the prompts (PartLedger). A request with an
+/// accused part is sent without a grant. When a server begins to answer it,
+/// this entry reports that; such reports are collected, so that their number
+/// doesn't grow with the number of requests.
 class QuarantineController {
 public:
   explicit QuarantineController(ForwardBoard &board) : Board(board) {}
@@ -47,9 +54,10 @@
   /// \returns the request that waited for it, with the decision.
   std::optional<TrialDecision>
   onDecision(std::uint64_t nonce, const std::optional<CommandOutcome> &outcome);
-  void onUpdate(const QuarantineUpdate &update) {
-    Board.Quarantine.apply(update);
-  }
+  void onUpdate(const QuarantineUpdate &update);
+  /// \returns the keys of the unanswered requests that are refused because of
+  /// a part in quarantine.
+  std::vector<std::uint64_t> refusedForPart() const;
 
   /// An attempt broke off: has its server checked.
   /// \returns whether a check is in progress. onServerChecked() then returns
@@ -63,6 +71,10 @@
   std::vector<std::uint64_t> takeSettled(TimePoint now);
   /// A server ran the request and its process still runs.
   void onSurvived(ForwardRequest &request);
+  /// A server has begun to answer the request.
+  void onBegan(const ForwardRequest &request);
+  /// Sends the reports on requests that speak for accused parts.
+  void reportSurvivors(TimePoint now);
   /// The request ends: releases the trial grant that it holds or has asked for.
   void onFinished(const ForwardRequest &request);
 
@@ -73,18 +85,27 @@
   void onCaughtUp(TimePoint at);
 
 private:
+  struct HeldTrial {
+    ContentHash Of;
+    AttemptId Holder;
+  };
   struct Check {
     std::vector<InFlightRequest> RequestsInFlight;
+    std::vector<HeldTrial> Trials;
     std::vector<std::uint64_t> Waiting;
   };
   void startSettling(TimePoint now, const ServerProcess &server,
                      const Check &check);
   bool mayBeOutdated(TimePoint now) const;
+  /// Asks the replicas for the trial grant of \p suspect.
+  SendDecision claim(TimePoint now, ForwardRequest &request,
+                     const ContentHash &suspect);
+  InFlightParts inFlightParts(const ForwardRequest &request) const;
   std::uint64_t ask(CommandBody body, Duration giveUpAfter);
   void endTrial(const ContentHash &content, const AttemptId &holder,
                 TrialEnding ending);
-  /// Releases the trial grants that some of \p inFlight held.
-  void endTrials(const std::vector<InFlightRequest> &inFlight,
+  /// Releases the trial grants that requests at a server held.
+  void endTrials(const std::vector<HeldTrial> &trials,
                  ServerCheckResult checkResult);
   void reportServerExit(TimePoint now, const ServerProcess &server,
                         const std::vector<InFlightRequest> &inFlight);
@@ -96,6 +117,8 @@
   std::map<std::uint64_t, std::uint64_t> Claims;
   /// Contents that were reported, by the nonce of the report.
   std::map<std::uint64_t, std::vector<ContentHash>> Reports;
+  std::vector<SurvivedRequest> Survivors;
+  TimePoint NextSurvivorReport;
   std::uint64_t LastNonce = 0;
   std::optional<TimePoint> OutdatedSince;
 };
--- a/packages/forward/pimentofront/src/Forward/SharedParts.cpp
+++ b/packages/forward/pimentofront/src/Forward/SharedParts.cpp
@@ -10,6 +10,21 @@
   return parts;
 }
 
+std::vector<SharedPart> sharedParts(ContentHasher &hasher,
+                                    const AccountName &account,
+                                    const std::vector<PromptPart> &parts) {
+  std::vector<SharedPart> shared;
+  for (const PromptPart &it : sharedParts(parts)) {
+    const std::uint64_t part = it.Id;
+    const ContentHash id =
+        hasher.addField(account.str())
+            .addField({reinterpret_cast<const char *>(&part), sizeof(part)})
+            .finish();
+    shared.push_back({.Id = id, .Part = part});
+  }
+  return shared;
+}
+
 std::string describeParts(const std::vector<PromptPart> &parts) {
   constexpr int Hexadecimal = 16;
   std::string text;
--- a/packages/forward/pimentofront/src/Forward/SharedParts.h
+++ b/packages/forward/pimentofront/src/Forward/SharedParts.h
@@ -10,6 +10,10 @@
 /// \returns the parts of a prompt that other requests may have as well: all but
 /// the last one, which belongs to the request or to its session.
 std::vector<PromptPart> sharedParts(std::vector<PromptPart> parts);
+/// \returns the same as the requests of \p account share them.
+std::vector<SharedPart> sharedParts(ContentHasher &hasher,
+                                    const AccountName &account,
+                                    const std::vector<PromptPart> &parts);
 /// \returns the ids of \p parts as callers write them, separated by commas.
 std::string describeParts(const std::vector<PromptPart> &parts);
 
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -90,7 +90,7 @@
 void ForwardNode::onFeedMessage(TimePoint now, const Message &message) {
   const FeedUpdate update = Feed.onMessage(now, message);
   if (update.Quarantine)
-    Controller.quarantine().onUpdate(*update.Quarantine);
+    Controller.onQuarantineUpdate(now, *update.Quarantine);
   if (Feed.quarantineKnownAsOf())
     Controller.quarantine().onCaughtUp(*Feed.quarantineKnownAsOf());
   if (update.Members) {
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -362,6 +362,8 @@
     result.Members.push_back(it);
   for (const auto &[content, it] : State.quarantine().records())
     result.Quarantine.push_back(it);
+  for (const auto &[id, it] : State.quarantine().parts().records())
+    result.Parts.push_back(it);
   return result;
 }
 
@@ -547,7 +549,7 @@
 
 void ReplicaNode::reviewQuarantine(TimePoint now) {
   ReviewQuarantine review = Review.take(now, State.quarantine());
-  if (!review.Due.empty())
+  if (!review.Due.empty() || !review.PartCandidates.empty())
     Log.propose(now, Wall.milliseconds(),
                 encodeCommand(Command{.Body = std::move(review)}));
 }
--- a/packages/state/pimentofront/State.h
+++ b/packages/state/pimentofront/State.h
@@ -19,6 +19,7 @@
 #include "src/State/Configuration.h"
 #include "src/State/EvacuationOrders.h"
 #include "src/State/ClaimLedger.h"
+#include "src/State/PartLedger.h"
 #include "src/State/QuarantineLedger.h"
 #include "src/State/QuarantineReview.h"
 #include "src/State/StateMachine.h"
--- a/packages/state/pimentofront/src/State/QuarantineLedger.cpp
+++ b/packages/state/pimentofront/src/State/QuarantineLedger.cpp
@@ -25,6 +25,13 @@
                             : QuarantineState::Watched;
 }
 
+PartNotice noticeOf(const PartRecord &record) {
+  return {.Part = record.Part,
+          .State = record.State,
+          .With = record.With,
+          .Exits = static_cast<std::uint32_t>(record.Exits.size())};
+}
+
 const QuarantineRecord *
 QuarantineLedger::find(const ContentHash &content) const {
   const auto it = Records.find(content);
@@ -36,8 +43,11 @@
 }
 
 void QuarantineLedger::remove(const ContentHash &content) {
-  if (Records.erase(content) == 0)
-    return;
+  if (Records.erase(content) > 0)
+    addRemoval(content);
+}
+
+void QuarantineLedger::addRemoval(const ContentHash &content) {
   Removals.push_back({content, ++Version});
   if (Removals.size() <= Options.MaxRemovals)
     return;
@@ -45,6 +55,11 @@
   Removals.pop_front();
 }
 
+void QuarantineLedger::addPartRemovals() {
+  for (const ContentHash &it : PartRecords.takeRemoved())
+    addRemoval(it);
+}
+
 /// At full capacity, removes the watched request whose last change is the
 /// oldest, or a quarantined one if there is no watched one.
 void QuarantineLedger::evictOldest() {
@@ -64,6 +79,15 @@
 CommandOutcome QuarantineLedger::report(const ReportServerExit &crash) {
   for (const InFlightRequest &it : crash.RequestsInFlight)
     addExit(crash.Server, it);
+  PartRecords.report(++Version, crash);
+  addPartRemovals();
+  return {.At = Version};
+}
+
+CommandOutcome
+QuarantineLedger::recordSurvivors(const ReportSurvivors &survivors) {
+  PartRecords.recordSurvivors(++Version, survivors);
+  addPartRemovals();
   return {.At = Version};
 }
 
@@ -139,7 +163,7 @@
 CommandOutcome QuarantineLedger::claim(const ClaimTrial &trial) {
   const auto it = Records.find(trial.Content);
   if (it == Records.end())
-    return {.Result = CommandResult::NotFound, .At = Version};
+    return {.Result = PartRecords.claim(trial), .At = Version};
   QuarantineRecord &record = it->second;
   if (record.Holder != AttemptId() && record.Holder != trial.Holder)
     return {.Result = CommandResult::InProgress, .At = Version};
@@ -161,6 +185,11 @@
 
 CommandOutcome QuarantineLedger::end(const EndTrial &trial) {
   const auto it = Records.find(trial.Content);
+  if (it == Records.end() && PartRecords.find(trial.Content)) {
+    PartRecords.end(++Version, trial);
+    addPartRemovals();
+    return {.At = Version};
+  }
   if (it == Records.end())
     return {.Result = CommandResult::NotFound, .At = Version};
   if (trial.Ending == TrialEnding::Survived) {
@@ -182,30 +211,45 @@
 
 CommandOutcome QuarantineLedger::review(const ReviewQuarantine &review) {
   for (const DueRecord &due : review.Due) {
-    const auto it = Records.find(due.Content);
-    if (it == Records.end() || it->second.ChangedAt != due.ChangedAt ||
-        it->second.Holder != due.Holder)
-      continue;
-    QuarantineRecord &record = it->second;
-    if (record.Holder != AttemptId()) {
-      record.Holder = AttemptId();
-    } else if (record.Quarantined) {
-      // The servers may have been repaired: allow one trial.
-      record.Quarantined = false;
-      record.TrialsAfterThreshold = 0;
-      markChanged(record);
-    } else {
-      remove(due.Content);
-    }
+    if (PartRecords.find(due.Content))
+      PartRecords.expire(++Version, due);
+    else
+      reviewRequest(due);
   }
+  if (PartRecords.decide(Version + 1, review.PartCandidates))
+    ++Version;
+  addPartRemovals();
   return {.At = Version};
 }
 
+void QuarantineLedger::reviewRequest(const DueRecord &due) {
+  const auto it = Records.find(due.Content);
+  if (it == Records.end() || it->second.ChangedAt != due.ChangedAt ||
+      it->second.Holder != due.Holder)
+    return;
+  QuarantineRecord &record = it->second;
+  if (record.Holder != AttemptId()) {
+    record.Holder = AttemptId();
+  } else if (record.Quarantined) {
+    // The servers may have been repaired: allow one trial.
+    record.Quarantined = false;
+    record.TrialsAfterThreshold = 0;
+    markChanged(record);
+  } else {
+    remove(due.Content);
+  }
+}
+
 CommandOutcome QuarantineLedger::release(const ReleaseQuarantine &release) {
+  if (PartRecords.remove(release.Content)) {
+    addPartRemovals();
+    return {.At = Version};
+  }
   if (!Records.contains(release.Content))
     return {.Result = CommandResult::NotFound,
             .At = Version,
-            .Detail = "no such request is watched or in quarantine"};
+            .Detail = "no such request or prompt part is suspected or in "
+                      "quarantine"};
   remove(release.Content);
   return {.At = Version};
 }
@@ -223,10 +267,14 @@
   for (const auto &[content, it] : Records)
     if (update.Full || it.ChangedAt > known)
       update.Notices.push_back({content, stateOf(it)});
+  for (const auto &[id, it] : PartRecords.records())
+    if (update.Full || it.ChangedAt > known)
+      update.Parts.push_back(noticeOf(it));
   if (update.Full)
     return update;
   for (const Removal &it : Removals)
-    if (it.At > known && !Records.contains(it.Content))
+    if (it.At > known && !Records.contains(it.Content) &&
+        !PartRecords.find(it.Content))
       update.Notices.push_back({it.Content, QuarantineState::Clear});
   return update;
 }
--- a/packages/state/pimentofront/src/State/QuarantineLedger.h
+++ b/packages/state/pimentofront/src/State/QuarantineLedger.h
@@ -1,7 +1,7 @@
 #ifndef PIMENTOFRONT_STATE_QUARANTINE_LEDGER_H
 #define PIMENTOFRONT_STATE_QUARANTINE_LEDGER_H
 
-#include "pimentofront/Wire.h"
+#include "PartLedger.h"
 
 #include <deque>
 #include <map>
@@ -30,6 +30,7 @@
   std::size_t Capacity = 4096;
   /// Recent removals stored; a receiver that missed more gets the whole ledger.
   std::size_t MaxRemovals = 4096;
+  PartLedgerOptions Parts;
 };
 
 /// \class QuarantineLedger
@@ -52,12 +53,16 @@
 /// trials are granted whose outcome stays unclear. The ledger uses no clock:
 /// the leader decides when a record has been unchanged for long enough, see
 /// QuarantineReview.
+///
+/// Prompt parts that crash whatever request holds them are found by the
+/// PartLedger, which is part of this ledger and shares its versions.
 class QuarantineLedger {
 public:
   explicit QuarantineLedger(const QuarantineLedgerOptions &options = {})
-      : Options(options) {}
+      : Options(options), PartRecords(options.Parts) {}
 
   CommandOutcome report(const ReportServerExit &crash);
+  CommandOutcome recordSurvivors(const ReportSurvivors &survivors);
   CommandOutcome claim(const ClaimTrial &trial);
   CommandOutcome end(const EndTrial &trial);
   CommandOutcome review(const ReviewQuarantine &review);
@@ -69,11 +74,13 @@
   const std::map<ContentHash, QuarantineRecord> &records() const {
     return Records;
   }
+  const PartLedger &parts() const { return PartRecords; }
   /// \returns what changed after version \p known; nothing if \p known is
   /// current.
   std::optional<QuarantineUpdate> updateSince(std::uint64_t known) const;
   /// Inserts a record, or sets the version, from a snapshot.
   void restore(const QuarantineRecord &record);
+  void restore(const PartRecord &record) { PartRecords.restore(record); }
   void restoreVersion(std::uint64_t version);
 
 private:
@@ -83,6 +90,10 @@
                           const ServerProcess &server, bool duringTrial);
   void markChanged(QuarantineRecord &record);
   void remove(const ContentHash &content);
+  void addRemoval(const ContentHash &content);
+  /// Reports the parts that the part ledger has removed to the entries.
+  void addPartRemovals();
+  void reviewRequest(const DueRecord &due);
   void evictOldest();
   void putInQuarantine(QuarantineRecord &record);
   bool shouldQuarantine(const QuarantineRecord &record) const;
@@ -93,6 +104,7 @@
 
   QuarantineLedgerOptions Options;
   std::map<ContentHash, QuarantineRecord> Records;
+  PartLedger PartRecords;
   std::uint64_t Version = 0;
   struct Removal {
     ContentHash Content;
@@ -105,6 +117,8 @@
 
 /// \returns the state of \p record that entries receive.
 QuarantineState stateOf(const QuarantineRecord &record);
+/// \returns the notice about \p record that entries receive.
+PartNotice noticeOf(const PartRecord &record);
 
 } // namespace pimentofront
 
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -118,6 +118,8 @@
     return Quarantine.review(*it);
   if (const auto *it = std::get_if<ReleaseQuarantine>(&body))
     return Quarantine.release(*it);
+  if (const auto *it = std::get_if<ReportSurvivors>(&body))
+    return Quarantine.recordSurvivors(*it);
   return std::nullopt;
 }
 
@@ -267,6 +269,8 @@
     add(QuarantineHeader{Quarantine.version()});
   for (const auto &[content, it] : Quarantine.records())
     add(it);
+  for (const auto &[id, it] : Quarantine.parts().records())
+    add(it);
   for (const CommandId &it : OutcomeOrder)
     add(Outcomes.at(it));
   return bytes;
@@ -293,6 +297,8 @@
     Quarantine.restoreVersion(ledger->Version);
   else if (const auto *record = std::get_if<QuarantineRecord>(&item))
     Quarantine.restore(*record);
+  else if (const auto *part = std::get_if<PartRecord>(&item))
+    Quarantine.restore(*part);
 }
 
 tl::expected<void, DecodeError> StateMachine::decode(std::string_view bytes) {
--- a/packages/wire/pimentofront/src/Wire/Commands.h
+++ b/packages/wire/pimentofront/src/Wire/Commands.h
@@ -115,8 +115,8 @@
   PIMENTOFRONT_FIELDS(ReportServerExit, Server, RequestsInFlight)
 };
 
-/// Requests the trial grant for a watched request. Granted to one attempt at a
-/// time.
+/// Requests the trial grant for a watched request, or for a prompt part on
+/// trial. Granted to one attempt at a time.
 struct ClaimTrial {
   ContentHash Content;
   AttemptId Holder;
@@ -156,12 +156,30 @@
 /// has changed meanwhile is skipped.
 struct ReviewQuarantine {
   std::vector<DueRecord> Due;
-  PIMENTOFRONT_FIELDS(ReviewQuarantine, Due)
+  /// Prompt parts whose score has been high enough for a quarantine for so long
+  /// that all entries have reported the exits.
+  std::vector<ContentHash> PartCandidates;
+  PIMENTOFRONT_FIELDS(ReviewQuarantine, Due, PartCandidates)
 };
 
-/// An operator clears a request because the fault by which it crashed servers
-/// was fixed.
+/// A request that a server began to answer, and survived.
+struct SurvivedRequest {
+  ServiceName Service;
+  /// Hashes of those of its prompt parts that are accused.
+  std::vector<ContentHash> Parts;
+  PIMENTOFRONT_FIELDS(SurvivedRequest, Service, Parts)
+};
+
+/// From an entry: requests that speak for accused parts.
+struct ReportSurvivors {
+  std::vector<SurvivedRequest> Requests;
+  PIMENTOFRONT_FIELDS(ReportSurvivors, Requests)
+};
+
+/// An operator clears a request, or a part of prompts, because the fault by
+/// which it crashed servers was fixed.
 struct ReleaseQuarantine {
+  /// Of the request or of the part.
   ContentHash Content;
   PIMENTOFRONT_FIELDS(ReleaseQuarantine, Content)
 };
@@ -172,7 +190,7 @@
     std::variant<CreateAdapter, CreateVersion, DeclareLive, SetKind, SetDrained,
                  ClaimRequest, RecordEnding, PutDocument, ActivateVersion,
                  ReportServerExit, ClaimTrial, EndTrial, ReviewQuarantine,
-                 ReleaseQuarantine, EvacuateZone>;
+                 ReleaseQuarantine, EvacuateZone, ReportSurvivors>;
 
 /// \class Command
 /// \ingroup Wire
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -223,9 +223,11 @@
   std::vector<QuarantineRecord> Quarantine;
   /// Client accounts, if this replica is the leader.
   std::vector<AccountStatus> Accounts;
+  /// Prompt parts under which backend servers exited.
+  std::vector<PartRecord> Parts;
   PIMENTOFRONT_FIELDS(ReplicaStatus, Host, Identity, Leads, Term, CommitIndex,
                       Current, Adapters, Claims, Group, Members, InForce,
-                      Quarantine, Accounts)
+                      Quarantine, Accounts, Parts)
 };
 
 /// Replica to process.
