Part ledger: two parts that explain exits equally well wait for more evidence

Found by a unit test of the ledger: where a sound part of another request had been waiting at the same four servers, the one of the two with the smaller hash was put in quarantine. The decision now waits for a further exit, for a survivor, or for the sixth exit.

--- a/packages/state/pimentofront/src/State/PartLedger.cpp
+++ b/packages/state/pimentofront/src/State/PartLedger.cpp
@@ -233,10 +233,16 @@
 }
 
 bool PartLedger::isDominated(const PartRecord &record) const {
+  const bool mayTie = record.Exits.size() >= Options.TiedExits;
   return std::ranges::any_of(Records, [&](const auto &it) {
     const PartRecord &other = it.second;
-    return other.State == PartState::Accused && explainsMore(other, record) &&
-           2 * commonExits(record, other) > record.Exits.size();
+    if (it.first == record.Part.Id || other.State != PartState::Accused ||
+        2 * commonExits(record, other) <= record.Exits.size())
+      return false;
+    const bool tied = other.Score >= record.Score &&
+                      !explainsMore(record, other) &&
+                      !contains(record.With, other.Part.Id);
+    return explainsMore(other, record) || (tied && !mayTie);
   });
 }
 
--- a/packages/state/pimentofront/src/State/PartLedger.h
+++ b/packages/state/pimentofront/src/State/PartLedger.h
@@ -18,6 +18,9 @@
   /// How many of these exits no part in quarantine may explain.
   std::ptrdiff_t UnexplainedExits = 2;
   std::uint32_t QuarantineScore = 3;
+  /// Exits with which a part may be put in quarantine although another part,
+  /// of other requests, explains most of them as well as it does.
+  std::size_t TiedExits = 6;
   /// How much of a part's score one survivor takes away.
   std::uint32_t SurvivorWeight = 3;
   /// Server exits stored per part.
@@ -99,7 +102,7 @@
   const PartRecord *
   bestCandidate(const std::vector<ContentHash> &candidates) const;
   /// \returns whether another accused part explains most of the exits of
-  /// \p record and more besides.
+  /// \p record better, or as well without being a part of the same requests.
   bool isDominated(const PartRecord &record) const;
   void putInQuarantine(std::uint64_t version, PartRecord &record);
   void recordSurvivor(std::uint64_t version, PartRecord &record,
