--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -177,6 +177,11 @@
      "quarantined: backend servers exited while they ran this content (see "
      "server_ended and the lines with the same content), so it is not sent to "
      "any; status lists it, release clears it"},
+    {"request_lost", "why=part_quarantined",
+     "quarantined: backend servers exited while they began to answer requests "
+     "with the prompt part that the line names (see server_ended and the "
+     "attempt_broke_off lines with that part), so no request with it is sent "
+     "to any; status lists it, release clears it"},
     {"request_lost", "why=on_trial",
      "a server had exited while it ran the same content, and another trial of "
      "that content was in progress"},
--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -160,6 +160,10 @@
     gauges.ConnectionBytes = static_cast<double>(board.Bytes.connectionBytes());
     gauges.ServerBytes = static_cast<double>(board.BytesAtServers.total());
     gauges.PausedStreams = static_cast<double>(board.pausedStreams());
+    gauges.AccusedParts =
+        static_cast<double>(board.Parts.count(PartState::Accused));
+    gauges.QuarantinedParts =
+        static_cast<double>(board.Parts.count(PartState::Quarantined));
     const FeedbackCounts counts = servers.countFeedback(now);
     gauges.LimitedServers = counts.Limited;
     setPlainGauges(now, Nodes.Forward->controller().board(), gauges);
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -284,6 +284,8 @@
   put("held_connection_bytes", gauges.ConnectionBytes);
   put("bytes_at_servers", gauges.ServerBytes);
   put("paused_streams", gauges.PausedStreams);
+  put("accused_parts", gauges.AccusedParts);
+  put("quarantined_parts", gauges.QuarantinedParts);
   put("leads", gauges.Leads);
   put("peer_bytes_sent", gauges.PeerBytesSent);
   put("peer_bytes_received", gauges.PeerBytesReceived);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -47,6 +47,10 @@
   double ServerBytes = 0;
   /// Answers whose servers aren't read, because their callers read too slowly.
   double PausedStreams = 0;
+  /// Prompt parts that backend servers exited under, and those of them with
+  /// which no request is sent.
+  double AccusedParts = 0;
+  double QuarantinedParts = 0;
   double Leads = 0;
   double PeerBytesSent = 0;
   double PeerBytesReceived = 0;
--- a/packages/daemon/src/OperatorApi.cpp
+++ b/packages/daemon/src/OperatorApi.cpp
@@ -177,6 +177,19 @@
     for (const ServerExit &end : it.Exits)
       request->add_servers(end.Server.Name.str());
   }
+  for (const PartRecord &it : status.Parts) {
+    v1::SuspectedPart *part = Response.add_suspected_parts();
+    part->set_content(it.Part.Id.str());
+    part->set_part(partName(it.Part.Part));
+    part->set_account(it.Account.str());
+    part->set_quarantined(it.State == PartState::Quarantined);
+    for (const SharedPart &other : it.With)
+      part->add_with(partName(other.Part));
+    for (const PartExit &exit : it.Exits)
+      part->add_servers(exit.Server.Name.str());
+    for (const ServiceName &service : it.Services)
+      part->add_services(service.str());
+  }
 }
 
 void StatusCollector::addAccounts(const ReplicaStatus &status) {
--- a/packages/forward/pimentofront/src/Forward/SharedParts.cpp
+++ b/packages/forward/pimentofront/src/Forward/SharedParts.cpp
@@ -25,14 +25,17 @@
   return shared;
 }
 
-std::string describeParts(const std::vector<PromptPart> &parts) {
+std::string partName(std::uint64_t part) {
   constexpr int Hexadecimal = 16;
+  std::array<char, 2 * sizeof(part)> buf{};
+  const auto end = std::to_chars(buf.begin(), buf.end(), part, Hexadecimal);
+  return {buf.data(), end.ptr};
+}
+
+std::string describeParts(const std::vector<PromptPart> &parts) {
   std::string text;
-  for (const PromptPart &it : parts) {
-    std::array<char, 2 * sizeof(it.Id)> buf{};
-    const auto end = std::to_chars(buf.begin(), buf.end(), it.Id, Hexadecimal);
-    text += (text.empty() ? "" : ",") + std::string(buf.data(), end.ptr);
-  }
+  for (const PromptPart &it : parts)
+    text += (text.empty() ? "" : ",") + partName(it.Id);
   return text;
 }
 
--- a/packages/forward/pimentofront/src/Forward/SharedParts.h
+++ b/packages/forward/pimentofront/src/Forward/SharedParts.h
@@ -14,6 +14,8 @@
 std::vector<SharedPart> sharedParts(ContentHasher &hasher,
                                     const AccountName &account,
                                     const std::vector<PromptPart> &parts);
+/// \returns the id of a part as callers write it, in hexadecimal.
+std::string partName(std::uint64_t part);
 /// \returns the ids of \p parts as callers write them, separated by commas.
 std::string describeParts(const std::vector<PromptPart> &parts);
 
--- a/packages/forward/pimentofront/src/Forward/SuspectParts.cpp
+++ b/packages/forward/pimentofront/src/Forward/SuspectParts.cpp
@@ -73,7 +73,7 @@
   std::vector<PromptPart> with;
   for (const SharedPart &it : notice.With)
     with.push_back({.Id = it.Part});
-  return "prompt part " + describeParts({{.Id = notice.Part.Part}}) +
+  return "prompt part " + partName(notice.Part.Part) +
          (with.empty() ? "" : " together with " + describeParts(with)) +
          ", under which servers exited: " + std::to_string(notice.Exits);
 }
