A request that is sent again asks for the live version of its adapter

Callers got streams that began on weights superseded up to 7.6 s before: a request resolved its adapter's version on its arrival and kept it for each later attempt, after its engine had broken off or while it was deferred. Each attempt now asks for the version that is live when it is made.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -148,10 +148,16 @@
 void AttemptController::next(TimePoint now, ForwardRequest &request) {
   if (now >= request.Deadline)
     return giveUp(now, request, ForwardFailure::TimedOut);
+  useLiveVersion(request);
   if (knowsOrigin(now, request))
     proceed(now, request, Quarantine.decideSend(now, request));
 }
 
+void AttemptController::useLiveVersion(ForwardRequest &request) const {
+  if (!request.Adapter.Adapter.empty())
+    request.Adapter.Version = Board.liveVersion(request.Adapter.Adapter);
+}
+
 bool AttemptController::knowsOrigin(TimePoint now, ForwardRequest &request) {
   switch (Origins.decide(now, request)) {
   case OriginDecision::Decided:
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -97,6 +97,9 @@
   }
 
 private:
+  /// The version of its adapter that was live when the request arrived, or was
+  /// sent last, may have been superseded since.
+  void useLiveVersion(ForwardRequest &request) const;
   /// \returns whether the software version that may run the request is known,
   /// or none is needed. If not, the request waits or is given up.
   bool knowsOrigin(TimePoint now, ForwardRequest &request);
