A stream that ends inside an event has been broken off

Callers got the torn piece of an event and the end of the answer as if it were whole. An answer without a length ends with its connection, and a process that exits closes its connections in an orderly way; the entry took each such end for complete, and for a proof that the server had survived the request.

Such an end is now reported as Closed. A stream is broken off if it ends inside an event, or without one before its first event; its server is checked, and it is resumed where its route allows that. Other answers that end this way are passed on as before, but speak for a request under suspicion only if a check finds the server's process running.

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -154,9 +154,20 @@
   Board.Events.back().LongestPause = stream.LongestPause;
 }
 
-void AnswerController::complete(TimePoint now, ForwardRequest &request) {
+bool AnswerController::isWhole(const ForwardRequest &request,
+                               UpstreamEnding ending) {
+  const bool began = request.Attempt->FirstEventAt.has_value();
+  if (!request.Events.partial().empty())
+    return !began && ending == UpstreamEnding::Complete;
+  return began || ending == UpstreamEnding::Complete || request.resumesStream();
+}
+
+void AnswerController::complete(TimePoint now, ForwardRequest &request,
+                                UpstreamEnding ending) {
   const int status = request.Attempt->Head->Status;
   const bool stream = isStream(request);
+  if (stream && !isWhole(request, ending))
+    return brokeOff(now, request, /*serverMayHaveExited=*/true);
   if (request.Answering && !stream &&
       request.Route->Kind == Repeatability::Stream)
     return brokeOff(now, request, /*serverMayHaveExited=*/false);
@@ -164,7 +175,10 @@
   const bool failed = status >= StatusServerError;
   Board.Events.back().Outcome =
       failed ? RequestOutcome::Failed : RequestOutcome::Answered;
-  Quarantine.onSurvived(request);
+  if (ending == UpstreamEnding::Closed)
+    Quarantine.onClosed(request);
+  else
+    Quarantine.onSurvived(request);
   if (!request.Attempt->FirstEventAt)
     Quarantine.onBegan(request);
   if (stream)
@@ -220,8 +234,10 @@
   if (ending == UpstreamEnding::NotSent)
     return Attempts.onNotRun(now, *request, ServerOutcome::Unreachable,
                              ReleaseKind::NotRun);
-  if (ending == UpstreamEnding::Complete && request->Attempt->Head)
-    return complete(now, *request);
+  const bool ended =
+      ending == UpstreamEnding::Complete || ending == UpstreamEnding::Closed;
+  if (ended && request->Attempt->Head)
+    return complete(now, *request, ending);
   if (ending == UpstreamEnding::Rejected)
     Board.Servers.recordRejection(now, request->Attempt->Server);
   brokeOff(now, *request, /*serverMayHaveExited=*/true);
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -16,6 +16,10 @@
   /// Like BrokeOff, on a new connection that the server closed before it
   /// answered anything: most likely it has as many connections as it accepts.
   Rejected,
+  /// Complete as far as the connection tells: the answer had no length and
+  /// ended with an orderly close, which also ends the answers of a process that
+  /// exits.
+  Closed,
 };
 
 /// How to continue after the head of an answer.
@@ -51,7 +55,12 @@
   void beginAnswer(TimePoint now, ForwardRequest &request);
   /// Records the pauses of a stream that has ended.
   void recordStream(TimePoint now, const ForwardRequest &request);
-  void complete(TimePoint now, ForwardRequest &request);
+  /// \returns whether a stream is whole as far as can be told. One that ends
+  /// inside an event isn't, nor is a new one that its connection ended before
+  /// the first event. A body with a length that has no event at all is passed
+  /// on as it is.
+  static bool isWhole(const ForwardRequest &request, UpstreamEnding ending);
+  void complete(TimePoint now, ForwardRequest &request, UpstreamEnding ending);
   /// The answer is incomplete or invalid. \p serverMayHaveExited: the
   /// connection ended, so the server's process may have exited.
   void brokeOff(TimePoint now, ForwardRequest &request,
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -134,6 +134,13 @@
   endTrial(request.Content, holderOf(Board, request), TrialEnding::Survived);
 }
 
+void QuarantineController::onClosed(ForwardRequest &request) {
+  const bool watched =
+      Board.Quarantine.stateOf(request.Content) != QuarantineState::Clear;
+  if (watched || request.Trial == TrialState::Granted)
+    checkServer(request);
+}
+
 void QuarantineController::onFinished(const ForwardRequest &request) {
   if (request.Trial != TrialState::Asked &&
       request.Trial != TrialState::Granted)
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.h
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.h
@@ -71,6 +71,9 @@
   std::vector<std::uint64_t> takeSettled(TimePoint now);
   /// A server ran the request and its process still runs.
   void onSurvived(ForwardRequest &request);
+  /// The answer of a server ended with its connection, so that its process may
+  /// have exited: has the server of a watched request checked.
+  void onClosed(ForwardRequest &request);
   /// A server has begun to answer the request.
   void onBegan(const ForwardRequest &request);
   /// Sends the reports on requests that speak for accused parts.
--- a/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -107,7 +107,7 @@
       break;
   }
   if (ResponseComplete && !Ended)
-    finishResponse();
+    finishResponse(UpstreamEnding::Complete);
 }
 
 bool UpstreamChannel::onResponseHead(ResponseHead head) {
@@ -134,7 +134,7 @@
                       : Owner.Options.DefaultKeepAlive;
 }
 
-void UpstreamChannel::finishResponse() {
+void UpstreamChannel::finishResponse(UpstreamEnding ending) {
   const AttemptId attempt = *Attempt;
   Attempt.reset();
   Owner.Busy.erase(attempt);
@@ -152,7 +152,7 @@
     end();
   }
   if (!Ignored)
-    Owner.Handler.onEnd(attempt, UpstreamEnding::Complete);
+    Owner.Handler.onEnd(attempt, ending);
 }
 
 void UpstreamChannel::failAttempt(UpstreamEnding ending) {
@@ -180,7 +180,7 @@
   if ((what & BEV_EVENT_EOF) && self->Attempt) {
     self->Parser.finish();
     if (self->ResponseComplete && !self->Ended)
-      return self->finishResponse();
+      return self->finishResponse(UpstreamEnding::Closed);
   }
   self->failAttempt(self->endingOnClose());
 }
--- a/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
@@ -40,7 +40,7 @@
   static void onReadable(bufferevent *, void *arg);
   static void onEvent(bufferevent *, short what, void *arg);
   void parse();
-  void finishResponse();
+  void finishResponse(UpstreamEnding ending);
   void failAttempt(UpstreamEnding ending);
   /// \returns how an attempt ended whose connection closed before the complete
   /// response.
