Soak: requests with a prompt part that crashes servers

During the faults, and until all is served again, a request every 400 ms has a part that crashes each engine that begins to answer on it, no two alike. Checked are how many of them reach engines in calm periods later than 3 s after the fifth, and that no other request is refused for a part.

--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -174,6 +174,8 @@
   if (!Listener)
     throw std::runtime_error("cannot listen on port " +
                              std::to_string(Address.Port));
+  if (UpChanged)
+    UpChanged(true);
 }
 
 FakeServer::~FakeServer() {
@@ -189,6 +191,8 @@
     it->breakOff();
   Adapters.clear();
   Orders = 0;
+  if (UpChanged)
+    UpChanged(false);
 }
 
 void FakeServer::crash() {
@@ -247,8 +251,10 @@
         attemptHeader + "Pimentofront-Not-Executed: 1\r\nRetry-After: 2.5\r\n",
         ""));
   const int runs = ++Runs[id];
-  if (behaviour == "crash")
+  if (behaviour == "crash") {
+    CrashingArrivals.push_back(Loop.now());
     return crash();
+  }
   if (behaviour == "fail" || (behaviour == "fail-once" && runs == 1))
     channel.write(
         makeResponse("500 Internal Server Error", stampedHeaders, "sorry"));
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -4,6 +4,7 @@
 #include "pimentofront/Http.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -52,12 +53,20 @@
   /// \returns whether the simulated process runs. After a request crashed it,
   /// the server refuses connections for 300 ms and then acts as a new process.
   bool isUp() const { return Listener != nullptr; }
+  /// Calls \p action whenever the simulated process begins to run or ends.
+  void onUpChanged(std::function<void(bool up)> action) {
+    UpChanged = std::move(action);
+  }
   /// Ends the simulated process, possibly in the middle of an event.
   void exit();
   /// Ends the simulated process and starts another one at the same address
   /// after a short delay.
   void restart(std::string instance, std::string softwareVersion);
   std::uint64_t crashes() const { return Crashes; }
+  /// \returns when requests that crash the server arrived.
+  const std::vector<TimePoint> &crashingArrivals() const {
+    return CrashingArrivals;
+  }
   std::uint64_t orders() const { return Orders; }
   /// \returns when it started, in milliseconds since 1970 as servers report it.
   std::uint64_t startedAt() const { return StartedAt; }
@@ -85,10 +94,12 @@
   std::set<std::string> Adapters;
   std::optional<double> Limit;
   std::vector<TimePoint> Arrivals;
+  std::vector<TimePoint> CrashingArrivals;
   std::uint64_t Orders = 0;
   std::uint64_t StartedAt = 0;
   std::uint64_t Crashes = 0;
   std::unique_ptr<Timer> Restart;
+  std::function<void(bool up)> UpChanged;
 };
 
 } // namespace pimentofront::testkit
--- a/test/platform/soak/Callers.cpp
+++ b/test/platform/soak/Callers.cpp
@@ -16,6 +16,12 @@
 constexpr Duration MarkerPeriod = milliseconds(250);
 /// The soak itself passes the large answers on three times, on one thread.
 constexpr Duration SlowPeriod = milliseconds(1500);
+constexpr Duration CrashPeriod = milliseconds(400);
+/// Requests with a crashing part that may reach servers in calm periods later
+/// than CrashBound after the fifth that did.
+constexpr std::size_t MaxLateCrashes = 3;
+constexpr std::size_t CrashesUntilKnown = 5;
+constexpr Duration CrashBound = seconds(3);
 /// A slow caller reads nothing for up to this long. Its time to wait for the
 /// answer isn't over then.
 constexpr Duration MaxReadingPause = milliseconds(1000);
@@ -101,8 +107,31 @@
   send(std::move(request));
 }
 
+void Callers::startCrashing() {
+  CrashSender = Loop.every(CrashPeriod, [this] { sendCrashing(); });
+}
+
+void Callers::sendCrashing() {
+  Request request;
+  request.Path = "/flow/crash";
+  request.Entry = SlowRng.next() % Entries.size();
+  request.Crashes = true;
+  send(std::move(request));
+}
+
+void Callers::recordCalm(TimePoint now) {
+  const auto since = Faults.calmSince();
+  if (!since || now < *since + CalmTime)
+    return;
+  const TimePoint begin = *since + CalmTime;
+  if (CalmPeriods.empty() || CalmPeriods.back().first != begin)
+    CalmPeriods.push_back({begin, now});
+  CalmPeriods.back().second = now;
+}
+
 void Callers::endPauses() {
   const TimePoint now = Loop.now();
+  recordCalm(now);
   std::erase_if(Paused, [&](const auto &it) {
     if (now < it.second)
       return false;
@@ -128,18 +157,20 @@
        {"Pimentofront-Credential", testkit::TestKey},
        {"Pimentofront-Model", "m0/a" + std::to_string(Rng.next() % Adapters)},
        {"Pimentofront-Token-Usage", "100,10"},
-       {"Pimentofront-Prompt-Prefix", "a1:60,b2:40"},
+       {"Pimentofront-Prompt-Prefix",
+        request.Crashes ? "a1:60,dead:20,b2:20" : "a1:60,b2:40"},
        {"Pimentofront-Deadline-Ms",
         std::to_string(CallerTimeout / milliseconds(1))}}};
   const AttemptId attempt{1, LastId};
   const bool slow = request.ReadingPause > Duration::zero();
+  const std::string body = request.Crashes ? request.Id : "body";
   InFlight.emplace(attempt, std::move(request));
   ++Results.Counts["requests"];
   Pool.send({.Attempt = attempt,
              .Address = address.Ip + ":" + std::to_string(address.Port),
              .Head = std::move(head),
              .Body = std::make_shared<const std::string>(
-                 slow ? std::string(LargePromptBytes, 'p') : "body")});
+                 slow ? std::string(LargePromptBytes, 'p') : body)});
 }
 
 //===----------------------------------------------------------------------===//
@@ -202,6 +233,8 @@
   const bool good = request.Status == StatusOk;
   if (expectsSuccess(request.Path) && request.Marker == 0)
     view.ConsecutiveGood = good ? view.ConsecutiveGood + 1 : 0;
+  if (!request.Crashes && request.Body == "part_quarantined\n")
+    addViolation(request, "refused for a part that crashes no server");
   if (request.Status == StatusUnavailable)
     Refused.push_back(request.Id);
   if (request.Status == StatusNotFound && request.Marker == 0)
@@ -281,6 +314,31 @@
                 std::to_string(it.Body.size()) + " B so far");
 }
 
+void Callers::checkCrashes() {
+  std::vector<TimePoint> arrivals;
+  for (const Server &it : System.servers())
+    for (const TimePoint at : it.Fake->crashingArrivals())
+      arrivals.push_back(at);
+  std::ranges::sort(arrivals);
+  Results.Counts["servers crashed by a prompt part"] += arrivals.size();
+  if (arrivals.size() < CrashesUntilKnown)
+    return;
+  const TimePoint known = arrivals[CrashesUntilKnown - 1] + CrashBound;
+  const auto isLate = [&](TimePoint at) {
+    return at > known && std::ranges::any_of(CalmPeriods, [&](const auto &it) {
+             return at >= it.first && at <= it.second;
+           });
+  };
+  const auto late =
+      static_cast<std::size_t>(std::ranges::count_if(arrivals, isLate));
+  if (late > MaxLateCrashes)
+    Results.addViolation(StartedAt, Loop.now(),
+                         std::to_string(late) +
+                             " requests with a crashing part reached servers "
+                             "in calm periods, " +
+                             std::to_string(arrivals.size()) + " in all");
+}
+
 std::string Callers::state() const {
   std::string text;
   for (const EntryView &it : Entries)
--- a/test/platform/soak/Callers.h
+++ b/test/platform/soak/Callers.h
@@ -14,17 +14,23 @@
   Callers(EventLoop &loop, Deployment &deployment, FaultPlan &faults,
           Operator &changes, std::uint64_t seed, Report &report);
 
+  /// Begins to send requests with a crashing part.
+  void startCrashing();
   /// Stops sending; requests in flight continue.
   void stopSending() {
     Sender.reset();
     MarkerSender.reset();
     SlowSender.reset();
+    CrashSender.reset();
   }
   /// \returns whether the last requests through each entry were all answered
   /// well.
   bool isServing() const;
   /// \returns the counts that decide isServing(), for the report.
   std::string state() const;
+  /// Checks how many servers the requests with a crashing part reached. To be
+  /// called at the end.
+  void checkCrashes();
   /// Checks how often each request ran, and that each one has ended. To be
   /// called once no request is in flight any more.
   void checkRuns();
@@ -44,6 +50,8 @@
     /// Time for which its caller reads nothing once the answer has begun; zero
     /// for most callers.
     Duration ReadingPause = Duration::zero();
+    /// A part of its prompt crashes servers.
+    bool Crashes = false;
     TimePoint SentAt;
     /// Whether there was no fault for CalmTime before it was sent.
     bool SentInCalmPeriod = false;
@@ -64,10 +72,14 @@
   void sendMarker();
   /// Sends a large prompt whose caller reads its large answer late.
   void sendSlow();
+  /// Sends a request with a part of the prompt that crashes servers; no two are
+  /// alike.
+  void sendCrashing();
   /// Lets the callers read again whose pauses are over.
   void endPauses();
   void send(Request request);
   bool isCalm(TimePoint now, Duration time) const;
+  void recordCalm(TimePoint now);
   void checkAnswer(const Request &request);
   void checkMarker(const Request &request);
   void checkDuration(const Request &request);
@@ -96,9 +108,13 @@
   /// and thus must not have run.
   std::map<std::string, std::string> Paths;
   std::vector<std::string> Refused;
+  /// Times without faults so far, from the beginning of the guarantees for calm
+  /// periods to the next fault.
+  std::vector<std::pair<TimePoint, TimePoint>> CalmPeriods;
   std::unique_ptr<Timer> Sender;
   std::unique_ptr<Timer> MarkerSender;
   std::unique_ptr<Timer> SlowSender;
+  std::unique_ptr<Timer> CrashSender;
   std::unique_ptr<Timer> PauseTimer;
 };
 
--- a/test/platform/soak/Deployment.cpp
+++ b/test/platform/soak/Deployment.cpp
@@ -120,6 +120,10 @@
            Loop, addressOf(ip, BackendListen), instance, Runs),
        .RequestProxy = std::make_unique<TcpProxy>(
            Loop, addressOf(ip, Backend), addressOf(ip, BackendListen))});
+  // A connection to a process that has ended is refused, not accepted by its
+  // proxy.
+  Servers.back().Fake->onUpChanged([proxy = Servers.back().RequestProxy.get()](
+                                       bool up) { proxy->setRefusing(!up); });
 }
 
 void Deployment::addEngines() {
--- a/test/platform/soak/SoakMain.cpp
+++ b/test/platform/soak/SoakMain.cpp
@@ -58,6 +58,7 @@
   int execute() {
     Loop.run();
     Requests.checkRuns();
+    Requests.checkCrashes();
     Streams.check(Options.Seed);
     for (const auto &[what, n] : Results.Counts)
       std::printf("%8llu  %s\n", static_cast<unsigned long long>(n),
@@ -107,6 +108,7 @@
     DocumentOperator.begin();
     Versions.begin(Options.RunTime);
     Streams.begin();
+    Requests.startCrashing();
     enterPhase(Phase::Disturbed, now);
   }
   void heal(TimePoint now) {
--- a/test/platform/soak/TcpProxy.cpp
+++ b/test/platform/soak/TcpProxy.cpp
@@ -23,20 +23,32 @@
 
 TcpProxy::TcpProxy(EventLoop &loop, const HostPort &listen,
                    const HostPort &target)
-    : Loop(loop), TargetAddress(target) {
-  const sockaddr_in address = toSocketAddress(listen);
+    : Loop(loop), ListenAddress(listen), TargetAddress(target) {
+  this->listen();
+  Ticker = loop.every(TickPeriod, [this] { tick(); });
+}
+
+void TcpProxy::listen() {
+  const sockaddr_in address = toSocketAddress(ListenAddress);
   constexpr int Backlog = 128;
   Listener = evconnlistener_new_bind(
-      loop.base(), onAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+      Loop.base(), onAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
       Backlog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
   if (!Listener)
     throw std::runtime_error("a proxy cannot listen on port " +
-                             std::to_string(listen.Port));
-  Ticker = loop.every(TickPeriod, [this] { tick(); });
+                             std::to_string(ListenAddress.Port));
+}
+
+void TcpProxy::setRefusing(bool refusing) {
+  if (refusing && Listener)
+    evconnlistener_free(std::exchange(Listener, nullptr));
+  else if (!refusing && !Listener)
+    listen();
 }
 
 TcpProxy::~TcpProxy() {
-  evconnlistener_free(Listener);
+  if (Listener)
+    evconnlistener_free(Listener);
   for (Connection &it : Connections)
     close(it, /*reset=*/false);
 }
--- a/test/platform/soak/TcpProxy.h
+++ b/test/platform/soak/TcpProxy.h
@@ -40,6 +40,9 @@
   /// \param delay used by Disturbance::Delay only.
   void disturb(Disturbance disturbance, Duration delay);
   void heal() { Current = Disturbance::None; }
+  /// Refuses new connections, as the host of a process that doesn't run does,
+  /// or accepts them again.
+  void setRefusing(bool refusing);
 
 private:
   struct Side {
@@ -62,12 +65,14 @@
   static void onReadable(bufferevent *bev, void *arg);
   static void onEvent(bufferevent *bev, short what, void *arg);
   static void setUp(bufferevent *bev, Connection &connection);
+  void listen();
   bool canDeliver(const Connection &connection, const Side &to) const;
   void deliver(Connection &connection);
   void close(Connection &connection, bool reset);
   void tick();
 
   EventLoop &Loop;
+  HostPort ListenAddress;
   HostPort TargetAddress;
   evconnlistener *Listener = nullptr;
   std::list<Connection> Connections;
