Part ledger: exits that are minutes apart add up

Found by reading: an accused part was forgotten a minute after it was first accused, however many exits followed, since an exit changed nothing that the review looks at. Now each exit does, and an accused part is kept for ten minutes after the last one.

--- a/packages/state/pimentofront/src/State/PartLedger.cpp
+++ b/packages/state/pimentofront/src/State/PartLedger.cpp
@@ -126,6 +126,7 @@
     return;
   if (record.Exits.size() < Options.MaxStoredExits)
     record.Exits.push_back({.Server = server, .ReportedAt = version});
+  record.ChangedAt = version;
   if (known >= record.CountedAt) {
     ++record.Score;
     record.CountedAt = version;
--- a/packages/state/pimentofront/src/State/QuarantineReview.cpp
+++ b/packages/state/pimentofront/src/State/QuarantineReview.cpp
@@ -23,7 +23,7 @@
     return record.MaxTrialDuration + Options.TrialGrace;
   return record.State == PartState::Quarantined
              ? quarantineDuration(record.Quarantines)
-             : Options.WatchRetention;
+             : Options.AccusationRetention;
 }
 
 std::vector<ContentHash>
--- a/packages/state/pimentofront/src/State/QuarantineReview.h
+++ b/packages/state/pimentofront/src/State/QuarantineReview.h
@@ -11,9 +11,12 @@
   /// How long the record of a watched request is stored without a change.
   /// Callers retry within seconds, operators' scripts within a minute.
   Duration WatchRetention = std::chrono::minutes(1);
-  /// How long a request stays in quarantine before it gets one trial; by then
-  /// the servers may have been repaired or replaced. Doubles with each further
-  /// quarantine, to at most 16 times this value.
+  /// The same for an accused prompt part, whose requests may come minutes
+  /// apart.
+  Duration AccusationRetention = std::chrono::minutes(10);
+  /// How long a request or a part stays in quarantine before it gets one trial;
+  /// by then the servers may have been repaired or replaced. Doubles with each
+  /// further quarantine, to at most 16 times this value.
   Duration QuarantineDuration = std::chrono::minutes(10);
   /// Added to the duration of a trial for the delay of the report that it has
   /// ended.
--- a/test/PartLedgerTest.cpp
+++ b/test/PartLedgerTest.cpp
@@ -255,13 +255,28 @@
 
 TEST_CASE("an accused part without further exits is forgotten") {
   PartLedgerUnderTest it;
-  QuarantineReview review({.WatchRetention = 1min});
+  QuarantineReview review({.AccusationRetention = 10min});
   it.exit(1, {{9}});
   it.Ledger.review(review.take(Now, it.Ledger));
-  it.Ledger.review(review.take(Now + 1min, it.Ledger));
+  it.Ledger.review(review.take(Now + 9min, it.Ledger));
+  CHECK(it.stateOf(9));
+  it.Ledger.review(review.take(Now + 10min, it.Ledger));
   CHECK_FALSE(it.stateOf(9));
 }
 
+TEST_CASE("exits that are minutes apart add up") {
+  PartLedgerUnderTest it;
+  QuarantineReview review({.AccusationRetention = 10min});
+  for (int i = 0; i < 4; ++i) {
+    it.exit(i, {{1, 9}});
+    const TimePoint at = Now + i * 9min;
+    it.Ledger.review(review.take(at, it.Ledger));
+    it.Ledger.review(review.take(at + 1s, it.Ledger));
+  }
+  it.decide();
+  CHECK((it.isQuarantined(9) || it.isQuarantined(1)));
+}
+
 TEST_CASE("an operator's release clears a prompt part") {
   PartLedgerUnderTest it;
   it.quarantineNine();
