Part ledger: a process that keeps its name exits once, too

Two requests with it had waited at the second process of a name; each was compared with the exit of the first one, which was known when they were sent, and so counted as an exit of its own. The last exit of a name counts now. The unit test failed before (five exits in place of three, part in quarantine).

--- a/packages/state/pimentofront/src/State/PartLedger.cpp
+++ b/packages/state/pimentofront/src/State/PartLedger.cpp
@@ -13,12 +13,15 @@
   return std::ranges::find(parts, id, &SharedPart::Id) != parts.end();
 }
 
+/// \returns the last exit that may be that of \p server: processes that keep
+/// their names may exit again.
 const PartExit *findExit(const PartRecord &record,
                          const ServerProcess &server) {
-  const auto it = std::ranges::find_if(record.Exits, [&](const PartExit &exit) {
-    return mayBeSameProcess(exit.Server, server);
-  });
-  return it == record.Exits.end() ? nullptr : &*it;
+  const auto it = std::find_if(record.Exits.rbegin(), record.Exits.rend(),
+                               [&](const PartExit &exit) {
+                                 return mayBeSameProcess(exit.Server, server);
+                               });
+  return it == record.Exits.rend() ? nullptr : &*it;
 }
 
 std::size_t commonExits(const PartRecord &a, const PartRecord &b) {
--- a/test/PartLedgerTest.cpp
+++ b/test/PartLedgerTest.cpp
@@ -166,6 +166,18 @@
   CHECK(it.Ledger.parts().find(idOf(9))->Exits.size() == 2);
 }
 
+// Guards against a sound part that was put in quarantine since each request
+// that waited at a later process of a known name counted as an exit of its own.
+TEST_CASE("the exit of a later process of a name counts once for a part") {
+  PartLedgerUnderTest it;
+  it.exit(1, {{1, 9}});
+  it.exit(2, {{1, 9}});
+  it.exit(1, {{1, 2}, {1, 3}, {1, 9}});
+  CHECK(it.Ledger.parts().find(idOf(1))->Exits.size() == 3);
+  it.decide();
+  CHECK_FALSE(it.isQuarantined(1));
+}
+
 TEST_CASE("two parts that crash servers are put in quarantine one after the "
           "other") {
   PartLedgerUnderTest it;
