--- a/test/PartLedgerTest.cpp
+++ b/test/PartLedgerTest.cpp
@@ -93,6 +93,8 @@
   CHECK_FALSE(it.isQuarantined(2));
 }
 
+// Guards against a sound part that was put in quarantine in place of the one
+// that crashed the servers, since its hash was smaller.
 TEST_CASE("of two parts of different requests that explain the same exits none "
           "is put in quarantine until one explains more") {
   PartLedgerUnderTest it;
@@ -276,6 +278,8 @@
   CHECK_FALSE(it.stateOf(9));
 }
 
+// Guards against a part that goes on crashing servers since its exits are
+// forgotten a minute after the first one.
 TEST_CASE("exits that are minutes apart add up") {
   PartLedgerUnderTest it;
   QuarantineReview review({.AccusationRetention = 10min});
