Logs: how the connection to a backend server ended

No line said whether a length, a last chunk, an orderly close or a reset ended an answer, so that a server that cuts an answer inside an event and one whose process exits between two events look alike in the logs. The lines of an attempt's end now carry ending=complete, closed, broke_off, rejected or not_sent.

--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -82,6 +82,7 @@
        {"why", event.Detail},
        {"status", static_cast<std::uint64_t>(event.Status)},
        {"engine_choice", event.Choice ? routeReasonName(*event.Choice) : ""},
+       {"ending", event.Ending ? upstreamEndingName(*event.Ending) : ""},
        {"shape_engines", static_cast<std::uint64_t>(event.ShapeEngines)},
        {"longest_pause_ms", toSeconds(event.LongestPause) * 1000},
        {"took_ms", toSeconds(event.Took) * 1000}});
--- a/packages/forward/pimentofront/Forward.h
+++ b/packages/forward/pimentofront/Forward.h
@@ -38,6 +38,7 @@
 #include "src/Forward/ServerBytes.h"
 #include "src/Forward/QuarantineSet.h"
 #include "src/Forward/SuspectParts.h"
+#include "src/Forward/AnswerEnd.h"
 #include "src/Forward/ForwardBoard.h"
 #include "src/Forward/DemandOf.h"
 #include "src/Forward/AccountController.h"
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -231,6 +231,7 @@
   ForwardRequest *request = Board.find(attempt);
   if (!request)
     return;
+  request->Attempt->Ending = ending;
   if (ending == UpstreamEnding::NotSent)
     return Attempts.onNotRun(now, *request, ServerOutcome::Unreachable,
                              ReleaseKind::NotRun);
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -5,23 +5,6 @@
 
 namespace pimentofront {
 
-/// How the answer of a backend server ended.
-enum class UpstreamEnding : std::uint8_t {
-  Complete,
-  /// The connection couldn't be established: the server never received the
-  /// request.
-  NotSent,
-  /// The request may have reached the server; the answer is incomplete.
-  BrokeOff,
-  /// Like BrokeOff, on a new connection that the server closed before it
-  /// answered anything: most likely it has as many connections as it accepts.
-  Rejected,
-  /// Complete as far as the connection tells: the answer had no length and
-  /// ended with an orderly close, which also ends the answers of a process that
-  /// exits.
-  Closed,
-};
-
 /// How to continue after the head of an answer.
 enum class HeadDecision : std::uint8_t {
   Take,
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -138,7 +138,8 @@
        .Detail = std::move(detail),
        .Took = now - request.ArrivedAt,
        .Status = status,
-       .Lost = lost});
+       .Lost = lost,
+       .Ending = request.Attempt ? request.Attempt->Ending : std::nullopt});
 }
 
 //===----------------------------------------------------------------------===//
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
 #define PIMENTOFRONT_FORWARD_FORWARD_BOARD_H
 
+#include "AnswerEnd.h"
 #include "ByteBudget.h"
 #include "EventStream.h"
 #include "PlainQueue.h"
@@ -244,6 +245,8 @@
   std::optional<ResponseHead> Head;
   /// Body of the answer as long as it is buffered.
   std::string BufferedBody;
+  /// How the connection ended, once it has.
+  std::optional<UpstreamEnding> Ending;
   /// The server isn't read, because the caller doesn't read what it has.
   bool Paused = false;
 };
@@ -457,6 +460,8 @@
   int Status = 0;
   /// The request has no answer from a backend server.
   bool Lost = false;
+  /// How the connection to the server ended, if it has.
+  std::optional<UpstreamEnding> Ending;
   /// Set by the last event of a request that has a route.
   std::optional<RequestOutcome> Outcome;
   RetryDenial Denial = RetryDenial::None;
