--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -36,7 +36,8 @@
   FixedDocument(std::optional<EngineSpec> engine,
                 const ForwardFleetOptions &options)
       : Engine(std::move(engine)), ColdPerSecond(options.ColdPerSecond),
-        ColdTime(options.ColdTime), MaxServers(options.MaxServers) {}
+        ColdTime(options.ColdTime), MaxServers(options.MaxServers),
+        Resumable(options.Resumable) {}
 
   RoutingDocument decode(std::string_view, Findings &) const override {
     return {.Routes = {{.Name = "flow",
@@ -47,7 +48,7 @@
                         .Timeout = std::chrono::seconds(10),
                         .LatencyTarget = std::chrono::seconds(1),
                         .MaxServers = MaxServers,
-                        .Resumable = true}},
+                        .Resumable = Resumable}},
             .Services = {{.Name = ServiceName(Service),
                           .ColdPerSecond = ColdPerSecond,
                           .ColdTime = ColdTime,
@@ -59,6 +60,7 @@
   double ColdPerSecond;
   Duration ColdTime;
   std::uint32_t MaxServers;
+  bool Resumable;
 };
 
 /// Executes the commands of one entry.
@@ -497,27 +499,54 @@
     return;
   }
   server.Runs.erase(id);
-  callEntry(run, [this, run](ForwardNode &node) {
-    node.upstreamEnd(Sim.now(), run.Attempt, UpstreamEnding::Complete);
+  const auto ending =
+      Options.Unframed ? UpstreamEnding::Closed : UpstreamEnding::Complete;
+  callEntry(run, [this, run, ending](ForwardNode &node) {
+    node.upstreamEnd(Sim.now(), run.Attempt, ending);
   });
 }
 
-void ForwardFleet::onCheck(SimulatedProcess &entry, const CheckServer &check) {
-  constexpr Duration Timeout = std::chrono::milliseconds(200);
-  const Server *server = findServer(check.Address);
-  ServerCheckResult checkResult =
-      server->Up ? ServerCheckResult::StillRunning : ServerCheckResult::Exited;
+ServerCheckResult ForwardFleet::checkAddress(const std::string &address) {
+  const Server *server = findServer(address);
   if (server->PoweredOff)
-    checkResult = ServerCheckResult::Unknown;
-  const Duration wait =
-      checkResult == ServerCheckResult::Unknown ? Timeout : 2 * Options.Latency;
-  Sim.after(wait,
-            [this, host = entry.Spec.Host, incarnation = entry.Incarnation,
-             process = check.Server, checkResult] {
-              Sim.atProcess(host, incarnation, [=](SimulatedProcess &it) {
-                it.Forward->serverChecked(it.Owner.now(), process, checkResult);
-              });
-            });
+    return ServerCheckResult::Unknown;
+  return server->Up ? ServerCheckResult::StillRunning
+                    : ServerCheckResult::Exited;
+}
+
+void ForwardFleet::onCheck(SimulatedProcess &entry, const CheckServer &check) {
+  const EntryProcess from{entry.Spec.Host, entry.Incarnation};
+  Sim.after(Options.Latency, [this, from, check] {
+    constexpr Duration Timeout = std::chrono::milliseconds(200);
+    const ServerCheckResult checkResult = checkAddress(check.Address);
+    const Duration wait = checkResult == ServerCheckResult::Unknown
+                              ? Timeout - Options.Latency
+                              : Options.Latency;
+    Sim.after(wait, [this, from, process = check.Server, checkResult] {
+      Sim.atProcess(from.Host, from.Incarnation, [=](SimulatedProcess &it) {
+        it.Forward->serverChecked(it.Owner.now(), process, checkResult);
+      });
+    });
+  });
+}
+
+void ForwardFleet::cutOff(const Run &run) {
+  UpstreamEnding ending = UpstreamEnding::BrokeOff;
+  std::string torn;
+  if (Options.Unframed) {
+    constexpr double ResetShare = 0.25;
+    constexpr double TornShare = 0.25;
+    const double kind = Sim.Rng.uniform();
+    if (kind >= ResetShare)
+      ending = UpstreamEnding::Closed;
+    if (kind >= ResetShare && kind < ResetShare + TornShare)
+      torn = "id: 1";
+  }
+  callEntry(run, [this, run, ending, torn](ForwardNode &node) {
+    if (!torn.empty())
+      node.upstreamBody(Sim.now(), run.Attempt, torn);
+    node.upstreamEnd(Sim.now(), run.Attempt, ending);
+  });
 }
 
 void ForwardFleet::crash(Server &server, const Run *cause, bool keepsName) {
@@ -531,9 +560,7 @@
   for (const auto &it : std::exchange(server.Runs, {})) {
     const Run &run = it.second;
     crash.RequestsInFlight.push_back(run.Content);
-    callEntry(run, [this, run](ForwardNode &node) {
-      node.upstreamEnd(Sim.now(), run.Attempt, UpstreamEnding::BrokeOff);
-    });
+    cutOff(run);
   }
   Crashes.push_back(std::move(crash));
   const auto i = static_cast<std::uint32_t>(&server - Servers.data());
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -46,6 +46,12 @@
   std::string Software;
   /// Interval at which servers register.
   Duration Heartbeat = std::chrono::seconds(1);
+  /// Answers have neither a length nor chunks and end with their connection.
+  /// The answers of a server that crashes are reset, or closed inside an event
+  /// or between two.
+  bool Unframed = false;
+  /// The fleet's route allows another server to resume a stream.
+  bool Resumable = true;
   /// One-way latency between an entry and a server.
   Duration Latency = std::chrono::microseconds(1400);
 };
@@ -256,6 +262,9 @@
   /// \param cause the crashing request, if any.
   /// \param keepsName the next process has the same name.
   void crash(Server &server, const Run *cause, bool keepsName = false);
+  /// Ends an answer whose server has crashed.
+  void cutOff(const Run &run);
+  ServerCheckResult checkAddress(const std::string &address);
   void restart(std::uint32_t i, bool keepsName);
   /// Calls \p action after `Latency` at the entry of \p run, if that
   /// incarnation is still alive.
--- a/test/AnswerEndTest.cpp
+++ b/test/AnswerEndTest.cpp
@@ -80,12 +80,21 @@
   std::optional<UpstreamEnding> Ending;
 };
 
-/// An entry whose request "flow" a server has begun to answer.
+/// An entry whose request a server has begun to answer.
 struct StreamingEntry : ForwardUnderTest {
-  explicit StreamingEntry(const char *route = "brook") {
+  explicit StreamingEntry(const char *route = "brook", int status = 200) {
     request(route);
-    Sent = permit();
-    head(Sent, 200);
+    const std::vector<SendUpstream> sends = take<SendUpstream>();
+    Sent = sends.empty() ? permit() : sends.front();
+    head(Sent, status);
+  }
+  /// Grants the permit for a further send.
+  SendUpstream sendAgain() {
+    const auto asked = take<SendToAgent>().back();
+    const auto execute = std::get<ExecuteRequest>(asked.Content);
+    Controller.attempts().onPermit(Now, asked.Host,
+                                   {.Attempt = execute.Attempt});
+    return only<SendUpstream>();
   }
   template <class T> std::optional<T> proposal() {
     for (const ProposeToReplicas &it : take<ProposeToReplicas>())
@@ -140,11 +149,7 @@
     StreamingEntry it("flow");
     it.body(it.Sent, "id: 1\ndata: a\n\nid: 2\ndata: ha");
     it.end(it.Sent, ending);
-    const auto asked = it.take<SendToAgent>().back();
-    const auto execute = std::get<ExecuteRequest>(asked.Content);
-    it.Controller.attempts().onPermit(Now, asked.Host,
-                                      {.Attempt = execute.Attempt});
-    const auto again = it.only<SendUpstream>();
+    const SendUpstream again = it.sendAgain();
     CHECK(again.Server != it.Sent.Server);
     CHECK(*findHeader(again.Head.Headers, "last") == "1");
   }
@@ -165,6 +170,131 @@
   CHECK(it.proposal<ReportServerExit>());
 }
 
+// Guards against a short stream that reached its caller as complete: its server
+// crashed between two events, and the kernel closed the connection in an
+// orderly way.
+TEST_CASE("a stream that its connection ended between two events has been "
+          "broken off if its server has exited or can't be reached",
+          "[stream-closed-between-events]") {
+  SECTION("and isn't passed on as complete") {
+    StreamingEntry it;
+    it.body(it.Sent, "id: 1\ndata: a\n\n");
+    it.end(it.Sent, Closed, ServerCheckResult::Exited);
+    CHECK(it.take<ReplyEnd>().empty());
+    CHECK(it.take<ReplyAbort>().size() == 1);
+  }
+  SECTION("and is resumed elsewhere where its route allows that") {
+    StreamingEntry it("flow");
+    it.body(it.Sent, "id: 1\ndata: a\n\n");
+    it.end(it.Sent, Closed, ServerCheckResult::Unknown);
+    const SendUpstream again = it.sendAgain();
+    CHECK(again.Server != it.Sent.Server);
+    CHECK(*findHeader(again.Head.Headers, "last") == "1");
+    it.head(again, 200);
+    it.body(again, "id: 2\ndata: b\n\n");
+    it.end(again, Completed);
+    CHECK(it.take<ReplyEnd>().size() == 1);
+  }
+}
+
+// Guards against a short stream that reached its caller as complete: the server
+// that was to resume it crashed before it had sent an event.
+TEST_CASE(
+    "a resumed stream whose connection is closed before an event has been "
+    "broken off if its server has exited",
+    "[resumed-stream-closed]") {
+  StreamingEntry it("flow");
+  it.body(it.Sent, "id: 1\ndata: a\n\n");
+  it.end(it.Sent, BrokenOff);
+  const SendUpstream again = it.sendAgain();
+  it.head(again, 200);
+  it.end(again, Closed, ServerCheckResult::Exited);
+  CHECK(it.take<ReplyEnd>().empty());
+  CHECK(it.take<ReplyAbort>().size() == 1);
+}
+
+// Guards against a torn event that reached a caller with the end of its answer:
+// the server that resumed the stream ended it, with its last chunk, inside the
+// first event that it sent.
+TEST_CASE(
+    "a resumed stream that ends inside its first event has been broken off",
+    "[resumed-stream-torn]") {
+  StreamingEntry it("flow");
+  it.body(it.Sent, "id: 1\ndata: a\n\n");
+  it.end(it.Sent, BrokenOff);
+  const SendUpstream again = it.sendAgain();
+  it.head(again, 200);
+  it.body(again, "id: 2\nda");
+  it.end(again, Completed);
+  CHECK(it.take<ReplyEnd>().empty());
+  CHECK(it.take<ReplyAbort>().size() == 1);
+}
+
+// Guards against short answers of other routes, and short failures, that
+// reached their callers as complete before the check of the crashed server was
+// over.
+TEST_CASE("an answer without a length isn't complete if its server has exited",
+          "[answer-closed-unchecked]") {
+  const int status = GENERATE(200, 404, 500);
+  SECTION("and isn't delivered before the check") {
+    StreamingEntry it("once", status);
+    it.body(it.Sent, "half");
+    it.Controller.answers().onEnd(Now, it.Sent.Attempt, Closed);
+    CHECK(it.take<ReplyComplete>().empty());
+    it.check(ServerCheckResult::Exited);
+    CHECK(it.only<ReplyComplete>().Head.Status == 502);
+  }
+  SECTION("but is delivered whole if the server still runs") {
+    StreamingEntry it("once", status);
+    it.body(it.Sent, "all");
+    it.end(it.Sent, Closed);
+    const auto answer = it.only<ReplyComplete>();
+    CHECK(answer.Head.Status == status);
+    CHECK(answer.Body == "all");
+  }
+  SECTION("and is cut off if it is passed on as it comes") {
+    StreamingEntry it("once", status);
+    it.body(it.Sent, std::string((std::size_t(64) << 10) + 1, 'x'));
+    it.end(it.Sent, Closed, ServerCheckResult::Exited);
+    CHECK(it.take<ReplyEnd>().empty());
+    CHECK(it.take<ReplyAbort>().size() == 1);
+  }
+}
+
+// Guards against short answers of servers that leave at short notice: their
+// processes were never checked.
+TEST_CASE("the server of an answer without a length is checked while it leaves",
+          "[leaving-server-unchecked]") {
+  const bool registered = GENERATE(true, false);
+  StreamingEntry it;
+  it.body(it.Sent, "id: 1\ndata: a\n\n");
+  MemberRecord leaving = server("e1", "engines", "1.0.0.3:80");
+  if (it.Sent.Server.Name == HostName("e2"))
+    leaving = server("e2", "engines", "1.0.0.4:80");
+  leaving.Leaving = registered;
+  leaving.Gone = !registered;
+  it.Controller.onMembers(Now, {.Members = {leaving}});
+  it.end(it.Sent, Closed, ServerCheckResult::Exited);
+  CHECK(it.take<ReplyEnd>().empty());
+  CHECK(it.take<ReplyAbort>().size() == 1);
+  CHECK_FALSE(it.proposal<ReportServerExit>());
+}
+
+// Guards against a short answer whose server crashed and was followed by
+// another process at its address, which accepted the connection of the check.
+TEST_CASE(
+    "a process in the server's place doesn't show that an answer is whole",
+    "[replaced-server-unnoticed]") {
+  StreamingEntry it;
+  it.body(it.Sent, "id: 1\ndata: a\n\n");
+  it.Controller.answers().onEnd(Now, it.Sent.Attempt, Closed);
+  it.Controller.onMembers(
+      Now, {.Members = {server("next", "engines", it.Sent.Address.c_str())}});
+  it.check(ServerCheckResult::StillRunning);
+  CHECK(it.take<ReplyEnd>().empty());
+  CHECK(it.take<ReplyAbort>().size() == 1);
+}
+
 TEST_CASE("an answer that ends with its connection doesn't speak for a request "
           "if its server has exited") {
   ForwardUnderTest it;
--- a/test/ConnectionTest.cpp
+++ b/test/ConnectionTest.cpp
@@ -284,3 +284,34 @@
         ServerCheckResult::StillRunning);
   CHECK(probeAt(nobody) == ServerCheckResult::Exited);
 }
+
+// Guards against whole answers that are taken for broken off: one lost packet
+// of the handshake made the server look unreachable.
+TEST_CASE("a probe whose first connection isn't answered opens another one",
+          "[probe-lost-packet]") {
+  PoolUnderTest it;
+  ConnectProbe probe(it.Loop);
+  HostPort full = PoolUnderTest::ownAddress();
+  full.Port += 2;
+  const sockaddr_in address = toSocketAddress(full);
+  const auto *to = reinterpret_cast<const sockaddr *>(&address);
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(::bind(listener, to, sizeof(address)) == 0);
+  REQUIRE(::listen(listener, 0) == 0);
+  // With a full queue of connections the kernel drops the packets of others.
+  const int queued = ::socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(::connect(queued, to, sizeof(address)) == 0);
+  std::optional<ServerCheckResult> checkResult;
+  probe.start(full.Ip + ":" + std::to_string(full.Port),
+              [&](ServerCheckResult found) {
+                checkResult = found;
+                it.Loop.stop();
+              });
+  const auto accept = it.Loop.after(std::chrono::milliseconds(20), [&] {
+    ::close(::accept(listener, nullptr, nullptr));
+  });
+  it.Loop.run();
+  CHECK(checkResult == ServerCheckResult::StillRunning);
+  ::close(queued);
+  ::close(listener);
+}
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -123,12 +123,12 @@
   }
 
   void request(const char *route, int milliseconds = 5000,
-               const char *adapter = "x") {
-    Controller.onRequest(Now, 1,
+               const char *adapter = "x", std::uint64_t key = 1) {
+    Controller.onRequest(Now, key,
                          {"POST",
                           std::string("/") + route + "/q",
                           {{"Host", "h"},
-                           {"id", "r1"},
+                           {"id", "r" + std::to_string(key)},
                            {"time", std::to_string(milliseconds)},
                            {"adapter", adapter}}},
                          "body", ContentHasher().add("body").finish());
@@ -190,6 +190,10 @@
   void end(const SendUpstream &sent, UpstreamEnding ending,
            ServerCheckResult checkResult = ServerCheckResult::StillRunning) {
     Controller.answers().onEnd(Now, sent.Attempt, ending);
+    check(checkResult);
+  }
+  /// Ends the checks of servers that the entry has asked for.
+  void check(ServerCheckResult checkResult) {
     for (const CheckServer &it : take<CheckServer>())
       Controller.onServerChecked(Now, it.Server, checkResult);
   }
--- a/test/RoutingTest.cpp
+++ b/test/RoutingTest.cpp
@@ -102,6 +102,33 @@
   }
 }
 
+// Guards against streams whose events end in CR, or begin with a byte-order
+// mark: none of their events was passed on before the end of the answer, and
+// the id of the first one was lost.
+TEST_CASE("events are told apart by each line ending of the format",
+          "[event-line-endings]") {
+  const std::string end = GENERATE("\n", "\r", "\r\n");
+  const std::string mark = GENERATE("", "\xEF\xBB\xBF");
+  const std::string first = mark + "id: 1" + end + "data: a" + end + end;
+  const std::string second = ": comment" + end + "id: 2" + end + end;
+  const std::string bytes = first + second;
+  for (std::size_t step = 1; step <= bytes.size(); ++step) {
+    EventStream stream;
+    std::string out;
+    for (std::size_t i = 0; i < bytes.size(); i += step)
+      out += stream.feed(std::string_view(bytes).substr(i, step));
+    CHECK(out == bytes);
+    CHECK(stream.partial().empty());
+    CHECK(stream.events() == 2);
+    CHECK(stream.lastId() == 2U);
+  }
+  EventStream stream;
+  CHECK(stream.feed(first) == first);
+  CHECK(stream.lastId() == 1U);
+  stream.restart();
+  CHECK(stream.feed(bytes) == second);
+}
+
 TEST_CASE("a packed text is restored and damaged data is rejected") {
   std::string text;
   for (int i = 0; i < 1000; ++i)
