A close between two events ends a stream only if its server runs after it

Callers got short streams framed as complete when a server crashed between two events: the kernel closes the connections of a process that exits in an orderly way, and the entry took that for the end of an answer without a length.

One function, judgeEnd, now says whole, broken off or not run, and with what evidence. If only the connection ended a stream, the entry connects to the server again: accepted means whole, refused or no answer means broken off, and the stream is resumed where its route allows that. Events go to the caller as they come; only the end waits. A check that began before a close proves nothing about it, so later closes get a further check. While a check decides, the request doesn't run into its deadline. The log lines of an end carry end, end_evidence and end_wait_ms; pimentofront_answer_ends_total counts them, pimentofront_answer_end_wait_seconds has the waits.

--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -83,6 +83,9 @@
        {"status", static_cast<std::uint64_t>(event.Status)},
        {"engine_choice", event.Choice ? routeReasonName(*event.Choice) : ""},
        {"ending", event.Ending ? upstreamEndingName(*event.Ending) : ""},
+       {"end", event.End ? endVerdictName(event.End->Verdict) : ""},
+       {"end_evidence", event.End ? endEvidenceName(event.End->Evidence) : ""},
+       {"end_wait_ms", toSeconds(event.EndWait) * 1000},
        {"shape_engines", static_cast<std::uint64_t>(event.ShapeEngines)},
        {"longest_pause_ms", toSeconds(event.LongestPause) * 1000},
        {"took_ms", toSeconds(event.Took) * 1000}});
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -107,6 +107,18 @@
           .Help("Requests that a server declined, by service and by the room "
                 "that the server reported")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &AnswerEnds =
+      prometheus::BuildCounter()
+          .Name("pimentofront_answer_ends_total")
+          .Help("Ends of attempts at backend servers, by service, by whether "
+                "the answer counts as whole, and by the evidence")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &EndWaits =
+      prometheus::BuildHistogram()
+          .Name("pimentofront_answer_end_wait_seconds")
+          .Help("Time for which the end of an answer without a length or "
+                "chunks waited for a check of its server")
+          .Register(Registry);
   prometheus::Family<prometheus::Counter> &EngineChoices =
       prometheus::BuildCounter()
           .Name("pimentofront_engine_choices_total")
@@ -203,6 +215,15 @@
               {"route", event.RouteAdded ? "added" : "first"},
               {"outcome", requestOutcomeName(*event.Outcome)}})
         .Increment();
+  if (event.End)
+    State->AnswerEnds
+        .Add({{"service", service},
+              {"end", endVerdictName(event.End->Verdict)},
+              {"evidence", endEvidenceName(event.End->Evidence)}})
+        .Increment();
+  if (event.EndWait > Duration::zero())
+    State->EndWaits.Add({{"service", service}}, StallBuckets)
+        .Observe(toSeconds(event.EndWait));
   if (event.RoomAtDecline)
     State->Declines
         .Add({{"service", service},
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -23,6 +23,14 @@
          softwareName(attempt.Software);
 }
 
+/// \returns whether the server of an attempt that broke off may have exited
+/// and hasn't been checked yet.
+bool mayShowExit(EndEvidence evidence) {
+  return evidence == EndEvidence::Connection ||
+         evidence == EndEvidence::InsideEvent ||
+         evidence == EndEvidence::NoEvent;
+}
+
 bool isSuccess(int status) {
   return status >= StatusSuccess && status < StatusRedirection;
 }
@@ -62,7 +70,7 @@
     // The answer lacks the id or the stamp that this server sends, so its bytes
     // belong to no request.
     Board.Commands.push_back(CancelUpstream{attempt});
-    brokeOff(now, *request, /*serverMayHaveExited=*/false);
+    brokeOff(now, *request, {EndVerdict::BrokenOff, EndEvidence::NoAnswer});
     return HeadDecision::Take;
   }
   if (!request->ToEngine)
@@ -154,31 +162,65 @@
   Board.Events.back().LongestPause = stream.LongestPause;
 }
 
-bool AnswerController::isWhole(const ForwardRequest &request,
-                               UpstreamEnding ending) {
-  const bool began = request.Attempt->FirstEventAt.has_value();
-  if (!request.Events.partial().empty())
-    return !began && ending == UpstreamEnding::Complete;
-  return began || ending == UpstreamEnding::Complete || request.resumesStream();
+EndedAttempt
+AnswerController::describeEnd(const ForwardRequest &request,
+                              UpstreamEnding ending,
+                              std::optional<ServerCheckResult> check) const {
+  const ForwardAttempt &attempt = *request.Attempt;
+  const bool stream = attempt.Head && isStream(request);
+  return {.Ending = ending,
+          .HasHead = attempt.Head.has_value(),
+          .IsStream = stream,
+          .Resumed = request.resumesStream(),
+          .Began = attempt.FirstEventAt.has_value(),
+          .InsideEvent = !request.Events.partial().empty(),
+          .FailureInStream = request.Answering && !stream &&
+                             request.Route->Kind == Repeatability::Stream,
+          .Check = check};
+}
+
+void AnswerController::recordEnd(TimePoint now, const ForwardRequest &request,
+                                 AnswerEnd end) {
+  ForwardEvent &event = Board.Events.back();
+  event.End = end;
+  if (request.Attempt->ClosedAt)
+    event.EndWait = now - *request.Attempt->ClosedAt;
+}
+
+void AnswerController::awaitCheck(TimePoint now, ForwardRequest &request) {
+  const ServerView *server = Board.Servers.find(request.Attempt->Server);
+  if (!server || server->Record.Leaving)
+    return complete(now, request, {EndVerdict::Whole, EndEvidence::Connection});
+  request.Attempt->ClosedAt = now;
+  Quarantine.checkClosed(request);
+}
+
+void AnswerController::onServerChecked(TimePoint now, ForwardRequest &request,
+                                       ServerCheckResult checkResult) {
+  const std::optional<AnswerEnd> end =
+      judgeEnd(describeEnd(request, UpstreamEnding::Closed, checkResult));
+  if (end->Verdict == EndVerdict::Whole)
+    complete(now, request, *end);
+  else
+    brokeOff(now, request, *end);
 }
 
 void AnswerController::complete(TimePoint now, ForwardRequest &request,
-                                UpstreamEnding ending) {
+                                AnswerEnd end) {
   const int status = request.Attempt->Head->Status;
   const bool stream = isStream(request);
-  if (stream && !isWhole(request, ending))
-    return brokeOff(now, request, /*serverMayHaveExited=*/true);
-  if (request.Answering && !stream &&
-      request.Route->Kind == Repeatability::Stream)
-    return brokeOff(now, request, /*serverMayHaveExited=*/false);
   Attempts.recordEvent(now, "request_answered", request, {}, status);
+  recordEnd(now, request, end);
   const bool failed = status >= StatusServerError;
   Board.Events.back().Outcome =
       failed ? RequestOutcome::Failed : RequestOutcome::Answered;
-  if (ending == UpstreamEnding::Closed)
-    Quarantine.onClosed(request);
-  else
+  if (end.Evidence == EndEvidence::Connection) {
+    if (Board.Quarantine.stateOf(request.Content) != QuarantineState::Clear ||
+        request.Trial == TrialState::Granted)
+      Quarantine.checkServer(request);
+  } else {
     Quarantine.onSurvived(request);
+  }
   if (!request.Attempt->FirstEventAt)
     Quarantine.onBegan(request);
   if (stream)
@@ -207,13 +249,15 @@
 }
 
 void AnswerController::brokeOff(TimePoint now, ForwardRequest &request,
-                                bool serverMayHaveExited) {
+                                AnswerEnd end) {
   const bool began = request.Attempt->FirstEventAt.has_value();
   Attempts.recordEvent(now, "attempt_broke_off", request,
                        began ? "after its first event"
                              : "before its first event");
   Board.Events.back().Parts = describeParts(sharedParts(request.Traits.Parts));
-  const bool checked = serverMayHaveExited && Quarantine.checkServer(request);
+  recordEnd(now, request, end);
+  const bool checked =
+      mayShowExit(end.Evidence) && Quarantine.checkServer(request);
   Attempts.endFailedAttempt(now, request);
   // A request that can't be sent again gets its final answer without waiting
   // for the check.
@@ -223,7 +267,7 @@
 
 void AnswerController::onServerLost(TimePoint now, ForwardRequest &request) {
   Board.Commands.push_back(CancelUpstream{request.Attempt->Id});
-  brokeOff(now, request, /*serverMayHaveExited=*/false);
+  brokeOff(now, request, {EndVerdict::BrokenOff, EndEvidence::ServerSilent});
 }
 
 void AnswerController::onEnd(TimePoint now, const AttemptId &attempt,
@@ -232,16 +276,21 @@
   if (!request)
     return;
   request->Attempt->Ending = ending;
-  if (ending == UpstreamEnding::NotSent)
-    return Attempts.onNotRun(now, *request, ServerOutcome::Unreachable,
-                             ReleaseKind::NotRun);
-  const bool ended =
-      ending == UpstreamEnding::Complete || ending == UpstreamEnding::Closed;
-  if (ended && request->Attempt->Head)
-    return complete(now, *request, ending);
+  const std::optional<AnswerEnd> end =
+      judgeEnd(describeEnd(*request, ending, /*check=*/std::nullopt));
+  if (!end)
+    return awaitCheck(now, *request);
   if (ending == UpstreamEnding::Rejected)
     Board.Servers.recordRejection(now, request->Attempt->Server);
-  brokeOff(now, *request, /*serverMayHaveExited=*/true);
+  switch (end->Verdict) {
+  case EndVerdict::Whole:
+    return complete(now, *request, *end);
+  case EndVerdict::BrokenOff:
+    return brokeOff(now, *request, *end);
+  case EndVerdict::NotRun:
+    return Attempts.onNotRun(now, *request, ServerOutcome::Unreachable,
+                             ReleaseKind::NotRun);
+  }
 }
 
 } // namespace pimentofront
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -28,6 +28,10 @@
                       ResponseHead head);
   void onBody(TimePoint now, const AttemptId &attempt, std::string_view bytes);
   void onEnd(TimePoint now, const AttemptId &attempt, UpstreamEnding ending);
+  /// The server of an answer that only its connection ended has been checked.
+  /// \pre the current attempt awaits this check.
+  void onServerChecked(TimePoint now, ForwardRequest &request,
+                       ServerCheckResult checkResult);
   /// The server's host has gone, so the connection will never report its end.
   void onServerLost(TimePoint now, ForwardRequest &request);
 
@@ -38,16 +42,16 @@
   void beginAnswer(TimePoint now, ForwardRequest &request);
   /// Records the pauses of a stream that has ended.
   void recordStream(TimePoint now, const ForwardRequest &request);
-  /// \returns whether a stream is whole as far as can be told. One that ends
-  /// inside an event isn't, nor is a new one that its connection ended before
-  /// the first event. A body with a length that has no event at all is passed
-  /// on as it is.
-  static bool isWhole(const ForwardRequest &request, UpstreamEnding ending);
-  void complete(TimePoint now, ForwardRequest &request, UpstreamEnding ending);
-  /// The answer is incomplete or invalid. \p serverMayHaveExited: the
-  /// connection ended, so the server's process may have exited.
-  void brokeOff(TimePoint now, ForwardRequest &request,
-                bool serverMayHaveExited);
+  /// \returns what is known of the end of the current attempt.
+  EndedAttempt describeEnd(const ForwardRequest &request, UpstreamEnding ending,
+                           std::optional<ServerCheckResult> check) const;
+  /// Has the server checked, since only the connection ended the answer.
+  void awaitCheck(TimePoint now, ForwardRequest &request);
+  void complete(TimePoint now, ForwardRequest &request, AnswerEnd end);
+  /// The answer is incomplete or invalid.
+  void brokeOff(TimePoint now, ForwardRequest &request, AnswerEnd end);
+  /// Records in the last event how the attempt ended.
+  void recordEnd(TimePoint now, const ForwardRequest &request, AnswerEnd end);
 
   ForwardBoard &Board;
   AttemptController &Attempts;
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -449,6 +449,7 @@
   }
   ForwardAttempt &attempt = *request.Attempt;
   attempt.Server = server.Record.process();
+  attempt.Address = server.Record.Address;
   attempt.Software = server.Record.Software;
   attempt.Sent = true;
   request.SentOnTrial = request.Trial == TrialState::Granted;
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -221,6 +221,7 @@
   /// Longest time for which this process was stalled since it asked the agent.
   Duration LongestStall = Duration::zero();
   ServerProcess Server;
+  std::string Address;
   /// Version of the quarantine ledger that this entry knew when it sent the
   /// request.
   std::uint64_t KnownQuarantine = 0;
@@ -247,6 +248,9 @@
   std::string BufferedBody;
   /// How the connection ended, once it has.
   std::optional<UpstreamEnding> Ending;
+  /// When the server closed the connection, if a check of the server has to
+  /// decide whether the answer is whole. The caller has all but its end.
+  std::optional<TimePoint> ClosedAt;
   /// The server isn't read, because the caller doesn't read what it has.
   bool Paused = false;
 };
@@ -393,14 +397,6 @@
   ServerProcess Server;
   std::string Address;
 };
-/// Result of checking the process at a server's address.
-enum class ServerCheckResult : std::uint8_t {
-  StillRunning,
-  /// Its host refuses connections to it.
-  Exited,
-  /// No reply: a host without power, a network partition, or a stalled process.
-  Unknown,
-};
 /// Submits a command for the replicas to decide.
 struct ProposeToReplicas {
   std::uint64_t Nonce = 0;
@@ -475,6 +471,10 @@
   /// whether that exceeds the pause that its route allows.
   Duration LongestPause = Duration::zero();
   bool OverPause = false;
+  /// Set by the end of an attempt that was sent.
+  std::optional<AnswerEnd> End;
+  /// How long the end of the answer waited for the check of its server.
+  Duration EndWait = Duration::zero();
   /// Set if a server declined the request: the room that it reported.
   std::optional<ReportedRoom> RoomAtDecline;
 };
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -286,9 +286,18 @@
 void ForwardController::onServerChecked(TimePoint now,
                                         const ServerProcess &server,
                                         ServerCheckResult checkResult) {
-  for (const std::uint64_t key :
-       Quarantine.onServerChecked(now, server, checkResult))
-    Attempts.retryOrGiveUp(now, Board.Requests.at(key));
+  const CheckedRequests checked =
+      Quarantine.onServerChecked(now, server, checkResult);
+  for (const std::uint64_t key : checked.Keys) {
+    const auto it = Board.Requests.find(key);
+    if (it == Board.Requests.end())
+      continue;
+    ForwardRequest &request = it->second;
+    if (awaitsCheck(request))
+      Answers.onServerChecked(now, request, checked.Result);
+    else
+      Attempts.retryOrGiveUp(now, request);
+  }
 }
 
 void ForwardController::onCallerDisconnected(TimePoint now, std::uint64_t key) {
@@ -318,6 +327,8 @@
   std::vector<std::uint64_t> lost;
   std::vector<std::uint64_t> unanswered;
   for (const auto &[key, it] : Board.Requests) {
+    if (awaitsCheck(it))
+      continue;
     if (now >= it.Deadline)
       late.push_back(key);
     else if (isAgentOverdue(now, it))
@@ -344,6 +355,10 @@
   Quarantine.reportSurvivors(now);
 }
 
+bool ForwardController::awaitsCheck(const ForwardRequest &request) {
+  return request.Attempt && request.Attempt->ClosedAt;
+}
+
 bool ForwardController::isAgentOverdue(TimePoint now,
                                        const ForwardRequest &request) const {
   const auto &attempt = request.Attempt;
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -121,6 +121,9 @@
   void resume(TimePoint now, const std::vector<std::uint64_t> &keys);
   /// Tries the deferred requests again whose retry is due.
   void retryDeferred(TimePoint now);
+  /// \returns whether a check of the server, which soon ends, decides whether
+  /// the answer is whole. Such a request is neither late nor lost.
+  static bool awaitsCheck(const ForwardRequest &request);
   /// \returns whether the agent's answer is overdue.
   bool isAgentOverdue(TimePoint now, const ForwardRequest &request) const;
   /// \returns whether the request may be repeated and its server's host must be
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -134,13 +134,6 @@
   endTrial(request.Content, holderOf(Board, request), TrialEnding::Survived);
 }
 
-void QuarantineController::onClosed(ForwardRequest &request) {
-  const bool watched =
-      Board.Quarantine.stateOf(request.Content) != QuarantineState::Clear;
-  if (watched || request.Trial == TrialState::Granted)
-    checkServer(request);
-}
-
 void QuarantineController::onFinished(const ForwardRequest &request) {
   if (request.Trial != TrialState::Asked &&
       request.Trial != TrialState::Granted)
@@ -205,52 +198,79 @@
 // Server exits
 //===----------------------------------------------------------------------===//
 
+void QuarantineController::Check::append(const Check &other) {
+  RequestsInFlight.insert(RequestsInFlight.end(),
+                          other.RequestsInFlight.begin(),
+                          other.RequestsInFlight.end());
+  Trials.insert(Trials.end(), other.Trials.begin(), other.Trials.end());
+  Waiting.insert(Waiting.end(), other.Waiting.begin(), other.Waiting.end());
+}
+
 bool QuarantineController::checkServer(ForwardRequest &request) {
-  const ServerProcess process = request.Attempt->Server;
-  const ServerView *server = Board.Servers.find(process);
+  const ServerView *server = Board.Servers.find(request.Attempt->Server);
   // A server that announced that it is leaving has exited as planned.
   if (!server || server->Record.Leaving)
     return false;
-  const auto [it, isNew] = Checks.try_emplace(process);
+  joinCheck(request, /*mayAccuse=*/true);
+  return true;
+}
+
+void QuarantineController::checkClosed(ForwardRequest &request) {
+  const ServerView *server = Board.Servers.find(request.Attempt->Server);
+  joinCheck(request, /*mayAccuse=*/server && !server->Record.Leaving);
+}
+
+void QuarantineController::joinCheck(ForwardRequest &request, bool mayAccuse) {
+  const ServerProcess process = request.Attempt->Server;
+  const auto [it, isNew] = ServerChecks.try_emplace(process);
+  Check &check = isNew ? it->second.Current : it->second.Next;
+  check.Address = request.Attempt->Address;
   if (isNew)
-    Board.Commands.push_back(CheckServer{process, server->Record.Address});
+    Board.Commands.push_back(CheckServer{process, check.Address});
   const bool hasGrant = request.Trial == TrialState::Granted;
-  it->second.RequestsInFlight.push_back(
-      {.Content = request.Content,
-       .Answering = request.Attempt->FirstEventAt.has_value(),
-       .Holder = hasGrant ? holderOf(Board, request) : AttemptId(),
-       .Shared = inFlightParts(request)});
+  if (mayAccuse)
+    check.RequestsInFlight.push_back(
+        {.Content = request.Content,
+         .Answering = request.Attempt->FirstEventAt.has_value(),
+         .Holder = hasGrant ? holderOf(Board, request) : AttemptId(),
+         .Shared = inFlightParts(request)});
   // The report releases the trial grant, too.
-  if (hasGrant) {
-    it->second.Trials.push_back({request.TrialOf, holderOf(Board, request)});
+  if (mayAccuse && hasGrant) {
+    check.Trials.push_back({request.TrialOf, holderOf(Board, request)});
     request.Trial = TrialState::None;
   }
   request.CheckedServer = process;
-  it->second.Waiting.push_back(request.Key);
-  return true;
+  check.Waiting.push_back(request.Key);
 }
 
-std::vector<std::uint64_t> QuarantineController::onServerChecked(
+CheckedRequests QuarantineController::onServerChecked(
     TimePoint now, const ServerProcess &server, ServerCheckResult checkResult) {
-  const auto check = Checks.extract(server);
-  if (!check)
+  const auto found = ServerChecks.find(server);
+  if (found == ServerChecks.end())
     return {};
-  const std::vector<InFlightRequest> &inFlight =
-      check.mapped().RequestsInFlight;
+  Check check = std::move(found->second.Current);
+  Check next = std::move(found->second.Next);
+  ServerChecks.erase(found);
+  if (checkResult == ServerCheckResult::Exited)
+    check.append(next);
+  else if (!next.empty()) {
+    Board.Commands.push_back(CheckServer{server, next.Address});
+    ServerChecks[server].Current = std::move(next);
+  }
   if (checkResult == ServerCheckResult::Exited) {
-    startSettling(now, server, check.mapped());
-    reportServerExit(now, server, inFlight);
+    startSettling(now, server, check);
+    reportServerExit(now, server, check.RequestsInFlight);
   } else
-    endTrials(check.mapped().Trials, checkResult);
-  std::vector<std::uint64_t> waiting;
-  for (const std::uint64_t key : check.mapped().Waiting) {
+    endTrials(check.Trials, checkResult);
+  CheckedRequests checked{.Result = checkResult};
+  for (const std::uint64_t key : check.Waiting) {
     const auto it = Board.Requests.find(key);
     if (it == Board.Requests.end() || it->second.CheckedServer != server)
       continue;
     it->second.CheckedServer.reset();
-    waiting.push_back(key);
+    checked.Keys.push_back(key);
   }
-  return waiting;
+  return checked;
 }
 
 void QuarantineController::startSettling(TimePoint now,
@@ -291,6 +311,9 @@
 void QuarantineController::reportServerExit(
     TimePoint now, const ServerProcess &server,
     const std::vector<InFlightRequest> &inFlight) {
+  // The server was leaving, so that its exit tells nothing about its requests.
+  if (inFlight.empty())
+    return;
   std::vector<ContentHash> contents;
   for (const InFlightRequest &it : inFlight) {
     contents.push_back(it.Content);
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.h
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.h
@@ -25,6 +25,12 @@
   SendDecision Decision = SendDecision::Granted;
 };
 
+/// The requests that waited for a check of their server, and its result.
+struct CheckedRequests {
+  std::vector<std::uint64_t> Keys;
+  ServerCheckResult Result = ServerCheckResult::Unknown;
+};
+
 /// \class QuarantineController
 /// \ingroup Forward
 /// \brief An entry's part in detecting requests that crash backend servers
@@ -63,17 +69,18 @@
   /// \returns whether a check is in progress. onServerChecked() then returns
   /// the request's key, unless the request has ended in the meantime.
   bool checkServer(ForwardRequest &request);
-  /// \returns the keys of the requests that waited for this check.
-  std::vector<std::uint64_t> onServerChecked(TimePoint now,
-                                             const ServerProcess &server,
-                                             ServerCheckResult checkResult);
+  /// Only its connection ended the answer: has the server checked, also one
+  /// that is leaving. onServerChecked() then returns the request's key.
+  void checkClosed(ForwardRequest &request);
+  /// \returns the keys of the requests for which this result counts. A check
+  /// that began before a connection closed doesn't show that the process ran
+  /// after that, unless it shows an exit: further requests get a further check.
+  CheckedRequests onServerChecked(TimePoint now, const ServerProcess &server,
+                                  ServerCheckResult checkResult);
   /// \returns the keys of the requests that may ask the replicas now.
   std::vector<std::uint64_t> takeSettled(TimePoint now);
   /// A server ran the request and its process still runs.
   void onSurvived(ForwardRequest &request);
-  /// The answer of a server ended with its connection, so that its process may
-  /// have exited: has the server of a watched request checked.
-  void onClosed(ForwardRequest &request);
   /// A server has begun to answer the request.
   void onBegan(const ForwardRequest &request);
   /// Sends the reports on requests that speak for accused parts.
@@ -93,10 +100,21 @@
     AttemptId Holder;
   };
   struct Check {
+    std::string Address;
     std::vector<InFlightRequest> RequestsInFlight;
     std::vector<HeldTrial> Trials;
     std::vector<std::uint64_t> Waiting;
+    bool empty() const { return Waiting.empty(); }
+    void append(const Check &other);
+  };
+  /// The check of a process in progress, and the next one.
+  struct Checks {
+    Check Current;
+    Check Next;
   };
+  /// Starts a check of the request's server, or joins the next one.
+  /// \param mayAccuse an exit would speak against the request.
+  void joinCheck(ForwardRequest &request, bool mayAccuse);
   void startSettling(TimePoint now, const ServerProcess &server,
                      const Check &check);
   bool mayBeOutdated(TimePoint now) const;
@@ -114,7 +132,7 @@
                         const std::vector<InFlightRequest> &inFlight);
 
   ForwardBoard &Board;
-  std::map<ServerProcess, Check> Checks;
+  std::map<ServerProcess, Checks> ServerChecks;
   /// Keys of the requests that wait for a trial grant, by the nonce of the
   /// proposal.
   std::map<std::uint64_t, std::uint64_t> Claims;
