A resumed stream that is closed before an event isn't whole by that

A server that crashed while it still read the prompt of a resumed stream ended the caller's answer as complete: a resumed stream without any event counted as whole. It now needs the same evidence as every other end by a close.

--- a/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
@@ -16,7 +16,7 @@
 std::optional<AnswerEnd> judgeClosed(const EndedAttempt &attempt) {
   if (attempt.IsStream && !attempt.Began && !attempt.Resumed)
     return AnswerEnd{EndVerdict::BrokenOff, EndEvidence::NoEvent};
-  if (!attempt.IsStream || !attempt.Began)
+  if (!attempt.IsStream)
     return AnswerEnd{EndVerdict::Whole, EndEvidence::Connection};
   if (!attempt.Check)
     return std::nullopt;
