A resumed stream that ends inside its first event has been broken off

A server that resumed a stream and ended it inside the first event that it sent, with a last chunk or a length, had that torn event passed on with the end of the answer: a body without any event is passed on as it is, and only the events of the current attempt counted. Found by reading; the test failed before and passes.

--- a/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
@@ -9,7 +9,8 @@
 bool isTorn(const EndedAttempt &attempt) {
   if (!attempt.IsStream || !attempt.InsideEvent)
     return false;
-  return attempt.Began || attempt.Ending == UpstreamEnding::Closed;
+  return attempt.Began || attempt.Resumed ||
+         attempt.Ending == UpstreamEnding::Closed;
 }
 
 /// \returns the verdict on an answer that only its connection ended.
