Other answers without a length wait for the check of their server, too

Buffered answers, answers that are passed on as they come and failures that ended with their connection were handed over as complete while the check of their server was still under way; it only spoke for or against a suspicion. They now need the same evidence as streams: a buffered answer whose server has exited is replaced by another server's where its route allows that, or by 502; one that has begun is cut off.

The test "doesn't speak for a request if its server has exited" asserted the fault (the answer as complete before the check). It now asserts that the answer isn't delivered, before the check or after it, and the same report as before. A further test shows that a check which began before a close isn't evidence for it.

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -214,13 +214,7 @@
   const bool failed = status >= StatusServerError;
   Board.Events.back().Outcome =
       failed ? RequestOutcome::Failed : RequestOutcome::Answered;
-  if (end.Evidence == EndEvidence::Connection) {
-    if (Board.Quarantine.stateOf(request.Content) != QuarantineState::Clear ||
-        request.Trial == TrialState::Granted)
-      Quarantine.checkServer(request);
-  } else {
-    Quarantine.onSurvived(request);
-  }
+  Quarantine.onSurvived(request);
   if (!request.Attempt->FirstEventAt)
     Quarantine.onBegan(request);
   if (stream)
--- a/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
@@ -17,8 +17,6 @@
 std::optional<AnswerEnd> judgeClosed(const EndedAttempt &attempt) {
   if (attempt.IsStream && !attempt.Began && !attempt.Resumed)
     return AnswerEnd{EndVerdict::BrokenOff, EndEvidence::NoEvent};
-  if (!attempt.IsStream)
-    return AnswerEnd{EndVerdict::Whole, EndEvidence::Connection};
   if (!attempt.Check)
     return std::nullopt;
   switch (*attempt.Check) {
--- a/test/AnswerEndTest.cpp
+++ b/test/AnswerEndTest.cpp
@@ -295,6 +295,29 @@
   CHECK(it.take<ReplyAbort>().size() == 1);
 }
 
+TEST_CASE("a check that began before a connection closed doesn't show that the "
+          "server ran after that") {
+  ForwardUnderTest it;
+  MemberRecord other = server("p2", "plain", "1.0.0.2:80");
+  other.Gone = true;
+  it.Controller.onMembers(Now, {.Members = {other}});
+  it.request("once");
+  const auto first = it.only<SendUpstream>();
+  it.request("once", 5000, "x", /*key=*/2);
+  const auto second = it.only<SendUpstream>();
+  REQUIRE(first.Server == second.Server);
+  it.head(first, 200);
+  it.head(second, 200, {{"id", "r2"}, {"stamp", "s"}});
+  it.Controller.answers().onEnd(Now, first.Attempt, Closed);
+  it.Controller.answers().onEnd(Now, second.Attempt, Closed);
+  it.check(ServerCheckResult::StillRunning);
+  CHECK(it.only<ReplyComplete>().Key == 1);
+  it.check(ServerCheckResult::Exited);
+  const auto answer = it.only<ReplyComplete>();
+  CHECK(answer.Key == 2);
+  CHECK(answer.Head.Status == 502);
+}
+
 TEST_CASE("an answer that ends with its connection doesn't speak for a request "
           "if its server has exited") {
   ForwardUnderTest it;
@@ -307,10 +330,10 @@
   it.head(sent, 200);
   it.body(sent, "all");
   it.Controller.answers().onEnd(Now, sent.Attempt, Closed);
-  CHECK(it.only<ReplyComplete>().Body == "all");
+  CHECK(it.take<ReplyComplete>().empty());
   CHECK(it.take<ProposeToReplicas>().empty());
-  const auto check = it.only<CheckServer>();
-  it.Controller.onServerChecked(Now, check.Server, ServerCheckResult::Exited);
+  it.check(ServerCheckResult::Exited);
+  CHECK(it.take<ReplyComplete>().empty());
   const auto proposals = it.take<ProposeToReplicas>();
   REQUIRE(proposals.size() == 1);
   CHECK(std::holds_alternative<ReportServerExit>(proposals.front().Proposal));
