Answers of servers that leave are checked like all others

A server that had announced that it leaves, or had deregistered, was never checked: its answers without a length were whole by any close, also when it was gone at short notice in the middle of one. Its process is now checked at the address that the request went to.

--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -188,9 +188,6 @@
 }
 
 void AnswerController::awaitCheck(TimePoint now, ForwardRequest &request) {
-  const ServerView *server = Board.Servers.find(request.Attempt->Server);
-  if (!server || server->Record.Leaving)
-    return complete(now, request, {EndVerdict::Whole, EndEvidence::Connection});
   request.Attempt->ClosedAt = now;
   Quarantine.checkClosed(request);
 }
