Short responses to HTTP/1.0 callers end with a reset wherever they end

Callers of HTTP/1.0 know the end of a response without a length by the end of its connection. Only a response that the entry broke off on purpose was reset; with too many unread bytes, after the idle timeout of a reader that is gone, and when the entry's process was killed, the connection closed in an orderly way and the short response looked complete. The socket now lingers for zero seconds from the head of such a response until its end, so that each close in between is a reset, the kernel's for a killed process included.

--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -186,7 +186,18 @@
   finishResponse();
 }
 
+void CallerChannel::resetOnClose(bool enabled) {
+  const linger reset{.l_onoff = enabled ? 1 : 0, .l_linger = 0};
+  setsockopt(bufferevent_getfd(Bev), SOL_SOCKET, SO_LINGER, &reset,
+             sizeof(reset));
+}
+
 void CallerChannel::replyHead(const ResponseHead &head) {
+  // Without chunks only a TCP reset shows that a response is incomplete. It is
+  // sent wherever the connection ends before the response, also by the kernel
+  // if this process is killed.
+  if (Framing == HttpFraming::Close)
+    resetOnClose(true);
   const std::string text =
       writeResponseHead(head, Framing, 0, keepsConnection());
   bufferevent_write(Bev, text.data(), text.size());
@@ -209,9 +220,10 @@
 }
 
 void CallerChannel::replyEnd() {
-  if (Framing == HttpFraming::Close)
+  if (Framing == HttpFraming::Close) {
+    resetOnClose(false);
     LastRequest = true;
-  else if (!HeadOnly)
+  } else if (!HeadOnly)
     bufferevent_write(Bev, "0\r\n\r\n", 5);
   finishResponse();
 }
@@ -257,13 +269,10 @@
   Owner.dropKey(Key);
   Key = 0;
   // The caller may resume after the part that it has, so that part is still
-  // written. The missing last chunk shows that the response is incomplete;
-  // without chunks only a TCP reset shows it.
+  // written, where the missing last chunk shows that the response is
+  // incomplete.
   if (Framing == HttpFraming::Chunked)
     return closeWhenWritten();
-  const linger reset{.l_onoff = 1, .l_linger = 0};
-  setsockopt(bufferevent_getfd(Bev), SOL_SOCKET, SO_LINGER, &reset,
-             sizeof(reset));
   end();
 }
 
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -55,6 +55,8 @@
   /// timeout. Only callers of a listener with bounded bytes are timed out.
   bool isReaderGone(TimePoint now) const;
   bool keepsConnection() const;
+  /// Sets whether the connection is reset when it is closed.
+  void resetOnClose(bool enabled);
 
   CallerListener &Owner;
   std::uint64_t Id;
