A check of a server opens a further connection if there is no reply

The kernel sends a lost packet of the handshake again after a second, and a check ends after 150 ms: one lost packet made a running server look unreachable, and whole answers that wait for the check would be called broken off.

--- a/packages/http/pimentofront/src/Http/ConnectProbe.h
+++ b/packages/http/pimentofront/src/Http/ConnectProbe.h
@@ -14,7 +14,8 @@
 /// \ingroup Http
 /// \brief Checks whether a server's process still runs by opening a connection
 /// without sending data: a host refuses connections to a process that has
-/// exited.
+/// exited. If there is no reply, it opens further connections, since a packet
+/// may have been lost.
 class ConnectProbe {
 public:
   using Callback = std::function<void(ServerCheckResult)>;
