Another process in a server's place doesn't prove that an answer is whole

A check of a server connects to its address, and any process that accepts there passed for the server's. After a link that was cut, or a reader that was slow, the close can arrive when the next process is up already. If another process has registered under the server's name or at its address by the end of the check, the answer counts as broken off, and a trial grant ends without an outcome instead of with a survivor.

--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -251,7 +251,12 @@
   Check check = std::move(found->second.Current);
   Check next = std::move(found->second.Next);
   ServerChecks.erase(found);
-  if (checkResult == ServerCheckResult::Exited)
+  if (checkResult == ServerCheckResult::StillRunning &&
+      Board.Servers.isReplaced(server, check.Address))
+    checkResult = ServerCheckResult::Replaced;
+  const bool isGone = checkResult == ServerCheckResult::Exited ||
+                      checkResult == ServerCheckResult::Replaced;
+  if (isGone)
     check.append(next);
   else if (!next.empty()) {
     Board.Commands.push_back(CheckServer{server, next.Address});
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -120,6 +120,15 @@
   return it && mayBeSameProcess(it->Record.process(), process) ? it : nullptr;
 }
 
+bool ServerSet::isReplaced(const ServerProcess &process,
+                           const std::string &address) const {
+  return std::ranges::any_of(Servers, [&](const auto &it) {
+    const MemberRecord &record = it.second.Record;
+    return (record.Host == process.Name || record.Address == address) &&
+           !mayBeSameProcess(record.process(), process);
+  });
+}
+
 ServerView *ServerSet::serverOfAgent(const HostName &agent) {
   const auto it = ServerByAgent.find(agent);
   return it == ServerByAgent.end() ? nullptr : find(it->second);
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -45,6 +45,10 @@
   /// \returns the view of this process; null if no process, or another one, is
   /// registered under its name.
   ServerView *find(const ServerProcess &process);
+  /// \returns whether another process has registered under the name of
+  /// \p process or at \p address.
+  bool isReplaced(const ServerProcess &process,
+                  const std::string &address) const;
   /// \returns the server on the agent's host, or null if none there is in use.
   ServerView *serverOfAgent(const HostName &agent);
   /// Takes the limits of each service (connections, cold start) from
