--- a/packages/forward/pimentofront/src/Forward/EventStream.h
+++ b/packages/forward/pimentofront/src/Forward/EventStream.h
@@ -23,7 +23,10 @@
   std::string feed(std::string_view bytes);
   /// Discards an incomplete event of the former server, since another server
   /// resumes the stream.
-  void restart() { Partial.clear(); }
+  void restart() {
+    Partial.clear();
+    SplitLineEnd = false;
+  }
   /// \returns the bytes received after the last complete event.
   const std::string &partial() const { return Partial; }
   /// \returns the id of the last event that was returned, if any has an id.
@@ -34,6 +37,10 @@
   bool accept(std::string_view event);
 
   std::string Partial;
+  /// The last event ended with a CR, and an LF that follows belongs to it.
+  bool SplitLineEnd = false;
+  /// The last event was returned, not skipped.
+  bool LastAccepted = false;
   std::optional<std::uint64_t> Last;
   std::uint64_t Events = 0;
 };
