Soak and fleet test: streams that only their connection ends

Each second long stream of the soak's servers has no chunks; a server that exits cuts it inside an event or between two. The fleet test counts, on request, what became of answers, the waits of their ends, and streams that were interrupted.

--- a/test/AnswerEndFleetTest.cpp
+++ b/test/AnswerEndFleetTest.cpp
@@ -24,6 +24,8 @@
   std::size_t Refused = 0;
   /// Attempts whose connection ended before the last event.
   std::size_t Cuts = 0;
+  /// Of these, how many were resumed, and how many of these ended whole.
+  std::vector<Duration> Waits;
 };
 
 std::uint32_t countEvents(const std::string &body) {
@@ -77,6 +79,9 @@
     fleet.crashServer(static_cast<std::uint32_t>(random.next() % 12));
   }
   fleet.runFor(10s);
+  for (const ForwardEvent &it : fleet.events())
+    if (it.EndWait > Duration::zero())
+      counts.Waits.push_back(it.EndWait);
   for (const ServerCrash &it : fleet.crashes())
     counts.Cuts += it.RequestsInFlight.size();
   return counts;
@@ -96,3 +101,40 @@
   CHECK(counts.Cuts > 100);
   CHECK(counts.Whole > 400);
 }
+
+// Figures for the design note: ./pimentofront-test "[answer-end-figures]"
+TEST_CASE("ends of answers without a length, sixty seeds",
+          "[.][answer-end-figures]") {
+  const Duration restartDelay =
+      GENERATE(Duration(4s), Duration(100ms), Duration(5ms), Duration(1ms));
+  const bool resumable = GENERATE(true, false);
+  AnswerCounts all;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    const AnswerCounts it =
+        play(seed, {.Resumable = resumable, .RestartDelay = restartDelay});
+    all.Whole += it.Whole;
+    all.ShortAsComplete += it.ShortAsComplete;
+    all.WholeAsBroken += it.WholeAsBroken;
+    all.BrokenOff += it.BrokenOff;
+    all.Refused += it.Refused;
+    all.Cuts += it.Cuts;
+    all.Waits.insert(all.Waits.end(), it.Waits.begin(), it.Waits.end());
+  }
+  std::ranges::sort(all.Waits);
+  const auto percentile = [&](double p) {
+    return all.Waits.empty()
+               ? 0.0
+               : toSeconds(all.Waits[static_cast<std::size_t>(
+                     p * static_cast<double>(all.Waits.size() - 1))]) *
+                     1000;
+  };
+  WARN("restart after " << toSeconds(restartDelay) << " s, resumable "
+                        << resumable << ": cuts " << all.Cuts << ", whole "
+                        << all.Whole << ", short as complete "
+                        << all.ShortAsComplete << ", whole as broken "
+                        << all.WholeAsBroken << ", broken off " << all.BrokenOff
+                        << ", without an answer " << all.Refused
+                        << ", waits p50 " << percentile(0.5) << " p99 "
+                        << percentile(0.99) << " ms, max " << percentile(1)
+                        << " of " << all.Waits.size());
+}
--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -83,17 +83,20 @@
   }
   const std::string &body() const { return Body; }
   /// Writes the next event of a long stream each EventPeriod.
-  void beginEvents(std::uint64_t next, std::uint64_t events) {
+  /// \param chunked the stream has chunks; otherwise its connection ends it.
+  void beginEvents(std::uint64_t next, std::uint64_t events, bool chunked) {
     NextEvent = next;
     LastEvent = events;
+    Chunked = chunked;
     Pacer = Owner.Loop.every(EventPeriod, [this] { writeNextEvent(); });
   }
-  /// Closes the connection in the middle of an event, if a stream is in
-  /// progress.
+  /// Closes the connection, if a stream is in progress in the middle of an
+  /// event or, of each second stream without chunks, between two events.
   void breakOff() {
-    if (Pacer && !Closing) {
+    const bool betweenEvents = !Chunked && NextEvent % 2 == 0;
+    if (Pacer && !Closing && !betweenEvents) {
       const std::string half =
-          chunk("id: " + std::to_string(NextEvent) + "\nd");
+          frame("id: " + std::to_string(NextEvent) + "\nd");
       // Directly to the socket, as in writeAndClose().
       ::send(bufferevent_getfd(Bev), half.data(), half.size(), MSG_NOSIGNAL);
     }
@@ -132,12 +135,26 @@
       static_cast<Channel *>(arg)->finish();
   }
 
+  std::string frame(const std::string &bytes) const {
+    return Chunked ? chunk(bytes) : bytes;
+  }
+
+  /// Ends a stream without chunks once its events are written.
+  void closeAfterEvents() {
+    if (evbuffer_get_length(bufferevent_get_output(Bev)) > 0)
+      return;
+    EndedPacer = std::move(Pacer);
+    finish();
+  }
+
   void writeNextEvent() {
+    if (NextEvent > LastEvent && !Chunked)
+      return closeAfterEvents();
     if (NextEvent > LastEvent) {
       EndedPacer = std::move(Pacer);
       return write("0\r\n\r\n");
     }
-    write(chunk("id: " + std::to_string(NextEvent) + "\ndata: " +
+    write(frame("id: " + std::to_string(NextEvent) + "\ndata: " +
                 Owner.SoftwareVersion + " " + Owner.Instance + "\n\n"));
     ++NextEvent;
   }
@@ -149,6 +166,7 @@
   std::string Body;
   std::uint64_t NextEvent = 1;
   std::uint64_t LastEvent = 0;
+  bool Chunked = true;
   std::unique_ptr<Timer> Pacer;
   /// The timer that has written the end of a stream; it isn't destroyed in its
   /// own action.
@@ -291,15 +309,18 @@
                               bool large) {
   const std::string last = headerOf(head, "Last-Event-Id");
   int next = last.empty() ? 1 : std::stoi(last) + 1;
-  std::string out = "HTTP/1.1 200 OK\r\n" + stampedHeaders +
-                    "Content-Type: text/event-stream\r\n"
-                    "Transfer-Encoding: chunked\r\n\r\n";
   const std::string behaviour = head.Target.substr(head.Target.rfind('/') + 1);
-  if (behaviour.starts_with(LongStreamPrefix)) {
+  const bool isLong = behaviour.starts_with(LongStreamPrefix);
+  const bool chunked = !isLong || ++LongStreams % 2 == 0;
+  std::string out = "HTTP/1.1 200 OK\r\n" + stampedHeaders +
+                    "Content-Type: text/event-stream\r\n" +
+                    (chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                             : "Connection: close\r\n\r\n");
+  if (isLong) {
     channel.write(out);
     return channel.beginEvents(
         static_cast<std::uint64_t>(next),
-        std::stoull(behaviour.substr(LongStreamPrefix.size())));
+        std::stoull(behaviour.substr(LongStreamPrefix.size())), chunked);
   }
   constexpr int CutAfter = 2;
   const int all = large ? LargeEvents : Events;
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -39,7 +39,8 @@
   const std::string &softwareVersion() const { return SoftwareVersion; }
   /// \returns the path's last segment for a stream of \p events events at
   /// intervals. The data of each names the software version and the id of the
-  /// server that wrote it.
+  /// server that wrote it. Each second such stream of a server has no chunks
+  /// and ends with its connection.
   static std::string longStream(std::uint64_t events) {
     return "stream-long-" + std::to_string(events);
   }
@@ -98,6 +99,7 @@
   std::uint64_t Orders = 0;
   std::uint64_t StartedAt = 0;
   std::uint64_t Crashes = 0;
+  std::uint64_t LongStreams = 0;
   std::unique_ptr<Timer> Restart;
   std::function<void(bool up)> UpChanged;
 };
