--- a/test/AnswerEndFleetTest.cpp
+++ b/test/AnswerEndFleetTest.cpp
@@ -4,6 +4,7 @@
 #include "pimentofront/Testkit.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace pimentofront;
 using namespace pimentofront::testkit;
@@ -24,7 +25,11 @@
   std::size_t Refused = 0;
   /// Attempts whose connection ended before the last event.
   std::size_t Cuts = 0;
-  /// Of these, how many were resumed, and how many of these ended whole.
+  /// Requests of which an attempt broke off, and those of them that ended
+  /// whole.
+  std::size_t Interrupted = 0;
+  std::size_t Recovered = 0;
+  /// How long ends of answers waited for the check of a server.
   std::vector<Duration> Waits;
 };
 
@@ -66,12 +71,16 @@
                       .Resumable = options.Resumable});
   Random &random = fleet.simulation().Rng;
   AnswerCounts counts;
+  std::set<std::string> whole;
   fleet.runFor(3s);
   TimePoint nextCrash = fleet.now();
   for (int i = 0; i < Requests; ++i) {
     fleet.call(fleet.entry(static_cast<std::uint32_t>(random.next() % 4)),
-               "content-" + std::to_string(i),
-               [&](const CallerAnswer &it) { count(counts, it); });
+               "content-" + std::to_string(i), [&](const CallerAnswer &it) {
+                 count(counts, it);
+                 if (it.IsComplete && it.Stamped)
+                   whole.insert(it.Id);
+               });
     fleet.runFor(25ms);
     if (fleet.now() < nextCrash)
       continue;
@@ -79,9 +88,16 @@
     fleet.crashServer(static_cast<std::uint32_t>(random.next() % 12));
   }
   fleet.runFor(10s);
-  for (const ForwardEvent &it : fleet.events())
+  std::set<std::string> interrupted;
+  for (const ForwardEvent &it : fleet.events()) {
     if (it.EndWait > Duration::zero())
       counts.Waits.push_back(it.EndWait);
+    if (std::string_view(it.Name) == "attempt_broke_off")
+      interrupted.insert(it.Request);
+  }
+  counts.Interrupted = interrupted.size();
+  counts.Recovered = static_cast<std::size_t>(std::ranges::count_if(
+      interrupted, [&](const auto &it) { return whole.contains(it); }));
   for (const ServerCrash &it : fleet.crashes())
     counts.Cuts += it.RequestsInFlight.size();
   return counts;
@@ -118,6 +134,8 @@
     all.BrokenOff += it.BrokenOff;
     all.Refused += it.Refused;
     all.Cuts += it.Cuts;
+    all.Interrupted += it.Interrupted;
+    all.Recovered += it.Recovered;
     all.Waits.insert(all.Waits.end(), it.Waits.begin(), it.Waits.end());
   }
   std::ranges::sort(all.Waits);
@@ -134,6 +152,8 @@
                         << all.ShortAsComplete << ", whole as broken "
                         << all.WholeAsBroken << ", broken off " << all.BrokenOff
                         << ", without an answer " << all.Refused
+                        << ", interrupted " << all.Interrupted
+                        << ", of these whole " << all.Recovered
                         << ", waits p50 " << percentile(0.5) << " p99 "
                         << percentile(0.99) << " ms, max " << percentile(1)
                         << " of " << all.Waits.size());
