--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -220,10 +220,9 @@
 }
 
 void CallerChannel::replyEnd() {
-  if (Framing == HttpFraming::Close) {
-    resetOnClose(false);
+  if (Framing == HttpFraming::Close)
     LastRequest = true;
-  } else if (!HeadOnly)
+  else if (!HeadOnly)
     bufferevent_write(Bev, "0\r\n\r\n", 5);
   finishResponse();
 }
@@ -244,7 +243,12 @@
 void CallerChannel::closeWhenWritten() {
   Closing = true;
   if (evbuffer_get_length(bufferevent_get_output(Bev)) == 0)
-    end();
+    endWritten();
+}
+
+void CallerChannel::endWritten() {
+  resetOnClose(false);
+  end();
 }
 
 void CallerChannel::onOutput(evbuffer *output, const evbuffer_cb_info *info,
@@ -262,7 +266,7 @@
 void CallerChannel::onWritten(bufferevent *, void *arg) {
   auto *self = static_cast<CallerChannel *>(arg);
   if (self->Closing)
-    self->end();
+    self->endWritten();
 }
 
 void CallerChannel::abort() {
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -49,6 +49,8 @@
   void finishResponse();
   /// Closes the connection. Nothing more is read from it.
   void end();
+  /// Closes the connection in an orderly way, since all output is written.
+  void endWritten();
   /// Stops reading if the listener's bound on unfinished requests says so.
   void recordReceiving();
   /// \returns whether the caller has read nothing of a response for the idle
--- a/test/CallerListenerTest.cpp
+++ b/test/CallerListenerTest.cpp
@@ -223,6 +223,16 @@
       event_base_loop(it.Loop.base(), EVLOOP_ONCE);
     CHECK_FALSE(it.looksComplete());
   }
+  SECTION("when its caller reads nothing more after the end was queued") {
+    Http10Caller it(std::size_t(64) << 20, /*maxReceivingBytes=*/1 << 20);
+    it.Listener.setLimits({.IdleTimeout = std::chrono::milliseconds(100)});
+    it.Listener.replyPiece(it.Handler.Keys.front(),
+                           std::string(std::size_t(8) << 20, 'x'));
+    it.Listener.replyEnd(it.Handler.Keys.front());
+    while (it.Listener.channels() > 0)
+      event_base_loop(it.Loop.base(), EVLOOP_ONCE);
+    CHECK_FALSE(it.looksComplete());
+  }
   SECTION("when the process of the entry is killed") {
     const HostPort address = ownAddress();
     EntryProcess entry(address);
