--- a/test/AnswerEndTest.cpp
+++ b/test/AnswerEndTest.cpp
@@ -49,7 +49,11 @@
       event_base_loop(Loop.base(), EVLOOP_ONCE);
     REQUIRE(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(bytes.size()));
-    while (Body.empty())
+    constexpr std::string_view EndOfHead = "\r\n\r\n";
+    const std::size_t head = bytes.find(EndOfHead);
+    const bool hasBody = head != std::string_view::npos &&
+                         head + EndOfHead.size() < bytes.size();
+    while (hasBody && Body.empty())
       event_base_loop(Loop.base(), EVLOOP_ONCE);
     if (reset) {
       const linger none{.l_onoff = 1, .l_linger = 0};
@@ -107,21 +111,81 @@
 
 } // namespace
 
-TEST_CASE("an answer without a length ends with its connection") {
-  constexpr std::string_view Bytes =
-      "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n";
-  SECTION("that is closed") {
-    CHECK(ClosingServer().endingOf(Bytes, /*reset=*/false) == Closed);
-  }
-  SECTION("but isn't complete if it is reset") {
-    CHECK(ClosingServer().endingOf(Bytes, /*reset=*/true) ==
-          UpstreamEnding::BrokeOff);
-  }
-  SECTION("and one with a length isn't complete before") {
-    CHECK(ClosingServer().endingOf(
-              "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nid: 1\n",
-              /*reset=*/false) == UpstreamEnding::BrokeOff);
+// Each framing of a server and each way in which its connection can end.
+TEST_CASE("an answer's framing tells whether its connection ended it") {
+  struct Row {
+    std::string Bytes;
+    bool Reset;
+    UpstreamEnding Ending;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string length = ok + "Content-Length: 14\r\n\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string event = "id: 1\ndata: a\n\n";
+  const Row row = GENERATE_REF(values<Row>({
+      {"", false, UpstreamEnding::Rejected},
+      {"HTTP/1.1 2", false, BrokenOff},
+      {ok + "Content-Le", false, BrokenOff},
+      {ok + "\r\n", false, Closed},
+      {ok + "\r\n" + event, false, Closed},
+      {ok + "\r\n" + event, true, BrokenOff},
+      {"HTTP/1.0 200 OK\r\n\r\n" + event, false, Closed},
+      {ok + "Content-Length: 99\r\n\r\nid: 1\n", false, BrokenOff},
+      {ok + "Content-Length: 15\r\n\r\n" + event, false, Complete},
+      {ok + "Content-Length: 15\r\n\r\n" + event, true, Complete},
+      {ok + "Content-Length: 15\r\n\r\n" + event + "more", false, Complete},
+      {chunked + "f\r\n" + event + "\r\n0\r\n\r\n", false, Complete},
+      {chunked + "f\r\n" + event + "\r\n", false, BrokenOff},
+      {chunked + "f\r\n" + event + "\r\n0\r\n", false, BrokenOff},
+      {chunked + "f\r\n" + event + "\r\n", true, BrokenOff},
+      {chunked + "f\r\n" + event + "\r\nno chunk\r\n", false, BrokenOff},
+  }));
+  CAPTURE(row.Bytes, row.Reset);
+  CHECK(ClosingServer().endingOf(row.Bytes, row.Reset) == row.Ending);
+}
+
+// Guards against a second place, or a missing case, that calls an answer whole:
+// goes through every combination of what is known of its end.
+TEST_CASE(
+    "an answer is whole only by its framing or by a server that runs on") {
+  const auto ending =
+      GENERATE(UpstreamEnding::Complete, UpstreamEnding::NotSent,
+               UpstreamEnding::BrokeOff, UpstreamEnding::Rejected, Closed);
+  const bool head = GENERATE(true, false);
+  const bool stream = GENERATE(true, false);
+  const bool resumed = GENERATE(true, false);
+  const bool began = GENERATE(true, false);
+  const bool insideEvent = GENERATE(true, false);
+  const bool failure = GENERATE(true, false);
+  const int check = GENERATE(range(-1, 4));
+  EndedAttempt attempt{.Ending = ending,
+                       .HasHead = head,
+                       .IsStream = stream,
+                       .Resumed = resumed,
+                       .Began = began,
+                       .InsideEvent = insideEvent,
+                       .FailureInStream = failure};
+  if (check >= 0)
+    attempt.Check = static_cast<ServerCheckResult>(check);
+  const std::optional<AnswerEnd> end = judgeEnd(attempt);
+  CAPTURE(static_cast<int>(ending), head, stream, resumed, began, insideEvent,
+          failure, check);
+  const bool framed = ending == Complete && head;
+  const bool runsOn = ending == Closed && head &&
+                      attempt.Check == ServerCheckResult::StillRunning;
+  const bool torn = stream && insideEvent && (began || resumed);
+  const bool empty = stream && !began && !resumed && ending == Closed;
+  CHECK((end && end->Verdict == EndVerdict::Whole) ==
+        ((framed || runsOn) && !torn && !failure && !empty));
+  CHECK((end && end->Verdict == EndVerdict::NotRun) ==
+        (ending == UpstreamEnding::NotSent));
+  if (!end) {
+    CHECK(ending == Closed);
+    CHECK_FALSE(attempt.Check);
   }
+  if (end && end->Verdict == EndVerdict::Whole)
+    CHECK(end->Evidence ==
+          (framed ? EndEvidence::Framing : EndEvidence::ServerRunning));
 }
 
 TEST_CASE("a stream that ends with its connection is whole after an event") {
