--- a/review/standin.cc
+++ b/review/standin.cc
@@ -565,11 +565,14 @@
 
 private:
   void run() {
+    auto next = Clock::now();
     for (int i = 0; !Ended; ++i) {
       Clients.emplace_back([this, i] {
         generate(Front, What, Prefix + std::to_string(1000 + i));
       });
-      sleepMs(static_cast<int>(1000 / PerSecond));
+      next += std::chrono::microseconds(
+          static_cast<std::int64_t>(1e6 / PerSecond));
+      std::this_thread::sleep_until(next);
     }
   }
   const Address &Front;
@@ -596,7 +599,7 @@
   constexpr int VersionMs = 5000;
   // 64 slots and 2.6 s a request: 24.6 requests a second are served.
   constexpr double PerSecond = 20;
-  constexpr double BurstFactor = 2.4;
+  constexpr double BurstFactor = 2.35;
   constexpr int BurstMs = 6900;
   Worker worker(at.App);
   if (!worker.listen())
@@ -621,7 +624,7 @@
   Load load(at.Front, Roll, 'r', PerSecond);
   sleepMs(8000); // All are in touch for longer than 3 s; the load is steady.
   if (trouble) {
-    record("burst: %.1f times the requests for %d ms", BurstFactor, BurstMs);
+    record("burst: %.2f times the requests for %d ms", BurstFactor, BurstMs);
     load.setRate(BurstFactor * PerSecond);
   }
   sleepMs(BurstMs);
