Replicas log who votes, who is silent and why there is no leader

Their logs didn't say who had a vote, whether another loss could be borne, or what an election lacked, so the hypotheses can't be told apart.

GroupStatus is what a replica knows of its group; GroupReporter logs it when it changes (replica_state) and while there is no leader (no_leader, with each voter's answer), and the metrics page has it as gauges. A vote reply says why a vote isn't granted; nothing decides by it.

No change of logic: group-schedules passes as before (31,102 assertions).

--- a/packages/consensus/pimentofront/Consensus.h
+++ b/packages/consensus/pimentofront/Consensus.h
@@ -15,6 +15,7 @@
 
 // The parts, in the order of their dependencies.
 // clang-format off
+#include "src/Consensus/GroupStatus.h"
 #include "src/Consensus/LogStore.h"
 #include "src/Consensus/ReplicatedLog.h"
 #include "src/Consensus/FileLogStore.h"
--- a/packages/consensus/pimentofront/src/Consensus/Election.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Election.cpp
@@ -37,6 +37,7 @@
   PreVoting = preVote;
   Votes = {Id};
   VotersWithoutLeader.clear();
+  Answers.clear();
   resetElectionTimer(now);
   if (!preVote)
     setVote({.Current = Vote.Current + 1, .VotedFor = Id});
@@ -84,9 +85,15 @@
   const bool eligible =
       request.CandidateTerm >= Vote.Current && isUpToDate(request);
   const bool mayGrant = eligible && !leaseMayHold;
+  reply.Answer = leaderAlive             ? VoteAnswer::LeaderKnown
+                 : !isUpToDate(request)  ? VoteAnswer::LogBehind
+                 : eligible && !mayGrant ? VoteAnswer::RecentStart
+                                         : VoteAnswer::OtherTermOrVote;
   if (request.PreVote) {
     const bool newer = request.CandidateTerm > Vote.Current;
     reply.Granted = mayGrant && newer;
+    if (reply.Granted)
+      reply.Answer = VoteAnswer::Granted;
     reply.DeniedByRecentStart =
         eligible && newer && !leaderAlive && !reply.Granted;
     return sendTo(request.From, reply);
@@ -99,6 +106,7 @@
       mayGrant && request.CandidateTerm == Vote.Current && voteAvailable;
   reply.VoterTerm = Vote.Current;
   if (reply.Granted) {
+    reply.Answer = VoteAnswer::Granted;
     setVote({.Current = Vote.Current, .VotedFor = request.From});
     resetElectionTimer(now);
   }
@@ -109,6 +117,7 @@
                                 const VoteReply &reply) {
   if (Role != LogRole::Candidate || reply.PreVote != PreVoting)
     return;
+  Answers[reply.From] = reply.Answer;
   if (reply.VoterTerm > Vote.Current && !reply.Granted)
     return becomeFollower(now, reply.VoterTerm, 0);
   const Term requestedTerm = Vote.Current + (PreVoting ? 1 : 0);
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
@@ -11,7 +11,7 @@
       Snapshot(stored.Snapshot),
       Entries(stored.Entries.begin(), stored.Entries.end()),
       Committed(stored.Snapshot.LastIndex), Applied(stored.Snapshot.LastIndex),
-      Jitter(options.Seed ^ stored.Id) {
+      InTouchAt(now), Jitter(options.Seed ^ stored.Id) {
   assert(Id != 0 && "a store has an identity before a replica uses it");
   Synced = lastIndex();
   recomputeGroup();
@@ -153,6 +153,7 @@
     const bool quorumLost = quorumLastReplyAt() + Options.ElectionTimeout < now;
     if (quorumLost)
       return becomeFollower(now, Vote.Current, 0);
+    InTouchAt = now;
     proposeNextGroupChange(now, wallMilliseconds);
     if (now >= NextHeartbeat)
       replicateAll(now);
@@ -196,6 +197,37 @@
     replicateAll(now);
 }
 
+GroupStatus ReplicatedLog::status(TimePoint now) const {
+  GroupStatus result{.IsMember = isMember(), .IsVoter = isVoter()};
+  const bool leads = Role == LogRole::Leader;
+  int replyingVoters = 0;
+  for (const ReplicaDescriptor &it : Group.Replicas) {
+    MemberStatus member{.Replica = it};
+    const auto follower = Followers.find(it.Id);
+    if (leads && follower != Followers.end()) {
+      member.Match = follower->second.Match;
+      member.Replies =
+          now <= follower->second.LastReplyAt + Options.ElectionTimeout;
+    } else if (it.Id == Id) {
+      member.Match = lastIndex();
+    }
+    const auto answer = Answers.find(it.Id);
+    if (Role == LogRole::Candidate && answer != Answers.end())
+      member.Answer = answer->second;
+    ++(it.Learner ? result.Learners : result.Voters);
+    result.Silent += member.Replies ? 0 : 1;
+    replyingVoters += !it.Learner && member.Replies ? 1 : 0;
+    result.Members.push_back(member);
+  }
+  if (leads)
+    result.SpareVoters = replyingVoters - static_cast<int>(quorum());
+  const bool knowsLeader =
+      leads || now <= InTouchAt + 2 * Options.ElectionTimeout;
+  if (!knowsLeader)
+    result.WithoutLeader = now - InTouchAt;
+  return result;
+}
+
 LogSnapshot ReplicatedLog::snapshotAt(LogIndex index, std::string state) const {
   assert(index <= Applied && "only what was applied can be covered");
   LogSnapshot result =
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_CONSENSUS_REPLICATED_LOG_H
 #define PIMENTOFRONT_CONSENSUS_REPLICATED_LOG_H
 
+#include "GroupStatus.h"
 #include "LogStore.h"
 
 #include <deque>
@@ -143,6 +144,8 @@
   /// \returns entries after \p index, for compaction.
   std::vector<LogEntry> entriesAfter(LogIndex index) const;
   std::size_t entryCount() const { return Entries.size(); }
+  /// \returns what this replica knows of its group.
+  GroupStatus status(TimePoint now) const;
 
 private:
   struct Progress {
@@ -246,6 +249,11 @@
   /// Voters that replied to the pre-vote and know no leader in this term.
   std::set<ReplicaId> VotersWithoutLeader;
   TimePoint LeaderLastSeenAt;
+  /// When this replica last was the leader or heard from one, at first when it
+  /// started.
+  TimePoint InTouchAt;
+  /// The voters' answers to the current pre-vote or election.
+  std::map<ReplicaId, VoteAnswer> Answers;
   TimePoint ElectionDueAt;
   /// No vote is granted before this time, since this replica may have
   /// acknowledged a leader's lease before it restarted.
--- a/packages/consensus/pimentofront/src/Consensus/Replication.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Replication.cpp
@@ -111,6 +111,7 @@
     return sendTo(request.From, reply);
   becomeFollower(now, request.LeaderTerm, request.From);
   LeaderLastSeenAt = now;
+  InTouchAt = now;
   resetElectionTimer(now);
   reply.FollowerTerm = Vote.Current;
   reply.Matched = acceptEntries(request);
@@ -156,6 +157,7 @@
     return sendTo(part.From, reply);
   becomeFollower(now, part.LeaderTerm, part.From);
   LeaderLastSeenAt = now;
+  InTouchAt = now;
   resetElectionTimer(now);
   reply.FollowerTerm = Vote.Current;
   if (part.LastIndex <= Committed) {
--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -7,6 +7,17 @@
 
 /// Sets the gauges of the plain services, the only ones whose servers have a
 /// pace.
+void setGroupGauges(TimePoint now, const ReplicatedLog &log, Gauges &gauges) {
+  const GroupStatus status = log.status(now);
+  gauges.Leads = log.holdsLease(now) ? 1 : 0;
+  gauges.GroupVoters = status.Voters;
+  gauges.GroupLearners = status.Learners;
+  gauges.GroupSilentMembers = status.Silent;
+  gauges.GroupSpareVoters = status.SpareVoters.value_or(0);
+  gauges.GroupVotes = status.IsVoter ? 1 : 0;
+  gauges.WithoutLeaderSeconds = toSeconds(status.WithoutLeader);
+}
+
 void setPlainGauges(TimePoint now, const ForwardBoard &board, Gauges &gauges) {
   const ServerSetOptions &options = board.Options.Servers;
   for (const auto &[service, queue] : board.PlainQueues)
@@ -174,7 +185,7 @@
         static_cast<double>(servers.evacuatedZones().size());
   }
   if (Nodes.Replica)
-    gauges.Leads = Nodes.Replica->log().holdsLease(now) ? 1 : 0;
+    setGroupGauges(now, Nodes.Replica->log(), gauges);
   Counters.set(gauges);
   return Counters.text();
 }
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -62,6 +62,7 @@
                                   .Replica = Stored.Id}},
       *this);
   Log = std::make_unique<EventLog>(Options, Loop, Network->clock());
+  Group = std::make_unique<GroupReporter>(*Log);
   Api = std::make_unique<ApiHandler>(Loop, Options, *Log, Counters, *Network);
   const HostPort http = *HostPort::parse(Options.HttpAddress);
   Control = std::make_unique<platform::ControlApi>(
@@ -335,46 +336,8 @@
   WasReady = ready;
 }
 
-namespace {
-
-const char *roleName(LogRole role) {
-  constexpr const char *Names[] = {"follower", "candidate", "leader"};
-  return Names[static_cast<std::size_t>(role)];
-}
-
-} // namespace
-
-/// Logs each change of the group's state as this replica sees it.
-void Daemon::logGroupState() {
-  const ReplicatedLog &log = Replica->log();
-  const ReplicaDescriptor *leader = log.leader();
-  std::string group;
-  for (const ReplicaDescriptor &it : log.group().Replicas)
-    group += (group.empty() ? "" : " ") + it.Host.str() +
-             (it.Learner ? " (learner)" : "");
-  const GroupState state{.Role = log.role(),
-                         .Term = log.term(),
-                         .Leader = leader ? leader->Host : HostName(),
-                         .Members = group};
-  if (state == LoggedGroup)
-    return;
-  LoggedGroup = state;
-  Log->write(LogLevel::Info, "replica_state",
-             {{"role", roleName(state.Role)},
-              {"term", state.Term},
-              {"leader", state.Leader.str()},
-              {"group", state.Members},
-              {"committed", log.commitIndex()},
-              {"last", log.lastIndex()}});
-}
-
 void Daemon::checkReplicaState() {
-  logGroupState();
-  const bool leads = Replica->log().holdsLease(Loop.now());
-  if (leads != WasLeading)
-    Log->write(LogLevel::Info, leads ? "leader_began" : "leader_ended",
-               {{"term", Replica->log().term()}});
-  WasLeading = leads;
+  Group->report(Loop.now(), *Replica);
   if (!Replica->storeError())
     return;
   Log->write(LogLevel::Error, "store_failed",
@@ -391,8 +354,7 @@
   Api->setNodes({Entry.get(), Agent.get(), nullptr, Forward.get()});
   Replica.reset();
   Store.reset();
-  WasLeading = false;
-  LoggedGroup = {};
+  Group->reset();
   Network->closeAll();
   retryStoreLater();
 }
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -6,6 +6,7 @@
 #include "EngineDriver.h"
 #include "EngineOrders.h"
 #include "ForwardIo.h"
+#include "GroupReporter.h"
 #include "ManifestReader.h"
 #include "RequestHeaders.h"
 #include "SlownessProbe.h"
@@ -68,7 +69,6 @@
   void tick();
   void scheduleFlush();
   void checkReplicaState();
-  void logGroupState();
   void closeReplica();
   void retryStoreLater();
   void beginStop();
@@ -83,6 +83,7 @@
   StoredLog Stored;
   std::unique_ptr<PeerNetwork> Network;
   std::unique_ptr<EventLog> Log;
+  std::unique_ptr<GroupReporter> Group;
   Metrics Counters;
   std::unique_ptr<ApiHandler> Api;
   platform::ManifestReader Documents;
@@ -109,18 +110,8 @@
   std::unique_ptr<Timer> StopTimer;
   std::unique_ptr<Timer> StoreTimer;
   std::optional<TimePoint> StopStartedAt;
-  /// The replica group's state as this replica sees it; the last one logged.
-  struct GroupState {
-    LogRole Role = LogRole::Follower;
-    pimentofront::Term Term = 0;
-    HostName Leader;
-    std::string Members;
-    friend bool operator==(const GroupState &, const GroupState &) = default;
-  };
-  GroupState LoggedGroup;
   /// Host at the other end of each link, for the log.
   std::map<LinkId, HostName> Peers;
-  bool WasLeading = false;
   bool StoreFailed = false;
   bool WasReady = false;
 };
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -308,6 +308,12 @@
   put("accused_parts", gauges.AccusedParts);
   put("quarantined_parts", gauges.QuarantinedParts);
   put("leads", gauges.Leads);
+  put("group_voters", gauges.GroupVoters);
+  put("group_learners", gauges.GroupLearners);
+  put("group_silent_members", gauges.GroupSilentMembers);
+  put("group_spare_voters", gauges.GroupSpareVoters);
+  put("group_votes", gauges.GroupVotes);
+  put("without_leader_seconds", gauges.WithoutLeaderSeconds);
   put("peer_bytes_sent", gauges.PeerBytesSent);
   put("peer_bytes_received", gauges.PeerBytesReceived);
 }
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -52,6 +52,17 @@
   double AccusedParts = 0;
   double QuarantinedParts = 0;
   double Leads = 0;
+  /// The replica group, as this replica sees it: voters, learners, members that
+  /// don't reply to the leader, and voters that may be lost with a majority
+  /// left. The last two are known to the leader only and 0 elsewhere.
+  double GroupVoters = 0;
+  double GroupLearners = 0;
+  double GroupSilentMembers = 0;
+  double GroupSpareVoters = 0;
+  /// This replica has a vote, by its own log.
+  double GroupVotes = 0;
+  /// How long this replica has known no leader.
+  double WithoutLeaderSeconds = 0;
   double PeerBytesSent = 0;
   double PeerBytesReceived = 0;
 };
--- a/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
@@ -67,6 +67,21 @@
                       PreVote, NoLeaderKnown)
 };
 
+/// How a replica answers a vote request.
+enum class VoteAnswer : std::uint8_t {
+  /// No answer, or that of an older release.
+  None,
+  Granted,
+  /// It hears from a leader, or is one.
+  LeaderKnown,
+  /// It has just started, and may have acknowledged a leader's lease before.
+  RecentStart,
+  /// The candidate's log is behind its own.
+  LogBehind,
+  /// It has voted for another replica in this term, or is in a later one.
+  OtherTermOrVote,
+};
+
 struct VoteReply {
   ReplicaId From = 0;
   Term VoterTerm = 0;
@@ -77,8 +92,10 @@
   /// A pre-vote was not granted only because this replica has just started and
   /// may have acknowledged a leader's lease before that.
   bool DeniedByRecentStart = false;
+  /// For the candidate's log lines; decides nothing.
+  VoteAnswer Answer = VoteAnswer::None;
   PIMENTOFRONT_FIELDS(VoteReply, From, VoterTerm, CandidateTerm, Granted,
-                      PreVote, DeniedByRecentStart)
+                      PreVote, DeniedByRecentStart, Answer)
 };
 
 struct AppendRequest {
