--- a/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
@@ -147,6 +147,10 @@
   process.Forward.reset();
 }
 
+void Simulation::stop(SimulatedProcess &process) {
+  after(Options.StopNotice, [this, &process] { kill(process); });
+}
+
 void Simulation::wake(SimulatedProcess &process) {
   process.Frozen = false;
   // After a pause, pending messages and expired timers may run in either order.
--- a/packages/testkit/pimentofront/src/Testkit/Simulation.h
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.h
@@ -103,6 +103,8 @@
   WeightStoreOptions Store;
   Duration ServiceDelay = std::chrono::milliseconds(50);
   Duration TickPeriod = std::chrono::milliseconds(20);
+  /// Time from the request to stop until a process ends.
+  Duration StopNotice = std::chrono::milliseconds(100);
 };
 
 /// \class Simulation
@@ -126,6 +128,9 @@
   SimulatedProcess *leader();
   void start(SimulatedProcess &process);
   void kill(SimulatedProcess &process);
+  /// Asks a replica to stop, as SIGTERM does. It ends after `StopNotice`, and
+  /// doesn't start again.
+  void stop(SimulatedProcess &process);
   void freeze(SimulatedProcess &process) { process.Frozen = true; }
   void wake(SimulatedProcess &process);
   /// Kills a process, and starts it again after \p duration.
