A voter that was silent stays in the group as a learner, and is told

Cause: with a learner in the group, a voter that was silent for 4.5 s was removed. Nothing told it; by its own log it remained a member, so it never asked to join, and a request to join that reached a follower was dropped. The group shrank with each cut until the loss of one disk took the majority, while five replicas ran.

Change: a silent voter becomes a learner. It gets the log on, learns what it is, and is the first to get a vote again. A learner that is silent for a minute is removed. A replica that no leader has called for 2 s asks to join, whatever its log says; followers pass the request on. A learner counts as caught up only once it has matched an entry and replies. A disk counts as lost only if it is silent while another one takes part from the same host, since a request to join may arrive late. Requests to join are forgotten when a leader steps down.

Why it works: no replica that runs can stay outside the group for longer than a request to join takes, so the number of voters doesn't shrink.

ConsensusTest's limit of silence is tested just below and just above it, and that the silent voter remains a learner.

--- a/packages/consensus/pimentofront/src/Consensus/Election.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Election.cpp
@@ -28,6 +28,7 @@
   Followers.clear();
   Rounds.clear();
   Votes.clear();
+  PendingJoins.clear();
 }
 
 void ReplicatedLog::startElection(TimePoint now, bool preVote,
--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -17,7 +17,14 @@
 }
 
 void ReplicatedLog::onJoin(TimePoint, const ReplicaDescriptor &replica) {
-  if (Role == LogRole::Leader && !findReplica(replica.Id))
+  if (Role != LogRole::Leader) {
+    // Terms never decrease on the way, so the request doesn't go in circles.
+    const bool known = Leader != 0 && Leader != Id && Leader != replica.Id;
+    if (known)
+      sendTo(Leader, JoinRequest{replica});
+    return;
+  }
+  if (!findReplica(replica.Id))
     PendingJoins[replica.Host] = replica;
 }
 
@@ -43,72 +50,172 @@
   NextHeartbeat = now;
 }
 
-ReplicaId
-ReplicatedLog::voterToReplace(TimePoint now,
-                              const ReplicaDescriptor &learner) const {
-  for (const ReplicaDescriptor &it : Group.Replicas)
-    if (it.Host == learner.Host && !it.Learner)
-      return it.Id;
-  if (voterCount() < Options.WantedVoters)
-    return 0;
-  ReplicaId mostSilent = 0;
-  TimePoint lastReplyAt = now - Options.VoterReplaceTimeout;
+Duration ReplicatedLog::silenceOf(TimePoint now, ReplicaId id) const {
+  const auto it = Followers.find(id);
+  if (id == Id || it == Followers.end())
+    return Duration::zero();
+  return now - it->second.LastReplyAt;
+}
+
+bool ReplicatedLog::takesPart(TimePoint now, ReplicaId id) const {
+  const auto it = Followers.find(id);
+  return it != Followers.end() && it->second.Match > 0 &&
+         silenceOf(now, id) < Options.ElectionTimeout;
+}
+
+bool ReplicatedLog::isDiskLost(TimePoint now,
+                               const ReplicaDescriptor &member) const {
+  // A late request to join may name a former disk, so only the one that takes
+  // part is the host's present one.
+  if (member.Id == Id || takesPart(now, member.Id))
+    return false;
+  return std::ranges::any_of(Group.Replicas, [&](const auto &it) {
+    return it.Host == member.Host && it.Id != member.Id &&
+           (it.Id == Id || takesPart(now, it.Id));
+  });
+}
+
+ReplicatedLog::ReplaceReason
+ReplicatedLog::replaceReason(TimePoint now,
+                             const ReplicaDescriptor &voter) const {
+  if (isDiskLost(now, voter))
+    return ReplaceReason::DiskLost;
+  if (silenceOf(now, voter.Id) >= Options.VoterReplaceTimeout)
+    return ReplaceReason::Silent;
+  return ReplaceReason::None;
+}
+
+ReplicatedLog::ReplaceableVoter
+ReplicatedLog::mostReplaceableVoter(TimePoint now) const {
+  ReplaceableVoter result;
   for (const ReplicaDescriptor &it : Group.Replicas) {
-    const auto follower = Followers.find(it.Id);
-    if (it.Learner || follower == Followers.end() ||
-        follower->second.LastReplyAt > lastReplyAt)
+    if (it.Learner)
       continue;
-    mostSilent = it.Id;
-    lastReplyAt = follower->second.LastReplyAt;
+    const ReplaceableVoter candidate{it.Id, replaceReason(now, it)};
+    const bool moreUrgent = candidate.Why > result.Why;
+    // The leader comes last, since without its vote it steps down.
+    const bool preferred = candidate.Why == result.Why && result.Id != 0 &&
+                           (result.Id == Id || silenceOf(now, candidate.Id) >
+                                                   silenceOf(now, result.Id));
+    if (moreUrgent || preferred)
+      result = candidate;
   }
-  return mostSilent;
+  return result;
+}
+
+ReplicatedLog::ReplaceableVoter
+ReplicatedLog::surplusVoter(TimePoint now) const {
+  ReplaceableVoter result = mostReplaceableVoter(now);
+  // One that is about to stop may have been killed and restarted meanwhile, so
+  // that there is no reason any more.
+  for (const ReplicaDescriptor &it : Group.Replicas)
+    if (result.Id == 0 && !it.Learner && it.Id != Id)
+      result.Id = it.Id;
+  return result;
+}
+
+bool ReplicatedLog::canBePromoted(TimePoint now,
+                                  const ReplicaDescriptor &learner) const {
+  if (!learner.Learner || !takesPart(now, learner.Id))
+    return false;
+  return Followers.at(learner.Id).Match + MaxLearnerLag >= lastIndex();
+}
+
+bool ReplicatedLog::needsToJoin(TimePoint now) const {
+  return !isMember() || now >= InTouchAt + Options.RejoinTimeout;
+}
+
+ReplicaDescriptor ReplicatedLog::self() const {
+  return {.Id = Id, .Host = Options.Host, .Address = Options.Address};
 }
 
 /// Proposes the next change of the group, once the previous one is committed.
-/// The steps are: add a joining replica as a learner; when it has caught up,
-/// remove the former identity of its host, whose disk is lost, or a voter that
-/// seems to be lost for good; then give the learner a vote. A learner doesn't
-/// count towards a quorum before that, so a replica that lost its disk can't be
-/// mistaken for one with the full log.
+/// Votes pass from one replica to another in two steps, since quorums of two
+/// groups that differ in one voter always share a replica.
 void ReplicatedLog::proposeNextGroupChange(TimePoint now,
                                            std::uint64_t wallMilliseconds) {
   if (changePending())
     return;
-  for (const auto &joining : PendingJoins) {
-    const HostName &host = joining.first;
-    const ReplicaDescriptor &replica = joining.second;
-    if (findReplica(replica.Id))
-      continue;
-    ReplicaGroup group = Group;
-    // A former identity of the host that is still a learner is removed in the
-    // same step, as it doesn't count towards a quorum.
-    std::erase_if(group.Replicas, [&](const auto &it) {
-      return it.Host == host && it.Learner;
-    });
-    group.Replicas.push_back(replica);
-    group.Replicas.back().Learner = true;
-    return proposeGroup(now, wallMilliseconds, group);
-  }
+  if (!proposeJoin(now, wallMilliseconds) &&
+      !proposeVoterChange(now, wallMilliseconds))
+    proposeForget(now, wallMilliseconds);
+}
+
+/// Adds a joining replica as a learner. A learner doesn't count towards a
+/// quorum, so a replica that lost its disk can't be mistaken for one with the
+/// full log.
+bool ReplicatedLog::proposeJoin(TimePoint now, std::uint64_t wallMilliseconds) {
   std::erase_if(PendingJoins,
                 [&](const auto &it) { return findReplica(it.second.Id); });
-  for (const ReplicaDescriptor &it : Group.Replicas) {
-    const auto follower = Followers.find(it.Id);
-    if (!it.Learner || follower == Followers.end() ||
-        follower->second.Match + MaxLearnerLag < lastIndex())
-      continue;
-    ReplicaGroup group = Group;
-    if (const ReplicaId former = voterToReplace(now, it)) {
-      std::erase_if(group.Replicas,
-                    [&](const auto &o) { return o.Id == former; });
-      return proposeGroup(now, wallMilliseconds, group);
-    }
-    if (voterCount() >= Options.WantedVoters)
-      continue;
-    const auto learner =
-        std::ranges::find(group.Replicas, it.Id, &ReplicaDescriptor::Id);
-    learner->Learner = false;
-    return proposeGroup(now, wallMilliseconds, group);
+  if (PendingJoins.empty())
+    return false;
+  ReplicaGroup group = Group;
+  group.Replicas.push_back(PendingJoins.begin()->second);
+  group.Replicas.back().Learner = true;
+  // What is known of an earlier membership may be outdated.
+  Followers.erase(group.Replicas.back().Id);
+  proposeGroup(now, wallMilliseconds, group);
+  return true;
+}
+
+/// Passes the vote of a replica that should lose it to a learner that has
+/// caught up.
+bool ReplicatedLog::proposeVoterChange(TimePoint now,
+                                       std::uint64_t wallMilliseconds) {
+  if (voterCount() > Options.WantedVoters) {
+    proposeLossOfVote(now, wallMilliseconds, surplusVoter(now));
+    return true;
   }
+  const ReplaceableVoter former = mostReplaceableVoter(now);
+  const auto learner = std::ranges::find_if(
+      Group.Replicas, [&](const auto &it) { return canBePromoted(now, it); });
+  if (learner == Group.Replicas.end() ||
+      (former.Id == 0 && voterCount() == Options.WantedVoters))
+    return false;
+  // A voter that takes part keeps its vote until the learner has one, so that
+  // the group bears a loss in between. One that doesn't loses its vote first:
+  // with it the group would need the replies of all others.
+  if (former.Why >= ReplaceReason::Silent)
+    proposeLossOfVote(now, wallMilliseconds, former);
+  else
+    proposeVote(now, wallMilliseconds, learner->Id);
+  return true;
+}
+
+void ReplicatedLog::proposeVote(TimePoint now, std::uint64_t wallMilliseconds,
+                                ReplicaId id) {
+  ReplicaGroup group = Group;
+  std::ranges::find(group.Replicas, id, &ReplicaDescriptor::Id)->Learner =
+      false;
+  proposeGroup(now, wallMilliseconds, group);
+}
+
+void ReplicatedLog::proposeLossOfVote(TimePoint now,
+                                      std::uint64_t wallMilliseconds,
+                                      const ReplaceableVoter &voter) {
+  ReplicaGroup group = Group;
+  const auto it =
+      std::ranges::find(group.Replicas, voter.Id, &ReplicaDescriptor::Id);
+  // As a learner it still gets the log, and so learns that it has no vote.
+  if (voter.Why == ReplaceReason::DiskLost)
+    group.Replicas.erase(it);
+  else
+    it->Learner = true;
+  proposeGroup(now, wallMilliseconds, group);
+}
+
+/// Removes learners that seem to be gone for good.
+bool ReplicatedLog::proposeForget(TimePoint now,
+                                  std::uint64_t wallMilliseconds) {
+  ReplicaGroup group = Group;
+  const auto n = std::erase_if(group.Replicas, [&](const auto &it) {
+    return it.Learner &&
+           (silenceOf(now, it.Id) >= Options.LearnerForgetTimeout ||
+            isDiskLost(now, it));
+  });
+  if (n > 0)
+    proposeGroup(now, wallMilliseconds, group);
+  return n > 0;
 }
 
 } // namespace pimentofront
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
@@ -118,8 +118,7 @@
 bool ReplicatedLog::bootstrap(TimePoint now, std::uint64_t wallMilliseconds) {
   if (lastIndex() != 0 || !Group.Replicas.empty() || Vote.Current != 0)
     return false;
-  const ReplicaGroup group{
-      {{.Id = Id, .Host = Options.Host, .Address = Options.Address}}};
+  const ReplicaGroup group{{self()}};
   setVote({.Current = 1, .VotedFor = Id});
   append({.EntryTerm = 1,
           .Index = 1,
@@ -154,6 +153,9 @@
     if (quorumLost)
       return becomeFollower(now, Vote.Current, 0);
     InTouchAt = now;
+    const bool lostOwnVote = !isVoter() && !changePending();
+    if (lostOwnVote)
+      return becomeFollower(now, Vote.Current, 0);
     proposeNextGroupChange(now, wallMilliseconds);
     if (now >= NextHeartbeat)
       replicateAll(now);
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -33,11 +33,17 @@
   std::size_t SnapshotPartBytes = std::size_t(256) << 10;
   /// Number of voters up to which the leader promotes learners.
   std::uint32_t WantedVoters = 3;
-  /// A voter that hasn't replied for this time is replaced by a learner that
-  /// has caught up: the voter may be lost for good, and the next loss could
-  /// then take the majority. Longer than a process is usually paused or takes
-  /// to restart.
+  /// A voter that hasn't replied for this time becomes a learner, and a learner
+  /// that has caught up gets its vote: the voter may be lost for good, and the
+  /// next loss could then take the majority. Longer than a process is usually
+  /// paused or takes to restart.
   Duration VoterReplaceTimeout = std::chrono::milliseconds(4500);
+  /// A learner that hasn't replied for this time is removed from the group. If
+  /// it comes back, it asks to join again.
+  Duration LearnerForgetTimeout = std::chrono::seconds(60);
+  /// A replica that hasn't heard from a leader for this time asks to join: it
+  /// may have been removed. Longer than an election.
+  Duration RejoinTimeout = std::chrono::seconds(2);
   std::uint64_t Seed = 1;
 };
 
@@ -104,8 +110,14 @@
   /// \returns the index of its entry, which isn't committed yet.
   std::optional<LogIndex> propose(TimePoint now, std::uint64_t wallMilliseconds,
                                   std::string command);
-  /// A replica that isn't in the group asks to join it as a learner.
+  /// A replica that may not be in the group asks to join it as a learner. A
+  /// follower passes the request on to the leader.
   void onJoin(TimePoint now, const ReplicaDescriptor &replica);
+  /// \returns whether this replica should ask to join the group: it isn't a
+  /// member by its own log, or no leader treats it as one.
+  bool needsToJoin(TimePoint now) const;
+  /// \returns how this replica describes itself when it joins a group.
+  ReplicaDescriptor self() const;
   /// Proposes to remove a member, on behalf of an operator.
   /// \returns false if this replica isn't the leader, another change is
   /// pending, or \p host is the leader's own or isn't that of exactly one
@@ -220,12 +232,44 @@
   std::uint64_t beginRound(TimePoint now);
 
   // GroupChange.cpp
-  /// \returns the voter that \p learner replaces, or 0 for none: the voter of
-  /// its own host, or if there are `WantedVoters` the one that has been silent
-  /// for longest, at least for `VoterReplaceTimeout`.
-  ReplicaId voterToReplace(TimePoint now,
-                           const ReplicaDescriptor &learner) const;
+  /// Why a voter should lose its vote, the least urgent reason first.
+  enum class ReplaceReason : std::uint8_t {
+    None,
+    /// It hasn't replied for `VoterReplaceTimeout`.
+    Silent,
+    /// Its host runs with another disk: this one is lost.
+    DiskLost,
+  };
+  /// A voter, and why it should lose its vote.
+  struct ReplaceableVoter {
+    ReplicaId Id = 0;
+    ReplaceReason Why = ReplaceReason::None;
+  };
+  /// \returns how long a member hasn't replied; zero for this replica.
+  Duration silenceOf(TimePoint now, ReplicaId id) const;
+  /// \returns whether a follower has the leader's log at least in part, and has
+  /// replied within an election timeout.
+  bool takesPart(TimePoint now, ReplicaId id) const;
+  /// \returns whether the host of \p member runs with another disk.
+  bool isDiskLost(TimePoint now, const ReplicaDescriptor &member) const;
+  ReplaceReason replaceReason(TimePoint now,
+                              const ReplicaDescriptor &voter) const;
+  /// \returns the voter with the most urgent reason to lose its vote; no
+  /// voter if there is no reason.
+  ReplaceableVoter mostReplaceableVoter(TimePoint now) const;
+  /// \returns a voter to give up if there are too many.
+  ReplaceableVoter surplusVoter(TimePoint now) const;
+  /// \returns whether \p learner replies and has the log, so that it can vote.
+  bool canBePromoted(TimePoint now, const ReplicaDescriptor &learner) const;
   void proposeNextGroupChange(TimePoint now, std::uint64_t wallMilliseconds);
+  /// Each of these proposes one change if it is due.
+  /// \returns whether it has proposed one.
+  bool proposeJoin(TimePoint now, std::uint64_t wallMilliseconds);
+  bool proposeVoterChange(TimePoint now, std::uint64_t wallMilliseconds);
+  bool proposeForget(TimePoint now, std::uint64_t wallMilliseconds);
+  void proposeVote(TimePoint now, std::uint64_t wallMilliseconds, ReplicaId id);
+  void proposeLossOfVote(TimePoint now, std::uint64_t wallMilliseconds,
+                         const ReplaceableVoter &voter);
   bool changePending() const;
   void proposeGroup(TimePoint now, std::uint64_t wallMilliseconds,
                     const ReplicaGroup &group);
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -490,12 +490,10 @@
 }
 
 void ReplicaNode::join(TimePoint now) {
-  if (Log.isMember() || now < NextJoin)
+  if (!Log.needsToJoin(now) || now < NextJoin)
     return;
   NextJoin = now + JoinPeriod;
-  const JoinRequest request{{.Id = Log.id(),
-                             .Host = Options.Log.Host,
-                             .Address = Options.Log.Address}};
+  const JoinRequest request{Log.self()};
   for (const std::string &it : Options.PeerAddresses)
     sendToReplica(now, {.Address = it}, request);
   for (const auto &[replica, link] : ReplicaLinks)
--- a/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
@@ -148,7 +148,9 @@
                       Round)
 };
 
-/// A replica without a group asks to be added.
+/// A replica that isn't in the group, or that hears from no leader and may have
+/// been removed from it, asks to be added. A follower passes it on to the
+/// leader.
 struct JoinRequest {
   ReplicaDescriptor Replica;
   PIMENTOFRONT_FIELDS(JoinRequest, Replica)
--- a/test/ConsensusTest.cpp
+++ b/test/ConsensusTest.cpp
@@ -192,11 +192,12 @@
                                 it->PreviousIndex + it->Entries.size(),
                                 it->Round});
   }
-  /// \returns the voters of the group.
-  std::set<ReplicaId> voters() const {
+  std::set<ReplicaId> voters() const { return members(false); }
+  std::set<ReplicaId> learners() const { return members(true); }
+  std::set<ReplicaId> members(bool learner) const {
     std::set<ReplicaId> result;
     for (const ReplicaDescriptor &it : Log.group().Replicas)
-      if (!it.Learner)
+      if (it.Learner == learner)
         result.insert(it.Id);
     return result;
   }
@@ -218,17 +219,23 @@
     leader.run(10s, {2, 3, 4});
     CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
   }
+  const Duration limit = ReplicatedLogOptions().VoterReplaceTimeout;
   SECTION("not one that is silent for less than the limit") {
     leader.Log.onMessage(leader.Now, 0, join);
-    leader.run(4s, {2, 4});
+    leader.run(limit - 100ms, {2, 4});
     CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+    leader.run(300ms, {2, 4});
+    CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 4});
   }
   SECTION("one that is silent for longer than the limit") {
-    leader.run(2s, {2});
+    leader.run(limit / 2, {2});
     leader.Log.onMessage(leader.Now, 0, join);
-    leader.run(4s, {2, 4});
+    leader.run(limit / 2 + 500ms, {2, 4});
     CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 4});
     CHECK(leader.Log.role() == LogRole::Leader);
+    // It keeps its place as a learner, so that it learns that it has no vote.
+    leader.run(1s, {2, 3, 4});
+    CHECK(leader.learners() == std::set<ReplicaId>{3});
   }
 }
 
