A silent voter is replaced before the loss of its host stops counting

Cause: a lost host stops counting 4 s after its successor has started, but its vote passed to the successor only after 4.5 s of silence. A loss in between met a group in which two of three voters were gone.

Change: a voter loses its vote after 2 s of silence. With an election before it that ends within the 4 s. Since it stays in the group as a learner, a voter that comes back loses nothing.

--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -35,9 +35,10 @@
   std::uint32_t WantedVoters = 3;
   /// A voter that hasn't replied for this time becomes a learner, and a learner
   /// that has caught up gets its vote: the voter may be lost for good, and the
-  /// next loss could then take the majority. Longer than a process is usually
-  /// paused or takes to restart.
-  Duration VoterReplaceTimeout = std::chrono::milliseconds(4500);
+  /// next loss could then take the majority. Together with an election it is
+  /// shorter than the time for which a lost host counts after its successor has
+  /// started.
+  Duration VoterReplaceTimeout = std::chrono::seconds(2);
   /// A learner that hasn't replied for this time is removed from the group. If
   /// it comes back, it asks to join again.
   Duration LearnerForgetTimeout = std::chrono::seconds(60);
