A replica that stops gives its vote to a learner first

It kept its vote until it had been silent for long enough, and the loss of one disk in that time took the majority.

Change: a replica that is told to stop says so in its replies to the leader; the leader gives its vote to a learner that has caught up, then takes it away, and steps down if the vote is its own. The process ends when its vote is gone, at once if there is no learner, and at the latest after its stop limit.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -75,6 +75,13 @@
   });
 }
 
+bool ReplicatedLog::isLeaving(ReplicaId id) const {
+  if (id == Id)
+    return Leaving;
+  const auto it = Followers.find(id);
+  return it != Followers.end() && it->second.Leaving;
+}
+
 ReplicatedLog::ReplaceReason
 ReplicatedLog::replaceReason(TimePoint now,
                              const ReplicaDescriptor &voter) const {
@@ -82,6 +89,8 @@
     return ReplaceReason::DiskLost;
   if (silenceOf(now, voter.Id) >= Options.VoterReplaceTimeout)
     return ReplaceReason::Silent;
+  if (isLeaving(voter.Id))
+    return ReplaceReason::Leaving;
   return ReplaceReason::None;
 }
 
@@ -116,7 +125,7 @@
 
 bool ReplicatedLog::canBePromoted(TimePoint now,
                                   const ReplicaDescriptor &learner) const {
-  if (!learner.Learner || !takesPart(now, learner.Id))
+  if (!learner.Learner || !takesPart(now, learner.Id) || isLeaving(learner.Id))
     return false;
   return Followers.at(learner.Id).Match + MaxLearnerLag >= lastIndex();
 }
@@ -129,6 +138,14 @@
   return {.Id = Id, .Host = Options.Host, .Address = Options.Address};
 }
 
+bool ReplicatedLog::mayStop() const {
+  const bool hasSuccessor =
+      std::ranges::any_of(Group.Replicas, [&](const auto &it) {
+        return it.Id != Id && it.Learner;
+      });
+  return !hasSuccessor || (!isVoter() && GroupIndex <= Committed);
+}
+
 /// Proposes the next change of the group, once the previous one is committed.
 /// Votes pass from one replica to another in two steps, since quorums of two
 /// groups that differ in one voter always share a replica.
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -119,6 +119,12 @@
   bool needsToJoin(TimePoint now) const;
   /// \returns how this replica describes itself when it joins a group.
   ReplicaDescriptor self() const;
+  /// Announces that this replica is about to stop, so that its vote goes to a
+  /// learner before.
+  void beginLeave() { Leaving = true; }
+  /// \returns whether this replica may stop without weakening the group: it has
+  /// no vote, or there is no learner that could have it.
+  bool mayStop() const;
   /// Proposes to remove a member, on behalf of an operator.
   /// \returns false if this replica isn't the leader, another change is
   /// pending, or \p host is the leader's own or isn't that of exactly one
@@ -168,6 +174,8 @@
     TimePoint AckedRoundSentAt;
     /// When its last reply arrived, at first the start of this leader's term.
     TimePoint LastReplyAt;
+    /// It has announced that it is about to stop.
+    bool Leaving = false;
     /// A message with entries or a part of a snapshot is unacknowledged.
     bool InFlight = false;
     TimePoint SentAt;
@@ -236,6 +244,8 @@
   /// Why a voter should lose its vote, the least urgent reason first.
   enum class ReplaceReason : std::uint8_t {
     None,
+    /// It is about to stop, but takes part until then.
+    Leaving,
     /// It hasn't replied for `VoterReplaceTimeout`.
     Silent,
     /// Its host runs with another disk: this one is lost.
@@ -253,6 +263,7 @@
   bool takesPart(TimePoint now, ReplicaId id) const;
   /// \returns whether the host of \p member runs with another disk.
   bool isDiskLost(TimePoint now, const ReplicaDescriptor &member) const;
+  bool isLeaving(ReplicaId id) const;
   ReplaceReason replaceReason(TimePoint now,
                               const ReplicaDescriptor &voter) const;
   /// \returns the voter with the most urgent reason to lose its vote; no
@@ -297,6 +308,8 @@
   /// When this replica last was the leader or heard from one, at first when it
   /// started.
   TimePoint InTouchAt;
+  /// This replica is about to stop.
+  bool Leaving = false;
   /// The voters' answers to the current pre-vote or election.
   std::map<ReplicaId, VoteAnswer> Answers;
   TimePoint ElectionDueAt;
--- a/packages/consensus/pimentofront/src/Consensus/Replication.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Replication.cpp
@@ -105,8 +105,10 @@
 
 void ReplicatedLog::onAppendRequest(TimePoint now,
                                     const AppendRequest &request) {
-  AppendReply reply{
-      .From = Id, .FollowerTerm = Vote.Current, .Round = request.Round};
+  AppendReply reply{.From = Id,
+                    .FollowerTerm = Vote.Current,
+                    .Round = request.Round,
+                    .Leaving = Leaving};
   if (request.LeaderTerm < Vote.Current)
     return sendTo(request.From, reply);
   becomeFollower(now, request.LeaderTerm, request.From);
@@ -200,6 +202,7 @@
       reply.FollowerTerm < Vote.Current)
     return;
   Progress &progress = it->second;
+  progress.Leaving = reply.Leaving;
   recordRound(now, progress, reply.Round);
   const ReplicaDescriptor *to = findReplica(reply.From);
   if (progress.Next <= Snapshot.LastIndex && !reply.Matched)
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -386,6 +386,8 @@
     ForwardConnections->beginStop();
   if (Agent)
     Agent->leave(Loop.now());
+  if (Replica)
+    Replica->beginLeave();
   // Gives the load balancer time to see that this process is not ready before
   // it refuses requests.
   StopTimer = Loop.after(Options.StopNotice, [this] {
@@ -400,7 +402,8 @@
 bool Daemon::idle() const {
   return (!Entry || Entry->idle()) && (!Forward || Forward->idle()) &&
          (!ForwardConnections || ForwardConnections->idle()) &&
-         (!Agent || Agent->controller().idle());
+         (!Agent || Agent->controller().idle()) &&
+         (!Replica || Replica->mayStop());
 }
 
 void Daemon::continueStop() {
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -59,6 +59,10 @@
   /// \returns whether this replica is the leader and its lease is valid. Only
   /// then may it announce members, propose commands and read.
   bool leads(TimePoint now) const { return Log.holdsLease(now); }
+  /// Announces that this replica is about to stop.
+  void beginLeave() { Log.beginLeave(); }
+  /// \returns whether this replica may stop without weakening the group.
+  bool mayStop() const { return Log.mayStop(); }
   /// \returns the peer address of the leader, empty if none is known or this
   /// replica is the leader.
   std::string leaderAddress() const;
--- a/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
@@ -148,7 +148,25 @@
 }
 
 void Simulation::stop(SimulatedProcess &process) {
-  after(Options.StopNotice, [this, &process] { kill(process); });
+  if (process.Replica)
+    process.Replica->beginLeave();
+  after(Options.StopNotice,
+        [this, host = process.Spec.Host, incarnation = process.Incarnation,
+         limit = Now + Options.StopLimit] {
+          stopWhenPossible(host, incarnation, limit);
+        });
+}
+
+void Simulation::stopWhenPossible(const HostName &host,
+                                  std::uint64_t incarnation, TimePoint limit) {
+  SimulatedProcess &process = *Processes.at(host);
+  if (!process.Alive || process.Incarnation != incarnation)
+    return;
+  const bool mayStop = !process.Replica || process.Replica->mayStop();
+  if (!process.Frozen && (mayStop || Now >= limit))
+    return kill(process);
+  after(Options.TickPeriod,
+        [=, this] { stopWhenPossible(host, incarnation, limit); });
 }
 
 void Simulation::wake(SimulatedProcess &process) {
--- a/packages/testkit/pimentofront/src/Testkit/Simulation.h
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.h
@@ -103,8 +103,9 @@
   WeightStoreOptions Store;
   Duration ServiceDelay = std::chrono::milliseconds(50);
   Duration TickPeriod = std::chrono::milliseconds(20);
-  /// Time from the request to stop until a process ends.
+  /// Shortest and longest time from the request to stop until a process ends.
   Duration StopNotice = std::chrono::milliseconds(100);
+  Duration StopLimit = std::chrono::seconds(2);
 };
 
 /// \class Simulation
@@ -128,8 +129,8 @@
   SimulatedProcess *leader();
   void start(SimulatedProcess &process);
   void kill(SimulatedProcess &process);
-  /// Asks a replica to stop, as SIGTERM does. It ends after `StopNotice`, and
-  /// doesn't start again.
+  /// Asks a replica to stop, as SIGTERM does. It ends when it may stop, at the
+  /// latest after `StopLimit`, and doesn't start again.
   void stop(SimulatedProcess &process);
   void freeze(SimulatedProcess &process) { process.Frozen = true; }
   void wake(SimulatedProcess &process);
@@ -204,6 +205,8 @@
   bool isCut(const HostName &from, const HostName &to) const;
   Duration delayBetween(const HostName &from, const HostName &to) const;
   void tick(const HostName &host, std::uint64_t incarnation);
+  void stopWhenPossible(const HostName &host, std::uint64_t incarnation,
+                        TimePoint limit);
   void probeEngine(SimulatedProcess &process);
   void expireUnsent();
 
--- a/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
@@ -119,7 +119,10 @@
   /// Last index known to match, or the index from which to retry.
   LogIndex Index = 0;
   std::uint64_t Round = 0;
-  PIMENTOFRONT_FIELDS(AppendReply, From, FollowerTerm, Matched, Index, Round)
+  /// The follower is about to stop: its vote should go to a learner.
+  bool Leaving = false;
+  PIMENTOFRONT_FIELDS(AppendReply, From, FollowerTerm, Matched, Index, Round,
+                      Leaving)
 };
 
 /// A part of a snapshot; the next one is sent when it is acknowledged.
