Replicas on hosts of which any number may be lost get no vote

Cause: any replica could get a vote, also on hosts that don't count, of which any number may be lost at once. No setting told them apart.

Change: may_vote, from the deployment's own word for each host. Without it a replica stays a learner; if it has a vote it passes on.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -89,6 +89,8 @@
     return ReplaceReason::DiskLost;
   if (silenceOf(now, voter.Id) >= Options.VoterReplaceTimeout)
     return ReplaceReason::Silent;
+  if (voter.NeverVotes)
+    return ReplaceReason::NeverVotes;
   if (isLeaving(voter.Id))
     return ReplaceReason::Leaving;
   return ReplaceReason::None;
@@ -125,7 +127,8 @@
 
 bool ReplicatedLog::canBePromoted(TimePoint now,
                                   const ReplicaDescriptor &learner) const {
-  if (!learner.Learner || !takesPart(now, learner.Id) || isLeaving(learner.Id))
+  if (!learner.Learner || learner.NeverVotes || !takesPart(now, learner.Id) ||
+      isLeaving(learner.Id))
     return false;
   return Followers.at(learner.Id).Match + MaxLearnerLag >= lastIndex();
 }
@@ -135,13 +138,16 @@
 }
 
 ReplicaDescriptor ReplicatedLog::self() const {
-  return {.Id = Id, .Host = Options.Host, .Address = Options.Address};
+  return {.Id = Id,
+          .Host = Options.Host,
+          .Address = Options.Address,
+          .NeverVotes = !Options.MayVote};
 }
 
 bool ReplicatedLog::mayStop() const {
   const bool hasSuccessor =
       std::ranges::any_of(Group.Replicas, [&](const auto &it) {
-        return it.Id != Id && it.Learner;
+        return it.Id != Id && it.Learner && !it.NeverVotes;
       });
   return !hasSuccessor || (!isVoter() && GroupIndex <= Committed);
 }
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -15,6 +15,9 @@
 struct ReplicatedLogOptions {
   HostName Host;
   std::string Address;
+  /// Whether this replica may get a vote. Set it to false on hosts of which any
+  /// number may be lost at once.
+  bool MayVote = true;
   Duration HeartbeatPeriod = std::chrono::milliseconds(150);
   /// A follower that receives nothing from a leader for a random time between
   /// once and twice this value starts a pre-vote.
@@ -246,6 +249,8 @@
     None,
     /// It is about to stop, but takes part until then.
     Leaving,
+    /// Its host may be lost together with any others.
+    NeverVotes,
     /// It hasn't replied for `VoterReplaceTimeout`.
     Silent,
     /// Its host runs with another disk: this one is lost.
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -180,6 +180,7 @@
     replica.Log.WantedVoters = 2 * losses + 1;
     replica.InitialVoters = replica.Log.WantedVoters;
   }
+  replica.Log.MayVote = reader.flag("may_vote", replica.Log.MayVote);
   replica.Log.HeartbeatPeriod =
       reader.milliseconds("heartbeat_ms", replica.Log.HeartbeatPeriod);
   replica.Log.ElectionTimeout =
--- a/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
@@ -24,7 +24,9 @@
   std::string Address;
   /// Receives the log, but neither votes nor counts towards a quorum.
   bool Learner = false;
-  PIMENTOFRONT_FIELDS(ReplicaDescriptor, Id, Host, Address, Learner)
+  /// Remains a learner: any number of hosts of this kind may be lost at once.
+  bool NeverVotes = false;
+  PIMENTOFRONT_FIELDS(ReplicaDescriptor, Id, Host, Address, Learner, NeverVotes)
 };
 
 /// \class ReplicaGroup
