Votes spread over the availability zones

Looked for the same cause elsewhere: a whole zone may be lost at once, but a learner got a vote whatever its zone, so that after some replacements one zone could have the majority of the voters.

Change: the learner whose zone has the fewest voters gets the vote; a zone whose loss would take the majority gives one away if that makes the zones more even.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -93,7 +93,17 @@
     return ReplaceReason::NeverVotes;
   if (isLeaving(voter.Id))
     return ReplaceReason::Leaving;
-  return ReplaceReason::None;
+  const bool crowded = !voter.Zone.str().empty() &&
+                       votersIn(voter.Zone, 0) > voterCount() - quorum();
+  return crowded ? ReplaceReason::ZoneCrowded : ReplaceReason::None;
+}
+
+std::size_t ReplicatedLog::votersIn(const ZoneName &zone,
+                                    ReplicaId except) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Group.Replicas, [&](const auto &it) {
+        return !it.Learner && it.Id != except && it.Zone == zone;
+      }));
 }
 
 ReplicatedLog::ReplaceableVoter
@@ -133,6 +143,16 @@
   return Followers.at(learner.Id).Match + MaxLearnerLag >= lastIndex();
 }
 
+const ReplicaDescriptor *ReplicatedLog::bestLearner(TimePoint now,
+                                                    ReplicaId former) const {
+  const ReplicaDescriptor *result = nullptr;
+  for (const ReplicaDescriptor &it : Group.Replicas)
+    if (canBePromoted(now, it) &&
+        (!result || votersIn(it.Zone, former) < votersIn(result->Zone, former)))
+      result = &it;
+  return result;
+}
+
 bool ReplicatedLog::needsToJoin(TimePoint now) const {
   return !isMember() || now >= InTouchAt + Options.RejoinTimeout;
 }
@@ -141,7 +161,8 @@
   return {.Id = Id,
           .Host = Options.Host,
           .Address = Options.Address,
-          .NeverVotes = !Options.MayVote};
+          .NeverVotes = !Options.MayVote,
+          .Zone = Options.Zone};
 }
 
 bool ReplicatedLog::mayStop() const {
@@ -190,10 +211,15 @@
     return true;
   }
   const ReplaceableVoter former = mostReplaceableVoter(now);
-  const auto learner = std::ranges::find_if(
-      Group.Replicas, [&](const auto &it) { return canBePromoted(now, it); });
-  if (learner == Group.Replicas.end() ||
-      (former.Id == 0 && voterCount() == Options.WantedVoters))
+  const ReplicaDescriptor *learner = bestLearner(now, former.Id);
+  if (!learner || (former.Id == 0 && voterCount() == Options.WantedVoters))
+    return false;
+  // A vote passes to another zone only if that makes the zones more even.
+  const ReplicaDescriptor &voter =
+      former.Id ? *findReplica(former.Id) : *learner;
+  const bool inVain = former.Why == ReplaceReason::ZoneCrowded &&
+                      votersIn(learner->Zone, 0) + 1 >= votersIn(voter.Zone, 0);
+  if (inVain && voterCount() == Options.WantedVoters)
     return false;
   // A voter that takes part keeps its vote until the learner has one, so that
   // the group bears a loss in between. One that doesn't loses its vote first:
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -15,6 +15,8 @@
 struct ReplicatedLogOptions {
   HostName Host;
   std::string Address;
+  /// Availability zone of the host; may be empty.
+  ZoneName Zone;
   /// Whether this replica may get a vote. Set it to false on hosts of which any
   /// number may be lost at once.
   bool MayVote = true;
@@ -247,6 +249,8 @@
   /// Why a voter should lose its vote, the least urgent reason first.
   enum class ReplaceReason : std::uint8_t {
     None,
+    /// Without its availability zone no majority is left.
+    ZoneCrowded,
     /// It is about to stop, but takes part until then.
     Leaving,
     /// Its host may be lost together with any others.
@@ -269,6 +273,8 @@
   /// \returns whether the host of \p member runs with another disk.
   bool isDiskLost(TimePoint now, const ReplicaDescriptor &member) const;
   bool isLeaving(ReplicaId id) const;
+  /// \returns the number of voters in \p zone other than \p except.
+  std::size_t votersIn(const ZoneName &zone, ReplicaId except) const;
   ReplaceReason replaceReason(TimePoint now,
                               const ReplicaDescriptor &voter) const;
   /// \returns the voter with the most urgent reason to lose its vote; no
@@ -278,6 +284,9 @@
   ReplaceableVoter surplusVoter(TimePoint now) const;
   /// \returns whether \p learner replies and has the log, so that it can vote.
   bool canBePromoted(TimePoint now, const ReplicaDescriptor &learner) const;
+  /// \returns the learner to promote in place of \p former, or null: the one
+  /// whose zone has the fewest voters.
+  const ReplicaDescriptor *bestLearner(TimePoint now, ReplicaId former) const;
   void proposeNextGroupChange(TimePoint now, std::uint64_t wallMilliseconds);
   /// Each of these proposes one change if it is due.
   /// \returns whether it has proposed one.
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -91,6 +91,7 @@
   ReplicaNodeOptions replica = Options.Replica;
   replica.Log.Host = Options.Host;
   replica.Log.Address = Options.PeerAddress;
+  replica.Log.Zone = Options.Zone;
   replica.Log.Seed = Incarnation;
   replica.Documents = &Documents;
   replica.Loads.LoadsPerSecond = Options.LoadsPerSecond;
--- a/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
@@ -26,7 +26,10 @@
   bool Learner = false;
   /// Remains a learner: any number of hosts of this kind may be lost at once.
   bool NeverVotes = false;
-  PIMENTOFRONT_FIELDS(ReplicaDescriptor, Id, Host, Address, Learner, NeverVotes)
+  /// Its availability zone; empty if it isn't known.
+  ZoneName Zone;
+  PIMENTOFRONT_FIELDS(ReplicaDescriptor, Id, Host, Address, Learner, NeverVotes,
+                      Zone)
 };
 
 /// \class ReplicaGroup
