A replica whose loss of vote may not be committed can be elected

Found by reading for the same class: if a leader ends after only the replica that loses its vote has the entry that says so, no other one can be elected, since that replica's log is ahead of theirs, and it held no election itself. Ongaro (2014, 4.2.2) has it campaign until the change is committed; its own vote doesn't count.

--- a/packages/consensus/pimentofront/src/Consensus/Election.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Election.cpp
@@ -36,7 +36,9 @@
   Role = LogRole::Candidate;
   Leader = 0;
   PreVoting = preVote;
-  Votes = {Id};
+  Votes.clear();
+  if (isVoter())
+    Votes.insert(Id);
   VotersWithoutLeader.clear();
   Answers.clear();
   resetElectionTimer(now);
@@ -52,7 +54,7 @@
     if (it.Id != Id && !it.Learner)
       sendTo(it, request);
   // The only voter has a majority with its own vote.
-  if (voterCount() == 1)
+  if (voterCount() == 1 && isVoter())
     onVoteReply(now, 0,
                 {.From = Id,
                  .VoterTerm = Vote.Current,
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
@@ -93,6 +93,24 @@
   return self && !self->Learner;
 }
 
+ReplicaGroup ReplicatedLog::previousGroup() const {
+  for (auto it = Entries.rbegin(); it != Entries.rend(); ++it)
+    if (it->Kind == EntryKind::Group && it->Index < GroupIndex)
+      return *decodeGroup(it->Data);
+  return Snapshot.Group;
+}
+
+bool ReplicatedLog::mayCampaign() const {
+  if (isVoter())
+    return true;
+  if (GroupIndex <= Committed)
+    return false;
+  const ReplicaGroup previous = previousGroup();
+  const auto it =
+      std::ranges::find(previous.Replicas, Id, &ReplicaDescriptor::Id);
+  return it != previous.Replicas.end() && !it->Learner;
+}
+
 const ReplicaDescriptor *ReplicatedLog::leader() const {
   return Leader == 0 ? nullptr : findReplica(Leader);
 }
@@ -161,7 +179,7 @@
       replicateAll(now);
     return;
   }
-  if (now >= ElectionDueAt && isVoter())
+  if (now >= ElectionDueAt && mayCampaign())
     startElection(now, /*preVote=*/true);
 }
 
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -211,6 +211,12 @@
   std::size_t voterCount() const;
   std::size_t quorum() const { return voterCount() / 2 + 1; }
   bool isVoter() const;
+  /// \returns whether this replica may hold an election: it is a voter, or
+  /// was one before a change of the group that may not be committed. If only
+  /// this replica has the change, no other one can be elected.
+  bool mayCampaign() const;
+  /// \returns the group before the entry at `GroupIndex`.
+  ReplicaGroup previousGroup() const;
   void sendTo(const ReplicaDescriptor &to, Message message);
   void sendTo(ReplicaId to, Message message);
   void setVote(const Ballot &vote);
