Tests of the group's changes; a zone is crowded only with all votes given

A test of the zones showed two votes moved where one was due: with one vote not yet given, every zone's loss takes the majority, so a voter that takes part was replaced, too. A missing vote is given first now.

The tests cover, one each: hosts that don't count, zones, a late request to join of a lost disk, a learner that never replied, requests that a follower passes on, a replica that no leader calls, and an election by a replica whose loss of vote may not be committed.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -94,6 +94,7 @@
   if (isLeaving(voter.Id))
     return ReplaceReason::Leaving;
   const bool crowded = !voter.Zone.str().empty() &&
+                       voterCount() >= Options.WantedVoters &&
                        votersIn(voter.Zone, 0) > voterCount() - quorum();
   return crowded ? ReplaceReason::ZoneCrowded : ReplaceReason::None;
 }
@@ -215,11 +216,9 @@
   if (!learner || (former.Id == 0 && voterCount() == Options.WantedVoters))
     return false;
   // A vote passes to another zone only if that makes the zones more even.
-  const ReplicaDescriptor &voter =
-      former.Id ? *findReplica(former.Id) : *learner;
-  const bool inVain = former.Why == ReplaceReason::ZoneCrowded &&
-                      votersIn(learner->Zone, 0) + 1 >= votersIn(voter.Zone, 0);
-  if (inVain && voterCount() == Options.WantedVoters)
+  if (former.Why == ReplaceReason::ZoneCrowded &&
+      votersIn(learner->Zone, 0) + 1 >=
+          votersIn(findReplica(former.Id)->Zone, 0))
     return false;
   // A voter that takes part keeps its vote until the learner has one, so that
   // the group bears a loss in between. One that doesn't loses its vote first:
--- a/test/ConsensusTest.cpp
+++ b/test/ConsensusTest.cpp
@@ -9,12 +9,16 @@
 namespace {
 
 /// The stored log of replica 1 of a group of three.
-StoredLog storedGroupOfThree(Term term) {
+StoredLog storedGroupOfThree(Term term,
+                             const std::vector<std::string> &zones = {}) {
   StoredLog stored{.Id = 1, .Vote = {.Current = term}};
   stored.Snapshot = {.LastIndex = 1, .LastTerm = 1};
   for (ReplicaId id = 1; id <= 3; ++id)
     stored.Snapshot.Group.Replicas.push_back(
-        {.Id = id, .Host = HostName("n" + std::to_string(id)), .Address = "a"});
+        {.Id = id,
+         .Host = HostName("n" + std::to_string(id)),
+         .Address = "a",
+         .Zone = ZoneName(zones.empty() ? "" : zones[id - 1])});
   return stored;
 }
 
@@ -171,7 +175,11 @@
 
 /// Replica 1 as the leader of a group of three, with simulated followers.
 struct LeaderOfThree {
-  LeaderOfThree() : Log(Start, {}, storedGroupOfThree(1)) { elect(Log, Now); }
+  /// \param zones the zones of the three replicas; may be empty.
+  explicit LeaderOfThree(const std::vector<std::string> &zones = {})
+      : Log(Start, {}, storedGroupOfThree(1, zones)) {
+    elect(Log, Now);
+  }
 
   /// Runs the leader for \p time, with replicas \p alive answering its
   /// messages.
@@ -239,6 +247,146 @@
   }
 }
 
+// Any number of hosts that don't count may be lost at once.
+TEST_CASE("a replica whose host doesn't count gets no vote") {
+  LeaderOfThree leader;
+  leader.run(500ms, {2, 3});
+  leader.Log.onMessage(
+      leader.Now, 0,
+      JoinRequest{{.Id = 4, .Host = HostName("n4"), .NeverVotes = true}});
+  leader.run(10s, {2, 4});
+  CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+  CHECK(leader.learners() == std::set<ReplicaId>{4});
+  leader.Log.onMessage(leader.Now, 0,
+                       JoinRequest{{.Id = 5, .Host = HostName("n5")}});
+  leader.run(1s, {2, 4, 5});
+  CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 5});
+}
+
+// A whole availability zone may be lost at once.
+TEST_CASE("votes spread over the availability zones") {
+  SECTION("a zone with the majority of the voters gives one away") {
+    LeaderOfThree leader({"x", "x", "y"});
+    leader.run(500ms, {2, 3});
+    const JoinRequest join{
+        {.Id = 4, .Host = HostName("n4"), .Zone = ZoneName("z")}};
+    leader.Log.onMessage(leader.Now, 0, join);
+    leader.run(1s, {2, 3, 4});
+    CHECK(leader.voters() == std::set<ReplicaId>{1, 3, 4});
+  }
+  SECTION("not to a zone that would have as many") {
+    LeaderOfThree leader({"x", "x", "y"});
+    leader.run(500ms, {2, 3});
+    const JoinRequest join{
+        {.Id = 4, .Host = HostName("n4"), .Zone = ZoneName("y")}};
+    leader.Log.onMessage(leader.Now, 0, join);
+    leader.run(1s, {2, 3, 4});
+    CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+  }
+  SECTION(
+      "the learner whose zone has the fewest voters replaces a silent one") {
+    LeaderOfThree leader({"x", "y", "z"});
+    leader.run(500ms, {2, 3});
+    for (const auto &[id, zone] : {std::pair(4, "y"), std::pair(5, "z")})
+      leader.Log.onMessage(leader.Now, 0,
+                           JoinRequest{{.Id = static_cast<ReplicaId>(id),
+                                        .Host = HostName(std::to_string(id)),
+                                        .Zone = ZoneName(zone)}});
+    leader.run(500ms, {2, 3, 4, 5});
+    leader.run(5s, {2, 4, 5});
+    CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 5});
+  }
+}
+
+// The request of a former disk, delayed by a cut, must not take the vote of the
+// present one.
+TEST_CASE("a late request to join of a lost disk changes no vote") {
+  LeaderOfThree leader;
+  leader.run(500ms, {2, 3});
+  leader.Log.onMessage(leader.Now, 0,
+                       JoinRequest{{.Id = 9, .Host = HostName("n3")}});
+  leader.Log.onMessage(leader.Now, 0,
+                       JoinRequest{{.Id = 4, .Host = HostName("n4")}});
+  leader.run(10s, {2, 3, 4});
+  CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+  CHECK(leader.learners() == std::set<ReplicaId>{4});
+}
+
+// A learner has matched nothing before its first reply, also if the log is
+// short.
+TEST_CASE("a learner that has never replied gets no vote") {
+  LeaderOfThree leader;
+  leader.run(500ms, {2, 3});
+  leader.Log.onMessage(leader.Now, 0,
+                       JoinRequest{{.Id = 4, .Host = HostName("n4")}});
+  leader.run(5s, {2});
+  CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+}
+
+TEST_CASE("a follower passes a request to join on to the leader") {
+  ReplicatedLog log(Start, {}, storedGroupOfThree(1));
+  log.onMessage(Start, 0, AppendRequest{.From = 2, .LeaderTerm = 1});
+  log.takeActions();
+  log.onMessage(Start, 0, JoinRequest{{.Id = 4}});
+  const auto actions = log.takeActions();
+  REQUIRE(actions.Messages.size() == 1);
+  CHECK(actions.Messages[0].To.Id == 2);
+  CHECK(std::get<JoinRequest>(actions.Messages[0].Content).Replica.Id == 4);
+}
+
+TEST_CASE("a replica asks to join when no leader calls it") {
+  ReplicatedLog log(Start, {}, storedGroupOfThree(1));
+  log.onMessage(Start + 1s, 0, AppendRequest{.From = 2, .LeaderTerm = 1});
+  CHECK_FALSE(log.needsToJoin(Start + 2900ms));
+  CHECK(log.needsToJoin(Start + 3s));
+}
+
+// A leader ended after only the replica that loses its vote had the entry that
+// says so. The others' logs were behind, and it held no election itself.
+TEST_CASE("a replica whose loss of vote may not be committed can be elected") {
+  ReplicatedLog log(Start, {}, storedGroupOfThree(1));
+  ReplicaGroup group = log.group();
+  group.Replicas[0].Learner = true;
+  group.Replicas.push_back({.Id = 4, .Host = HostName("n4")});
+  log.onMessage(Start, 0,
+                AppendRequest{.From = 2,
+                              .LeaderTerm = 2,
+                              .PreviousIndex = 1,
+                              .PreviousTerm = 1,
+                              .Committed = 1,
+                              .Entries = {{.EntryTerm = 2,
+                                           .Index = 2,
+                                           .Kind = EntryKind::Group,
+                                           .Data = encodeGroup(group)}}});
+  log.takeActions();
+  const TimePoint now = Start + 5s;
+  log.tick(now, 0);
+  REQUIRE(log.role() == LogRole::Candidate);
+  SECTION("with a majority of the voters, itself not counted") {
+    const auto vote = [&](ReplicaId from, Term term, bool preVote) {
+      log.onMessage(now, 0, VoteReply{from, term, 3, true, preVote});
+    };
+    vote(3, 2, true);
+    CHECK(log.term() == 2);
+    vote(4, 2, true);
+    CHECK(log.term() == 3);
+    vote(3, 3, false);
+    CHECK(log.role() == LogRole::Candidate);
+    vote(4, 3, false);
+    CHECK(log.role() == LogRole::Leader);
+  }
+  SECTION("not once the loss of its vote is committed") {
+    log.onMessage(now, 0,
+                  AppendRequest{.From = 2,
+                                .LeaderTerm = 2,
+                                .PreviousIndex = 2,
+                                .PreviousTerm = 2,
+                                .Committed = 2});
+    log.tick(now + 5s, 0);
+    CHECK(log.role() == LogRole::Follower);
+  }
+}
+
 namespace {
 
 /// The reply of a voter that denies a pre-vote.
