A store doesn't open while one of its files can't be read

A file that couldn't be opened or read (too many descriptors, an I/O error) was taken for a missing one. The replica then drew a new identity over its own, forgot its vote, or cut its log at the place of the error.

Only a file that doesn't exist counts as missing now.

--- a/packages/consensus/pimentofront/src/Consensus/FileLogStore.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/FileLogStore.cpp
@@ -1,5 +1,6 @@
 #include "pimentofront/Consensus.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -61,16 +62,24 @@
   return {LogStoreError::Kind::Unwritable, what + ": " + std::strerror(errno)};
 }
 
-std::optional<std::string> readFile(const std::string &path) {
+/// \returns the contents of a file, or nothing if it doesn't exist. A file that
+/// can't be read is an error: taken for a missing one, it would be replaced.
+tl::expected<std::optional<std::string>, LogStoreError>
+readFile(const std::string &path) {
   const int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
-  if (fd < 0)
+  if (fd < 0 && errno == ENOENT)
     return std::nullopt;
+  if (fd < 0)
+    return tl::unexpected(unwritable(path));
   std::string bytes;
   char buf[65536];
   ssize_t n = 0;
-  while ((n = ::read(fd, buf, sizeof(buf))) > 0)
-    bytes.append(buf, static_cast<std::size_t>(n));
+  while ((n = ::read(fd, buf, sizeof(buf))) > 0 || (n < 0 && errno == EINTR))
+    bytes.append(buf, static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+  const LogStoreError error = unwritable(path);
   ::close(fd);
+  if (n < 0)
+    return tl::unexpected(error);
   return bytes;
 }
 
@@ -144,26 +153,31 @@
 }
 
 FileLogStore::Result FileLogStore::load(ReplicaId newId) {
-  auto identity = readFile(path("identity"));
-  if (!identity) {
-    identity = frameRecord(encodeNumber(newId));
-    if (const Result r = replaceFile("identity", *identity); !r)
+  const auto storedIdentity = readFile(path("identity"));
+  const auto ballot = readFile(path("ballot"));
+  const auto snapshot = readFile(path("snapshot"));
+  for (const auto *it : {&storedIdentity, &ballot, &snapshot})
+    if (!*it)
+      return tl::unexpected(it->error());
+  const std::string identity =
+      storedIdentity->value_or(frameRecord(encodeNumber(newId)));
+  if (!*storedIdentity)
+    if (const Result r = replaceFile("identity", identity); !r)
       return r;
-  }
-  const auto id = readRecord(*identity, 0);
+  const auto id = readRecord(identity, 0);
   if (!id)
     return tl::unexpected(corrupt("identity"));
   Stored.Id = decodeNumber(*id, 0);
-  if (const auto ballot = readFile(path("ballot"))) {
-    const auto payload = readRecord(*ballot, 0);
+  if (*ballot) {
+    const auto payload = readRecord(**ballot, 0);
     if (!payload)
       return tl::unexpected(corrupt("ballot"));
     Stored.Vote = {decodeNumber(*payload, 0), decodeNumber(*payload, 8)};
   }
-  if (const auto snapshot = readFile(path("snapshot"))) {
-    const auto head = readRecord(*snapshot, 0);
+  if (*snapshot) {
+    const auto head = readRecord(**snapshot, 0);
     const std::size_t next = head ? sizeof(RecordHeader) + head->size() : 0;
-    const auto state = head ? readRecord(*snapshot, next) : std::nullopt;
+    const auto state = head ? readRecord(**snapshot, next) : std::nullopt;
     const auto entry =
         head ? decodeEntry(*head)
              : tl::expected<LogEntry, DecodeError>(tl::unexpect, DecodeError{});
@@ -179,7 +193,10 @@
 }
 
 FileLogStore::Result FileLogStore::loadLog() {
-  const std::string bytes = readFile(path("log")).value_or("");
+  const auto stored = readFile(path("log"));
+  if (!stored)
+    return tl::unexpected(stored.error());
+  const std::string bytes = stored->value_or("");
   FirstIndex = Stored.Snapshot.LastIndex + 1;
   std::size_t at = 0;
   while (at < bytes.size()) {
--- a/test/LogStoreTest.cpp
+++ b/test/LogStoreTest.cpp
@@ -130,3 +130,29 @@
   fs::create_directory(folder.Path);
   CHECK_FALSE(store->write({.Vote = Ballot{4, 1}}));
 }
+
+// A file that couldn't be read for a moment was taken for a missing one: the
+// replica drew a new identity, forgot its vote or cut its log, as if its disk
+// had been lost.
+TEST_CASE("a store doesn't open while one of its files can't be read") {
+  const std::string name = GENERATE("identity", "ballot", "snapshot", "log");
+  const Folder folder;
+  writeThree(folder.Path);
+  REQUIRE(mustOpen(folder.Path)
+              ->compact(LogSnapshot::make(1, 1, {}, "state"),
+                        {entry(2, "two"), entry(3, "three")}));
+  const StoredLog before = mustOpen(folder.Path)->takeStored();
+  // A folder in its place can be opened, but not read.
+  fs::rename(folder.Path + "/" + name, folder.Path + "/aside");
+  fs::create_directory(folder.Path + "/" + name);
+  const auto unreadable = FileLogStore::open(folder.Path, 12);
+  REQUIRE_FALSE(unreadable);
+  CHECK(unreadable.error().What == LogStoreError::Kind::Unwritable);
+  fs::remove(folder.Path + "/" + name);
+  fs::rename(folder.Path + "/aside", folder.Path + "/" + name);
+  const StoredLog after = mustOpen(folder.Path)->takeStored();
+  CHECK(after.Id == before.Id);
+  CHECK(after.Vote == before.Vote);
+  CHECK(after.Snapshot == before.Snapshot);
+  CHECK(after.Entries == before.Entries);
+}
