A replica that stops waits until its own vote is gone, too

Cause: votes pass in two steps, the learner's first. In between no learner is left, so mayStop() held, and the replica ended with its vote: four voters, of which one was gone. The loss of a disk then left two of four.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -167,11 +167,15 @@
 }
 
 bool ReplicatedLog::mayStop() const {
+  if (!isVoter() && GroupIndex <= Committed)
+    return true;
+  // The successor may have its vote already, with this replica's still counted.
   const bool hasSuccessor =
+      voterCount() > Options.WantedVoters ||
       std::ranges::any_of(Group.Replicas, [&](const auto &it) {
         return it.Id != Id && it.Learner && !it.NeverVotes;
       });
-  return !hasSuccessor || (!isVoter() && GroupIndex <= Committed);
+  return !hasSuccessor;
 }
 
 /// Proposes the next change of the group, once the previous one is committed.
