Replicas close a link to a process that has no replica yet

Cause: a replica whose store can't be opened at its start says in its greeting that it has none. The leader kept its link, took it to be still opening, and dropped every message for it, for good. A learner holds no election, so it never called the leader itself: it stayed behind until one of them restarted.

Change: the link is closed, and the next message opens another one.

--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -50,11 +50,17 @@
 // Links
 //===----------------------------------------------------------------------===//
 
-void ReplicaNode::onLinkOpen(TimePoint, LinkId link, const Hello &hello) {
+void ReplicaNode::onLinkOpen(TimePoint now, LinkId link, const Hello &hello) {
   // Only links opened for replication are used. Links that other nodes of
   // either process opened are closed when those nodes no longer need them.
   const bool ours = std::ranges::any_of(
       LinksByAddress, [&](const auto &it) { return it.second == link; });
+  // A process whose store isn't open yet has no replica. On this link it would
+  // be taken to be still opening.
+  if (hello.Replica == 0 && ours) {
+    Network.close(link);
+    return onLinkClosed(now, link);
+  }
   if (hello.Replica == 0 || (hello.Accepted && !ours))
     return;
   ReplicaLinks[hello.Replica] = link;
