A leader that is losing its vote holds no lease

Cause: the entry that takes a leader's vote takes effect when it is written, but the leader kept its lease until that entry was committed. Voters that are killed in that time and start again elect another leader without asking it, since it isn't a voter of theirs; both then held a lease, and the former one could answer a read with an older state.

Test: ConsensusTest, "a leader that is losing its vote holds no lease".

--- a/packages/consensus/pimentofront/src/Consensus/Election.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/Election.cpp
@@ -203,9 +203,10 @@
 }
 
 bool ReplicatedLog::holdsLease(TimePoint now) const {
-  if (Role != LogRole::Leader)
+  // The voters of the next leader may not ask one that is losing its vote.
+  if (Role != LogRole::Leader || !isVoter())
     return false;
-  if (voterCount() == 1 && isVoter())
+  if (voterCount() == 1)
     return true;
   const TimePoint since = quorumAckedSince();
   if (since == TimePoint::min())
--- a/test/ConsensusTest.cpp
+++ b/test/ConsensusTest.cpp
@@ -323,6 +323,24 @@
   CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
 }
 
+// Its former voters may be killed and elect another one without asking it.
+TEST_CASE("a leader that is losing its vote holds no lease") {
+  LeaderOfThree leader;
+  leader.run(500ms, {2, 3});
+  leader.Log.onMessage(leader.Now, 0,
+                       JoinRequest{{.Id = 4, .Host = HostName("n4")}});
+  leader.run(500ms, {2, 3, 4});
+  REQUIRE(leader.Log.holdsLease(leader.Now));
+  leader.Log.beginLeave();
+  bool lostVote = false;
+  for (int i = 0; i < 20 && !lostVote; ++i) {
+    leader.run(50ms, {2, 3, 4});
+    lostVote = !leader.voters().contains(1);
+    CHECK(leader.Log.holdsLease(leader.Now) == !lostVote);
+  }
+  CHECK(lostVote);
+}
+
 TEST_CASE("a follower passes a request to join on to the leader") {
   ReplicatedLog log(Start, {}, storedGroupOfThree(1));
   log.onMessage(Start, 0, AppendRequest{.From = 2, .LeaderTerm = 1});
