A member's address, zone and right to vote follow its settings

Cause: what the group knows of a member was fixed when it joined. After a change of its settings, or an upgrade to the first release that knows them, a host that doesn't count could still get a vote. A replica asked only the hosts of its settings to join, also when all of them were gone while its log named others; and one that was told to stop while its store was closed never said so afterwards.

Change: a replica whose settings differ from the group's asks to join, and the leader updates what is known of it; requests also go to the members that the log names; a replica that is created while its process stops announces it.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -24,10 +24,16 @@
       sendTo(Leader, JoinRequest{replica});
     return;
   }
-  if (!findReplica(replica.Id))
+  if (!isCurrentMember(replica))
     PendingJoins[replica.Host] = replica;
 }
 
+bool ReplicatedLog::isCurrentMember(const ReplicaDescriptor &replica) const {
+  const ReplicaDescriptor *known = findReplica(replica.Id);
+  return known && known->Address == replica.Address &&
+         known->NeverVotes == replica.NeverVotes && known->Zone == replica.Zone;
+}
+
 bool ReplicatedLog::removeReplica(TimePoint now, std::uint64_t wallMilliseconds,
                                   const HostName &host) {
   if (Role != LogRole::Leader || changePending() || host == Options.Host)
@@ -155,7 +161,7 @@
 }
 
 bool ReplicatedLog::needsToJoin(TimePoint now) const {
-  return !isMember() || now >= InTouchAt + Options.RejoinTimeout;
+  return !isCurrentMember(self()) || now >= InTouchAt + Options.RejoinTimeout;
 }
 
 ReplicaDescriptor ReplicatedLog::self() const {
@@ -190,19 +196,27 @@
     proposeForget(now, wallMilliseconds);
 }
 
-/// Adds a joining replica as a learner. A learner doesn't count towards a
-/// quorum, so a replica that lost its disk can't be mistaken for one with the
-/// full log.
+/// Adds a joining replica as a learner, or updates what is known of a member. A
+/// learner doesn't count towards a quorum, so a replica that lost its disk
+/// can't be mistaken for one with the full log.
 bool ReplicatedLog::proposeJoin(TimePoint now, std::uint64_t wallMilliseconds) {
   std::erase_if(PendingJoins,
-                [&](const auto &it) { return findReplica(it.second.Id); });
+                [&](const auto &it) { return isCurrentMember(it.second); });
   if (PendingJoins.empty())
     return false;
+  ReplicaDescriptor replica = PendingJoins.begin()->second;
   ReplicaGroup group = Group;
-  group.Replicas.push_back(PendingJoins.begin()->second);
-  group.Replicas.back().Learner = true;
-  // What is known of an earlier membership may be outdated.
-  Followers.erase(group.Replicas.back().Id);
+  const auto member =
+      std::ranges::find(group.Replicas, replica.Id, &ReplicaDescriptor::Id);
+  const bool joins = member == group.Replicas.end();
+  replica.Learner = joins || member->Learner;
+  if (joins) {
+    group.Replicas.push_back(replica);
+    // What is known of an earlier membership may be outdated.
+    Followers.erase(replica.Id);
+  } else {
+    *member = replica;
+  }
   proposeGroup(now, wallMilliseconds, group);
   return true;
 }
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -120,7 +120,8 @@
   /// follower passes the request on to the leader.
   void onJoin(TimePoint now, const ReplicaDescriptor &replica);
   /// \returns whether this replica should ask to join the group: it isn't a
-  /// member by its own log, or no leader treats it as one.
+  /// member by its own log, or not with its present settings, or no leader
+  /// treats it as one.
   bool needsToJoin(TimePoint now) const;
   /// \returns how this replica describes itself when it joins a group.
   ReplicaDescriptor self() const;
@@ -279,6 +280,9 @@
   /// \returns whether the host of \p member runs with another disk.
   bool isDiskLost(TimePoint now, const ReplicaDescriptor &member) const;
   bool isLeaving(ReplicaId id) const;
+  /// \returns whether the group has this replica, with the same address, zone
+  /// and right to vote.
+  bool isCurrentMember(const ReplicaDescriptor &replica) const;
   /// \returns the number of voters in \p zone other than \p except.
   std::size_t votersIn(const ZoneName &zone, ReplicaId except) const;
   ReplaceReason replaceReason(TimePoint now,
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -101,6 +101,8 @@
   Replica = std::make_unique<ReplicaNode>(now, replica, Stored, *Store,
                                           *Network, Wall);
   Stored = StoredLog();
+  if (StopStartedAt)
+    Replica->beginLeave();
   // Loading the state temporarily allocates several times its size; return that
   // memory to the operating system.
   malloc_trim(0);
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -502,6 +502,10 @@
   const JoinRequest request{Log.self()};
   for (const std::string &it : Options.PeerAddresses)
     sendToReplica(now, {.Address = it}, request);
+  // The settings may name only hosts that are gone since.
+  for (const ReplicaDescriptor &it : Log.group().Replicas)
+    if (it.Id != Log.id() && !ReplicaLinks.contains(it.Id))
+      sendToReplica(now, it, request);
   for (const auto &[replica, link] : ReplicaLinks)
     Network.send(link, request);
 }
--- a/test/ConsensusTest.cpp
+++ b/test/ConsensusTest.cpp
@@ -353,12 +353,35 @@
 }
 
 TEST_CASE("a replica asks to join when no leader calls it") {
-  ReplicatedLog log(Start, {}, storedGroupOfThree(1));
+  ReplicatedLog log(Start, {.Address = "a"}, storedGroupOfThree(1));
   log.onMessage(Start + 1s, 0, AppendRequest{.From = 2, .LeaderTerm = 1});
   CHECK_FALSE(log.needsToJoin(Start + 2900ms));
   CHECK(log.needsToJoin(Start + 3s));
 }
 
+// Settings of a host change, or a release is the first to know them.
+TEST_CASE("a member whose settings differ from the group's has them updated") {
+  const ReplicatedLog member(Start, {.Address = "a", .MayVote = false},
+                             storedGroupOfThree(1));
+  CHECK(member.needsToJoin(Start));
+  LeaderOfThree leader;
+  leader.run(500ms, {2, 3});
+  const auto join = [](ReplicaId id, bool neverVotes) {
+    return JoinRequest{{.Id = id,
+                        .Host = HostName("n" + std::to_string(id)),
+                        .Address = "a",
+                        .NeverVotes = neverVotes}};
+  };
+  leader.Log.onMessage(leader.Now, 0, join(3, true));
+  leader.run(500ms, {2, 3});
+  // It keeps its vote until another one can have it.
+  CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 3});
+  CHECK(leader.Log.group().Replicas.at(2).NeverVotes);
+  leader.Log.onMessage(leader.Now, 0, join(4, false));
+  leader.run(1s, {2, 3, 4});
+  CHECK(leader.voters() == std::set<ReplicaId>{1, 2, 4});
+}
+
 // A leader ended after only the replica that loses its vote had the entry that
 // says so. The others' logs were behind, and it held no election itself.
 TEST_CASE("a replica whose loss of vote may not be committed can be elected") {
