--- a/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
@@ -77,10 +77,9 @@
   if (spec.IsReplica) {
     if (!process.Disk)
       process.Disk = std::make_unique<MemoryLogStore>(++LastDisk);
-    ReplicaNodeOptions options = spec.Replica;
-    options.Log.Seed = process.Incarnation;
-    process.Replica = std::make_unique<ReplicaNode>(
-        Now, options, process.Disk->Stored, *process.Disk, process, *this);
+    process.ReplicaIncarnation = process.Incarnation;
+    process.AnnouncedReplica = 0;
+    openReplica(process);
   }
   if (spec.IsAgent) {
     AgentNodeOptions options = spec.Agent;
@@ -220,7 +219,10 @@
   if (process.Replica) {
     process.Replica->tick(Now);
     RequestLedger.recordRevision(
-        host, incarnation, process.Replica->state().configuration().revision());
+        host, process.ReplicaIncarnation,
+        process.Replica->state().configuration().revision());
+    if (process.Replica->storeError())
+      closeReplica(process);
   }
   if (process.Agent) {
     if (process.Engine)
--- a/packages/testkit/pimentofront/src/Testkit/Simulation.h
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.h
@@ -20,6 +20,8 @@
 
   StoredLog Stored;
   bool Full = false;
+  /// The store can't be opened.
+  bool Unreadable = false;
   std::uint64_t Syncs = 0;
 };
 
@@ -75,8 +77,15 @@
   ProcessSpec Spec;
   bool Alive = false;
   bool Frozen = false;
+  /// The host has no power: nothing answers at its address.
+  bool Dark = false;
   std::uint64_t Incarnation = 0;
+  /// Differs from `Incarnation` if the replica was closed and opened again.
+  std::uint64_t ReplicaIncarnation = 0;
   std::unique_ptr<MemoryLogStore> Disk;
+  /// Identity that the process announces to its peers; 0 until its store has
+  /// been opened.
+  ReplicaId AnnouncedReplica = 0;
   std::unique_ptr<FakeEngine> Engine;
   std::unique_ptr<RoutingPolicy> Routing;
   std::unique_ptr<EvictionPolicy> Eviction;
@@ -103,6 +112,9 @@
   WeightStoreOptions Store;
   Duration ServiceDelay = std::chrono::milliseconds(50);
   Duration TickPeriod = std::chrono::milliseconds(20);
+  /// A link with unacknowledged data is closed after this time, as with
+  /// TCP_USER_TIMEOUT.
+  Duration UserTimeout = std::chrono::seconds(10);
   /// Time from the request to stop until a process ends.
   Duration StopNotice = std::chrono::milliseconds(100);
 };
@@ -140,10 +152,19 @@
   void freezeFor(SimulatedProcess &process, Duration duration);
   void loseDisk(SimulatedProcess &process);
 
+  /// Kills a process whose host loses power: its peers aren't told, and what
+  /// they send and open hangs until powerOn().
+  void powerOff(SimulatedProcess &process);
+  /// Starts the process of a host that has power again. The host resets the
+  /// links that its peers still hold.
+  void powerOn(SimulatedProcess &process);
+
   /// Stops delivery from \p from to \p to without closing links. As with TCP
   /// retransmission, healAll() delivers what is pending; a link whose data is
-  /// pending for 10 s is closed.
+  /// pending for `UserTimeout` is closed. Cuts of the same direction add up.
   void cut(const HostName &from, const HostName &to);
+  /// Ends one cut from \p from to \p to, as healAll() does for all of them.
+  void heal(const HostName &from, const HostName &to);
   void healAll();
   void slow(const HostName &from, const HostName &to, Duration delay);
 
@@ -204,6 +225,15 @@
   bool isCut(const HostName &from, const HostName &to) const;
   Duration delayBetween(const HostName &from, const HostName &to) const;
   void tick(const HostName &host, std::uint64_t incarnation);
+  /// Opens the store and creates the replica; tries again later if the store
+  /// can't be opened.
+  void openReplica(SimulatedProcess &process);
+  /// Closes a replica whose store has failed, with all links of the process.
+  void closeReplica(SimulatedProcess &process);
+  void openReplicaLater(SimulatedProcess &process);
+  void notifyNodesClosed(SimulatedProcess &process, LinkId link);
+  /// Closes the links that \p host holds to an end that no longer exists.
+  void resetStaleLinks(const HostName &host, const HostName &peer);
   void probeEngine(SimulatedProcess &process);
   void expireUnsent();
 
@@ -214,7 +244,7 @@
   std::map<HostName, std::unique_ptr<SimulatedProcess>> Processes;
   std::map<LinkId, LinkEnd> LinkEnds;
   LinkId LastLink = 0;
-  std::set<std::pair<HostName, HostName>> Cuts;
+  std::multiset<std::pair<HostName, HostName>> Cuts;
   std::map<std::pair<HostName, HostName>, Duration> LinkDelays;
   RequestKey LastKey = 0;
   ReplicaId LastDisk = 1000;
--- a/packages/testkit/pimentofront/src/Testkit/SimulationLinks.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/SimulationLinks.cpp
@@ -6,14 +6,15 @@
 namespace {
 
 constexpr Duration ConnectTimeout = std::chrono::seconds(2);
-/// A link with unacknowledged data is closed after this time, as with
-/// TCP_USER_TIMEOUT.
-constexpr Duration UserTimeout = std::chrono::seconds(10);
 
 } // namespace
 
 bool Simulation::isCut(const HostName &from, const HostName &to) const {
-  return Cuts.contains({from, to});
+  const auto isDark = [&](const HostName &host) {
+    const auto it = Processes.find(host);
+    return it != Processes.end() && it->second->Dark;
+  };
+  return Cuts.contains({from, to}) || isDark(from) || isDark(to);
 }
 
 Duration Simulation::delayBetween(const HostName &from,
@@ -64,7 +65,7 @@
     const bool named = accepted || purpose == LinkPurpose::Replication;
     return Hello{.Protocol = ProtocolVersion,
                  .Host = host,
-                 .Replica = it.Disk && named ? it.Disk->Stored.Id : 0,
+                 .Replica = named ? it.AnnouncedReplica : 0,
                  .Accepted = accepted};
   };
   LinkEnds[ours].LastArrival = Now + 2 * delay;
@@ -158,17 +159,20 @@
     return;
   const LinkEnd end = it->second;
   atProcess(end.Host, end.Incarnation, [=](SimulatedProcess &p) {
-    if (p.Owner.LinkEnds.erase(link) == 0)
-      return;
-    for (Node *node : {static_cast<Node *>(p.Replica.get()),
-                       static_cast<Node *>(p.Agent.get()),
-                       static_cast<Node *>(p.Entry.get()),
-                       static_cast<Node *>(p.Forward.get())})
-      if (node)
-        node->onLinkClosed(p.Owner.now(), link);
+    if (p.Owner.LinkEnds.erase(link) != 0)
+      p.Owner.notifyNodesClosed(p, link);
   });
 }
 
+void Simulation::notifyNodesClosed(SimulatedProcess &process, LinkId link) {
+  for (Node *node : {static_cast<Node *>(process.Replica.get()),
+                     static_cast<Node *>(process.Agent.get()),
+                     static_cast<Node *>(process.Entry.get()),
+                     static_cast<Node *>(process.Forward.get())})
+    if (node)
+      node->onLinkClosed(Now, link);
+}
+
 void Simulation::closeLink(LinkId link) {
   const auto it = LinkEnds.find(link);
   if (it == LinkEnds.end())
@@ -180,7 +184,7 @@
   // Across a cut the peer only notices by its timeout.
   const bool cut = isCut(end.Host, end.PeerHost);
   const Duration delay =
-      cut ? UserTimeout : delayBetween(end.Host, end.PeerHost);
+      cut ? Options.UserTimeout : delayBetween(end.Host, end.PeerHost);
   after(delay, [this, peer = end.Peer] { notifyClosed(peer); });
 }
 
@@ -196,7 +200,7 @@
 void Simulation::expireUnsent() {
   std::vector<LinkId> expired;
   for (const auto &[link, end] : LinkEnds)
-    if (!end.Unsent.empty() && end.UnsentSince + UserTimeout < Now)
+    if (!end.Unsent.empty() && end.UnsentSince + Options.UserTimeout < Now)
       expired.push_back(link);
   for (const LinkId it : expired) {
     LinkEnds.at(it).Unsent.clear();
@@ -208,6 +212,35 @@
   Cuts.insert({from, to});
 }
 
+void Simulation::heal(const HostName &from, const HostName &to) {
+  const auto it = Cuts.find({from, to});
+  if (it != Cuts.end())
+    Cuts.erase(it);
+  if (isCut(from, to))
+    return;
+  std::vector<LinkId> links;
+  for (const auto &[link, end] : LinkEnds)
+    if (end.Host == from && end.PeerHost == to && end.Open &&
+        !end.Unsent.empty())
+      links.push_back(link);
+  for (const LinkId it : links)
+    sendUnsent(it);
+  if (isCut(to, from))
+    return;
+  resetStaleLinks(from, to);
+  resetStaleLinks(to, from);
+}
+
+void Simulation::resetStaleLinks(const HostName &host, const HostName &peer) {
+  for (const auto &[link, end] : LinkEnds) {
+    const bool stale = end.Host == host && end.PeerHost == peer &&
+                       end.Peer != 0 && !LinkEnds.contains(end.Peer);
+    if (stale)
+      after(2 * delayBetween(host, peer),
+            [this, it = link] { notifyClosed(it); });
+  }
+}
+
 void Simulation::healAll() {
   Cuts.clear();
   std::vector<LinkId> links;
