--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.cpp
@@ -93,6 +93,24 @@
   return self && !self->Learner;
 }
 
+ReplicaGroup ReplicatedLog::previousGroup() const {
+  for (auto it = Entries.rbegin(); it != Entries.rend(); ++it)
+    if (it->Kind == EntryKind::Group && it->Index < GroupIndex)
+      return *decodeGroup(it->Data);
+  return Snapshot.Group;
+}
+
+bool ReplicatedLog::mayCampaign() const {
+  if (isVoter())
+    return true;
+  if (GroupIndex <= Committed)
+    return false;
+  const ReplicaGroup previous = previousGroup();
+  const auto it =
+      std::ranges::find(previous.Replicas, Id, &ReplicaDescriptor::Id);
+  return it != previous.Replicas.end() && !it->Learner;
+}
+
 const ReplicaDescriptor *ReplicatedLog::leader() const {
   return Leader == 0 ? nullptr : findReplica(Leader);
 }
@@ -118,8 +136,7 @@
 bool ReplicatedLog::bootstrap(TimePoint now, std::uint64_t wallMilliseconds) {
   if (lastIndex() != 0 || !Group.Replicas.empty() || Vote.Current != 0)
     return false;
-  const ReplicaGroup group{
-      {{.Id = Id, .Host = Options.Host, .Address = Options.Address}}};
+  const ReplicaGroup group{{self()}};
   setVote({.Current = 1, .VotedFor = Id});
   append({.EntryTerm = 1,
           .Index = 1,
@@ -154,12 +171,15 @@
     if (quorumLost)
       return becomeFollower(now, Vote.Current, 0);
     InTouchAt = now;
+    const bool lostOwnVote = !isVoter() && !changePending();
+    if (lostOwnVote)
+      return becomeFollower(now, Vote.Current, 0);
     proposeNextGroupChange(now, wallMilliseconds);
     if (now >= NextHeartbeat)
       replicateAll(now);
     return;
   }
-  if (now >= ElectionDueAt && isVoter())
+  if (now >= ElectionDueAt && mayCampaign())
     startElection(now, /*preVote=*/true);
 }
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -91,6 +91,7 @@
   ReplicaNodeOptions replica = Options.Replica;
   replica.Log.Host = Options.Host;
   replica.Log.Address = Options.PeerAddress;
+  replica.Log.Zone = Options.Zone;
   replica.Log.Seed = Incarnation;
   replica.Documents = &Documents;
   replica.Loads.LoadsPerSecond = Options.LoadsPerSecond;
@@ -386,6 +387,8 @@
     ForwardConnections->beginStop();
   if (Agent)
     Agent->leave(Loop.now());
+  if (Replica)
+    Replica->beginLeave();
   // Gives the load balancer time to see that this process is not ready before
   // it refuses requests.
   StopTimer = Loop.after(Options.StopNotice, [this] {
@@ -400,7 +403,8 @@
 bool Daemon::idle() const {
   return (!Entry || Entry->idle()) && (!Forward || Forward->idle()) &&
          (!ForwardConnections || ForwardConnections->idle()) &&
-         (!Agent || Agent->controller().idle());
+         (!Agent || Agent->controller().idle()) &&
+         (!Replica || Replica->mayStop());
 }
 
 void Daemon::continueStop() {
--- a/packages/testkit/pimentofront/src/Testkit/Simulation.h
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.h
@@ -115,8 +115,9 @@
   /// A link with unacknowledged data is closed after this time, as with
   /// TCP_USER_TIMEOUT.
   Duration UserTimeout = std::chrono::seconds(10);
-  /// Time from the request to stop until a process ends.
+  /// Shortest and longest time from the request to stop until a process ends.
   Duration StopNotice = std::chrono::milliseconds(100);
+  Duration StopLimit = std::chrono::seconds(2);
 };
 
 /// \class Simulation
@@ -140,8 +141,8 @@
   SimulatedProcess *leader();
   void start(SimulatedProcess &process);
   void kill(SimulatedProcess &process);
-  /// Asks a replica to stop, as SIGTERM does. It ends after `StopNotice`, and
-  /// doesn't start again.
+  /// Asks a replica to stop, as SIGTERM does. It ends when it may stop, at the
+  /// latest after `StopLimit`, and doesn't start again.
   void stop(SimulatedProcess &process);
   void freeze(SimulatedProcess &process) { process.Frozen = true; }
   void wake(SimulatedProcess &process);
@@ -234,6 +235,8 @@
   void notifyNodesClosed(SimulatedProcess &process, LinkId link);
   /// Closes the links that \p host holds to an end that no longer exists.
   void resetStaleLinks(const HostName &host, const HostName &peer);
+  void stopWhenPossible(const HostName &host, std::uint64_t incarnation,
+                        TimePoint limit);
   void probeEngine(SimulatedProcess &process);
   void expireUnsent();
 
--- a/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ConsensusMessages.h
@@ -24,7 +24,12 @@
   std::string Address;
   /// Receives the log, but neither votes nor counts towards a quorum.
   bool Learner = false;
-  PIMENTOFRONT_FIELDS(ReplicaDescriptor, Id, Host, Address, Learner)
+  /// Remains a learner: any number of hosts of this kind may be lost at once.
+  bool NeverVotes = false;
+  /// Its availability zone; empty if it isn't known.
+  ZoneName Zone;
+  PIMENTOFRONT_FIELDS(ReplicaDescriptor, Id, Host, Address, Learner, NeverVotes,
+                      Zone)
 };
 
 /// \class ReplicaGroup
@@ -119,7 +124,10 @@
   /// Last index known to match, or the index from which to retry.
   LogIndex Index = 0;
   std::uint64_t Round = 0;
-  PIMENTOFRONT_FIELDS(AppendReply, From, FollowerTerm, Matched, Index, Round)
+  /// The follower is about to stop: its vote should go to a learner.
+  bool Leaving = false;
+  PIMENTOFRONT_FIELDS(AppendReply, From, FollowerTerm, Matched, Index, Round,
+                      Leaving)
 };
 
 /// A part of a snapshot; the next one is sent when it is acknowledged.
@@ -148,7 +156,9 @@
                       Round)
 };
 
-/// A replica without a group asks to be added.
+/// A replica that isn't in the group, or that hears from no leader and may have
+/// been removed from it, asks to be added. A follower passes it on to the
+/// leader.
 struct JoinRequest {
   ReplicaDescriptor Replica;
   PIMENTOFRONT_FIELDS(JoinRequest, Replica)
--- a/test/LossGroup.cpp
+++ b/test/LossGroup.cpp
@@ -134,6 +134,7 @@
     spec.Replica.Log.HeartbeatPeriod = 100ms;
     spec.Replica.Log.ElectionTimeout = 400ms;
     spec.Replica.InitialVoters = WantedVoters;
+    spec.Replica.Log.MayVote = host.Counted;
     spec.Replica.CompactAfterEntries = CompactAfterEntries;
     spec.Replica.PeerAddresses = host.Seeds;
     std::erase(spec.Replica.PeerAddresses, host.Name.str());
