--- a/test/LossSchedule.cpp
+++ b/test/LossSchedule.cpp
@@ -139,7 +139,7 @@
 /// its successor has had its time.
 void LossSchedule::replaceByRequest(std::size_t host) {
   if (Group.chance(0.3)) {
-    Group.askToStop(host);
+    askToStop(host);
     loseUntil(Group.now());
     Group.runUntil(Group.now() + Group.upTo(5s));
     Group.addReplica(/*counted=*/true);
@@ -150,15 +150,22 @@
   loseUntil(Group.now());
   Group.runUntil(Group.now() +
                  (Group.chance(0.5) ? CatchUpTime : Group.upTo(CatchUpTime)));
-  Group.askToStop(host);
+  askToStop(host);
   waitUntilStopped(host);
 }
 
 void LossSchedule::stopWithSuccessor(std::size_t host) {
-  Group.askToStop(host);
+  askToStop(host);
   waitUntilStopped(host);
 }
 
+/// A common loss may just have taken the host down.
+void LossSchedule::askToStop(std::size_t host) {
+  while (!Group.isRunning(host) && Group.broken().empty())
+    Group.runUntil(Group.now() + 20ms);
+  Group.askToStop(host);
+}
+
 void LossSchedule::waitUntilStopped(std::size_t host) {
   while (!Group.Hosts[host].Removed && Group.broken().empty())
     Group.runUntil(Group.now() + 20ms);
@@ -244,7 +251,7 @@
   const bool isEntry = Group.Hosts[host].IsEntry;
   const double kind = Group.Rng.uniform();
   if (!isEntry && kind < 0.2) {
-    if (Group.chance(0.5))
+    if (Group.chance(0.5) && Group.isRunning(host))
       Group.askToStop(host);
     else
       Group.removeAbruptly(host, Group.chance(0.5));
--- a/test/LossSchedule.h
+++ b/test/LossSchedule.h
@@ -46,6 +46,7 @@
   void replaceAbruptly(std::size_t host);
   void replaceByRequest(std::size_t host);
   void stopWithSuccessor(std::size_t host);
+  void askToStop(std::size_t host);
   void waitUntilStopped(std::size_t host);
 
   // Losses of all.
