--- a/packages/testkit/pimentofront/src/Testkit/Simulation.h
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.h
@@ -231,6 +231,7 @@
   void openReplica(SimulatedProcess &process);
   /// Closes a replica whose store has failed, with all links of the process.
   void closeReplica(SimulatedProcess &process);
+  void closeAllLinks(SimulatedProcess &process);
   void openReplicaLater(SimulatedProcess &process);
   void notifyNodesClosed(SimulatedProcess &process, LinkId link);
   /// Closes the links that \p host holds to an end that no longer exists.
--- a/packages/testkit/pimentofront/src/Testkit/SimulationFaults.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/SimulationFaults.cpp
@@ -34,6 +34,11 @@
 
 void Simulation::closeReplica(SimulatedProcess &process) {
   process.Replica.reset();
+  closeAllLinks(process);
+  openReplicaLater(process);
+}
+
+void Simulation::closeAllLinks(SimulatedProcess &process) {
   std::vector<LinkId> links;
   for (const auto &[link, end] : LinkEnds)
     if (end.Host == process.Spec.Host)
@@ -42,7 +47,6 @@
     closeLink(it);
     notifyNodesClosed(process, it);
   }
-  openReplicaLater(process);
 }
 
 void Simulation::openReplicaLater(SimulatedProcess &process) {
--- a/packages/testkit/pimentofront/src/Testkit/SimulationLinks.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/SimulationLinks.cpp
@@ -93,6 +93,12 @@
     const auto end = p.Owner.LinkEnds.find(link);
     if (end == p.Owner.LinkEnds.end())
       return;
+    // Links are opened to a host for its replica only. While that has no store,
+    // what arrives would be dropped, so the link is refused.
+    const bool refused =
+        p.Spec.IsReplica && !p.Replica && !p.Agent && !hello.Accepted;
+    if (refused)
+      return p.Owner.closeLink(link);
     end->second.Open = true;
     p.Owner.sendUnsent(link);
     for (Node *node : {static_cast<Node *>(p.Replica.get()),
