--- a/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
@@ -67,6 +67,15 @@
   return nullptr;
 }
 
+void Simulation::createReplica(SimulatedProcess &process) {
+  if (!process.Disk)
+    process.Disk = std::make_unique<MemoryLogStore>(++LastDisk);
+  ReplicaNodeOptions options = process.Spec.Replica;
+  options.Log.Seed = process.Incarnation;
+  process.Replica = std::make_unique<ReplicaNode>(
+      Now, options, process.Disk->Stored, *process.Disk, process, *this);
+}
+
 void Simulation::start(SimulatedProcess &process) {
   if (process.Alive)
     return;
@@ -74,14 +83,8 @@
   process.Frozen = false;
   process.Incarnation = Rng.next() | 1;
   const ProcessSpec &spec = process.Spec;
-  if (spec.IsReplica) {
-    if (!process.Disk)
-      process.Disk = std::make_unique<MemoryLogStore>(++LastDisk);
-    ReplicaNodeOptions options = spec.Replica;
-    options.Log.Seed = process.Incarnation;
-    process.Replica = std::make_unique<ReplicaNode>(
-        Now, options, process.Disk->Stored, *process.Disk, process, *this);
-  }
+  if (spec.IsReplica)
+    createReplica(process);
   if (spec.IsAgent) {
     AgentNodeOptions options = spec.Agent;
     options.Agent.Incarnation = process.Incarnation;
@@ -170,6 +173,18 @@
   });
 }
 
+void Simulation::closeStoreFor(SimulatedProcess &process, Duration duration) {
+  dropLinksOf(process.Spec.Host);
+  process.Replica.reset();
+  after(duration,
+        [this, host = process.Spec.Host, incarnation = process.Incarnation] {
+          atProcess(host, incarnation, [this](SimulatedProcess &it) {
+            if (!it.Replica)
+              createReplica(it);
+          });
+        });
+}
+
 void Simulation::loseDisk(SimulatedProcess &process) {
   kill(process);
   process.Disk.reset();
--- a/packages/testkit/pimentofront/src/Testkit/Simulation.h
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.h
@@ -134,6 +134,10 @@
   /// then.
   void freezeFor(SimulatedProcess &process, Duration duration);
   void loseDisk(SimulatedProcess &process);
+  /// Takes the replica's node away, as after a failed write, and creates it
+  /// anew after \p duration. Meanwhile the process accepts links and drops
+  /// what arrives on them.
+  void closeStoreFor(SimulatedProcess &process, Duration duration);
 
   /// Stops delivery from \p from to \p to without closing links. As with TCP
   /// retransmission, healAll() delivers what is pending; a link whose data is
@@ -198,6 +202,7 @@
   void deliver(LinkId to, const Message &message);
   bool isCut(const HostName &from, const HostName &to) const;
   Duration delayBetween(const HostName &from, const HostName &to) const;
+  void createReplica(SimulatedProcess &process);
   void tick(const HostName &host, std::uint64_t incarnation);
   void probeEngine(SimulatedProcess &process);
   void expireUnsent();
