Who follows by subscription notices that it doesn't stand

Cause: a subscription that reached a replica without a node was dropped, its link's probes were answered, and nothing acted on answers that name versions which never arrive.

Change: an answer to a probe or a read-index request says whether the asker is a subscriber (Subscribed, appended, true if missing); it then subscribes again.

--- a/packages/node/pimentofront/Node.h
+++ b/packages/node/pimentofront/Node.h
@@ -23,6 +23,7 @@
 #include "src/Node/LedgerKeeper.h"
 #include "src/Node/ReplicaNode.h"
 #include "src/Node/AgentNode.h"
+#include "src/Node/FollowWatch.h"
 #include "src/Node/ReplicaFeed.h"
 #include "src/Node/ProposalQueue.h"
 #include "src/Node/AgentLinks.h"
--- a/packages/node/pimentofront/src/Node/EntryNode.cpp
+++ b/packages/node/pimentofront/src/Node/EntryNode.cpp
@@ -183,6 +183,8 @@
 
 void EntryNode::tick(TimePoint now) {
   Feed.tick(now);
+  for (const FeedEvent &it : Feed.takeEvents())
+    Sink.onFeedEvent(it);
   Leader.tick(now);
   Proposals.tick(now);
   std::vector<std::uint64_t> expiredCalls;
--- a/packages/node/pimentofront/src/Node/EntryNode.h
+++ b/packages/node/pimentofront/src/Node/EntryNode.h
@@ -19,6 +19,8 @@
                        const std::string &text) = 0;
   virtual void onFinal(RequestKey key, const KindName &kind,
                        const FinalAnswer &answer) = 0;
+  /// The entry subscribed again or left a replica.
+  virtual void onFeedEvent(const FeedEvent &) {}
 };
 
 /// \class EntryNodeOptions
@@ -70,6 +72,9 @@
     return Feed.configuration().isConfirmed(now) &&
            !Controller.board().Stopping;
   }
+  /// \returns how long ago the copies of the configuration and the members were
+  /// last known to be current; nothing before the first time.
+  std::optional<Duration> feedAge(TimePoint now) const { return Feed.age(now); }
   const EntryController &controller() const { return Controller; }
   const ConfigurationCopy &configuration() const {
     return Feed.configuration();
--- a/packages/node/pimentofront/src/Node/LeaderLink.cpp
+++ b/packages/node/pimentofront/src/Node/LeaderLink.cpp
@@ -60,6 +60,11 @@
   onClosed(now);
 }
 
+void LeaderLink::leave(TimePoint now) {
+  TimedOutAddress = CurrentAddress;
+  giveUp(now);
+}
+
 void LeaderLink::onRedirect(TimePoint now, const std::string &address) {
   giveUp(now);
   LeaderHint = address;
@@ -86,8 +91,7 @@
     return false;
   if (!Opened)
     ++FailedOpens;
-  TimedOutAddress = CurrentAddress;
-  giveUp(now);
+  leave(now);
   return true;
 }
 
--- a/packages/node/pimentofront/src/Node/LeaderLink.h
+++ b/packages/node/pimentofront/src/Node/LeaderLink.h
@@ -39,6 +39,8 @@
   /// The connected replica is not the leader; \p address is the leader's, if it
   /// isn't empty.
   void onRedirect(TimePoint now, const std::string &address);
+  /// The connected replica is of no use; the next one is tried.
+  void leave(TimePoint now);
   /// Closes a link that hasn't opened, or on which nothing has arrived, for too
   /// long.
   /// \returns whether the link was closed: what was sent on it has to be sent
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
@@ -14,6 +14,10 @@
 /// processes answers none of them for most of a second.
 constexpr Duration MinSilenceTimeout = std::chrono::seconds(1);
 
+/// A replica that sends messages but answers no probe is left after this
+/// multiple of the silence that counts as unreachable.
+constexpr int UnansweredSilences = 2;
+
 Duration silenceTimeout(Duration probePeriod) {
   return std::max(fromSeconds(toSeconds(probePeriod) * MissedProbes),
                   MinSilenceTimeout);
@@ -25,10 +29,12 @@
                          Transport &transport)
     : Options(options), Network(transport), Copy(options.Configuration),
       Replica(transport, options.Replicas, options.Incarnation,
-              silenceTimeout(options.ProbePeriod)) {}
+              silenceTimeout(options.ProbePeriod)),
+      Watch(UnansweredSilences * silenceTimeout(options.ProbePeriod)) {}
 
 void ReplicaFeed::onLinkOpen(TimePoint now) {
   Replica.onReceived(now);
+  Watch.restart(now);
   subscribe(now);
 }
 
@@ -48,9 +54,33 @@
                                 .WantsQuarantine = Options.WantsQuarantine,
                                 .KnownQuarantine = Quarantine});
   Subscribed = true;
+  SubscribedAt = now;
   probe(now);
 }
 
+void ReplicaFeed::renew(TimePoint now, const char *why) {
+  Events.push_back({"subscription_renewed", why});
+  subscribe(now);
+}
+
+void ReplicaFeed::leave(TimePoint now, const char *why) {
+  Events.push_back({"replica_left", why});
+  Replica.leave(now);
+  Subscribed = false;
+}
+
+FollowedVersions ReplicaFeed::held() const {
+  return {.Configuration = Copy.revision(),
+          .Members = Members.version(),
+          .Quarantine = Quarantine};
+}
+
+std::optional<Duration> ReplicaFeed::age(TimePoint now) const {
+  if (!Watch.currentAsOf())
+    return std::nullopt;
+  return now - *Watch.currentAsOf();
+}
+
 void ReplicaFeed::probe(TimePoint now) {
   NextProbe = now + Options.ProbePeriod;
   const auto link = Replica.link(now);
@@ -72,6 +102,7 @@
   FeedUpdate update;
   if (const auto *it = std::get_if<ConfigurationUpdate>(&message)) {
     update.AvailabilityChanged = Copy.apply(*it);
+    Watch.onConfiguration(now);
     // The update is complete: reports the revision in force at once and has it
     // confirmed.
     if (!it->Partial) {
@@ -79,16 +110,13 @@
       probe(now);
     }
   } else if (const auto *reply = std::get_if<ProbeReply>(&message)) {
-    Copy.onProbeReply(*reply);
+    onProbeReply(now, *reply);
     update.Subscribers = reply->Subscribers;
-    if (reply->Nonce == LastProbe.Nonce)
-      LastProbe.RepliedVersion = reply->Quarantine;
-    updateQuarantineKnownAsOf();
   } else if (const auto *members = std::get_if<MemberUpdate>(&message)) {
     if (Members.apply(*members))
       update.Members = *members;
     else
-      subscribe(now);
+      renew(now, "update_missed");
   } else if (const auto *quarantine = std::get_if<QuarantineUpdate>(&message)) {
     Quarantine = std::max(Quarantine, quarantine->To);
     update.Quarantine = *quarantine;
@@ -96,11 +124,47 @@
   } else if (const auto *replicas = std::get_if<ReplicaAddresses>(&message)) {
     Replica.setAddresses(replicas->Peers);
   }
+  Watch.onHeld(now, held());
   return update;
 }
 
+void ReplicaFeed::onProbeReply(TimePoint now, const ProbeReply &reply) {
+  const std::optional<TimePoint> sentAt = Copy.onProbeReply(reply);
+  const bool answersLast = reply.Nonce == LastProbe.Nonce;
+  if (answersLast)
+    LastProbe.RepliedVersion = reply.Quarantine;
+  updateQuarantineKnownAsOf();
+  if (sentAt)
+    Watch.onAnswer(now, *sentAt,
+                   {.Configuration = reply.Confirmed,
+                    .Members = reply.Members,
+                    .Quarantine = Options.WantsQuarantine ? reply.Quarantine
+                                                          : Quarantine});
+  // An answer to an earlier probe may be from before the last subscription. The
+  // probe sent with it doesn't count, so that a replica that keeps saying so is
+  // sent one subscription a probe period.
+  if (answersLast && !reply.Subscribed && LastProbe.SentAt > SubscribedAt)
+    renew(now, "not_subscribed");
+}
+
+void ReplicaFeed::checkSubscription(TimePoint now) {
+  switch (Watch.check(now)) {
+  case FollowWatch::Verdict::Stands:
+    return;
+  case FollowWatch::Verdict::Renew:
+    return renew(now, "behind");
+  case FollowWatch::Verdict::LeaveBehind:
+    return leave(now, "behind");
+  case FollowWatch::Verdict::LeaveUnanswered:
+    return leave(now, "unanswered");
+  }
+}
+
 void ReplicaFeed::tick(TimePoint now) {
-  Replica.tick(now);
+  if (Replica.tick(now))
+    Events.push_back({"replica_left", "silent"});
+  if (Subscribed)
+    checkSubscription(now);
   if (!Replica.link(now))
     Subscribed = false;
   if (now >= NextProbe)
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.h
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_NODE_REPLICA_FEED_H
 #define PIMENTOFRONT_NODE_REPLICA_FEED_H
 
+#include "FollowWatch.h"
 #include "LeaderLink.h"
 #include "pimentofront/State.h"
 
@@ -35,6 +36,14 @@
   std::optional<std::uint32_t> Subscribers;
 };
 
+/// \class FeedEvent
+/// \ingroup Node
+/// \brief The process subscribed again or left a replica, for the log.
+struct FeedEvent {
+  const char *Name = "";
+  const char *Why = "";
+};
+
 /// \class ReplicaFeed
 /// \ingroup Node
 /// \brief Keeps a process's copies of the configuration and the members
@@ -55,6 +64,10 @@
   std::optional<TimePoint> quarantineKnownAsOf() const {
     return QuarantineKnownAsOf;
   }
+  /// \returns how long ago all copies were last known to be current; nothing
+  /// before the first time.
+  std::optional<Duration> age(TimePoint now) const;
+  std::vector<FeedEvent> takeEvents() { return std::exchange(Events, {}); }
   /// Probes at once whether the copies are current.
   void probeNow(TimePoint now) { probe(now); }
   /// \returns the addresses of the replicas known now.
@@ -64,6 +77,12 @@
 
 private:
   void subscribe(TimePoint now);
+  void renew(TimePoint now, const char *why);
+  void leave(TimePoint now, const char *why);
+  void onProbeReply(TimePoint now, const ProbeReply &reply);
+  /// Acts if the subscription doesn't stand.
+  void checkSubscription(TimePoint now);
+  FollowedVersions held() const;
   void probe(TimePoint now);
   void updateQuarantineKnownAsOf();
 
@@ -72,7 +91,10 @@
   ConfigurationCopy Copy;
   MemberTable Members;
   LeaderLink Replica;
+  FollowWatch Watch;
+  std::vector<FeedEvent> Events;
   bool Subscribed = false;
+  TimePoint SubscribedAt;
   TimePoint NextProbe;
   /// Version of the quarantine ledger that this process has received.
   std::uint64_t Quarantine = 0;
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -409,8 +409,18 @@
   // Without a leader lease there is no answer, and the probes that the follower
   // has received time out.
   if (const auto index = Log.readIndex(now))
-    Network.send(link, ReadIndexReply{message.Nonce, *index, Members.version(),
-                                      allSubscribers(now)});
+    Network.send(link,
+                 ReadIndexReply{.Nonce = message.Nonce,
+                                .Index = *index,
+                                .Members = Members.version(),
+                                .Subscribers = allSubscribers(now),
+                                .Subscribed = isSubscribed(message.From)});
+}
+
+bool ReplicaNode::isSubscribed(ReplicaId follower) const {
+  return std::ranges::any_of(ReplicaOfLink, [&](const auto &it) {
+    return it.second == follower && Listeners.contains(it.first);
+  });
 }
 
 /// Followers with subscribers send a read-index request about once a second.
@@ -427,9 +437,12 @@
 
 /// The leader drops a subscription when it closes the link, and this follower
 /// may not see the link close, while messages of the log arrive on another one.
-void ReplicaNode::checkMembers(TimePoint now, const MemberVersion &leaders) {
+void ReplicaNode::checkMembers(TimePoint now, const ReadIndexReply &reply) {
+  // The answer may be from before the last subscription.
+  if (!reply.Subscribed && now >= SubscribedAt + MemberDelay)
+    SubscribedLeader = 0;
   if (Members.version() >= AwaitedMembers) {
-    AwaitedMembers = leaders;
+    AwaitedMembers = reply.Members;
     AwaitedSince = now;
   } else if (now >= AwaitedSince + MemberDelay) {
     SubscribedLeader = 0;
@@ -441,7 +454,7 @@
                                    const ReadIndexReply &message) {
   if (message.Nonce == ReadRound)
     ReadInFlight = false;
-  checkMembers(now, message.Members);
+  checkMembers(now, message);
   Reads.push_back(
       {message.Nonce, message.Index, message.Members, message.Subscribers});
   answerProbes();
@@ -459,7 +472,8 @@
                               .Confirmed = State.configuration().revision(),
                               .Members = read.Members,
                               .Subscribers = read.Subscribers,
-                              .Quarantine = State.quarantine().version()});
+                              .Quarantine = State.quarantine().version(),
+                              .Subscribed = Listeners.contains(it.Link)});
       return true;
     });
   }
@@ -504,7 +518,7 @@
 
 /// A follower subscribes to the leader's members as other processes subscribe
 /// to a replica's.
-void ReplicaNode::subscribeToLeader(TimePoint) {
+void ReplicaNode::subscribeToLeader(TimePoint now) {
   const ReplicaDescriptor *leader = Log.leader();
   if (!leader || leader->Id == Log.id())
     return;
@@ -515,6 +529,7 @@
     return;
   SubscribedLeader = leader->Id;
   SubscribedTerm = Log.term();
+  SubscribedAt = now;
   Network.send(link->second, Subscribe{.Host = Options.Log.Host,
                                        .Known = MembersOnly,
                                        .KnownMembers = Members.version(),
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -133,9 +133,10 @@
   void onProbe(TimePoint now, LinkId link, const ProbeRevision &message);
   void onReadIndex(TimePoint now, LinkId link, const ReadIndexRequest &message);
   void onReadIndexReply(TimePoint now, const ReadIndexReply &message);
-  /// Subscribes to the leader again if its updates don't arrive: \p leaders is
-  /// the version of its table.
-  void checkMembers(TimePoint now, const MemberVersion &leaders);
+  /// Subscribes to the leader again if its updates don't arrive, or if the
+  /// leader doesn't know this subscriber.
+  void checkMembers(TimePoint now, const ReadIndexReply &reply);
+  bool isSubscribed(ReplicaId follower) const;
   void onAdmin(TimePoint now, LinkId link, const AdminRequest &message);
   void answerLease(TimePoint now, LinkId link, const HostName &host,
                    bool known);
@@ -200,6 +201,7 @@
   /// term in which it subscribed.
   ReplicaId SubscribedLeader = 0;
   Term SubscribedTerm = 0;
+  TimePoint SubscribedAt;
   /// A version that the leader's table had at AwaitedSince. This follower's
   /// copy reaches it soon if its subscription works.
   MemberVersion AwaitedMembers;
--- a/packages/node/pimentofront/src/Node/Subscribers.h
+++ b/packages/node/pimentofront/src/Node/Subscribers.h
@@ -20,6 +20,7 @@
 
   void add(LinkId link, const Subscribe &subscribe);
   void remove(LinkId link);
+  bool contains(LinkId link) const { return All.contains(link); }
   void recordInForce(LinkId link, Revision revision);
   /// Sends each subscriber the changes that it lacks.
   void push(const Configuration &configuration, const MemberTable &members,
--- a/packages/state/pimentofront/src/State/ConfigurationCopy.cpp
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.cpp
@@ -18,15 +18,18 @@
   return LastNonce;
 }
 
-void ConfigurationCopy::onProbeReply(const ProbeReply &reply) {
+std::optional<TimePoint>
+ConfigurationCopy::onProbeReply(const ProbeReply &reply) {
   const auto it = std::ranges::find(Probes, reply.Nonce, &Probe::Nonce);
   if (it == Probes.end())
-    return;
-  PendingConfirmations.push_back({reply.Confirmed, it->SentAt});
+    return std::nullopt;
+  const TimePoint sentAt = it->SentAt;
+  PendingConfirmations.push_back({reply.Confirmed, sentAt});
   Probes.erase(Probes.begin(), it + 1);
   if (PendingConfirmations.size() > MaxProbes)
     PendingConfirmations.pop_front();
   applyConfirmations();
+  return sentAt;
 }
 
 void ConfigurationCopy::applyConfirmations() {
--- a/packages/state/pimentofront/src/State/ConfigurationCopy.h
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.h
@@ -35,7 +35,9 @@
   /// Records a probe that is sent at \p now.
   /// \returns the nonce to send with it.
   std::uint64_t beginProbe(TimePoint now);
-  void onProbeReply(const ProbeReply &reply);
+  /// \returns when the answered probe was sent; nothing if it isn't known any
+  /// more.
+  std::optional<TimePoint> onProbeReply(const ProbeReply &reply);
   /// Applies records in order. Records that aren't newer than the revision of
   /// this copy are ignored.
   /// \returns whether hosts or zones were taken out of use or put back in use.
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -125,8 +125,10 @@
   std::uint32_t Subscribers = 0;
   /// Version of the quarantine ledger at that time.
   std::uint64_t Quarantine = 0;
+  /// The replica knows the link on which the probe arrived as a subscriber's.
+  bool Subscribed = true;
   PIMENTOFRONT_FIELDS(ProbeReply, Nonce, Confirmed, Members, Subscribers,
-                      Quarantine)
+                      Quarantine, Subscribed)
 };
 
 /// Replica to process: records that changed. After applying them in order a
@@ -183,7 +185,10 @@
   MemberVersion Members;
   /// The same, summed over all replicas.
   std::uint32_t Subscribers = 0;
-  PIMENTOFRONT_FIELDS(ReadIndexReply, Nonce, Index, Members, Subscribers)
+  /// The follower is subscribed to the leader's members.
+  bool Subscribed = true;
+  PIMENTOFRONT_FIELDS(ReadIndexReply, Nonce, Index, Members, Subscribers,
+                      Subscribed)
 };
 
 /// Operations of an operator on the replica group itself.
