An entry that follows no replica says that it isn't ready

Cause: readiness of an entry that passes requests on asked only for a table, so one that followed nothing got callers for ever.

Change: it is ready if all its copies were known to be current within the last two confirmation leases. It goes on serving what reaches it.

--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -17,6 +17,11 @@
 /// accounts are in use. A link on which nothing arrived for this time is dead.
 constexpr Duration LedgerSilenceTimeout = std::chrono::seconds(3);
 
+/// An entry isn't ready if its copies haven't been known to be current for this
+/// number of confirmation leases. An election takes less than one lease, and
+/// replicas that restart all at once mostly less than two.
+constexpr int ReadyLeases = 2;
+
 ReplicaFeedOptions withQuarantine(ReplicaFeedOptions feed) {
   feed.WantsQuarantine = true;
   return feed;
@@ -36,7 +41,8 @@
       Ledger(transport, options.Feed.Replicas, options.Feed.Incarnation + 2,
              LedgerSilenceTimeout),
       Agents(transport),
-      Controller(options.Forward, Feed.configuration(), headers, routing) {
+      Controller(options.Forward, Feed.configuration(), headers, routing),
+      ReadyAge(ReadyLeases * options.Feed.Configuration.Lease) {
   tick(now);
 }
 
@@ -108,6 +114,21 @@
   useDocument(now);
 }
 
+bool ForwardNode::follows(TimePoint now) const {
+  const std::optional<Duration> age = Feed.age(now);
+  return age && *age < ReadyAge;
+}
+
+void ForwardNode::reportFeed(TimePoint now) {
+  for (const FeedEvent &it : Feed.takeEvents())
+    Sink.onEvent({.Name = it.Name, .Detail = it.Why});
+  const bool isReady = ready(now);
+  if (isReady != WasReady)
+    Sink.onEvent({.Name = isReady ? "entry_ready" : "entry_not_ready",
+                  .Detail = follows(now) ? "" : "follows no replica"});
+  WasReady = isReady;
+}
+
 std::set<ZoneName> ForwardNode::evacuatedZones() const {
   std::set<ZoneName> zones;
   for (const auto &[zone, it] : Feed.configuration().records().zones())
@@ -318,6 +339,7 @@
   dropLinks(now, Agents.takeSilent(now));
   Controller.tick(now);
   flush(now);
+  reportFeed(now);
 }
 
 void ForwardNode::flush(TimePoint now) {
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -70,9 +70,12 @@
 
   /// \returns whether requests can be served now and for some time to come.
   bool ready(TimePoint now) {
-    return Controller.board().Table != nullptr &&
+    return Controller.board().Table != nullptr && follows(now) &&
            Controller.accounts().ready(now) && Controller.knowsZones(now);
   }
+  /// \returns how long ago the copies of the configuration, the members and the
+  /// quarantine were last known to be current; nothing before the first time.
+  std::optional<Duration> feedAge(TimePoint now) const { return Feed.age(now); }
   bool idle() const { return Controller.idle(); }
   const ForwardController &controller() const { return Controller; }
   const ConfigurationCopy &configuration() const {
@@ -80,6 +83,9 @@
   }
 
 private:
+  /// \returns whether the copies are recent enough to get callers.
+  bool follows(TimePoint now) const;
+  void reportFeed(TimePoint now);
   void useDocument(TimePoint now);
   std::set<ZoneName> evacuatedZones() const;
   void onAgentMessage(TimePoint now, const HostName &host,
@@ -114,10 +120,12 @@
   LeaderLink Ledger;
   AgentLinks Agents;
   ForwardController Controller;
+  Duration ReadyAge;
   std::optional<TimePoint> LastCall;
   /// Revision of the routing document in use.
   Revision DocumentRevision = 0;
   bool Confirmed = false;
+  bool WasReady = false;
 };
 
 } // namespace pimentofront
