A replica without a store takes no links

Cause: while the store is closed or not open yet, links of other processes were accepted and what arrived on them was dropped; the next node didn't know them, neither subscribers' nor other replicas'.

Change: links that others open are closed, with a line peer_refused, unless an agent shares the process. When the store opens, all links are closed before the node begins.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -254,6 +254,11 @@
 //===----------------------------------------------------------------------===//
 
 void Daemon::onLinkOpen(LinkId link, const Hello &hello) {
+  if (isWithoutReplica(hello)) {
+    Log->write(LogLevel::Info, "peer_refused",
+               {{"peer", hello.Host.str()}, {"why", "store is closed"}});
+    return Network->close(link);
+  }
   const TimePoint now = Loop.now();
   Peers[link] = hello.Host;
   Log->write(LogLevel::Info, "peer_connected",
@@ -268,6 +273,12 @@
     Forward->onLinkOpen(now, link, hello);
 }
 
+/// Other processes open links to this one for its replica only. While there is
+/// none, what arrives would be dropped, so they have to look for another one.
+bool Daemon::isWithoutReplica(const Hello &hello) const {
+  return Options.IsReplica && !Replica && !Options.IsAgent && !hello.Accepted;
+}
+
 void Daemon::onMessage(LinkId link, const Message &message) {
   const TimePoint now = Loop.now();
   if (Replica) {
@@ -409,6 +420,8 @@
       return retryStoreLater();
     Log->write(LogLevel::Info, "store_opened_again", {});
     Network->setReplica(Stored.Id);
+    // What arrived on a link before now was dropped, a subscription too.
+    Network->closeAll();
     createReplica(Loop.now());
     Api->setNodes({Entry.get(), Agent.get(), Replica.get(), Forward.get()});
   });
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -64,6 +64,7 @@
   void reportAgentEvent(const AgentEvent &event);
   void createEntry(TimePoint now);
   void createForward(TimePoint now);
+  bool isWithoutReplica(const Hello &hello) const;
   void bootstrapIfFirst(TimePoint now);
   void tick();
   void scheduleFlush();
