--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -143,6 +143,8 @@
     const ConfigurationCopy &copy = Nodes.Entry->configuration();
     gauges.Revision = static_cast<double>(copy.revision());
     gauges.ConfigurationLeaseSeconds = toSeconds(copy.remainingLease(now));
+    if (const auto age = Nodes.Entry->feedAge(now))
+      gauges.FollowedAgeSeconds = toSeconds(*age);
   }
   if (Nodes.Agent) {
     const AgentBoard &board = Nodes.Agent->controller().board();
@@ -156,6 +158,11 @@
   if (Nodes.Forward) {
     const ForwardBoard &board = Nodes.Forward->controller().board();
     const ServerSet &servers = board.Servers;
+    const ConfigurationCopy &copy = Nodes.Forward->configuration();
+    gauges.Revision = static_cast<double>(copy.revision());
+    gauges.ConfigurationLeaseSeconds = toSeconds(copy.remainingLease(now));
+    if (const auto age = Nodes.Forward->feedAge(now))
+      gauges.FollowedAgeSeconds = toSeconds(*age);
     gauges.RequestBytes = static_cast<double>(board.Bytes.requestBytes());
     gauges.ConnectionBytes = static_cast<double>(board.Bytes.connectionBytes());
     gauges.ServerBytes = static_cast<double>(board.BytesAtServers.total());
@@ -395,6 +402,10 @@
   });
 }
 
+void ApiHandler::onFeedEvent(const FeedEvent &event) {
+  Log.write(LogLevel::Info, event.Name, {{"why", event.Why}});
+}
+
 void ApiHandler::onFinal(RequestKey key, const KindName &kind,
                          const FinalAnswer &final) {
   const auto it = Calls.find(key);
--- a/packages/daemon/src/ApiHandler.h
+++ b/packages/daemon/src/ApiHandler.h
@@ -52,6 +52,7 @@
                const std::string &text) override;
   void onFinal(RequestKey key, const KindName &kind,
                const FinalAnswer &answer) override;
+  void onFeedEvent(const FeedEvent &event) override;
 
 private:
   /// The form in which a caller gets its response.
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -285,6 +285,7 @@
   put("revision", gauges.Revision);
   put("configuration_lease_seconds", gauges.ConfigurationLeaseSeconds);
   put("member_lease_seconds", gauges.MemberLeaseSeconds);
+  put("followed_age_seconds", gauges.FollowedAgeSeconds);
   put("requests_in_progress", gauges.InProgress);
   put("engine_running", gauges.EngineRunning);
   put("engine_waiting", gauges.EngineWaiting);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -13,6 +13,9 @@
   double Revision = 0;
   double ConfigurationLeaseSeconds = 0;
   double MemberLeaseSeconds = 0;
+  /// Time since all copies of what this entry follows were last known to be
+  /// current; -1 before the first time.
+  double FollowedAgeSeconds = -1;
   double InProgress = 0;
   double EngineRunning = 0;
   double EngineWaiting = 0;
