Tests of what replicas say of subscriptions

Change: a replica says whether a probe's link subscribes, a leader whether a follower does on any of its links, and a follower that hears no subscribes again.

--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -249,6 +249,21 @@
   CHECK(follower.Node.members().members().contains(HostName("agent")));
 }
 
+TEST_CASE("a follower subscribes again if its leader says that it doesn't know "
+          "its subscription",
+          "[subscriptions]") {
+  FollowerUnderTest follower;
+  const ReadIndexReply unknown{.Index = 1, .Subscribed = false};
+  // The answer may be from before the subscription.
+  follower.Node.onMessage(follower.Now, FollowerUnderTest::Second, unknown);
+  follower.hearLeader(FollowerUnderTest::Second);
+  CHECK(follower.Network.SubscribedOn.size() == 1);
+  follower.Now += 900ms;
+  follower.Node.onMessage(follower.Now, FollowerUnderTest::Second, unknown);
+  follower.hearLeader(FollowerUnderTest::Second);
+  CHECK(follower.Network.SubscribedOn.size() == 2);
+}
+
 TEST_CASE("a follower that receives its updates doesn't subscribe again") {
   FollowerUnderTest follower;
   // Each update arrives 50 ms after the answer that tells its version.
@@ -325,3 +340,60 @@
   CHECK(after.Sequence > before.Sequence);
   CHECK(leader.Node.members().members().size() == 2);
 }
+
+namespace {
+
+/// A leader of which the test reads the last answers.
+class AnsweringLeader : public LeaderUnderTest {
+public:
+  void send(LinkId link, const Message &message) override {
+    if (const auto *probe = std::get_if<ProbeReply>(&message))
+      ToProbe = *probe;
+    if (const auto *read = std::get_if<ReadIndexReply>(&message))
+      ToRead = *read;
+    LeaderUnderTest::send(link, message);
+  }
+  /// Sends a probe, and lets the voter answer until it is answered.
+  void probe(LinkId link, std::uint64_t nonce) {
+    Node.onMessage(Now, link, ProbeRevision{.Nonce = nonce});
+    for (int i = 0; i < 20 && ToProbe.Nonce != nonce; ++i) {
+      Node.tick(Now += 10ms);
+      deliver();
+    }
+  }
+
+  ProbeReply ToProbe;
+  ReadIndexReply ToRead;
+};
+
+} // namespace
+
+TEST_CASE(
+    "a replica says whether it knows the link of a probe as a subscriber's",
+    "[subscriptions]") {
+  AnsweringLeader leader;
+  leader.awaitLead(true, /*answers=*/true);
+  constexpr LinkId Entry = 7;
+  leader.probe(Entry, 1);
+  REQUIRE(leader.ToProbe.Nonce == 1);
+  CHECK_FALSE(leader.ToProbe.Subscribed);
+  leader.Node.onMessage(leader.Now, Entry, Subscribe{});
+  leader.probe(Entry, 2);
+  REQUIRE(leader.ToProbe.Nonce == 2);
+  CHECK(leader.ToProbe.Subscribed);
+}
+
+TEST_CASE("a leader says whether a follower is subscribed on any of its links",
+          "[subscriptions]") {
+  AnsweringLeader leader;
+  leader.awaitLead(true, /*answers=*/true);
+  leader.Node.onLinkOpen(leader.Now, 2,
+                         {.Protocol = ProtocolVersion, .Replica = 2});
+  leader.Node.onMessage(leader.Now, 2, ReadIndexRequest{2, 1, 0});
+  REQUIRE(leader.ToRead.Nonce == 1);
+  CHECK_FALSE(leader.ToRead.Subscribed);
+  leader.Node.onMessage(leader.Now, 1, Subscribe{.Known = MembersOnly});
+  leader.Node.onMessage(leader.Now, 2, ReadIndexRequest{2, 2, 0});
+  REQUIRE(leader.ToRead.Nonce == 2);
+  CHECK(leader.ToRead.Subscribed);
+}
