--- a/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.cpp
@@ -191,6 +191,18 @@
   });
 }
 
+void Simulation::closeStoreFor(SimulatedProcess &process, Duration duration) {
+  dropLinksOf(process.Spec.Host);
+  process.Replica.reset();
+  after(duration,
+        [this, host = process.Spec.Host, incarnation = process.Incarnation] {
+          atProcess(host, incarnation, [this](SimulatedProcess &it) {
+            if (!it.Replica)
+              openReplica(it);
+          });
+        });
+}
+
 void Simulation::loseDisk(SimulatedProcess &process) {
   kill(process);
   process.Disk.reset();
--- a/packages/testkit/pimentofront/src/Testkit/Simulation.h
+++ b/packages/testkit/pimentofront/src/Testkit/Simulation.h
@@ -152,6 +152,10 @@
   /// then.
   void freezeFor(SimulatedProcess &process, Duration duration);
   void loseDisk(SimulatedProcess &process);
+  /// Takes the replica's node away, as after a failed write, and creates it
+  /// anew after \p duration. Meanwhile the process accepts links and drops
+  /// what arrives on them.
+  void closeStoreFor(SimulatedProcess &process, Duration duration);
 
   /// Kills a process whose host loses power: its peers aren't told, and what
   /// they send and open hangs until powerOn().
