Wire: an array of more elements than memory can hold is rejected

Cause: the library's parser throws out_of_range.408 for an array that names over 2^59 elements, although it is told not to throw, and nobody caught it: nine bytes from a peer ended a process. Change: the reader rejects arrays of over 2^32 elements and of unknown length, which no release writes, before the library sees them. Result: the new test failed with that exception before, and passes. Names of any bytes survive encoding and decoding (passed before, too).

--- a/packages/wire/pimentofront/src/Wire/Codec.cpp
+++ b/packages/wire/pimentofront/src/Wire/Codec.cpp
@@ -14,6 +14,9 @@
 /// malicious frame has to be rejected before the stack overflows.
 constexpr int DepthLimit = 16;
 
+/// Larger arrays make the library throw; no message comes near this length.
+constexpr std::size_t MaxElements = std::size_t(1) << 32;
+
 /// Builds the document, but rejects one that is nested too deeply.
 class BoundedReader : public nlohmann::detail::json_sax_dom_parser<Json> {
 public:
@@ -21,7 +24,7 @@
   explicit BoundedReader(Json &root) : Base(root, false) {}
 
   bool start_array(std::size_t n) {
-    return ++Depth <= DepthLimit && Base::start_array(n);
+    return ++Depth <= DepthLimit && n <= MaxElements && Base::start_array(n);
   }
   bool end_array() {
     --Depth;
--- a/test/WireTest.cpp
+++ b/test/WireTest.cpp
@@ -53,6 +53,21 @@
   CHECK_FALSE(decodeFrame(std::string(1'000'000, '\x81')));
 }
 
+TEST_CASE("an array of more elements than memory can hold is rejected") {
+  // An array of 2^60 elements, alone and as the fields of a Hello.
+  const std::string large("\x9b\x10\0\0\0\0\0\0\0", 9);
+  CHECK_FALSE(decodeFrame(large));
+  CHECK_FALSE(decodeFrame(std::string("\x83\0\x01", 3) + large));
+  CHECK_FALSE(decodeEntry("\x01" + large));
+}
+
+TEST_CASE("names of any bytes survive encoding and decoding") {
+  const std::string bytes("\xff\0\n\xc3", 4);
+  checkRoundTrip(ExecuteRequest{.Request = RequestId(bytes),
+                                .Key = {AdapterName(bytes), 3},
+                                .Server = HostName(bytes)});
+}
+
 TEST_CASE("fields that a later release adds at the end are ignored") {
   // NotLeader (type number 11) with two fields instead of one.
   const std::string bytes = std::string("\x83\x0b\x01\x82\x41\x61\x05", 7);
