--- a/packages/base/pimentofront/Base.h
+++ b/packages/base/pimentofront/Base.h
@@ -14,6 +14,7 @@
 #include "src/Base/Time.h"
 #include "src/Base/Identifier.h"
 #include "src/Base/Finding.h"
+#include "src/Base/Text.h"
 #include "src/Base/Hash.h"
 #include "src/Base/ContentHash.h"
 #include "src/Base/Random.h"
