A name that isn't text is refused with 400 and ends no agent

Cause: EngineOrders wrote the adapter's name with json::dump() without an error handler, which throws type_error.316 for bytes that aren't UTF-8: one request ended an agent, and the entry sent it on to the next. Registrations and deregistrations under such a name get 400; texts of documents with control characters are findings, since names go into headers. Times and counts in headers are bounded instead of overflowing or losing their upper bits. The whole suite wasn't run.

--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -118,7 +118,8 @@
   /// No routing document is known yet, or none that is known to be the newest.
   NotReady,
   NoRoute,
-  /// The request has no id, so its answer couldn't be told apart from others.
+  /// The request has no id, so its answer couldn't be told apart from others,
+  /// or another header makes it impossible to handle.
   Malformed,
   NoServer,
   /// Every server that could take it declined.
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -122,7 +122,7 @@
     return deferUnresolved(now, request);
   }
   request.RetryAfter = Duration::zero();
-  if (request.Traits.Id.empty())
+  if (request.Traits.Id.empty() || !request.Traits.MalformedHeader.empty())
     return Attempts.giveUp(now, request, ForwardFailure::Malformed);
   const std::string *host = findHeader(request.Head.Headers, "host");
   request.Route =
--- a/packages/forward/pimentofront/src/Forward/HeaderCodec.h
+++ b/packages/forward/pimentofront/src/Forward/HeaderCodec.h
@@ -34,6 +34,8 @@
   /// Id of the caller's attempt that brought the first event of that stream;
   /// empty if the request doesn't say.
   std::string Resumes;
+  /// Header that makes the request impossible to handle; empty for none.
+  std::string MalformedHeader;
 };
 
 /// \class ForwardTraits
--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -104,11 +104,15 @@
 
 void AgentNode::onExecute(TimePoint now, LinkId link,
                           const ExecuteRequest &request) {
+  const auto refuse = [&](RefusalReason reason) {
+    Network.send(link, AttemptRefused{.Attempt = request.Attempt,
+                                      .Reason = reason,
+                                      .Load = Controller.currentLoad(now)});
+  };
+  if (!isPlainText(request.Key.Adapter.str()))
+    return refuse(RefusalReason::Invalid);
   if (hasExited(now, request.server()))
-    return Network.send(link,
-                        AttemptRefused{.Attempt = request.Attempt,
-                                       .Reason = RefusalReason::BackendDown,
-                                       .Load = Controller.currentLoad(now)});
+    return refuse(RefusalReason::BackendDown);
   if (!request.Server.empty()) {
     // What was learned of a former process doesn't apply to this one.
     if (!Process.empty() && !mayBeSameProcess(Process, request.server()))
--- a/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
+++ b/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
@@ -40,6 +40,8 @@
     if (const std::string *it = findHeader(head.Headers, "last-event"))
       traits.LastEventId = std::stoull(*it);
     traits.Resumes = headerValue(head.Headers, "resumes");
+    if (findHeader(head.Headers, "malformed"))
+      traits.MalformedHeader = "malformed";
     traits.BaseModel = "m";
     return traits;
   }
--- a/test/ControlApiTest.cpp
+++ b/test/ControlApiTest.cpp
@@ -85,3 +85,11 @@
   CHECK(statusOf(replica, "POST", "/-/evacuation/z") == 503);
   CHECK(statusOf(replica, "DELETE", "/-/evacuation/z") == 503);
 }
+
+TEST_CASE("a server's name that isn't text gets status 400", "[control-api]") {
+  const platform::ControlApiOptions replica{.ServesControl = true};
+  for (const char *method : {"PUT", "DELETE"}) {
+    CHECK(statusOf(replica, method, "/-/instances/i\xFF") == 400);
+    CHECK(statusOf(replica, method, "/-/instances/") == 400);
+  }
+}
--- a/test/EngineOrdersTest.cpp
+++ b/test/EngineOrdersTest.cpp
@@ -179,11 +179,11 @@
   /// An entry requests a slot for a new attempt.
   void ask(const char *adapter) { ask(adapter, Engine.Instance); }
   void ask(const char *adapter, const std::string &instance) {
-    const AttemptId attempt{7, ++Asked};
-    Node.onMessage(
-        Loop.now(), FakeTransport::Entry,
-        ExecuteRequest{
-            .Attempt = attempt,
+    Node.onMessage(Loop.now(), FakeTransport::Entry,
+                   request(adapter, instance));
+  }
+  ExecuteRequest request(const char *adapter, const std::string &instance) {
+    return {.Attempt = {7, ++Asked},
             .Request = RequestId(std::to_string(Asked)),
             .Kind = KindName("k"),
             .Remaining = 1min,
@@ -191,7 +191,7 @@
             .BaseModel = "engines",
             .Delegated = true,
             .Server = HostName(instance),
-            .ServerStartedAt = Engine.ReportsStart ? Engine.StartedAt : 0});
+            .ServerStartedAt = Engine.ReportsStart ? Engine.StartedAt : 0};
   }
   /// Requests a slot, waits until the attempt runs and releases it.
   void serve(const char *adapter) {
@@ -323,3 +323,22 @@
     CHECK_FALSE(it.Engine.ExceededSlots);
   }
 }
+
+// One request whose adapter's name had a byte that isn't UTF-8 ended the agent.
+TEST_CASE("an adapter's name that no order can carry ends no agent") {
+  const char *adapter = GENERATE("a\xFF", "\xC3", "a\n", "\xED\xA0\x80");
+  AgentUnderTest it;
+  it.turnUntil([&] { return it.ready(); });
+  it.serve("a");
+  it.serve("b");
+  SECTION("the agent refuses the request") { it.ask(adapter); }
+  SECTION("the load fails") {
+    it.Node.controller().onExecute(it.Loop.now(), FakeTransport::Entry,
+                                   it.request(adapter, it.Engine.Instance));
+    it.Node.flush(it.Loop.now());
+  }
+  const AttemptId attempt{7, it.Asked};
+  it.turnUntil([&] { return it.Network.refused(attempt); });
+  CHECK(it.Engine.Adapters == std::set<std::string>{"a", "b"});
+  it.serve("a");
+}
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -463,6 +463,13 @@
                             NoBody);
     CHECK(it.only<ReplyComplete>().Head.Status == 400);
   }
+  SECTION("a malformed header") {
+    it.Controller.onRequest(
+        Now, 1,
+        {"GET", "/safe/", {{"Host", "h"}, {"id", "r1"}, {"malformed", ""}}}, "",
+        NoBody);
+    CHECK(it.only<ReplyComplete>().Head.Status == 400);
+  }
   SECTION("no routing document, and the caller names no timeout") {
     it.Controller.setTable(nullptr);
     it.Controller.onRequest(Now, 1, {"GET", "/safe/", {{"id", "r1"}}}, "",
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -136,6 +136,36 @@
   CHECK_FALSE(it.TimeLeft);
 }
 
+// A name that isn't text ended the agent that was to order its adapter.
+TEST_CASE("a model's name that isn't text makes a request malformed") {
+  const auto faultOf = [](const std::string &model) {
+    return Headers.decodeRequest({.Headers = {{"Pimentofront-Model", model}}})
+        .MalformedHeader;
+  };
+  CHECK(faultOf("m0/a").empty());
+  CHECK(faultOf("m0/\xC3\xA4").empty());
+  CHECK(faultOf("").empty());
+  for (const char *it : {"m0/a\xFF", "m0\xFF/a", "m0/\xC3", "m0/a\tb",
+                         "m0/\xC0\xAF", "m0/\xED\xA0\x80", "m0/a\x7F"})
+    CHECK(faultOf(it) == "Pimentofront-Model");
+}
+
+TEST_CASE("numbers in headers that are too large are bounded") {
+  const auto read = [](const char *name, const char *value) {
+    return Headers.decodeRequest({.Headers = {{name, value}}});
+  };
+  for (const char *it : {"9223372036854775807", "18446744073709551615"})
+    CHECK(read("Pimentofront-Deadline-Ms", it).TimeLeft == 24h);
+  const RequestTraits tokens =
+      read("Pimentofront-Token-Usage", "4294967296,4294967297");
+  CHECK(tokens.PromptTokens == 4294967295);
+  CHECK(tokens.MaxOutputTokens == 4294967295);
+  const RequestTraits parts =
+      read("Pimentofront-Prompt-Prefix", "a:4294967297");
+  REQUIRE(parts.Parts.size() == 1);
+  CHECK(parts.Parts[0].Tokens == 4294967295);
+}
+
 TEST_CASE("headers that only the system may set never come from a caller") {
   const RequestHead sent =
       Headers.encodeRequest({"POST",
@@ -222,6 +252,21 @@
   }
 }
 
+// An account's name is sent in a header to servers.
+TEST_CASE("a document's texts have no control characters") {
+  const auto named = [](const char *name) {
+    return replaced(Manifest, "\"limits\"",
+                    std::string(R"("tenants": [{"name": ")") + name +
+                        R"(", "apiKeys": ["k"]}], "limits")");
+  };
+  INFO(faultsOf(named("a")).toText());
+  CHECK(faultsOf(named("a")).empty());
+  CHECK_FALSE(faultsOf(named(R"(a\r\nX: y)")).empty());
+  CHECK_FALSE(faultsOf(named(R"(a\u0000)")).empty());
+  CHECK_FALSE(
+      faultsOf(replaced(Manifest, R"("/h")", R"("/h\r\nX: y")")).empty());
+}
+
 TEST_CASE("an engine's report is decoded") {
   const auto it = platform::readEngineReport(
       R"({"stage":"both","models":[{"name":"m","version":1,
@@ -292,6 +337,22 @@
   CHECK(platform::leavingProcessStart(R"({"born":"x"})") == 0);
 }
 
+// A server's name is sent in a header, and shown to operators.
+TEST_CASE("a registration under a name that isn't text is rejected") {
+  const auto faults = [](const std::string &id) {
+    Findings findings;
+    platform::readRegistration(
+        id,
+        R"({"backend":"s","address":"1.0.0.1:80","zone":"z","slots":64,)"
+        R"("state":"ready","seq":4})",
+        findings);
+    return findings;
+  };
+  CHECK(faults("i-1").empty());
+  for (const char *it : {"", "i\xFF", "i\r\nX: y", "\xC3"})
+    CHECK_FALSE(faults(it).empty());
+}
+
 TEST_CASE("a registration in another format is rejected") {
   const std::string good =
       R"({"backend":"s","address":"1.0.0.1:80","zone":"z","slots":64,)"
