Agent: an attempt that is refused leaves no entry behind

Cause: an agent noted each delegated attempt, and forgot it only when the entry released it or the agent cancelled it, not when the agent refused it. Change: forgotten when a refusal or an ending is sent, and when the entry is gone.

--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -64,6 +64,7 @@
     return;
   Controller.onEntryDisconnected(now, link);
   flush(now);
+  std::erase_if(Delegated, [&](const auto &it) { return it.second == link; });
 }
 
 void AgentNode::onMessage(TimePoint now, LinkId link, const Message &message) {
@@ -233,9 +234,13 @@
 }
 
 void AgentNode::execute(TimePoint now, const AgentCommand &command) {
-  if (const auto *it = std::get_if<SendToEntry>(&command))
+  if (const auto *it = std::get_if<SendToEntry>(&command)) {
+    if (const auto *refused = std::get_if<AttemptRefused>(&it->Content))
+      Delegated.erase(refused->Attempt);
+    else if (const auto *ended = std::get_if<AttemptFinished>(&it->Content))
+      Delegated.erase(ended->Attempt);
     Network.send(it->Entry, it->Content);
-  else if (const auto *message = std::get_if<SendToScheduler>(&command))
+  } else if (const auto *message = std::get_if<SendToScheduler>(&command))
     sendToScheduler(now, message->Content);
   else if (const auto *begin = std::get_if<StartGeneration>(&command))
     start(now, *begin);
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -1,6 +1,7 @@
 #include "pimentofront/Testkit.h"
 
 #include <catch2/catch.hpp>
+#include <malloc.h>
 
 using namespace pimentofront;
 using namespace pimentofront::testkit;
@@ -325,3 +326,41 @@
   CHECK(after.Sequence > before.Sequence);
   CHECK(leader.Node.members().members().size() == 2);
 }
+
+namespace {
+
+std::size_t bytesInUse() { return ::mallinfo2().uordblks; }
+
+} // namespace
+
+// An agent kept an entry for each attempt that it had refused.
+TEST_CASE("refused attempts leave nothing behind at an agent") {
+  RecordingTransport transport;
+  NoDriver driver;
+  LeastPopular eviction;
+  UncoordinatedLoads loads;
+  const TimePoint now{100s};
+  AgentNode node(now,
+                 {.Agent = {.Host = HostName("w"), .Incarnation = 2},
+                  .Address = "1.0.0.1:9",
+                  .Replicas = {"a"}},
+                 eviction, loads, driver, transport);
+  constexpr LinkId Entry = 7;
+  node.onLinkOpen(now, Entry, {.Protocol = ProtocolVersion});
+  std::uint64_t last = 0;
+  const auto refuse = [&](std::uint64_t n) {
+    for (std::uint64_t i = 0; i < n; ++i)
+      node.onMessage(now, Entry,
+                     ExecuteRequest{.Attempt = {1, ++last},
+                                    .Remaining = 1s,
+                                    .Key = {AdapterName("m/a"), 1},
+                                    .BaseModel = "engines",
+                                    .Delegated = true});
+  };
+  node.leave(now);
+  refuse(1000);
+  const std::size_t before = bytesInUse();
+  refuse(50'000);
+  const std::size_t after = bytesInUse();
+  CHECK(after < before + 100'000);
+}
