Replicas: renewals use up no fencing tokens

Cause: each reply to an agent took the next of 2^24 numbers of the leader's term; the ones after those are numbers of the next term. Change: a link keeps its number while its agent is a member, so that a number is used for each announcement on a new link or after a lost lease only. After the last one, and to a process that isn't a member any more, the reply names none (0), and agents keep the number that they have. The split stays, so that numbers before and after an upgrade, in both directions, are in the order of their terms. The end of the 2^24 numbers was read, not run. The whole suite wasn't run.

--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -64,6 +64,7 @@
 void ReplicaNode::onLinkClosed(TimePoint now, LinkId link) {
   Watch.forget(link);
   Listeners.remove(link);
+  Fences.erase(link);
   std::erase_if(Probes, [&](const auto &it) { return it.Link == link; });
   std::erase_if(AgentLinks, [&](const auto &it) { return it.second == link; });
   std::erase_if(LinksByAddress,
@@ -226,11 +227,21 @@
   // that the group survives, so no token is issued twice, and a later leader
   // issues higher ones.
   constexpr unsigned FencesPerTermBits = 24;
+  constexpr std::uint64_t LastFence =
+      (std::uint64_t(1) << FencesPerTermBits) - 1;
+  // A link keeps its token, so that renewals use up none. After the last one,
+  // and for a process that isn't a member any more, 0 names no token.
+  std::uint64_t fence = 0;
+  if (!known)
+    Fences.erase(link);
+  else if (const auto it = Fences.find(link); it != Fences.end())
+    fence = it->second;
+  else if (FencesIssued < LastFence)
+    fence = Fences[link] = Log.term() << FencesPerTermBits | ++FencesIssued;
   Network.send(link, LeaseReply{.Known = known,
                                 .Lease = Options.Members.Lease,
                                 .Members = static_cast<std::uint32_t>(engines),
-                                .Fence = Log.term() << FencesPerTermBits |
-                                         ++FencesIssued});
+                                .Fence = fence});
 }
 
 std::string ReplicaNode::leaderAddress() const {
@@ -483,6 +494,7 @@
     return;
   LedTerm = Log.term();
   FencesIssued = 0;
+  Fences.clear();
   Members.beginTerm(now, LedTerm);
   Evacuations.startLeading(now, LedTerm);
   Loads = LoadScheduler(Options.Loads);
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -207,6 +207,8 @@
   Term LedTerm = 0;
   /// Number of fencing tokens issued in this term.
   std::uint64_t FencesIssued = 0;
+  /// Token that each link has of this leader in this term.
+  std::map<LinkId, std::uint64_t> Fences;
   /// Bytes of entries applied since the last snapshot.
   std::size_t BytesSinceSnapshot = 0;
   std::vector<std::string> PushedAddresses;
