--- a/packages/node/pimentofront/src/Node/AgentNode.cpp
+++ b/packages/node/pimentofront/src/Node/AgentNode.cpp
@@ -64,6 +64,7 @@
     return;
   Controller.onEntryDisconnected(now, link);
   flush(now);
+  std::erase_if(Delegated, [&](const auto &it) { return it.second == link; });
 }
 
 void AgentNode::onMessage(TimePoint now, LinkId link, const Message &message) {
@@ -104,11 +105,15 @@
 
 void AgentNode::onExecute(TimePoint now, LinkId link,
                           const ExecuteRequest &request) {
+  const auto refuse = [&](RefusalReason reason) {
+    Network.send(link, AttemptRefused{.Attempt = request.Attempt,
+                                      .Reason = reason,
+                                      .Load = Controller.currentLoad(now)});
+  };
+  if (!isPlainText(request.Key.Adapter.str()))
+    return refuse(RefusalReason::Invalid);
   if (hasExited(now, request.server()))
-    return Network.send(link,
-                        AttemptRefused{.Attempt = request.Attempt,
-                                       .Reason = RefusalReason::BackendDown,
-                                       .Load = Controller.currentLoad(now)});
+    return refuse(RefusalReason::BackendDown);
   if (!request.Server.empty()) {
     // What was learned of a former process doesn't apply to this one.
     if (!Process.empty() && !mayBeSameProcess(Process, request.server()))
@@ -229,9 +234,13 @@
 }
 
 void AgentNode::execute(TimePoint now, const AgentCommand &command) {
-  if (const auto *it = std::get_if<SendToEntry>(&command))
+  if (const auto *it = std::get_if<SendToEntry>(&command)) {
+    if (const auto *refused = std::get_if<AttemptRefused>(&it->Content))
+      Delegated.erase(refused->Attempt);
+    else if (const auto *ended = std::get_if<AttemptFinished>(&it->Content))
+      Delegated.erase(ended->Attempt);
     Network.send(it->Entry, it->Content);
-  else if (const auto *message = std::get_if<SendToScheduler>(&command))
+  } else if (const auto *message = std::get_if<SendToScheduler>(&command))
     sendToScheduler(now, message->Content);
   else if (const auto *begin = std::get_if<StartGeneration>(&command))
     start(now, *begin);
