Requests that waited at an agent begin on the live version

Cause: an entry looked the adapter's version up before it asked the agent and sent with it when the permit came, however long that took; the same after the decision on a trial. The agent loads a version only when nobody waits for the former one.

Change: when the revision of the configuration changes, and at the permit, a request whose version is superseded asks the same agent again for the live one, with the time that it has waited (ExecuteRequest::Waited, at the end). chooseEngine() looks the version up. What runs isn't touched.

PromptWeightsTest, section "since the request was resolved": such a permit is no longer used, so the section now asks that it is returned, that the new version is asked for, and that nothing is fetched then.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -149,7 +149,6 @@
 void AttemptController::next(TimePoint now, ForwardRequest &request) {
   if (now >= request.Deadline)
     return giveUp(now, request, ForwardFailure::TimedOut);
-  useLiveVersion(request);
   if (knowsOrigin(now, request))
     proceed(now, request, Quarantine.decideSend(now, request));
 }
@@ -308,6 +307,7 @@
 }
 
 void AttemptController::chooseEngine(TimePoint now, ForwardRequest &request) {
+  useLiveVersion(request);
   const RouteQuery query{
       .Key = request.Adapter,
       .BaseModel = request.Service.str(),
@@ -371,7 +371,7 @@
 }
 
 void AttemptController::askAgent(TimePoint now, ForwardRequest &request,
-                                 const Route &route) {
+                                 const Route &route, Duration waited) {
   const AttemptId id{Board.Options.Incarnation, ++Board.LastSequence};
   const MemberView &agent = Board.Servers.agents().at(route.Host);
   const ServerView *engine = Board.Servers.serverOfAgent(route.Host);
@@ -383,6 +383,7 @@
                                    .Engine = server,
                                    .Choice = route.Reason,
                                    .ShapeEngines = route.ShapeEngines,
+                                   .Waited = waited,
                                    .StartedAt = now};
   Board.Attempts.emplace(id, request.Key);
   Board.Commands.push_back(SendToAgent{
@@ -404,7 +405,49 @@
                      .Limit = Board.Servers.feedbackOf(server).limit(now),
                      .Cold = Board.Servers.coldStartOf(now, server),
                      .Demand = demandOf(request),
-                     .WasDisplaced = wasDisplaced(request)}});
+                     .WasDisplaced = wasDisplaced(request),
+                     .Waited = waited}});
+}
+
+void AttemptController::askForLiveVersion(TimePoint now,
+                                          ForwardRequest &request) {
+  const ForwardAttempt former = *request.Attempt;
+  const VersionNumber version = request.Adapter.Version;
+  endAttempt(now, request, ServerOutcome::Declined, ReleaseKind::NotRun);
+  useLiveVersion(request);
+  recordEvent(now, "version_superseded", request,
+              "version " + std::to_string(version) + " by " +
+                  std::to_string(request.Adapter.Version) + ", agent " +
+                  former.Agent.str());
+  // They concern the superseded version.
+  std::erase_if(request.Tried, [](const TriedHost &it) {
+    return isConditionalRefusal(it.Reason);
+  });
+  const auto agent = Board.Servers.agents().find(former.Agent);
+  const bool waitsThere = former.AgentAnswered &&
+                          agent != Board.Servers.agents().end() &&
+                          !agent->second.Record.Leaving;
+  if (!waitsThere)
+    return next(now, request);
+  const Route same{.Host = former.Agent,
+                   .Reason = former.Choice,
+                   .ShapeEngines = former.ShapeEngines};
+  askAgent(now, request, same, former.Waited + (now - former.StartedAt));
+}
+
+void AttemptController::onVersionsChanged(TimePoint now) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto &[attempt, key] : Board.Attempts) {
+    const ForwardRequest &it = Board.Requests.at(key);
+    if (!it.Attempt->Sent && Board.isSuperseded(it))
+      waiting.push_back(key);
+  }
+  // The agents keep those that are equal in the order in which they ask.
+  std::ranges::sort(waiting, {}, [&](std::uint64_t key) {
+    return Board.Requests.at(key).Attempt->Id.Sequence;
+  });
+  for (const std::uint64_t key : waiting)
+    askForLiveVersion(now, Board.Requests.at(key));
 }
 
 std::string AttemptController::fetchSource(TimePoint now,
@@ -417,9 +460,6 @@
           .chooseSource(request.Tried, cachedTokens, request.Attempt->Weights);
   if (!source)
     return {};
-  // Engines replace a superseded version, and then cache parts of the new one.
-  if (Board.liveVersion(request.Adapter.Adapter) != request.Adapter.Version)
-    return {};
   // The engine may have gone, or its zone may have been evacuated, since its
   // agent refused the request. Engines of other software may lay out what they
   // cache in another way.
@@ -531,6 +571,8 @@
   request->Attempt->UncachedTokens = message.UncachedTokens;
   request->Attempt->Weights = message.Weights;
   Routing.learn(request->Adapter, agent, true);
+  if (Board.isSuperseded(*request))
+    return askForLiveVersion(now, *request);
   ServerView *server = Board.Servers.serverOfAgent(agent);
   const bool backingOff =
       server &&
--- a/packages/forward/pimentofront/src/Forward/AttemptController.h
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.h
@@ -44,6 +44,9 @@
   /// The set of evacuated zones has changed: requests that wait for agents in
   /// an evacuated zone are sent elsewhere.
   void onZonesChanged(TimePoint now);
+  /// The configuration has changed: requests that wait at agents for a
+  /// superseded version of their adapter ask again for the live one.
+  void onVersionsChanged(TimePoint now);
   /// The agent of the current attempt hasn't answered in time, or the link to
   /// it is lost: tries another one.
   void skipAgent(TimePoint now, ForwardRequest &request);
@@ -97,8 +100,8 @@
   }
 
 private:
-  /// The version of its adapter that was live when the request arrived, or was
-  /// sent last, may have been superseded since.
+  /// The version of its adapter that was live when the request arrived, or
+  /// before it waited, may have been superseded since.
   void useLiveVersion(ForwardRequest &request) const;
   /// \returns whether the software version that may run the request is known,
   /// or none is needed. If not, the request waits or is given up.
@@ -128,7 +131,13 @@
   bool mayMissEvacuation(TimePoint now) const;
   /// The host of an agent may be gone, and the engine with it.
   void markSuspected(TimePoint now, const HostName &agent);
-  void askAgent(TimePoint now, ForwardRequest &request, const Route &route);
+  /// \param waited how long the request has waited at this agent before.
+  void askAgent(TimePoint now, ForwardRequest &request, const Route &route,
+                Duration waited = Duration::zero());
+  /// The version that the request waits for at an agent is superseded: asks the
+  /// same agent for the live one if it is waiting there, and any agent if it
+  /// isn't.
+  void askForLiveVersion(TimePoint now, ForwardRequest &request);
   void send(TimePoint now, ForwardRequest &request, ServerView &server);
   /// \returns the address of the engine from which the request's engine fetches
   /// cached prompt parts; empty for none.
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -218,6 +218,9 @@
   std::uint32_t ShapeEngines = 0;
   /// The agent has answered.
   bool AgentAnswered = false;
+  /// How long the request waited at this agent before, for a version of its
+  /// adapter that was superseded meanwhile.
+  Duration Waited = Duration::zero();
   /// Longest time for which this process was stalled since it asked the agent.
   Duration LongestStall = Duration::zero();
   ServerProcess Server;
@@ -539,6 +542,12 @@
           highest = std::max(highest, it.Number);
     return highest;
   }
+  /// \returns whether another version of the request's adapter is live than the
+  /// one that it has asked for.
+  bool isSuperseded(const ForwardRequest &request) const {
+    return !request.Adapter.Adapter.empty() &&
+           liveVersion(request.Adapter.Adapter) != request.Adapter.Version;
+  }
   /// \returns whether the copy of the configuration was confirmed less than
   /// \p bound ago.
   bool confirmedWithin(TimePoint now, Duration bound) const {
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -347,6 +347,9 @@
   for (const std::uint64_t key : unanswered)
     Attempts.giveUp(now, Board.Requests.at(key),
                     ForwardFailure::AllotmentUndecided);
+  if (std::exchange(KnownRevision, Board.Configuration.revision()) !=
+      Board.Configuration.revision())
+    Attempts.onVersionsChanged(now);
   resume(now, Origins.takeOverdue(now));
   retryDeferred(now);
   Attempts.serveWaiting(now);
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -139,6 +139,8 @@
   ContentHasher Hasher;
   AttemptController Attempts;
   AnswerController Answers;
+  /// Revision of the configuration at the last tick().
+  Revision KnownRevision = 0;
 };
 
 } // namespace pimentofront
--- a/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
+++ b/packages/serving/pimentofront/src/Serving/AdmissionController.cpp
@@ -290,7 +290,7 @@
   WaitingAttempt attempt{
       .Request = request,
       .Entry = entry,
-      .ArrivedAt = now,
+      .ArrivedAt = now - request.Waited,
       .Deadline = now + request.Remaining,
       .NeededLoad = !Board.Slots.isReady(request.Key),
       .ReadingTokens = request.Parts.empty()
--- a/packages/serving/pimentofront/src/Serving/EntryBoard.h
+++ b/packages/serving/pimentofront/src/Serving/EntryBoard.h
@@ -103,6 +103,8 @@
   virtual ~ConfigurationView() = default;
   virtual std::optional<AdapterRecord>
   findAdapter(const AdapterName &name) const = 0;
+  /// \returns the revision of this copy, which changes with every record.
+  virtual Revision revision() const = 0;
   virtual const KindRecord *findKind(const KindName &name) const = 0;
   virtual bool isDrained(const HostName &host) const = 0;
   /// \returns whether an operator has evacuated the zone.
--- a/packages/state/pimentofront/src/State/ConfigurationCopy.h
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.h
@@ -41,7 +41,7 @@
   /// \returns whether hosts or zones were taken out of use or put back in use.
   bool apply(const ConfigurationUpdate &update);
 
-  Revision revision() const { return Records.revision(); }
+  Revision revision() const override { return Records.revision(); }
   const Configuration &records() const { return Records; }
   /// \returns how long isConfirmed() stays true without a further confirmation.
   Duration remainingLease(TimePoint now) const;
--- a/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
+++ b/packages/testkit/pimentofront/src/Testkit/TestHeaderCodec.h
@@ -14,11 +14,11 @@
 /// the prompt's parts, separated by commas) and "key"; one that resumes a
 /// stream has "last-event" and "resumes", the id of the attempt that brought
 /// the stream's first event. A request that is forwarded to a server gets
-/// "server", "account", "priority", "fetch" and "last" (the last event that the
-/// caller has). An answer has "id", "stamp", "not-run", "load" (running and
-/// waiting requests, separated by a comma), "limit" (requests a second), "rest"
-/// (a backoff in seconds) and "leaving". A refusal has "come-back"
-/// (retry-after, in microseconds).
+/// "server", "account", "version" (of its adapter), "priority", "fetch" and
+/// "last" (the last event that the caller has). An answer has "id", "stamp",
+/// "not-run", "load" (running and waiting requests, separated by a comma),
+/// "limit" (requests a second), "rest" (a backoff in seconds) and "leaving". A
+/// refusal has "come-back" (retry-after, in microseconds).
 class TestHeaderCodec : public HeaderCodec {
 public:
   RequestTraits decodeRequest(const RequestHead &head) const override {
@@ -69,6 +69,8 @@
       result.Headers.push_back({"fetch", traits.FetchFrom});
     if (!traits.Account.empty())
       result.Headers.push_back({"account", traits.Account.str()});
+    if (traits.Version != 0)
+      result.Headers.push_back({"version", std::to_string(traits.Version)});
     if (traits.Priority)
       result.Headers.push_back({"priority", std::to_string(*traits.Priority)});
     if (traits.LastEventId)
--- a/packages/wire/pimentofront/src/Wire/AttemptMessages.h
+++ b/packages/wire/pimentofront/src/Wire/AttemptMessages.h
@@ -157,13 +157,17 @@
   RequestDemand Demand;
   /// Another agent displaced the request before; it isn't displaced again.
   bool WasDisplaced = false;
+  /// How long the request has waited at this agent for a version of its adapter
+  /// that was superseded meanwhile; it keeps its place.
+  Duration Waited = Duration::zero();
   /// \returns that process.
   ServerProcess server() const { return {Server, ServerStartedAt}; }
   PIMENTOFRONT_FIELDS(ExecuteRequest, Attempt, Request, Caller, Kind, Weight,
                       Remaining, Key, BaseModel, Source, Prompt, ResumeText,
                       MaxTokens, Service, Method, Payload, OnlyIfResident,
                       Delegated, Parts, FirstEventWithin, FirstEventDue, Server,
-                      ServerStartedAt, Limit, Cold, Demand, WasDisplaced)
+                      ServerStartedAt, Limit, Cold, Demand, WasDisplaced,
+                      Waited)
 };
 
 /// Agent to entry: the engine has a place for the request, send it now. The
--- a/test/EntryTest.cpp
+++ b/test/EntryTest.cpp
@@ -24,6 +24,7 @@
   const KindRecord *findKind(const KindName &name) const override {
     return name == Kind.Name ? &Kind : nullptr;
   }
+  Revision revision() const override { return At; }
   bool isDrained(const HostName &) const override { return false; }
   bool isEvacuated(const ZoneName &zone) const override {
     return Evacuated.contains(zone);
@@ -35,6 +36,7 @@
 
   KindRecord Kind{.Name = KindName("usual"), .Window = 30s, .CallerLimit = 3};
   std::set<ZoneName> Evacuated;
+  Revision At = 1;
   bool Confirmed = true;
   std::optional<Duration> Age = Duration::zero();
 };
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -22,6 +22,7 @@
   const KindRecord *findKind(const KindName &) const override {
     return nullptr;
   }
+  Revision revision() const override { return At; }
   bool isDrained(const HostName &) const override { return false; }
   bool isEvacuated(const ZoneName &zone) const override {
     return Evacuated.contains(zone);
@@ -30,7 +31,13 @@
   std::optional<Duration> confirmationAge(TimePoint) const override {
     return Age;
   }
+  /// Names a version that is live from now on.
+  void name(VersionNumber version) {
+    Named = version;
+    ++At;
+  }
   VersionNumber Named = 0;
+  Revision At = 1;
   std::set<ZoneName> Evacuated;
   bool Confirmed = true;
   std::optional<Duration> Age = Duration::zero();
--- a/test/PromptWeightsTest.cpp
+++ b/test/PromptWeightsTest.cpp
@@ -130,7 +130,23 @@
   it.refuseBusy(asked, PromptTokens, superseded);
   SECTION("since the request was resolved") {
     it.Configuration.Named = 4;
-    CHECK(it.fetchOf(it.permit(superseded)).empty());
+    const auto second = it.only<SendToAgent>();
+    it.Controller.attempts().onPermit(
+        Now, second.Host,
+        {.Attempt = std::get<ExecuteRequest>(second.Content).Attempt,
+         .Weights = superseded});
+    // The permit is returned, and the new version asked for.
+    CHECK(it.take<SendUpstream>().empty());
+    const auto again = it.take<SendToAgent>();
+    REQUIRE(again.size() == 2);
+    CHECK(std::get<AttemptReleased>(again[0].Content).Kind ==
+          ReleaseKind::NotRun);
+    const auto execute = std::get<ExecuteRequest>(again[1].Content);
+    CHECK(execute.Key.Version == 4);
+    it.Controller.attempts().onPermit(
+        Now, again[1].Host,
+        {.Attempt = execute.Attempt, .Weights = superseded});
+    CHECK(it.fetchOf(it.only<SendUpstream>()).empty());
   }
   SECTION("not at all") {
     CHECK_FALSE(it.fetchOf(it.permit(superseded)).empty());
