A learner has its vote before an absent voter loses its own

Cause: a silent voter lost its vote first. If another voter ended for good before that was committed, the leader alone had the entry: it needed the one that was gone, and the absent voter, back again, needed the leader, whose log was ahead. Neither could be elected.

Change: the vote is given first, also for a silent voter, if the majority of the larger group replies; a voter that was only away can then still help. Only a lost disk, which never can, loses its vote first.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -238,16 +238,28 @@
       votersIn(learner->Zone, 0) + 1 >=
           votersIn(findReplica(former.Id)->Zone, 0))
     return false;
-  // A voter that takes part keeps its vote until the learner has one, so that
-  // the group bears a loss in between. One that doesn't loses its vote first:
-  // with it the group would need the replies of all others.
-  if (former.Why >= ReplaceReason::Silent)
+  // A voter that may come back keeps its vote until the learner has one: the
+  // group bears a loss in between, and if the leader ends, the voter can still
+  // help to elect another one. A lost disk never can.
+  if (former.Why == ReplaceReason::DiskLost)
     proposeLossOfVote(now, wallMilliseconds, former);
-  else
+  else if (canCommitWith(now, *learner))
     proposeVote(now, wallMilliseconds, learner->Id);
+  else
+    return false;
   return true;
 }
 
+bool ReplicatedLog::canCommitWith(TimePoint now,
+                                  const ReplicaDescriptor &learner) const {
+  const auto replying =
+      std::ranges::count_if(Group.Replicas, [&](const auto &it) {
+        return it.Id == learner.Id ||
+               (!it.Learner && (it.Id == Id || takesPart(now, it.Id)));
+      });
+  return static_cast<std::size_t>(replying) >= (voterCount() + 1) / 2 + 1;
+}
+
 void ReplicatedLog::proposeVote(TimePoint now, std::uint64_t wallMilliseconds,
                                 ReplicaId id) {
   ReplicaGroup group = Group;
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -297,6 +297,8 @@
   /// \returns the learner to promote in place of \p former, or null: the one
   /// whose zone has the fewest voters.
   const ReplicaDescriptor *bestLearner(TimePoint now, ReplicaId former) const;
+  /// \returns whether the group could commit with \p learner as a voter, too.
+  bool canCommitWith(TimePoint now, const ReplicaDescriptor &learner) const;
   void proposeNextGroupChange(TimePoint now, std::uint64_t wallMilliseconds);
   /// Each of these proposes one change if it is due.
   /// \returns whether it has proposed one.
