--- a/platform/src/JsonFields.h
+++ b/packages/base/pimentofront/src/Base/JsonFields.h
@@ -1,5 +1,5 @@
-#ifndef PIMENTOFRONT_PLATFORM_JSON_FIELDS_H
-#define PIMENTOFRONT_PLATFORM_JSON_FIELDS_H
+#ifndef PIMENTOFRONT_BASE_JSON_FIELDS_H
+#define PIMENTOFRONT_BASE_JSON_FIELDS_H
 
 #include "pimentofront/Base.h"
 
@@ -7,11 +7,13 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
-namespace pimentofront::platform {
+namespace pimentofront {
 
 /// \class JsonFields
-/// \brief Typed access to one JSON object. Faults are added to the findings
-/// with their location. Unknown keys are ignored: the platform may add some.
+/// \ingroup Base
+/// \brief Typed access to one JSON object of another system. Faults are added
+/// to the findings with their location. Unknown keys are ignored: a newer
+/// release of the other system may add some.
 class JsonFields {
 public:
   JsonFields(const nlohmann::json &json, std::string path, Findings &findings)
@@ -68,10 +70,9 @@
     return static_cast<std::uint32_t>(
         integer(key, std::numeric_limits<std::uint32_t>::max()));
   }
-  /// \returns when the sending process started, in milliseconds since 1970,
-  /// from `born`; 0 if it is missing.
-  std::uint64_t processStart() const {
-    return has("born") ? integer("born") : 0;
+  /// \returns 0 if the key is missing.
+  std::uint64_t optionalInteger(const char *key) const {
+    return has(key) ? integer(key) : 0;
   }
   /// \returns false if the flag is missing.
   bool flag(const char *key) const {
@@ -130,6 +131,6 @@
   Findings &Faults;
 };
 
-} // namespace pimentofront::platform
+} // namespace pimentofront
 
 #endif
