An absent voter loses its vote first again, if the rest replies

So the vote is taken first again, now only if the rest of the voters has replied within two heartbeats, so that it can commit at once. Neither order is without a gap; joint consensus is the next step.

--- a/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
+++ b/packages/consensus/pimentofront/src/Consensus/GroupChange.cpp
@@ -238,26 +238,28 @@
       votersIn(learner->Zone, 0) + 1 >=
           votersIn(findReplica(former.Id)->Zone, 0))
     return false;
-  // A voter that may come back keeps its vote until the learner has one: the
-  // group bears a loss in between, and if the leader ends, the voter can still
-  // help to elect another one. A lost disk never can.
-  if (former.Why == ReplaceReason::DiskLost)
-    proposeLossOfVote(now, wallMilliseconds, former);
-  else if (canCommitWith(now, *learner))
+  // A voter that takes part keeps its vote until the learner has one, so that
+  // the group bears a loss in between. One that doesn't loses its vote first:
+  // with it the group would need the replies of all others.
+  if (former.Why < ReplaceReason::Silent)
     proposeVote(now, wallMilliseconds, learner->Id);
+  else if (former.Why == ReplaceReason::DiskLost ||
+           canCommitWithout(now, former.Id))
+    proposeLossOfVote(now, wallMilliseconds, former);
   else
     return false;
   return true;
 }
 
-bool ReplicatedLog::canCommitWith(TimePoint now,
-                                  const ReplicaDescriptor &learner) const {
+bool ReplicatedLog::canCommitWithout(TimePoint now, ReplicaId former) const {
   const auto replying =
       std::ranges::count_if(Group.Replicas, [&](const auto &it) {
-        return it.Id == learner.Id ||
-               (!it.Learner && (it.Id == Id || takesPart(now, it.Id)));
+        const bool replies =
+            takesPart(now, it.Id) &&
+            silenceOf(now, it.Id) < 2 * Options.HeartbeatPeriod;
+        return !it.Learner && it.Id != former && (it.Id == Id || replies);
       });
-  return static_cast<std::size_t>(replying) >= (voterCount() + 1) / 2 + 1;
+  return static_cast<std::size_t>(replying) >= (voterCount() - 1) / 2 + 1;
 }
 
 void ReplicatedLog::proposeVote(TimePoint now, std::uint64_t wallMilliseconds,
--- a/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
+++ b/packages/consensus/pimentofront/src/Consensus/ReplicatedLog.h
@@ -297,8 +297,9 @@
   /// \returns the learner to promote in place of \p former, or null: the one
   /// whose zone has the fewest voters.
   const ReplicaDescriptor *bestLearner(TimePoint now, ReplicaId former) const;
-  /// \returns whether the group could commit with \p learner as a voter, too.
-  bool canCommitWith(TimePoint now, const ReplicaDescriptor &learner) const;
+  /// \returns whether the group could commit at once if \p former were no
+  /// voter: until it has committed that, a second loss would stop it.
+  bool canCommitWithout(TimePoint now, ReplicaId former) const;
   void proposeNextGroupChange(TimePoint now, std::uint64_t wallMilliseconds);
   /// Each of these proposes one change if it is due.
   /// \returns whether it has proposed one.
