--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -84,7 +84,8 @@
   if (Options.IsForward)
     ForwardConnections = std::make_unique<ForwardIo>(
         Loop, *HostPort::parse(Options.ForwardAddress),
-        Options.Forward.Forward.Bytes.Limit / ReceivingPart, *Log, Counters);
+        Options.Forward.Forward.Bytes.Limit / ReceivingPart, Options.Responses,
+        *Log, Counters);
 }
 
 void Daemon::createReplica(TimePoint now) {
--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -3,11 +3,12 @@
 namespace pimentofront {
 
 ForwardIo::ForwardIo(EventLoop &loop, const HostPort &listen,
-                     std::size_t receiveLimit, EventLog &log, Metrics &metrics)
+                     std::size_t receiveLimit, const ResponseLimits &responses,
+                     EventLog &log, Metrics &metrics)
     : Loop(loop), Log(log), Counters(metrics),
       Callers(loop, {.Address = listen, .MaxReceivingBytes = receiveLimit},
               *this),
-      Servers(loop, {}, *this), Probe(loop) {}
+      Servers(loop, {.Response = responses}, *this), Probe(loop) {}
 
 void ForwardIo::onRequest(CallerKey key, RequestHead head, std::string body,
                           const ContentHash &bodyHash) {
@@ -38,6 +39,16 @@
   Node->upstreamEnd(Loop.now(), attempt, ending);
 }
 
+void ForwardIo::onExcess(const ServerProcess &server, ResponseExcess excess,
+                         std::size_t bytes) {
+  const char *limit = responseExcessName(excess);
+  Counters.recordExcessiveResponse(limit);
+  Log.write(LogLevel::Warn, "response_excessive",
+            {{"server", server.Name.str()},
+             {"limit", limit},
+             {"bytes", std::uint64_t(bytes)}});
+}
+
 void ForwardIo::onCommand(ForwardCommand command) {
   if (const auto *piece = std::get_if<ReplyPiece>(&command))
     Callers.replyPiece(piece->Key, piece->Bytes);
--- a/packages/daemon/src/ForwardIo.h
+++ b/packages/daemon/src/ForwardIo.h
@@ -19,7 +19,7 @@
   /// \param receiveLimit bound on the bytes of unfinished requests; 0 sets
   /// none.
   ForwardIo(EventLoop &loop, const HostPort &listen, std::size_t receiveLimit,
-            EventLog &log, Metrics &metrics);
+            const ResponseLimits &responses, EventLog &log, Metrics &metrics);
 
   /// Sets the node that gets the events; must be called before the loop runs.
   void setNode(ForwardNode &node) { Node = &node; }
@@ -40,6 +40,8 @@
   HeadDecision onHead(const AttemptId &attempt, ResponseHead head) override;
   void onBody(const AttemptId &attempt, std::string_view bytes) override;
   void onEnd(const AttemptId &attempt, UpstreamEnding ending) override;
+  void onExcess(const ServerProcess &server, ResponseExcess excess,
+                std::size_t bytes) override;
 
   void onCommand(ForwardCommand command) override;
   void onEvent(const ForwardEvent &event) override;
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -113,6 +113,12 @@
           .Help("Ends of attempts at backend servers, by service, by whether "
                 "the answer counts as whole, and by the evidence")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &ExcessiveResponses =
+      prometheus::BuildCounter()
+          .Name("pimentofront_excessive_responses_total")
+          .Help("Connections to servers that were closed since the response "
+                "exceeded a limit, by limit")
+          .Register(Registry);
   prometheus::Family<prometheus::Histogram> &EndWaits =
       prometheus::BuildHistogram()
           .Name("pimentofront_answer_end_wait_seconds")
@@ -256,6 +262,10 @@
         .Observe(toSeconds(event.Took));
 }
 
+void Metrics::recordExcessiveResponse(const char *limit) {
+  State->ExcessiveResponses.Add({{"limit", limit}}).Increment();
+}
+
 void Metrics::recordAgentEvent(const AgentEvent &event) {
   const std::string urgency = urgencyLabel(event.Urgency);
   State->QueueOutcomes
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -87,6 +87,9 @@
   void recordForwardEvent(const ForwardEvent &event);
   /// Records a decision of the agent on a request.
   void recordAgentEvent(const AgentEvent &event);
+  /// Records that a connection to a server was closed since its response
+  /// exceeded \p limit.
+  void recordExcessiveResponse(const char *limit);
   void set(const Gauges &gauges);
   /// \returns all metrics in the Prometheus text format.
   std::string text() const;
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -58,6 +58,31 @@
   forward.ServerBytes = server * Mebibyte;
 }
 
+/// Limits on what is read from a backend server for one request.
+void readResponseLimits(SettingsReader &reader, Settings &settings) {
+  constexpr std::uint64_t Kibibyte = 1 << 10;
+  constexpr std::uint64_t Mebibyte = 1 << 20;
+  constexpr std::uint64_t MaxKibibytes = 1 << 20;
+  constexpr std::uint64_t MaxMebibytes = 1 << 20;
+  ResponseLimits &limits = settings.Responses;
+  limits.MaxHeadBytes =
+      reader.integer("answer_head_kb", limits.MaxHeadBytes / Kibibyte, 1,
+                     MaxKibibytes) *
+      Kibibyte;
+  limits.MaxHeadTime =
+      reader.milliseconds("answer_head_ms", limits.MaxHeadTime);
+  limits.MaxBodyBytes =
+      reader.integer("answer_mb", limits.MaxBodyBytes / Mebibyte, 1,
+                     MaxMebibytes) *
+      Mebibyte;
+  limits.MaxUnusedBytes =
+      reader.integer("unused_answer_kb", limits.MaxUnusedBytes / Kibibyte, 1,
+                     MaxKibibytes) *
+      Kibibyte;
+  limits.MaxUnusedTime =
+      reader.milliseconds("unused_answer_ms", limits.MaxUnusedTime);
+}
+
 void readForward(SettingsReader reader, Settings &settings) {
   ForwardOptions &forward = settings.Forward.Forward;
   settings.ForwardAddress = reader.address("listen", true);
@@ -90,6 +115,7 @@
   forward.Servers.ZonePreference =
       reader.real("zone_preference", forward.Servers.ZonePreference, 0, 1000);
   readBounds(reader, forward);
+  readResponseLimits(reader, settings);
   reader.reportUnreadKeys();
 }
 
--- a/packages/daemon/src/Settings.h
+++ b/packages/daemon/src/Settings.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_DAEMON_SETTINGS_H
 #define PIMENTOFRONT_DAEMON_SETTINGS_H
 
+#include "pimentofront/Http.h"
 #include "pimentofront/Node.h"
 
 namespace pimentofront {
@@ -44,6 +45,7 @@
   /// Address on which the process accepts requests to be forwarded unchanged.
   std::string ForwardAddress;
   ForwardNodeOptions Forward;
+  ResponseLimits Responses;
   PrefixRoutingOptions Prefix;
 
   AgentNodeOptions Agent;
--- a/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerEnd.cpp
@@ -36,7 +36,7 @@
 
 const char *upstreamEndingName(UpstreamEnding ending) {
   constexpr const char *Names[] = {"complete", "not_sent", "broke_off",
-                                   "rejected", "closed"};
+                                   "rejected", "closed",   "excessive"};
   return Names[static_cast<std::size_t>(ending)];
 }
 
@@ -50,13 +50,15 @@
       "framing",       "connection",      "server_running",
       "server_exited", "server_replaced", "server_unreachable",
       "inside_event",  "no_event",        "failure_in_stream",
-      "no_answer",     "server_silent"};
+      "no_answer",     "server_silent",   "excess"};
   return Names[static_cast<std::size_t>(evidence)];
 }
 
 std::optional<AnswerEnd> judgeEnd(const EndedAttempt &attempt) {
   if (attempt.Ending == UpstreamEnding::NotSent)
     return AnswerEnd{EndVerdict::NotRun, EndEvidence::Connection};
+  if (attempt.Ending == UpstreamEnding::Excessive)
+    return AnswerEnd{EndVerdict::BrokenOff, EndEvidence::Excess};
   const bool ended = attempt.Ending == UpstreamEnding::Complete ||
                      attempt.Ending == UpstreamEnding::Closed;
   if (!ended || !attempt.HasHead)
--- a/packages/forward/pimentofront/src/Forward/AnswerEnd.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerEnd.h
@@ -21,6 +21,9 @@
   /// The answer had neither a length nor chunks and ended with an orderly
   /// close, which also ends the answers of a process that exits.
   Closed,
+  /// The server sent more bytes than a response may have, or took longer than
+  /// it may take. The entry has closed the connection.
+  Excessive,
 };
 
 /// \returns the name of \p ending in logs.
@@ -76,6 +79,8 @@
   NoAnswer,
   /// The server's host is suspected to be gone, and the server sends nothing.
   ServerSilent,
+  /// The server sent more bytes than an answer may have, or too slowly.
+  Excess,
 };
 /// \returns the name of \p evidence in logs and metrics.
 const char *endEvidenceName(EndEvidence evidence);
--- a/packages/http/pimentofront/Http.h
+++ b/packages/http/pimentofront/Http.h
@@ -19,6 +19,7 @@
 #include "src/Http/HttpWriter.h"
 #include "src/Http/ReceiveGate.h"
 #include "src/Http/CallerListener.h"
+#include "src/Http/ResponseMeter.h"
 #include "src/Http/UpstreamPool.h"
 #include "src/Http/ConnectProbe.h"
 // clang-format on
--- a/packages/http/pimentofront/src/Http/HttpParser.cpp
+++ b/packages/http/pimentofront/src/Http/HttpParser.cpp
@@ -154,9 +154,10 @@
     self.InMessage = false;
     // Stop after each message: the next one may belong to another request.
     http_parser_pause(parser, 1);
-    if (!self.Interim)
+    if (std::exchange(self.Interim, false))
+      self.Handler.onInterimEnd();
+    else
       self.Handler.onMessageEnd();
-    self.Interim = false;
     return 0;
   }
 
--- a/packages/http/pimentofront/src/Http/HttpParser.h
+++ b/packages/http/pimentofront/src/Http/HttpParser.h
@@ -35,6 +35,8 @@
   /// \returns false to skip the body of this message.
   virtual bool onRequestHead(RequestHead) { return true; }
   virtual bool onResponseHead(ResponseHead) { return true; }
+  /// An interim response has ended; another response follows.
+  virtual void onInterimEnd() {}
   virtual void onBody(std::string_view bytes) = 0;
   virtual void onMessageEnd() = 0;
 };
--- a/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -42,8 +42,9 @@
                                  std::string address)
     : Owner(owner), Id(id), Address(std::move(address)),
       Parser(HttpMessageKind::Responses,
-             {.MaxHeadBytes = owner.Options.MaxResponseHeadBytes}, *this),
-      OpenedAt(owner.Loop.now()), KeepAlive(owner.Options.DefaultKeepAlive) {
+             {.MaxHeadBytes = owner.Options.Response.MaxHeadBytes}, *this),
+      Meter(owner.Options.Response), OpenedAt(owner.Loop.now()),
+      KeepAlive(owner.Options.DefaultKeepAlive) {
   const std::optional<HostPort> parsed = HostPort::parse(Address);
   const int fd =
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -64,6 +65,8 @@
   BelongsToAttempt = false;
   Ignored = false;
   ResponseComplete = false;
+  InBody = false;
+  Meter.begin();
   Parser.expectResponseTo(request.Head.Method);
   const std::string head = writeRequestHead(request.Head, request.Body->size());
   evbuffer *output = bufferevent_get_output(Bev);
@@ -73,6 +76,7 @@
 
 void UpstreamChannel::ignore() {
   Ignored = true;
+  Meter.ignore(Owner.Loop.now());
   pause(false);
 }
 
@@ -99,10 +103,12 @@
     const std::size_t n = evbuffer_get_contiguous_space(input);
     const auto *bytes = reinterpret_cast<const char *>(
         evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
-    const std::size_t used = Parser.feed({bytes, n});
+    const std::size_t used = feed({bytes, n});
     evbuffer_drain(input, used);
     if (Parser.fault() != HttpFault::None)
       return failAttempt(UpstreamEnding::BrokeOff);
+    if (!Ended && !ResponseComplete)
+      enforceLimits(Owner.Loop.now());
     if (used == 0)
       break;
   }
@@ -110,13 +116,33 @@
     finishResponse(UpstreamEnding::Complete);
 }
 
+std::size_t UpstreamChannel::feed(std::string_view bytes) {
+  const bool body = InBody;
+  const std::size_t used = Parser.feed(bytes);
+  if (body)
+    Meter.recordBodyBytes(used);
+  else if (!InBody)
+    Meter.recordHeadBytes(Owner.Loop.now(), used);
+  return used;
+}
+
+void UpstreamChannel::enforceLimits(TimePoint now) {
+  const std::optional<ResponseExcess> excess = Meter.excess(now);
+  if (!excess)
+    return;
+  Owner.Handler.onExcess(Server, *excess, Meter.totalBytes());
+  failAttempt(UpstreamEnding::Excessive);
+}
+
 bool UpstreamChannel::onResponseHead(ResponseHead head) {
+  InBody = true;
   readKeepAlive(head.Headers);
   BelongsToAttempt = true;
   if (Ignored)
     return false;
   BelongsToAttempt =
       Owner.Handler.onHead(*Attempt, std::move(head)) == HeadDecision::Take;
+  Meter.recordHead(Owner.Loop.now(), BelongsToAttempt);
   return BelongsToAttempt;
 }
 
@@ -125,7 +151,12 @@
     Owner.Handler.onBody(*Attempt, bytes);
 }
 
-void UpstreamChannel::onMessageEnd() { ResponseComplete = BelongsToAttempt; }
+void UpstreamChannel::onMessageEnd() {
+  InBody = false;
+  ResponseComplete = BelongsToAttempt;
+  if (!BelongsToAttempt)
+    Meter.recordUnusedEnd();
+}
 
 void UpstreamChannel::readKeepAlive(const HttpHeaders &headers) {
   const std::string *value = findHeader(headers, "keep-alive");
@@ -193,10 +224,14 @@
 }
 
 void UpstreamChannel::checkTime(TimePoint now) {
+  if (Ended)
+    return;
   if (!Connected && now >= OpenedAt + Owner.Options.ConnectTimeout)
     return failAttempt(UpstreamEnding::NotSent);
   if (!Attempt && now >= ReusableUntil)
-    end();
+    return end();
+  if (Attempt)
+    enforceLimits(now);
 }
 
 void UpstreamChannel::end() {
--- a/packages/http/pimentofront/src/Http/UpstreamPool.h
+++ b/packages/http/pimentofront/src/Http/UpstreamPool.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_HTTP_UPSTREAM_POOL_H
 
 #include "HttpWriter.h"
+#include "ResponseMeter.h"
 
 #include <map>
 #include <unordered_map>
@@ -17,6 +18,11 @@
   virtual HeadDecision onHead(const AttemptId &attempt, ResponseHead head) = 0;
   virtual void onBody(const AttemptId &attempt, std::string_view bytes) = 0;
   virtual void onEnd(const AttemptId &attempt, UpstreamEnding ending) = 0;
+  /// The connection to \p server is closed after \p bytes of a response that
+  /// exceeds a limit. Unless the attempt is ignored, onEnd() follows with
+  /// UpstreamEnding::Excessive.
+  virtual void onExcess(const ServerProcess &, ResponseExcess,
+                        std::size_t /*bytes*/) {}
 };
 
 /// \class UpstreamPoolOptions
@@ -38,7 +44,7 @@
   /// rejected: some round trips between zones, less than a server takes to
   /// process a request.
   Duration RejectedWithin = std::chrono::milliseconds(20);
-  std::size_t MaxResponseHeadBytes = std::size_t(64) << 10;
+  ResponseLimits Response;
 };
 
 namespace detail {
@@ -67,7 +73,7 @@
   /// Closes the connection, which makes the server stop.
   void cancel(const AttemptId &attempt);
   /// Reads the response to its end without reporting it, so that the connection
-  /// can be reused.
+  /// can be reused, or closes the connection if that exceeds a limit.
   void ignore(const AttemptId &attempt);
   /// Stops reading the response, or goes on reading it. A connection that isn't
   /// read doesn't show that its server has closed it.
--- a/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
@@ -28,6 +28,7 @@
 
   bool onResponseHead(ResponseHead head) override;
   void onBody(std::string_view bytes) override;
+  void onInterimEnd() override { Meter.recordInterimEnd(); }
   void onMessageEnd() override;
 
   const std::string &address() const { return Address; }
@@ -42,6 +43,10 @@
   void parse();
   void finishResponse(UpstreamEnding ending);
   void failAttempt(UpstreamEnding ending);
+  /// Parses \p bytes. \returns the number of bytes consumed.
+  std::size_t feed(std::string_view bytes);
+  /// Closes the connection if the response exceeds a limit.
+  void enforceLimits(TimePoint now);
   /// \returns how an attempt ended whose connection closed before the complete
   /// response.
   UpstreamEnding endingOnClose() const;
@@ -53,6 +58,7 @@
   ServerProcess Server;
   bufferevent *Bev;
   HttpParser Parser;
+  ResponseMeter Meter;
   std::optional<AttemptId> Attempt;
   bool Connected = false;
   TimePoint OpenedAt;
@@ -62,6 +68,8 @@
   /// The response that is being read belongs to the request in progress. Any
   /// other response is skipped.
   bool BelongsToAttempt = false;
+  /// The head of a final response is complete, and the response hasn't ended.
+  bool InBody = false;
   bool Ignored = false;
   /// The complete response has been read.
   bool ResponseComplete = false;
