--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -81,6 +81,11 @@
       Kibibyte;
   limits.MaxUnusedTime =
       reader.milliseconds("unused_answer_ms", limits.MaxUnusedTime);
+  ForwardOptions &forward = settings.Forward.Forward;
+  forward.MaxEventBytes =
+      reader.integer("event_kb", forward.MaxEventBytes / Kibibyte, 1,
+                     MaxKibibytes) *
+      Kibibyte;
 }
 
 void readForward(SettingsReader reader, Settings &settings) {
--- a/packages/forward/pimentofront/src/Forward/AnswerController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.cpp
@@ -109,8 +109,19 @@
 void AnswerController::onStreamBytes(TimePoint now, ForwardRequest &request,
                                      std::string_view bytes) {
   std::string events = request.Events.feed(bytes);
-  if (events.empty())
+  if (!events.empty())
+    passOn(now, request, std::move(events));
+  const std::size_t incomplete = request.Events.partial().size();
+  if (incomplete <= Board.Options.MaxEventBytes)
     return;
+  Attempts.recordEvent(now, "event_too_long", request,
+                       std::to_string(incomplete) + " bytes without an end");
+  Board.Commands.push_back(CancelUpstream{request.Attempt->Id});
+  brokeOff(now, request, {EndVerdict::BrokenOff, EndEvidence::Excess});
+}
+
+void AnswerController::passOn(TimePoint now, ForwardRequest &request,
+                              std::string events) {
   if (!request.Attempt->FirstEventAt) {
     request.Attempt->FirstEventAt = now;
     Attempts.notifyBegan(request);
--- a/packages/forward/pimentofront/src/Forward/AnswerController.h
+++ b/packages/forward/pimentofront/src/Forward/AnswerController.h
@@ -39,6 +39,8 @@
   bool isStream(const ForwardRequest &request) const;
   void onStreamBytes(TimePoint now, ForwardRequest &request,
                      std::string_view bytes);
+  /// Passes complete events on to the caller.
+  void passOn(TimePoint now, ForwardRequest &request, std::string events);
   void beginAnswer(TimePoint now, ForwardRequest &request);
   /// Records the pauses of a stream that has ended.
   void recordStream(TimePoint now, const ForwardRequest &request);
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -65,6 +65,9 @@
   /// Answers up to this size, in bytes, are buffered until they are complete,
   /// so that an answer that breaks off can be replaced by another server's.
   std::size_t AnswerBufferLimit = std::size_t(64) << 10;
+  /// A stream whose server sends a longer event, in bytes, is broken off: an
+  /// entry holds an event until it is complete.
+  std::size_t MaxEventBytes = std::size_t(256) << 10;
   /// Longest time for which a request that nothing can take now is deferred.
   /// After a power loss the routing document is missing for about a second, and
   /// engines need time to reload their base model from disk.
--- a/test/EndlessAnswerTest.cpp
+++ b/test/EndlessAnswerTest.cpp
@@ -235,9 +235,36 @@
 }
 
 //===----------------------------------------------------------------------===//
-// What becomes of the request
+// Events, and what becomes of the request
 //===----------------------------------------------------------------------===//
 
+// Guards against an event without an end, which an entry holds in memory until
+// it is complete.
+TEST_CASE("a stream whose event doesn't end is broken off and resumed",
+          "[endless-answers]") {
+  using testing::ForwardUnderTest;
+  ForwardUnderTest it(/*withTable=*/true, {.MaxEventBytes = 1000});
+  it.request("flow");
+  const SendUpstream sent = it.permit();
+  it.head(sent, 200);
+  it.body(sent, "id: 1\ndata: a\n\n" + std::string(1000, 'x'));
+  CHECK(it.take<CancelUpstream>().empty());
+  it.body(sent, "x");
+  CHECK(it.only<CancelUpstream>().Attempt == sent.Attempt);
+  CHECK(it.only<ReplyPiece>().Bytes == "id: 1\ndata: a\n\n");
+  // Another server goes on after the event that the caller has.
+  const SendToAgent asked = it.take<SendToAgent>().back();
+  it.Controller.attempts().onPermit(
+      testing::Now, asked.Host,
+      {.Attempt = std::get<ExecuteRequest>(asked.Content).Attempt});
+  const auto again = it.only<SendUpstream>();
+  it.head(again, 200);
+  it.body(again, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  it.end(again, UpstreamEnding::Complete);
+  CHECK(it.only<ReplyPiece>().Bytes == "id: 2\ndata: b\n\n");
+  CHECK(it.take<ReplyEnd>().size() == 1);
+}
+
 // Guards against a caller that is told "not run", or nothing, when its answer
 // exceeds a limit.
 TEST_CASE("a request whose answer exceeds a limit is sent again or fails",
