--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -81,6 +81,14 @@
                         .CallerTimeout = Options.CallerTimeout},
       *Control);
   Client = std::make_unique<HttpClient>(Loop);
+  Client->setExcessObserver(
+      [this](const HostPort &server, HttpEnding ending, std::size_t bytes) {
+        Counters.recordExcessiveResponse(httpEndingName(ending));
+        Log->write(LogLevel::Warn, "response_excessive",
+                   {{"server", server.Ip + ":" + std::to_string(server.Port)},
+                    {"limit", httpEndingName(ending)},
+                    {"bytes", std::uint64_t(bytes)}});
+      });
   if (Options.IsForward)
     ForwardConnections = std::make_unique<ForwardIo>(
         Loop, *HostPort::parse(Options.ForwardAddress),
--- a/packages/daemon/src/EngineDriver.cpp
+++ b/packages/daemon/src/EngineDriver.cpp
@@ -10,6 +10,8 @@
 constexpr int StatusOk = 200;
 constexpr Duration LoadTimeout = std::chrono::seconds(60);
 constexpr Duration ProbeTimeout = std::chrono::seconds(2);
+/// An engine's metrics and its list of models.
+constexpr std::size_t MaxProbeBytes = std::size_t(4) << 20;
 constexpr char VersionSeparator = '@';
 
 /// \returns the name that the engine has for a version of an adapter.
@@ -277,6 +279,7 @@
                 .Method = "GET",
                 .Path = "/metrics",
                 .Timeout = ProbeTimeout,
+                .MaxResponseBytes = MaxProbeBytes,
                 .OnEnd = [this](const HttpResponse &answer) {
                   ProbeInFlight = false;
                   onMetrics(answer);
@@ -298,6 +301,7 @@
                 .Method = "GET",
                 .Path = "/v1/models",
                 .Timeout = ProbeTimeout,
+                .MaxResponseBytes = MaxProbeBytes,
                 .OnEnd = [this, at, idle](const HttpResponse &models) {
                   onModels(models, at, idle);
                 }});
--- a/packages/daemon/src/SlownessProbe.cpp
+++ b/packages/daemon/src/SlownessProbe.cpp
@@ -6,6 +6,7 @@
 /// Slow periods last some hundred milliseconds.
 constexpr Duration Period = std::chrono::milliseconds(200);
 constexpr Duration ConnectionTimeout = std::chrono::seconds(1);
+constexpr std::size_t MaxResponseBytes = std::size_t(64) << 10;
 
 } // namespace
 
@@ -27,6 +28,7 @@
                 .Method = "GET",
                 .Path = path,
                 .Timeout = ConnectionTimeout,
+                .MaxResponseBytes = MaxResponseBytes,
                 .OnEnd = [this](const HttpResponse &it) { onAnswer(it); }});
 }
 
--- a/packages/net/pimentofront/src/Net/HttpClient.cpp
+++ b/packages/net/pimentofront/src/Net/HttpClient.cpp
@@ -24,10 +24,16 @@
 
 constexpr std::size_t MaxIdleConnections = 256;
 constexpr int StatusOk = 200;
-constexpr ev_ssize_t MaxResponseBytes = ev_ssize_t(16) << 20;
+constexpr ev_ssize_t MaxHeadBytes = ev_ssize_t(64) << 10;
 
 } // namespace
 
+const char *httpEndingName(HttpEnding ending) {
+  constexpr const char *Names[] = {"complete", "not_sent", "broke_off",
+                                   "too_large", "too_slow"};
+  return Names[static_cast<std::size_t>(ending)];
+}
+
 struct HttpClient::Impl {
   /// A call in progress. evhttp's callbacks get its address, so it must not
   /// move.
@@ -40,6 +46,12 @@
     bool FailedWhenConnected = false;
     /// Body of a response with another status than 200.
     std::string ErrorBody;
+    /// Bytes read from the connection.
+    std::size_t Received = 0;
+    evbuffer_cb_entry *InputCallback = nullptr;
+    /// Ends the call when its response exceeds a limit. Set with the first byte
+    /// of the response.
+    std::unique_ptr<Timer> Limit;
   };
 
   EventLoop &Loop;
@@ -51,6 +63,7 @@
   std::vector<evhttp_connection *> ClosedConnections;
   std::vector<std::unique_ptr<ActiveCall>> CancelledCalls;
   std::unique_ptr<Timer> FreeTimer;
+  ExcessObserver OnExcess;
 
   evhttp_connection *takeConnection(const HttpCall &call) {
     auto &idle = Idle[call.Address];
@@ -63,10 +76,69 @@
     evhttp_connection *con = evhttp_connection_base_new(
         Loop.base(), nullptr, call.Address.Ip.c_str(), call.Address.Port);
     evhttp_connection_set_retries(con, 0);
-    evhttp_connection_set_max_body_size(con, MaxResponseBytes);
+    evhttp_connection_set_max_headers_size(con, MaxHeadBytes);
     return con;
   }
 
+  static evbuffer *inputOf(evhttp_connection *con) {
+    return bufferevent_get_input(evhttp_connection_get_bufferevent(con));
+  }
+
+  /// evhttp limits each head and body, but not the time, the number of interim
+  /// responses, or a body that is passed on in pieces.
+  static void watch(ActiveCall &call) {
+    call.InputCallback =
+        evbuffer_add_cb(inputOf(call.Connection), onInput, &call);
+  }
+
+  static void unwatch(ActiveCall &call) {
+    evbuffer_remove_cb_entry(inputOf(call.Connection), call.InputCallback);
+  }
+
+  static void onInput(evbuffer *, const evbuffer_cb_info *info, void *arg) {
+    auto *call = static_cast<ActiveCall *>(arg);
+    if (info->n_added == 0 || !call->Self.isActive(*call))
+      return;
+    const bool first = call->Received == 0;
+    const std::size_t limit = call->Call.MaxResponseBytes;
+    const bool wasOver = call->Received > limit;
+    call->Received += info->n_added;
+    if (call->Received > limit && !wasOver)
+      call->Self.endAfter(*call, Duration::zero(), HttpEnding::TooLarge);
+    else if (first)
+      call->Self.endAfter(*call, call->Call.Timeout, HttpEnding::TooSlow);
+  }
+
+  void endAfter(ActiveCall &call, Duration wait, HttpEnding ending) {
+    call.Limit = Loop.after(wait, [this, &call, ending] { cut(call, ending); });
+  }
+
+  /// Closes the connection of a call whose response exceeds a limit.
+  void cut(ActiveCall &call, HttpEnding ending) {
+    if (!isActive(call))
+      return;
+    const auto action = std::move(call.Call.OnEnd);
+    const HostPort address = call.Call.Address;
+    const std::size_t received = call.Received;
+    drop(call.Id);
+    if (OnExcess)
+      OnExcess(address, ending, received);
+    if (action)
+      action({.Ending = ending});
+  }
+
+  /// Ends a call without reporting it.
+  void drop(HttpCallId id) {
+    const auto it = Active.find(id);
+    if (it == Active.end())
+      return;
+    evhttp_connection *con = it->second->Connection;
+    unwatch(*it->second);
+    CancelledCalls.push_back(std::move(it->second));
+    Active.erase(it);
+    discard(con);
+  }
+
   void discard(evhttp_connection *con) {
     ClosedConnections.push_back(con);
     if (!FreeTimer)
@@ -106,6 +178,7 @@
       return;
     const std::unique_ptr<ActiveCall> call = std::move(it->second);
     Active.erase(it);
+    unwatch(*call);
     returnToPool(call->Call, call->Connection, reusable);
     if (call->Call.OnEnd)
       call->Call.OnEnd(answer);
@@ -201,6 +274,7 @@
       new Impl::ActiveCall{*State, id, std::move(call), con});
   Impl::ActiveCall *active = owned.get();
   State->Active.emplace(id, std::move(owned));
+  Impl::watch(*active);
   evhttp_request *req = evhttp_request_new(Impl::onEnd, active);
   evhttp_request_set_error_cb(req, Impl::onError);
   if (active->Call.OnPiece)
@@ -217,14 +291,10 @@
   return id;
 }
 
-void HttpClient::cancel(HttpCallId id) {
-  const auto it = State->Active.find(id);
-  if (it == State->Active.end())
-    return;
-  evhttp_connection *con = it->second->Connection;
-  State->CancelledCalls.push_back(std::move(it->second));
-  State->Active.erase(it);
-  State->discard(con);
+void HttpClient::cancel(HttpCallId id) { State->drop(id); }
+
+void HttpClient::setExcessObserver(ExcessObserver observer) {
+  State->OnExcess = std::move(observer);
 }
 
 } // namespace pimentofront
--- a/packages/net/pimentofront/src/Net/HttpClient.h
+++ b/packages/net/pimentofront/src/Net/HttpClient.h
@@ -16,7 +16,14 @@
   NotSent,
   /// The server may have received the call, but no complete response arrived.
   BrokeOff,
+  /// Like BrokeOff, since the response has more bytes than the call allows.
+  TooLarge,
+  /// Like BrokeOff, since the response had begun, but didn't end in time.
+  TooSlow,
 };
+/// \ingroup Net
+/// \returns the name of \p ending in logs and metrics.
+const char *httpEndingName(HttpEnding ending);
 
 /// \class HttpResponse
 /// \ingroup Net
@@ -36,7 +43,12 @@
   std::string Path;
   std::vector<HttpHeader> Headers;
   std::string Body;
+  /// Limit on the wait for the connection, on the wait for the response, and on
+  /// the time from the response's first byte to its last.
   Duration Timeout = std::chrono::seconds(60);
+  /// Limit on the bytes of the response, including its head and all interim
+  /// responses.
+  std::size_t MaxResponseBytes = std::size_t(16) << 20;
   /// Uses a new connection. For calls that must not be repeated: the server may
   /// just have closed an idle connection.
   bool FreshConnection = false;
@@ -64,6 +76,11 @@
   HttpCallId start(HttpCall call);
   /// Closes the connection of a call, which makes the server stop.
   void cancel(HttpCallId id);
+  /// \p observer is told of each call that ends as TooLarge or TooSlow, with
+  /// the bytes that were read.
+  using ExcessObserver =
+      std::function<void(const HostPort &, HttpEnding, std::size_t)>;
+  void setExcessObserver(ExcessObserver observer);
 
 private:
   struct Impl;
--- a/test/EndlessAnswerTest.cpp
+++ b/test/EndlessAnswerTest.cpp
@@ -298,3 +298,94 @@
   // The server runs, so its exit needn't be checked for.
   CHECK(it.take<CheckServer>().empty());
 }
+
+//===----------------------------------------------------------------------===//
+// Calls of agents and replicas
+//===----------------------------------------------------------------------===//
+
+namespace {
+
+/// A call to a server that never ends what it sends.
+struct EndlessCall {
+  explicit EndlessCall(const EndlessServerOptions &server,
+                       std::size_t maxBytes = std::size_t(1) << 20)
+      : Server(Loop, test::ownAddress(Net), server), Client(Loop) {
+    Client.setExcessObserver([this](const HostPort &, HttpEnding ending,
+                                    std::size_t) { Excess = ending; });
+    Client.start({.Address = test::ownAddress(Net),
+                  .Method = "GET",
+                  .Path = "/",
+                  .Timeout = 500ms,
+                  .MaxResponseBytes = maxBytes,
+                  .OnEnd = [this](const HttpResponse &it) { Ended = it; }});
+  }
+  /// \returns whether the call ends and its connection closes in time.
+  bool ends() {
+    const TimePoint end = Loop.now() + Enough;
+    const auto waker = Loop.every(10ms, [] {});
+    while (Loop.now() < end && !(Ended && Server.open() == 0))
+      event_base_loop(Loop.base(), EVLOOP_ONCE);
+    return Ended && Server.open() == 0;
+  }
+
+  EventLoop Loop;
+  EndlessServer Server;
+  HttpClient Client;
+  std::optional<HttpResponse> Ended;
+  std::optional<HttpEnding> Excess;
+};
+
+} // namespace
+
+// Guards against calls to an engine that a byte now and then keeps open: the
+// timeout was one of inactivity.
+TEST_CASE("a call whose response doesn't end is cut off in time",
+          "[endless-calls]") {
+  const auto begin =
+      GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nFFFF\r\n",
+               "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 ");
+  INFO(begin);
+  EndlessCall it({.Begin = begin, .Repeat = "1", .Interval = 50ms});
+  CHECK(it.ends());
+  CHECK(it.Ended->Ending != HttpEnding::Complete);
+  CHECK(it.Ended->Ending != HttpEnding::NotSent);
+}
+
+// Guards against the memory that heads, interim responses and bodies without an
+// end take.
+TEST_CASE("a call whose response is too large is cut off", "[endless-calls]") {
+  const auto server = GENERATE(
+      EndlessServerOptions{.Begin = "HTTP/1.1 200 OK\r\n\r\n",
+                           .Repeat = "more"},
+      EndlessServerOptions{.Begin = Chunked, .Repeat = "4\r\nmore\r\n"},
+      EndlessServerOptions{.Begin = "HTTP/1.1 200 OK\r\n",
+                           .Repeat = "X: y\r\n"},
+      EndlessServerOptions{.Begin = "HTTP/1.1 200 OK\r\nX: ", .Repeat = "y"},
+      EndlessServerOptions{.Repeat = "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n"},
+      EndlessServerOptions{.Repeat = "no answer at all"});
+  INFO(server.Begin << server.Repeat);
+  EndlessCall it(server);
+  CHECK(it.ends());
+  CHECK(it.Ended->Ending != HttpEnding::Complete);
+  CHECK(it.Ended->Ending != HttpEnding::NotSent);
+  CHECK(it.Server.sent() < SocketBuffers);
+}
+
+// Guards against limits that a sound server's response meets.
+TEST_CASE("a call's limits don't apply before its response and after its end",
+          "[endless-calls]") {
+  EndlessCall it({.Begin = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+                  .Repeat = "o",
+                  .Interval = 20ms});
+  while (!it.Ended)
+    event_base_loop(it.Loop.base(), EVLOOP_ONCE);
+  CHECK(it.Ended->Ending == HttpEnding::Complete);
+  CHECK(it.Ended->Body == "oo");
+  const auto waker = it.Loop.every(10ms, [] {});
+  const TimePoint end = it.Loop.now() + 1s;
+  while (it.Loop.now() < end)
+    event_base_loop(it.Loop.base(), EVLOOP_ONCE);
+  CHECK_FALSE(it.Excess);
+}
