--- a/packages/daemon/src/EngineDriver.cpp
+++ b/packages/daemon/src/EngineDriver.cpp
@@ -130,12 +130,25 @@
     text += event[at].get<std::string>();
     ++tokens;
   }
-  if (tokens == 0)
-    return;
-  Node->controller().onTokens(Loop.now(), attempt, tokens, std::move(text));
+  if (tokens > 0)
+    Node->controller().onTokens(Loop.now(), attempt, tokens, std::move(text));
+  if (it->second.Events.isLineTooLong())
+    breakOff(attempt, "the engine sent a line without an end");
   Node->flush(Loop.now());
 }
 
+void EngineDriver::breakOff(const AttemptId &attempt, const char *why) {
+  const auto it = Generations.find(attempt);
+  if (it == Generations.end())
+    return;
+  Log.write(LogLevel::Warn, "generation_broke_off",
+            {{"request", it->second.Request.str()}, {"why", why}});
+  Client.cancel(it->second.Call);
+  Generations.erase(it);
+  Node->controller().onWorkEnded(Loop.now(), attempt, AttemptEnding::BrokeOff,
+                                 why);
+}
+
 void EngineDriver::onGenerationEnd(const AttemptId &attempt,
                                    const HttpResponse &answer) {
   const auto it = Generations.find(attempt);
--- a/packages/daemon/src/EngineDriver.h
+++ b/packages/daemon/src/EngineDriver.h
@@ -38,6 +38,8 @@
   };
 
   void onPiece(const AttemptId &attempt, std::string_view bytes);
+  /// Ends a generation whose response can't be used.
+  void breakOff(const AttemptId &attempt, const char *why);
   void onGenerationEnd(const AttemptId &attempt, const HttpResponse &answer);
   void onServiceEnd(const AttemptId &attempt, const HttpResponse &answer);
   void unload(const StartLoad &load, TimePoint loadStart);
--- a/packages/daemon/src/ServerSentEvents.h
+++ b/packages/daemon/src/ServerSentEvents.h
@@ -16,8 +16,13 @@
   void feed(std::string_view bytes) { Buffer += bytes; }
   /// \returns the data of the next event, if it has arrived completely.
   std::optional<std::string> next();
+  /// \returns whether a line is longer than MaxLineBytes, which no engine
+  /// sends.
+  bool isLineTooLong() const { return Buffer.size() > MaxLineBytes; }
 
 private:
+  static constexpr std::size_t MaxLineBytes = std::size_t(256) << 10;
+
   std::string Buffer;
 };
 
--- a/test/EndlessAnswerTest.cpp
+++ b/test/EndlessAnswerTest.cpp
@@ -1,6 +1,7 @@
 #include "EndlessServer.h"
 #include "ForwardUnderTest.h"
 #include "OwnAddress.h"
+#include "ServerSentEvents.h"
 #include "pimentofront/Http.h"
 
 #include <catch2/catch.hpp>
@@ -389,3 +390,17 @@
     event_base_loop(it.Loop.base(), EVLOOP_ONCE);
   CHECK_FALSE(it.Excess);
 }
+
+// Guards against a generation that an engine's line without an end holds in
+// memory.
+TEST_CASE("a line of server-sent events without an end is noticed",
+          "[endless-calls]") {
+  ServerSentEvents events;
+  events.feed("data: a\n" + std::string(1000, 'x'));
+  CHECK(events.next() == "a");
+  CHECK_FALSE(events.next());
+  CHECK_FALSE(events.isLineTooLong());
+  events.feed(std::string(std::size_t(256) << 10, 'x'));
+  CHECK_FALSE(events.next());
+  CHECK(events.isLineTooLong());
+}
