--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -94,7 +94,9 @@
 
 void ForwardController::onEntryCount(TimePoint now, std::uint32_t entries) {
   Board.Servers.onEntryCount(now, entries);
-  Board.Budgets.setReserve(Board.Options.RetryReserve / std::max(entries, 1U));
+  // Entries that a new leader hasn't counted yet still use their parts.
+  const std::uint32_t sharing = std::max(Board.Servers.entries(), 1U);
+  Board.Budgets.setReserve(Board.Options.RetryReserve / sharing);
 }
 
 void ForwardController::onRequest(TimePoint now, std::uint64_t key,
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -267,6 +267,32 @@
   }
 }
 
+// Guards against entries that, after a change of leader, together use several
+// times the reserve of retries: the new leader counts only those that have
+// reached it yet.
+TEST_CASE("entries that a new leader hasn't counted yet keep their parts of "
+          "the retry reserve",
+          "[service-retries]") {
+  ForwardUnderTest it(/*withTable=*/true, {.RetryShare = 0, .RetryReserve = 4});
+  const auto retries = [&] {
+    RetryBudgets budgets = it.Controller.board().Budgets;
+    int n = 0;
+    while (budgets.take(ServiceName("plain")))
+      ++n;
+    return n;
+  };
+  it.Controller.onEntryCount(Now, 4);
+  CHECK(retries() == 1);
+  it.Controller.onEntryCount(Now + 1s, 1);
+  CHECK(retries() == 1);
+  it.Controller.onEntryCount(Now + 2s, 4);
+  CHECK(retries() == 1);
+  // Those that stay away don't come back.
+  it.Controller.onEntryCount(Now + 3s, 2);
+  it.Controller.onEntryCount(Now + 10s, 2);
+  CHECK(retries() == 2);
+}
+
 // Guards against a large fleet in which no entry ever retries, because its part
 // of the shared reserve is less than one retry.
 TEST_CASE("an entry with less than one retry in reserve may retry for the "
