--- a/packages/node/pimentofront/src/Node/LeaderLink.cpp
+++ b/packages/node/pimentofront/src/Node/LeaderLink.cpp
@@ -15,12 +15,16 @@
 /// with each link that didn't open, so that slow hosts can be reached.
 constexpr Duration InitialOpenTimeout = std::chrono::milliseconds(300);
 
+/// A link that lasted longer than this served its purpose: the next one that is
+/// needed begins a new round over the addresses.
+constexpr Duration RoundTimeout = std::chrono::seconds(10);
+
 } // namespace
 
 LeaderLink::LeaderLink(Transport &transport, std::vector<std::string> addresses,
                        std::size_t first, Duration silenceTimeout)
     : Network(transport), Addresses(std::move(addresses)), Next(first),
-      SilenceTimeout(silenceTimeout) {
+      Configured(Addresses), SilenceTimeout(silenceTimeout) {
   assert(!Addresses.empty() && "at least one replica address is required");
 }
 
@@ -29,7 +33,7 @@
     return Link;
   if (now < RetryAt)
     return std::nullopt;
-  CurrentAddress = LeaderHint.empty() ? nextAddress() : LeaderHint;
+  CurrentAddress = LeaderHint.empty() ? nextAddress(now) : LeaderHint;
   LeaderHint.clear();
   LastReceivedAt = now;
   Opened = false;
@@ -37,13 +41,31 @@
   return Link;
 }
 
-std::string LeaderLink::nextAddress() {
+std::string LeaderLink::nextAddress(TimePoint now) {
+  if (now >= LastTriedAt + RoundTimeout)
+    Tried = 0;
+  LastTriedAt = now;
+  if (Tried >= Addresses.size()) {
+    Tried = 0;
+    if (const auto configured = nextConfigured())
+      return *configured;
+  }
+  ++Tried;
   const std::string &address = Addresses[Next++ % Addresses.size()];
   if (address != TimedOutAddress || Addresses.size() == 1)
     return address;
   return Addresses[Next++ % Addresses.size()];
 }
 
+std::optional<std::string> LeaderLink::nextConfigured() {
+  for (std::size_t i = 0; i < Configured.size(); ++i) {
+    const std::string &it = Configured[NextConfigured++ % Configured.size()];
+    if (std::ranges::find(Addresses, it) == Addresses.end())
+      return it;
+  }
+  return std::nullopt;
+}
+
 void LeaderLink::setAddresses(const std::vector<std::string> &addresses) {
   if (!addresses.empty())
     Addresses = addresses;
--- a/packages/node/pimentofront/src/Node/LeaderLink.h
+++ b/packages/node/pimentofront/src/Node/LeaderLink.h
@@ -29,7 +29,9 @@
   /// none, but returns nothing until the retry delay after a closed link is
   /// over.
   std::optional<LinkId> link(TimePoint now);
-  /// Replaces the addresses of the replicas; an existing link stays.
+  /// Sets the addresses of the replicas' group; an existing link stays. Whoever
+  /// tells them may be outside the group without knowing it, so the addresses
+  /// of the settings are still tried: one after each round over the group.
   void setAddresses(const std::vector<std::string> &addresses);
   const std::vector<std::string> &addresses() const { return Addresses; }
   bool owns(LinkId link) const { return Link && *Link == link; }
@@ -53,11 +55,19 @@
   Duration openTimeout() const;
   /// \returns the next address in turn, skipping the one that timed out last: a
   /// stalled host still accepts connections.
-  std::string nextAddress();
+  std::string nextAddress(TimePoint now);
+  /// \returns the next address of the settings, if the group has none of these.
+  std::optional<std::string> nextConfigured();
 
   Transport &Network;
   std::vector<std::string> Addresses;
   std::size_t Next;
+  /// The addresses of the settings.
+  const std::vector<std::string> Configured;
+  std::size_t NextConfigured = 0;
+  /// Addresses of the group tried in a row, and when the last one was.
+  std::size_t Tried = 0;
+  TimePoint LastTriedAt;
   Duration SilenceTimeout;
   std::string LeaderHint;
   std::optional<LinkId> Link;
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -71,6 +71,37 @@
   CHECK(transport.Opened == std::vector<std::string>{"a", "c"});
 }
 
+// Guards against a process that knows only replicas that are gone: a replica
+// that is outside the group without knowing it told it their addresses, which
+// replaced those of the settings.
+TEST_CASE("a process that finds no leader among the replicas it was told of "
+          "tries those of its settings") {
+  RecordingTransport transport;
+  TimePoint now{100s};
+  LeaderLink link(transport, {"a", "b"}, 0, 1500ms);
+  link.setAddresses({"b", "gone", "stale"});
+  for (int i = 0; i < 1000; ++i) {
+    link.link(now += 10ms);
+    link.tick(now);
+  }
+  const auto &opened = transport.Opened;
+  const auto it = std::ranges::find(opened, "a");
+  REQUIRE(it != opened.end());
+  // Not before the others have been tried.
+  CHECK(it - opened.begin() == 3);
+  SECTION("a link that has lasted begins a new round") {
+    RecordingTransport lasting;
+    LeaderLink other(lasting, {"a", "b"}, 0, 1500ms);
+    other.setAddresses({"b", "c"});
+    for (int i = 0; i < 6; ++i) {
+      other.link(now);
+      other.leave(now);
+      now += 11s;
+    }
+    CHECK(std::ranges::find(lasting.Opened, "a") == lasting.Opened.end());
+  }
+}
+
 TEST_CASE(
     "a process subscribes to another replica before a change is overdue") {
   RecordingTransport transport;
