--- a/packages/http/pimentofront/src/Http/ResponseMeter.cpp
+++ b/packages/http/pimentofront/src/Http/ResponseMeter.cpp
@@ -10,8 +10,7 @@
 
 void ResponseMeter::begin() { *this = ResponseMeter(Limits); }
 
-void ResponseMeter::recordHeadBytes(TimePoint now, std::size_t n) {
-  HeadBytes += n;
+void ResponseMeter::recordHeadBegin(TimePoint now) {
   if (!HeadSince)
     HeadSince = now;
 }
--- a/packages/http/pimentofront/src/Http/ResponseMeter.h
+++ b/packages/http/pimentofront/src/Http/ResponseMeter.h
@@ -54,8 +54,10 @@
 
   /// A request is sent.
   void begin();
-  /// \p n bytes arrived that belong to no complete final head.
-  void recordHeadBytes(TimePoint now, std::size_t n);
+  /// Bytes arrived that precede a body: a head begins, unless one has begun.
+  void recordHeadBegin(TimePoint now);
+  /// \p n of these bytes have been parsed and completed no final head.
+  void recordHeadBytes(std::size_t n) { HeadBytes += n; }
   /// An interim response has ended.
   void recordInterimEnd() { HeadSince.reset(); }
   /// The head of a final response is complete; \p used says whether somebody
--- a/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -118,11 +118,13 @@
 
 std::size_t UpstreamChannel::feed(std::string_view bytes) {
   const bool body = InBody;
+  if (!body)
+    Meter.recordHeadBegin(Owner.Loop.now());
   const std::size_t used = Parser.feed(bytes);
   if (body)
     Meter.recordBodyBytes(used);
   else if (!InBody)
-    Meter.recordHeadBytes(Owner.Loop.now(), used);
+    Meter.recordHeadBytes(used);
   return used;
 }
 
--- a/test/EndlessAnswerTest.cpp
+++ b/test/EndlessAnswerTest.cpp
@@ -17,7 +17,7 @@
 constexpr int Net = 83;
 
 /// What the entry does with the head of an answer.
-enum class Use : std::uint8_t { Take, Skip, Ignore };
+enum class Use : std::uint8_t { Take, Skip, SkipFirst, Ignore };
 
 /// A connection pool whose only server never ends what it sends.
 struct EndlessAnswer : UpstreamHandler {
@@ -36,7 +36,10 @@
   HeadDecision onHead(const AttemptId &attempt, ResponseHead) override {
     if (HeadUse == Use::Ignore)
       Pool.ignore(attempt);
-    return HeadUse == Use::Skip ? HeadDecision::Skip : HeadDecision::Take;
+    const bool skips =
+        HeadUse == Use::Skip || (HeadUse == Use::SkipFirst && Heads == 0);
+    ++Heads;
+    return skips ? HeadDecision::Skip : HeadDecision::Take;
   }
   void onBody(const AttemptId &, std::string_view bytes) override {
     Received += bytes.size();
@@ -66,6 +69,7 @@
   EndlessServer Server;
   UpstreamPool Pool;
   Use HeadUse;
+  int Heads = 0;
   std::size_t Received = 0;
   std::optional<UpstreamEnding> Ending;
   std::optional<ResponseExcess> Excess;
@@ -153,6 +157,28 @@
   }
 }
 
+// Guards against limits on heads that cut off a sound server while it works on
+// the request.
+TEST_CASE("a server may take its time between two heads", "[endless-answers]") {
+  const UpstreamPoolOptions options{
+      .Response = {.MaxHeadTime = 200ms, .MaxUnusedTime = 200ms}};
+  const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  const auto [begin, use] = GENERATE_COPY(table<std::string, Use>(
+      {{"HTTP/1.1 102 Processing\r\n\r\n", Use::Take},
+       {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
+        Use::Take},
+       {whole, Use::SkipFirst}}));
+  INFO(begin);
+  EndlessAnswer it({.Begin = begin, .Repeat = whole, .Interval = 1s}, use,
+                   options);
+  const auto waker = it.Loop.every(10ms, [] {});
+  const TimePoint end = it.Loop.now() + Enough;
+  while (!it.Ending && it.Loop.now() < end)
+    event_base_loop(it.Loop.base(), EVLOOP_ONCE);
+  CHECK(it.Ending == UpstreamEnding::Complete);
+  CHECK_FALSE(it.Excess);
+}
+
 // Guards against bodies, chunk extensions and trailers without an end.
 TEST_CASE("a body without an end breaks the attempt off", "[endless-answers]") {
   const UpstreamPoolOptions options{
@@ -195,13 +221,16 @@
   ResponseMeter meter(limits);
   meter.begin();
   SECTION("all heads count together, but each has its time") {
-    meter.recordHeadBytes(Now, 60);
+    meter.recordHeadBegin(Now);
     meter.recordInterimEnd();
+    meter.recordHeadBytes(60);
     CHECK_FALSE(meter.excess(Now + 1h));
-    meter.recordHeadBytes(Now + 1h, 40);
+    meter.recordHeadBegin(Now + 1h);
+    meter.recordHeadBytes(40);
     CHECK_FALSE(meter.excess(Now + 1h));
+    meter.recordHeadBegin(Now + 1h + 1s);
     CHECK(meter.excess(Now + 1h + 2s) == ResponseExcess::HeadTime);
-    meter.recordHeadBytes(Now + 1h, 1);
+    meter.recordHeadBytes(1);
     CHECK(meter.excess(Now + 1h) == ResponseExcess::HeadBytes);
   }
   SECTION("a body that is used has a limit of bytes only") {
@@ -228,7 +257,7 @@
     CHECK(meter.excess(Now + 1s) == ResponseExcess::UnusedTime);
   }
   SECTION("the next request begins at zero") {
-    meter.recordHeadBytes(Now, 101);
+    meter.recordHeadBytes(101);
     meter.begin();
     CHECK_FALSE(meter.excess(Now + 1h));
     CHECK(meter.totalBytes() == 0);
