Log and count which servers of a plain service an entry would use

A refusal of a plain service didn't tell whether the service was short of servers or the entry left some of them out, and the log didn't tell whether a route was added. Metric pimentofront_plain_servers{service, state}, the same counts in request_lost, and the field route_age. No decision changes.

Test: metrics tell how many servers of a plain service are in use.

--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -22,6 +22,10 @@
   const ServerSetOptions &options = board.Options.Servers;
   for (const auto &[service, queue] : board.PlainQueues)
     gauges.PlainWaiting += static_cast<double>(queue.size());
+  if (board.Table)
+    for (const ServiceSpec &it : board.Table->document().Services)
+      if (!it.Engine)
+        gauges.PlainServers[it.Name] = board.Servers.countServers(now, it.Name);
   for (const auto &[host, it] : board.Servers.servers()) {
     const double pace = toSeconds(it.Pace.expected(now, options.Pace));
     if (pace <= 0)
--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -85,6 +85,7 @@
       event.Lost ? LogLevel::Warn : LogLevel::Info, event.Name,
       {{"request", event.Request},
        {"route", event.Route},
+       {"route_age", event.RouteAdded ? "added" : "first"},
        {"service", event.Service.str()},
        {"account", event.Account.str()},
        {"server", event.Server.str()},
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -178,6 +178,13 @@
           .Name("pimentofront_queue_wait_seconds")
           .Help("Time in an engine's queue, by outcome and urgency")
           .Register(Registry);
+  prometheus::Family<prometheus::Gauge> &PlainServers =
+      prometheus::BuildGauge()
+          .Name("pimentofront_plain_servers")
+          .Help("Servers of a plain service as this entry sees them, by "
+                "service and state: registered, open, full, ejected, leaving, "
+                "backing_off, connection_limit")
+          .Register(Registry);
   LabelLimiter Accounts;
   prometheus::Family<prometheus::Gauge> &State =
       prometheus::BuildGauge()
@@ -311,6 +318,19 @@
   put("plain_slots_free", gauges.PlainSlotsFree);
   put("plain_slowest_server_seconds", gauges.SlowestServerSeconds);
   put("plain_fastest_server_seconds", gauges.FastestServerSeconds);
+  for (const auto &[service, it] : gauges.PlainServers) {
+    const auto putServers = [&](const char *state, std::uint32_t n) {
+      State->PlainServers.Add({{"service", service.str()}, {"state", state}})
+          .Set(n);
+    };
+    putServers("registered", it.Registered);
+    putServers("open", it.Open);
+    putServers("full", it.Full);
+    putServers("ejected", it.Ejected);
+    putServers("leaving", it.Leaving);
+    putServers("backing_off", it.BackingOff);
+    putServers("connection_limit", it.AtConnectionLimit);
+  }
   put("evacuated_zones", gauges.EvacuatedZones);
   put("held_request_bytes", gauges.RequestBytes);
   put("held_connection_bytes", gauges.ConnectionBytes);
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -3,6 +3,7 @@
 
 #include "pimentofront/Forward.h"
 
+#include <map>
 #include <memory>
 
 namespace pimentofront {
@@ -40,6 +41,8 @@
   /// 0 if none has answered.
   double SlowestServerSeconds = 0;
   double FastestServerSeconds = 0;
+  /// The servers of each plain service, as this entry sees them.
+  std::map<ServiceName, ServiceServers> PlainServers;
   /// Zones evacuated by operators, by the configuration that this entry has.
   double EvacuatedZones = 0;
   /// Bytes that this entry holds: of requests that wait or run, and on callers'
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -891,6 +891,8 @@
   if (request.LastRefusal != RefusalReason::None)
     detail += std::string(", ") + refusalReasonName(request.LastRefusal);
   detail += describeState(now, request);
+  if (request.Route && !request.ToEngine)
+    detail += "; " + describe(Board.Servers.countServers(now, request.Service));
   recordEvent(now, "request_lost", request, detail, status, /*lost=*/true);
   ForwardEvent &event = Board.Events.back();
   event.Reason = forwardFailureName(why);
--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -494,6 +494,39 @@
   return counts;
 }
 
+ServiceServers ServerSet::countServers(TimePoint now,
+                                       const ServiceName &service) const {
+  ServiceServers counts;
+  for (const auto &[host, it] : Servers) {
+    if (!belongsTo(it.Record, service))
+      continue;
+    const ServerProcess process = it.Record.process();
+    ++counts.Registered;
+    if (!isInUse(it)) {
+      ++counts.Leaving;
+    } else if (feedbackOf(process).isBackingOff(now)) {
+      ++counts.BackingOff;
+    } else if (it.InFlight >= connections(now, it).MaxOpen) {
+      ++counts.AtConnectionLimit;
+    } else {
+      ++counts.Open;
+      counts.Ejected += now < it.EjectedUntil ? 1 : 0;
+      counts.Full += reportedRoom(now, process) == ReportedRoom::Full ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
+std::string describe(const ServiceServers &servers) {
+  return "servers registered " + std::to_string(servers.Registered) +
+         ", open " + std::to_string(servers.Open) + ", of these full " +
+         std::to_string(servers.Full) + " and ejected " +
+         std::to_string(servers.Ejected) + "; leaving " +
+         std::to_string(servers.Leaving) + ", backing off " +
+         std::to_string(servers.BackingOff) + ", at their connection limit " +
+         std::to_string(servers.AtConnectionLimit);
+}
+
 std::optional<TimePoint>
 ServerSet::earliestBackoffEnd(TimePoint now, const ServiceName &service,
                               const AllowedZones &zones) const {
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -23,6 +23,30 @@
                           const FeedbackCounts &) = default;
 };
 
+/// \class ServiceServers
+/// \ingroup Forward
+/// \brief Numbers of the servers of one service that an entry knows, by whether
+/// it would send them one more request, and why it wouldn't.
+struct ServiceServers {
+  std::uint32_t Registered = 0;
+  /// May get one more request; the others are counted below.
+  std::uint32_t Open = 0;
+  /// Leaving, or in an evacuated zone.
+  std::uint32_t Leaving = 0;
+  std::uint32_t BackingOff = 0;
+  /// This entry has as many connections to it as it may.
+  std::uint32_t AtConnectionLimit = 0;
+  /// Of the open ones: chosen only if no other one is open, since connections
+  /// to it failed.
+  std::uint32_t Ejected = 0;
+  /// Of the open ones: all slots are in use by its last report.
+  std::uint32_t Full = 0;
+  friend auto operator<=>(const ServiceServers &,
+                          const ServiceServers &) = default;
+};
+/// \returns \p servers for logs.
+std::string describe(const ServiceServers &servers);
+
 /// \class ServerSet
 /// \ingroup Forward
 /// \brief The registered backend servers, the agents on the hosts of some of
@@ -137,6 +161,7 @@
   /// and the remaining time; a default value if it isn't cold.
   ColdStart coldStartOf(TimePoint now, const ServerProcess &server) const;
   FeedbackCounts countFeedback(TimePoint now) const;
+  ServiceServers countServers(TimePoint now, const ServiceName &service) const;
   void ejectAgent(TimePoint now, const HostName &agent);
   /// Records that the process exited and that no other process of the server
   /// has started yet.
--- a/test/MetricsTest.cpp
+++ b/test/MetricsTest.cpp
@@ -33,6 +33,21 @@
                  "service=\"plain\"} 2"));
 }
 
+// Guards against a fleet on which nobody can see whether a plain service is
+// short of servers or an entry doesn't use those that there are.
+TEST_CASE("metrics tell how many servers of a plain service are in use") {
+  Metrics metrics;
+  Gauges gauges;
+  gauges.PlainServers[ServiceName("plain")] = {
+      .Registered = 3, .Open = 1, .Leaving = 2, .Full = 1};
+  metrics.set(gauges);
+  const std::string text = metrics.text();
+  CHECK(text.find("pimentofront_plain_servers{service=\"plain\","
+                  "state=\"leaving\"} 2") != std::string::npos);
+  CHECK(text.find("pimentofront_plain_servers{service=\"plain\","
+                  "state=\"full\"} 1") != std::string::npos);
+}
+
 TEST_CASE("metrics tell who was displaced, in a bounded number of accounts") {
   Metrics metrics;
   for (int i = 0; i < 1000; ++i)
