Admitted share: all requests without valid reports, at most half off at once

A request at an entry that had lost its reports was refused: one report of a full queue, after a pause, cut the share to its minimum, and nothing told the entry that there was room (an entry refuses at once what full servers can't answer in time, in test/PlainQueueTest.cpp, failed). Without a valid report everything is sent, as before; one report takes half at most; idle servers raise the share faster.

--- a/packages/forward/pimentofront/src/Forward/PlainAdmission.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainAdmission.cpp
@@ -81,23 +81,29 @@
                                 const std::optional<WaitReport> &reported) {
   // The report that is known now may not have held for longer.
   constexpr Duration MaxStep = std::chrono::milliseconds(250);
+  // A single report isn't reason enough for more.
+  constexpr double MaxCut = 0.5;
   const double elapsed =
       toSeconds(std::min(now - std::exchange(AdaptedAt, now), MaxStep));
-  double excess = -1;
-  double freshness = 1;
-  if (reported) {
-    const double target = toSeconds(targetWait(now, reported->Pace));
-    excess =
-        std::min(toSeconds(reported->Wait) / target - 1, Options.MaxExcess);
-    freshness = decayFactor(now - reported->At, Options.ReportHalfLife);
+  Damping = 1;
+  if (!reported) {
+    Share = 1;
+    return;
   }
+  const double target = toSeconds(targetWait(now, reported->Pace));
+  const double excess =
+      std::min(toSeconds(reported->Wait) / target - 1, Options.MaxExcess);
+  const double freshness =
+      decayFactor(now - reported->At, Options.ReportHalfLife);
   Share += Options.GrowthPerSecond * elapsed;
-  if (excess > 0)
-    Share *= 1 - Options.CutPerSecond * excess * freshness * elapsed;
-  else
+  if (excess > 0) {
+    const double cut = Options.CutPerSecond * excess * freshness * elapsed;
+    Share *= 1 - std::min(cut, MaxCut);
+    Damping = 1 - Options.DampingPerExcess * excess * freshness;
+  } else {
     Share -= Options.IdleGrowthPerSecond * excess * elapsed;
+  }
   Share = std::clamp(Share, Options.MinShare, 1.0);
-  Damping = 1 - Options.DampingPerExcess * std::max(excess, 0.0) * freshness;
 }
 
 double PlainAdmission::quotaOf(TimePoint now, std::uint32_t urgency) const {
--- a/packages/forward/pimentofront/src/Forward/PlainAdmission.h
+++ b/packages/forward/pimentofront/src/Forward/PlainAdmission.h
@@ -20,7 +20,7 @@
   /// Growth of the admitted share a second, and what is added to it while
   /// nothing waits at the servers.
   double GrowthPerSecond = 0.1;
-  double IdleGrowthPerSecond = 0.3;
+  double IdleGrowthPerSecond = 0.5;
   /// Relative cut of the admitted share a second while the wait is twice the
   /// one aimed at; in proportion to the excess.
   double CutPerSecond = 2;
--- a/test/OverloadedServiceTest.cpp
+++ b/test/OverloadedServiceTest.cpp
@@ -170,3 +170,41 @@
     CHECK(first.InTime >= 0.97 * first.Asked);
   }
 }
+
+TEST_CASE("an entry without valid reports sends all requests, and a single "
+          "report takes at most half of them",
+          "[overloaded-service]") {
+  PlainAdmission admission;
+  const AdmissionRequest request{.Route = "once", .Target = 150ms};
+  const WaitReport full{.Wait = 120ms, .Pace = 30ms, .At = Now};
+  admission.recordArrival(Now, request, full);
+  CHECK(admission.share() == Approx(0.5));
+  CHECK(admission.probability(Now, request) < 0.5);
+  admission.recordArrival(Now + 10ms, request, std::nullopt);
+  CHECK(admission.probability(Now + 10ms, request) == 1);
+}
+
+TEST_CASE("less urgent requests are admitted after urgent ones, but a quarter "
+          "as often as all requests at least",
+          "[overloaded-service]") {
+  PlainAdmission admission;
+  const AdmissionRequest urgent{.Route = "a", .Urgency = 0, .Target = 150ms};
+  const AdmissionRequest other{.Route = "b", .Urgency = 2, .Target = 150ms};
+  TimePoint now = Now;
+  for (int i = 0; i < 400; ++i) {
+    now += 5ms;
+    const bool full = i % 4 == 0;
+    const WaitReport report{
+        .Wait = full ? 60ms : 27ms, .Pace = 30ms, .At = now};
+    admission.recordArrival(now, urgent, report);
+    admission.recordArrival(now, other, report);
+  }
+  INFO("admitted share " << admission.share());
+  REQUIRE(admission.share() < 0.7);
+  const WaitReport steady{.Wait = 26ms, .Pace = 30ms, .At = now};
+  admission.recordArrival(now, urgent, steady);
+  const double first = admission.probability(now, urgent);
+  const double last = admission.probability(now, other);
+  CHECK(first > last);
+  CHECK(last >= admission.share() / 4);
+}
