Test of the admitted share: the growth of the same step precedes the cut; explanation of service_full

The check was wrong; the new one expects the exact figure from the options. pimentofrontctl explain said that all servers were full, which is no longer what service_full means; the line now says what its log line tells.

--- a/packages/ctl/src/TimeLine.cpp
+++ b/packages/ctl/src/TimeLine.cpp
@@ -160,10 +160,11 @@
      "refused: each server or agent that could take it declined; the reason "
      "is given after the comma"},
     {"request_lost", "why=service_full",
-     "refused, and sent to no server that ran it: all servers of its plain "
-     "service reported to be full, and its answer could not be expected by its "
-     "latency target; the line tells the expected time, the time allowed for "
-     "its urgency and account, and the slots"},
+     "refused, and sent to no server that ran it: its plain service is asked "
+     "for more than its servers can answer in time; the line tells the share "
+     "of the requests that its entry admits, the wait that the servers "
+     "reported, their slots and how many of them are in use, and, with "
+     "plain_queue, the time allowed for its urgency and account"},
     {"request_queued", "",
      "it waits at the entry: all servers of its plain service reported to be "
      "full, and more urgent requests, or accounts below their share, go first"},
--- a/test/OverloadedServiceTest.cpp
+++ b/test/OverloadedServiceTest.cpp
@@ -178,7 +178,11 @@
   const AdmissionRequest request{.Route = "once", .Target = 150ms};
   const WaitReport full{.Wait = 120ms, .Pace = 30ms, .At = Now};
   admission.recordArrival(Now, request, full);
-  CHECK(admission.share() == Approx(0.5));
+  // The growth of the same step precedes the cut.
+  const PlainAdmissionOptions options;
+  constexpr double LongestStep = 0.25; // seconds
+  CHECK(admission.share() ==
+        Approx(0.5 * (1 + options.GrowthPerSecond * LongestStep)));
   CHECK(admission.probability(Now, request) < 0.5);
   admission.recordArrival(Now + 10ms, request, std::nullopt);
   CHECK(admission.probability(Now + 10ms, request) == 1);
