--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -319,9 +319,9 @@
   put("plain_slowest_server_seconds", gauges.SlowestServerSeconds);
   put("plain_fastest_server_seconds", gauges.FastestServerSeconds);
   for (const auto &[service, it] : gauges.PlainServers) {
+    const std::string &name = service.str();
     const auto putServers = [&](const char *state, std::uint32_t n) {
-      State->PlainServers.Add({{"service", service.str()}, {"state", state}})
-          .Set(n);
+      State->PlainServers.Add({{"service", name}, {"state", state}}).Set(n);
     };
     putServers("registered", it.Registered);
     putServers("open", it.Open);
