A refusal asks callers to come back later, whatever is known of the room

Callers saw: Retry-After of 0 from an entry that refused by the reports of some servers while another one hadn't reported (a large service, or one whose lost server is still registered), or when little of the caller's time was left.

Cause: the time came from the room, which is empty unless every server has reported, and the floor of 100 ms no longer held for service_full. Now the wait that was reported counts in its place, and 10 ms is the floor. The counts of urgencies are bounded beside it, by what is negligible.

The new test failed before (0 against 30 and 10 ms); all of [overloaded-service] and [plain-queue] pass.

--- a/packages/forward/pimentofront/src/Forward/PlainAdmission.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainAdmission.cpp
@@ -58,6 +58,10 @@
   if (!request.Account.empty())
     add(now, Accounts[request.Account]);
   forgetNegligible(now, Accounts);
+  // Urgencies are arbitrary numbers of routes and accounts.
+  std::erase_if(Urgencies, [&](const auto &it) {
+    return demandOf(now, it.second) < Options.NegligibleCount;
+  });
   Demand &demand = Urgencies[request.Urgency];
   if (demandOf(now, demand) < Options.NegligibleCount ||
       request.Target < demand.Target)
--- a/packages/forward/pimentofront/src/Forward/PlainQueue.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainQueue.cpp
@@ -199,14 +199,20 @@
 
 Duration PlainQueue::retryAfter(TimePoint now, const PlainDemand &demand,
                                 const PlainRoom &room) const {
-  const Duration excess = room.answersIn() - inTime(now, demand);
+  // Without a report of every server, the room itself isn't known.
+  const bool known = room.Pace > Duration::zero() || !room.Reported;
+  const Duration pace = known ? room.Pace : room.Reported->Pace;
+  const Duration answersIn =
+      known ? room.answersIn() : room.Reported->Wait + room.Reported->Pace;
+  const Duration excess = answersIn - inTime(now, demand);
   const bool overloaded = now < LastRefusalAt + Options.OverloadMemory;
   // The longer an overload has lasted, the longer it is likely to last.
   const Duration lasted = overloaded ? now - OverloadedSince : Duration::zero();
-  const Duration delay = std::max({excess, room.Pace, lasted / 2});
-  const Duration longest =
+  const Duration delay = std::max({excess, pace, lasted / 2});
+  const Duration longest = std::max(
+      Options.MinRetryAfter,
       std::min(Options.MaxRetryAfter,
-               scaled(demand.Deadline - now, Options.MaxRetryAfterShare));
+               scaled(demand.Deadline - now, Options.MaxRetryAfterShare)));
   if (delay <= longest)
     return delay;
   // The overload is likely to outlast the caller's patience. A caller who
--- a/test/OverloadedServiceTest.cpp
+++ b/test/OverloadedServiceTest.cpp
@@ -212,3 +212,21 @@
   CHECK(first > last);
   CHECK(last >= admission.share() / 4);
 }
+
+// A service with a server that hasn't reported lately: its room isn't known,
+// but an entry refuses by the reports of the others. Guards against refusals
+// that ask callers to come back in no time.
+TEST_CASE("a refusal asks callers to come back later although a server hasn't "
+          "reported",
+          "[overloaded-service]") {
+  const PlainQueue queue;
+  const PlainDemand demand{
+      .ArrivedAt = Now, .Target = 150ms, .Deadline = Now + 1s};
+  PlainRoom room;
+  room.Reported = WaitReport{.Wait = 60ms, .Pace = 30ms, .At = Now};
+  CHECK(queue.retryAfter(Now, demand, room) >= 30ms);
+  // A caller without any time left.
+  PlainDemand last = demand;
+  last.Deadline = Now + 10ms;
+  CHECK(queue.retryAfter(Now, last, room) >= 10ms);
+}
