The test of an overloaded service draws the requests again that showed the fault

Besides: a field that nothing read, and one function for a scaled duration in place of two. No decision changes.

--- a/packages/base/pimentofront/src/Base/Time.h
+++ b/packages/base/pimentofront/src/Base/Time.h
@@ -38,6 +38,11 @@
   return Duration(static_cast<std::int64_t>(s * 1e6));
 }
 
+/// \returns \p time multiplied by \p factor.
+constexpr Duration scaled(Duration time, double factor) {
+  return fromSeconds(toSeconds(time) * factor);
+}
+
 /// \returns the fraction, from 1 down to 0, that remains after \p age of a
 /// value that halves every \p halfLife.
 inline double decayFactor(Duration age, Duration halfLife) {
--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -870,7 +870,7 @@
       why == ForwardFailure::PartQuarantined ||
       why == ForwardFailure::UnknownKey)
     return std::nullopt;
-  // The state of the service has set the time.
+  // PlainQueue has set the time, which may be shorter than the usual minimum.
   if (why == ForwardFailure::ServiceFull)
     return Board.Jitter.jitter(request.RetryAfter);
   const Duration minDelay =
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -329,7 +329,7 @@
   std::uint32_t Unreachable = 0;
   /// A server may have run it.
   bool MayHaveRun = false;
-  /// Its plain service has been decided to get it, now or later.
+  /// PlainAdmission has admitted it; it isn't asked again.
   bool Admitted = false;
   TrialState Trial = TrialState::None;
   /// What is on trial: the request itself, or a part of its prompt.
--- a/packages/forward/pimentofront/src/Forward/PlainAdmission.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainAdmission.cpp
@@ -3,13 +3,6 @@
 #include <algorithm>
 
 namespace pimentofront {
-namespace {
-
-Duration scaled(Duration time, double factor) {
-  return fromSeconds(toSeconds(time) * factor);
-}
-
-} // namespace
 
 double PlainAdmission::valueOf(TimePoint now, const Count &count) const {
   return count.Value * decayFactor(now - count.At, Options.CountHalfLife);
--- a/packages/forward/pimentofront/src/Forward/PlainQueue.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainQueue.cpp
@@ -4,13 +4,6 @@
 #include <tuple>
 
 namespace pimentofront {
-namespace {
-
-Duration scaled(Duration time, double factor) {
-  return fromSeconds(toSeconds(time) * factor);
-}
-
-} // namespace
 
 Duration PlainQueue::inTime(TimePoint now, const PlainDemand &demand) const {
   const TimePoint due = demand.Target > Duration::zero()
--- a/packages/forward/pimentofront/src/Forward/PlainRoom.cpp
+++ b/packages/forward/pimentofront/src/Forward/PlainRoom.cpp
@@ -36,7 +36,7 @@
 std::optional<WaitReport>
 waitReportOf(TimePoint now, const ServerSetOptions &options,
              const std::vector<const ServerView *> &open) {
-  // Reports of this age still tell of the present load together.
+  // An older report than this doesn't describe the same load as the newest one.
   constexpr Duration RecentTime = std::chrono::milliseconds(250);
   TimePoint newest;
   for (const ServerView *it : open)
@@ -52,10 +52,7 @@
         fromSeconds(toSeconds(pace) * it->Load.Waiting / slots);
     if (shortest && wait >= shortest->Wait)
       continue;
-    shortest = WaitReport{.Wait = wait,
-                          .Pace = pace,
-                          .Idle = it->Load.Running + it->Load.Waiting < slots,
-                          .At = it->LoadReportedAt};
+    shortest = WaitReport{.Wait = wait, .Pace = pace, .At = it->LoadReportedAt};
   }
   return shortest;
 }
--- a/packages/forward/pimentofront/src/Forward/PlainRoom.h
+++ b/packages/forward/pimentofront/src/Forward/PlainRoom.h
@@ -11,16 +11,14 @@
 /// \class WaitReport
 /// \ingroup Forward
 /// \brief How long a request waits for a slot at the servers of a plain
-/// service, by the latest load reports that one entry has received. Servers
-/// that haven't reported lately don't count: an entry with few requests hears
-/// of each server rarely.
+/// service, by the latest load reports that one entry has received. Unlike
+/// PlainRoom, it is known while some servers haven't reported lately: an entry
+/// with few requests hears of each server rarely.
 struct WaitReport {
   /// At the server with the shortest wait.
   Duration Wait = Duration::zero();
   /// Expected time of that server for a request itself.
   Duration Pace = Duration::zero();
-  /// That server has free slots.
-  bool Idle = false;
   /// When the report arrived.
   TimePoint At;
   friend auto operator<=>(const WaitReport &, const WaitReport &) = default;
--- a/test/SmallService.cpp
+++ b/test/SmallService.cpp
@@ -42,25 +42,21 @@
 
 std::shared_ptr<const RoutingTable> SmallService::table() const {
   const auto spec = [&](const char *name, Repeatability kind,
-                        std::uint32_t servers, std::uint32_t urgency) {
+                        std::uint32_t servers) {
     RouteSpec it = route(name, kind, "plain", servers);
     it.Timeout = Options.Timeout;
     it.LatencyTarget = Options.Target;
-    it.Priority = urgency;
     return it;
   };
-  constexpr std::uint32_t Urgency = 2;
   RoutingDocument document{
-      .Routes = {spec("once", Repeatability::NonIdempotent, 1, Urgency),
-                 spec("safe", Repeatability::Idempotent, 2,
-                      Options.SafeUrgency)},
+      .Routes = {spec("once", Repeatability::NonIdempotent, 1),
+                 spec("safe", Repeatability::Idempotent, 2)},
       .Services = {{.Name = ServiceName("plain"), .MaxConnections = 190}}};
   for (const auto &[name, share] : Options.Accounts)
     document.Accounts.push_back(
         {.Name = AccountName(name), .Keys = {KeyDigest::of(keyOf(name))}});
   const RoutingTable first(1, document);
-  document.Routes.push_back(
-      spec("added", Repeatability::Idempotent, 2, Urgency));
+  document.Routes.push_back(spec("added", Repeatability::Idempotent, 2));
   return std::make_shared<const RoutingTable>(2, std::move(document), &first);
 }
 
@@ -158,9 +154,7 @@
   const double variance = std::log(1 + Spread * Spread);
   std::lognormal_distribution<double> work(
       std::log(toSeconds(Options.Work)) - variance / 2, std::sqrt(variance));
-  constexpr double LongFactor = 5;
-  return fromSeconds(work(Rng) *
-                     (uniform() < Options.LongShare ? LongFactor : 1));
+  return fromSeconds(work(Rng));
 }
 
 double SmallService::uniform() {
@@ -187,17 +181,15 @@
   };
   at(Time, tick);
   const auto schedule = [&](double rate, bool added) {
-    const double clump = added ? 1 : Options.Clump;
-    std::exponential_distribution<double> gap(std::max(rate / clump, 1e-9));
+    if (rate <= 0)
+      return;
+    std::exponential_distribution<double> gap(rate);
     for (TimePoint it = Time;;) {
       it += fromSeconds(gap(Rng));
       if (it >= end)
         return;
       const char *first = uniform() < OnceShare ? "once" : "safe";
       at(it, [this, added, first] { arrive(added ? "added" : first, !added); });
-      // More may arrive at the same time.
-      while (!added && uniform() < 1 - 1 / Options.Clump)
-        at(it, [this, first] { arrive(first, true); });
     }
   };
   schedule(perSecond, false);
@@ -211,11 +203,13 @@
 }
 
 std::string SmallService::pickAccount() {
+  if (Options.Accounts.empty())
+    return {};
   double draw = uniform();
   for (const auto &[name, share] : Options.Accounts)
     if ((draw -= share) < 0)
       return name;
-  return Options.Accounts.empty() ? "" : Options.Accounts.rbegin()->first;
+  return Options.Accounts.rbegin()->first;
 }
 
 void SmallService::arrive(const std::string &route, bool byWeight) {
@@ -315,9 +309,8 @@
 void SmallService::answer(const Server &server, const Job &job, int status,
                           HttpHeaders headers) {
   headers.push_back({"id", job.Id});
-  if (Options.LoadReports)
-    headers.push_back({"load", std::to_string(server.Running) + "," +
-                                   std::to_string(server.Queue.size())});
+  headers.push_back({"load", std::to_string(server.Running) + "," +
+                                 std::to_string(server.Queue.size())});
   at(Time + Latency, [this, job, status, headers] {
     Entry &entry = Entries[job.Entry];
     if (entry.Generation != job.Generation || !entry.Jobs.erase(job.Attempt))
--- a/test/SmallService.h
+++ b/test/SmallService.h
@@ -18,16 +18,8 @@
   std::uint32_t Slots = 6;
   std::size_t QueueLength = 24;
   Duration Work = 30ms;
-  /// Mean number of requests that arrive together, at different entries.
-  double Clump = 1;
-  /// Share of requests that take five times as long.
-  double LongShare = 0;
-  /// Servers send their load with each answer.
-  bool LoadReports = true;
   Duration Target = 150ms;
   Duration Timeout = 1s;
-  /// Urgency of the requests on the route "safe"; that of the others is 2.
-  std::uint32_t SafeUrgency = 2;
   /// Times that a caller on a first route, or on the added one, comes back
   /// after a refusal.
   int Returns = 1;
@@ -113,7 +105,6 @@
     MemberRecord Record;
     std::deque<std::shared_ptr<Job>> Queue;
     std::uint32_t Running = 0;
-    bool Leaving = false;
   };
   struct Entry {
     std::unique_ptr<ForwardController> Controller;
