Log and count who knew at which software version a stream began

A resumed stream that went on at the only registered version couldn't be told from one whose version its entry or an agent had named. stream_origin has the decision with its inputs (who knew it, versions registered, mixed or not, complete or not, agents asked); pimentofront_stream_origins_total counts it.

--- a/packages/daemon/src/ForwardIo.cpp
+++ b/packages/daemon/src/ForwardIo.cpp
@@ -94,6 +94,7 @@
        {"why", event.Detail},
        {"status", static_cast<std::uint64_t>(event.Status)},
        {"engine_choice", event.Choice ? routeReasonName(*event.Choice) : ""},
+       {"origin_by", event.Origin ? originSourceName(*event.Origin) : ""},
        {"ending", event.Ending ? upstreamEndingName(*event.Ending) : ""},
        {"end", event.End ? endVerdictName(event.End->Verdict) : ""},
        {"end_evidence", event.End ? endEvidenceName(event.End->Evidence) : ""},
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -131,6 +131,12 @@
           .Help("Requests whose first event has arrived, by service and by why "
                 "their engine was chosen")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &StreamOrigins =
+      prometheus::BuildCounter()
+          .Name("pimentofront_stream_origins_total")
+          .Help("Decisions on the software version that goes on with a stream "
+                "that its caller resumes, by service and by who knew it")
+          .Register(Registry);
   prometheus::Family<prometheus::Gauge> &ShapeEngines =
       prometheus::BuildGauge()
           .Name("pimentofront_shape_engines")
@@ -251,6 +257,10 @@
   if (std::string_view(event.Name) == "request_unqueued")
     State->RoomWaits.Add({{"service", service}}, StallBuckets)
         .Observe(toSeconds(event.Took));
+  if (event.Origin)
+    State->StreamOrigins
+        .Add({{"service", service}, {"by", originSourceName(*event.Origin)}})
+        .Increment();
   if (event.Choice) {
     State->EngineChoices
         .Add({{"service", service}, {"why", routeReasonName(*event.Choice)}})
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -279,6 +279,19 @@
   return software.empty() ? "unknown" : software;
 }
 
+/// Who knew at which software version a stream began.
+enum class OriginSource : std::uint8_t {
+  /// This entry, which began the stream or has asked for it before.
+  Entry,
+  Agent,
+  /// Nobody: the service has only this version.
+  OnlyVersion,
+  /// Nobody, and the service has had several versions.
+  Nobody,
+};
+/// \returns the name of \p source in logs and metrics.
+const char *originSourceName(OriginSource source);
+
 /// \class OriginQuery
 /// \ingroup Forward
 /// \brief The question at which software version a stream began.
@@ -286,6 +299,10 @@
   /// Agents that haven't answered.
   std::set<HostName> Asked;
   TimePoint Until;
+  /// Number of agents that were asked.
+  std::size_t AskedCount = 0;
+  /// The agent whose answer named a version.
+  HostName KnownBy;
 };
 
 /// \class ForwardRequest
@@ -477,6 +494,9 @@
   /// and the number of engines that requests of its shape prefer.
   std::optional<RouteReason> Choice;
   std::uint32_t ShapeEngines = 0;
+  /// Set once it is decided at which software version a stream goes on that a
+  /// caller resumes.
+  std::optional<OriginSource> Origin;
   /// Set by the end of a stream: its longest time between two events, and
   /// whether that exceeds the pause that its route allows.
   Duration LongestPause = Duration::zero();
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -30,6 +30,23 @@
   return RequestId(traits.LastEventId ? traits.Resumes : traits.Id);
 }
 
+/// \returns the inputs of a decision on a stream's software version, for the
+/// log.
+std::string describeQuery(const std::optional<OriginQuery> &query,
+                          const std::set<std::string> &registered, bool mixed,
+                          bool complete) {
+  std::string result = ", versions registered ";
+  for (const std::string &it : registered)
+    result += softwareName(it) + " ";
+  result += std::string("mixed ") + (mixed ? "yes" : "no") +
+            ", list of servers " + (complete ? "complete" : "incomplete");
+  if (query)
+    result +=
+        ", agents asked " + std::to_string(query->AskedCount) +
+        (query->KnownBy.empty() ? "" : ", told by " + query->KnownBy.str());
+  return result;
+}
+
 Duration lifetimeOf(TimePoint now, const ForwardRequest &request) {
   const Duration stated =
       request.Traits.TimeLeft.value_or(request.Route->Timeout);
@@ -38,6 +55,11 @@
 
 } // namespace
 
+const char *originSourceName(OriginSource source) {
+  constexpr const char *Names[] = {"entry", "agent", "only_version", "nobody"};
+  return Names[static_cast<std::size_t>(source)];
+}
+
 bool StreamOriginController::isMixed(TimePoint now,
                                      const ServiceName &service) const {
   const auto it = Board.MixedUntil.find(service);
@@ -76,18 +98,46 @@
   if (versions == all.end() || versions->second == std::set<std::string>{""})
     return OriginDecision::Decided;
   request.RequiredSoftware = Board.Origins.find(now, streamOf(request));
-  if (request.RequiredSoftware)
+  if (request.RequiredSoftware) {
+    const bool told = request.Origin && !request.Origin->KnownBy.empty();
+    recordDecision(now, request, versions->second,
+                   told ? OriginSource::Agent : OriginSource::Entry);
     return OriginDecision::Decided;
+  }
   if (!request.Origin)
     ask(now, request);
   if (!request.Origin->Asked.empty())
     return OriginDecision::Asked;
-  if (isMixed(now, request.Service) || !Board.Servers.wasComplete())
+  if (isMixed(now, request.Service) || !Board.Servers.wasComplete()) {
+    recordDecision(now, request, versions->second, OriginSource::Nobody);
     return OriginDecision::Unknown;
+  }
   request.RequiredSoftware = *versions->second.begin();
+  recordDecision(now, request, versions->second, OriginSource::OnlyVersion);
   return OriginDecision::Decided;
 }
 
+void StreamOriginController::recordDecision(
+    TimePoint now, const ForwardRequest &request,
+    const std::set<std::string> &registered, OriginSource source) {
+  const std::string version =
+      request.RequiredSoftware ? softwareName(*request.RequiredSoftware) : "";
+  Board.Events.push_back({.Name = "stream_origin",
+                          .Request = request.Traits.Id,
+                          .Route = request.Route->Name,
+                          .Service = request.Service,
+                          .Content = request.Content,
+                          .Detail = "stream of attempt " +
+                                    streamOf(request).str() +
+                                    ", server software " + version +
+                                    ", known by " + originSourceName(source) +
+                                    describeQuery(request.Origin, registered,
+                                                  isMixed(now, request.Service),
+                                                  Board.Servers.wasComplete()),
+                          .Took = now - request.ArrivedAt,
+                          .Origin = source});
+}
+
 void StreamOriginController::ask(TimePoint now, ForwardRequest &request) {
   const bool mixed = isMixed(now, request.Service);
   request.Origin =
@@ -99,6 +149,7 @@
     request.Origin->Asked.insert(it->Record.Host);
     send(*it, StreamOriginQuery{stream});
   }
+  request.Origin->AskedCount = request.Origin->Asked.size();
   if (!request.Origin->Asked.empty())
     Board.OriginQueries.insert(request.Key);
 }
@@ -179,10 +230,12 @@
     ForwardRequest &request = Board.Requests.at(key);
     if (streamOf(request) != reply.Stream)
       continue;
-    if (reply.Known)
+    if (reply.Known) {
+      request.Origin->KnownBy = agent;
       Board.Origins.record(now, {.Stream = reply.Stream,
                                  .Software = reply.Software,
                                  .Lifetime = lifetimeOf(now, request)});
+    }
     if (reply.Known || removeAsked(request, agent))
       decided.push_back(key);
   }
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.h
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -66,6 +66,10 @@
   void ask(TimePoint now, ForwardRequest &request);
   void publish(TimePoint now, const ForwardRequest &request);
   void send(const MemberView &agent, Message message);
+  /// Records who knew the version, and what this entry knew of the service.
+  void recordDecision(TimePoint now, const ForwardRequest &request,
+                      const std::set<std::string> &registered,
+                      OriginSource source);
   /// Notes that \p agent won't tell the origin of the request's stream.
   /// \returns whether no other agent is left to answer.
   bool removeAsked(ForwardRequest &request, const HostName &agent);
