--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -323,8 +323,12 @@
     endCall(key, /*complete=*/false);
     return key;
   }
+  const auto time =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Options.CallerTime);
   RequestHead head{
-      "POST", Path + content, {{"Host", "h"}, {"id", id}, {"time", "6000"}}};
+      "POST",
+      Path + content,
+      {{"Host", "h"}, {"id", id}, {"time", std::to_string(time.count())}}};
   head.Headers.insert(head.Headers.end(), headers.begin(), headers.end());
   Sim.atProcess(entry.Spec.Host, entry.Incarnation, [=](SimulatedProcess &it) {
     it.Forward->request(it.Owner.now(), key, head, content,
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -52,6 +52,8 @@
   bool Unframed = false;
   /// The fleet's route allows another server to resume a stream.
   bool Resumable = true;
+  /// Time that a caller states for each attempt.
+  Duration CallerTime = std::chrono::seconds(6);
   /// One-way latency between an entry and a server.
   Duration Latency = std::chrono::microseconds(1400);
 };
