Soak: all entries, or all entries and all agents, killed at once

Once or twice a run, beside the other faults. In about half of the runs the release completes: all servers of the first version change or leave, and an outage follows within 1.5 s. No check and no bound changes. Callers keep their connections until the process is gone, as before.

--- a/test/platform/soak/Deployment.cpp
+++ b/test/platform/soak/Deployment.cpp
@@ -140,7 +140,8 @@
       "\"agent\": {\"engine\": " + quoted(text(addressOf(ip, BackendListen))) +
           ", \"engine_interface\": \"orders\", \"engine_settle_ms\": "
           "0, \"engine_probe_ms\": 100, \"base_model\": " +
-          quoted(service) + ", \"company_share\": 0}");
+          quoted(service) + ", \"company_share\": 0}")
+      .IsAgent = true;
 }
 
 void Deployment::addWriters() {
--- a/test/platform/soak/Deployment.h
+++ b/test/platform/soak/Deployment.h
@@ -40,6 +40,7 @@
   Child Process;
   std::unique_ptr<TcpProxy> PeerProxy;
   bool IsReplica = false;
+  bool IsAgent = false;
   /// Whether its host is in service: else it isn't started.
   bool InService = true;
 };
--- a/test/platform/soak/Release.cpp
+++ b/test/platform/soak/Release.cpp
@@ -25,7 +25,7 @@
   return fromSeconds(toSeconds(RunTime) * (from + (to - from) * Rng.uniform()));
 }
 
-void Release::begin(Duration time) {
+void Release::begin(Duration time, bool completes) {
   RunTime = time;
   std::vector<Server *> first;
   for (Server *it : System.writers()) {
@@ -34,6 +34,13 @@
     else
       first.push_back(it);
   }
+  if (completes)
+    scheduleAll(first);
+  else
+    scheduleQuarters(first);
+}
+
+void Release::scheduleQuarters(const std::vector<Server *> &first) {
   const std::size_t quarter = first.size() / 4;
   for (std::size_t i = 0; i < quarter; ++i) {
     schedule(randomDelay(0.3, 0.6),
@@ -43,6 +50,16 @@
   }
 }
 
+void Release::scheduleAll(const std::vector<Server *> &first) {
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    const Duration delay = randomDelay(0.1, 0.4);
+    if (i < first.size() / 2)
+      schedule(delay, [this, it = first[i]] { changeVersion(*it); });
+    else
+      schedule(delay, [this, it = first[i]] { drain(*it); });
+  }
+}
+
 void Release::join(Server &server) {
   server.State = ServerState::Ready;
   server.Agent->InService = true;
@@ -56,6 +73,7 @@
   server.Fake->restart(server.nextInstance(), SecondVersion);
   Faults.recordEvent(Loop.now(), "changes its version, " + before + " to " +
                                      server.Fake->instance());
+  reportIfFirstVersionLeft();
 }
 
 void Release::drain(Server &server) {
@@ -71,6 +89,20 @@
   server.Agent->InService = false;
   server.Agent->Process.signal(SIGTERM);
   Faults.recordEvent(Loop.now(), "leaves, " + server.Fake->instance());
+  reportIfFirstVersionLeft();
+}
+
+void Release::reportIfFirstVersionLeft() {
+  const bool isPresent =
+      std::ranges::any_of(System.writers(), [](const Server *it) {
+        return it->State != ServerState::Absent &&
+               it->Fake->softwareVersion() == FirstVersion;
+      });
+  if (isPresent)
+    return;
+  Faults.recordEvent(Loop.now(), "the first version has left");
+  if (FirstVersionLeft)
+    FirstVersionLeft();
 }
 
 std::size_t Release::serving(const std::string &version) const {
--- a/test/platform/soak/SoakMain.cpp
+++ b/test/platform/soak/SoakMain.cpp
@@ -6,6 +6,7 @@
 
 #include "Callers.h"
 #include "FaultSeries.h"
+#include "Outages.h"
 #include "StreamCallers.h"
 
 #include <csignal>
@@ -50,6 +51,7 @@
                  Results),
         Versions(loop, System, Faults, DocumentOperator, arguments.Seed + 3),
         Series(loop, System, Faults, DocumentOperator, arguments.Seed + 4),
+        Losses(loop, System, Faults, Versions, arguments.Seed),
         Streams(loop, System, Versions, arguments.Seed + 5, Results),
         PhaseStart(loop.now()),
         CheckTimer(loop.every(CheckPeriod, [this] { checkPhase(); })),
@@ -106,12 +108,14 @@
     System.endBootstrap();
     Faults.begin(now);
     DocumentOperator.begin();
-    Versions.begin(Options.RunTime);
+    Versions.begin(Options.RunTime, Losses.completesRelease());
+    Losses.begin(Options.RunTime);
     Streams.begin();
     Requests.startCrashing();
     enterPhase(Phase::Disturbed, now);
   }
   void heal(TimePoint now) {
+    Losses.stop();
     Faults.heal();
     DocumentOperator.stopChanging();
     enterPhase(Phase::Recovering, now);
@@ -151,6 +155,7 @@
   Callers Requests;
   Release Versions;
   FaultSeries Series;
+  Outages Losses;
   StreamCallers Streams;
   Phase CurrentPhase = Phase::Starting;
   TimePoint PhaseStart;
