The versions of a service are recorded by the replicas

Cause: that a service has had several versions was known to each entry process only (MixedUntil). An entry that starts afterwards sees one version, hears of no other, and goes on at it.

SoftwareRecord holds, for each service, the versions whose streams may still be taken up. The leader adds a version before it tells any entry of its first server, and retires it after ten minutes without one. So a record that was confirmed after a request arrived names each version that can have begun its stream: if it names one, the stream goes on without a question to agents; if several, and no agent knows the stream, it is refused. An entry whose copy was never confirmed defers such a stream; one that has lost the replicas goes on as before. Processes of an earlier release are sent no record, and the first one is made only when all replicas of the group can apply it.

--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -160,6 +160,14 @@
   return result;
 }
 
+bool ServerSet::hasOtherSoftware(const ServiceName &service,
+                                 const std::string &software) const {
+  return std::ranges::any_of(Servers, [&](const auto &it) {
+    return belongsTo(it.second.Record, service) &&
+           it.second.Record.Software != software;
+  });
+}
+
 double ServerSet::meanFailureShare(const ServiceName &service) const {
   double sum = 0;
   std::size_t n = 0;
--- a/packages/forward/pimentofront/src/Forward/ServerSet.h
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.h
@@ -112,6 +112,10 @@
   /// \returns the software versions of the registered servers by service,
   /// also of those that are leaving.
   std::map<ServiceName, std::set<std::string>> softwareVersions() const;
+  /// \returns whether a registered server of the service states another
+  /// software version than \p software.
+  bool hasOtherSoftware(const ServiceName &service,
+                        const std::string &software) const;
   /// Agents with the reports on their engines. An agent whose engine isn't
   /// registered counts as drained.
   MemberViews &agents() { return Agents; }
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -33,11 +33,16 @@
 /// \returns the inputs of a decision on a stream's software version, for the
 /// log.
 std::string describeQuery(const std::optional<OriginQuery> &query,
-                          const std::set<std::string> &registered, bool mixed,
+                          const std::set<std::string> &registered,
+                          const SoftwareRecord *record, bool mixed,
                           bool complete) {
   std::string result = ", versions registered ";
   for (const std::string &it : registered)
     result += softwareName(it) + " ";
+  result += "recorded ";
+  for (const std::string &it :
+       record ? record->Versions : std::vector<std::string>())
+    result += softwareName(it) + " ";
   result += std::string("mixed ") + (mixed ? "yes" : "no") +
             ", list of servers " + (complete ? "complete" : "incomplete");
   if (query)
@@ -62,6 +67,30 @@
 
 bool StreamOriginController::isMixed(TimePoint now,
                                      const ServiceName &service) const {
+  if (hasSeenMixed(now, service))
+    return true;
+  const SoftwareRecord *record = Board.Configuration.findSoftware(service);
+  if (!record || record->Versions.empty())
+    return false;
+  return record->Versions.size() > 1 ||
+         Board.Servers.hasOtherSoftware(service, record->Versions.front());
+}
+
+std::optional<std::string> StreamOriginController::onlyRecordedVersion(
+    TimePoint now, const ForwardRequest &request) const {
+  const auto age = Board.Configuration.confirmationAge(now);
+  const SoftwareRecord *record =
+      Board.Configuration.findSoftware(request.Service);
+  // Each version is recorded before an entry is told of its first server.
+  const bool current = age && now - *age >= request.ArrivedAt;
+  if (!current || !record || record->Versions.size() != 1 ||
+      isMixed(now, request.Service))
+    return std::nullopt;
+  return record->Versions.front();
+}
+
+bool StreamOriginController::hasSeenMixed(TimePoint now,
+                                          const ServiceName &service) const {
   const auto it = Board.MixedUntil.find(service);
   return it != Board.MixedUntil.end() &&
          (!it->second || now < *it->second + MixedMemory);
@@ -80,7 +109,7 @@
   for (const auto &[service, all] : versions) {
     if (!isMixedNow(service))
       continue;
-    if (!isMixed(now, service))
+    if (!hasSeenMixed(now, service))
       appeared.insert(service);
     Board.MixedUntil[service] = std::nullopt;
   }
@@ -95,7 +124,10 @@
     return OriginDecision::Decided;
   const auto all = Board.Servers.softwareVersions();
   const auto versions = all.find(request.Service);
-  if (versions == all.end() || versions->second == std::set<std::string>{""})
+  if (versions == all.end())
+    return OriginDecision::Decided;
+  const bool stated = versions->second != std::set<std::string>{""};
+  if (!stated && !isMixed(now, request.Service))
     return OriginDecision::Decided;
   request.RequiredSoftware = Board.Origins.find(now, streamOf(request));
   if (request.RequiredSoftware) {
@@ -104,6 +136,11 @@
                    told ? OriginSource::Agent : OriginSource::Entry);
     return OriginDecision::Decided;
   }
+  request.RequiredSoftware = onlyRecordedVersion(now, request);
+  if (request.RequiredSoftware) {
+    recordDecision(now, request, versions->second, OriginSource::OnlyVersion);
+    return OriginDecision::Decided;
+  }
   if (!request.Origin)
     ask(now, request);
   if (!request.Origin->Asked.empty())
@@ -112,6 +149,8 @@
     recordDecision(now, request, versions->second, OriginSource::Nobody);
     return OriginDecision::Unknown;
   }
+  if (!Board.Configuration.confirmationAge(now))
+    return OriginDecision::AwaitsRecord;
   request.RequiredSoftware = *versions->second.begin();
   recordDecision(now, request, versions->second, OriginSource::OnlyVersion);
   return OriginDecision::Decided;
@@ -122,20 +161,22 @@
     const std::set<std::string> &registered, OriginSource source) {
   const std::string version =
       request.RequiredSoftware ? softwareName(*request.RequiredSoftware) : "";
-  Board.Events.push_back({.Name = "stream_origin",
-                          .Request = request.Traits.Id,
-                          .Route = request.Route->Name,
-                          .Service = request.Service,
-                          .Content = request.Content,
-                          .Detail = "stream of attempt " +
-                                    streamOf(request).str() +
-                                    ", server software " + version +
-                                    ", known by " + originSourceName(source) +
-                                    describeQuery(request.Origin, registered,
-                                                  isMixed(now, request.Service),
-                                                  Board.Servers.wasComplete()),
-                          .Took = now - request.ArrivedAt,
-                          .Origin = source});
+  Board.Events.push_back(
+      {.Name = "stream_origin",
+       .Request = request.Traits.Id,
+       .Route = request.Route->Name,
+       .Service = request.Service,
+       .Content = request.Content,
+       .Detail =
+           "stream of attempt " + streamOf(request).str() +
+           ", server software " + version + ", known by " +
+           originSourceName(source) +
+           describeQuery(request.Origin, registered,
+                         Board.Configuration.findSoftware(request.Service),
+                         isMixed(now, request.Service),
+                         Board.Servers.wasComplete()),
+       .Took = now - request.ArrivedAt,
+       .Origin = source});
 }
 
 void StreamOriginController::ask(TimePoint now, ForwardRequest &request) {
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.h
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -13,6 +13,8 @@
   Asked,
   /// Nobody knows at which version the stream began.
   Unknown,
+  /// The replicas' record of the service's versions hasn't arrived yet.
+  AwaitsRecord,
 };
 
 /// \class StreamOriginController
@@ -28,6 +30,12 @@
 /// caller comes back asks the first agents of that order, so that the entry
 /// that began the stream may be gone.
 ///
+/// Which versions may have begun a service's streams is recorded by the
+/// replicas, too (SoftwareRecord), so that it outlives all entries. An entry
+/// that has just started waits for this record before it goes on with a stream
+/// that nobody knows. A record that was confirmed after the request arrived,
+/// and names the only version, needs no question to agents.
+///
 /// While only one version is registered nobody is told. When a second one
 /// appears, the entry tells the agents of its running streams; a server of the
 /// second version gets no stream from an entry that doesn't know it yet. Agents
@@ -60,6 +68,13 @@
   bool isMixed(TimePoint now, const ServiceName &service) const;
 
 private:
+  /// \returns whether servers of several versions have been registered with
+  /// this entry.
+  bool hasSeenMixed(TimePoint now, const ServiceName &service) const;
+  /// \returns the only version that may have begun the request's stream by a
+  /// record confirmed since the request arrived; nothing if there is none.
+  std::optional<std::string>
+  onlyRecordedVersion(TimePoint now, const ForwardRequest &request) const;
   /// \returns the first \p n agents for the request's stream.
   std::vector<const MemberView *> holders(const ForwardRequest &request,
                                           std::size_t n) const;
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
@@ -52,7 +52,8 @@
                                 .KnownMembers = Members.version(),
                                 .WantsMembers = true,
                                 .WantsQuarantine = Options.WantsQuarantine,
-                                .KnownQuarantine = Quarantine});
+                                .KnownQuarantine = Quarantine,
+                                .TakesSoftware = true});
   Subscribed = true;
   SubscribedAt = now;
   probe(now);
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -39,9 +39,10 @@
                          Transport &transport, const WallClock &wall)
     : Options(options), Store(store), Network(transport), Wall(wall),
       Log(now, options.Log, stored), State(options.Claims),
-      Review(options.Quarantine), Evacuations(options.OrderResendWindow),
-      Members(options.Members), Loads(options.Loads),
-      Allotments(options.Allotments, options.Documents), Listeners(transport),
+      Review(options.Quarantine), History(options.History),
+      Evacuations(options.OrderResendWindow), Members(options.Members),
+      Loads(options.Loads), Allotments(options.Allotments, options.Documents),
+      Listeners(transport),
       Watch(SilentElectionTimeouts * options.Log.ElectionTimeout) {
   flush(now);
 }
@@ -259,7 +260,62 @@
                            std::uint64_t sequence) {
   assert(leads(now) && "only the leader maintains the member table");
   ensureTermStarted(now);
-  Members.announce(now, member, sequence);
+  if (!awaitsSoftwareRecord(now, member)) {
+    Members.announce(now, member, sequence);
+    return;
+  }
+  std::erase_if(HeldAnnouncements, [&](const HeldAnnouncement &it) {
+    return it.Member.process() == member.process();
+  });
+  HeldAnnouncements.push_back(
+      {.ArrivedAt = now, .Member = member, .Sequence = sequence});
+  flush(now);
+}
+
+bool ReplicaNode::recordsSoftware() const {
+  // The first record was proposed when all replicas had said so.
+  if (!State.configuration().software().empty())
+    return true;
+  return std::ranges::all_of(
+      Log.group().Replicas, [&](const ReplicaDescriptor &replica) {
+        return replica.Id == Log.id() ||
+               std::ranges::any_of(ReplicaOfLink, [&](const auto &it) {
+                 return it.second == replica.Id &&
+                        Listeners.takesSoftware(it.first);
+               });
+      });
+}
+
+bool ReplicaNode::awaitsSoftwareRecord(TimePoint now,
+                                       const MemberRecord &member) {
+  if (!member.Registered || member.Gone || !acceptsCommands() ||
+      !recordsSoftware())
+    return false;
+  proposeSoftware(now, History.additions(member, State.configuration()));
+  return History.isBeingAdded(member);
+}
+
+void ReplicaNode::proposeSoftware(TimePoint now,
+                                  const std::vector<RecordSoftware> &commands) {
+  for (const RecordSoftware &it : commands)
+    if (Log.propose(now, Wall.milliseconds(),
+                    encodeCommand(Command{.Body = it})))
+      History.recordProposed(it);
+}
+
+void ReplicaNode::reviewSoftware(TimePoint now) {
+  if (acceptsCommands() && recordsSoftware())
+    proposeSoftware(now, History.review(now, Members, State.configuration()));
+  releaseAnnouncements();
+}
+
+void ReplicaNode::releaseAnnouncements() {
+  std::erase_if(HeldAnnouncements, [&](const HeldAnnouncement &it) {
+    if (History.isBeingAdded(it.Member))
+      return false;
+    Members.announce(it.ArrivedAt, it.Member, it.Sequence);
+    return true;
+  });
 }
 
 bool ReplicaNode::acceptsCommands() const {
@@ -519,6 +575,8 @@
   Evacuations.startLeading(now, LedTerm);
   Loads = LoadScheduler(Options.Loads);
   Review.reset();
+  History.reset();
+  HeldAnnouncements.clear();
 }
 
 void ReplicaNode::join(TimePoint now) {
@@ -553,7 +611,8 @@
   Network.send(link->second, Subscribe{.Host = Options.Log.Host,
                                        .Known = MembersOnly,
                                        .KnownMembers = Members.version(),
-                                       .WantsMembers = true});
+                                       .WantsMembers = true,
+                                       .TakesSoftware = true});
 }
 
 void ReplicaNode::issueTickets(TimePoint now) {
@@ -577,6 +636,7 @@
       Loads.removeHost(it);
     issueTickets(now);
     reviewQuarantine(now);
+    reviewSoftware(now);
   }
   requestReadIndex(now);
   flush(now);
@@ -598,6 +658,12 @@
   if (outcome.Result == CommandResult::Accepted)
     if (const auto *it = std::get_if<EvacuateZone>(&command->Body))
       Evacuations.recordAcknowledged(now, it->Zone, it->Evacuated);
+  if (command)
+    if (const auto *it = std::get_if<RecordSoftware>(&command->Body)) {
+      History.recordEnded(*it);
+      if (LedTerm == Log.term() && leads(now))
+        releaseAnnouncements();
+    }
   const auto it = Proposals.find(entry.Index);
   if (it == Proposals.end())
     return;
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -20,6 +20,7 @@
   LoadSchedulerOptions Loads;
   ClaimLedgerOptions Claims;
   QuarantineReviewOptions Quarantine;
+  SoftwareHistoryOptions History;
   /// Longest time for which a sender repeats an operator's order that has no
   /// command id.
   Duration OrderResendWindow = std::chrono::seconds(6);
@@ -125,6 +126,12 @@
     MemberVersion Members;
     std::uint32_t Subscribers = 0;
   };
+  /// An announcement that waits until its software version is recorded.
+  struct HeldAnnouncement {
+    TimePoint ArrivedAt;
+    MemberRecord Member;
+    std::uint64_t Sequence = 0;
+  };
   /// The number of subscribers that a follower last reported.
   struct FollowerReport {
     std::uint32_t Count = 0;
@@ -161,6 +168,16 @@
   void compactIfDue();
   void issueTickets(TimePoint now);
   void reviewQuarantine(TimePoint now);
+  /// \returns whether all replicas decode RecordSoftware.
+  bool recordsSoftware() const;
+  /// \returns whether a command that adds what \p member states is in the log
+  /// and isn't applied yet.
+  bool awaitsSoftwareRecord(TimePoint now, const MemberRecord &member);
+  void reviewSoftware(TimePoint now);
+  void proposeSoftware(TimePoint now,
+                       const std::vector<RecordSoftware> &commands);
+  /// Records the announcements that wait for no command any more.
+  void releaseAnnouncements();
   void join(TimePoint now);
   bool acceptsCommands() const;
   /// Reports the outcome of a proposal to its sender.
@@ -178,6 +195,9 @@
   ReplicatedLog Log;
   StateMachine State;
   QuarantineReview Review;
+  SoftwareHistory History;
+  /// In order of arrival, the last one of each process.
+  std::vector<HeldAnnouncement> HeldAnnouncements;
   EvacuationOrders Evacuations;
   MemberTable Members;
   LoadScheduler Loads;
--- a/packages/node/pimentofront/src/Node/Subscribers.cpp
+++ b/packages/node/pimentofront/src/Node/Subscribers.cpp
@@ -11,13 +11,17 @@
 
 /// Sends the difference since \p since in parts, so that it never has to be in
 /// memory as a whole.
+/// \param withSoftware whether the receiver decodes SoftwareRecord.
 /// \returns the number of parts.
 std::size_t
 sendDifference(const Configuration &configuration, Revision since,
+               bool withSoftware,
                const std::function<void(ConfigurationUpdate)> &send) {
   std::size_t parts = 0;
   ConfigurationUpdate part{.UpTo = configuration.revision()};
   configuration.forEachChanged(since, [&](const ConfigurationRecord &it) {
+    if (!withSoftware && std::holds_alternative<SoftwareRecord>(it))
+      return;
     if (part.Records.size() == MaxRecordsPerPart) {
       part.Partial = true;
       send(std::exchange(part, {.UpTo = configuration.revision()}));
@@ -37,11 +41,17 @@
                .KnownMembers = subscribe.KnownMembers,
                .WantsMembers = subscribe.WantsMembers,
                .WantsQuarantine = subscribe.WantsQuarantine,
-               .KnownQuarantine = subscribe.KnownQuarantine};
+               .KnownQuarantine = subscribe.KnownQuarantine,
+               .TakesSoftware = subscribe.TakesSoftware};
 }
 
 void Subscribers::remove(LinkId link) { All.erase(link); }
 
+bool Subscribers::takesSoftware(LinkId link) const {
+  const auto it = All.find(link);
+  return it != All.end() && it->second.TakesSoftware;
+}
+
 void Subscribers::recordInForce(LinkId link, Revision revision) {
   const auto it = All.find(link);
   if (it != All.end())
@@ -51,18 +61,21 @@
 void Subscribers::pushConfiguration(LinkId link, Subscriber &subscriber,
                                     const Configuration &configuration) {
   const bool cached = Cached && CachedSince == subscriber.Known &&
+                      CachedWithSoftware == subscriber.TakesSoftware &&
                       Cached->UpTo == configuration.revision();
   if (cached) {
     Network.send(link, *Cached);
   } else {
     Cached.reset();
-    const std::size_t parts = sendDifference(configuration, subscriber.Known,
-                                             [&](ConfigurationUpdate part) {
-                                               Network.send(link, part);
-                                               if (!part.Partial)
-                                                 Cached = std::move(part);
-                                             });
+    const std::size_t parts =
+        sendDifference(configuration, subscriber.Known,
+                       subscriber.TakesSoftware, [&](ConfigurationUpdate part) {
+                         Network.send(link, part);
+                         if (!part.Partial)
+                           Cached = std::move(part);
+                       });
     CachedSince = subscriber.Known;
+    CachedWithSoftware = subscriber.TakesSoftware;
     // Most subscribers lack the same small difference. A large one isn't
     // cached.
     if (parts > 1)
--- a/packages/node/pimentofront/src/Node/Subscribers.h
+++ b/packages/node/pimentofront/src/Node/Subscribers.h
@@ -21,6 +21,8 @@
   void add(LinkId link, const Subscribe &subscribe);
   void remove(LinkId link);
   bool contains(LinkId link) const { return All.contains(link); }
+  /// \returns whether the subscriber on \p link decodes SoftwareRecord.
+  bool takesSoftware(LinkId link) const;
   void recordInForce(LinkId link, Revision revision);
   /// Sends each subscriber the changes that it lacks.
   void push(const Configuration &configuration, const MemberTable &members,
@@ -41,6 +43,7 @@
     bool WantsMembers = false;
     bool WantsQuarantine = false;
     std::uint64_t KnownQuarantine = 0;
+    bool TakesSoftware = false;
     Revision InForce = 0;
   };
   void pushConfiguration(LinkId link, Subscriber &subscriber,
@@ -48,9 +51,10 @@
 
   Transport &Network;
   std::map<LinkId, Subscriber> All;
-  /// The difference sent last, and the revision that it starts from; most
-  /// subscribers lack the same one.
+  /// The difference sent last, the revision that it starts from, and whether it
+  /// has the records of software; most subscribers lack the same one.
   Revision CachedSince = 0;
+  bool CachedWithSoftware = false;
   std::optional<ConfigurationUpdate> Cached;
 };
 
--- a/packages/serving/pimentofront/src/Serving/EntryBoard.h
+++ b/packages/serving/pimentofront/src/Serving/EntryBoard.h
@@ -109,6 +109,10 @@
   virtual bool isDrained(const HostName &host) const = 0;
   /// \returns whether an operator has evacuated the zone.
   virtual bool isEvacuated(const ZoneName &zone) const = 0;
+  /// \returns the software versions whose streams callers may still take up
+  /// again; null if the replicas have recorded none.
+  virtual const SoftwareRecord *
+  findSoftware(const ServiceName &service) const = 0;
   /// \returns whether no newer configuration can have been in force for longer
   /// than the confirmation lease.
   virtual bool isConfirmed(TimePoint now) const = 0;
--- a/packages/state/pimentofront/State.h
+++ b/packages/state/pimentofront/State.h
@@ -22,8 +22,9 @@
 #include "src/State/PartLedger.h"
 #include "src/State/QuarantineLedger.h"
 #include "src/State/QuarantineReview.h"
-#include "src/State/StateMachine.h"
 #include "src/State/MemberTable.h"
+#include "src/State/SoftwareHistory.h"
+#include "src/State/StateMachine.h"
 #include "src/State/ConfigurationCopy.h"
 // clang-format on
 
--- a/packages/state/pimentofront/src/State/Configuration.cpp
+++ b/packages/state/pimentofront/src/State/Configuration.cpp
@@ -23,6 +23,12 @@
   return it == Zones.end() ? nullptr : &it->second;
 }
 
+const SoftwareRecord *
+Configuration::findSoftware(const ServiceName &service) const {
+  const auto it = Software.find(service);
+  return it == Software.end() ? nullptr : &it->second;
+}
+
 void Configuration::put(const ConfigurationRecord &record) {
   if (const auto *adapter = std::get_if<AdapterRecord>(&record))
     Adapters.put(*adapter);
@@ -34,6 +40,8 @@
     Zones[zone->Zone] = *zone;
   if (const auto *document = std::get_if<DocumentRecord>(&record))
     Document = *document;
+  if (const auto *software = std::get_if<SoftwareRecord>(&record))
+    Software[software->Service] = *software;
 }
 
 void Configuration::advance(Revision revision) {
@@ -55,6 +63,9 @@
   for (const auto &[zone, it] : Zones)
     if (it.ChangedAt > since)
       others.emplace_back(it);
+  for (const auto &[service, it] : Software)
+    if (it.ChangedAt > since)
+      others.emplace_back(it);
   if (Document && Document->ChangedAt > since)
     others.emplace_back(*Document);
   std::ranges::sort(others, {}, changedAt);
--- a/packages/state/pimentofront/src/State/Configuration.h
+++ b/packages/state/pimentofront/src/State/Configuration.h
@@ -22,6 +22,10 @@
   const DrainRecord *findDrain(const HostName &host) const;
   const ZoneRecord *findZone(const ZoneName &zone) const;
   const std::map<ZoneName, ZoneRecord> &zones() const { return Zones; }
+  const SoftwareRecord *findSoftware(const ServiceName &service) const;
+  const std::map<ServiceName, SoftwareRecord> &software() const {
+    return Software;
+  }
   /// \returns the routing document, or null before the first one.
   const DocumentRecord *document() const {
     return Document ? &*Document : nullptr;
@@ -47,6 +51,7 @@
   std::map<KindName, KindRecord> Kinds;
   std::map<HostName, DrainRecord> Drains;
   std::map<ZoneName, ZoneRecord> Zones;
+  std::map<ServiceName, SoftwareRecord> Software;
   std::optional<DocumentRecord> Document;
 };
 
--- a/packages/state/pimentofront/src/State/ConfigurationCopy.h
+++ b/packages/state/pimentofront/src/State/ConfigurationCopy.h
@@ -57,6 +57,10 @@
   }
   bool isDrained(const HostName &host) const override;
   bool isEvacuated(const ZoneName &zone) const override;
+  const SoftwareRecord *
+  findSoftware(const ServiceName &service) const override {
+    return Records.findSoftware(service);
+  }
   const DocumentRecord *document() const { return Records.document(); }
   bool isConfirmed(TimePoint now) const override;
   std::optional<Duration> confirmationAge(TimePoint now) const override;
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -103,6 +103,8 @@
     return activateVersion(command, *it);
   if (const auto *it = std::get_if<EvacuateZone>(&body))
     return evacuate(command, *it);
+  if (const auto *it = std::get_if<RecordSoftware>(&body))
+    return recordSoftware(command, *it);
   return setDrained(command, std::get<SetDrained>(body));
 }
 
@@ -250,6 +252,30 @@
   return accept(command, std::move(adapter));
 }
 
+CommandOutcome StateMachine::recordSoftware(const Command &command,
+                                            const RecordSoftware &body) {
+  if (!mayRecordSoftware(Records, body))
+    return refuse(CommandResult::Invalid,
+                  "the service's name or the version is invalid, or there are "
+                  "too many services");
+  const SoftwareRecord *present = Records.findSoftware(body.Service);
+  SoftwareRecord record =
+      present ? *present : SoftwareRecord{.Service = body.Service};
+  const auto it = std::ranges::find(record.Versions, body.Software);
+  const bool recorded = it != record.Versions.end();
+  if (recorded != body.Retired)
+    return {.Result = CommandResult::Accepted, .At = Records.revision()};
+  if (body.Retired) {
+    record.Versions.erase(it);
+  } else {
+    // The service stays one of several versions.
+    if (record.Versions.size() >= MaxSoftwareVersions)
+      record.Versions.erase(record.Versions.begin());
+    record.Versions.push_back(body.Software);
+  }
+  return accept(command, std::move(record));
+}
+
 std::string StateMachine::encode() const {
   std::string bytes;
   const auto add = [&](const StateItem &item) {
@@ -293,6 +319,8 @@
     Records.put(*zone);
   else if (const auto *document = std::get_if<DocumentRecord>(&item))
     Records.put(*document);
+  else if (const auto *software = std::get_if<SoftwareRecord>(&item))
+    Records.put(*software);
   else if (const auto *ledger = std::get_if<QuarantineHeader>(&item))
     Quarantine.restoreVersion(ledger->Version);
   else if (const auto *record = std::get_if<QuarantineRecord>(&item))
--- a/packages/state/pimentofront/src/State/StateMachine.h
+++ b/packages/state/pimentofront/src/State/StateMachine.h
@@ -4,6 +4,7 @@
 #include "ClaimLedger.h"
 #include "Configuration.h"
 #include "QuarantineLedger.h"
+#include "SoftwareHistory.h"
 
 #include <deque>
 
@@ -50,6 +51,8 @@
   CommandOutcome putDocument(const Command &command, const PutDocument &body);
   CommandOutcome activateVersion(const Command &command,
                                  const ActivateVersion &body);
+  CommandOutcome recordSoftware(const Command &command,
+                                const RecordSoftware &body);
   /// Stores \p record as the next revision of the configuration.
   template <class Record>
   CommandOutcome accept(const Command &command, Record record);
--- a/packages/wire/pimentofront/src/Wire/Codec.h
+++ b/packages/wire/pimentofront/src/Wire/Codec.h
@@ -74,7 +74,7 @@
 using StateItem =
     std::variant<StateHeader, AdapterRecord, KindRecord, DrainRecord,
                  ClaimRecord, OutcomeRecord, DocumentRecord, QuarantineHeader,
-                 QuarantineRecord, ZoneRecord, PartRecord>;
+                 QuarantineRecord, ZoneRecord, PartRecord, SoftwareRecord>;
 
 /// Encodes as CBOR: an array of type number, hybrid time and fields.
 std::string encodeFrame(const Frame &frame);
--- a/packages/wire/pimentofront/src/Wire/Commands.h
+++ b/packages/wire/pimentofront/src/Wire/Commands.h
@@ -184,13 +184,23 @@
   PIMENTOFRONT_FIELDS(ReleaseQuarantine, Content)
 };
 
+/// From the leader: servers of a service state this software version, or have
+/// left so long ago that no caller takes up a stream of it any more.
+struct RecordSoftware {
+  ServiceName Service;
+  std::string Software;
+  bool Retired = false;
+  PIMENTOFRONT_FIELDS(RecordSoftware, Service, Software, Retired)
+};
+
 /// The position in this list is the number of the command in the log: new ones
 /// are appended at the end.
 using CommandBody =
     std::variant<CreateAdapter, CreateVersion, DeclareLive, SetKind, SetDrained,
                  ClaimRequest, RecordEnding, PutDocument, ActivateVersion,
                  ReportServerExit, ClaimTrial, EndTrial, ReviewQuarantine,
-                 ReleaseQuarantine, EvacuateZone, ReportSurvivors>;
+                 ReleaseQuarantine, EvacuateZone, ReportSurvivors,
+                 RecordSoftware>;
 
 /// \class Command
 /// \ingroup Wire
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -100,8 +100,11 @@
   bool WantsMembers = false;
   bool WantsQuarantine = false;
   std::uint64_t KnownQuarantine = 0;
+  /// The process decodes SoftwareRecord and, if it is a replica,
+  /// RecordSoftware. One of an earlier release would close the link.
+  bool TakesSoftware = false;
   PIMENTOFRONT_FIELDS(Subscribe, Host, Known, KnownMembers, WantsMembers,
-                      WantsQuarantine, KnownQuarantine)
+                      WantsQuarantine, KnownQuarantine, TakesSoftware)
 };
 
 /// Process to replica: asks whether its configuration is current, and reports
--- a/packages/wire/pimentofront/src/Wire/Records.h
+++ b/packages/wire/pimentofront/src/Wire/Records.h
@@ -98,11 +98,27 @@
   PIMENTOFRONT_FIELDS(DocumentRecord, Number, Packed, ChangedAt, ChangedBy)
 };
 
+/// \class SoftwareRecord
+/// \ingroup Wire
+/// \brief The software versions of a service whose streams callers may still
+/// take up again: those of its registered servers, and of servers that have
+/// left recently.
+struct SoftwareRecord {
+  ServiceName Service;
+  /// In the order in which they were added. The empty one stands for servers
+  /// that state no version.
+  std::vector<std::string> Versions;
+  Revision ChangedAt = 0;
+  OperatorName ChangedBy;
+  PIMENTOFRONT_FIELDS(SoftwareRecord, Service, Versions, ChangedAt, ChangedBy)
+};
+
 /// Any record of the configuration. Records are never deleted, so the
 /// difference between two revisions consists of the records that changed in
 /// between.
-using ConfigurationRecord = std::variant<AdapterRecord, KindRecord, DrainRecord,
-                                         DocumentRecord, ZoneRecord>;
+using ConfigurationRecord =
+    std::variant<AdapterRecord, KindRecord, DrainRecord, DocumentRecord,
+                 ZoneRecord, SoftwareRecord>;
 
 /// \class MemberRecord
 /// \ingroup Wire
--- a/test/EntryTest.cpp
+++ b/test/EntryTest.cpp
@@ -29,6 +29,9 @@
   bool isEvacuated(const ZoneName &zone) const override {
     return Evacuated.contains(zone);
   }
+  const SoftwareRecord *findSoftware(const ServiceName &) const override {
+    return nullptr;
+  }
   bool isConfirmed(TimePoint) const override { return Confirmed; }
   std::optional<Duration> confirmationAge(TimePoint) const override {
     return Age;
--- a/test/ForwardUnderTest.h
+++ b/test/ForwardUnderTest.h
@@ -27,6 +27,9 @@
   bool isEvacuated(const ZoneName &zone) const override {
     return Evacuated.contains(zone);
   }
+  const SoftwareRecord *findSoftware(const ServiceName &) const override {
+    return Software ? &*Software : nullptr;
+  }
   bool isConfirmed(TimePoint) const override { return Confirmed; }
   std::optional<Duration> confirmationAge(TimePoint) const override {
     return Age;
@@ -39,6 +42,8 @@
   VersionNumber Named = 0;
   Revision At = 1;
   std::set<ZoneName> Evacuated;
+  /// Of each service.
+  std::optional<SoftwareRecord> Software;
   bool Confirmed = true;
   std::optional<Duration> Age = Duration::zero();
 };
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -375,6 +375,103 @@
 
 namespace {
 
+/// A leader of a group whose two followers subscribe to its members.
+class RecordingLeader : public LeaderUnderTest {
+public:
+  explicit RecordingLeader(bool allTakeSoftware) {
+    Node.onLinkOpen(Now, 2, {.Protocol = ProtocolVersion, .Replica = 3});
+    awaitLead(true, /*answers=*/true);
+    for (const LinkId it : {1, 2})
+      Node.onMessage(Now, it,
+                     Subscribe{.Known = MembersOnly,
+                               .WantsMembers = true,
+                               .TakesSoftware = it == 1 || allTakeSoftware});
+  }
+  void registerServer(const char *software) {
+    Node.announce(Now,
+                  {.Host = HostName(software),
+                   .Incarnation = 1,
+                   .Address = software,
+                   .Services = {ServiceName("s")},
+                   .Registered = true,
+                   .Software = software},
+                  0);
+  }
+  std::size_t servers() const { return Node.members().members().size(); }
+  std::vector<std::string> recorded() const {
+    const SoftwareRecord *it =
+        Node.state().configuration().findSoftware(ServiceName("s"));
+    return it ? it->Versions : std::vector<std::string>();
+  }
+  /// Lets the log go on for a second.
+  void run() {
+    for (int i = 0; i < 100; ++i) {
+      Node.tick(Now += 10ms);
+      deliver();
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a stream that begins at a version of which no record is in
+// force: the entry that was told of the server may be lost before there is one.
+TEST_CASE("a server is announced once its software version is recorded",
+          "[software-history]") {
+  RecordingLeader leader(/*allTakeSoftware=*/true);
+  leader.registerServer("v1");
+  CHECK(leader.servers() == 0);
+  SECTION("the record is committed") {
+    leader.run();
+    CHECK(leader.recorded() == std::vector<std::string>{"v1"});
+    CHECK(leader.servers() == 1);
+    leader.registerServer("v2");
+    leader.registerServer("v2");
+    CHECK(leader.servers() == 1);
+    leader.run();
+    CHECK(leader.servers() == 2);
+    CHECK(leader.Node.state().configuration().revision() == 2);
+  }
+  SECTION("a server whose version is recorded doesn't wait") {
+    leader.run();
+    const MemberVersion before = leader.Node.members().version();
+    leader.registerServer("v1");
+    CHECK(leader.Node.members().version() == before);
+    CHECK(leader.servers() == 1);
+  }
+  SECTION("the server leaves meanwhile") {
+    leader.Node.announce(leader.Now,
+                         {.Host = HostName("v1"),
+                          .Incarnation = 1,
+                          .Gone = true,
+                          .Registered = true},
+                         0);
+    leader.run();
+    CHECK(leader.servers() == 0);
+  }
+}
+
+// Guards against a replica of an earlier release that can't apply the command,
+// and whose revisions would no longer be those of the others.
+TEST_CASE("nothing is recorded while a replica is of an earlier release",
+          "[software-history]") {
+  RecordingLeader leader(/*allTakeSoftware=*/false);
+  leader.registerServer("v1");
+  CHECK(leader.servers() == 1);
+  leader.run();
+  CHECK(leader.recorded().empty());
+  CHECK(leader.Node.state().configuration().revision() == 0);
+  // It has been replaced: the server that is known is recorded.
+  leader.Node.onMessage(leader.Now, 2,
+                        Subscribe{.Known = MembersOnly,
+                                  .WantsMembers = true,
+                                  .TakesSoftware = true});
+  leader.run();
+  CHECK(leader.recorded() == std::vector<std::string>{"v1"});
+}
+
+namespace {
+
 /// A leader of which the test reads the last answers.
 class AnsweringLeader : public LeaderUnderTest {
 public:
--- a/test/StateTest.cpp
+++ b/test/StateTest.cpp
@@ -422,3 +422,200 @@
   it.Table.expire(TableUnderTest::Now + 7s);
   CHECK(it.announce(8s, process("s", 0), 2));
 }
+
+//===----------------------------------------------------------------------===//
+// The history of software versions
+//===----------------------------------------------------------------------===//
+
+namespace {
+
+const ServiceName Engines("engines");
+
+RecordSoftware stated(const std::string &software) {
+  return {.Service = Engines, .Software = software};
+}
+
+RecordSoftware retired(const std::string &software) {
+  return {.Service = Engines, .Software = software, .Retired = true};
+}
+
+std::vector<std::string> versionsOf(const StateMachine &state) {
+  const SoftwareRecord *record = state.configuration().findSoftware(Engines);
+  return record ? record->Versions : std::vector<std::string>();
+}
+
+/// A leader's table of members and its replicated state, in which each command
+/// that the history returns is applied, unless the test withholds it.
+struct LeaderHistory {
+  LeaderHistory() { Members.beginTerm(Now, 1); }
+
+  MemberRecord server(const std::string &name, const std::string &software) {
+    return {.Host = HostName(name),
+            .Incarnation = 1,
+            .Address = name + ":80",
+            .Services = {Engines},
+            .Registered = true,
+            .Software = software};
+  }
+  std::vector<RecordSoftware> review() {
+    const auto commands = History.review(Now, Members, State.configuration());
+    for (const RecordSoftware &it : commands)
+      History.recordProposed(it);
+    return commands;
+  }
+  void apply(const RecordSoftware &it) {
+    CHECK(State.apply(0, {.Body = it}).Result == CommandResult::Accepted);
+    History.recordEnded(it);
+  }
+  /// Lets \p time pass, while the servers of \p softwares announce themselves.
+  void run(Duration time, const std::vector<std::string> &softwares) {
+    for (const TimePoint end = Now + time; Now < end; Now += 500ms) {
+      for (const std::string &it : softwares)
+        Members.announce(Now, server("of-" + it, it));
+      Members.expire(Now);
+      for (const RecordSoftware &it : review())
+        apply(it);
+    }
+  }
+  /// Another process begins to lead; it has the state, not the members.
+  void changeLeader() {
+    Members.beginTerm(Now, ++Term);
+    History.reset();
+  }
+
+  TimePoint Now{100s};
+  std::uint64_t Term = 1;
+  MemberTable Members;
+  StateMachine State;
+  SoftwareHistory History;
+};
+
+} // namespace
+
+// Guards against a history that grows with each repeated proposal: every
+// revision of the configuration is sent to every process.
+TEST_CASE("software that is recorded already makes no new revision",
+          "[software-history]") {
+  StateMachine state;
+  CHECK(state.apply(0, command("", stated("v1"))).At == 1);
+  CHECK(state.apply(0, command("", stated("v2"))).At == 2);
+  CHECK(state.apply(0, command("", stated("v1"))).At == 2);
+  CHECK(state.apply(0, command("", retired("v0"))).At == 2);
+  CHECK(versionsOf(state) == std::vector<std::string>{"v1", "v2"});
+  CHECK(state.apply(0, command("", retired("v1"))).At == 3);
+  CHECK(versionsOf(state) == std::vector<std::string>{"v2"});
+  const SoftwareRecord &record = *state.configuration().findSoftware(Engines);
+  CHECK(record.ChangedAt == 3);
+  CHECK(record.ChangedBy == OperatorName("anna"));
+}
+
+// Guards against a record without bound, of a service whose servers each state
+// another version, and against one that names a single version then.
+TEST_CASE("a service has a bounded number of recorded versions",
+          "[software-history]") {
+  StateMachine state;
+  for (int i = 0; i < 100; ++i)
+    state.apply(0, command("", stated("v" + std::to_string(i))));
+  CHECK(versionsOf(state).size() == MaxSoftwareVersions);
+  CHECK(versionsOf(state).back() == "v99");
+  CHECK(state.apply(0, command("", stated(std::string(1000, 'v')))).Result ==
+        CommandResult::Invalid);
+  CHECK(state.configuration().revision() == 100);
+}
+
+// Guards against a history that a restart, or a replica that is sent a
+// snapshot, loses.
+TEST_CASE("the history of software survives a snapshot", "[software-history]") {
+  StateMachine state;
+  for (const char *it : {"v1", "", "v2"})
+    state.apply(0, command("", stated(it)));
+  StateMachine copy;
+  REQUIRE(copy.decode(state.encode()));
+  CHECK(versionsOf(copy) == std::vector<std::string>{"v1", "", "v2"});
+  CHECK(copy.configuration().revision() == 3);
+  CHECK(copy.encode() == state.encode());
+}
+
+// Guards against versions that nobody records, since only an entry knew them.
+TEST_CASE("a leader adds each version that a registered server states",
+          "[software-history]") {
+  LeaderHistory it;
+  it.Members.announce(it.Now, it.server("a", "v1"));
+  it.Members.announce(it.Now, {.Host = HostName("agent"),
+                               .BaseModel = "engines",
+                               .Services = {ServiceName("other")}});
+  CHECK(it.review() == std::vector{stated("v1")});
+  // In flight: not proposed again.
+  it.Now += 5s;
+  CHECK(it.review().empty());
+  it.apply(stated("v1"));
+  it.Now += 5s;
+  CHECK(it.review().empty());
+  it.Members.announce(it.Now, it.server("b", "v2"));
+  CHECK(it.review() == std::vector{stated("v2")});
+  // The proposal is lost with the leader: the next one proposes it.
+  it.changeLeader();
+  it.Members.announce(it.Now, it.server("b", "v2"));
+  CHECK(it.review() == std::vector{stated("v2")});
+}
+
+// Guards against a version that is retired while callers may still take up its
+// streams: since its servers haven't reached a new leader yet, or since they
+// were away for a short time.
+TEST_CASE("a version is retired when it has had no server for ten minutes",
+          "[software-history]") {
+  LeaderHistory it;
+  it.run(10s, {"v1", "v2"});
+  const std::vector<std::string> both{"v1", "v2"};
+  const std::vector<std::string> last{"v2"};
+  REQUIRE(versionsOf(it.State) == both);
+  // The last announcement of v1 counts for a lease of 6 s.
+  it.run(605s, last);
+  CHECK(versionsOf(it.State) == both);
+  SECTION("it is away for longer") {
+    it.run(3s, last);
+    CHECK(versionsOf(it.State) == last);
+  }
+  SECTION("it returns") {
+    it.run(1s, both);
+    it.run(605s, last);
+    CHECK(versionsOf(it.State) == both);
+  }
+  SECTION("another process begins to lead") {
+    it.changeLeader();
+    it.run(605s, last);
+    CHECK(versionsOf(it.State) == both);
+    it.run(3s, last);
+    CHECK(versionsOf(it.State) == last);
+  }
+}
+
+// Guards against a server that registers while its version is being retired
+// and is told to entries without a record.
+TEST_CASE("a version is added again while its retirement is in flight",
+          "[software-history]") {
+  LeaderHistory it;
+  it.apply(stated("v1"));
+  it.History.recordProposed(retired("v1"));
+  CHECK(it.History.additions(it.server("a", "v1"), it.State.configuration()) ==
+        std::vector{stated("v1")});
+  it.apply(retired("v1"));
+  it.apply(stated("v1"));
+  CHECK(it.History.additions(it.server("a", "v1"), it.State.configuration())
+            .empty());
+}
+
+// Guards against a leader that adds one version of a full record in place of
+// another one, and that one again, without end.
+TEST_CASE("more versions than a record holds aren't proposed again and again",
+          "[software-history]") {
+  LeaderHistory it;
+  std::vector<std::string> all;
+  for (std::size_t i = 0; i < MaxSoftwareVersions + 2; ++i)
+    all.push_back("v" + std::to_string(i));
+  it.run(10s, all);
+  const Revision settled = it.State.configuration().revision();
+  it.run(60s, all);
+  CHECK(it.State.configuration().revision() == settled);
+  CHECK(versionsOf(it.State).size() == MaxSoftwareVersions);
+}
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -261,3 +261,134 @@
   table.record(Now, {RequestId("d"), "v1", -1s});
   CHECK_FALSE(table.find(Now, RequestId("d")));
 }
+
+//===----------------------------------------------------------------------===//
+// The recorded history of versions
+//===----------------------------------------------------------------------===//
+
+namespace {
+
+SoftwareRecord recordOf(std::vector<std::string> versions) {
+  return {.Service = ServiceName("engines"), .Versions = std::move(versions)};
+}
+
+/// An entry before two engines of version v1.
+struct OneVersion : ForwardUnderTest {
+  OneVersion() {
+    Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
+                                           engine("e2", "1.0.0.4:80", "v1")}});
+  }
+  /// Neither agent knows the stream.
+  void replyUnknown() {
+    reply(Controller, "a1", std::nullopt);
+    reply(Controller, "a2", std::nullopt);
+  }
+  bool isAsked() {
+    const auto sent = take<SendToAgent>();
+    return !sent.empty() &&
+           std::holds_alternative<StreamOriginQuery>(sent.front().Content);
+  }
+};
+
+} // namespace
+
+// Guards against streams joined from two versions after all entries were killed
+// and the servers of the former version, with their agents, have left: an entry
+// that starts then sees one version and hears of no other.
+TEST_CASE("a stream doesn't go on at the only version while another one is "
+          "recorded",
+          "[stream-origin]") {
+  OneVersion it;
+  it.Configuration.Software = recordOf(GENERATE(
+      std::vector<std::string>{"v0", "v1"}, std::vector<std::string>{"v0"},
+      std::vector<std::string>{"v1", ""}));
+  resume(it.Controller);
+  REQUIRE(it.isAsked());
+  SECTION("nobody knows the stream") {
+    it.replyUnknown();
+    CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  }
+  SECTION("an agent names the version") {
+    reply(it.Controller, "a1", "v1");
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
+}
+
+// Guards against callers that wait for agents, all of which may be lost with
+// the entries, although no other version can have begun the stream.
+TEST_CASE("a stream goes on at the only recorded version without a question",
+          "[stream-origin]") {
+  OneVersion it;
+  it.Configuration.Software = recordOf({"v1"});
+  resume(it.Controller);
+  CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+}
+
+// Guards against a record that is taken for the present one although another
+// version may have been added since it was confirmed; the agents that its
+// streams were told may know. An entry that has lost the replicas serves on.
+TEST_CASE("agents are asked if the record wasn't confirmed since the request "
+          "arrived",
+          "[stream-origin]") {
+  OneVersion it;
+  it.Configuration.Software = recordOf({"v1"});
+  it.Configuration.Age = GENERATE(Duration(1ms), Duration(1h));
+  resume(it.Controller);
+  REQUIRE(it.isAsked());
+  it.replyUnknown();
+  CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+}
+
+// Guards against an entry that has just started, has a list of servers and not
+// yet the record, and takes the only version for the one that began the stream.
+TEST_CASE("a stream that nobody knows waits for the record of versions",
+          "[stream-origin]") {
+  OneVersion it;
+  it.Configuration.Age.reset();
+  resume(it.Controller);
+  REQUIRE(it.isAsked());
+  it.replyUnknown();
+  it.Controller.tick(Now + 500ms);
+  CHECK(it.take<SendToAgent>().empty());
+  CHECK(it.take<ReplyComplete>().empty());
+  SECTION("another version is recorded") {
+    it.Configuration.Software = recordOf({"v0", "v1"});
+    it.Configuration.Age = 0ms;
+    it.Controller.tick(Now + 1s);
+    CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  }
+  SECTION("no other version is recorded") {
+    it.Configuration.Software = recordOf({"v1"});
+    it.Configuration.Age = 0ms;
+    it.Controller.tick(Now + 1s);
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
+  SECTION("the replicas are of an earlier release and record none") {
+    it.Configuration.Age = 0ms;
+    it.Controller.tick(Now + 1s);
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
+  SECTION("it doesn't arrive in time") {
+    for (int i = 0; i < 60; ++i)
+      it.Controller.tick(Now + i * 100ms);
+    CHECK(it.only<ReplyComplete>().Head.Status >= 500);
+    CHECK(it.Controller.idle());
+  }
+}
+
+// Guards against streams that nobody is told of, since the entry that began
+// them has never seen the servers of the other version.
+TEST_CASE("agents are told of streams while several versions are recorded",
+          "[stream-origin]") {
+  OneVersion it;
+  const bool mixed = GENERATE(true, false);
+  it.Configuration.Software = mixed ? recordOf({"v0", "v1"}) : recordOf({"v1"});
+  it.request("flow");
+  const auto sent = it.permit();
+  it.head(sent, 200);
+  it.body(sent, "id: 1\ndata: a\n\n");
+  std::size_t told = 0;
+  for (const SendToAgent &command : it.take<SendToAgent>())
+    told += std::holds_alternative<StreamOrigins>(command.Content) ? 1U : 0U;
+  CHECK(told == (mixed ? 2 : 0));
+}
--- a/test/SubscriptionTest.cpp
+++ b/test/SubscriptionTest.cpp
@@ -312,3 +312,76 @@
     agents += it.Registered ? 0U : 1U;
   CHECK(agents == 3);
 }
+
+//===----------------------------------------------------------------------===//
+// Subscribers of an earlier release
+//===----------------------------------------------------------------------===//
+
+namespace {
+
+/// Records which configuration each link was sent.
+class RecordedUpdates : public Transport {
+public:
+  LinkId open(const std::string &, LinkPurpose) override { return 0; }
+  void send(LinkId link, const Message &message) override {
+    if (const auto *it = std::get_if<ConfigurationUpdate>(&message))
+      Updates[link] = *it;
+  }
+  void close(LinkId) override {}
+
+  std::map<LinkId, ConfigurationUpdate> Updates;
+};
+
+} // namespace
+
+// Guards against a process of an earlier release that is sent a record which it
+// can't decode: it would close the link, subscribe again and be sent it again.
+// It must have the revision all the same, or it wouldn't be confirmed.
+TEST_CASE("a subscriber of an earlier release is sent no record of software",
+          "[software-history]") {
+  RecordedUpdates network;
+  Subscribers listeners(network);
+  const bool firstTakes = GENERATE(true, false);
+  listeners.add(1, {.TakesSoftware = firstTakes});
+  listeners.add(2, {.TakesSoftware = !firstTakes});
+  Configuration configuration;
+  configuration.put(KindRecord{.Name = KindName("k"), .ChangedAt = 1});
+  configuration.put(SoftwareRecord{
+      .Service = ServiceName("s"), .Versions = {"v1"}, .ChangedAt = 2});
+  configuration.advance(2);
+  listeners.push(configuration, MemberTable(), QuarantineLedger());
+  const LinkId takes = firstTakes ? 1 : 2;
+  const LinkId former = firstTakes ? 2 : 1;
+  CHECK(network.Updates.at(takes).Records.size() == 2);
+  CHECK(network.Updates.at(former).Records.size() == 1);
+  CHECK(network.Updates.at(former).UpTo == 2);
+}
+
+// Guards against a history that is lost with a leader, with all replicas at
+// once, or between a version's first announcement and its record.
+TEST_CASE("the history of software outlives leaders and restarts",
+          "[subscriptions]") {
+  FollowedFleet fleet({.Servers = 4, .Software = "v1"});
+  const auto recorded = [&](std::uint32_t entry) {
+    const auto &all =
+        fleet.Fleet.entry(entry).Forward->configuration().records().software();
+    return all.empty() ? std::vector<std::string>()
+                       : all.begin()->second.Versions;
+  };
+  CHECK(recorded(0) == std::vector<std::string>{"v1"});
+  fleet.Fleet.addServer("v2");
+  fleet.Fleet.simulation().killFor(fleet.leader(), 4s);
+  fleet.Fleet.runFor(8s);
+  const std::vector<std::string> both{"v1", "v2"};
+  for (std::uint32_t i = 0; i < FollowedFleet::Entries; ++i)
+    CHECK(recorded(i) == both);
+  for (std::uint32_t i = 0; i < 3; ++i)
+    fleet.Fleet.simulation().killFor(fleet.Fleet.replica(i), 2s);
+  for (std::uint32_t i = 0; i < FollowedFleet::Entries; ++i)
+    fleet.Fleet.killEntry(i, 100ms);
+  fleet.Fleet.runFor(12s);
+  for (std::uint32_t i = 0; i < FollowedFleet::Entries; ++i) {
+    CHECK(recorded(i) == both);
+    CHECK(fleet.serversKnownTo(i) == 5);
+  }
+}
--- a/test/WireTest.cpp
+++ b/test/WireTest.cpp
@@ -29,10 +29,16 @@
       .Records = {AdapterRecord{.Name = AdapterName("a"),
                                 .Versions = {{1, "s", true}, {2, "t", false}}},
                   KindRecord{.Name = KindName("k")},
-                  DrainRecord{.Host = HostName("h"), .Drained = true}}});
+                  DrainRecord{.Host = HostName("h"), .Drained = true},
+                  SoftwareRecord{.Service = ServiceName("s"),
+                                 .Versions = {"v1", ""},
+                                 .ChangedAt = 9,
+                                 .ChangedBy = OperatorName("anna")}}});
   checkRoundTrip(
       AppendRequest{.Entries = {{1, 2, EntryKind::Command, 3, "x"}}});
   checkRoundTrip(Propose{7, {.Body = ClaimRequest{.Holder = {1, 2}}}});
+  checkRoundTrip(
+      Propose{7, {.Body = RecordSoftware{ServiceName("s"), "v1", true}}});
 }
 
 TEST_CASE("bytes that are not a frame are rejected") {
@@ -76,6 +82,19 @@
   CHECK(frame->Content == Message(NotLeader{"a"}));
 }
 
+// Guards against a process of an earlier release that is sent a record which it
+// can't decode, so that it closes the link.
+TEST_CASE("a subscriber of an earlier release takes no records of software") {
+  std::string bytes = encodeFrame({1, Subscribe{.TakesSoftware = true}});
+  // Type number 16, time 1 and seven fields, of which the last one is missing.
+  REQUIRE(bytes.substr(0, 4) == "\x83\x10\x01\x87");
+  bytes[3] = '\x86';
+  bytes.pop_back();
+  const auto frame = decodeFrame(bytes);
+  REQUIRE(frame);
+  CHECK(frame->Content == Message(Subscribe{}));
+}
+
 TEST_CASE("a stored record with a newer format version is rejected") {
   std::string bytes = encodeCommand({.Body = CreateAdapter{}});
   CHECK(decodeCommand(bytes));
