A stream isn't put on trial while no server is registered

A watched request that takes up a stream was sent to whatever version registered first: while no server of the service was registered, its version counted as decided, and the request went on to ask the replicas for a trial. Their answer sends it without deciding again.

A request for an engine without a server doesn't reach an agent otherwise: agents without a registered server aren't chosen, and a deferred request decides again. This was ruled out by the test without the trial, which passed before the change, too.

Now nothing is decided while no server is registered: the request is refused at once or, while the list of servers isn't complete, deferred. The test fails without the change (a proposal is made, and the stream isn't refused) and passes with it.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -166,6 +166,9 @@
     return true;
   case OriginDecision::Asked:
     return false;
+  case OriginDecision::NoServer:
+    handleNoServer(now, request);
+    return false;
   case OriginDecision::AwaitsRecord:
     deferOrGiveUp(now, request, ForwardFailure::OriginUnknown);
     return false;
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -125,7 +125,7 @@
   const auto all = Board.Servers.softwareVersions();
   const auto versions = all.find(request.Service);
   if (versions == all.end())
-    return OriginDecision::Decided;
+    return OriginDecision::NoServer;
   const bool stated = versions->second != std::set<std::string>{""};
   if (!stated && !isMixed(now, request.Service))
     return OriginDecision::Decided;
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.h
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -13,6 +13,8 @@
   Asked,
   /// Nobody knows at which version the stream began.
   Unknown,
+  /// No server is registered for the service.
+  NoServer,
   /// The replicas' record of the service's versions hasn't arrived yet.
   AwaitsRecord,
 };
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -392,3 +392,43 @@
     told += std::holds_alternative<StreamOrigins>(command.Content) ? 1U : 0U;
   CHECK(told == (mixed ? 2 : 0));
 }
+
+// Guards against a stream that goes on at whatever version registers first: no
+// server was registered when its version was decided, and one came while the
+// replicas were asked for a trial of the watched request.
+TEST_CASE("a stream isn't put on trial while no server is registered",
+          "[stream-origin]") {
+  OneVersion it;
+  it.Configuration.Software = recordOf({"v1"});
+  resume(it.Controller);
+  const ContentHash content = it.Controller.board().Requests.at(1).Content;
+  it.Controller.quarantine().onUpdate(
+      {.To = 9, .Notices = {{content, QuarantineState::Watched}}});
+  it.Controller.onCallerDisconnected(Now, 1);
+  it.Controller.takeCommands();
+  const bool complete = GENERATE(true, false);
+  const auto gone = [](const char *name) {
+    return MemberRecord{
+        .Host = HostName(name), .Gone = true, .Registered = true};
+  };
+  it.Controller.onMembers(Now, {.Members = {gone("e1"), gone("e2")}});
+  it.Controller.onMembers(
+      Now, {.Full = true,
+            .Complete = complete,
+            .Members = {agent("a1", "1.0.0.3:9"), agent("a2", "1.0.0.4:9")}});
+  resume(it.Controller);
+  CHECK(it.take<ProposeToReplicas>().empty());
+  CHECK(it.take<SendToAgent>().empty());
+  if (complete) {
+    CHECK(it.only<ReplyComplete>().Head.Status == 503);
+    return;
+  }
+  it.Controller.onMembers(
+      Now + 1s,
+      {.Complete = true, .Members = {engine("e1", "1.0.0.3:80", "v2")}});
+  it.Controller.tick(Now + 1s);
+  REQUIRE(it.isAsked());
+  reply(it.Controller, "a1", std::nullopt);
+  reply(it.Controller, "a2", std::nullopt);
+  CHECK(it.only<ReplyComplete>().Head.Status == 503);
+}
