Streams go on after their entries and agents were lost at once

With two versions in service, callers whose entries and agents ended together were refused every stream that they took up again, although servers of its version were there.

Cause: of a stream's version only its entry and up to three agents knew.

All replicas are told and asked as well, beside the agents: in memory, outside the log, leader or not, so that one replica that stays is enough, without a quorum. The message leaves before the first event goes to the caller. A replica whose link opens anew is told all that the entry still knows, since it may have restarted. One whose link has ended, didn't open or is silent isn't waited for. A stream that a replica is told with two versions counts as unknown.

--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -284,6 +284,7 @@
   /// This entry, which began the stream or has asked for it before.
   Entry,
   Agent,
+  Replica,
   /// Nobody: the service has only this version.
   OnlyVersion,
   /// Nobody, and the service has had several versions.
@@ -298,11 +299,19 @@
 struct OriginQuery {
   /// Agents that haven't answered.
   std::set<HostName> Asked;
+  /// Addresses of the replicas that haven't answered.
+  std::set<std::string> AskedReplicas;
   TimePoint Until;
-  /// Number of agents that were asked.
+  /// Numbers of agents and of replicas that were asked.
   std::size_t AskedCount = 0;
-  /// The agent whose answer named a version.
-  HostName KnownBy;
+  std::size_t AskedReplicaCount = 0;
+  /// Host or address of the first whose answer named a version, and which of
+  /// the two it is.
+  std::string KnownBy;
+  std::optional<OriginSource> KnownBySource;
+
+  /// \returns whether nobody is left to answer.
+  bool isOver() const { return Asked.empty() && AskedReplicas.empty(); }
 };
 
 /// \class ForwardRequest
@@ -365,7 +374,7 @@
   /// Software version that has to go on with the stream; set by its first
   /// event, or from what is known of the stream that the request resumes.
   std::optional<std::string> RequiredSoftware;
-  /// Set once agents have been asked for that version.
+  /// Set once agents and replicas have been asked for that version.
   std::optional<OriginQuery> Origin;
   /// Longest retry-after time that a refusal named.
   Duration RetryAfter = Duration::zero();
@@ -543,7 +552,14 @@
   PauseMeter Pauses;
   /// Streams that this entry began or has asked for.
   StreamOriginTable Origins;
-  /// Requests that wait for agents to say at which version a stream began.
+  /// Addresses of the replicas that answer questions about streams, as far as
+  /// is known.
+  std::vector<std::string> OriginKeepers;
+  /// Origins that the replicas have to be told, and streams that they have to
+  /// be asked about.
+  std::vector<StreamOrigin> OriginsToKeep;
+  std::vector<RequestId> OriginsToAsk;
+  /// Requests that wait for others to say at which version a stream began.
   std::set<std::uint64_t> OriginQueries;
   /// Services that have had servers of several software versions, and when that
   /// ended; nothing while it lasts.
--- a/packages/forward/pimentofront/src/Forward/ForwardController.cpp
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.cpp
@@ -57,6 +57,17 @@
   resume(now, Origins.onReply(now, agent, reply));
 }
 
+void ForwardController::onReplicaOrigin(TimePoint now,
+                                        const std::string &address,
+                                        const StreamOriginReply &reply) {
+  resume(now, Origins.onReplicaReply(now, address, reply));
+}
+
+void ForwardController::onReplicaLost(TimePoint now,
+                                      const std::string &address) {
+  resume(now, Origins.onReplicaLost(address));
+}
+
 void ForwardController::onAgentLost(TimePoint now, const HostName &agent) {
   Attempts.onAgentLost(now, agent);
   resume(now, Origins.onAgentLost(agent));
--- a/packages/forward/pimentofront/src/Forward/ForwardController.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardController.h
@@ -72,6 +72,27 @@
   /// An agent tells at which software version a stream began.
   void onStreamOrigin(TimePoint now, const HostName &agent,
                       const StreamOriginReply &reply);
+  /// The same of the replica at \p address.
+  void onReplicaOrigin(TimePoint now, const std::string &address,
+                       const StreamOriginReply &reply);
+  /// The replica at \p address doesn't answer questions about streams.
+  void onReplicaLost(TimePoint now, const std::string &address);
+  /// Sets the addresses of the replicas that answer them, as far as is known.
+  void setOriginKeepers(std::vector<std::string> addresses) {
+    Board.OriginKeepers = std::move(addresses);
+  }
+  /// \returns whether the replicas have to know the origins of streams.
+  bool needsOriginKeepers(TimePoint now) const {
+    return Origins.isAnyMixed(now);
+  }
+  /// \returns the origins that all replicas have to be told.
+  std::vector<StreamOrigin> takeOriginsToKeep() {
+    return std::exchange(Board.OriginsToKeep, {});
+  }
+  /// \returns the streams that all replicas have to be asked about.
+  std::vector<RequestId> takeOriginsToAsk() {
+    return std::exchange(Board.OriginsToAsk, {});
+  }
   /// The link to an agent is lost.
   void onAgentLost(TimePoint now, const HostName &agent);
   /// The replicas have decided on a proposal, or haven't in time.
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -46,9 +46,9 @@
   result += std::string("mixed ") + (mixed ? "yes" : "no") +
             ", list of servers " + (complete ? "complete" : "incomplete");
   if (query)
-    result +=
-        ", agents asked " + std::to_string(query->AskedCount) +
-        (query->KnownBy.empty() ? "" : ", told by " + query->KnownBy.str());
+    result += ", agents asked " + std::to_string(query->AskedCount) +
+              ", replicas asked " + std::to_string(query->AskedReplicaCount) +
+              (query->KnownBy.empty() ? "" : ", told by " + query->KnownBy);
   return result;
 }
 
@@ -58,10 +58,27 @@
   return request.ArrivedAt + stated + LifetimeSlack - now;
 }
 
+/// \returns the origin of the request's stream under each id by which its
+/// caller may resume it: the attempt that began it.
+/// \pre request.RequiredSoftware
+std::vector<StreamOrigin> originsOf(TimePoint now,
+                                    const ForwardRequest &request) {
+  std::set<RequestId> streams{streamOf(request)};
+  streams.erase(RequestId());
+  std::vector<StreamOrigin> result;
+  result.reserve(streams.size());
+  for (const RequestId &it : streams)
+    result.push_back({.Stream = it,
+                      .Software = *request.RequiredSoftware,
+                      .Lifetime = lifetimeOf(now, request)});
+  return result;
+}
+
 } // namespace
 
 const char *originSourceName(OriginSource source) {
-  constexpr const char *Names[] = {"entry", "agent", "only_version", "nobody"};
+  constexpr const char *Names[] = {"entry", "agent", "replica", "only_version",
+                                   "nobody"};
   return Names[static_cast<std::size_t>(source)];
 }
 
@@ -96,6 +113,18 @@
          (!it->second || now < *it->second + MixedMemory);
 }
 
+bool StreamOriginController::isAnyMixed(TimePoint now) const {
+  const auto isRecordedMixed = [&](const ServiceSpec &it) {
+    const SoftwareRecord *record = Board.Configuration.findSoftware(it.Name);
+    return record && record->Versions.size() > 1;
+  };
+  return std::ranges::any_of(
+             Board.MixedUntil,
+             [&](const auto &it) { return hasSeenMixed(now, it.first); }) ||
+         (Board.Table && std::ranges::any_of(Board.Table->document().Services,
+                                             isRecordedMixed));
+}
+
 void StreamOriginController::onServersChanged(TimePoint now) {
   const auto versions = Board.Servers.softwareVersions();
   const auto isMixedNow = [&](const ServiceName &service) {
@@ -116,6 +145,8 @@
   for (const auto &[key, it] : Board.Requests)
     if (it.Answering && it.RequiredSoftware && appeared.contains(it.Service))
       publish(now, it);
+  if (!appeared.empty())
+    Board.OriginsToKeep = Board.Origins.all(now);
 }
 
 OriginDecision StreamOriginController::decide(TimePoint now,
@@ -131,9 +162,10 @@
     return OriginDecision::Decided;
   request.RequiredSoftware = Board.Origins.find(now, streamOf(request));
   if (request.RequiredSoftware) {
-    const bool told = request.Origin && !request.Origin->KnownBy.empty();
+    const auto by =
+        request.Origin ? request.Origin->KnownBySource : std::nullopt;
     recordDecision(now, request, versions->second,
-                   told ? OriginSource::Agent : OriginSource::Entry);
+                   by.value_or(OriginSource::Entry));
     return OriginDecision::Decided;
   }
   request.RequiredSoftware = onlyRecordedVersion(now, request);
@@ -143,7 +175,7 @@
   }
   if (!request.Origin)
     ask(now, request);
-  if (!request.Origin->Asked.empty())
+  if (!request.Origin->isOver())
     return OriginDecision::Asked;
   if (isMixed(now, request.Service) || !Board.Servers.wasComplete()) {
     recordDecision(now, request, versions->second, OriginSource::Nobody);
@@ -186,12 +218,16 @@
   const RequestId stream = streamOf(request);
   if (stream.empty())
     return;
-  for (const MemberView *it : holders(request, AskedAgents)) {
+  for (const MemberView *it : holders(request, stream, AskedAgents)) {
     request.Origin->Asked.insert(it->Record.Host);
     send(*it, StreamOriginQuery{stream});
   }
   request.Origin->AskedCount = request.Origin->Asked.size();
-  if (!request.Origin->Asked.empty())
+  request.Origin->AskedReplicas.insert(Board.OriginKeepers.begin(),
+                                       Board.OriginKeepers.end());
+  request.Origin->AskedReplicaCount = Board.OriginKeepers.size();
+  Board.OriginsToAsk.push_back(stream);
+  if (!request.Origin->isOver())
     Board.OriginQueries.insert(request.Key);
 }
 
@@ -201,31 +237,32 @@
       !request.Route->Resumable || request.Attempt->Software.empty())
     return;
   request.RequiredSoftware = request.Attempt->Software;
-  const RequestId stream = streamOf(request);
-  if (stream.empty())
-    return;
-  Board.Origins.record(now, {.Stream = stream,
-                             .Software = *request.RequiredSoftware,
-                             .Lifetime = lifetimeOf(now, request)});
-  if (isMixed(now, request.Service))
+  const bool mixed = isMixed(now, request.Service);
+  for (const StreamOrigin &it : originsOf(now, request)) {
+    Board.Origins.record(now, it);
+    if (mixed)
+      Board.OriginsToKeep.push_back(it);
+  }
+  if (mixed)
     publish(now, request);
 }
 
 void StreamOriginController::publish(TimePoint now,
                                      const ForwardRequest &request) {
-  const RequestId stream = streamOf(request);
-  if (stream.empty())
-    return;
-  const StreamOrigins message{{{.Stream = stream,
-                                .Software = *request.RequiredSoftware,
-                                .Lifetime = lifetimeOf(now, request)}}};
+  for (const StreamOrigin &it : originsOf(now, request))
+    publish(request, it);
+}
+
+void StreamOriginController::publish(const ForwardRequest &request,
+                                     const StreamOrigin &origin) {
+  const StreamOrigins message{{origin}};
   const auto &agents = Board.Servers.agents();
   const auto beside =
       request.Attempt ? agents.find(request.Attempt->Agent) : agents.end();
   if (beside != agents.end() && beside->second.Record.RemembersStreams)
     send(beside->second, message);
   std::size_t told = 0;
-  for (const MemberView *it : holders(request, AskedAgents)) {
+  for (const MemberView *it : holders(request, origin.Stream, AskedAgents)) {
     if (told == ToldAgents)
       return;
     if (it->Record.Leaving || (beside != agents.end() && it == &beside->second))
@@ -237,14 +274,14 @@
 
 std::vector<const MemberView *>
 StreamOriginController::holders(const ForwardRequest &request,
-                                std::size_t n) const {
+                                const RequestId &stream, std::size_t n) const {
   std::vector<const MemberView *> result;
   for (const auto &[host, it] : Board.Servers.agents())
     if (it.Record.RemembersStreams)
       result.push_back(&it);
   // Versions of the adapter may change while the stream lasts.
   const AdapterKey key{request.Adapter.Adapter.empty()
-                           ? AdapterName(streamOf(request).str())
+                           ? AdapterName(stream.str())
                            : request.Adapter.Adapter,
                        0};
   detail::orderByRendezvous(key, n, result);
@@ -257,27 +294,45 @@
       SendToAgent{agent.Record.Host, agent.Record.Address, std::move(message)});
 }
 
-bool StreamOriginController::removeAsked(ForwardRequest &request,
-                                         const HostName &agent) {
-  return request.Origin->Asked.erase(agent) > 0 &&
-         request.Origin->Asked.empty();
+std::vector<std::uint64_t>
+StreamOriginController::onReply(TimePoint now, const HostName &agent,
+                                const StreamOriginReply &reply) {
+  return onReply(now, OriginSource::Agent, agent.str(), reply);
+}
+
+std::vector<std::uint64_t> StreamOriginController::onReplicaReply(
+    TimePoint now, const std::string &address, const StreamOriginReply &reply) {
+  return onReply(now, OriginSource::Replica, address, reply);
 }
 
 std::vector<std::uint64_t>
-StreamOriginController::onReply(TimePoint now, const HostName &agent,
+StreamOriginController::onAgentLost(const HostName &agent) {
+  return onLost(OriginSource::Agent, agent.str());
+}
+
+std::vector<std::uint64_t>
+StreamOriginController::onReplicaLost(const std::string &address) {
+  return onLost(OriginSource::Replica, address);
+}
+
+std::vector<std::uint64_t>
+StreamOriginController::onReply(TimePoint now, OriginSource source,
+                                const std::string &name,
                                 const StreamOriginReply &reply) {
   std::vector<std::uint64_t> decided;
   for (const std::uint64_t key : Board.OriginQueries) {
     ForwardRequest &request = Board.Requests.at(key);
     if (streamOf(request) != reply.Stream)
       continue;
+    OriginQuery &query = *request.Origin;
     if (reply.Known) {
-      request.Origin->KnownBy = agent;
+      query.KnownBy = name;
+      query.KnownBySource = source;
       Board.Origins.record(now, {.Stream = reply.Stream,
                                  .Software = reply.Software,
                                  .Lifetime = lifetimeOf(now, request)});
     }
-    if (reply.Known || removeAsked(request, agent))
+    if (reply.Known || removeAsked(query, source, name))
       decided.push_back(key);
   }
   for (const std::uint64_t it : decided)
@@ -286,16 +341,25 @@
 }
 
 std::vector<std::uint64_t>
-StreamOriginController::onAgentLost(const HostName &agent) {
+StreamOriginController::onLost(OriginSource source, const std::string &name) {
   std::vector<std::uint64_t> decided;
   for (const std::uint64_t key : Board.OriginQueries)
-    if (removeAsked(Board.Requests.at(key), agent))
+    if (removeAsked(*Board.Requests.at(key).Origin, source, name))
       decided.push_back(key);
   for (const std::uint64_t it : decided)
     Board.OriginQueries.erase(it);
   return decided;
 }
 
+bool StreamOriginController::removeAsked(OriginQuery &query,
+                                         OriginSource source,
+                                         const std::string &name) {
+  const std::size_t removed = source == OriginSource::Agent
+                                  ? query.Asked.erase(HostName(name))
+                                  : query.AskedReplicas.erase(name);
+  return removed > 0 && query.isOver();
+}
+
 std::vector<std::uint64_t> StreamOriginController::takeOverdue(TimePoint now) {
   Board.Origins.expire(now);
   std::vector<std::uint64_t> overdue;
@@ -304,6 +368,7 @@
     if (now < query.Until)
       continue;
     query.Asked.clear();
+    query.AskedReplicas.clear();
     overdue.push_back(key);
   }
   for (const std::uint64_t it : overdue)
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.h
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -9,7 +9,7 @@
 enum class OriginDecision : std::uint8_t {
   /// Any server may run the request, or its RequiredSoftware is set.
   Decided,
-  /// Agents have been asked.
+  /// Agents and replicas have been asked.
   Asked,
   /// Nobody knows at which version the stream began.
   Unknown,
@@ -30,7 +30,8 @@
 /// server, which knows it anyway, and the first two in the rendezvous order of
 /// the stream's adapter, which all entries derive alike. An entry to which a
 /// caller comes back asks the first agents of that order, so that the entry
-/// that began the stream may be gone.
+/// that began the stream may be gone. All replicas are told and asked as well,
+/// which survives the loss of the agents.
 ///
 /// Which versions may have begun a service's streams is recorded by the
 /// replicas, too (SoftwareRecord), so that it outlives all entries. An entry
@@ -51,7 +52,7 @@
 public:
   explicit StreamOriginController(ForwardBoard &board) : Board(board) {}
 
-  /// Decides at which version the request may run; asks agents if necessary.
+  /// Decides at which version the request may run; asks others if necessary.
   OriginDecision decide(TimePoint now, ForwardRequest &request);
   /// The first event of the request's attempt has arrived.
   void recordFirstEvent(TimePoint now, ForwardRequest &request);
@@ -60,14 +61,23 @@
   /// \returns the requests that can be decided now.
   std::vector<std::uint64_t> onReply(TimePoint now, const HostName &agent,
                                      const StreamOriginReply &reply);
+  /// The same of the replica at \p address.
+  std::vector<std::uint64_t> onReplicaReply(TimePoint now,
+                                            const std::string &address,
+                                            const StreamOriginReply &reply);
   /// The agent doesn't answer any more.
   /// \returns the requests that can be decided now.
   std::vector<std::uint64_t> onAgentLost(const HostName &agent);
-  /// \returns the requests whose agents haven't answered in time, which can be
-  /// decided now.
+  /// The replica at \p address doesn't answer any more.
+  /// \returns the requests that can be decided now.
+  std::vector<std::uint64_t> onReplicaLost(const std::string &address);
+  /// \returns the requests that weren't answered in time, which can be decided
+  /// now.
   std::vector<std::uint64_t> takeOverdue(TimePoint now);
   /// \returns whether several versions may have begun the service's streams.
   bool isMixed(TimePoint now, const ServiceName &service) const;
+  /// \returns whether that holds for any service.
+  bool isAnyMixed(TimePoint now) const;
 
 private:
   /// \returns whether servers of several versions have been registered with
@@ -77,19 +87,31 @@
   /// record confirmed since the request arrived; nothing if there is none.
   std::optional<std::string>
   onlyRecordedVersion(TimePoint now, const ForwardRequest &request) const;
-  /// \returns the first \p n agents for the request's stream.
+  /// \returns the first \p n agents for the request, whose stream \p stream
+  /// is.
   std::vector<const MemberView *> holders(const ForwardRequest &request,
+                                          const RequestId &stream,
                                           std::size_t n) const;
   void ask(TimePoint now, ForwardRequest &request);
+  /// Tells the agents of the request's stream.
   void publish(TimePoint now, const ForwardRequest &request);
+  void publish(const ForwardRequest &request, const StreamOrigin &origin);
   void send(const MemberView &agent, Message message);
   /// Records who knew the version, and what this entry knew of the service.
   void recordDecision(TimePoint now, const ForwardRequest &request,
                       const std::set<std::string> &registered,
                       OriginSource source);
-  /// Notes that \p agent won't tell the origin of the request's stream.
-  /// \returns whether no other agent is left to answer.
-  bool removeAsked(ForwardRequest &request, const HostName &agent);
+  /// An agent or a replica, by its host or address, has answered.
+  std::vector<std::uint64_t> onReply(TimePoint now, OriginSource source,
+                                     const std::string &name,
+                                     const StreamOriginReply &reply);
+  /// It won't tell the origin of any stream.
+  std::vector<std::uint64_t> onLost(OriginSource source,
+                                    const std::string &name);
+  /// Notes that it won't tell the origin of the stream asked about.
+  /// \returns whether nobody else is left to answer.
+  static bool removeAsked(OriginQuery &query, OriginSource source,
+                          const std::string &name);
 
   ForwardBoard &Board;
 };
--- a/packages/node/pimentofront/Node.h
+++ b/packages/node/pimentofront/Node.h
@@ -27,6 +27,7 @@
 #include "src/Node/ReplicaFeed.h"
 #include "src/Node/ProposalQueue.h"
 #include "src/Node/AgentLinks.h"
+#include "src/Node/OriginKeepers.h"
 #include "src/Node/EntryNode.h"
 #include "src/Node/ForwardNode.h"
 // clang-format on
--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -40,7 +40,7 @@
       Proposals(transport, Leader),
       Ledger(transport, options.Feed.Replicas, options.Feed.Incarnation + 2,
              LedgerSilenceTimeout),
-      Agents(transport),
+      Agents(transport), Keepers(transport, options.Feed.Replicas),
       Controller(options.Forward, Feed.configuration(), headers, routing),
       ReadyAge(ReadyLeases * options.Feed.Configuration.Lease) {
   tick(now);
@@ -57,6 +57,11 @@
     Leader.onReceived(now);
   else if (Ledger.owns(link))
     Ledger.onReceived(now);
+  else if (Keepers.owns(link))
+    Keepers.onOpen(now, link,
+                   Controller.needsOriginKeepers(now)
+                       ? Controller.board().Origins.all(now)
+                       : std::vector<StreamOrigin>());
   else
     Agents.onOpen(link);
 }
@@ -70,6 +75,11 @@
     Ledger.onClosed(now);
     return Controller.onLedgerLinkLost(now);
   }
+  if (Keepers.owns(link)) {
+    Keepers.onClosed(now, link);
+    updateKeepers(now);
+    return flush(now);
+  }
   if (!Agents.find(link))
     return;
   const AgentLink agent = Agents.onClosed(link);
@@ -86,6 +96,8 @@
     onLeaderMessage(now, message);
   } else if (Ledger.owns(link)) {
     onLedgerMessage(now, message);
+  } else if (Keepers.owns(link)) {
+    onKeeperMessage(now, link, message);
   } else if (const AgentLink *agent = Agents.find(link)) {
     Agents.onReceived(link);
     onAgentMessage(now, HostName(agent->Host), message);
@@ -110,6 +122,8 @@
   if (std::holds_alternative<ReplicaAddresses>(message)) {
     Leader.setAddresses(Feed.replicas());
     Ledger.setAddresses(Feed.replicas());
+    Keepers.setAddresses(Feed.replicas());
+    updateKeepers(now);
   }
   useDocument(now);
 }
@@ -212,6 +226,30 @@
     Controller.onStreamOrigin(now, host, *origin);
 }
 
+void ForwardNode::sendOrigins(TimePoint now) {
+  const std::vector<StreamOrigin> origins = Controller.takeOriginsToKeep();
+  if (!origins.empty())
+    Keepers.tell(now, origins);
+  for (const RequestId &it : Controller.takeOriginsToAsk())
+    Keepers.ask(now, it);
+}
+
+void ForwardNode::onKeeperMessage(TimePoint now, LinkId link,
+                                  const Message &message) {
+  const std::string address = Keepers.onReceived(link);
+  updateKeepers(now);
+  if (const auto *origin = std::get_if<StreamOriginReply>(&message))
+    Controller.onReplicaOrigin(now, address, *origin);
+}
+
+void ForwardNode::updateKeepers(TimePoint now) {
+  Controller.setOriginKeepers(Keepers.answering());
+  for (const std::string &it : Keepers.takeLost()) {
+    Sink.onEvent({.Name = "origin_keeper_lost", .Detail = it});
+    Controller.onReplicaLost(now, it);
+  }
+}
+
 void ForwardNode::dropLinks(TimePoint now, const std::vector<LinkId> &links) {
   for (const LinkId it : links) {
     Agents.close(it);
@@ -337,12 +375,17 @@
   Proposals.tick(now);
   watchLedger(now);
   dropLinks(now, Agents.takeSilent(now));
+  Keepers.tick(now, Controller.needsOriginKeepers(now));
+  updateKeepers(now);
   Controller.tick(now);
   flush(now);
   reportFeed(now);
 }
 
 void ForwardNode::flush(TimePoint now) {
+  // Before the commands, which pass on events: no caller has an event of a
+  // stream of which the replicas weren't told.
+  sendOrigins(now);
   for (ForwardCommand &command : Controller.takeCommands()) {
     if (const auto *it = std::get_if<SendToAgent>(&command))
       sendToAgent(now, *it);
--- a/packages/node/pimentofront/src/Node/ForwardNode.h
+++ b/packages/node/pimentofront/src/Node/ForwardNode.h
@@ -3,6 +3,7 @@
 
 #include "AgentLinks.h"
 #include "DocumentCodec.h"
+#include "OriginKeepers.h"
 #include "ProposalQueue.h"
 #include "ReplicaFeed.h"
 #include "pimentofront/Forward.h"
@@ -91,6 +92,11 @@
   void onAgentMessage(TimePoint now, const HostName &host,
                       const Message &message);
   void sendToAgent(TimePoint now, const SendToAgent &message);
+  /// Tells the replicas of streams, and asks them about others.
+  void sendOrigins(TimePoint now);
+  void onKeeperMessage(TimePoint now, LinkId link, const Message &message);
+  /// Acts on replicas that have stopped answering questions about streams.
+  void updateKeepers(TimePoint now);
   void sendProfile(TimePoint now, const HostName &host,
                    const std::string &address);
   void dropLinks(TimePoint now, const std::vector<LinkId> &links);
@@ -119,6 +125,7 @@
   /// limit.
   LeaderLink Ledger;
   AgentLinks Agents;
+  OriginKeepers Keepers;
   ForwardController Controller;
   Duration ReadyAge;
   std::optional<TimePoint> LastCall;
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -23,6 +23,9 @@
 /// dead link could not elect a leader while it lasted.
 constexpr int SilentElectionTimeouts = 3;
 
+/// Streams that a replica remembers: about 14 MB.
+constexpr std::size_t OriginCapacity = 100'000;
+
 /// \returns whether \p message is a request that a running replica answers at
 /// once.
 bool isRequest(const Message &message) {
@@ -43,6 +46,7 @@
       Evacuations(options.OrderResendWindow), Members(options.Members),
       Loads(options.Loads), Allotments(options.Allotments, options.Documents),
       Listeners(transport),
+      Origins({.Capacity = OriginCapacity, .RejectsConflicts = true}),
       Watch(SilentElectionTimeouts * options.Log.ElectionTimeout) {
   flush(now);
 }
@@ -156,6 +160,19 @@
                          sender->second == SubscribedLeader;
     if (current && !Members.apply(*update))
       SubscribedLeader = 0; // An update was missed: subscribe again.
+  } else
+    onStreamMessage(now, link, message);
+}
+
+void ReplicaNode::onStreamMessage(TimePoint now, LinkId link,
+                                  const Message &message) {
+  if (const auto *origins = std::get_if<StreamOrigins>(&message)) {
+    for (const StreamOrigin &it : origins->Origins)
+      Origins.record(now, it);
+  } else if (const auto *query = std::get_if<StreamOriginQuery>(&message)) {
+    const auto software = Origins.find(now, query->Stream);
+    Network.send(link, StreamOriginReply{query->Stream, software.has_value(),
+                                         software.value_or("")});
   }
 }
 
@@ -639,6 +656,7 @@
     reviewSoftware(now);
   }
   requestReadIndex(now);
+  Origins.expire(now);
   flush(now);
 }
 
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -151,6 +151,8 @@
   void onAdmin(TimePoint now, LinkId link, const AdminRequest &message);
   void answerLease(TimePoint now, LinkId link, const HostName &host,
                    bool known);
+  /// Remembers or tells at which software version streams began.
+  void onStreamMessage(TimePoint now, LinkId link, const Message &message);
   void redirect(LinkId link);
   void useOtherLink(ReplicaId replica);
   void sendToReplica(TimePoint now, const ReplicaDescriptor &to,
@@ -204,6 +206,9 @@
   LedgerKeeper Allotments;
   SendPermitLedger SendPermits;
   Subscribers Listeners;
+  /// Of the streams of all entries; not replicated, since each entry tells all
+  /// replicas.
+  StreamOriginTable Origins;
   LogIndex AppliedIndex = 0;
   std::optional<LogStoreError> Failure;
 
--- a/packages/serving/pimentofront/src/Serving/StreamOriginTable.cpp
+++ b/packages/serving/pimentofront/src/Serving/StreamOriginTable.cpp
@@ -3,40 +3,72 @@
 #include <algorithm>
 
 namespace pimentofront {
+namespace {
+
+/// The keys of a table are this long on average, at most: callers choose them.
+constexpr std::size_t MaxMeanIdBytes = 64;
+
+} // namespace
 
 void StreamOriginTable::record(TimePoint now, const StreamOrigin &origin) {
   const Duration lifetime = std::min(origin.Lifetime, Options.MaxLifetime);
   if (lifetime <= Duration::zero())
     return;
-  const auto [it, added] = Streams.insert_or_assign(
-      origin.Stream, Entry{origin.Software, now + lifetime});
-  if (added)
-    Order.push_back(origin.Stream);
-  while (Streams.size() > Options.Capacity) {
-    Streams.erase(Order.front());
-    Order.pop_front();
+  const std::string *software = &*Versions.insert(origin.Software).first;
+  const auto [it, added] =
+      Streams.try_emplace(origin.Stream, Entry{software, now + lifetime});
+  if (added) {
+    Order.push_back(&it->first);
+    IdBytes += origin.Stream.str().size();
+  } else {
+    Entry &known = it->second;
+    const bool conflicts = Options.RejectsConflicts && now < known.Until &&
+                           known.Software != software;
+    known = {conflicts ? nullptr : software, now + lifetime};
   }
+  while (isFull())
+    dropOldest();
+}
+
+bool StreamOriginTable::isFull() const {
+  return Streams.size() > Options.Capacity ||
+         IdBytes > Options.Capacity * MaxMeanIdBytes;
+}
+
+void StreamOriginTable::dropOldest() {
+  const auto it = Streams.find(*Order.front());
+  Order.pop_front();
+  IdBytes -= it->first.str().size();
+  Streams.erase(it);
+  if (Streams.empty())
+    Versions.clear();
 }
 
 std::optional<std::string>
 StreamOriginTable::find(TimePoint now, const RequestId &stream) const {
   const auto it = Streams.find(stream);
-  if (it == Streams.end() || now >= it->second.Until)
+  if (it == Streams.end() || now >= it->second.Until || !it->second.Software)
     return std::nullopt;
-  return it->second.Software;
+  return *it->second.Software;
+}
+
+std::vector<StreamOrigin> StreamOriginTable::all(TimePoint now) const {
+  std::vector<StreamOrigin> result;
+  for (const RequestId *stream : Order) {
+    const Entry &it = Streams.at(*stream);
+    if (now < it.Until && it.Software)
+      result.push_back({.Stream = *stream,
+                        .Software = *it.Software,
+                        .Lifetime = it.Until - now});
+  }
+  return result;
 }
 
 void StreamOriginTable::expire(TimePoint now) {
   // Lifetimes differ, so that a stream behind the first one may have expired
   // before it. It stays until the first one has expired.
-  while (!Order.empty()) {
-    const auto it = Streams.find(Order.front());
-    if (it != Streams.end() && now < it->second.Until)
-      return;
-    if (it != Streams.end())
-      Streams.erase(it);
-    Order.pop_front();
-  }
+  while (!Order.empty() && now >= Streams.at(*Order.front()).Until)
+    dropOldest();
 }
 
 } // namespace pimentofront
--- a/packages/wire/pimentofront/src/Wire/StreamOrigin.h
+++ b/packages/wire/pimentofront/src/Wire/StreamOrigin.h
@@ -22,19 +22,19 @@
   PIMENTOFRONT_FIELDS(StreamOrigin, Stream, Software, Lifetime)
 };
 
-/// Entry to agent: remember these.
+/// Entry to agent or replica: remember these.
 struct StreamOrigins {
   std::vector<StreamOrigin> Origins;
   PIMENTOFRONT_FIELDS(StreamOrigins, Origins)
 };
 
-/// Entry to agent: at which software version did this stream begin?
+/// Entry to agent or replica: at which version did this stream begin?
 struct StreamOriginQuery {
   RequestId Stream;
   PIMENTOFRONT_FIELDS(StreamOriginQuery, Stream)
 };
 
-/// Agent to entry: the answer.
+/// Agent or replica to entry: the answer.
 struct StreamOriginReply {
   RequestId Stream;
   bool Known = false;
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -432,3 +432,114 @@
   reply(it.Controller, "a2", std::nullopt);
   CHECK(it.only<ReplyComplete>().Head.Status == 503);
 }
+
+// Guards against a table of a replica that answers with the version that
+// arrived last, if messages of two entries were delayed.
+TEST_CASE("a stream that was told with two versions counts as unknown",
+          "[stream-origin]") {
+  StreamOriginTable table({.RejectsConflicts = true});
+  table.record(Now, {RequestId("a"), "v1", 5s});
+  table.record(Now, {RequestId("a"), "v1", 6s});
+  CHECK(table.find(Now + 5s, RequestId("a")) == "v1");
+  table.record(Now, {RequestId("a"), "v2", 5s});
+  CHECK_FALSE(table.find(Now, RequestId("a")));
+  table.record(Now, {RequestId("a"), "v2", 5s});
+  CHECK_FALSE(table.find(Now, RequestId("a")));
+  CHECK(table.all(Now).empty());
+}
+
+// Guards against a table that grows with the ids that callers choose.
+TEST_CASE("long ids of streams take no more memory than short ones",
+          "[stream-origin]") {
+  StreamOriginTable table({.Capacity = 10});
+  for (char it = 'a'; it <= 'j'; ++it)
+    table.record(Now, {RequestId(std::string(320, it)), "v1", 5s});
+  CHECK(table.size() == 2);
+  CHECK(table.find(Now, RequestId(std::string(320, 'j'))) == "v1");
+}
+
+// Guards against a replica that has restarted and is told of streams that no
+// caller resumes any more, or with a lifetime that starts anew.
+TEST_CASE("the origins that are told again have the lifetimes that are left",
+          "[stream-origin]") {
+  StreamOriginTable table;
+  table.record(Now, {RequestId("a"), "v1", 2s});
+  table.record(Now, {RequestId("b"), "v2", 5s});
+  const std::vector<StreamOrigin> all = table.all(Now + 3s);
+  REQUIRE(all.size() == 1);
+  CHECK(all[0].Stream == RequestId("b"));
+  CHECK(all[0].Software == "v2");
+  CHECK(all[0].Lifetime == 2s);
+}
+
+// Guards against a stream that is refused although a replica knows it: all
+// agents that were told were lost together with the entry.
+TEST_CASE("a resumed stream goes on at the version that a replica names",
+          "[stream-origin]") {
+  MixedServers it;
+  it.Controller.setOriginKeepers({"replica-1", "replica-2"});
+  resume(it.Controller);
+  it.take<SendToAgent>();
+  CHECK(it.Controller.takeOriginsToAsk() ==
+        std::vector<RequestId>{RequestId("r0")});
+  reply(it.Controller, "a1", std::nullopt);
+  reply(it.Controller, "a2", std::nullopt);
+  it.Controller.onReplicaOrigin(Now, "replica-1", {.Stream = RequestId("r0")});
+  CHECK(it.take<ReplyComplete>().empty());
+  const std::string software = GENERATE("v1", "v2");
+  it.Controller.onReplicaOrigin(
+      Now, "replica-2",
+      {.Stream = RequestId("r0"), .Known = true, .Software = software});
+  CHECK(it.permit().Server.Name == HostName(software == "v1" ? "e1" : "e2"));
+}
+
+// Guards against a caller that waits for a replica that is down, and against
+// one that is refused before a replica has answered that knows the stream.
+TEST_CASE("a resumed stream is refused once the last replica has answered or "
+          "is lost",
+          "[stream-origin]") {
+  MixedServers it;
+  it.Controller.setOriginKeepers({"replica-1", "replica-2"});
+  resume(it.Controller);
+  it.take<SendToAgent>();
+  reply(it.Controller, "a1", std::nullopt);
+  it.Controller.onReplicaOrigin(Now, "replica-1", {.Stream = RequestId("r0")});
+  it.Controller.onAgentLost(Now, HostName("a2"));
+  CHECK(it.take<ReplyComplete>().empty());
+  SECTION("it has answered") {
+    it.Controller.onReplicaOrigin(Now, "replica-2",
+                                  {.Stream = RequestId("r0")});
+  }
+  SECTION("it is lost") { it.Controller.onReplicaLost(Now, "replica-2"); }
+  SECTION("it doesn't answer") { it.Controller.tick(Now + 250ms); }
+  CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  CHECK(it.Controller.idle());
+}
+
+// Guards against a stream of which no replica is told, since it began before a
+// second version appeared, or had broken off by then.
+TEST_CASE("replicas are told of all streams at once when a second version "
+          "appears",
+          "[stream-origin]") {
+  ForwardUnderTest it;
+  it.Controller.onMembers(Now, {.Members = {engine("e1", "1.0.0.3:80", "v1"),
+                                            engine("e2", "1.0.0.4:80", "v1")}});
+  for (std::uint64_t key = 1; key <= 2; ++key) {
+    it.request("flow", 5000, "x", key);
+    const auto sent = it.permit();
+    it.head(sent, 200, {{"id", "r" + std::to_string(key)}, {"stamp", "s"}});
+    it.body(sent, "id: 1\ndata: a\n\n");
+    it.take<SendToAgent>();
+  }
+  it.Controller.onCallerDisconnected(Now, 2);
+  it.take<SendToAgent>();
+  CHECK(it.Controller.takeOriginsToKeep().empty());
+  CHECK_FALSE(it.Controller.needsOriginKeepers(Now));
+  it.Controller.onMembers(Now, {.Members = {engine("e3", "1.0.0.5:80", "v2")}});
+  CHECK(it.Controller.needsOriginKeepers(Now));
+  const auto told = it.Controller.takeOriginsToKeep();
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].Stream == RequestId("r1"));
+  CHECK(told[1].Stream == RequestId("r2"));
+  CHECK(told[1].Software == "v1");
+}
--- a/test/StreamSoftwareTest.cpp
+++ b/test/StreamSoftwareTest.cpp
@@ -80,6 +80,31 @@
   }
 }
 
+// Guards against streams that nobody knows, because all entries, all agents and
+// all replicas but one are lost at once.
+TEST_CASE("a stream resumes at the software version that began it although one "
+          "replica is all that was left",
+          "[stream-software]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const ForwardFleetOptions options = fleetOptions(seed);
+    // Callers come back when the processes have started again.
+    UpgradedFleet it(options, /*comeBackAfter=*/2s);
+    it.play(2s, [&](int n) {
+      if (n % 4 != 3)
+        return;
+      for (std::uint32_t i = 0; i < Entries; ++i)
+        it.Fleet.killEntry(i, 1s);
+      for (std::uint32_t i = 0; i < FirstServers + LaterServers; ++i)
+        it.Fleet.simulation().killFor(it.Fleet.agent(i), 1s);
+      const std::uint32_t kept = it.any(options.Replicas);
+      for (std::uint32_t i = 0; i < options.Replicas; ++i)
+        if (i != kept)
+          it.Fleet.simulation().killFor(it.Fleet.replica(i), 1s);
+    });
+    it.check(seed);
+  }
+}
+
 // Guards against an entry that doesn't know at which software version a stream
 // began, because its caller has come from another entry that is alive.
 TEST_CASE("a caller whose connection was reset resumes at the software version "
