A stream goes on when its caller names the attempt that resumed it

A caller whose second attempt broke off too, and that named this attempt in the third, was refused: the stream was known by the id of the attempt that began it only.

Entries now record a resumed stream under the id of the attempt that resumed it as well, and tell agents and replicas both ids when its first event arrives.

--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -59,11 +59,12 @@
 }
 
 /// \returns the origin of the request's stream under each id by which its
-/// caller may resume it: the attempt that began it.
+/// caller may resume it: the attempt that began it, and the one that resumed
+/// it.
 /// \pre request.RequiredSoftware
 std::vector<StreamOrigin> originsOf(TimePoint now,
                                     const ForwardRequest &request) {
-  std::set<RequestId> streams{streamOf(request)};
+  std::set<RequestId> streams{streamOf(request), RequestId(request.Traits.Id)};
   streams.erase(RequestId());
   std::vector<StreamOrigin> result;
   result.reserve(streams.size());
--- a/packages/wire/pimentofront/src/Wire/StreamOrigin.h
+++ b/packages/wire/pimentofront/src/Wire/StreamOrigin.h
@@ -14,7 +14,7 @@
 /// \brief The software version of the backend server that sent the first event
 /// of a stream.
 struct StreamOrigin {
-  /// Id of the caller's attempt that brought the first event.
+  /// Id of the caller's attempt that began the stream, or resumed it.
   RequestId Stream;
   std::string Software;
   /// How long its caller may still resume the stream.
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -543,3 +543,35 @@
   CHECK(told[1].Stream == RequestId("r2"));
   CHECK(told[1].Software == "v1");
 }
+
+// Guards against a stream that nobody knows, because the caller names the
+// attempt that had itself resumed it.
+TEST_CASE("a resumed stream is known by the id of the attempt that resumed it",
+          "[stream-origin]") {
+  MixedServers it;
+  resume(it.Controller);
+  it.take<SendToAgent>();
+  reply(it.Controller, "a1", "v2");
+  const auto sent = it.permit();
+  it.head(sent, 200);
+  it.body(sent, "id: 5\ndata: a\n\n");
+  std::set<RequestId> agents;
+  for (const SendToAgent &command : it.take<SendToAgent>())
+    if (const auto *told = std::get_if<StreamOrigins>(&command.Content))
+      agents.insert(told->Origins.at(0).Stream);
+  const std::set<RequestId> both{RequestId("r0"), RequestId("r1")};
+  CHECK(agents == both);
+  std::set<RequestId> replicas;
+  for (const StreamOrigin &told : it.Controller.takeOriginsToKeep()) {
+    CHECK(told.Software == "v2");
+    replicas.insert(told.Stream);
+  }
+  CHECK(replicas == both);
+  // The same entry knows it itself.
+  RequestHead head = resumingHead();
+  head.Headers[1].Value = "r2";
+  head.Headers.back().Value = "r1";
+  it.Controller.onRequest(Now, 2, head, "body",
+                          ContentHasher().add("body").finish());
+  CHECK(it.permit().Server.Name == HostName("e2"));
+}
