More streams of the second version are under way where the first has left

In two tests of [stream-history] fewer than twelve streams of v2 came back, so that their share wasn't checked: now six of the twelve servers run v2 where v1 leaves during the entries' downtime, and v2 serves for 4 s where it comes after v1 has left. Where faults follow v2's first registration the share stays unchecked.

--- a/test/StreamRejoinTest.cpp
+++ b/test/StreamRejoinTest.cpp
@@ -219,7 +219,7 @@
         ReplicaFault::RestartAll})
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
       INFO("replica fault " << static_cast<int>(fault));
-      SideBySideFleet it(seed);
+      SideBySideFleet it(seed, /*firstServers=*/6);
       it.killEntries(LeaseEnd + 2s);
       it.Fleet.runFor(100ms);
       it.loseFirstServers();
@@ -243,7 +243,7 @@
       it.Fleet.runFor(LeaseEnd);
       it.addSecondVersion();
       it.Fleet.runFor(Registration);
-      it.runFor(1s);
+      it.runFor(4s);
       if (killsEntries)
         it.killEntries();
       it.checkFirstVersionGone();
