Test, failing: a late close and a server's next process end short answers as complete

Callers get a short answer framed as complete. An answer without a length or chunks counts as whole if a connection is accepted at its server's address after the close. When the close itself was delayed (a cut link, a frozen entry, a reader that paused) for longer than a restart takes, the server's next process accepts that connection, and without a leader no entry knows of it.

The test goes through nine cases in virtual time: a stream with its last events, with its close alone and with all its events late; one that may be resumed; one whose reader had paused; an entry frozen between close and check; a buffered answer and one passed on as it comes of a plain service; a watched request, which the same accept clears. The servers state no start time, and the entry's last confirmation of its lists is 3 s old.

--- a/test/AnswerEndTest.cpp
+++ b/test/AnswerEndTest.cpp
@@ -402,3 +402,130 @@
   REQUIRE(proposals.size() == 1);
   CHECK(std::holds_alternative<ReportServerExit>(proposals.front().Proposal));
 }
+
+namespace {
+
+/// Longer than a server needs to start again.
+constexpr Duration Cut = 900ms;
+constexpr Duration RoundTrip = 3ms;
+
+/// Delivers at once what a cut link, or a frozen entry, held back.
+void arriveLate(ForwardUnderTest &it, const SendUpstream &sent,
+                std::string_view bytes) {
+  if (!bytes.empty())
+    it.Controller.answers().onBody(Now + Cut, sent.Attempt, bytes);
+  it.Controller.answers().onEnd(Now + Cut, sent.Attempt, Closed);
+}
+
+/// The process that has taken the server's place accepts the connection of the
+/// check.
+void acceptBySuccessor(ForwardUnderTest &it, TimePoint now) {
+  const std::vector<CheckServer> checks = it.take<CheckServer>();
+  REQUIRE(checks.size() == 1);
+  it.Controller.onServerChecked(now, checks.front().Server,
+                                ServerCheckResult::StillRunning);
+}
+
+void checkIsCutOff(ForwardUnderTest &it) {
+  CHECK(it.take<ReplyEnd>().empty());
+  CHECK(it.take<ReplyAbort>().size() == 1);
+}
+
+} // namespace
+
+// Guards against short answers that reach their callers as complete: the close
+// was delayed (a link that was cut, an entry that was frozen, a reader that
+// paused) until the server's next process listened at its address. No leader
+// told of that process, so that it passed for the former one when it accepted
+// the connection of the check.
+TEST_CASE("an accepted connection doesn't show that an answer is whole if its "
+          "close came late and no leader tells of the server's next process",
+          "[late-close]") {
+  constexpr std::string_view First = "id: 1\ndata: a\n\n";
+  constexpr std::string_view Second = "id: 2\ndata: b\n\n";
+  SECTION("a stream, with its last events") {
+    StreamingEntry it;
+    it.Configuration.Age = 3s;
+    it.body(it.Sent, First);
+    arriveLate(it, it.Sent, Second);
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    checkIsCutOff(it);
+  }
+  SECTION("a stream, its close alone") {
+    StreamingEntry it;
+    it.Configuration.Age = 3s;
+    it.body(it.Sent, First);
+    arriveLate(it, it.Sent, "");
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    checkIsCutOff(it);
+  }
+  SECTION("a stream, with all its events") {
+    StreamingEntry it;
+    it.Configuration.Age = 3s;
+    arriveLate(it, it.Sent, First);
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    checkIsCutOff(it);
+  }
+  SECTION("a stream that is resumed elsewhere") {
+    StreamingEntry it("flow");
+    it.Configuration.Age = 3s;
+    it.body(it.Sent, First);
+    arriveLate(it, it.Sent, Second);
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    CHECK(it.take<ReplyEnd>().empty());
+    const SendUpstream again = it.sendAgain();
+    CHECK(again.Server != it.Sent.Server);
+    CHECK(*findHeader(again.Head.Headers, "last") == "2");
+  }
+  SECTION("a stream whose events are older than they look, by a reader that "
+          "paused") {
+    ForwardOptions options;
+    options.Bytes.Limit = std::size_t(64) << 20;
+    ForwardUnderTest it(/*withTable=*/true, options);
+    it.Configuration.Age = 3s;
+    it.request("brook");
+    const SendUpstream sent = it.permit();
+    it.head(sent, 200);
+    it.body(sent, First);
+    REQUIRE(it.Controller.onUnsent(Now, 1, std::size_t(60) << 20));
+    REQUIRE(it.Controller.onUnsent(Now + Cut, 1, 0));
+    arriveLate(it, sent, Second);
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    checkIsCutOff(it);
+  }
+  SECTION("a stream whose entry was frozen between the close and the check") {
+    StreamingEntry it;
+    it.Configuration.Age = 3s;
+    it.body(it.Sent, First);
+    it.Controller.answers().onEnd(Now, it.Sent.Attempt, Closed);
+    acceptBySuccessor(it, Now + Cut);
+    checkIsCutOff(it);
+  }
+  SECTION("a buffered answer of a plain service") {
+    StreamingEntry it("once");
+    it.Configuration.Age = 3s;
+    arriveLate(it, it.Sent, "half");
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    CHECK(it.only<ReplyComplete>().Head.Status == 502);
+  }
+  SECTION("an answer of a plain service that is passed on as it comes") {
+    StreamingEntry it("once");
+    it.Configuration.Age = 3s;
+    it.body(it.Sent, std::string((std::size_t(64) << 10) + 1, 'x'));
+    arriveLate(it, it.Sent, "half");
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    checkIsCutOff(it);
+  }
+  SECTION("nor does it speak for a watched request") {
+    StreamingEntry it("once");
+    it.Configuration.Age = 3s;
+    it.Controller.quarantine().onUpdate(
+        {.To = 9,
+         .Notices = {{it.Controller.board().Requests.at(1).Content,
+                      QuarantineState::Watched}}});
+    arriveLate(it, it.Sent, "half");
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    const std::optional<EndTrial> trial = it.proposal<EndTrial>();
+    CHECK((!trial || trial->Ending != TrialEnding::Survived));
+  }
+}
