A late announcement doesn't replace a later one that waits for its record

Callers' requests could reach a leaving server again: while the leader held the announcement of a server whose version wasn't recorded, one that had been delayed took its place, whatever its sequence. The one with the higher sequence stays now. Found by reading; the new case of [software-history] covers it.

--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -281,11 +281,15 @@
     Members.announce(now, member, sequence);
     return;
   }
-  std::erase_if(HeldAnnouncements, [&](const HeldAnnouncement &it) {
-    return it.Member.process() == member.process();
-  });
-  HeldAnnouncements.push_back(
-      {.ArrivedAt = now, .Member = member, .Sequence = sequence});
+  const auto held =
+      std::ranges::find_if(HeldAnnouncements, [&](const HeldAnnouncement &it) {
+        return it.Member.process() == member.process();
+      });
+  if (held == HeldAnnouncements.end())
+    HeldAnnouncements.push_back(
+        {.ArrivedAt = now, .Member = member, .Sequence = sequence});
+  else if (sequence >= held->Sequence)
+    *held = {.ArrivedAt = now, .Member = member, .Sequence = sequence};
   flush(now);
 }
 
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -451,6 +451,27 @@
   }
 }
 
+// Guards against a leaving server that gets requests again, since a late
+// announcement from before took the place of the one that waits.
+TEST_CASE("a late announcement doesn't replace a later one that waits for its "
+          "record",
+          "[software-history]") {
+  RecordingLeader leader(/*allTakeSoftware=*/true);
+  for (const bool leaving : {true, false})
+    leader.Node.announce(leader.Now,
+                         {.Host = HostName("v1"),
+                          .Incarnation = 1,
+                          .Address = "v1",
+                          .Services = {ServiceName("s")},
+                          .Leaving = leaving,
+                          .Registered = true,
+                          .Software = "v1"},
+                         /*sequence=*/leaving ? 2 : 1);
+  leader.run();
+  REQUIRE(leader.servers() == 1);
+  CHECK(leader.Node.members().members().begin()->second.Leaving);
+}
+
 // Guards against a replica of an earlier release that can't apply the command,
 // and whose revisions would no longer be those of the others.
 TEST_CASE("nothing is recorded while a replica is of an earlier release",
