Streams with overlong ids aren't remembered

A caller that chose ids of many kilobytes displaced the streams of other callers from the tables of entries, agents and replicas, so that theirs were refused while versions were mixed: the tables are bounded in bytes and callers choose the ids. An id of more than 128 bytes isn't remembered now; its caller alone pays.

--- a/packages/serving/pimentofront/src/Serving/StreamOriginTable.cpp
+++ b/packages/serving/pimentofront/src/Serving/StreamOriginTable.cpp
@@ -5,14 +5,17 @@
 namespace pimentofront {
 namespace {
 
-/// The keys of a table are this long on average, at most: callers choose them.
+/// Callers choose the ids. A longer one isn't remembered, so that it doesn't
+/// displace the streams of other callers.
+constexpr std::size_t MaxIdBytes = 128;
+/// The keys of a table are this long on average, at most.
 constexpr std::size_t MaxMeanIdBytes = 64;
 
 } // namespace
 
 void StreamOriginTable::record(TimePoint now, const StreamOrigin &origin) {
   const Duration lifetime = std::min(origin.Lifetime, Options.MaxLifetime);
-  if (lifetime <= Duration::zero())
+  if (lifetime <= Duration::zero() || origin.Stream.str().size() > MaxIdBytes)
     return;
   const std::string *software = &*Versions.insert(origin.Software).first;
   const auto [it, added] =
