A record of one version doesn't answer for those who know a stream

A resumed stream could go on at another version than its own: if the record of versions named one only and had been confirmed, nobody was asked. A version that can't be recorded, or one from before the first record, isn't in it, although agents or replicas know its streams. They are asked in any case now, as before there was a record.

A fresh entry that waits for the record asks again when it comes: its first question may have ended while links were only opening, and the stream was refused though replicas knew it. Found by reading; [stream-origin] covers both.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -170,6 +170,8 @@
     handleNoServer(now, request);
     return false;
   case OriginDecision::AwaitsRecord:
+    // Links may only have been opening when the question was sent.
+    request.Origin.reset();
     deferOrGiveUp(now, request, ForwardFailure::OriginUnknown);
     return false;
   case OriginDecision::Unknown:
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -94,19 +94,6 @@
          Board.Servers.hasOtherSoftware(service, record->Versions.front());
 }
 
-std::optional<std::string> StreamOriginController::onlyRecordedVersion(
-    TimePoint now, const ForwardRequest &request) const {
-  const auto age = Board.Configuration.confirmationAge(now);
-  const SoftwareRecord *record =
-      Board.Configuration.findSoftware(request.Service);
-  // Each version is recorded before an entry is told of its first server.
-  const bool current = age && now - *age >= request.ArrivedAt;
-  if (!current || !record || record->Versions.size() != 1 ||
-      isMixed(now, request.Service))
-    return std::nullopt;
-  return record->Versions.front();
-}
-
 bool StreamOriginController::hasSeenMixed(TimePoint now,
                                           const ServiceName &service) const {
   const auto it = Board.MixedUntil.find(service);
@@ -169,11 +156,6 @@
                    by.value_or(OriginSource::Entry));
     return OriginDecision::Decided;
   }
-  request.RequiredSoftware = onlyRecordedVersion(now, request);
-  if (request.RequiredSoftware) {
-    recordDecision(now, request, versions->second, OriginSource::OnlyVersion);
-    return OriginDecision::Decided;
-  }
   if (!request.Origin)
     ask(now, request);
   if (!request.Origin->isOver())
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.h
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -36,8 +36,8 @@
 /// Which versions may have begun a service's streams is recorded by the
 /// replicas, too (SoftwareRecord), so that it outlives all entries. An entry
 /// that has just started waits for this record before it goes on with a stream
-/// that nobody knows. A record that was confirmed after the request arrived,
-/// and names the only version, needs no question to agents.
+/// that nobody knows. Agents and replicas are asked although the record has one
+/// version: they may know a stream of one that couldn't be recorded.
 ///
 /// While only one version is registered nobody is told. When a second one
 /// appears, the entry tells the agents of its running streams; a server of the
@@ -83,10 +83,6 @@
   /// \returns whether servers of several versions have been registered with
   /// this entry.
   bool hasSeenMixed(TimePoint now, const ServiceName &service) const;
-  /// \returns the only version that may have begun the request's stream by a
-  /// record confirmed since the request arrived; nothing if there is none.
-  std::optional<std::string>
-  onlyRecordedVersion(TimePoint now, const ForwardRequest &request) const;
   /// \returns the first \p n agents for the request, whose stream \p stream
   /// is.
   std::vector<const MemberView *> holders(const ForwardRequest &request,
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -314,29 +314,38 @@
   }
 }
 
-// Guards against callers that wait for agents, all of which may be lost with
-// the entries, although no other version can have begun the stream.
-TEST_CASE("a stream goes on at the only recorded version without a question",
+// Guards against streams that are refused when all agents are lost with the
+// entries, although no other version can have begun them.
+TEST_CASE("a stream goes on at the only recorded version if nobody is left to "
+          "ask",
           "[stream-origin]") {
   OneVersion it;
   it.Configuration.Software = recordOf({"v1"});
   resume(it.Controller);
+  REQUIRE(it.isAsked());
+  it.Controller.onAgentLost(Now, HostName("a1"));
+  it.Controller.onAgentLost(Now, HostName("a2"));
   CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
 }
 
-// Guards against a record that is taken for the present one although another
-// version may have been added since it was confirmed; the agents that its
-// streams were told may know. An entry that has lost the replicas serves on.
-TEST_CASE("agents are asked if the record wasn't confirmed since the request "
-          "arrived",
+// Guards against a record that is trusted more than an agent that knows the
+// stream: its version may not have been recorded, or the record is an old one.
+// An entry that has lost the replicas serves on.
+TEST_CASE("agents are asked although only one version is recorded",
           "[stream-origin]") {
   OneVersion it;
   it.Configuration.Software = recordOf({"v1"});
-  it.Configuration.Age = GENERATE(Duration(1ms), Duration(1h));
+  it.Configuration.Age = GENERATE(Duration(0ms), Duration(1ms), Duration(1h));
   resume(it.Controller);
   REQUIRE(it.isAsked());
-  it.replyUnknown();
-  CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  SECTION("one names another version") {
+    reply(it.Controller, "a1", "v0");
+    CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  }
+  SECTION("none knows the stream") {
+    it.replyUnknown();
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
 }
 
 // Guards against an entry that has just started, has a list of servers and not
@@ -349,23 +358,36 @@
   REQUIRE(it.isAsked());
   it.replyUnknown();
   it.Controller.tick(Now + 500ms);
-  CHECK(it.take<SendToAgent>().empty());
+  // Links to agents may have opened only now.
+  REQUIRE(it.isAsked());
+  it.replyUnknown();
   CHECK(it.take<ReplyComplete>().empty());
-  SECTION("another version is recorded") {
-    it.Configuration.Software = recordOf({"v0", "v1"});
+  const auto confirm = [&] {
     it.Configuration.Age = 0ms;
     it.Controller.tick(Now + 1s);
+    REQUIRE(it.isAsked());
+  };
+  SECTION("another version is recorded, and nobody knows the stream") {
+    it.Configuration.Software = recordOf({"v0", "v1"});
+    confirm();
+    it.replyUnknown();
     CHECK(it.only<ReplyComplete>().Head.Status == 503);
   }
+  SECTION("another version is recorded, and an agent knows the stream") {
+    it.Configuration.Software = recordOf({"v0", "v1"});
+    confirm();
+    reply(it.Controller, "a1", "v1");
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
   SECTION("no other version is recorded") {
     it.Configuration.Software = recordOf({"v1"});
-    it.Configuration.Age = 0ms;
-    it.Controller.tick(Now + 1s);
+    confirm();
+    it.replyUnknown();
     CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
   }
   SECTION("the replicas are of an earlier release and record none") {
-    it.Configuration.Age = 0ms;
-    it.Controller.tick(Now + 1s);
+    confirm();
+    it.replyUnknown();
     CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
   }
   SECTION("it doesn't arrive in time") {
