--- a/test/StreamFleet.cpp
+++ b/test/StreamFleet.cpp
@@ -92,6 +92,23 @@
     CHECK(share >= MinShare * newShare);
 }
 
+void StreamFleet::checkEachVersion(std::uint64_t seed) const {
+  const int begun = count([](const auto &it) { return !it.Software.empty(); });
+  for (const std::string version : {"v1", "v2"}) {
+    const int resumed = count([&](const auto &it) {
+      return it.Resumed && it.Software.front() == version;
+    });
+    const int goOn = count([&](const auto &it) {
+      return it.GoesOn && it.Software.front() == version;
+    });
+    INFO("seed " << seed << ": " << resumed << " streams of " << version
+                 << " resumed, " << goOn << " go on");
+    const double newShare = begun / static_cast<double>(Streams.size());
+    if (resumed >= MinResumed)
+      CHECK(goOn >= MinShare * newShare * resumed);
+  }
+}
+
 void StreamFleet::send(CallerStream &stream, std::uint32_t entry) {
   ++stream.Attempts;
   stream.Entry = entry;
--- a/test/StreamFleet.h
+++ b/test/StreamFleet.h
@@ -80,6 +80,9 @@
   /// no event is missing or twice, and that resumed streams go on at least half
   /// as often as new streams begin.
   void check(std::uint64_t seed, int maxMixed) const;
+  /// Checks that the resumed streams of each software version go on at least
+  /// half as often as new streams begin.
+  void checkEachVersion(std::uint64_t seed) const;
 
   ForwardFleet Fleet;
   std::vector<std::unique_ptr<CallerStream>> Streams;
--- a/test/StreamRejoinTest.cpp
+++ b/test/StreamRejoinTest.cpp
@@ -112,6 +112,7 @@
     Fleet.runFor(MaxAttempts * DrainTime);
     CHECK(count([](const auto &it) { return it.Resumed; }) > 0);
     check(Seed, /*maxMixed=*/0);
+    checkEachVersion(Seed);
   }
 
   const std::uint64_t Seed;
