--- a/packages/node/pimentofront/src/Node/ForwardNode.cpp
+++ b/packages/node/pimentofront/src/Node/ForwardNode.cpp
@@ -383,8 +383,8 @@
 }
 
 void ForwardNode::flush(TimePoint now) {
-  // Before the commands, which pass on events: no caller has an event of a
-  // stream of which the replicas weren't told.
+  // Before the commands, which pass on events: the replicas whose links are
+  // open are told of a stream before its caller has an event.
   sendOrigins(now);
   for (ForwardCommand &command : Controller.takeCommands()) {
     if (const auto *it = std::get_if<SendToAgent>(&command))
