Tests that fail: an old record, no record, and replicas that restart in turn

- An entry that is cut off from the replicas goes on with a stream that nobody knows, at the only version of its last record.

Three more cases of the review hold: an entry that is cut off alone, a version that left and came back, and a group without a leader.

--- a/test/StreamRejoinTest.cpp
+++ b/test/StreamRejoinTest.cpp
@@ -391,3 +391,156 @@
     it.checkStreamsGoOn();
   }
 }
+
+// Guards against an entry that takes its last list and record for the present
+// ones: it has lost contact with the replicas, a second version has come, and
+// the other entries, which know the streams of that version, end together with
+// the agents.
+TEST_CASE("a stream isn't joined by an entry whose list and record are old",
+          "[stream-history]") {
+  for (const double share : {0.0, 0.5, 1.0})
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+      INFO("share of agents " << share);
+      RejoinFleet it(seed, 9, PromptCallers, ManyEvents);
+      // Its list of servers is complete by then.
+      it.Fleet.runFor(10s);
+      it.Fleet.cutOffReplicas(it.Fleet.entry(0).Spec.Host);
+      it.Fleet.runFor(100ms);
+      it.addSecondVersion();
+      it.Fleet.runFor(5s);
+      it.runFor(4s);
+      for (std::uint32_t i = 1; i < Entries; ++i)
+        it.Fleet.killEntry(i, 20s);
+      it.restartAgents(share);
+      it.Fleet.runFor(MaxAttempts * DrainTime);
+      INFO("seed " << seed << ": " << it.mixed() << " of " << it.Streams.size()
+                   << " streams have events of two versions");
+      CHECK(it.mixed() == 0);
+    }
+}
+
+// Guards against the same without any fault of a process: a caller's connection
+// ends and it comes back to an entry that is cut off from the replicas and from
+// the agents of the other zone.
+TEST_CASE("a stream isn't joined by an entry that is cut off with the servers "
+          "of the former version",
+          "[stream-history]") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    RejoinFleet it(seed, 9, PromptCallers, ManyEvents);
+    // Its list of servers is complete by then.
+    it.Fleet.runFor(10s);
+    const HostName entry = it.Fleet.entry(0).Spec.Host;
+    it.Fleet.cutOffReplicas(entry);
+    it.Fleet.runFor(100ms);
+    it.addSecondVersion();
+    it.Fleet.runFor(5s);
+    for (int i = 0; i < 8; ++i) {
+      it.runFor(500ms);
+      it.reset(10);
+    }
+    it.Fleet.runFor(MaxAttempts * DrainTime);
+    INFO("seed " << seed << ": " << it.mixed() << " of " << it.Streams.size()
+                 << " streams have events of two versions");
+    CHECK(it.mixed() == 0);
+  }
+}
+
+// Guards against a service without a history because one replica of the group
+// has never been up.
+TEST_CASE("a stream isn't joined after its version left if a replica has been "
+          "away from the start",
+          "[stream-no-record]") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    StreamFleet it(fleetOptions(seed, 9, Events), LateCallers);
+    it.Fleet.simulation().kill(it.Fleet.replica(2));
+    it.Fleet.runFor(5s);
+    it.addServers(3, "v2");
+    it.Fleet.runFor(5s);
+    it.runFor(4s);
+    for (std::uint32_t i = 0; i < 9; ++i) {
+      it.Fleet.crashServer(i);
+      it.Fleet.simulation().kill(it.Fleet.agent(i));
+    }
+    it.runFor(LeaseEnd);
+    for (std::uint32_t i = 0; i < Entries; ++i)
+      it.Fleet.killEntry(i, Downtime);
+    it.Fleet.runFor(MaxAttempts * DrainTime);
+    INFO("seed " << seed << ": " << it.mixed() << " of " << it.Streams.size()
+                 << " streams have events of two versions");
+    CHECK(it.mixed() == 0);
+  }
+}
+
+// Guards against streams that nobody is told of, because their entry never sees
+// two versions at once: the first has left when the second comes, and comes
+// back after all entries were killed. No agent of a server that stays and no
+// replica ends.
+TEST_CASE("streams go on at a version that left and came back while all "
+          "entries were killed",
+          "[stream-memory]") {
+  constexpr StreamCallerOptions Callers{.ComeBackAfter = 18s};
+  for (const bool killsEntries : {false, true})
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+      INFO("entries killed: " << killsEntries);
+      RejoinFleet it(seed, 9, Callers, ManyEvents);
+      it.runFor(4s);
+      it.loseFirstServers();
+      it.Fleet.runFor(LeaseEnd + 7s);
+      it.addSecondVersion();
+      it.Fleet.runFor(Registration + 500ms);
+      if (killsEntries)
+        it.killEntries(500ms);
+      it.addServers(9, "v1");
+      it.checkStreamsGoOn();
+    }
+}
+
+// Guards against a memory that the replicas lose one after another when no
+// entry is left that could tell them again.
+TEST_CASE("streams go on after all entries and agents were killed and all "
+          "replicas restarted in turn",
+          "[stream-replicas-in-turn]") {
+  constexpr StreamCallerOptions Callers{.ComeBackAfter = 16s};
+  for (const double share : {0.5, 0.7, 1.0})
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+      INFO("share of agents " << share);
+      SideBySideFleet it(seed, 9, Callers, ManyEvents);
+      it.killEntries();
+      it.restartAgents(share);
+      it.Fleet.runFor(Downtime + 500ms);
+      for (std::uint32_t i = 0; i < Replicas; ++i) {
+        it.restartReplica(i);
+        it.Fleet.runFor(Downtime + 500ms);
+      }
+      it.checkStreamsGoOn();
+    }
+}
+
+// Guards against resumed streams that are refused, although new ones are
+// served, because no leader confirms the record to entries that have just
+// started.
+TEST_CASE("streams of the only version go on after all entries were killed "
+          "while the group has no leader",
+          "[stream-memory]") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    RejoinFleet it(seed, Servers, PromptCallers, ManyEvents);
+    it.runFor(4s);
+    for (std::uint32_t i = 0; i < 2; ++i)
+      it.Fleet.simulation().killFor(it.Fleet.replica(i), 30s);
+    it.Fleet.runFor(1s);
+    it.killEntries();
+    it.Fleet.runFor(Downtime + 500ms);
+    const std::size_t before = it.Streams.size();
+    it.runFor(4s);
+    it.Fleet.runFor(20s);
+    const auto begun = std::count_if(
+        it.Streams.begin() + static_cast<std::ptrdiff_t>(before),
+        it.Streams.end(), [](const auto &s) { return !s->Software.empty(); });
+    const int resumed = it.count([](const auto &s) { return s.Resumed; });
+    const int goOn = it.count([](const auto &s) { return s.GoesOn; });
+    INFO("seed " << seed << ": " << goOn << " of " << resumed
+                 << " resumed streams go on, " << begun << " of "
+                 << it.Streams.size() - before << " new ones begin");
+    CHECK((begun == 0 || 2 * goOn >= resumed));
+  }
+}
