An old record of versions doesn't decide for a stream that nobody knows

What callers saw: streams joined from two versions, where an entry that was cut off from the replicas was the one that they came back to, and the entries and agents that knew the streams of a new version had been lost.

Cause: an entry asked only whether its copy of the configuration had ever been confirmed, not whether it still is. A version may have come since.

Now such a stream waits for a confirmation, for the time in which requests are deferred, and is refused then. What the entry, an agent or a replica knows goes on as before, and so does every stream while the lease of the copy lasts. A test demanded that an entry with a record of an hour ago goes on with a stream that nobody knows; it was the fault. In its place: the stream waits, goes on when the record is confirmed, and is refused otherwise.

--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -164,7 +164,9 @@
     recordDecision(now, request, versions->second, OriginSource::Nobody);
     return OriginDecision::Unknown;
   }
-  if (!Board.Configuration.confirmationAge(now))
+  // An entry that is cut off may have missed a version.
+  if (!Board.Configuration.confirmationAge(now) ||
+      !Board.Configuration.isConfirmed(now))
     return OriginDecision::AwaitsRecord;
   request.RequiredSoftware = *versions->second.begin();
   recordDecision(now, request, versions->second, OriginSource::OnlyVersion);
--- a/test/StreamOriginTest.cpp
+++ b/test/StreamOriginTest.cpp
@@ -330,22 +330,56 @@
 
 // Guards against a record that is trusted more than an agent that knows the
 // stream: its version may not have been recorded, or the record is an old one.
-// An entry that has lost the replicas serves on.
 TEST_CASE("agents are asked although only one version is recorded",
           "[stream-origin]") {
   OneVersion it;
   it.Configuration.Software = recordOf({"v1"});
   it.Configuration.Age = GENERATE(Duration(0ms), Duration(1ms), Duration(1h));
+  it.Configuration.Confirmed = *it.Configuration.Age < 1h;
   resume(it.Controller);
   REQUIRE(it.isAsked());
   SECTION("one names another version") {
     reply(it.Controller, "a1", "v0");
     CHECK(it.only<ReplyComplete>().Head.Status == 503);
   }
+  SECTION("one names this version") {
+    reply(it.Controller, "a1", "v1");
+    CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
   SECTION("none knows the stream") {
+    it.replyUnknown();
+    if (it.Configuration.Confirmed)
+      CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
+  }
+}
+
+// Guards against an entry that takes its last list of servers and record for
+// the present ones after it has lost the replicas.
+TEST_CASE(
+    "a stream that nobody knows waits until the record is confirmed again",
+    "[stream-origin]") {
+  OneVersion it;
+  it.Configuration.Software = recordOf({"v1"});
+  it.Configuration.Age = 1h;
+  it.Configuration.Confirmed = false;
+  resume(it.Controller);
+  REQUIRE(it.isAsked());
+  it.replyUnknown();
+  CHECK(it.take<ReplyComplete>().empty());
+  CHECK(it.take<SendToAgent>().empty());
+  SECTION("it is confirmed") {
+    it.Configuration.Age = 0ms;
+    it.Configuration.Confirmed = true;
+    it.Controller.tick(Now + 1s);
+    REQUIRE(it.isAsked());
     it.replyUnknown();
     CHECK(*findHeader(it.permit().Head.Headers, "last") == "4");
   }
+  SECTION("it isn't") {
+    for (Duration at = 100ms; at <= 4s; at += 100ms)
+      it.Controller.tick(Now + at);
+    CHECK(it.only<ReplyComplete>().Head.Status == 503);
+  }
 }
 
 // Guards against an entry that has just started, has a list of servers and not
