Agents are told of streams that begin while one version serves

What callers saw: streams that broke off were refused for good as unknown, although servers of their version were there.

Cause: while one version was registered nobody was told of a stream but its entry. If that entry ended as the second version appeared, before it knew of it, nobody knew the stream, and two versions may have begun it.

Now three agents are told of each stream's first event, whatever versions serve; the replicas are told while several serve, as before. At the size of two years that is 1.5 KB/s from an entry and 0.8 KB/s to an agent of the 14 allowed (reckoned), now always; the first two agents of an adapter with a tenth of all requests get 21 KB/s.

--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.cpp
@@ -228,8 +228,8 @@
     if (mixed)
       Board.OriginsToKeep.push_back(it);
   }
-  if (mixed)
-    publish(now, request);
+  // A second version may appear after this entry has been lost.
+  publish(now, request);
 }
 
 void StreamOriginController::publish(TimePoint now,
--- a/packages/forward/pimentofront/src/Forward/StreamOriginController.h
+++ b/packages/forward/pimentofront/src/Forward/StreamOriginController.h
@@ -25,13 +25,13 @@
 /// began, so that only this version goes on with it.
 ///
 /// What two versions write doesn't fit together, and servers don't check it. An
-/// entry knows the streams that it began. While several versions are registered
-/// for a service, it also tells three agents of each stream: the one beside the
-/// server, which knows it anyway, and the first two in the rendezvous order of
-/// the stream's adapter, which all entries derive alike. An entry to which a
+/// entry knows the streams that it began. It also tells three agents of each
+/// stream: the one beside the server, and the first two in the rendezvous order
+/// of the stream's adapter, which all entries derive alike. An entry to which a
 /// caller comes back asks the first agents of that order, so that the entry
-/// that began the stream may be gone. All replicas are told and asked as well,
-/// which survives the loss of the agents.
+/// that began the stream may be gone. While several versions are registered for
+/// a service all replicas are told as well, which survives the loss of the
+/// agents; they are asked in any case.
 ///
 /// Which versions may have begun a service's streams is recorded by the
 /// replicas, too (SoftwareRecord), so that it outlives all entries. An entry
@@ -39,12 +39,12 @@
 /// that nobody knows. Agents and replicas are asked although the record has one
 /// version: they may know a stream of one that couldn't be recorded.
 ///
-/// While only one version is registered nobody is told. When a second one
-/// appears, the entry tells the agents of its running streams; a server of the
-/// second version gets no stream from an entry that doesn't know it yet. Agents
-/// are asked in any case, since this entry may have missed a version, or have
-/// started after it had gone. If they know nothing either, the request goes on
-/// at the only version.
+/// When a second version appears, the entry tells agents and replicas of its
+/// running streams; a server of the second version gets no stream from an entry
+/// that doesn't know it yet. Agents are asked although one version is
+/// registered, since this entry may have missed one, or have started after it
+/// had gone. If they know nothing either, the request goes on at the only
+/// version.
 ///
 /// Invariant: a request that resumes a stream is sent only if its
 /// RequiredSoftware is set, or if the servers state no version.
--- a/test/StreamRejoinTest.cpp
+++ b/test/StreamRejoinTest.cpp
@@ -392,6 +392,21 @@
   }
 }
 
+// Guards against streams that are refused as unknown, because one version
+// served when they began and nobody was told: their entries end as the second
+// one appears, before they know of it.
+TEST_CASE("streams that began while one version served go on after their "
+          "entries ended as the second one came",
+          "[stream-memory]") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    RejoinFleet it(seed, 9, PromptCallers, ManyEvents);
+    it.runFor(4s);
+    it.killEntries();
+    it.addSecondVersion();
+    it.checkStreamsGoOn();
+  }
+}
+
 // Guards against an entry that takes its last list and record for the present
 // ones: it has lost contact with the replicas, a second version has come, and
 // the other entries, which know the streams of that version, end together with
