A request that ends without a decision on its trial gives the grant back

What callers saw: after a server's exit, streams that broke off couldn't go on. Each attempt to resume one was held for a trial (`on_trial`) until its caller gave up, for up to 10 s after the replicas had a leader again.

Cause: an entry asks the replicas whether it may send a watched request again, and waits 700 ms for their decision. Without a decision it gives the request up (`no_leave`), and forgot the question. A leader that had no majority has it in its log, though, and grants the trial once it has one. The holder has ended: nobody used or ended that trial, and each further attempt was held until the caller's time, stated in the question, and the grace of one second were over.

Of eight streams given up as `no_leave` at one exit six were held as `on_trial` afterwards, the longest over 10.4 s. The unit test failed in each of its three sections.

Why the fix works: the request remembers what it has asked to try without a decision, and when it ends, the entry ends these trials. The end comes after the question in the entry's queue, so a leader that has the question gets the end behind it. While the request lives it asks again as the same holder, so its grant isn't ended: a repeated end could otherwise release a trial that is running. Such an end says "not run" only if the request wasn't sent since; else "unclear", as counted before. So the bounds on servers stay.

What remains: the trials of an entry that is killed last as before.

--- a/packages/forward/pimentofront/src/Forward/AttemptController.cpp
+++ b/packages/forward/pimentofront/src/Forward/AttemptController.cpp
@@ -502,7 +502,8 @@
   attempt.Address = server.Record.Address;
   attempt.Software = server.Record.Software;
   attempt.Sent = true;
-  request.SentOnTrial = request.Trial == TrialState::Granted;
+  request.SentOnTrial =
+      request.Trial == TrialState::Granted || !request.UndecidedTrials.empty();
   attempt.SentAt = now;
   attempt.KnownQuarantine = Board.Parts.version();
   ++request.Sends;
--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -360,9 +360,13 @@
   TrialState Trial = TrialState::None;
   /// What is on trial: the request itself, or a part of its prompt.
   ContentHash TrialOf;
+  /// What else it has asked to try, without a decision in time. The replicas
+  /// may have granted these trials all the same, or may yet do so.
+  std::set<ContentHash> UndecidedTrials;
   /// End of the Settling state.
   TimePoint SettledAt;
-  /// It was sent under its current trial grant.
+  /// It was sent under its current trial grant, or under one that it may have
+  /// been given without learning of it.
   bool SentOnTrial = false;
   /// Server that is being checked before the request continues.
   std::optional<ServerProcess> CheckedServer;
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -77,8 +77,11 @@
   ForwardRequest &request = it->second;
   const bool ofPart = request.TrialOf != request.Content;
   request.Trial = TrialState::None;
-  if (!outcome)
+  if (!outcome) {
+    request.UndecidedTrials.insert(request.TrialOf);
     return TrialDecision{request.Key, SendDecision::Undecided};
+  }
+  request.UndecidedTrials.erase(request.TrialOf);
   switch (outcome->Result) {
   case CommandResult::Accepted:
     request.Trial = TrialState::Granted;
@@ -135,11 +138,16 @@
 }
 
 void QuarantineController::onFinished(const ForwardRequest &request) {
-  if (request.Trial != TrialState::Asked &&
-      request.Trial != TrialState::Granted)
-    return;
-  endTrial(request.TrialOf, holderOf(Board, request),
-           request.SentOnTrial ? TrialEnding::Unclear : TrialEnding::NotRun);
+  // The replicas can grant a trial after the entry has given up waiting for
+  // their decision. If nobody ended it, no other attempt could run until the
+  // time of this one is over.
+  std::set<ContentHash> trials = request.UndecidedTrials;
+  if (request.Trial == TrialState::Asked ||
+      request.Trial == TrialState::Granted)
+    trials.insert(request.TrialOf);
+  for (const ContentHash &it : trials)
+    endTrial(it, holderOf(Board, request),
+             request.SentOnTrial ? TrialEnding::Unclear : TrialEnding::NotRun);
 }
 
 //===----------------------------------------------------------------------===//
--- a/packages/forward/pimentofront/src/Forward/QuarantineController.h
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.h
@@ -85,7 +85,8 @@
   void onBegan(const ForwardRequest &request);
   /// Sends the reports on requests that speak for accused parts.
   void reportSurvivors(TimePoint now);
-  /// The request ends: releases the trial grant that it holds or has asked for.
+  /// The request ends: releases the trial grants that it holds or has asked
+  /// for, also those that the replicas didn't decide on in time.
   void onFinished(const ForwardRequest &request);
 
   /// The process was suspended or stalled: what it knows of the quarantine may
--- a/test/QuarantineControllerTest.cpp
+++ b/test/QuarantineControllerTest.cpp
@@ -198,6 +198,77 @@
   }
 }
 
+// Guards against a trial grant that nobody ends: the replicas have no leader
+// when it is asked for, the request is given up, and a later leader grants it
+// all the same. Until its time is over, further attempts at the request are
+// held for a trial that doesn't take place.
+TEST_CASE("a request that ends without a decision on its trial gives the grant "
+          "back") {
+  QuarantineEntry it;
+  it.setContentState(QuarantineState::Watched);
+  it.request("safe");
+  const auto claim = it.proposal<ClaimTrial>();
+  REQUIRE(claim);
+  SECTION("it is given up") {
+    it.Controller.onDecision(Now + 3s, it.Nonce, std::nullopt);
+    REQUIRE(it.only<ReplyComplete>().Head.Status == 503);
+    const auto ended = it.proposal<EndTrial>();
+    REQUIRE(ended);
+    CHECK(ended->Content == claim->Content);
+    CHECK(ended->Holder == claim->Holder);
+    CHECK(ended->Ending == TrialEnding::NotRun);
+  }
+  SECTION("its caller leaves before it asks again") {
+    it.Controller.onDecision(Now, it.Nonce, std::nullopt);
+    // While the request may still be sent, it keeps what it was granted.
+    CHECK_FALSE(it.proposal<EndTrial>());
+    it.Controller.onCallerDisconnected(Now, 1);
+    const auto ended = it.proposal<EndTrial>();
+    REQUIRE(ended);
+    CHECK(ended->Holder == claim->Holder);
+    CHECK(ended->Ending == TrialEnding::NotRun);
+  }
+  SECTION("it is cleared, sent without a grant, and its caller leaves") {
+    it.Controller.onDecision(Now, it.Nonce, std::nullopt);
+    it.updateState(QuarantineState::Clear);
+    it.Controller.tick(Now + 200ms);
+    it.only<SendUpstream>();
+    it.Controller.onCallerDisconnected(Now + 300ms, 1);
+    const auto ended = it.proposal<EndTrial>();
+    REQUIRE(ended);
+    CHECK(ended->Holder == claim->Holder);
+    CHECK(ended->Ending == TrialEnding::Unclear);
+  }
+}
+
+TEST_CASE("a request that learns the decision when it asks again has no other "
+          "grant to give back") {
+  QuarantineEntry it;
+  it.setContentState(QuarantineState::Watched);
+  it.request("safe");
+  const auto claim = it.proposal<ClaimTrial>();
+  REQUIRE(claim);
+  it.Controller.onDecision(Now, it.Nonce, std::nullopt);
+  it.Controller.tick(Now + 200ms);
+  const auto again = it.proposal<ClaimTrial>();
+  REQUIRE(again);
+  CHECK(again->Holder == claim->Holder);
+  SECTION("another attempt is in progress") {
+    it.decide(CommandResult::InProgress, Now + 3s);
+    CHECK(it.only<ReplyComplete>().Head.Status == 503);
+    CHECK_FALSE(it.proposal<EndTrial>());
+  }
+  SECTION("it is granted, and the server exits: the report releases it") {
+    it.decide(CommandResult::Accepted, Now + 200ms);
+    const auto sent = it.only<SendUpstream>();
+    it.Controller.answers().onEnd(Now + 300ms, sent.Attempt, BrokenOff);
+    it.Controller.onServerChecked(Now + 300ms, it.only<CheckServer>().Server,
+                                  Exited);
+    it.Controller.onCallerDisconnected(Now + 300ms, 1);
+    CHECK_FALSE(it.proposal<EndTrial>());
+  }
+}
+
 TEST_CASE("after a second server exit the entry waits for the other entries' "
           "reports") {
   QuarantineEntry it;
--- a/test/QuarantineFleetTest.cpp
+++ b/test/QuarantineFleetTest.cpp
@@ -110,6 +110,49 @@
   int WronglyQuarantined = 0;
 };
 
+/// A fleet with a stream whose server exits while the leader of the replicas
+/// has no majority, so that the entry's question whether it may be sent again
+/// stays in the leader's log.
+struct OutvotedLeader {
+  explicit OutvotedLeader(std::uint64_t seed)
+      : Fleet({.Simulation = {.Seed = seed}}) {
+    Fleet.runFor(5s);
+    Fleet.call(Fleet.entry(0), "sound",
+               [this](const CallerAnswer &answer) { First = answer; });
+    Fleet.runFor(500ms);
+    REQUIRE(Fleet.arrivals().size() == 1);
+    const SimulatedProcess *leader = Fleet.simulation().leader();
+    REQUIRE(leader);
+    for (std::uint32_t i = 0; i < 3; ++i)
+      if (&Fleet.replica(i) != leader)
+        Followers.push_back(&Fleet.replica(i));
+  }
+
+  void loseMajority() {
+    for (SimulatedProcess *it : Followers)
+      Fleet.simulation().kill(*it);
+    for (std::uint32_t i = 0; i < 12; ++i)
+      if (Fleet.serverName(i) == Fleet.arrivals().front().Server)
+        Fleet.crashServer(i);
+  }
+  /// One follower comes back, which makes a majority only with the leader's
+  /// log.
+  void regainMajority() { Fleet.simulation().start(*Followers.front()); }
+  /// The caller sends the request again, to another entry.
+  void callAgain() {
+    Fleet.call(Fleet.entry(1), "sound",
+               [this](const CallerAnswer &answer) { Next = answer; });
+  }
+  auto lostFor(const std::string &reason) const {
+    return std::ranges::count(Fleet.events(), reason, &ForwardEvent::Reason);
+  }
+
+  ForwardFleet Fleet;
+  std::vector<SimulatedProcess *> Followers;
+  CallerAnswer First;
+  CallerAnswer Next;
+};
+
 } // namespace
 
 TEST_CASE("a request that crashed three servers reaches few other servers",
@@ -198,6 +241,32 @@
   }
 }
 
+// Guards against streams that can't go on after a server's exit for as long as
+// their attempts before had time, although a replica leads again. The replicas
+// have no majority when the entry asks for leave to send the request again, and
+// it gives up; the leader has the question in its log and grants the trial once
+// it has a majority, to a request that has ended.
+TEST_CASE("a trial that was granted too late isn't held against the caller's "
+          "next attempt",
+          "[quarantine]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    OutvotedLeader it(seed);
+    it.loseMajority();
+    it.Fleet.runFor(1s);
+    REQUIRE_FALSE(it.First.IsComplete);
+    REQUIRE(it.lostFor("no_leave") == 1);
+    it.regainMajority();
+    it.Fleet.runFor(2s);
+    it.callAgain();
+    it.Fleet.runFor(6s);
+    INFO("seed " << seed << ", answer " << it.Next.Status << " "
+                 << it.Next.Body);
+    CHECK(it.Next.IsComplete);
+    CHECK(it.Next.Stamped);
+    CHECK(it.Next.EndedAt - it.Next.SentAt < 3s);
+  }
+}
+
 TEST_CASE("measurements of the quarantine", "[.figures]") {
   for (const std::size_t n : {0U, 1U, 3U, 10U})
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
