Soak: the report tells what each resumed stream met on its way

DisturbanceRecord keeps when each host was stopped (from SIGTERM or SIGKILL until its start), frozen, or had its link disturbed; a process that ends by itself counts as running. Each attempt of a resumption is reported with its end, its time and the disturbances from 3 s before it until its end. The report counts the resumptions of which an attempt went to an entry in touch: nothing was done to that entry or to any replica in this time.

The verdict is as before.

Tests of the record and of the counts pass, built on their own (52 assertions); the whole test program wasn't built.

--- a/test/StreamChecksTest.cpp
+++ b/test/StreamChecksTest.cpp
@@ -100,3 +100,17 @@
     CHECK(checkResumptions(streams).empty());
   }
 }
+
+TEST_CASE(
+    "The soak's resumption check counts resumptions at disturbed entries, "
+    "and the report tells them apart") {
+  auto streams = repeat(12, makeResumedStream(/*wentOn=*/false));
+  CHECK(streamsResumedInTouch(streams).Of == 0);
+  CHECK(checkResumptions(streams).size() == 1 + 12);
+  streams.front().Resumptions.front().HadEntryInTouch = true;
+  streams.back().Resumptions.front().HadEntryInTouch = true;
+  streams.back().Resumptions.front().WentOn = true;
+  CHECK(streamsResumedInTouch(streams).Of == 2);
+  CHECK(streamsResumedInTouch(streams).Good == 1);
+  CHECK(resumedStreams(streams).Of == 12);
+}
--- a/test/platform/soak/FaultPlan.cpp
+++ b/test/platform/soak/FaultPlan.cpp
@@ -115,9 +115,10 @@
       continue;
     // As on the platform, a process that ends is restarted after a short delay.
     const TimePoint now = Loop.now();
-    schedule(now + randomDuration(milliseconds(100), seconds(1)), [&it] {
+    schedule(now + randomDuration(milliseconds(100), seconds(1)), [this, &it] {
       if (it.InService)
         it.Process.start();
+      Disturbances.end(Loop.now(), it.Name, HostDisturbance::Stopped);
     });
   }
 }
@@ -153,11 +154,23 @@
 void FaultPlan::disturb(TimePoint now, TcpProxy &proxy, Disturbance kind,
                         Duration time, Duration delay) {
   proxy.disturb(kind, delay);
-  schedule(now + time, [&proxy] { proxy.heal(); });
+  const std::string host = hostBehind(proxy);
+  Disturbances.begin(now, host, HostDisturbance::Link);
+  schedule(now + time, [this, &proxy, host] {
+    proxy.heal();
+    Disturbances.end(Loop.now(), host, HostDisturbance::Link);
+  });
   recordFault(now, std::string(disturbanceName(kind)) + ", " +
                        std::to_string(time.count() / 1000) + " ms");
 }
 
+std::string FaultPlan::hostBehind(const TcpProxy &proxy) {
+  const auto &daemons = System.daemons();
+  const auto found = std::ranges::find_if(
+      daemons, [&](const Daemon &it) { return it.PeerProxy.get() == &proxy; });
+  return found == daemons.end() ? std::string() : found->Name;
+}
+
 void FaultPlan::signalProcess(TimePoint now) {
   const auto daemons = System.commonDaemons();
   Daemon &it = daemons[randomIndex(daemons.size())];
@@ -169,12 +182,17 @@
     return stopProcess(now, it, kind);
   it.Process.signal(kind);
   const Duration time = randomDuration(milliseconds(200), seconds(3));
-  schedule(now + time, [&it] { it.Process.signal(SIGCONT); });
+  Disturbances.begin(now, it.Name, HostDisturbance::Frozen);
+  schedule(now + time, [this, &it] {
+    it.Process.signal(SIGCONT);
+    Disturbances.end(Loop.now(), it.Name, HostDisturbance::Frozen);
+  });
   recordFault(now, "freeze, " + it.Name);
 }
 
 void FaultPlan::stopProcess(TimePoint now, Daemon &daemon, int signal) {
   daemon.Process.signal(signal);
+  Disturbances.begin(now, daemon.Name, HostDisturbance::Stopped);
   // Counts as a fault until the process has ended; its restart counts from
   // then on.
   schedule(now + milliseconds(100), [] {});
@@ -196,6 +214,7 @@
   Daemon *lost = replicas[randomIndex(replicas.size())];
   NextDiskLossAt = now + CatchUpTime + SeriesPause;
   lost->Process.signal(SIGKILL);
+  Disturbances.begin(now, lost->Name, HostDisturbance::Stopped);
   // NextDiskLossAt prevents another disk loss until this replica has caught up;
   // other faults continue.
   schedule(now + milliseconds(50), [this, lost] { System.deleteData(*lost); });
--- a/test/platform/soak/FaultPlan.h
+++ b/test/platform/soak/FaultPlan.h
@@ -2,6 +2,7 @@
 #define PIMENTOFRONT_SOAK_FAULT_PLAN_H
 
 #include "Deployment.h"
+#include "DisturbanceRecord.h"
 #include "Report.h"
 
 namespace pimentofront::soak {
@@ -35,6 +36,10 @@
   void recordFault(TimePoint now, const std::string &what);
   /// Counts and prints something that is planned and thus no fault.
   void recordEvent(TimePoint now, const std::string &what);
+  /// \returns what was done to each daemon's host, and when.
+  const DisturbanceRecord &disturbances() const { return Disturbances; }
+  /// \returns when begin() was called, from which the report counts.
+  TimePoint startedAt() const { return StartedAt; }
 
 private:
   struct ScheduledAction {
@@ -49,6 +54,9 @@
   void signalProcess(TimePoint now);
   void loseDisk(TimePoint now);
   void schedule(TimePoint at, std::function<void()> action);
+  /// \returns the name of the host behind \p proxy, or an empty name if that
+  /// is a backend server.
+  std::string hostBehind(const TcpProxy &proxy);
   Duration randomDuration(Duration min, Duration max);
   std::size_t randomIndex(std::size_t n);
 
@@ -56,6 +64,7 @@
   Deployment &System;
   Random Rng;
   Report &Results;
+  DisturbanceRecord Disturbances;
   TimePoint StartedAt;
   bool Active = false;
   TimePoint NextFaultAt;
--- a/test/platform/soak/SoakMain.cpp
+++ b/test/platform/soak/SoakMain.cpp
@@ -52,7 +52,7 @@
         Versions(loop, System, Faults, DocumentOperator, arguments.Seed + 3),
         Series(loop, System, Faults, DocumentOperator, arguments.Seed + 4),
         Losses(loop, System, Faults, Versions, arguments.Seed),
-        Streams(loop, System, Versions, arguments.Seed + 5, Results),
+        Streams(loop, System, Versions, Faults, arguments.Seed + 5, Results),
         PhaseStart(loop.now()),
         CheckTimer(loop.every(CheckPeriod, [this] { checkPhase(); })),
         LagTimer(loop.every(LagPeriod, [this] { recordLag(); })) {}
--- a/test/platform/soak/StreamCallers.cpp
+++ b/test/platform/soak/StreamCallers.cpp
@@ -31,6 +31,8 @@
 /// Pause before the next attempt where no time was named.
 constexpr Duration MinPause = milliseconds(20);
 constexpr Duration MaxPause = milliseconds(200);
+/// Time without a disturbance after which a host is in touch.
+constexpr Duration StableWindow = seconds(3);
 /// Share of the time left that callers wait if they are told to.
 constexpr int RetryAfterShare = 3;
 
@@ -40,6 +42,10 @@
                                              .DefaultKeepAlive = seconds(60),
                                              .MaxIdleForOnce = seconds(60)};
 
+std::string asMilliseconds(Duration it) {
+  return std::to_string(it / milliseconds(1));
+}
+
 bool isFinal(int status) {
   return std::ranges::find(FinalStatuses, status) != std::end(FinalStatuses);
 }
@@ -47,10 +53,11 @@
 } // namespace
 
 StreamCallers::StreamCallers(EventLoop &loop, Deployment &deployment,
-                             const Release &release, std::uint64_t seed,
-                             Report &report)
-    : Loop(loop), System(deployment), Versions(release), Rng(seed),
-      Results(report), StartedAt(loop.now()), Pool(loop, PoolOptions, *this),
+                             const Release &release, const FaultPlan &faults,
+                             std::uint64_t seed, Report &report)
+    : Loop(loop), System(deployment), Versions(release), Faults(faults),
+      Rng(seed), Results(report), StartedAt(loop.now()),
+      Pool(loop, PoolOptions, *this),
       Ticker(loop.every(TickPeriod, [this] { tick(); })) {}
 
 StreamCallers::~StreamCallers() = default;
@@ -108,7 +115,8 @@
   }
   if (!stream.Attempts.empty())
     caller.OwnPool = std::make_unique<UpstreamPool>(Loop, PoolOptions, *this);
-  stream.Attempts.push_back({.Id = attempt, .Entry = daemon->Name});
+  stream.Attempts.push_back(
+      {.Id = attempt, .Entry = daemon->Name, .SentAt = now});
   caller.LastActivityAt = now;
   caller.NextAttemptAt.reset();
   caller.Status = 0;
@@ -152,6 +160,7 @@
   if (now < caller.LastActivityAt + MaxSilence && now < caller.Deadline)
     return;
   ++Results.Counts["streams given up by their callers"];
+  recordCourse(caller, "silent");
   UpstreamPool &pool = caller.OwnPool ? *caller.OwnPool : Pool;
   pool.cancel({id, Streams[caller.Stream].Attempts.size()});
   endCaller(id);
@@ -202,8 +211,10 @@
     return;
   }
   stream.Events.push_back(event);
-  if (Resumption *it = currentResumption(caller))
+  if (Resumption *it = currentResumption(caller)) {
+    recordCourse(caller, "went on");
     it->WentOn = true;
+  }
 }
 
 void StreamCallers::onEnd(const AttemptId &attempt, UpstreamEnding ending) {
@@ -213,6 +224,8 @@
     EndedPools.push_back(std::move(caller.OwnPool));
   StreamRecord &stream = Streams[caller.Stream];
   const bool complete = ending == UpstreamEnding::Complete;
+  recordCourse(caller, complete ? std::to_string(caller.Status)
+                                : upstreamEndingName(ending));
   if (complete && caller.Status == StatusOk) {
     stream.Attempts.back().IsComplete = true;
     if (!caller.Partial.empty())
@@ -248,6 +261,46 @@
     caller.Entry = (caller.Entry + 1 + Rng.next() % (n - 1)) % n;
 }
 
+void StreamCallers::recordCourse(const Caller &caller,
+                                 const std::string &ending) {
+  Resumption *resumption = currentResumption(caller);
+  if (!resumption)
+    return;
+  const TimePoint now = Loop.now();
+  StreamAttempt &attempt = Streams[caller.Stream].Attempts.back();
+  const bool inTouch = isInTouch(attempt, now);
+  resumption->HadEntryInTouch |= inTouch;
+  attempt.Course =
+      ending + " at " + asMilliseconds(attempt.SentAt - Faults.startedAt()) +
+      " to " + asMilliseconds(now - Faults.startedAt()) + " ms" +
+      (inTouch ? ", in touch" : describeDisturbances(attempt, now));
+}
+
+bool StreamCallers::isInTouch(const StreamAttempt &attempt,
+                              TimePoint now) const {
+  const auto isCalm = [&](const std::string &host) {
+    return Faults.disturbances().isCalm(host, attempt.SentAt - StableWindow,
+                                        now);
+  };
+  return isCalm(attempt.Entry) &&
+         std::ranges::all_of(System.daemons(), [&](const Daemon &it) {
+           return !it.IsReplica || isCalm(it.Name);
+         });
+}
+
+std::string StreamCallers::describeDisturbances(const StreamAttempt &attempt,
+                                                TimePoint now) const {
+  const auto describe = [&](const std::string &host) {
+    return Faults.disturbances().describe(host, attempt.SentAt - StableWindow,
+                                          now, Faults.startedAt());
+  };
+  std::string text = describe(attempt.Entry);
+  for (const Daemon &it : System.daemons())
+    if (it.IsReplica)
+      text += describe(it.Name);
+  return text;
+}
+
 void StreamCallers::endCaller(std::uint64_t id) {
   Caller &caller = Active.at(id);
   if (caller.OwnPool)
@@ -271,6 +324,13 @@
   Results.Counts["streams resumed while two servers served"] = resumed.Of;
   Results.Counts["streams that went on while two servers served"] =
       resumed.Good;
+  const StreamShare inTouch = streamsResumedInTouch(Streams);
+  Results
+      .Counts["streams resumed while two servers served, at entries in touch"] =
+      inTouch.Of;
+  Results.Counts
+      ["streams that went on while two servers served, at entries in touch"] =
+      inTouch.Good;
   Results.Counts["streams of two software versions"] = mixed.size();
   for (const auto &lines : {checkEventOrder(Streams), checkVersions(Streams),
                             checkResumptions(Streams)})
--- a/test/platform/soak/StreamCallers.h
+++ b/test/platform/soak/StreamCallers.h
@@ -15,7 +15,7 @@
 class StreamCallers : public UpstreamHandler {
 public:
   StreamCallers(EventLoop &loop, Deployment &deployment, const Release &release,
-                std::uint64_t seed, Report &report);
+                const FaultPlan &faults, std::uint64_t seed, Report &report);
   ~StreamCallers() override;
 
   void begin();
@@ -58,12 +58,21 @@
   /// Decides whether the caller comes back.
   void afterEnd(TimePoint now, Caller &caller, UpstreamEnding ending);
   void endCaller(std::uint64_t id);
+  /// Notes how the current attempt ended or went on, and whether its entry was
+  /// in touch until then.
+  void recordCourse(const Caller &caller, const std::string &ending);
+  /// \returns whether nothing was done to the entry of \p attempt, or to a
+  /// replica, from StableWindow before the attempt until \p now.
+  bool isInTouch(const StreamAttempt &attempt, TimePoint now) const;
+  std::string describeDisturbances(const StreamAttempt &attempt,
+                                   TimePoint now) const;
   /// \returns the resumption that is under way, or null.
   Resumption *currentResumption(const Caller &caller);
 
   EventLoop &Loop;
   Deployment &System;
   const Release &Versions;
+  const FaultPlan &Faults;
   Random Rng;
   Report &Results;
   TimePoint StartedAt;
--- a/test/platform/soak/StreamChecks.cpp
+++ b/test/platform/soak/StreamChecks.cpp
@@ -13,7 +13,8 @@
 std::string describeAttempts(const StreamRecord &stream) {
   std::string text = "attempts";
   for (const StreamAttempt &it : stream.Attempts)
-    text += " " + it.Id + " (" + it.Entry + ")";
+    text += " " + it.Id + " (" + it.Entry +
+            (it.Course.empty() ? "" : ", " + it.Course) + ")";
   return text + ", " + std::to_string(stream.lastEvent()) + " of " +
          std::to_string(stream.Length) + " events";
 }
@@ -36,6 +37,23 @@
   return result.Of == 0 ? begunStreams(streams) : result;
 }
 
+/// \returns the share that went on of those that \p counts, while two servers
+/// of their version served.
+template <typename Counts>
+StreamShare shareOfResumptions(const std::vector<StreamRecord> &streams,
+                               Counts counts) {
+  StreamShare result;
+  for (const StreamRecord &stream : streams) {
+    for (const Resumption &it : stream.Resumptions) {
+      if (!it.HadTwoServers || !counts(it))
+        continue;
+      ++result.Of;
+      result.Good += it.WentOn ? 1 : 0;
+    }
+  }
+  return result;
+}
+
 /// \returns the first fault in the order of the events, or an empty text.
 std::string orderFault(const StreamRecord &stream) {
   if (!stream.Malformed.empty())
@@ -100,16 +118,12 @@
 }
 
 StreamShare resumedStreams(const std::vector<StreamRecord> &streams) {
-  StreamShare result;
-  for (const StreamRecord &stream : streams) {
-    for (const Resumption &it : stream.Resumptions) {
-      if (!it.HadTwoServers)
-        continue;
-      ++result.Of;
-      result.Good += it.WentOn ? 1 : 0;
-    }
-  }
-  return result;
+  return shareOfResumptions(streams, [](const Resumption &) { return true; });
+}
+
+StreamShare streamsResumedInTouch(const std::vector<StreamRecord> &streams) {
+  return shareOfResumptions(
+      streams, [](const Resumption &it) { return it.HadEntryInTouch; });
 }
 
 double expectedResumptions(const std::vector<StreamRecord> &streams) {
--- a/test/platform/soak/StreamChecks.h
+++ b/test/platform/soak/StreamChecks.h
@@ -37,6 +37,9 @@
 StreamShare begunStreams(const std::vector<StreamRecord> &streams);
 /// \returns the share of resumptions while two servers of the version served.
 StreamShare resumedStreams(const std::vector<StreamRecord> &streams);
+/// \returns the share of those of which an attempt went to an entry in touch.
+/// For the report only: few resumptions are left, so the check counts all.
+StreamShare streamsResumedInTouch(const std::vector<StreamRecord> &streams);
 
 /// \returns how many of these resumptions would go on if they did so as often
 /// as the new streams of the same time begin. All streams fail while entries
--- a/test/platform/soak/StreamRecord.h
+++ b/test/platform/soak/StreamRecord.h
@@ -22,6 +22,10 @@
 struct StreamAttempt {
   std::string Id;
   std::string Entry;
+  TimePoint SentAt;
+  /// How it ended, and the disturbances of its entry and of the replicas; for
+  /// the report.
+  std::string Course;
   bool IsComplete = false;
 };
 
@@ -33,6 +37,9 @@
   /// Whether two servers of the stream's version served all the time until it
   /// went on or was given up.
   bool HadTwoServers = true;
+  /// Whether one of its attempts went to an entry in touch. Not part of the
+  /// check.
+  bool HadEntryInTouch = false;
   bool WentOn = false;
 };
 
