--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -19,6 +19,8 @@
 /// and the size of the text of each of its events.
 constexpr int LargeEvents = 24;
 constexpr std::size_t LargeEventBytes = std::size_t(256) << 10;
+/// Body of a large answer.
+constexpr std::size_t LargeAnswerBytes = std::size_t(8) << 20;
 
 /// Pause between the events of a long stream.
 constexpr Duration EventPeriod = std::chrono::milliseconds(50);
@@ -305,6 +307,9 @@
     channel.writeAndClose("HTTP/1.1 200 OK\r\n" + stampedHeaders + "\r\n" + id);
   } else if (behaviour == "hang")
     return;
+  else if (behaviour == "large")
+    channel.write(makeResponse("200 OK", stampedHeaders,
+                               std::string(LargeAnswerBytes, 'x')));
   else if (behaviour.starts_with("stream"))
     answerStream(channel, head, stampedHeaders,
                  behaviour == "stream-cut" && runs == 1,
--- a/test/platform/soak/Child.h
+++ b/test/platform/soak/Child.h
@@ -33,6 +33,8 @@
   /// not set.
   std::optional<int> reap();
   bool runs() const { return Id > 0; }
+  /// \returns the id of the process; 0 while it doesn't run.
+  pid_t id() const { return Id; }
   /// \returns whether the process got SIGTERM before it had written anything.
   /// It may not have installed its signal handlers by then.
   bool stoppedEarly() const { return StoppedEarly; }
