--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -60,7 +60,23 @@
 //===----------------------------------------------------------------------===//
 
 void CallerChannel::onReadable(bufferevent *, void *arg) {
-  static_cast<CallerChannel *>(arg)->parse();
+  auto *self = static_cast<CallerChannel *>(arg);
+  self->parse();
+  self->limitReadAhead();
+}
+
+void CallerChannel::limitReadAhead() {
+  if (Ended || Closing || Stopped)
+    return;
+  const bool full =
+      evbuffer_get_length(bufferevent_get_input(Bev)) >= MaxPipelinedBytes;
+  if (full == ReadAheadFull)
+    return;
+  ReadAheadFull = full;
+  if (full)
+    bufferevent_disable(Bev, EV_READ);
+  else
+    bufferevent_enable(Bev, EV_READ);
 }
 
 void CallerChannel::parse() {
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -53,6 +53,10 @@
   static void onOutput(evbuffer *output, const evbuffer_cb_info *info,
                        void *arg);
   void parse();
+  /// Stops reading while as much is read ahead as may be. Without that,
+  /// libevent calls onReadable() again and again while the input is at its
+  /// watermark.
+  void limitReadAhead();
   void refuse(int status);
   /// Frees what has arrived of a request that was refused, and reads no more.
   void dropRequest();
@@ -95,6 +99,7 @@
   bool Receiving = false;
   /// Reading is stopped by the listener's bound on unfinished requests.
   bool Stopped = false;
+  bool ReadAheadFull = false;
   /// Unread bytes of responses, and when there were fewer of them last or none.
   std::size_t Unsent = 0;
   TimePoint ReadAt;
