--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <malloc.h>
 #include <random>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace pimentofront {
@@ -18,6 +19,15 @@
 /// don't read are disconnected.
 constexpr std::size_t UnreadPart = 2;
 
+/// \returns how many descriptors the operating system allows this process.
+std::size_t allowedDescriptors() {
+  constexpr std::size_t Presumed = 1024;
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+    return Presumed;
+  return limit.rlim_cur;
+}
+
 std::uint64_t randomNumber() {
   std::random_device device;
   const std::uint64_t high = device();
@@ -56,14 +66,16 @@
   return ExitCode::Good;
 }
 
-CallerListenerOptions Daemon::callerOptions() const {
+CallerListenerOptions Daemon::callerOptions(const IntakeLimits &intake) const {
   const std::size_t held = Options.Forward.Forward.Bytes.Limit;
   return {.Address = *HostPort::parse(Options.ForwardAddress),
           .MaxReceivingBytes = held / ReceivingPart,
-          .MaxUnreadBytes = held / UnreadPart};
+          .MaxUnreadBytes = held / UnreadPart,
+          .MaxConnections = intake.CallerConnections};
 }
 
 void Daemon::openNetwork() {
+  const IntakeLimits intake = Options.intakeFor(allowedDescriptors());
   Network = std::make_unique<PeerNetwork>(
       Loop,
       PeerNetworkOptions{.Listen = *HostPort::parse(Options.PeerListenAddress),
@@ -101,7 +113,7 @@
       });
   if (Options.IsForward)
     ForwardConnections = std::make_unique<ForwardIo>(
-        Loop, callerOptions(), Options.Responses, *Client, Headers, *Log,
+        Loop, callerOptions(intake), Options.Responses, *Client, Headers, *Log,
         Counters);
 }
 
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -59,7 +59,7 @@
 
   ExitCode openStore();
   void openNetwork();
-  CallerListenerOptions callerOptions() const;
+  CallerListenerOptions callerOptions(const IntakeLimits &intake) const;
   void createNodes();
   void createReplica(TimePoint now);
   void createAgent(TimePoint now);
--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -44,6 +44,7 @@
   bufferevent_setwatermark(Bev, EV_READ, 0, MaxPipelinedBytes);
   evbuffer_add_cb(bufferevent_get_output(Bev), onOutput, this);
   bufferevent_enable(Bev, EV_READ | EV_WRITE);
+  recordUse();
 }
 
 CallerChannel::~CallerChannel() {
@@ -115,7 +116,18 @@
                           static_cast<int>(BEV_TRIG_IGNORE_WATERMARKS));
 }
 
+void CallerChannel::recordUse() {
+  if (Ended || Key != 0)
+    return;
+  if (Unsent > 0 || Closing)
+    return Owner.recordUse(Id, ConnectionUse::Unread);
+  if (Receiving)
+    return Owner.recordUse(Id, ConnectionUse::Receiving);
+  Owner.recordUse(Id, Answered ? ConnectionUse::Idle : ConnectionUse::Unused);
+}
+
 bool CallerChannel::recordReceiving() {
+  recordUse();
   const std::size_t head =
       Parser.headDone() ? memoryOf(Head) : Parser.headMemory();
   const std::size_t held =
@@ -160,6 +172,7 @@
   LastRequest = !Parser.keepsConnection();
   Framing = Parser.isHttp11() ? HttpFraming::Chunked : HttpFraming::Close;
   Key = Owner.addKey(Id);
+  Owner.recordUse(Id, ConnectionUse::Busy);
   Owner.Handler.onRequest(Key, std::move(Head),
                           std::exchange(Body, std::string()), Hasher.finish());
 }
@@ -277,15 +290,18 @@
 void CallerChannel::finishResponse() {
   Owner.dropKey(Key);
   Key = 0;
+  Answered = true;
   StateSince = Owner.Loop.now();
   if (!keepsConnection())
     return closeWhenWritten();
+  recordUse();
   if (evbuffer_get_length(bufferevent_get_input(Bev)) > 0)
     parseLater();
 }
 
 void CallerChannel::closeWhenWritten() {
   Closing = true;
+  recordUse();
   if (evbuffer_get_length(bufferevent_get_output(Bev)) == 0)
     endWritten();
 }
@@ -305,6 +321,7 @@
   self->Owner.recordUnsent(before, self->Unsent);
   if (self->Key != 0)
     return self->Owner.Handler.onUnsent(self->Key, self->Unsent);
+  self->recordUse();
   if (before > MaxPipelinedBytes && self->mayBegin())
     self->parseLater();
 }
@@ -338,6 +355,9 @@
   bufferevent_disable(Bev, EV_READ | EV_WRITE);
   evbuffer_remove_cb(bufferevent_get_output(Bev), onOutput, this);
   Owner.recordUnsent(std::exchange(Unsent, 0), 0);
+  // The descriptor is free at once, before this object is.
+  evutil_closesocket(bufferevent_getfd(Bev));
+  bufferevent_setfd(Bev, -1);
   const CallerKey key = std::exchange(Key, 0);
   if (key != 0) {
     Owner.dropKey(key);
--- a/packages/http/pimentofront/src/Http/CallerListener.cpp
+++ b/packages/http/pimentofront/src/Http/CallerListener.cpp
@@ -12,6 +12,9 @@
 
 /// Interval between checks of the time limits, which are seconds long.
 constexpr Duration SweepPeriod = std::chrono::milliseconds(250);
+/// Pause before connections are accepted again after a failure, which is mostly
+/// a lack of descriptors.
+constexpr Duration AcceptPause = std::chrono::milliseconds(100);
 /// A caller that has read nothing for this time may be disconnected for want of
 /// room. Shorter pauses occur on busy hosts.
 constexpr Duration UnreadTime = std::chrono::seconds(2);
@@ -33,6 +36,7 @@
     throw std::runtime_error("can't listen for callers on " +
                              options.Address.Ip + ":" +
                              std::to_string(options.Address.Port));
+  evconnlistener_set_error_cb(Listener, onAcceptError);
   SweepTimer = loop.every(SweepPeriod, [this] { sweep(); });
 }
 
@@ -44,6 +48,10 @@
 void CallerListener::onAccept(evconnlistener *, int fd, sockaddr *, int,
                               void *arg) {
   auto *self = static_cast<CallerListener *>(arg);
+  if (!self->makeRoom()) {
+    evutil_closesocket(fd);
+    return self->Handler.onShed(ShedReason::NoConnection);
+  }
   setSocketOptions(fd);
   bufferevent *bev =
       bufferevent_socket_new(self->Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
@@ -52,11 +60,39 @@
       id, std::make_unique<detail::CallerChannel>(*self, id, bev));
 }
 
+/// Without a pause, the event loop would call this again at once for as long as
+/// there is no descriptor.
+void CallerListener::onAcceptError(evconnlistener *listener, void *arg) {
+  auto *self = static_cast<CallerListener *>(arg);
+  evconnlistener_disable(listener);
+  self->Handler.onShed(ShedReason::NoDescriptor);
+  if (const auto id = self->Uses.first(self->Loop.now()))
+    self->shed(*id, ShedReason::Displaced);
+  self->AcceptTimer = self->Loop.after(AcceptPause, [self] {
+    if (self->Listener)
+      evconnlistener_enable(self->Listener);
+  });
+}
+
+bool CallerListener::makeRoom() {
+  if (Options.MaxConnections == 0 || Channels.size() < Options.MaxConnections)
+    return true;
+  const auto id = Uses.first(Loop.now());
+  if (!id)
+    return false;
+  shed(*id, ShedReason::Displaced);
+  return true;
+}
+
 void CallerListener::shed(ChannelId id, ShedReason reason) {
   Channels.at(id)->end();
   Handler.onShed(reason);
 }
 
+void CallerListener::recordUse(ChannelId id, ConnectionUse use) {
+  Uses.record(Loop.now(), id, use);
+}
+
 void CallerListener::setLimits(const CallerLimits &limits) {
   if (limits == Options.Limits)
     return;
@@ -124,6 +160,7 @@
     return;
   ClosedChannels.push_back(std::move(it->second));
   Channels.erase(it);
+  Uses.remove(id);
   endReceiving(id);
   if (!FreeTimer)
     FreeTimer = Loop.after(Duration::zero(), [this] { freeClosed(); });
--- a/packages/http/pimentofront/src/Http/CallerListener.h
+++ b/packages/http/pimentofront/src/Http/CallerListener.h
@@ -47,6 +47,9 @@
   /// Unread bytes of all responses above which callers that don't read are
   /// disconnected; 0 sets no bound.
   std::size_t MaxUnreadBytes = 0;
+  /// Number of connections above which a new one displaces the least used one
+  /// (CloseOrder); 0 sets no bound.
+  std::size_t MaxConnections = 0;
 };
 
 namespace detail {
@@ -58,8 +61,9 @@
 /// \brief Accepts callers' connections. Each connection handles one request at
 /// a time; pipelined requests wait unread.
 ///
-/// Bounds what callers can hold of the process: bytes of requests that arrive,
-/// and bytes of responses that aren't read. A caller that reads nothing of its response for the idle timeout is disconnected.
+/// Bounds what callers can hold of the process: descriptors, bytes of requests
+/// that arrive, and bytes of responses that aren't read. A caller that reads
+/// nothing of its response for the idle timeout is disconnected.
 class CallerListener {
 public:
   /// \throws std::runtime_error when the address can't be bound.
@@ -93,6 +97,10 @@
   using ChannelId = std::uint64_t;
   static void onAccept(evconnlistener *, int fd, struct sockaddr *, int,
                        void *arg);
+  static void onAcceptError(evconnlistener *listener, void *arg);
+  /// Makes room for one more connection if all that are allowed are open.
+  /// \returns false if none can be closed.
+  bool makeRoom();
   /// Closes the connection \p id, which nobody may use any further.
   void shed(ChannelId id, ShedReason reason);
   /// Refuses unfinished requests that take room for which others wait.
@@ -107,6 +115,8 @@
   void removeChannel(ChannelId id);
   void freeClosed();
   void sweep();
+  /// Records what the channel \p id does now.
+  void recordUse(ChannelId id, ConnectionUse use);
   /// \returns whether the channel may be read further.
   bool recordReceiving(ChannelId id, std::size_t bytes);
   /// The channel \p id holds no unfinished request any more.
@@ -126,11 +136,14 @@
       Channels;
   std::unordered_map<CallerKey, ChannelId> Keys;
   ReceiveGate Receiving;
+  CloseOrder Uses;
   /// Unread bytes of the responses of all channels.
   std::size_t Unsent = 0;
   std::vector<std::unique_ptr<detail::CallerChannel>> ClosedChannels;
   std::unique_ptr<Timer> FreeTimer;
   std::unique_ptr<Timer> SweepTimer;
+  /// Begins to accept connections again after a failure.
+  std::unique_ptr<Timer> AcceptTimer;
 };
 
 } // namespace pimentofront
--- a/packages/http/pimentofront/src/Http/detail/CallerChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/CallerChannel.h
@@ -61,6 +61,9 @@
   /// Frees what has arrived of a request that was refused, and reads no more.
   void dropRequest();
   void finishResponse();
+  /// Tells the listener what the connection does, as long as no request waits
+  /// for its response.
+  void recordUse();
   /// \returns whether a further request may be read: the caller has read
   /// enough of the responses before.
   bool mayBegin() const;
@@ -93,6 +96,8 @@
   bool LastRequest = false;
   bool Closing = false;
   bool Ended = false;
+  /// A request has been answered on this connection.
+  bool Answered = false;
   /// When the caller became idle, or began to send the request that is being
   /// received.
   TimePoint StateSince;
