--- a/packages/daemon/src/ApiHandler.cpp
+++ b/packages/daemon/src/ApiHandler.cpp
@@ -239,9 +239,8 @@
                          "application/connect+json, "
                          "application/connect+proto"}},
         "");
-  ApiCall call{.Exchange = exchange,
-               .Content = *content,
-               .Body = std::string(exchange->body())};
+  ApiCall call{
+      .Exchange = exchange, .Content = *content, .Body = exchange->takeBody()};
   const auto timeout = parseTimeout(exchange->header("Connect-Timeout-Ms"));
   if (!timeout)
     return call.fail({.Code = ConnectCode::InvalidArgument,
@@ -341,6 +340,8 @@
   pending.Id = request.Id;
   pending.ArrivedAt = Loop.now();
   pending.Text = request.ResumeText;
+  // The request has its own copy of what the body said.
+  pending.Call.Body = std::string();
   pending.Call.Exchange->onDisconnect([this, key] {
     Nodes.Entry->callerDisconnected(Loop.now(), key);
     Calls.erase(key);
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -100,8 +100,11 @@
       Loop,
       HttpServerOptions{.Address = http,
                         .MaxBodyBytes = Options.MaxBodyBytes,
-                        .CallerTimeout = Options.CallerTimeout},
+                        .CallerTimeout = Options.CallerTimeout,
+                        .MaxConnections = intake.HttpConnections,
+                        .MaxHeldBytes = intake.HttpBytes},
       *Control);
+  Server->setShedObserver([this](ShedReason it) { reportShed("http", it); });
   Client = std::make_unique<HttpClient>(Loop);
   Client->setExcessObserver(
       [this](const HostPort &server, HttpEnding ending, std::size_t bytes) {
@@ -117,6 +120,12 @@
         Counters);
 }
 
+void Daemon::reportShed(const char *port, ShedReason reason) {
+  Counters.recordShedConnection(port, shedReasonName(reason));
+  Log->write(LogLevel::Info, "connection_shed",
+             {{"port", port}, {"why", shedReasonName(reason)}});
+}
+
 void Daemon::createReplica(TimePoint now) {
   ReplicaNodeOptions replica = Options.Replica;
   replica.Log.Host = Options.Host;
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -60,6 +60,7 @@
   ExitCode openStore();
   void openNetwork();
   CallerListenerOptions callerOptions(const IntakeLimits &intake) const;
+  void reportShed(const char *port, ShedReason reason);
   void createNodes();
   void createReplica(TimePoint now);
   void createAgent(TimePoint now);
--- a/test/ControlApiTest.cpp
+++ b/test/ControlApiTest.cpp
@@ -20,6 +20,7 @@
   std::string_view method() const override { return Method; }
   std::string_view path() const override { return Path; }
   std::string_view body() const override { return "{}"; }
+  std::string takeBody() override { return "{}"; }
   std::string_view header(const char *) const override { return {}; }
   bool isDisconnected() const override { return false; }
   std::size_t unsentBytes() const override { return 0; }
