--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -81,7 +81,8 @@
       PeerNetworkOptions{.Listen = *HostPort::parse(Options.PeerListenAddress),
                          .Self = {.Protocol = ProtocolVersion,
                                   .Host = Options.Host,
-                                  .Replica = Stored.Id}},
+                                  .Replica = Stored.Id},
+                         .MaxUnidentified = intake.UnidentifiedPeers},
       *this);
   Log = std::make_unique<EventLog>(Options, Loop, Network->clock());
   Group = std::make_unique<GroupReporter>(*Log);
@@ -105,6 +106,7 @@
                         .MaxHeldBytes = intake.HttpBytes},
       *Control);
   Server->setShedObserver([this](ShedReason it) { reportShed("http", it); });
+  Network->setShedObserver([this](ShedReason it) { reportShed("peers", it); });
   Client = std::make_unique<HttpClient>(Loop);
   Client->setExcessObserver(
       [this](const HostPort &server, HttpEnding ending, std::size_t bytes) {
--- a/packages/net/pimentofront/src/Net/PeerNetwork.cpp
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.cpp
@@ -4,10 +4,18 @@
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <set>
 #include <stdexcept>
 #include <unordered_map>
 
 namespace pimentofront {
+namespace {
+
+/// Pause before links are accepted again after a failure, which is mostly a
+/// lack of descriptors.
+constexpr Duration AcceptPause = std::chrono::milliseconds(100);
+
+} // namespace
 
 HybridTime HybridClock::tick(std::uint64_t wallMilliseconds) {
   constexpr unsigned CounterBits = 16;
@@ -51,6 +59,10 @@
   evconnlistener *Listener = nullptr;
   LinkId LastId = 0;
   std::unordered_map<LinkId, std::unique_ptr<Link>> Links;
+  /// Accepted links without a Hello; the lowest id is the oldest.
+  std::set<LinkId> Unidentified;
+  std::unique_ptr<Timer> AcceptTimer;
+  std::function<void(ShedReason)> OnShed;
   /// Links close inside their own callbacks, so they are freed in the next
   /// iteration of the event loop.
   std::vector<std::unique_ptr<Link>> ClosedLinks;
@@ -72,14 +84,44 @@
   static void onAccept(evconnlistener *, evutil_socket_t fd, sockaddr *, int,
                        void *arg) {
     auto *self = static_cast<Impl *>(arg);
+    self->makeRoom();
     setSocketOptions(fd);
     bufferevent *bev =
         bufferevent_socket_new(self->Loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     Link &link = self->addLink();
     link.Accepted = true;
+    self->Unidentified.insert(link.Id);
     link.Socket = detail::acceptWebSocket(bev, link);
   }
 
+  /// Without a pause, the event loop would call this again at once for as long
+  /// as there is no descriptor.
+  static void onAcceptError(evconnlistener *listener, void *arg) {
+    auto *self = static_cast<Impl *>(arg);
+    evconnlistener_disable(listener);
+    self->shed(ShedReason::NoDescriptor);
+    self->AcceptTimer = self->Loop.after(
+        AcceptPause, [listener] { evconnlistener_enable(listener); });
+  }
+
+  /// Closes the oldest link without a Hello if there are too many of them.
+  void makeRoom() {
+    if (Options.MaxUnidentified == 0 ||
+        Unidentified.size() < Options.MaxUnidentified)
+      return;
+    const LinkId id = *Unidentified.begin();
+    // Its descriptor is needed now. None of its callbacks is running, since a
+    // link is accepted in a callback of the listener.
+    Links.at(id)->Socket.reset();
+    shed(ShedReason::Displaced);
+    onClosedLink(id);
+  }
+
+  void shed(ShedReason reason) const {
+    if (OnShed)
+      OnShed(reason);
+  }
+
   LinkId openLink(const std::string &address, LinkPurpose purpose) {
     const std::optional<HostPort> parsed = HostPort::parse(address);
     Link &link = addLink();
@@ -115,6 +157,8 @@
   void onHello(Link &link, const Hello &hello) {
     link.HelloReceived = true;
     link.ConnectTimer.reset();
+    Unidentified.erase(link.Id);
+    link.Socket->allowLargeFrames();
     const std::vector<std::string> waiting = std::exchange(link.Waiting, {});
     for (const std::string &it : waiting)
       transmit(link, it);
@@ -168,6 +212,7 @@
     if (it == Links.end())
       return false;
     it->second->Closed = true;
+    Unidentified.erase(id);
     ClosedLinks.push_back(std::move(it->second));
     Links.erase(it);
     if (!FreeTimer)
@@ -225,6 +270,10 @@
   State->Options.Self.Replica = identity;
 }
 
+void PeerNetwork::setShedObserver(std::function<void(ShedReason)> observer) {
+  State->OnShed = std::move(observer);
+}
+
 HybridClock &PeerNetwork::clock() { return State->Clock; }
 std::uint64_t PeerNetwork::bytesSent() const { return State->Sent; }
 std::uint64_t PeerNetwork::bytesReceived() const { return State->Received; }
--- a/packages/net/pimentofront/src/Net/PeerNetwork.h
+++ b/packages/net/pimentofront/src/Net/PeerNetwork.h
@@ -32,6 +32,9 @@
   std::size_t MaxUnsentBytes = std::size_t(32) << 20;
   /// Limit on opening a link, from connecting to the peer's Hello.
   Duration ConnectTimeout = std::chrono::seconds(2);
+  /// Number of accepted links without a Hello above which the oldest of them is
+  /// closed; 0 sets no bound.
+  std::size_t MaxUnidentified = 0;
 };
 
 /// \class PeerNetwork
@@ -55,6 +58,9 @@
   /// Sets the identity of the disk that Hello announces on future links.
   void setReplica(std::uint64_t identity);
   HybridClock &clock();
+  /// \p observer is told of each link that is closed or refused for want of
+  /// room.
+  void setShedObserver(std::function<void(ShedReason)> observer);
   /// \returns the bytes of frames sent and received, to check the budget for
   /// control traffic.
   std::uint64_t bytesSent() const;
--- a/packages/net/pimentofront/src/Net/detail/WebSocketPeer.cpp
+++ b/packages/net/pimentofront/src/Net/detail/WebSocketPeer.cpp
@@ -76,6 +76,8 @@
       Con->send(bytes, websocketpp::frame::opcode::binary);
   }
 
+  void allowLargeFrames() override { Con->set_max_message_size(MaxFrameBytes); }
+
   std::size_t unsentBytes() const override {
     return Bev ? evbuffer_get_length(bufferevent_get_output(Bev)) : 0;
   }
@@ -136,6 +138,7 @@
                                                WebSocketHandler &handler) {
   using Server = websocketpp::server<ServerConfig>;
   auto con = sharedEndpoint<Server>().get_connection();
+  con->set_max_message_size(MaxFirstFrameBytes);
   auto peer = std::make_unique<EndpointPeer<Server>>(bev, con, handler);
   con->start();
   return peer;
--- a/packages/net/pimentofront/src/Net/detail/WebSocketPeer.h
+++ b/packages/net/pimentofront/src/Net/detail/WebSocketPeer.h
@@ -32,10 +32,15 @@
   virtual void send(const std::string &bytes) = 0;
   /// \returns the number of bytes that aren't sent to the peer yet.
   virtual std::size_t unsentBytes() const = 0;
+  /// Accepts frames of up to MaxFrameBytes from now on. Before, an accepted
+  /// connection ends with a frame of more than MaxFirstFrameBytes.
+  virtual void allowLargeFrames() = 0;
 };
 
 /// Maximum size of a frame in bytes.
 constexpr std::size_t MaxFrameBytes = std::size_t(4) << 20;
+/// The same while the other end hasn't said which host it is.
+constexpr std::size_t MaxFirstFrameBytes = std::size_t(4) << 10;
 
 /// Starts the server side of an accepted connection.
 std::unique_ptr<WebSocketPeer> acceptWebSocket(bufferevent *bev,
