--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -51,7 +51,7 @@
   readMemory(reader, settings);
   const bool slowReaders = platform::hasSlowReaders(reader.strings("terms"));
   const auto share = static_cast<std::uint64_t>(
-      HeldShare * static_cast<double>(settings.MemoryBytes / Mebibyte));
+      HeldShare * static_cast<double>(settings.MemoryBytes) / Mebibyte);
   const bool chosen = reader.has("held_bytes_mb");
   const std::uint64_t held = reader.integer(
       "held_bytes_mb", std::max(share, MinHeldMebibytes), 0, MaxMebibytes);
--- a/packages/net/pimentofront/src/Net/HttpServer.cpp
+++ b/packages/net/pimentofront/src/Net/HttpServer.cpp
@@ -145,7 +145,7 @@
 
 } // namespace
 
-struct HttpServer::Impl {
+struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
   using ConnectionId = std::uint64_t;
 
   /// What one connection holds.
@@ -174,7 +174,7 @@
 
   /// Keeps the exchange alive until libevhtp frees the request.
   struct ExchangeRef {
-    Impl &Owner;
+    std::weak_ptr<Impl> Owner;
     ConnectionId Id = 0;
     std::shared_ptr<EvhtpExchange> Exchange;
   };
@@ -264,14 +264,24 @@
         AcceptPause, [listener] { evconnlistener_enable(listener); });
   }
 
-  static evhtp_res onConnectionEnd(evhtp_connection_t *con, void *arg) {
+  static evhtp_res onConnectionEnd(evhtp_connection_t *, void *arg) {
     auto *it = static_cast<Connection *>(arg);
-    evbuffer_remove_cb(inputOf(con), onInput, arg);
-    evbuffer_remove_cb(outputOf(con), onOutput, arg);
+    detach(*it);
     it->Owner.remove(*it);
     return EVHTP_RES_OK;
   }
 
+  /// Leaves the connection to libevhtp alone.
+  static void detach(Connection &it) {
+    evhtp_connection_t *con = it.Handle;
+    evbuffer_remove_cb(inputOf(con), onInput, &it);
+    evbuffer_remove_cb(outputOf(con), onOutput, &it);
+    for (const evhtp_hook_type hook :
+         {evhtp_hook_on_header, evhtp_hook_on_headers,
+          evhtp_hook_on_connection_fini})
+      evhtp_connection_unset_hook(con, hook);
+  }
+
   void remove(Connection &it) {
     const ConnectionId id = it.Id;
     Handled -= it.Body;
@@ -400,7 +410,7 @@
     recordUse(it);
     evhtp_request_set_hook(req, evhtp_hook_on_request_fini,
                            reinterpret_cast<evhtp_hook>(onRequestEnded),
-                           new ExchangeRef{*this, it.Id, exchange});
+                           new ExchangeRef{weak_from_this(), it.Id, exchange});
     // The request is complete. Computing the response has no time limit; only a
     // caller that doesn't read the response is disconnected.
     bufferevent_set_timeouts(it.Handle->bev, nullptr, &CallerTimeout);
@@ -422,10 +432,12 @@
   static evhtp_res onRequestEnded(evhtp_request_t *, void *arg) {
     const std::unique_ptr<ExchangeRef> ref(static_cast<ExchangeRef *>(arg));
     ref->Exchange->requestEnded();
-    Impl &self = ref->Owner;
-    if (const auto it = self.Connections.find(ref->Id);
-        it != self.Connections.end())
-      self.endHandling(*it->second);
+    const auto self = ref->Owner.lock();
+    if (!self)
+      return EVHTP_RES_OK;
+    if (const auto it = self->Connections.find(ref->Id);
+        it != self->Connections.end())
+      self->endHandling(*it->second);
     return EVHTP_RES_OK;
   }
 
@@ -501,7 +513,7 @@
 
 HttpServer::HttpServer(EventLoop &loop, const HttpServerOptions &options,
                        HttpHandler &handler)
-    : State(new Impl(loop, handler, options)) {
+    : State(std::make_shared<Impl>(loop, handler, options)) {
   State->Server = evhtp_new(loop.base(), nullptr);
   State->Server->arg = State.get();
   const timeval tv = secondsOf(options.CallerTimeout);
@@ -519,6 +531,8 @@
 }
 
 HttpServer::~HttpServer() {
+  for (const auto &[id, it] : State->Connections)
+    Impl::detach(*it);
   evhtp_unbind_socket(State->Server);
   evhtp_free(State->Server);
 }
--- a/packages/net/pimentofront/src/Net/HttpServer.h
+++ b/packages/net/pimentofront/src/Net/HttpServer.h
@@ -98,7 +98,8 @@
 
 private:
   struct Impl;
-  std::unique_ptr<Impl> State;
+  /// Shared with the requests that end after the server.
+  std::shared_ptr<Impl> State;
 };
 
 } // namespace pimentofront
