--- a/packages/net/pimentofront/src/Net/HttpServer.cpp
+++ b/packages/net/pimentofront/src/Net/HttpServer.cpp
@@ -137,6 +137,9 @@
 /// A caller that has read nothing for this time may be disconnected for want of
 /// room.
 constexpr Duration UnreadTime = std::chrono::seconds(2);
+/// Unread bytes of one response that grows though all responses take the whole
+/// bound, above which its caller is disconnected.
+constexpr std::size_t MaxUnreadBytes = std::size_t(64) << 10;
 /// Pause before connections are accepted again after a failure.
 constexpr Duration AcceptPause = std::chrono::milliseconds(100);
 /// Unread responses may take one in so many bytes of the bound; unfinished
@@ -470,6 +473,10 @@
     if (before == 0 || info->n_deleted > 0)
       it->ReadAt = self.Loop.now();
     self.recordUse(*it);
+    const std::size_t limit = self.Options.MaxHeldBytes;
+    if (limit > 0 && self.Unread > limit && info->n_added > 0 &&
+        before > MaxUnreadBytes)
+      self.endLater(*it, ShedReason::Unread);
   }
 
   void sweep() {
