--- a/packages/daemon/src/IntakePlan.cpp
+++ b/packages/daemon/src/IntakePlan.cpp
@@ -5,9 +5,10 @@
 namespace pimentofront {
 namespace {
 
-/// Part of the descriptors for the connections at the port where callers come;
-/// else at the port for calls, where servers register and operators call; where
-/// only health and metrics are asked for; and for links that aren't identified.
+/// Parts of the descriptors: for connections at the only port where callers
+/// come; for those at each of two ports where callers, operators or servers
+/// come, or where only the latter do; for those at a port where only health and
+/// metrics are asked for; and for links that aren't identified.
 constexpr double CallersShare = 0.5;
 constexpr double CallsShare = 1.0 / 3;
 constexpr double ProbesShare = 1.0 / 16;
@@ -34,10 +35,12 @@
   const auto connections = [&](double share) {
     return std::min(shareOf(options.Descriptors, share), byMemory);
   };
-  const double http = options.Forwards      ? ProbesShare
-                      : options.ServesCalls ? CallersShare
-                                            : CallsShare;
-  return {.CallerConnections = options.Forwards ? connections(CallersShare) : 0,
+  const bool called = options.ServesCalls || options.ServesOperators;
+  const double callers = called ? CallsShare : CallersShare;
+  const double http = !called                                    ? ProbesShare
+                      : options.ServesCalls && !options.Forwards ? CallersShare
+                                                                 : CallsShare;
+  return {.CallerConnections = options.Forwards ? connections(callers) : 0,
           .HttpConnections = connections(http),
           .HttpBytes = std::max(options.MemoryBytes / HttpPart, MinHttpBytes),
           .UnidentifiedPeers = connections(UnidentifiedShare)};
--- a/packages/daemon/src/IntakePlan.h
+++ b/packages/daemon/src/IntakePlan.h
@@ -17,6 +17,8 @@
   bool Forwards = false;
   /// Callers use the project's own calls.
   bool ServesCalls = false;
+  /// Operators and backend servers call it, since it is a replica or an agent.
+  bool ServesOperators = false;
 };
 
 /// \class IntakeLimits
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -322,7 +322,8 @@
   IntakeLimits result = planIntake({.MemoryBytes = MemoryBytes,
                                     .Descriptors = allowed,
                                     .Forwards = IsForward,
-                                    .ServesCalls = IsEntry});
+                                    .ServesCalls = IsEntry,
+                                    .ServesOperators = IsReplica || IsAgent});
   const auto choose = [](std::size_t &limit, std::size_t chosen) {
     if (chosen > 0)
       limit = chosen;
