--- a/packages/http/pimentofront/src/Http/CallerChannel.cpp
+++ b/packages/http/pimentofront/src/Http/CallerChannel.cpp
@@ -1,5 +1,6 @@
 #include "detail/CallerChannel.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -224,7 +225,8 @@
   // Callers reuse a connection until the timeout. Closing it a little later
   // avoids a race with a request that is just being sent.
   constexpr Duration Grace = std::chrono::seconds(1);
-  if (now >= StateSince + limits.IdleTimeout + Grace)
+  const TimePoint idleSince = std::max(StateSince, ReadAt);
+  if (now >= idleSince + limits.IdleTimeout + Grace)
     end();
 }
 
--- a/test/SlowReaderTest.cpp
+++ b/test/SlowReaderTest.cpp
@@ -126,6 +126,28 @@
   CHECK(caller.Handler.Connections == 0);
 }
 
+// Guards against answers that were cut off, though complete, when their caller
+// took longer than the idle timeout and a second to read what was left.
+TEST_CASE("a caller that reads slowly gets the end of its answer",
+          "[held-bytes]") {
+  SlowCaller caller;
+  caller.Listener.replyEnd(caller.Handler.Keys.front());
+  std::string answer;
+  char bytes[32 * Kibibyte];
+  const TimePoint began = caller.Loop.now();
+  while (!answer.ends_with("\r\n0\r\n\r\n")) {
+    event_base_loop(caller.Loop.base(), EVLOOP_NONBLOCK);
+    const ssize_t n = ::recv(caller.Fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+    REQUIRE(n != 0);
+    if (n > 0)
+      answer.append(bytes, static_cast<std::size_t>(n));
+    // Over a second more than the idle timeout for the first half.
+    if (answer.size() < 2048 * Kibibyte && caller.Loop.now() < began + 2500ms)
+      ::usleep(20000);
+  }
+  CHECK(answer.size() > 4096 * Kibibyte);
+}
+
 TEST_CASE("large prompts that arrive at once are read in turn within the bound",
           "[held-bytes]") {
   EventLoop loop;
