--- a/packages/http/pimentofront/src/Http/CallerListener.cpp
+++ b/packages/http/pimentofront/src/Http/CallerListener.cpp
@@ -85,7 +85,11 @@
 }
 
 void CallerListener::shed(ChannelId id, ShedReason reason) {
-  Channels.at(id)->end();
+  const auto it = Channels.find(id);
+  // The end of another connection may have ended it.
+  if (it == Channels.end())
+    return;
+  it->second->end();
   Handler.onShed(reason);
 }
 
