--- a/test/SlowReaderTest.cpp
+++ b/test/SlowReaderTest.cpp
@@ -73,6 +73,24 @@
   }
   ~SlowCaller() { ::close(Fd); }
 
+  /// Reads the answer to its end. Until \p slow has passed or half of it has
+  /// been read, it pauses for \p pause after each read.
+  std::string readSlowly(Duration slow, Duration pause) {
+    std::string answer;
+    char bytes[32 * Kibibyte];
+    const TimePoint began = Loop.now();
+    while (!answer.ends_with("\r\n0\r\n\r\n")) {
+      event_base_loop(Loop.base(), EVLOOP_NONBLOCK);
+      const ssize_t n = ::recv(Fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+      REQUIRE(n != 0);
+      if (n > 0)
+        answer.append(bytes, static_cast<std::size_t>(n));
+      if (answer.size() < 2048 * Kibibyte && Loop.now() < began + slow)
+        ::usleep(static_cast<useconds_t>(pause.count()));
+    }
+    return answer;
+  }
+
   EventLoop Loop;
   Recorder Handler;
   const HostPort Address = ownAddress();
@@ -109,20 +127,8 @@
           "[held-bytes]") {
   SlowCaller caller;
   caller.Listener.replyEnd(caller.Handler.Keys.front());
-  std::string answer;
-  char bytes[32 * Kibibyte];
-  const TimePoint began = caller.Loop.now();
-  while (!answer.ends_with("\r\n0\r\n\r\n")) {
-    event_base_loop(caller.Loop.base(), EVLOOP_NONBLOCK);
-    const ssize_t n = ::recv(caller.Fd, bytes, sizeof(bytes), MSG_DONTWAIT);
-    REQUIRE(n != 0);
-    if (n > 0)
-      answer.append(bytes, static_cast<std::size_t>(n));
-    // Twice the idle timeout for the first half of the answer.
-    if (answer.size() < 2048 * Kibibyte && caller.Loop.now() < began + 600ms)
-      ::usleep(5000);
-  }
-  CHECK(answer.size() > 4096 * Kibibyte);
+  // Twice the idle timeout for the first half of the answer.
+  CHECK(caller.readSlowly(600ms, 5ms).size() > 4096 * Kibibyte);
   CHECK(caller.Handler.Connections == 0);
 }
 
@@ -132,20 +138,8 @@
           "[held-bytes]") {
   SlowCaller caller;
   caller.Listener.replyEnd(caller.Handler.Keys.front());
-  std::string answer;
-  char bytes[32 * Kibibyte];
-  const TimePoint began = caller.Loop.now();
-  while (!answer.ends_with("\r\n0\r\n\r\n")) {
-    event_base_loop(caller.Loop.base(), EVLOOP_NONBLOCK);
-    const ssize_t n = ::recv(caller.Fd, bytes, sizeof(bytes), MSG_DONTWAIT);
-    REQUIRE(n != 0);
-    if (n > 0)
-      answer.append(bytes, static_cast<std::size_t>(n));
-    // Over a second more than the idle timeout for the first half.
-    if (answer.size() < 2048 * Kibibyte && caller.Loop.now() < began + 2500ms)
-      ::usleep(20000);
-  }
-  CHECK(answer.size() > 4096 * Kibibyte);
+  // Over a second more than the idle timeout for the first half.
+  CHECK(caller.readSlowly(2500ms, 20ms).size() > 4096 * Kibibyte);
 }
 
 TEST_CASE("large prompts that arrive at once are read in turn within the bound",
