--- a/test/platform/FakePlatformMain.cpp
+++ b/test/platform/FakePlatformMain.cpp
@@ -165,7 +165,7 @@
     case Phase::Limited:
       return checkLimited();
     case Phase::Backoff:
-      return enterPhase(Phase::AfterBackoff);
+      return checkResting();
     case Phase::AfterBackoff:
       return checkBackoff();
     }
@@ -354,15 +354,23 @@
     enterPhase(Phase::Backoff);
   }
 
+  /// Requests that make a server ask for a backoff are sent until both have
+  /// done so. Other requests aren't sent meanwhile, since each server has few
+  /// permits.
+  void checkResting() {
+    constexpr Duration RetryPeriod = std::chrono::milliseconds(20);
+    constexpr Duration Recent = std::chrono::seconds(2);
+    const TimePoint since = Loop.now() - Recent;
+    if (Plain1.restAt() >= since && Plain2.restAt() >= since)
+      return enterPhase(Phase::AfterBackoff);
+    sendRequestAfter(RetryPeriod);
+  }
+
   /// Each server has received one request and asked for a backoff: the answer
   /// to the next caller must say when the first of them accepts requests again.
   void checkBackoff() {
     constexpr double MinRetryAfter = 0.1;
     const bool backsOff = Status == 503 && Body == "servers_rest\n";
-    // If there was no permit for a server, it received no request, and the
-    // entry doesn't know its backoff yet.
-    if (!backsOff && Loop.now() < PhaseStart + std::chrono::seconds(2))
-      return enterPhase(Phase::Backoff);
     const bool good = backsOff && RetryAfter >= MinRetryAfter;
     std::printf("%s: all servers back off, retry after %.1f s\n",
                 good ? "ok" : "FAILED", RetryAfter);
--- a/test/platform/FakePlatformServers.cpp
+++ b/test/platform/FakePlatformServers.cpp
@@ -274,11 +274,13 @@
     return channel.write(
         makeResponse("503 Service Unavailable",
                      attemptHeader + "Pimentofront-Not-Executed: 1\r\n", ""));
-  if (behaviour == "rest")
+  if (behaviour == "rest") {
+    RestAt = Loop.now();
     return channel.write(makeResponse(
         "503 Service Unavailable",
         attemptHeader + "Pimentofront-Not-Executed: 1\r\nRetry-After: 2.5\r\n",
         ""));
+  }
   const int runs = ++Runs[id];
   if (behaviour == "crash") {
     CrashingArrivals.push_back(Loop.now());
--- a/test/platform/FakePlatformServers.h
+++ b/test/platform/FakePlatformServers.h
@@ -64,6 +64,8 @@
   /// after a short delay.
   void restart(std::string instance, std::string softwareVersion);
   std::uint64_t crashes() const { return Crashes; }
+  /// \returns when it last asked for a backoff.
+  std::optional<TimePoint> restAt() const { return RestAt; }
   /// \returns when requests that crash the server arrived.
   const std::vector<TimePoint> &crashingArrivals() const {
     return CrashingArrivals;
@@ -96,6 +98,7 @@
   std::optional<double> Limit;
   std::vector<TimePoint> Arrivals;
   std::vector<TimePoint> CrashingArrivals;
+  std::optional<TimePoint> RestAt;
   std::uint64_t Orders = 0;
   std::uint64_t StartedAt = 0;
   std::uint64_t Crashes = 0;
