Review case: an old list of servers replaces a newer one at an entry

An entry that connects to a replica which is cut off from the rest of its group gets that replica's list of servers. The copy with versions refuses it, but the list by which requests are routed takes it over, and keeps it.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,85 +1,88 @@
 #!/bin/sh
-# An order is held up on its way. Its sender, the agent, and the worker that it is
-# for are killed and start again; then the order arrives. See claim.txt. TROUBLE=0:
-# without all of that.
+# A worker deregisters, serves on for a while and exits. The machine that has
+# acknowledged this is killed at once and starts again. See claim.txt. TROUBLE=0:
+# without the kill.
 cd "$(dirname "$0")/../.." || exit 2
 case=$PWD/review/6
 . review/deployment-2.sh
-app_port=$("$standin" port)
-proxy_port=$("$standin" port)
+drain_ms=2000
+stable_ms=3000
 
-start_engine() { # number empty
-  start "engine-$1" "$standin" engine --listen "$net.2$1:$app_port" \
-    --control "$control" --id "i-$1" --backend assist --zone a-hall --slots 64 \
-    --born "$(date +%s%3N)" --model base --places 8 --empty "$2" --record "$record"
+start_worker() { # number id
+  start "worker-$1" "$standin" worker --listen "$net.3$1:$("$standin" port)" \
+    --control "$control" --id "$2" --backend orderdesk --zone a-hall --slots 6 \
+    --born "$(date +%s%3N)" --record "$record"
 }
-generate() { # id adapter options...
-  id=$1
-  adapter=$2
-  shift 2
-  client 1 "$id" /gen/1 --method POST --header "Pimentofront-Model: base/$adapter" \
-    --header "Pimentofront-Token-Usage: 100,8" \
-    --header "Pimentofront-Prompt-Prefix: 1:50,$id:50" "$@"
-}
-served() { # id adapter
-  generate "$1" "$2" --deadline-ms 4000 | grep -q "^200 complete"
-}
-# The adapters that the first worker was ordered to load, in order.
-loaded() { sed -n 's/.*worker i-1, .*: load \(a[0-9]*\), .*: 202$/\1/p' "$record"; }
 
-for i in 1 2 3; do start_replica $i true; done
+for i in 1 2 3; do
+  start_replica $i true
+  replica_pids="$replica_pids $pid"
+  kills="$kills${kills:+,}$net.$i=$pid"
+done
 start_entry 1
 wait_for "acknowledgement of the manifest" operator PUT /-/config "$case/manifest.json"
-for i in 1 2 3 4; do
-  hold=
-  [ $i != 1 ] || [ "${TROUBLE:-1}" = 0 ] || hold="--hold-expect 9 --hold-ms 11500"
-  start "proxy-$i" "$standin" proxy --listen "$net.2$i:$proxy_port" \
-    --to "$net.2$i:$app_port" --record "$record" $hold
-  start_engine $i 0
-  [ $i != 1 ] || engine_pid=$pid
-  start_agent $i "$net.2$i:$proxy_port" assist
-  [ $i != 1 ] || agent_pid=$pid
-done
+start_worker 1 i-leaves
+leaver_pid=$pid
+for i in 2 3 4 5 6 7; do start_worker $i i-stays-$i; done
 ready_entry 1
-for i in 1 2 3 4; do wait_for "registration" said "i-$i is registered"; done
-sleep 1
+wait_for "registration" said "i-leaves is registered"
+for i in 2 3 4 5 6 7; do wait_for "registration" said "i-stays-$i is registered"; done
+sleep 4
 
-# Requests by ever new adapters, until the first worker is full and is ordered to
-# unload one and to load another one.
-n=0
-until said "worker i-1, .*: unload"; do
-  n=$((n + 1))
-  [ $n -lt 100 ] || fail "order to the first worker to unload an adapter"
-  generate "b$n" "a$n" --deadline-ms 900 >/dev/null
-done
-first_eight=$(loaded | head -n 8)
-if [ "${TROUBLE:-1}" != 0 ]; then
-  wait_for "order that is held up" said "held up on its way"
-  note "the agent is killed"
-  kill -KILL "$agent_pid"
-  note "the worker i-1 crashes"
-  kill -KILL "$engine_pid"
-  sleep 0.5
-  start_engine 1 1
-  start_agent 1 "$net.21:$proxy_port" assist
-fi
-# The same requests again, until the first worker holds these adapters as before.
-again() { sed '1,/worker i-1 crashes/d' "$record" | grep -q "worker i-1 runs .* of base/$1\$"; }
-n=0
-for it in $first_eight; do
-  [ "${TROUBLE:-1}" != 0 ] || { served "d-$it" "$it"; continue; }
-  until again "$it"; do
+# Ten requests a second, half a second of work each.
+(
+  n=0
+  while [ -e "$work" ] && [ $n -lt 90 ]; do
     n=$((n + 1))
-    [ $n -lt 100 ] || fail "answer by $it at the first worker"
-    served "d$n-$it" "$it" || sleep 0.1
+    client 1 "a$n" /stock/1 --method POST --deadline-ms 4000 \
+      --header "Case: work 500" >/dev/null &
+    sleep 0.1
   done
-done
-generate f1 "$(echo "$first_eight" | tail -n 1)" --deadline-ms 14000 \
-  --header "Case: slow 90 100" >"$work/f1" &
-wait $!
-echo "a stream of 9 s at one of its adapters: $(cat "$work/f1")"
-if said "LIMIT"; then
-  grep -o "LIMIT.*" "$record"
-  exit 1
+  wait
+) &
+clients=$!
+sleep 1
+kill -USR1 "$leaver_pid"
+[ "${TROUBLE:-1}" != 0 ] || kills=
+by=$("$standin" goodbye --id i-leaves --to "$control" --kill "$kills" \
+  --record "$record") || fail "no acknowledgement of the goodbye"
+acknowledged=$(date +%s%3N)
+restarted=$acknowledged
+if [ "${TROUBLE:-1}" != 0 ]; then
+  sleep 0.1
+  start_replica "${by##*.}" false
+  restarted=$(date +%s%3N)
+  note "the machine that was killed has started again"
 fi
-exit 0
+sleep 4.4
+note "the worker exits"
+kill -KILL "$leaver_pid"
+wait "$clients"
+
+# Requests that clients sent while the core had been stable for long enough, and
+# that reached the worker too late.
+in_touch=$((restarted + stable_ms + 100))
+late=$((acknowledged + drain_ms))
+awk -v in_touch=$in_touch -v late=$late '
+  / client sends / { sent[$4] = $1 }
+  / worker i-leaves runs / {
+    id = $5
+    sub(":", "", id)
+    if ($1 > late && sent[id] > in_touch) {
+      n++
+      print "request " id " reached it " $1 - late " ms too late"
+      ours[id] = 1
+    }
+  }
+  / client gets the answer to / {
+    id = $7
+    sub(":", "", id)
+    if (ours[id] && $8 != "200")
+      print "its answer: " $0
+  }
+  END { exit n > 0 }' "$record" >"$work/late"
+broken=$?
+cat "$work/late"
+cat "$work/late" >>"$record"
+[ $broken = 0 ] || echo "DRAIN: requests reached a worker later than $drain_ms ms after its goodbye was acknowledged"
+exit $broken
--- a/review/deployment-2.sh
+++ b/review/deployment-2.sh
@@ -20,6 +20,10 @@
 seeds="\"$net.1:$control_port\",\"$net.2:$control_port\",\"$net.3:$control_port\""
 control=$net.1:$control_port,$net.2:$control_port,$net.3:$control_port
 
+# Where replicas listen for other processes: at the addresses that they tell, or,
+# behind the stand-in for links, at others.
+peers_listen=$net.
+
 note() { echo "$(date +%s%3N) $*" >>"$record"; }
 
 # Ends what was started; a stopped process has to run to end.
@@ -62,11 +66,21 @@
 # Whether the record has a line that matches a pattern.
 said() { grep -q "$1" "$record"; }
 
+# Lets all links to replicas pass through a stand-in. Call it before they start.
+start_links() {
+  peers_listen=$net.5
+  commands=$work/commands
+  : >"$commands"
+  start links "$standin" links --commands "$commands" --record "$record" --map \
+    "$net.1:$peer_port=$net.51:$peer_port=core-1,$net.2:$peer_port=$net.52:$peer_port=core-2,$net.3:$peer_port=$net.53:$peer_port=core-3"
+}
+
 start_replica() { # number bootstrap
   mkdir -p "$work/data-$1"
   cat >"$work/replica-$1.json" <<END
 {"host": "core-$1", "zone": "a-hall", "zones": {"a-hall": "a"},
  "http": "$net.$1:$control_port", "peers": "$net.$1:$peer_port",
+ "peers_listen": "$peers_listen$1:$peer_port",
  "replicas": [$seeds], "replica_port": $peer_port,
  "member_lease_ms": 4000, "server_heartbeat_ms": 1200, "renew_period_ms": 1200,
  "memory_mb": 256, "max_descriptors": 4096,
--- a/review/standin-2.cc
+++ b/review/standin-2.cc
@@ -10,10 +10,11 @@
 ///       [--empty 1] [--load-ms N]
 ///   standin-2 proxy --listen IP:PORT --to IP:PORT --record FILE
 ///       [--hold-expect N --hold-ms N]
+///   standin-2 links --map LISTEN=TO=NAME[,...] --commands FILE --record FILE
 ///   standin-2 client --to IP:PORT --host NAME --path PATH [--method M]
 ///       --id ID --deadline-ms N [--header 'NAME: VALUE']... --record FILE
 ///   standin-2 operator --to IP:PORT[,...] --method M --path PATH
-///       [--body FILE] --record FILE [--tries N]
+///       [--body FILE] --record FILE [--tries N] [--redirects N]
 ///   standin-2 goodbye --id ID --to IP:PORT[,...] --kill IP=PID[,...]
 ///       --record FILE
 ///       deregisters a worker, and kills the process of the machine that has
@@ -34,7 +35,12 @@
 /// as a crash, when it is ordered to load more adapters than it has places. A
 /// proxy passes requests on, one connection each; it holds back the
 /// first order to load with the count named, for --hold-ms, and doesn't answer
-/// it.
+/// it. Links are the connections between the system's own processes: each goes
+/// to the process NAME through a LISTEN address. Lines that are added to the
+/// file of commands partition one of the machines of the core from the others
+/// in silence
+/// ("cut NAME", "heal NAME"), and reset all links that a process has opened
+/// ("reset NAME").
 ///
 //===----------------------------------------------------------------------===//
 
@@ -48,6 +54,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <netinet/tcp.h>
 #include <optional>
@@ -257,15 +264,15 @@
 /// Set by SIGUSR1: a worker that leaves sends no more heartbeats.
 volatile std::sig_atomic_t Leaving = 0;
 
-/// Calls one of \p addresses and follows up to two redirects.
+/// Calls one of \p addresses and follows up to \p redirects redirects.
 /// \param by is set to the address that answered.
 /// \returns no message if none answered.
 std::optional<Message> call(const std::vector<std::string> &addresses,
                             std::size_t first, const std::string &method,
                             const std::string &path, const std::string &body,
-                            std::string *by = nullptr) {
+                            std::string *by = nullptr, int redirects = 2) {
   std::string address = addresses[first % addresses.size()];
-  for (int redirects = 0; redirects <= 2; ++redirects) {
+  for (; redirects >= 0; --redirects) {
     const int fd = connectTo(address, 1000);
     if (fd < 0)
       return std::nullopt;
@@ -656,6 +663,159 @@
   std::atomic<bool> Held{false};
 };
 
+//===----------------------------------------------------------------------===//
+// Links
+//===----------------------------------------------------------------------===//
+
+class Links {
+public:
+  explicit Links(const Options &options)
+      : Given(options), File(options.text("record")) {}
+
+  int run() {
+    for (const std::string &it : listOf(Given.text("map"))) {
+      const std::size_t first = it.find('=');
+      const std::size_t second = it.find('=', first + 1);
+      const int listener = listenOn(it.substr(0, first));
+      if (listener < 0)
+        return 2;
+      const std::string to = it.substr(first + 1, second - first - 1);
+      const std::string name = it.substr(second + 1);
+      std::thread([this, listener, to, name] {
+        while (true) {
+          const int fd = ::accept(listener, nullptr, nullptr);
+          if (fd >= 0)
+            open(fd, to, name);
+        }
+      }).detach();
+    }
+    obey();
+    return 0;
+  }
+
+private:
+  struct Link {
+    int Here = -1;
+    int There = -1;
+    std::string To;
+    std::string From; ///< Known once its first frame has passed.
+    std::string Sent; ///< What its opener has sent, until then.
+    bool Closed = false;
+  };
+  using LinkPointer = std::shared_ptr<Link>;
+
+  void open(int fd, const std::string &to, const std::string &name) {
+    const int there = connectTo(to, 1000);
+    if (there < 0) {
+      ::close(fd);
+      return;
+    }
+    for (const int it : {fd, there}) {
+      const timeval never{};
+      setsockopt(it, SOL_SOCKET, SO_RCVTIMEO, &never, sizeof(never));
+      const int on = 1;
+      setsockopt(it, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+    auto link = std::make_shared<Link>();
+    link->Here = fd;
+    link->There = there;
+    link->To = name;
+    {
+      const std::lock_guard<std::mutex> guard(Lock);
+      All.push_back(link);
+    }
+    std::thread([this, link] { pump(link, link->Here, link->There); }).detach();
+    std::thread([this, link] { pump(link, link->There, link->Here); }).detach();
+  }
+
+  void pump(const LinkPointer &link, int from, int to) {
+    char buf[65536];
+    while (true) {
+      const ssize_t n = ::recv(from, buf, sizeof(buf), 0);
+      if (n > 0 && from == link->Here)
+        identify(*link, {buf, static_cast<std::size_t>(n)});
+      while (isSilent(*link))
+        sleepFor(2);
+      if (n <= 0 || !sendAll(to, {buf, static_cast<std::size_t>(n)}))
+        break;
+    }
+    // The other direction ends, too; the descriptors are closed after both.
+    ::shutdown(from, SHUT_RDWR);
+    ::shutdown(to, SHUT_RDWR);
+    const std::lock_guard<std::mutex> guard(Lock);
+    if (!std::exchange(link->Closed, true))
+      return;
+    ::close(link->Here);
+    ::close(link->There);
+    std::erase(All, link);
+  }
+
+  /// Finds the opener's name in its first frame, which is masked.
+  void identify(Link &link, const std::string &bytes) {
+    const std::lock_guard<std::mutex> guard(Lock);
+    if (!link.From.empty())
+      return;
+    link.Sent += bytes;
+    const std::size_t head = link.Sent.find("\r\n\r\n");
+    if (head == std::string::npos || link.Sent.size() < head + 4 + 6)
+      return;
+    const std::string frame = link.Sent.substr(head + 4);
+    const std::size_t n = static_cast<unsigned char>(frame[1]) & 0x7f;
+    if (n > 125 || frame.size() < 6 + n)
+      return;
+    std::string text;
+    for (std::size_t i = 0; i < n; ++i)
+      text += static_cast<char>(frame[6 + i] ^ frame[2 + i % 4]);
+    for (const char *it : {"core-", "edge-", "side-"})
+      if (const std::size_t at = text.find(it); at != std::string::npos)
+        link.From = text.substr(at, 6);
+    record(File, "links: " + link.From + " connects to " + link.To);
+  }
+
+  bool isSilent(const Link &link) {
+    const std::lock_guard<std::mutex> guard(Lock);
+    return link.From.rfind("core-", 0) == 0 &&
+           (Cut.count(link.From) > 0 || Cut.count(link.To) > 0);
+  }
+
+  void obey() {
+    std::size_t done = 0;
+    while (true) {
+      sleepFor(5);
+      std::ifstream in(Given.text("commands"));
+      std::string line;
+      for (std::size_t i = 0; std::getline(in, line); ++i)
+        if (i >= done) {
+          ++done;
+          carryOut(line);
+        }
+    }
+  }
+
+  void carryOut(const std::string &line) {
+    const std::lock_guard<std::mutex> guard(Lock);
+    const std::string name = line.substr(line.find(' ') + 1);
+    record(File, "links: " + line);
+    if (line.rfind("cut ", 0) == 0)
+      Cut.insert(name);
+    if (line.rfind("heal ", 0) == 0)
+      Cut.erase(name);
+    if (line.rfind("reset ", 0) != 0)
+      return;
+    for (const LinkPointer &it : All)
+      if (it->From == name) {
+        ::shutdown(it->Here, SHUT_RDWR);
+        ::shutdown(it->There, SHUT_RDWR);
+      }
+  }
+
+  const Options &Given;
+  std::string File;
+  std::mutex Lock;
+  std::vector<LinkPointer> All;
+  std::set<std::string> Cut;
+};
+
 //===----------------------------------------------------------------------===//
 // Client and operator
 //===----------------------------------------------------------------------===//
@@ -716,7 +876,8 @@
   for (long i = 0; i < tries; ++i) {
     const auto answer =
         call(addresses, static_cast<std::size_t>(i),
-             options.text("method", "GET"), options.text("path"), body);
+             options.text("method", "GET"), options.text("path"), body, nullptr,
+             static_cast<int>(options.number("redirects", 2)));
     const int status = answer ? answer->status() : 0;
     if (status == 200) {
       record(file, "operator: " + what + " is acknowledged");
@@ -786,6 +947,8 @@
     return Engine(options).run();
   if (role == "proxy")
     return Proxy(options).run();
+  if (role == "links")
+    return Links(options).run();
   if (role == "client")
     return runClient(options);
   if (role == "operator")
@@ -795,7 +958,7 @@
   if (role == "port")
     return printPort();
   std::fputs("usage: standin-2 "
-             "worker|engine|proxy|client|operator|goodbye|port --NAME "
+             "worker|engine|proxy|links|client|operator|goodbye|port --NAME "
              "VALUE...\n",
              stderr);
   return 2;
