--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,6 +4,7 @@
 # without the kill.
 cd "$(dirname "$0")/../.." || exit 2
 case=$PWD/review/6
+record=$case/record.txt
 . review/deployment-2.sh
 drain_ms=2000
 stable_ms=3000
--- a/review/deployment-2.sh
+++ b/review/deployment-2.sh
@@ -1,7 +1,8 @@
 # A small deployment for the review's scripts: three replicas, entries and
 # stand-ins, as processes on loopback addresses, with the settings that the
 # templates of deploy/ give. A script sources this file from the repository's
-# root; it sets `case` to its folder before.
+# root; before, it sets `case` to its folder and `record` to the file record.txt there,
+# to which all that is sent, answered and run is written.
 
 daemon=$(sed -n 's/^run = "\([^ ]*\) .*/\1/p' deploy/system.toml | head -n 1)
 standin=${STANDIN:-target/review/standin-2}
@@ -9,7 +10,7 @@
   echo "build with the command of deploy/system.toml and with review/build-2.sh"
   exit 2
 }
-record=$case/record.txt
+# The record of an earlier run goes.
 : >"$record"
 work=$(mktemp -d)
 pids=""
