An acknowledged departure of a server outlives its leader

Cause: the leader answered from its member table, which is soft state. The next one begins with an empty table, entries keep what its list doesn't name until it is complete, and a server doesn't repeat its goodbye.

Change: a departure (gone, or draining) is a command of the log, and its acknowledgement waits for the outcome. A new leader takes the records over, rejects late announcements of such processes, and names them in its list until that is complete. A goodbye that reaches a leader which doesn't know the server is passed on, too. Commands wait until all replicas decode them.

Why it works: what the log acknowledges survives the losses that the group bears; a new leader has applied it before it leads, and entries remove what its first list names.

Ruled out: that entries knew and sent requests all the same (none are late while the leader lives), and that a late announcement brought the server back (there is none; the next leader would have accepted it, which a test now covers).

--- a/packages/forward/pimentofront/src/Forward/ServerSet.cpp
+++ b/packages/forward/pimentofront/src/Forward/ServerSet.cpp
@@ -60,11 +60,14 @@
     view.Unconfirmed = false;
     return;
   }
+  const auto known = Servers.find(record.Host);
   if (record.Gone) {
-    Servers.erase(record.Host);
+    // A new leader also lists departures of former processes.
+    if (known != Servers.end() &&
+        mayBeSameProcess(known->second.Record.process(), record.process()))
+      Servers.erase(known);
     return;
   }
-  const auto known = Servers.find(record.Host);
   const bool isNew =
       known == Servers.end() ||
       !mayBeSameProcess(known->second.Record.process(), record.process());
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -18,6 +18,9 @@
 /// few push periods and the delay of a slow link.
 constexpr Duration MemberDelay = std::chrono::milliseconds(800);
 
+/// Interval at which the leader looks for departures that are no longer needed.
+constexpr Duration DepartureReviewPeriod = std::chrono::seconds(1);
+
 /// Number of election timeouts after which a link between replicas is closed if
 /// nothing has arrived on it since a request. Two replicas that kept such a
 /// dead link could not elect a leader while it lasted.
@@ -293,20 +296,70 @@
   flush(now);
 }
 
-bool ReplicaNode::recordsSoftware() const {
-  // The first record was proposed when all replicas had said so.
-  if (!State.configuration().software().empty())
-    return true;
+bool ReplicaNode::allReplicas(
+    const std::function<bool(LinkId)> &accepts) const {
   return std::ranges::all_of(
       Log.group().Replicas, [&](const ReplicaDescriptor &replica) {
         return replica.Id == Log.id() ||
                std::ranges::any_of(ReplicaOfLink, [&](const auto &it) {
-                 return it.second == replica.Id &&
-                        Listeners.takesSoftware(it.first);
+                 return it.second == replica.Id && accepts(it.first);
                });
       });
 }
 
+bool ReplicaNode::recordsSoftware() const {
+  // The first record was proposed when all replicas had said so.
+  return !State.configuration().software().empty() ||
+         allReplicas([&](LinkId it) { return Listeners.takesSoftware(it); });
+}
+
+bool ReplicaNode::recordsDepartures() const {
+  // The same holds for the first command.
+  return State.departures().version() > 0 ||
+         allReplicas([&](LinkId it) { return Listeners.takesDepartures(it); });
+}
+
+bool ReplicaNode::isRecordedAsLeaving(const MemberRecord &member) const {
+  const auto it = Members.members().find(member.Host);
+  return member.Leaving && it != Members.members().end() &&
+         it->second.Leaving && it->second.process() == member.process() &&
+         State.departures().records().contains(member.process());
+}
+
+bool ReplicaNode::announceDeparture(TimePoint now, const MemberRecord &member,
+                                    std::uint64_t sequence,
+                                    DecisionCallback done) {
+  assert((member.Leaving || member.Gone) && "only a departure is recorded");
+  const bool recorded = isRecordedAsLeaving(member);
+  ensureTermStarted(now);
+  const DepartureRecord departure = Members.departureOf(member, sequence);
+  // Entries stop sending requests to the server even if the acknowledgement
+  // fails and the server has to repeat the announcement.
+  announce(now, member, sequence);
+  if (recorded || !recordsDepartures() ||
+      State.departures().covers(departure)) {
+    done(CommandOutcome{});
+    return true;
+  }
+  return propose(now, Command{.Body = RecordDeparture{departure}},
+                 std::move(done));
+}
+
+void ReplicaNode::reviewDepartures(TimePoint now) {
+  if (now < NextDepartureReview || !acceptsCommands() || !recordsDepartures())
+    return;
+  NextDepartureReview = now + DepartureReviewPeriod;
+  ForgetDepartures old;
+  for (const auto &[process, it] : State.departures().records())
+    if (!Members.remembersDeparture(process))
+      old.Departures.push_back(it);
+  // The first command marks that all replicas decode the later ones, so that a
+  // departure is recorded even while one of them is away.
+  if (State.departures().version() == 0 || !old.Departures.empty())
+    Log.propose(now, Wall.milliseconds(),
+                encodeCommand(Command{.Body = std::move(old)}));
+}
+
 bool ReplicaNode::awaitsSoftwareRecord(TimePoint now,
                                        const MemberRecord &member) {
   if (!member.Registered || member.Gone || !acceptsCommands() ||
@@ -593,6 +646,8 @@
   FencesIssued = 0;
   Fences.clear();
   Members.beginTerm(now, LedTerm);
+  for (const auto &[process, it] : State.departures().records())
+    Members.restoreDeparture(now, it);
   Evacuations.startLeading(now, LedTerm);
   Loads = LoadScheduler(Options.Loads);
   Review.reset();
@@ -633,7 +688,8 @@
                                        .Known = MembersOnly,
                                        .KnownMembers = Members.version(),
                                        .WantsMembers = true,
-                                       .TakesSoftware = true});
+                                       .TakesSoftware = true,
+                                       .TakesDepartures = true});
 }
 
 void ReplicaNode::issueTickets(TimePoint now) {
@@ -658,6 +714,7 @@
     issueTickets(now);
     reviewQuarantine(now);
     reviewSoftware(now);
+    reviewDepartures(now);
   }
   requestReadIndex(now);
   Origins.expire(now);
@@ -686,6 +743,10 @@
       if (LedTerm == Log.term() && leads(now))
         releaseAnnouncements();
     }
+  // This replica may lead before it has applied all entries of earlier terms.
+  if (command && LedTerm == Log.term() && leads(now))
+    if (const auto *it = std::get_if<RecordDeparture>(&command->Body))
+      Members.restoreDeparture(now, it->Departure);
   const auto it = Proposals.find(entry.Index);
   if (it == Proposals.end())
     return;
--- a/packages/node/pimentofront/src/Node/ReplicaNode.h
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.h
@@ -74,6 +74,14 @@
   /// Receives the outcome of a command, or nothing if it isn't known.
   using DecisionCallback =
       std::function<void(const std::optional<CommandOutcome> &)>;
+  /// Records a backend server that said that it is leaving, or that it has left
+  /// (`Gone`), and proposes to record its departure in the replicated state,
+  /// since it may not repeat the announcement to another leader.
+  /// \returns false if this replica can't accept the command now; the server
+  /// has to ask again.
+  /// \pre leads(now)
+  bool announceDeparture(TimePoint now, const MemberRecord &member,
+                         std::uint64_t sequence, DecisionCallback done);
   /// Proposes a command to the group. \p done is called with the outcome, or
   /// with nothing if another leader took over before the outcome was known.
   /// \returns false if this replica can't accept the command now.
@@ -170,8 +178,16 @@
   void compactIfDue();
   void issueTickets(TimePoint now);
   void reviewQuarantine(TimePoint now);
+  /// \returns whether each other replica has a link that \p accepts.
+  bool allReplicas(const std::function<bool(LinkId)> &accepts) const;
   /// \returns whether all replicas decode RecordSoftware.
   bool recordsSoftware() const;
+  /// \returns whether all replicas decode the commands of departures.
+  bool recordsDepartures() const;
+  /// \returns whether \p member repeats a departure that is recorded.
+  bool isRecordedAsLeaving(const MemberRecord &member) const;
+  /// Proposes to forget departures that the member table no longer needs.
+  void reviewDepartures(TimePoint now);
   /// \returns whether a command that adds what \p member states is in the log
   /// and isn't applied yet.
   bool awaitsSoftwareRecord(TimePoint now, const MemberRecord &member);
@@ -244,6 +260,7 @@
   std::size_t BytesSinceSnapshot = 0;
   std::vector<std::string> PushedAddresses;
   TimePoint NextJoin;
+  TimePoint NextDepartureReview;
   TimePoint NextPush;
 };
 
--- a/packages/node/pimentofront/src/Node/Subscribers.cpp
+++ b/packages/node/pimentofront/src/Node/Subscribers.cpp
@@ -42,7 +42,8 @@
                .WantsMembers = subscribe.WantsMembers,
                .WantsQuarantine = subscribe.WantsQuarantine,
                .KnownQuarantine = subscribe.KnownQuarantine,
-               .TakesSoftware = subscribe.TakesSoftware};
+               .TakesSoftware = subscribe.TakesSoftware,
+               .TakesDepartures = subscribe.TakesDepartures};
 }
 
 void Subscribers::remove(LinkId link) { All.erase(link); }
@@ -52,6 +53,11 @@
   return it != All.end() && it->second.TakesSoftware;
 }
 
+bool Subscribers::takesDepartures(LinkId link) const {
+  const auto it = All.find(link);
+  return it != All.end() && it->second.TakesDepartures;
+}
+
 void Subscribers::recordInForce(LinkId link, Revision revision) {
   const auto it = All.find(link);
   if (it != All.end())
--- a/packages/node/pimentofront/src/Node/Subscribers.h
+++ b/packages/node/pimentofront/src/Node/Subscribers.h
@@ -23,6 +23,9 @@
   bool contains(LinkId link) const { return All.contains(link); }
   /// \returns whether the subscriber on \p link decodes SoftwareRecord.
   bool takesSoftware(LinkId link) const;
+  /// \returns whether the replica on \p link decodes the commands of
+  /// departures.
+  bool takesDepartures(LinkId link) const;
   void recordInForce(LinkId link, Revision revision);
   /// Sends each subscriber the changes that it lacks.
   void push(const Configuration &configuration, const MemberTable &members,
@@ -44,6 +47,7 @@
     bool WantsQuarantine = false;
     std::uint64_t KnownQuarantine = 0;
     bool TakesSoftware = false;
+    bool TakesDepartures = false;
     Revision InForce = 0;
   };
   void pushConfiguration(LinkId link, Subscriber &subscriber,
--- a/packages/state/pimentofront/State.h
+++ b/packages/state/pimentofront/State.h
@@ -22,6 +22,7 @@
 #include "src/State/PartLedger.h"
 #include "src/State/QuarantineLedger.h"
 #include "src/State/QuarantineReview.h"
+#include "src/State/DepartureLedger.h"
 #include "src/State/MemberTable.h"
 #include "src/State/SoftwareHistory.h"
 #include "src/State/StateMachine.h"
--- a/packages/state/pimentofront/src/State/MemberTable.cpp
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -1,6 +1,7 @@
 #include "pimentofront/State.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentofront {
 
@@ -8,33 +9,53 @@
   Version = {.Term = term, .Sequence = 0};
   Complete = false;
   TermStartedAt = now;
-  Members.clear();
+  Former = std::exchange(Members, {});
   LastAnnouncedAt.clear();
   LatestSequences.clear();
   DisplacedMembers.clear();
   Changes.clear();
+  Departed.clear();
 }
 
 void MemberTable::recordChange(const MemberRecord &member) {
   Members[member.Host] = member;
   if (member.Gone)
     Members.erase(member.Host);
+  recordDeparted(member);
   ++Version.Sequence;
   Changes.push_back(member);
   if (Changes.size() > Options.MaxChanges)
     Changes.pop_front();
 }
 
-bool MemberTable::isDeregistered(TimePoint now,
-                                 const MemberRecord &member) const {
-  const auto it = Deregistrations.find(member.Host);
-  if (it == Deregistrations.end() ||
-      it->second.Incarnation != member.Incarnation)
+void MemberTable::recordDeparted(const MemberRecord &member) {
+  if (!member.Registered)
+    return;
+  if (member.Gone && !Complete)
+    Departed[member.process()] = member;
+  else
+    Departed.erase(member.process());
+}
+
+Duration MemberTable::retentionOf(const DepartureRecord &departure) const {
+  // A process without a start time counts its announcements anew when it
+  // restarts, so one that was leaving must not reject them for long.
+  const bool namesProcess = departure.Gone && departure.Server.StartedAt == 0;
+  return departure.NamesProcess || namesProcess
+             ? Options.DeregistrationRetention
+             : Options.AnonymousDeregistrationRetention;
+}
+
+bool MemberTable::isDeparted(TimePoint now, const MemberRecord &member,
+                             std::uint64_t sequence) const {
+  const auto it = Departures.find(member.process());
+  if (it == Departures.end())
+    return false;
+  const DepartureRecord &record = it->second.Record;
+  if (now >= it->second.At + retentionOf(record))
     return false;
-  const Duration retention = it->second.NamesProcess || member.Incarnation == 0
-                                 ? Options.DeregistrationRetention
-                                 : Options.AnonymousDeregistrationRetention;
-  return now < it->second.At + retention;
+  return record.Gone ||
+         (!member.Leaving && sequence != 0 && sequence <= record.Sequence);
 }
 
 bool MemberTable::isStaleSequence(const ServerProcess &process,
@@ -111,24 +132,77 @@
   }
 }
 
-void MemberTable::deregister(TimePoint now, const MemberRecord &member) {
+DepartureRecord MemberTable::departureOf(const MemberRecord &member,
+                                         std::uint64_t sequence) const {
+  DepartureRecord departure{.Server = member.process(),
+                            .Gone = member.Gone,
+                            .NamesProcess =
+                                !member.Registered || member.Incarnation != 0,
+                            .Sequence = sequence};
+  if (departure.NamesProcess || !member.Gone)
+    return departure;
+  auto owner = Members.find(member.Host);
+  if (owner == Members.end()) {
+    owner = Former.find(member.Host);
+    if (owner == Former.end())
+      return departure;
+  }
+  departure.Server = owner->second.process();
+  return departure;
+}
+
+void MemberTable::recordDeparture(TimePoint now,
+                                  const DepartureRecord &departure) {
+  const auto it = Departures.find(departure.Server);
+  if (it == Departures.end())
+    Departures[departure.Server] = {departure, now};
+  else
+    it->second = {merged(it->second.Record, departure), now};
+}
+
+void MemberTable::removeDeparted(const MemberRecord &member) {
   const auto it = Members.find(member.Host);
   const bool known = it != Members.end();
-  // A deregistration without an incarnation is taken for one of the process
-  // that owns the name.
-  const bool namesProcess = !member.Registered || member.Incarnation != 0;
-  const std::uint64_t incarnation =
-      namesProcess || !known ? member.Incarnation : it->second.Incarnation;
-  Deregistrations[member.Host] = {
-      .Incarnation = incarnation, .NamesProcess = namesProcess, .At = now};
-  // The deregistration of an earlier process of this host changes nothing.
-  if (!known || it->second.Incarnation != incarnation)
+  // The departure of an earlier process of this host changes nothing.
+  if (known && it->second.process() != member.process())
+    return;
+  // Receivers may still know a server from the previous leader.
+  if (!known && (Complete || !member.Registered))
     return;
   LastAnnouncedAt.erase(member.Host);
-  LatestSequences.erase(it->second.process());
+  LatestSequences.erase(member.process());
+  recordChange(member);
+}
+
+void MemberTable::deregister(TimePoint now, const MemberRecord &member) {
+  const DepartureRecord departure = departureOf(member, /*sequence=*/0);
+  recordDeparture(now, departure);
   MemberRecord record = member;
-  record.Incarnation = incarnation;
-  recordChange(record);
+  record.Incarnation = departure.Server.StartedAt;
+  removeDeparted(record);
+}
+
+void MemberTable::restoreDeparture(TimePoint now,
+                                   const DepartureRecord &departure) {
+  const auto known = Departures.find(departure.Server);
+  if (known != Departures.end() &&
+      merged(known->second.Record, departure) == known->second.Record)
+    return;
+  recordDeparture(now, departure);
+  const auto it = Members.find(departure.Server.Name);
+  const bool listed =
+      it != Members.end() && it->second.process() == departure.Server;
+  if (listed && !departure.Gone) {
+    MemberRecord leaving = it->second;
+    leaving.Leaving = true;
+    return recordChange(leaving);
+  }
+  // One that is leaving is listed again with its next announcement. Until then
+  // it must not get requests either.
+  removeDeparted({.Host = departure.Server.Name,
+                  .Incarnation = departure.Server.StartedAt,
+                  .Gone = true,
+                  .Registered = true});
 }
 
 bool MemberTable::announce(TimePoint now, const MemberRecord &member,
@@ -137,9 +211,13 @@
     deregister(now, member);
     return true;
   }
-  if (isDeregistered(now, member) ||
+  if (isDeparted(now, member, sequence) ||
       isStaleSequence(member.process(), sequence) || isDisplaced(now, member))
     return false;
+  if (member.Leaving)
+    recordDeparture(now, departureOf(member, sequence));
+  else
+    Departures.erase(member.process()); // It takes requests again.
   LastAnnouncedAt[member.Host] = now;
   const auto it = Members.find(member.Host);
   if (it != Members.end() && it->second == member)
@@ -178,7 +256,7 @@
   const auto isExpired = [&](const auto &it) {
     return it.second.At + Options.DeregistrationRetention < now;
   };
-  std::erase_if(Deregistrations, isExpired);
+  std::erase_if(Departures, isExpired);
   std::erase_if(DisplacedMembers, isExpired);
   // Drop the sequences of processes that neither are in the table nor may get
   // their address or name back.
@@ -188,6 +266,8 @@
   const Duration maxLease = std::max(Options.Lease, Options.ServerLease);
   if (!Complete && now >= TermStartedAt + maxLease) {
     Complete = true;
+    Departed.clear();
+    Former.clear();
     ++Version.Sequence; // Sends `Complete` to all receivers, without a record.
     Changes.clear();
   }
@@ -207,6 +287,8 @@
     return update;
   }
   update.Full = true;
+  for (const auto &[process, it] : Departed)
+    update.Members.push_back(it);
   for (const auto &[host, it] : Members)
     update.Members.push_back(it);
   return update;
@@ -220,21 +302,25 @@
   if (update.Full) {
     Members.clear();
     Changes.clear();
+    Departed.clear();
   }
+  Complete = update.Complete;
   for (const MemberRecord &it : update.Members) {
     if (it.Gone)
       Members.erase(it.Host);
     else
       Members[it.Host] = it;
+    recordDeparted(it);
     if (!update.Full)
       Changes.push_back(it);
   }
+  if (Complete)
+    Departed.clear();
   if (update.To.Sequence - update.From.Sequence != update.Members.size())
     Changes.clear();
   while (Changes.size() > Options.MaxChanges)
     Changes.pop_front();
   Version = update.To;
-  Complete = update.Complete;
   return true;
 }
 
--- a/packages/state/pimentofront/src/State/MemberTable.h
+++ b/packages/state/pimentofront/src/State/MemberTable.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOFRONT_STATE_MEMBER_TABLE_H
 #define PIMENTOFRONT_STATE_MEMBER_TABLE_H
 
+#include "DepartureLedger.h"
 #include "pimentofront/Wire.h"
 
 #include <deque>
@@ -20,7 +21,7 @@
   Duration ServerLease = Duration::zero();
   /// Recent changes stored, to send differences to receivers that missed some.
   std::size_t MaxChanges = 1024;
-  /// How long a deregistration is stored, to reject late announcements of the
+  /// How long a departure is stored, to reject late announcements of the
   /// process.
   Duration DeregistrationRetention = std::chrono::seconds(60);
   /// The same for a deregistration that contains only the name, not the
@@ -40,7 +41,12 @@
 /// \brief The hosts and self-registered backend servers that have announced
 /// themselves to the leader, and the stream of changes. Soft state: a new
 /// leader starts with an empty table, and marks it complete once it has led for
-/// the longest lease.
+/// the longest lease. Until then receivers keep the servers that its list
+/// doesn't name, so the list also names those that have left.
+///
+/// Departures of registered servers are acknowledged, and a server may not
+/// repeat them. The replicated state holds them (DepartureLedger), and a new
+/// leader takes them over.
 ///
 /// Of the processes that register themselves, only one owns an address: the one
 /// whose first announcement came last. A later announcement of a former owner
@@ -69,6 +75,19 @@
   /// This process became the leader. Clears the table: all members have to
   /// announce themselves anew.
   void beginTerm(TimePoint now, std::uint64_t term);
+  /// Takes over a departure that the replicated state holds. Its retention
+  /// begins anew, unless it is known already.
+  void restoreDeparture(TimePoint now, const DepartureRecord &departure);
+  /// \returns the departure that the announcement of a process that is leaving
+  /// or gone stands for. One that names only the server is taken for one of the
+  /// process that has the name, in this term or the previous one.
+  DepartureRecord departureOf(const MemberRecord &member,
+                              std::uint64_t sequence) const;
+  /// \returns whether announcements of this process may still be rejected
+  /// because of its departure.
+  bool remembersDeparture(const ServerProcess &process) const {
+    return Departures.contains(process);
+  }
   /// Records an announcement or, if \p member is gone, a deregistration.
   /// \param sequence increases with each announcement of one process, where its
   /// announcements may overtake one another; 0 where they can't.
@@ -97,12 +116,9 @@
   const std::map<HostName, MemberRecord> &members() const { return Members; }
 
 private:
-  struct Deregistration {
-    /// Of the process that left; 0 if the deregistration had no incarnation and
-    /// the name was unknown.
-    std::uint64_t Incarnation = 0;
-    /// Whether the deregistration identified the process, not only its name.
-    bool NamesProcess = false;
+  /// The departure of a host's or server's process, and when it was recorded.
+  struct Departure {
+    DepartureRecord Record;
     TimePoint At;
   };
   /// A process whose address or name another process has taken over.
@@ -114,13 +130,22 @@
   };
   Duration leaseOf(const MemberRecord &member) const;
   void recordChange(const MemberRecord &member);
+  /// Keeps track of the servers that an incomplete list has to name as gone.
+  void recordDeparted(const MemberRecord &member);
+  void recordDeparture(TimePoint now, const DepartureRecord &departure);
   /// Records the deregistration of a host or of a process.
   void deregister(TimePoint now, const MemberRecord &member);
+  /// Removes the process from the table, and tells receivers, also if they may
+  /// know it from a previous leader.
+  void removeDeparted(const MemberRecord &member);
+  Duration retentionOf(const DepartureRecord &departure) const;
   /// \returns whether the name of \p member belongs to a process that reports a
   /// later start.
   bool hasNewerOwner(const MemberRecord &member) const;
-  /// \returns whether the process of \p member has deregistered recently.
-  bool isDeregistered(TimePoint now, const MemberRecord &member) const;
+  /// \returns whether the process of \p member has left recently, or whether
+  /// the announcement is from before it said that it is leaving.
+  bool isDeparted(TimePoint now, const MemberRecord &member,
+                  std::uint64_t sequence) const;
   /// Updates the latest sequence of \p process.
   /// \returns whether an announcement with \p sequence is stale.
   bool isStaleSequence(const ServerProcess &process, std::uint64_t sequence);
@@ -143,7 +168,12 @@
   std::map<HostName, TimePoint> LastAnnouncedAt;
   /// The highest sequence that each process has announced.
   std::map<ServerProcess, std::uint64_t> LatestSequences;
-  std::map<HostName, Deregistration> Deregistrations;
+  std::map<ServerProcess, Departure> Departures;
+  /// While the table isn't complete: servers that have left.
+  std::map<ServerProcess, MemberRecord> Departed;
+  /// While the table isn't complete: the members in the previous term, as far
+  /// as this process knew them.
+  std::map<HostName, MemberRecord> Former;
   std::map<ServerProcess, Displaced> DisplacedMembers;
   /// The most recent changes; the newest has the sequence of `Version`.
   std::deque<MemberRecord> Changes;
--- a/packages/state/pimentofront/src/State/StateMachine.cpp
+++ b/packages/state/pimentofront/src/State/StateMachine.cpp
@@ -105,6 +105,10 @@
     return evacuate(command, *it);
   if (const auto *it = std::get_if<RecordSoftware>(&body))
     return recordSoftware(command, *it);
+  if (const auto *it = std::get_if<RecordDeparture>(&body))
+    return Departures.record(*it);
+  if (const auto *it = std::get_if<ForgetDepartures>(&body))
+    return Departures.forget(*it);
   return setDrained(command, std::get<SetDrained>(body));
 }
 
@@ -297,6 +301,11 @@
     add(it);
   for (const auto &[id, it] : Quarantine.parts().records())
     add(it);
+  // Omitted until all replicas decode it, as the quarantine ledger above.
+  if (Departures.version() > 0)
+    add(DepartureHeader{Departures.version()});
+  for (const auto &[process, it] : Departures.records())
+    add(it);
   for (const CommandId &it : OutcomeOrder)
     add(Outcomes.at(it));
   return bytes;
@@ -327,6 +336,10 @@
     Quarantine.restore(*record);
   else if (const auto *part = std::get_if<PartRecord>(&item))
     Quarantine.restore(*part);
+  else if (const auto *ledgerOfDepartures = std::get_if<DepartureHeader>(&item))
+    Departures.restoreVersion(ledgerOfDepartures->Version);
+  else if (const auto *departure = std::get_if<DepartureRecord>(&item))
+    Departures.restore(*departure);
 }
 
 tl::expected<void, DecodeError> StateMachine::decode(std::string_view bytes) {
--- a/packages/state/pimentofront/src/State/StateMachine.h
+++ b/packages/state/pimentofront/src/State/StateMachine.h
@@ -3,6 +3,7 @@
 
 #include "ClaimLedger.h"
 #include "Configuration.h"
+#include "DepartureLedger.h"
 #include "QuarantineLedger.h"
 #include "SoftwareHistory.h"
 
@@ -32,6 +33,7 @@
   const Configuration &configuration() const { return Records; }
   const ClaimLedger &claims() const { return Claims; }
   const QuarantineLedger &quarantine() const { return Quarantine; }
+  const DepartureLedger &departures() const { return Departures; }
   /// \returns the whole state, each item prefixed with its length in four
   /// bytes.
   std::string encode() const;
@@ -68,6 +70,7 @@
   Configuration Records;
   ClaimLedger Claims;
   QuarantineLedger Quarantine;
+  DepartureLedger Departures;
   std::map<CommandId, OutcomeRecord> Outcomes;
   std::deque<CommandId> OutcomeOrder;
 };
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.cpp
@@ -1,6 +1,7 @@
 #include "pimentofront/Testkit.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace pimentofront::testkit {
 namespace {
@@ -260,10 +261,23 @@
         Sim.now(), Command{.Body = PutDocument{1, packText("document")}},
         [this](const auto &outcome) { DocumentDecided = outcome.has_value(); });
   for (const Server &it : Servers)
-    if (it.Up)
+    if (it.Up && it.Registers)
       announce(it);
 }
 
+void ForwardFleet::deregisterServer(std::uint32_t i,
+                                    ReplicaNode::DecisionCallback done) {
+  SimulatedProcess *leader = Sim.leader();
+  assert(leader && "only a leader answers");
+  Servers[i].Registers = false;
+  const MemberRecord gone{.Host = Servers[i].Name,
+                          .Incarnation = Servers[i].StartedAt,
+                          .Gone = true,
+                          .Registered = true};
+  if (!leader->Replica->announceDeparture(Sim.now(), gone, 0, done))
+    done(std::nullopt);
+}
+
 void ForwardFleet::announce(const Server &server) {
   SimulatedProcess *leader = Sim.leader();
   if (!leader || leader->Frozen)
@@ -592,6 +606,7 @@
   ++it.Starts;
   it.StartedAt = startOf(it.Software);
   it.Up = true;
+  it.Registers = true;
   it.PoweredOff = false;
   if (Options.ColdPerSecond > 0)
     makeServerCold(i);
--- a/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
+++ b/packages/testkit/pimentofront/src/Testkit/ForwardFleet.h
@@ -202,6 +202,12 @@
   /// address, this software and, if \p keepsName, the same name.
   void replaceServer(std::uint32_t i, const std::string &software,
                      bool keepsName);
+  /// Server \p i says that it leaves, and continues to serve without announcing
+  /// itself. \p done gets the answer of the leader.
+  /// \pre there is a leader.
+  void deregisterServer(std::uint32_t i, ReplicaNode::DecisionCallback done);
+  /// A late announcement of server \p i arrives at the leader.
+  void announceServer(std::uint32_t i) { announce(Servers[i]); }
   /// \returns the number of servers with this software that are up.
   std::size_t serversUp(const std::string &software) const;
   /// Simulates a power loss of server \p i: connections aren't closed, requests
@@ -232,6 +238,8 @@
     /// When its process started, in milliseconds; 0 if it doesn't say.
     std::uint64_t StartedAt = 0;
     bool Up = true;
+    /// Announces itself.
+    bool Registers = true;
     bool PoweredOff = false;
     std::uint64_t Starts = 0;
     TimePoint ColdUntil;
--- a/packages/wire/pimentofront/src/Wire/Codec.h
+++ b/packages/wire/pimentofront/src/Wire/Codec.h
@@ -68,13 +68,20 @@
   PIMENTOFRONT_FIELDS(QuarantineHeader, Version)
 };
 
+/// Version of the ledger of departures in a snapshot.
+struct DepartureHeader {
+  std::uint64_t Version = 0;
+  PIMENTOFRONT_FIELDS(DepartureHeader, Version)
+};
+
 /// \ingroup Wire
 /// One item of the replicated state in a snapshot. A snapshot is a sequence of
 /// these, so that no process ever has to hold all of it decoded.
 using StateItem =
     std::variant<StateHeader, AdapterRecord, KindRecord, DrainRecord,
                  ClaimRecord, OutcomeRecord, DocumentRecord, QuarantineHeader,
-                 QuarantineRecord, ZoneRecord, PartRecord, SoftwareRecord>;
+                 QuarantineRecord, ZoneRecord, PartRecord, SoftwareRecord,
+                 DepartureHeader, DepartureRecord>;
 
 /// Encodes as CBOR: an array of type number, hybrid time and fields.
 std::string encodeFrame(const Frame &frame);
--- a/packages/wire/pimentofront/src/Wire/Commands.h
+++ b/packages/wire/pimentofront/src/Wire/Commands.h
@@ -193,6 +193,21 @@
   PIMENTOFRONT_FIELDS(RecordSoftware, Service, Software, Retired)
 };
 
+/// From the leader: a server's process is leaving, or has left. Its
+/// `ChangedAt` is ignored.
+struct RecordDeparture {
+  DepartureRecord Departure;
+  PIMENTOFRONT_FIELDS(RecordDeparture, Departure)
+};
+
+/// From the leader: these departures happened so long ago that no announcement
+/// from before them is under way any more. A record that has changed meanwhile
+/// is skipped. Without any, it marks that all replicas decode such commands.
+struct ForgetDepartures {
+  std::vector<DepartureRecord> Departures;
+  PIMENTOFRONT_FIELDS(ForgetDepartures, Departures)
+};
+
 /// The position in this list is the number of the command in the log: new ones
 /// are appended at the end.
 using CommandBody =
@@ -200,7 +215,7 @@
                  ClaimRequest, RecordEnding, PutDocument, ActivateVersion,
                  ReportServerExit, ClaimTrial, EndTrial, ReviewQuarantine,
                  ReleaseQuarantine, EvacuateZone, ReportSurvivors,
-                 RecordSoftware>;
+                 RecordSoftware, RecordDeparture, ForgetDepartures>;
 
 /// \class Command
 /// \ingroup Wire
--- a/packages/wire/pimentofront/src/Wire/ControlMessages.h
+++ b/packages/wire/pimentofront/src/Wire/ControlMessages.h
@@ -103,8 +103,11 @@
   /// The process decodes SoftwareRecord and, if it is a replica,
   /// RecordSoftware. One of an earlier release would close the link.
   bool TakesSoftware = false;
+  /// Of a replica: it decodes RecordDeparture and ForgetDepartures.
+  bool TakesDepartures = false;
   PIMENTOFRONT_FIELDS(Subscribe, Host, Known, KnownMembers, WantsMembers,
-                      WantsQuarantine, KnownQuarantine, TakesSoftware)
+                      WantsQuarantine, KnownQuarantine, TakesSoftware,
+                      TakesDepartures)
 };
 
 /// Process to replica: asks whether its configuration is current, and reports
--- a/packages/wire/pimentofront/src/Wire/Records.h
+++ b/packages/wire/pimentofront/src/Wire/Records.h
@@ -161,6 +161,26 @@
                       ColdFor, Software, RemembersStreams)
 };
 
+/// \class DepartureRecord
+/// \ingroup Wire
+/// \brief The process of a registered server that has said that it is leaving,
+/// or that it has left. Part of the replicated state, since the process may
+/// never announce itself again.
+struct DepartureRecord {
+  ServerProcess Server;
+  /// It has left, and isn't accepted any more. Otherwise it is leaving.
+  bool Gone = false;
+  /// Whether the process named its start, not only its name.
+  bool NamesProcess = false;
+  /// Of a process that is leaving: the sequence of the announcement that said
+  /// so. Earlier announcements are stale.
+  std::uint64_t Sequence = 0;
+  /// Version of the ledger at the last change of this record.
+  std::uint64_t ChangedAt = 0;
+  PIMENTOFRONT_FIELDS(DepartureRecord, Server, Gone, NamesProcess, Sequence,
+                      ChangedAt)
+};
+
 /// \class MemberVersion
 /// \ingroup Wire
 /// \brief Position in the stream of membership changes. A new leader of the
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -493,6 +493,103 @@
 
 namespace {
 
+/// A leader whose followers take commands of departures or don't.
+class DepartureLeader : public RecordingLeader {
+public:
+  explicit DepartureLeader(bool allTakeDepartures)
+      : RecordingLeader(/*allTakeSoftware=*/false) {
+    for (const LinkId it : {1, 2})
+      Node.onMessage(
+          Now, it,
+          Subscribe{.Known = MembersOnly,
+                    .WantsMembers = true,
+                    .TakesDepartures = it == 1 || allTakeDepartures});
+    registerServer("v1");
+  }
+  /// \returns whether the departure was accepted for a decision.
+  bool depart(bool gone, std::uint64_t sequence = 0) {
+    const MemberRecord member{.Host = HostName("v1"),
+                              .Incarnation = 1,
+                              .Address = "v1",
+                              .Services = {ServiceName("s")},
+                              .Leaving = !gone,
+                              .Gone = gone,
+                              .Registered = true};
+    return Node.announceDeparture(Now, member, sequence, [&](const auto &it) {
+      Acknowledged += it && it->Result == CommandResult::Accepted ? 1 : 0;
+    });
+  }
+  std::size_t recorded() const {
+    return Node.state().departures().records().size();
+  }
+
+  int Acknowledged = 0;
+};
+
+} // namespace
+
+// Guards against an acknowledgement that only the memory of the leader holds.
+TEST_CASE("a departure is acknowledged once a majority has stored it",
+          "[departures]") {
+  DepartureLeader leader(/*allTakeDepartures=*/true);
+  SECTION("a server that leaves at once") {
+    REQUIRE(leader.depart(/*gone=*/true));
+    // Entries are told at once.
+    CHECK(leader.servers() == 0);
+  }
+  SECTION("a server that is leaving") { REQUIRE(leader.depart(false, 5)); }
+  CHECK(leader.Acknowledged == 0);
+  leader.run();
+  CHECK(leader.Acknowledged == 1);
+  CHECK(leader.recorded() == 1);
+}
+
+TEST_CASE("a leader without a majority doesn't acknowledge a departure",
+          "[departures]") {
+  DepartureLeader leader(/*allTakeDepartures=*/true);
+  leader.depart(/*gone=*/true);
+  leader.awaitLead(false, /*answers=*/false);
+  CHECK(leader.Acknowledged == 0);
+}
+
+TEST_CASE("a server that repeats that it is leaving adds nothing to the log",
+          "[departures]") {
+  DepartureLeader leader(/*allTakeDepartures=*/true);
+  leader.depart(/*gone=*/false, 5);
+  leader.run();
+  const LogIndex before = leader.Node.log().commitIndex();
+  for (std::uint64_t i = 6; i < 20; ++i)
+    leader.depart(/*gone=*/false, i);
+  CHECK(leader.Acknowledged == 15);
+  leader.run();
+  CHECK(leader.Node.log().commitIndex() == before);
+}
+
+// Its record outlives the server only as long as a late announcement may come.
+TEST_CASE("a leader forgets departures after their retention", "[departures]") {
+  DepartureLeader leader(/*allTakeDepartures=*/true);
+  leader.depart(/*gone=*/true);
+  for (int i = 0; i < 59; ++i)
+    leader.run();
+  CHECK(leader.recorded() == 1);
+  for (int i = 0; i < 4; ++i)
+    leader.run();
+  CHECK(leader.recorded() == 0);
+}
+
+// Guards against a command that a replica of an earlier release can't apply.
+TEST_CASE("departures aren't recorded while a replica is of an earlier release",
+          "[departures]") {
+  DepartureLeader leader(/*allTakeDepartures=*/false);
+  leader.depart(/*gone=*/true);
+  CHECK(leader.Acknowledged == 1);
+  leader.run();
+  CHECK(leader.recorded() == 0);
+  CHECK(leader.Node.state().departures().version() == 0);
+}
+
+namespace {
+
 /// A leader of which the test reads the last answers.
 class AnsweringLeader : public LeaderUnderTest {
 public:
