An older list of members changes nothing at an entry

Cause: MemberTable::apply left a newer copy as it was and returned the same as for an update that it had applied. The feed handed the update on, and the set of servers, which has no versions, took it over. The next replica was told the newer version and had nothing to send.

Change: apply tells whether an update was applied, is outdated or came after a gap; the feed hands on what was applied.

Evidence: both new tests fail with the feed's former behaviour and pass now.

--- a/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.cpp
@@ -114,14 +114,9 @@
     onProbeReply(now, *reply);
     update.Subscribers = reply->Subscribers;
   } else if (const auto *members = std::get_if<MemberUpdate>(&message)) {
-    if (Members.apply(*members))
-      update.Members = *members;
-    else
-      renew(now, "update_missed");
+    applyMembers(now, *members, update);
   } else if (const auto *quarantine = std::get_if<QuarantineUpdate>(&message)) {
-    Quarantine = std::max(Quarantine, quarantine->To);
-    update.Quarantine = *quarantine;
-    updateQuarantineKnownAsOf();
+    applyQuarantine(*quarantine, update);
   } else if (const auto *replicas = std::get_if<ReplicaAddresses>(&message)) {
     Replica.setAddresses(replicas->Peers);
   }
@@ -129,6 +124,33 @@
   return update;
 }
 
+/// A replica that is cut off from the leader sends older lists than the one
+/// followed before. They may name servers that have left since.
+void ReplicaFeed::applyMembers(TimePoint now, const MemberUpdate &members,
+                               FeedUpdate &update) {
+  switch (Members.apply(members)) {
+  case MemberUpdateResult::Applied:
+    update.Members = members;
+    return;
+  case MemberUpdateResult::Outdated:
+    Events.push_back({"update_ignored", "older than the members known"});
+    return;
+  case MemberUpdateResult::Gap:
+    return renew(now, "update_missed");
+  }
+}
+
+void ReplicaFeed::applyQuarantine(const QuarantineUpdate &quarantine,
+                                  FeedUpdate &update) {
+  if (quarantine.To < Quarantine) {
+    Events.push_back({"update_ignored", "older than the quarantine known"});
+    return;
+  }
+  Quarantine = quarantine.To;
+  update.Quarantine = quarantine;
+  updateQuarantineKnownAsOf();
+}
+
 void ReplicaFeed::onProbeReply(TimePoint now, const ProbeReply &reply) {
   const std::optional<TimePoint> sentAt = Copy.onProbeReply(reply);
   const bool answersLast = reply.Nonce == LastProbe.Nonce;
--- a/packages/node/pimentofront/src/Node/ReplicaFeed.h
+++ b/packages/node/pimentofront/src/Node/ReplicaFeed.h
@@ -79,6 +79,9 @@
   void subscribe(TimePoint now);
   void renew(TimePoint now, const char *why);
   void leave(TimePoint now, const char *why);
+  void applyMembers(TimePoint now, const MemberUpdate &members,
+                    FeedUpdate &update);
+  void applyQuarantine(const QuarantineUpdate &quarantine, FeedUpdate &update);
   void onProbeReply(TimePoint now, const ProbeReply &reply);
   /// Acts if the subscription doesn't stand.
   void checkSubscription(TimePoint now);
--- a/packages/node/pimentofront/src/Node/ReplicaNode.cpp
+++ b/packages/node/pimentofront/src/Node/ReplicaNode.cpp
@@ -161,7 +161,7 @@
     const bool current = sender != ReplicaOfLink.end() &&
                          SubscribedLeader != 0 &&
                          sender->second == SubscribedLeader;
-    if (current && !Members.apply(*update))
+    if (current && Members.apply(*update) == MemberUpdateResult::Gap)
       SubscribedLeader = 0; // An update was missed: subscribe again.
   } else
     onStreamMessage(now, link, message);
--- a/packages/state/pimentofront/src/State/MemberTable.cpp
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -294,11 +294,11 @@
   return update;
 }
 
-bool MemberTable::apply(const MemberUpdate &update) {
+MemberUpdateResult MemberTable::apply(const MemberUpdate &update) {
   if (update.To < Version)
-    return true; // A late update.
+    return MemberUpdateResult::Outdated;
   if (!update.Full && update.From != Version)
-    return false;
+    return MemberUpdateResult::Gap;
   if (update.Full) {
     Members.clear();
     Changes.clear();
@@ -321,7 +321,7 @@
   while (Changes.size() > Options.MaxChanges)
     Changes.pop_front();
   Version = update.To;
-  return true;
+  return MemberUpdateResult::Applied;
 }
 
 } // namespace pimentofront
--- a/packages/state/pimentofront/src/State/MemberTable.h
+++ b/packages/state/pimentofront/src/State/MemberTable.h
@@ -36,6 +36,16 @@
   Duration ReclaimDelay = std::chrono::milliseconds(500);
 };
 
+/// What became of an update to a copy of the member table.
+enum class MemberUpdateResult : std::uint8_t {
+  Applied,
+  /// The copy is newer. Whatever else is derived from the updates must ignore
+  /// this one, too.
+  Outdated,
+  /// Updates before it are missing; it has had no effect.
+  Gap,
+};
+
 /// \class MemberTable
 /// \ingroup State
 /// \brief The hosts and self-registered backend servers that have announced
@@ -106,10 +116,9 @@
   /// \returns the changes since version \p known, or the whole table if they
   /// aren't stored any more; nothing if \p known is current.
   std::optional<MemberUpdate> updateSince(const MemberVersion &known) const;
-  /// Applies an update from the leader. An update older than this copy has no
-  /// effect.
-  /// \returns false, without effect, if updates before this one are missing.
-  bool apply(const MemberUpdate &update);
+  /// Applies an update from the leader, unless it is older than this copy or
+  /// updates before it are missing.
+  MemberUpdateResult apply(const MemberUpdate &update);
 
   MemberVersion version() const { return Version; }
   bool complete() const { return Complete; }
--- a/test/StateTest.cpp
+++ b/test/StateTest.cpp
@@ -205,16 +205,18 @@
         now, {.Host = HostName("w" + std::to_string(i)), .Incarnation = 1});
   };
   announce(1);
-  REQUIRE(follower.apply(*leader.updateSince(follower.version())));
+  REQUIRE(follower.apply(*leader.updateSince(follower.version())) ==
+          MemberUpdateResult::Applied);
   announce(2);
   const auto update = leader.updateSince(follower.version());
   CHECK_FALSE(update->Full);
   CHECK(update->Members.size() == 1);
   announce(3);
   const auto later = leader.updateSince(update->To);
-  CHECK_FALSE(follower.apply(*later));
-  CHECK(follower.apply(*update));
-  CHECK(follower.apply(*later));
+  CHECK(follower.apply(*later) == MemberUpdateResult::Gap);
+  CHECK(follower.apply(*update) == MemberUpdateResult::Applied);
+  CHECK(follower.apply(*later) == MemberUpdateResult::Applied);
+  CHECK(follower.apply(*update) == MemberUpdateResult::Outdated);
   CHECK(follower.members().size() == 3);
   for (int i = 4; i < 20; ++i)
     announce(i);
--- a/test/SubscriptionTest.cpp
+++ b/test/SubscriptionTest.cpp
@@ -246,6 +246,41 @@
   CHECK(it.Opened.size() == 1);
 }
 
+// Guards against an entry that takes over an old list of servers from a replica
+// that is cut off from the leader, and sends requests to servers that have
+// left.
+TEST_CASE("a feed ignores a list of members that is older than its copy",
+          "[subscriptions]") {
+  FeedUnderTest it;
+  const MemberRecord former{.Host = HostName("former"), .Registered = true};
+  const auto list = [&](std::uint64_t term, std::uint64_t sequence) {
+    return it.Feed.onMessage(
+        it.Now, MemberUpdate{.Full = true,
+                             .Complete = true,
+                             .To = {.Term = term, .Sequence = sequence},
+                             .Members = {former}});
+  };
+  CHECK(list(2, 5).Members);
+  CHECK_FALSE(list(2, 4).Members);
+  CHECK_FALSE(list(1, 9).Members);
+  CHECK(list(2, 6).Members);
+  CHECK(it.SubscribedAt.size() == 1);
+}
+
+// Guards against a quarantine that an older list of it ends.
+TEST_CASE("a feed ignores a quarantine that is older than its copy",
+          "[subscriptions]") {
+  FeedUnderTest it;
+  const auto list = [&](std::uint64_t version) {
+    return it.Feed.onMessage(it.Now,
+                             QuarantineUpdate{.Full = true, .To = version});
+  };
+  CHECK(list(5).Quarantine);
+  CHECK_FALSE(list(4).Quarantine);
+  CHECK(list(5).Quarantine);
+  CHECK(list(6).Quarantine);
+}
+
 //===----------------------------------------------------------------------===//
 // Readiness
 //===----------------------------------------------------------------------===//
