Own interface: a request that waited uses the version that is live then

A request that selected no version looked the live one up on arrival and kept it over the wait for its claim, refusals and resends, so that it could begin on a version that was superseded meanwhile.

Change: each attempt looks the live version up again, unless a part of the answer is with the caller or the caller selected a version. Refusals that concern the former version are forgotten; failures of hosts are kept.

Evidence: the new test fails without the look-up (version 3 instead of 4).

--- a/packages/serving/pimentofront/src/Serving/EntryController.cpp
+++ b/packages/serving/pimentofront/src/Serving/EntryController.cpp
@@ -180,9 +180,29 @@
 // Attempts
 //===----------------------------------------------------------------------===//
 
+/// A version may have been superseded while the request waited for its claim or
+/// for another host. An answer that has begun goes on with its own version, as
+/// does a request that selected one.
+void EntryController::useLiveVersion(EntryRequest &request) const {
+  if (request.Caller.Version != 0 || !request.Delivered.empty())
+    return;
+  const std::optional<AdapterRecord> adapter =
+      Board.Configuration.findAdapter(request.Key.Adapter);
+  // Without a live version it keeps the one with which it was accepted.
+  const VersionRecord *live = adapter ? chooseVersion(*adapter, 0) : nullptr;
+  if (!live || live->Number == request.Key.Version)
+    return;
+  request.Key.Version = live->Number;
+  request.Source = live->Source;
+  // What hosts answered concerns the former version.
+  std::erase_if(request.Tried,
+                [](const TriedHost &it) { return !isHostFailure(it.Reason); });
+}
+
 void EntryController::nextAttempt(TimePoint now, EntryRequest &request) {
   if (now >= request.Deadline)
     return expire(now, request);
+  useLiveVersion(request);
   const RouteQuery query{.Key = request.Key,
                          .BaseModel = request.BaseModel,
                          .Service = request.Caller.Service,
--- a/packages/serving/pimentofront/src/Serving/EntryController.h
+++ b/packages/serving/pimentofront/src/Serving/EntryController.h
@@ -55,6 +55,8 @@
   /// \returns whether an operator has drained the host or evacuated its zone.
   bool isDrainedOrEvacuated(const MemberRecord &member) const;
   RefusalReason resolve(EntryRequest &request, std::string &detail) const;
+  /// Replaces the version of a request that selected none by the live one.
+  void useLiveVersion(EntryRequest &request) const;
   void refuseNew(const CallerRequest &request, RefusalReason reason,
                  Duration retryAfter, std::string detail);
   void claim(TimePoint now, EntryRequest &request);
--- a/test/EntryTest.cpp
+++ b/test/EntryTest.cpp
@@ -16,10 +16,13 @@
   findAdapter(const AdapterName &name) const override {
     if (name != AdapterName("a"))
       return std::nullopt;
-    return AdapterRecord{
+    AdapterRecord adapter{
         .Name = name,
         .BaseModel = "base",
         .Versions = {{1, "s1", true}, {2, "s2", false}, {3, "s3", true}}};
+    if (Newest > 3)
+      adapter.Versions.push_back({Newest, "newest", true});
+    return adapter;
   }
   const KindRecord *findKind(const KindName &name) const override {
     return name == Kind.Name ? &Kind : nullptr;
@@ -42,6 +45,8 @@
   Revision At = 1;
   bool Confirmed = true;
   std::optional<Duration> Age = Duration::zero();
+  /// A live version beyond 3, if there is one.
+  VersionNumber Newest = 0;
 };
 
 /// An entry with hosts w1 to w3, each of which also serves a plain service.
@@ -119,6 +124,40 @@
   CHECK(entry.final().Reason == RefusalReason::Invalid);
 }
 
+// Guards against a request that runs on a version which was superseded while
+// the request waited for its claim or for another host.
+TEST_CASE("a request that waited uses the version that is live then") {
+  EntryUnderTest entry;
+  entry.generate(1);
+  const auto [host, first] = entry.sent();
+  REQUIRE(first.Key.Version == 3);
+  entry.Configuration.Newest = 4;
+  SECTION("another host is asked for it") {
+    entry.Controller.onRefused(
+        Now, host,
+        {.Attempt = first.Attempt, .Reason = RefusalReason::NotResident});
+    const ExecuteRequest next = entry.sent().second;
+    CHECK(next.Key.Version == 4);
+    CHECK(next.Source == "newest");
+  }
+  SECTION("an answer that has begun goes on with its own") {
+    entry.Controller.onAdmitted(Now, host, {.Attempt = first.Attempt});
+    entry.Controller.onChunk(
+        Now, host,
+        {.Attempt = first.Attempt, .Position = 0, .Tokens = 1, .Text = "a"});
+    entry.Controller.onLinkLost(Now, host, /*wasOpen=*/true);
+    CHECK(entry.sent().second.Key.Version == 3);
+  }
+  SECTION("a request that selected a version keeps it") {
+    entry.generate(2, 1);
+    const auto [other, selected] = entry.sent();
+    entry.Controller.onRefused(
+        Now, other,
+        {.Attempt = selected.Attempt, .Reason = RefusalReason::NotResident});
+    CHECK(entry.sent().second.Key.Version == 1);
+  }
+}
+
 TEST_CASE(
     "an entry without a confirmed configuration refuses with a retry-after") {
   EntryUnderTest entry;
