An answer that ends before its request was received is broken off

Callers saw: status 200 with a part of the body, looking whole, where a server answered a long upload at once without a length, shut down its sending side and reset the connection while the upload was still being written.

Cause: the end of the stream alone ended an answer without a length. A reset that follows an orderly close doesn't show when the socket is read.

Change: such an answer may be whole only if the request is written and acknowledged by the server's host, and if the socket has no error behind the end of the stream (RFC 9112, 9.6: a server that stops reading gives up on the request). It counts as broken off, never as not run.

Ruled out: the framing in the parser, which reported the end correctly; and the check of the server's process, which does run on.

Evidence: both new tests fail with the former condition; an answer whose server has read the request may still be whole (a third test). A server that shuts down with a short request unread in its buffers is still taken at its word.

--- a/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
+++ b/packages/http/pimentofront/src/Http/UpstreamChannel.cpp
@@ -1,5 +1,7 @@
 #include "detail/UpstreamChannel.h"
 
+#include "detail/ConnectionState.h"
+
 #include <arpa/inet.h>
 #include <charconv>
 #include <event2/buffer.h>
@@ -210,7 +212,7 @@
   if (!self->Connected)
     return self->failAttempt(UpstreamEnding::NotSent);
   // An orderly close completes a response without a length.
-  if ((what & BEV_EVENT_EOF) && self->Attempt) {
+  if ((what & BEV_EVENT_EOF) && self->Attempt && self->isOrderlyClose()) {
     self->Parser.finish();
     if (self->ResponseComplete && !self->Ended)
       return self->finishResponse(UpstreamEnding::Closed);
@@ -218,6 +220,15 @@
   self->failAttempt(self->endingOnClose());
 }
 
+/// A server that closes before it has received the request has given up on it,
+/// and its answer may be cut (RFC 9112, 9.6). The same holds for one that
+/// resets the connection after it has shut down its sending side.
+bool UpstreamChannel::isOrderlyClose() const {
+  const int fd = bufferevent_getfd(Bev);
+  return evbuffer_get_length(bufferevent_get_output(Bev)) == 0 &&
+         isAllAcknowledged(fd) && !hasFailed(fd);
+}
+
 UpstreamEnding UpstreamChannel::endingOnClose() const {
   const TimePoint now = Owner.Loop.now();
   const bool soon = now < ConnectedAt + Owner.Options.RejectedWithin;
--- a/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
+++ b/packages/http/pimentofront/src/Http/detail/UpstreamChannel.h
@@ -47,6 +47,9 @@
   std::size_t feed(std::string_view bytes);
   /// Closes the connection if the response exceeds a limit.
   void enforceLimits(TimePoint now);
+  /// \returns whether a close by the server may complete its response: it has
+  /// received the whole request, and hasn't reset the connection.
+  bool isOrderlyClose() const;
   /// \returns how an attempt ended whose connection closed before the complete
   /// response.
   UpstreamEnding endingOnClose() const;
--- a/test/AnswerEndTest.cpp
+++ b/test/AnswerEndTest.cpp
@@ -35,34 +35,48 @@
   ClosingServer(const ClosingServer &) = delete;
   ClosingServer &operator=(const ClosingServer &) = delete;
 
-  /// \returns how the pool says that an answer of these bytes ended.
-  UpstreamEnding endingOf(std::string_view bytes, bool reset) {
+  /// Sends a request. \returns the server's end of the connection.
+  int accept(std::size_t bodyBytes) {
     Pool.send({.Attempt = {1, 1},
                .Address = Address.Ip + ":" + std::to_string(Address.Port),
-               .Head = {"GET", "/", {{"Host", "h"}}},
-               .Body = std::make_shared<const std::string>(),
+               .Head = {"POST", "/", {{"Host", "h"}}},
+               .Body = std::make_shared<const std::string>(bodyBytes, 'x'),
                .Connections = {.MaxOpen = 1, .MaxIdle = 1}});
     const int fd = ::accept(Listener, nullptr, nullptr);
     REQUIRE(fd >= 0);
+    return fd;
+  }
+  static void resetOnClose(int fd) {
+    const linger none{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+  }
+  static void send(int fd, std::string_view bytes) {
+    REQUIRE(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+  UpstreamEnding awaitEnd() {
+    while (!Ending)
+      event_base_loop(Loop.base(), EVLOOP_ONCE);
+    return *Ending;
+  }
+
+  /// \returns how the pool says that an answer of these bytes ended.
+  UpstreamEnding endingOf(std::string_view bytes, bool reset) {
+    const int fd = accept(/*bodyBytes=*/0);
     char request[256];
     while (::recv(fd, request, sizeof(request), MSG_DONTWAIT) <= 0)
       event_base_loop(Loop.base(), EVLOOP_ONCE);
-    REQUIRE(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-            static_cast<ssize_t>(bytes.size()));
+    send(fd, bytes);
     constexpr std::string_view EndOfHead = "\r\n\r\n";
     const std::size_t head = bytes.find(EndOfHead);
     const bool hasBody = head != std::string_view::npos &&
                          head + EndOfHead.size() < bytes.size();
     while (hasBody && Body.empty())
       event_base_loop(Loop.base(), EVLOOP_ONCE);
-    if (reset) {
-      const linger none{.l_onoff = 1, .l_linger = 0};
-      ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
-    }
+    if (reset)
+      resetOnClose(fd);
     ::close(fd);
-    while (!Ending)
-      event_base_loop(Loop.base(), EVLOOP_ONCE);
-    return *Ending;
+    return awaitEnd();
   }
 
   HeadDecision onHead(const AttemptId &, ResponseHead) override {
@@ -144,6 +158,68 @@
   CHECK(ClosingServer().endingOf(row.Bytes, row.Reset) == row.Ending);
 }
 
+namespace {
+
+constexpr std::string_view PartOfAnswer = "HTTP/1.1 200 OK\r\n\r\npart";
+/// Requests beyond what the sockets buffer, beyond what the server's buffers,
+/// and below that.
+constexpr std::size_t LargeBody = std::size_t(64) << 20;
+constexpr std::size_t MediumBody = std::size_t(100) << 10;
+constexpr std::size_t SmallBody = 1000;
+
+} // namespace
+
+// Guards against a part of an answer that reaches the caller as a complete one:
+// the server answered a long upload at once, shut down its sending side and
+// reset the connection a little later, with the upload unread.
+TEST_CASE("an answer that ends before its request was received is broken off") {
+  const std::size_t bodyBytes = GENERATE(LargeBody, MediumBody);
+  CAPTURE(bodyBytes);
+  ClosingServer server;
+  constexpr int FewBytes = 4096;
+  ::setsockopt(server.Listener, SOL_SOCKET, SO_RCVBUF, &FewBytes,
+               sizeof(FewBytes));
+  const int fd = server.accept(bodyBytes);
+  ClosingServer::send(fd, PartOfAnswer);
+  ::shutdown(fd, SHUT_WR);
+  CHECK(server.awaitEnd() == BrokenOff);
+  ClosingServer::resetOnClose(fd);
+  ::close(fd);
+}
+
+// Guards against the same while the entry doesn't read: it finds an orderly
+// close, and the reset behind it only if it looks for it.
+TEST_CASE("an answer whose connection was reset after its end is broken off") {
+  ClosingServer server;
+  const int fd = server.accept(SmallBody);
+  std::string request(SmallBody, '\0');
+  while (::recv(fd, request.data(), request.size(), MSG_DONTWAIT) <= 0)
+    event_base_loop(server.Loop.base(), EVLOOP_ONCE);
+  ClosingServer::send(fd, PartOfAnswer);
+  ::shutdown(fd, SHUT_WR);
+  ClosingServer::resetOnClose(fd);
+  ::close(fd);
+  CHECK(server.awaitEnd() == BrokenOff);
+}
+
+TEST_CASE("an answer whose server closes after it has read the request may be "
+          "whole") {
+  ClosingServer server;
+  const int fd = server.accept(SmallBody);
+  std::string request;
+  const std::string end = "\r\n\r\n" + std::string(SmallBody, 'x');
+  while (!request.ends_with(end)) {
+    event_base_loop(server.Loop.base(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    char buf[SmallBody];
+    const ssize_t n = ::recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+    request.append(buf, static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+  }
+  ClosingServer::send(fd, PartOfAnswer);
+  SECTION("it closes") { ::close(fd); }
+  SECTION("it shuts down its sending side") { ::shutdown(fd, SHUT_WR); }
+  CHECK(server.awaitEnd() == Closed);
+}
+
 // Guards against a second place, or a missing case, that calls an answer whole:
 // goes through every combination of what is known of its end.
 TEST_CASE(
