A response with an invalid status is malformed

Callers saw: 504 when the route's time was over, where a server answered with a status below 100 or with 101, and 600 or 999 as they were.

Cause: http-parser takes any digits, and all below 200 counted as interim. It also reads bodies of interim responses, 204 and 304, so that a request waited for bytes that these never have.

Change: a status outside 100 to 599, and 101, breaks the answer off at once (RFC 9110, 15); so does an interim response that announces a body. 204 and 304 end with their head (RFC 9112, 6.3). Calls to engines reject such statuses, too.

--- a/packages/http/pimentofront/src/Http/HttpParser.cpp
+++ b/packages/http/pimentofront/src/Http/HttpParser.cpp
@@ -6,7 +6,28 @@
 namespace pimentofront {
 namespace {
 
-constexpr int StatusOk = 200;
+// RFC 9110, 15.
+constexpr unsigned FirstStatus = 100;
+constexpr unsigned StatusSwitchingProtocols = 101;
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNoContent = 204;
+constexpr unsigned StatusNotModified = 304;
+constexpr unsigned LastStatus = 599;
+
+/// \returns whether a response to a request of this entry may have \p status.
+/// The entry never asks for another protocol.
+bool isAcceptedStatus(unsigned status) {
+  return status >= FirstStatus && status <= LastStatus &&
+         status != StatusSwitchingProtocols;
+}
+
+/// \returns whether the head announces a body.
+bool announcesBody(const http_parser &parser) {
+  constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
+  const bool hasLength =
+      parser.content_length != UnknownLength && parser.content_length > 0;
+  return hasLength || (parser.flags & F_CHUNKED) != 0;
+}
 
 bool isTokenChar(char c) {
   constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
@@ -111,7 +132,6 @@
 
   static int onHeadersComplete(http_parser *parser) {
     Impl &self = of(parser);
-    constexpr int NoBody = 1;
     self.HeadDone = true;
     for (const HttpHeader &it : self.Headers)
       if (!isToken(it.Name) || !isSupportedCoding(it))
@@ -120,12 +140,27 @@
     parser->upgrade = 0;
     if (parser->type == HTTP_REQUEST)
       return self.requestHead(*parser);
-    self.Interim = parser->status_code < StatusOk;
-    self.KeepsConnection = http_should_keep_alive(parser) != 0;
-    if (!self.Interim)
-      self.SkipsBody = !self.Handler.onResponseHead(
-          {parser->status_code, std::move(self.Headers)});
-    return self.ResponseHasNoBody ? NoBody : 0;
+    return self.responseHead(*parser);
+  }
+
+  int responseHead(const http_parser &parser) {
+    constexpr int NoBody = 1;
+    const unsigned status = parser.status_code;
+    if (!isAcceptedStatus(status))
+      return -fail(HttpFault::Malformed);
+    Interim = status < StatusOk;
+    // http-parser would read a body, which the next response may be taken for
+    // (RFC 9112, 6.3).
+    if (Interim && announcesBody(parser))
+      return -fail(HttpFault::Malformed);
+    KeepsConnection = http_should_keep_alive(&parser) != 0;
+    if (!Interim)
+      SkipsBody = !Handler.onResponseHead(
+          {static_cast<int>(status), std::move(Headers)});
+    const bool hasNoBody = ResponseHasNoBody || Interim ||
+                           status == StatusNoContent ||
+                           status == StatusNotModified;
+    return hasNoBody ? NoBody : 0;
   }
 
   int requestHead(const http_parser &parser) {
--- a/packages/net/pimentofront/src/Net/HttpClient.cpp
+++ b/packages/net/pimentofront/src/Net/HttpClient.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::size_t MaxIdleConnections = 256;
 constexpr int StatusOk = 200;
+constexpr int LastStatus = 599; // RFC 9110, 15.
 constexpr ev_ssize_t MaxHeadBytes = ev_ssize_t(64) << 10;
 
 } // namespace
@@ -201,8 +202,9 @@
     if (!self.isActive(*call))
       return;
     const int status = req ? evhttp_request_get_response_code(req) : 0;
-    if (status == 0) {
-      const bool unsent = req && !call->FailedWhenConnected;
+    // evhttp takes any number, and interim responses other than 100 for final.
+    if (status < StatusOk || status > LastStatus) {
+      const bool unsent = req && status == 0 && !call->FailedWhenConnected;
       const HttpResponse answer{.Ending = unsent ? HttpEnding::NotSent
                                                  : HttpEnding::BrokeOff};
       return self.finish(call->Id, answer, false);
--- a/test/EndlessAnswerTest.cpp
+++ b/test/EndlessAnswerTest.cpp
@@ -420,6 +420,23 @@
   CHECK_FALSE(it.Excess);
 }
 
+// Guards against an agent that takes a status which no final response may have
+// for an engine's answer.
+TEST_CASE("a call whose response has an invalid status is broken off",
+          "[endless-calls]") {
+  const auto status =
+      GENERATE(as<std::string>(), "099", "101", "103", "199", "600", "999");
+  CAPTURE(status);
+  EndlessCall it(
+      {.Begin = "HTTP/1.1 " + status + " Text\r\nContent-Length: 2\r\n\r\n",
+       .Repeat = "o",
+       .Interval = 20ms});
+  while (!it.Ended)
+    event_base_loop(it.Loop.base(), EVLOOP_ONCE);
+  CHECK(it.Ended->Ending == HttpEnding::BrokeOff);
+  CHECK(it.Ended->Status == 0);
+}
+
 // Guards against a generation that an engine's line without an end holds in
 // memory.
 TEST_CASE("a line of server-sent events without an end is noticed",
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -164,6 +164,68 @@
   CHECK(reading.Collected.Body.empty());
 }
 
+// Guards against a status that no response may have and that reaches a caller,
+// or that is taken for an interim response, so that the request waits for a
+// final one until its deadline.
+TEST_CASE("a response with an invalid status is malformed") {
+  const auto status = GENERATE(as<std::string>(), "000", "001", "099", "0",
+                               "20", "101", "600", "999", "2000");
+  const auto framing = GENERATE(as<std::string>(), "", "Content-Length: 2\r\n",
+                                "Transfer-Encoding: chunked\r\n");
+  CAPTURE(status, framing);
+  ParserUnderTest reading(HttpMessageKind::Responses);
+  CHECK_FALSE(
+      reading.feed("HTTP/1.1 " + status + " Text\r\n" + framing + "\r\n"));
+  CHECK(reading.Parser.fault() == HttpFault::Malformed);
+  CHECK(reading.Collected.Responses.empty());
+}
+
+TEST_CASE("the first and the last status that a response may have are passed "
+          "on") {
+  const auto status = GENERATE(200U, 299U, 404U, 500U, 599U);
+  ParserUnderTest reading(HttpMessageKind::Responses);
+  REQUIRE(reading.feed("HTTP/1.1 " + std::to_string(status) +
+                       " Text\r\nContent-Length: 0\r\n\r\n"));
+  CHECK(reading.Collected.Ended == 1);
+  CHECK(reading.Collected.Responses.at(0).Status == static_cast<int>(status));
+}
+
+// Guards against an interim response whose body hides the final one.
+TEST_CASE("an interim response has no body") {
+  const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  const auto status = GENERATE(as<std::string>(), "100", "102", "103", "199");
+  CAPTURE(status);
+  ParserUnderTest reading(HttpMessageKind::Responses);
+  SECTION("and announces none") {
+    const auto header =
+        GENERATE(as<std::string>(), "", "X: y\r\n", "Content-Length: 0\r\n");
+    REQUIRE(reading.feed("HTTP/1.1 " + status + " Text\r\n" + header + "\r\n" +
+                         last));
+    CHECK(reading.Collected.Responses.size() == 1);
+    CHECK(reading.Collected.Body == "ok");
+  }
+  SECTION("or is malformed") {
+    const auto header = GENERATE(as<std::string>(), "Content-Length: 40\r\n",
+                                 "Transfer-Encoding: chunked\r\n");
+    CHECK_FALSE(reading.feed("HTTP/1.1 " + status + " Text\r\n" + header +
+                             "\r\n" + last));
+    CHECK(reading.Collected.Responses.empty());
+  }
+}
+
+// Guards against a request that waits until its deadline for a body which these
+// responses never have, whatever length they state (RFC 9112, 6.3).
+TEST_CASE("a response 204 or 304 ends with its head") {
+  const auto status = GENERATE(as<std::string>(), "204", "304");
+  const auto header = GENERATE(as<std::string>(), "", "Content-Length: 9\r\n",
+                               "Transfer-Encoding: chunked\r\n");
+  CAPTURE(status, header);
+  ParserUnderTest reading(HttpMessageKind::Responses);
+  REQUIRE(reading.feed("HTTP/1.1 " + status + " Text\r\n" + header + "\r\n"));
+  CHECK(reading.Collected.Ended == 1);
+  CHECK(reading.Collected.Body.empty());
+}
+
 TEST_CASE("mutated requests don't crash the parser or yield surplus data") {
   // Mutates well-formed messages with a fixed seed.
   const std::string wellFormed[] = {
