What arrives while an entry is suspended may be as old as that

Callers saw: half of an answer without a length as a whole one with status 200.

Cause: how late a close may be was bounded by the gaps within the answer. What arrives in one piece has none, and the time for which the process itself was suspended wasn't counted.

Change: the longest stall since the request was given to a server counts, too. The process that accepts the connection of the check is then asked which one it is, as after a gap.

Evidence: the new section of the late-close test fails without it.

--- a/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
+++ b/packages/forward/pimentofront/src/Forward/QuarantineController.cpp
@@ -238,7 +238,9 @@
   if (check.empty())
     check.EndedAt = now;
   check.Address = attempt.Address;
-  check.Delay = std::max(check.Delay, attempt.Gaps.delayBound(now));
+  // What arrived while this process was suspended may all be as old as that.
+  check.Delay = std::max(
+      {check.Delay, attempt.Gaps.delayBound(now), attempt.LongestStall});
   // A plain server that is asked after each long wait may have no slot to say
   // that it is the same, and its sound answer would be lost.
   if (request.ToEngine)
--- a/test/AnswerEndTest.cpp
+++ b/test/AnswerEndTest.cpp
@@ -613,6 +613,16 @@
     acceptBySuccessor(it, Now + Cut + RoundTrip);
     checkIsCutOff(it);
   }
+  SECTION("an answer of a plain service that arrives in one piece, with its "
+          "close, after its entry was frozen") {
+    ForwardUnderTest it;
+    it.request("once");
+    const SendUpstream sent = it.only<SendUpstream>();
+    it.Controller.attempts().onStall(Cut);
+    arriveInOnePiece(it, sent, "half");
+    acceptBySuccessor(it, Now + Cut + RoundTrip);
+    CHECK(it.only<ReplyComplete>().Head.Status == 502);
+  }
   SECTION("nor does it speak for a watched request") {
     StreamingEntry it("once");
     it.Configuration.Age = 3s;
