A leader names a departure in each of its terms

Found by reading, before anybody saw it: a replica that leads again remembers the departures of its former term, and took that for having told them. Entries that had missed them would have kept such a server until the list of the new term was complete.

Change: whether a departure is told anew depends on the present term's list.

Evidence: the new test finds an empty list without the change.

--- a/packages/state/pimentofront/src/State/MemberTable.cpp
+++ b/packages/state/pimentofront/src/State/MemberTable.cpp
@@ -39,9 +39,10 @@
 
 Duration MemberTable::retentionOf(const DepartureRecord &departure) const {
   // A process without a start time counts its announcements anew when it
-  // restarts, so one that was leaving must not reject them for long.
-  const bool namesProcess = departure.Gone && departure.Server.StartedAt == 0;
-  return departure.NamesProcess || namesProcess
+  // restarts, so that the departure of one that was leaving must not reject
+  // them for long.
+  const bool wasUnnamed = departure.Gone && departure.Server.StartedAt == 0;
+  return departure.NamesProcess || wasUnnamed
              ? Options.DeregistrationRetention
              : Options.AnonymousDeregistrationRetention;
 }
@@ -185,18 +186,21 @@
 void MemberTable::restoreDeparture(TimePoint now,
                                    const DepartureRecord &departure) {
   const auto known = Departures.find(departure.Server);
-  if (known != Departures.end() &&
-      merged(known->second.Record, departure) == known->second.Record)
-    return;
-  recordDeparture(now, departure);
+  if (known == Departures.end() ||
+      merged(known->second.Record, departure) != known->second.Record)
+    recordDeparture(now, departure);
   const auto it = Members.find(departure.Server.Name);
   const bool listed =
       it != Members.end() && it->second.process() == departure.Server;
   if (listed && !departure.Gone) {
     MemberRecord leaving = it->second;
     leaving.Leaving = true;
-    return recordChange(leaving);
+    if (leaving != it->second)
+      recordChange(leaving);
+    return;
   }
+  if (!listed && Departed.contains(departure.Server))
+    return;
   // One that is leaving is listed again with its next announcement. Until then
   // it must not get requests either.
   removeDeparted({.Host = departure.Server.Name,
--- a/test/DepartureTest.cpp
+++ b/test/DepartureTest.cpp
@@ -212,6 +212,24 @@
   }
 }
 
+// Guards against a leader that led before and remembers the departure, so that
+// it doesn't tell entries which have missed it.
+TEST_CASE("a leader names a departure in each of its terms", "[departures]") {
+  MemberTable table({.Lease = 6s});
+  table.beginTerm(Start, 1);
+  table.announce(Start, server("s", 1000), 8);
+  table.announce(Start + 1s, goodbye("s", 1000));
+  table.beginTerm(Start + 2s, 3);
+  table.restoreDeparture(Start + 2s, departure(1000, true));
+  const auto list = table.updateSince({.Term = 2, .Sequence = 9});
+  REQUIRE(list);
+  REQUIRE(list->Members.size() == 1);
+  CHECK(list->Members.front().Gone);
+  // The entry of the log is applied a second time.
+  table.restoreDeparture(Start + 3s, departure(1000, true));
+  CHECK(table.version() == list->To);
+}
+
 // Guards against a goodbye without a start time that a new leader, which hasn't
 // heard of the process yet, takes for nobody's.
 TEST_CASE("a goodbye that names only the server is resolved by the former list",
