--- a/packages/forward/pimentofront/src/Forward/ForwardBoard.h
+++ b/packages/forward/pimentofront/src/Forward/ForwardBoard.h
@@ -236,7 +236,7 @@
   /// How long the request waited at this agent before, for a version of its
   /// adapter that was superseded meanwhile.
   Duration Waited = Duration::zero();
-  /// Longest time for which this process was stalled since it asked the agent.
+  /// Longest time for which this process was stalled since the attempt began.
   Duration LongestStall = Duration::zero();
   ServerProcess Server;
   std::string Address;
--- a/packages/http/pimentofront/src/Http/HttpParser.cpp
+++ b/packages/http/pimentofront/src/Http/HttpParser.cpp
@@ -14,8 +14,8 @@
 constexpr unsigned StatusNotModified = 304;
 constexpr unsigned LastStatus = 599;
 
-/// \returns whether a response to a request of this entry may have \p status.
-/// The entry never asks for another protocol.
+/// \returns whether a response may have \p status, to a request that asks for
+/// no other protocol.
 bool isAcceptedStatus(unsigned status) {
   return status >= FirstStatus && status <= LastStatus &&
          status != StatusSwitchingProtocols;
