The crowd of clients survives a connection that the entry has closed

Cause: the test's own program ended by SIGPIPE (exit code 141) when it wrote to a connection that the entry had closed; the clients that the checks are about are meant to lose connections. The soak ignores the signal already.

Crowds, checks and bounds are unchanged.

--- a/test/platform/crowd/CrowdMain.cpp
+++ b/test/platform/crowd/CrowdMain.cpp
@@ -6,6 +6,7 @@
 #include "Crowd.h"
 #include "System.h"
 
+#include <csignal>
 #include <cstdio>
 #include <functional>
 #include <getopt.h>
@@ -349,6 +350,8 @@
 } // namespace
 
 int main(int argc, char **argv) {
+  // The crowd writes to connections that the entry has closed.
+  std::signal(SIGPIPE, SIG_IGN);
   SystemOptions system;
   std::string name;
   const option options[] = {{"daemon", required_argument, nullptr, 'd'},
